--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request classes, deadlines, fair share and shedding.
--- /dev/null
+++ b/crates/audit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bounded trail of changes.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator's command line tool.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assembly of the daemon: parts, admin listener, shutdown.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, scenarios and reports.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-repeatable orders.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model, adapter, version and role orders to engines.
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, incarnations and links between daemons.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and cache view, length-aware routing, engine groups.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration and instance list: read, watch, relay, revision floor.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Emulators of engines, services, platform and weight store.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and always-on invariants.
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards engines and services.
