Give a prompt a digest of its whole text

The load tool and the session tests check that an answer belongs to its own prompt; the emulated engine derives its answer from this digest.

--- a/crates/prompt/src/lib.rs
+++ b/crates/prompt/src/lib.rs
@@ -53,6 +53,8 @@
     pub length_tokens: u64,
     /// Chained hashes of the whole blocks, first block first.
     pub blocks: Vec<BlockHash>,
+    /// Hash of the whole text.
+    pub digest: u64,
 }
 
 /// Reason why a body was not understood.
@@ -134,6 +136,7 @@
         max_tokens,
         length_tokens: text.length_bytes.div_ceil(BYTES_PER_TOKEN) as u64,
         blocks: text.blocks,
+        digest: text.running.digest(),
     })
 }
 
