--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,4 +8,5 @@
 
 pub mod ids;
 pub mod instances;
+pub mod process;
 pub mod published;
--- /dev/null
+++ b/crates/settings/src/process.rs
@@ -0,0 +1,228 @@
+//! Settings of one daemon process.
+//!
+//! A process learns its own addresses and availability zone here and nowhere
+//! else. The file is JSONC. Sections are separate structs whose `Default` is
+//! what a missing section or key means; `docs/settings.md` lists every field
+//! with unit and default.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{AvailabilityZone, InstanceId, Region};
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Name of the instance, as the platform's list gives it.
+    pub instance: InstanceId,
+    /// Region of the instance.
+    pub region: Region,
+    /// Availability zone of the instance.
+    pub availability_zone: AvailabilityZone,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for links between daemons.
+    pub peer_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Address of the platform's service.
+    pub platform_address: SocketAddr,
+    /// Limits towards callers and upstreams.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Form of the log.
+    #[serde(default)]
+    pub logs: LogSettings,
+    /// Links between daemons.
+    #[serde(default)]
+    pub peers: PeerSettings,
+    /// Entries that the audit trail holds.
+    #[serde(default = "default_audit_capacity_entries")]
+    pub audit_capacity_entries: u32,
+    /// Longest planned stop, in milliseconds; unset means the longest time
+    /// limit of a class.
+    #[serde(default)]
+    pub stop_limit_ms: Option<u64>,
+    /// Whether a broken invariant ends the process; for tests.
+    #[serde(default)]
+    pub fatal_invariants: bool,
+}
+
+const fn default_audit_capacity_entries() -> u32 {
+    4096
+}
+
+/// Limits towards callers and upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_limit_bytes: u32,
+    /// Largest body of a request, in bytes.
+    pub body_limit_bytes: u32,
+    /// Longest time for a request's head to arrive, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Longest time for a request's body to arrive, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Frames of one answer held for a slow reader.
+    pub stream_buffer_frames: u32,
+    /// Longest time that a reader may take no frame, in milliseconds.
+    pub stream_stall_timeout_ms: u64,
+    /// Longest time for a connection to an upstream, in milliseconds.
+    pub connect_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_limit_bytes: 64 * 1024,
+            body_limit_bytes: 16 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 60_000,
+            stream_buffer_frames: 256,
+            stream_stall_timeout_ms: 30_000,
+            connect_timeout_ms: 1_000,
+        }
+    }
+}
+
+impl Limits {
+    /// Longest time for a request's head to arrive.
+    #[must_use]
+    pub fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms)
+    }
+
+    /// Longest time for a request's body to arrive.
+    #[must_use]
+    pub fn body_timeout(&self) -> Duration {
+        Duration::from_millis(self.body_timeout_ms)
+    }
+
+    /// Longest time that a reader may take no frame.
+    #[must_use]
+    pub fn stream_stall_timeout(&self) -> Duration {
+        Duration::from_millis(self.stream_stall_timeout_ms)
+    }
+
+    /// Longest time for a connection to an upstream.
+    #[must_use]
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+}
+
+/// Form of the log, which goes to standard error.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    pub level: LogLevel,
+    /// Layout of a line.
+    pub format: LogFormat,
+}
+
+/// Level of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Faults that need a person.
+    Error,
+    /// Faults that the process works around.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Single decisions.
+    Debug,
+    /// Single messages.
+    Trace,
+}
+
+/// Layout of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Text for a person.
+    #[default]
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Links between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PeerSettings {
+    /// Time between two heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Silence after which a member is suspected, in milliseconds.
+    pub suspect_after_ms: u64,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 500,
+            suspect_after_ms: 2_500,
+        }
+    }
+}
+
+impl PeerSettings {
+    /// Time between two heartbeats.
+    #[must_use]
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
+    /// Silence after which a member is suspected.
+    #[must_use]
+    pub fn suspect_after(&self) -> Duration {
+        Duration::from_millis(self.suspect_after_ms)
+    }
+}
+
+/// Settings that could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// File that could not be opened or is no text.
+    #[error("settings: {path} can't be read: {cause}")]
+    Unreadable {
+        /// Path as it was given.
+        path: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// Document with a fault.
+    #[error("settings: {path}: {reason}")]
+    Faulty {
+        /// Path as it was given.
+        path: String,
+        /// First fault and its place.
+        reason: String,
+    },
+}
+
+/// Reads the settings file of a daemon.
+///
+/// # Errors
+/// [`SettingsError::Unreadable`] when there is no such text,
+/// [`SettingsError::Faulty`] when it is not one whole and valid document.
+pub fn read_daemon_settings(path: &Path) -> Result<DaemonSettings, SettingsError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+        path: name.clone(),
+        cause,
+    })?;
+    jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default()).map_err(
+        |error| SettingsError::Faulty {
+            path: name,
+            reason: error.to_string(),
+        },
+    )
+}
