--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,28 @@
 //! Load and cache view, length-aware routing, engine groups.
+//!
+//! Owns the choice of an engine for each request, made by each daemon alone
+//! from its own view: what engines report, what this daemon has placed since,
+//! and what other daemons say they have placed. `platform` hands in the list of
+//! engines, `upstream` the reports, cache events and outcomes, `peers` the
+//! views of other daemons; `admission` asks for estimates and `entry` for
+//! places. Nothing in here does any input or output.
+
+mod clock;
+mod demand;
+mod engine;
+mod explain;
+mod options;
+mod placed;
+mod placement;
+mod report;
+
+pub use crate::clock::Clock;
+pub use crate::demand::{Demand, EngineInfo, EngineOutcome, Estimate, GroupMember, NoEngine};
+pub use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus, Verdict};
+pub use crate::options::{DEFAULT_ZONE_PENALTY, PlacementOptions, Policy};
+pub use crate::placed::Placed;
+pub use crate::placement::Placement;
+pub use crate::report::{
+    CacheEvent, CacheEventKind, CacheEvents, CacheSnapshot, CacheSync, EngineRole, EngineState,
+    LoadReport,
+};
