Send scenarios open-loop and report what callers saw (thin)

Cause: nothing drives a daemon yet, so neither the demo nor a measurement can be written.

Weighed: a closed loop of workers was ruled out, since a slow answer would slow the arrivals and hide itself. The expected answer is a rule of two functions given to the generator, so that tests need no emulated engine.

Interim: the rule named `standin` is a placeholder until the emulated engine's answer functions are merged; against a real one every answer counts as wrong.

--- /dev/null
+++ b/crates/load/src/answers.rs
@@ -0,0 +1,43 @@
+//! The answers that prompts must get.
+
+use crate::scenario::Endpoint;
+use crate::verify::{Expected, TokenText};
+
+/// Rule by which an engine answers.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerRule {
+    /// Text of a token, of the prompt's digest and the token's offset.
+    pub token_text: TokenText,
+    /// Length of an answer in tokens, of the digest and the request's limit.
+    pub length_tokens: fn(u64, u32) -> u32,
+}
+
+impl AnswerRule {
+    /// Rule of the emulated engine.
+    #[must_use]
+    pub fn standin() -> Self {
+        // Interim, until the emulated engine's own functions are merged.
+        Self {
+            token_text: |_, offset| format!(" {offset}"),
+            length_tokens: |_, limit| limit,
+        }
+    }
+
+    /// Answer to the request of `body`.
+    #[must_use]
+    pub fn expected(&self, endpoint: Endpoint, body: &[u8]) -> Expected {
+        let endpoint = match endpoint {
+            Endpoint::Completions => mangofront_prompt::Endpoint::Completions,
+            Endpoint::ChatCompletions => mangofront_prompt::Endpoint::ChatCompletions,
+        };
+        // The tool wrote the body itself. One that can't be read is refused by
+        // the daemon too, and then no answer is compared.
+        let (digest, max_tokens) = mangofront_prompt::read(endpoint, body)
+            .map_or((0, 0), |prompt| (prompt.digest, prompt.max_tokens));
+        Expected {
+            digest,
+            length_tokens: (self.length_tokens)(digest, max_tokens),
+            token_text: self.token_text,
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/generator.rs
@@ -0,0 +1,177 @@
+//! Open-loop sending of a schedule.
+//!
+//! One task sends at the scheduled instants, one task for each request reads
+//! its answer; a slow answer delays nothing but itself. What can't be sent
+//! because too many requests are under way counts as the generator's failure,
+//! never as the daemon's. The body of the next arrival is made before its
+//! instant comes, so that making it does not show in its times.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cyper::Client;
+
+use crate::exchange::{Exchanged, Outgoing, exchange};
+use crate::requests::Requests;
+use crate::sample::{End, Sample, SampleKind};
+use crate::schedule::{Arrival, Work};
+use crate::times::Times;
+
+/// Pause between looks at the number of requests under way.
+const DRAIN_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct Record {
+    /// One for each request.
+    pub samples: Vec<Sample>,
+    /// Times between the tokens of one stream, of all streams.
+    pub gaps: Times,
+    /// Most requests under way at once.
+    pub in_flight_max: usize,
+    /// Time from the start to the last answer.
+    pub elapsed: Duration,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self {
+            samples: Vec::new(),
+            gaps: Times::new(),
+            in_flight_max: 0,
+            elapsed: Duration::ZERO,
+        }
+    }
+}
+
+/// State that the tasks of a run share.
+struct Run {
+    client: Client,
+    requests: Requests,
+    record: RefCell<Record>,
+    in_flight: Cell<usize>,
+}
+
+/// Sends `arrivals` with at most `concurrency_cap` requests under way.
+pub async fn generate(
+    client: Client,
+    requests: Requests,
+    concurrency_cap: usize,
+    arrivals: impl Iterator<Item = Arrival>,
+) -> Record {
+    let run = Rc::new(Run {
+        client,
+        requests,
+        record: RefCell::default(),
+        in_flight: Cell::new(0),
+    });
+    let start = Instant::now();
+    for arrival in arrivals {
+        let outgoing = run.requests.outgoing(&arrival);
+        let due = start + arrival.at;
+        sleep_until(due).await;
+        let lateness = due.elapsed();
+        if run.in_flight.get() >= concurrency_cap {
+            run.not_sent(&arrival, lateness);
+            continue;
+        }
+        let guard = InFlight::new(&run);
+        let run = Rc::clone(&run);
+        compio::runtime::spawn(async move {
+            run.send(arrival, outgoing, lateness).await;
+            drop(guard);
+        })
+        .detach();
+    }
+    while run.in_flight.get() > 0 {
+        compio::time::sleep(DRAIN_PAUSE).await;
+    }
+    let mut record = run.record.take();
+    record.elapsed = start.elapsed();
+    record
+}
+
+async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if !left.is_zero() {
+        compio::time::sleep(left).await;
+    }
+}
+
+/// Counts one request under way while it lives.
+struct InFlight(Rc<Run>);
+
+impl InFlight {
+    fn new(run: &Rc<Run>) -> Self {
+        let in_flight = run.in_flight.get() + 1;
+        run.in_flight.set(in_flight);
+        let mut record = run.record.borrow_mut();
+        record.in_flight_max = record.in_flight_max.max(in_flight);
+        Self(Rc::clone(run))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+impl Run {
+    async fn send(&self, arrival: Arrival, outgoing: Outgoing, lateness: Duration) {
+        let repeated = match &arrival.work {
+            Work::Service(work) if work.repeat => Some(self.requests.repeat(&arrival, &outgoing)),
+            Work::Service(_) | Work::Model(_) => None,
+        };
+        let exchanged = exchange(&self.client, outgoing).await;
+        self.add(&arrival, exchanged, lateness, false);
+        if let Some(outgoing) = repeated {
+            let exchanged = exchange(&self.client, outgoing).await;
+            self.add(&arrival, exchanged, Duration::ZERO, true);
+        }
+    }
+
+    fn add(&self, arrival: &Arrival, exchanged: Exchanged, lateness: Duration, repeat: bool) {
+        let kind = match &arrival.work {
+            Work::Model(work) => SampleKind::Model {
+                length_tokens: work.length_tokens,
+            },
+            Work::Service(_) => SampleKind::Service {
+                key: self.requests.key(arrival),
+                repeat,
+                executions: exchanged.executions,
+            },
+        };
+        let mut record = self.record.borrow_mut();
+        for gap in exchanged.gaps {
+            record.gaps.add(gap);
+        }
+        record.samples.push(Sample {
+            class: arrival.class.clone(),
+            organisation: arrival.organisation.clone(),
+            kind,
+            lateness,
+            request_id: exchanged.request_id,
+            first_token: exchanged.first_token,
+            total: exchanged.total,
+            tokens: exchanged.tokens,
+            end: exchanged.end,
+        });
+    }
+
+    fn not_sent(&self, arrival: &Arrival, lateness: Duration) {
+        let exchanged = Exchanged {
+            request_id: None,
+            first_token: None,
+            total: Duration::ZERO,
+            gaps: Vec::new(),
+            tokens: 0,
+            executions: None,
+            end: End::GeneratorFailure {
+                cause: "concurrency_cap",
+            },
+        };
+        self.add(arrival, exchanged, lateness, false);
+    }
+}
--- /dev/null
+++ b/crates/load/src/requests.rs
@@ -0,0 +1,145 @@
+//! Requests made of arrivals.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use mangofront_http::headers;
+use mangofront_settings::ids::ClassName;
+use mangofront_settings::published::Class;
+
+use crate::answers::AnswerRule;
+use crate::exchange::{Answer, Outgoing};
+use crate::scenario::{Endpoint, Scenario};
+use crate::schedule::{Arrival, ModelWork, ServiceWork, Work};
+use crate::text::Slab;
+
+/// Time over its class's limit after which the tool gives a request up. The
+/// daemon has to answer within the limit; the rest is for the way.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Limit of a request whose class is not configured.
+const DEFAULT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Makes requests for targets in turn.
+#[derive(Debug)]
+pub struct Requests {
+    targets: Vec<SocketAddr>,
+    next_target: Cell<usize>,
+    classes: BTreeMap<ClassName, Class>,
+    time_scale: f64,
+    started_at: Duration,
+    slab: Slab,
+    rule: AnswerRule,
+}
+
+impl Requests {
+    /// Requests of `scenario` for `targets`, whose times pass `time_scale`
+    /// times as fast as the scenario says, answered by `rule`.
+    #[must_use]
+    pub fn new(
+        scenario: &Scenario,
+        targets: Vec<SocketAddr>,
+        time_scale: f64,
+        rule: AnswerRule,
+    ) -> Self {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Self {
+            targets,
+            next_target: Cell::new(0),
+            classes: scenario.configuration.classes.clone(),
+            time_scale,
+            // A clock before 1970 only makes keys look old.
+            started_at: now.unwrap_or_default(),
+            slab: Slab::new(),
+            rule,
+        }
+    }
+
+    /// Request of `arrival` for the next target.
+    #[must_use]
+    pub fn outgoing(&self, arrival: &Arrival) -> Outgoing {
+        match &arrival.work {
+            Work::Model(work) => self.model(arrival, work),
+            Work::Service(work) => self.service(arrival, work),
+        }
+    }
+
+    /// The same service call with the same key for the next target.
+    #[must_use]
+    pub fn repeat(&self, arrival: &Arrival, first: &Outgoing) -> Outgoing {
+        match &arrival.work {
+            Work::Model(_) => first.clone(),
+            Work::Service(work) => self.service(arrival, work),
+        }
+    }
+
+    /// Idempotency key of a service call: a UUIDv7 of the time it is due.
+    #[must_use]
+    pub fn key(&self, arrival: &Arrival) -> String {
+        let minted_at = self.started_at + arrival.at;
+        let minted_ms = u64::try_from(minted_at.as_millis()).unwrap_or(u64::MAX);
+        let mut random = [0; 10];
+        random[..8].copy_from_slice(&arrival.seed.to_le_bytes());
+        uuid::Builder::from_unix_timestamp_millis(minted_ms, &random)
+            .into_uuid()
+            .to_string()
+    }
+
+    fn model(&self, arrival: &Arrival, work: &ModelWork) -> Outgoing {
+        let path = match work.endpoint {
+            Endpoint::Completions => "completions",
+            Endpoint::ChatCompletions => "chat/completions",
+        };
+        let body = self.slab.body(work, arrival.seed);
+        let expected = self.rule.expected(work.endpoint, &body);
+        Outgoing {
+            url: format!("http://{}/v1/{path}", self.target()),
+            headers: common_headers(arrival),
+            body,
+            answer: if work.stream {
+                Answer::Stream(expected)
+            } else {
+                Answer::Json(expected)
+            },
+            time_limit: self.time_limit(&arrival.class),
+        }
+    }
+
+    fn service(&self, arrival: &Arrival, work: &ServiceWork) -> Outgoing {
+        let target = self.target();
+        let mut named = common_headers(arrival);
+        named.push((headers::IDEMPOTENCY_KEY, self.key(arrival)));
+        Outgoing {
+            url: format!("http://{target}/v1/services/{}/{}", work.service, work.path),
+            headers: named,
+            body: Bytes::from_static(b"{}"),
+            answer: Answer::Service,
+            time_limit: self.time_limit(&arrival.class),
+        }
+    }
+
+    fn target(&self) -> SocketAddr {
+        let next = self.next_target.get();
+        self.next_target.set((next + 1) % self.targets.len());
+        self.targets[next]
+    }
+
+    fn time_limit(&self, class: &ClassName) -> Duration {
+        let limit = self
+            .classes
+            .get(class)
+            .map_or(DEFAULT_LIMIT, Class::time_limit);
+        limit.div_f64(self.time_scale) + GRACE
+    }
+}
+
+fn common_headers(arrival: &Arrival) -> Vec<(&'static str, String)> {
+    vec![
+        ("content-type", "application/json".to_owned()),
+        (headers::CLASS, arrival.class.clone()),
+        (headers::ORGANISATION, arrival.organisation.clone()),
+    ]
+}
--- /dev/null
+++ b/crates/load/src/schedule.rs
@@ -0,0 +1,244 @@
+//! The arrivals of a run, drawn from a seed.
+//!
+//! Arrivals are a Poisson process: the time between two is exponential and does
+//! not depend on the answers. Every arrival draws the same number of random
+//! values in the same order, so leaving out the long prompts changes nothing
+//! about the others.
+
+use std::time::Duration;
+
+use mangofront_settings::ids::{ClassName, ModelName, OrganisationId, ServiceName};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+use crate::scenario::{Endpoint, Kind, LONG_TOKENS, ModelKind, Scenario, ServiceKind};
+
+/// Share of a prompt that is taken from a history, when it has one.
+const SHARED_PREFIX_PART: f64 = 0.8;
+
+/// One request of the schedule.
+#[derive(Debug, Clone, Serialize)]
+pub struct Arrival {
+    /// Position in the schedule, from 0; counts left-out prompts too.
+    pub index: usize,
+    /// Time after the run's start at which it is due.
+    #[serde(serialize_with = "as_us")]
+    pub at: Duration,
+    /// Organisation that sends it.
+    pub organisation: OrganisationId,
+    /// Class it is sent in.
+    pub class: ClassName,
+    /// Seed of its text and key.
+    pub seed: u64,
+    /// What is asked for.
+    pub work: Work,
+}
+
+/// What an arrival asks for.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Work {
+    /// Prompt for a model.
+    Model(ModelWork),
+    /// Call of a plain service.
+    Service(ServiceWork),
+}
+
+/// A prompt and how it is sent.
+#[derive(Debug, Clone, Serialize)]
+pub struct ModelWork {
+    /// Model asked for.
+    pub model: ModelName,
+    /// Path called.
+    pub endpoint: Endpoint,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Answer limit, in tokens.
+    pub max_tokens: u32,
+    /// Length of the prompt, in tokens.
+    pub length_tokens: u64,
+    /// Shared beginning of the prompt.
+    pub history: Option<History>,
+}
+
+/// Beginning of a prompt that others of its organisation share.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct History {
+    /// Seed of the shared text.
+    pub seed: u64,
+    /// Length of the shared part, in tokens.
+    pub length_tokens: u64,
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone, Serialize)]
+pub struct ServiceWork {
+    /// Service called.
+    pub service: ServiceName,
+    /// Path below the service.
+    pub path: String,
+    /// Whether it is sent a second time with the same key.
+    pub repeat: bool,
+}
+
+/// How to draw a schedule from a scenario.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Mean arrivals a second.
+    pub rate_per_s: f64,
+    /// Time during which requests arrive.
+    pub duration: Duration,
+    /// Whether prompts over [`LONG_TOKENS`] are left out.
+    pub without_long: bool,
+}
+
+/// Iterator over the arrivals of a run.
+#[derive(Debug)]
+pub struct Schedule<'a> {
+    scenario: &'a Scenario,
+    plan: Plan,
+    rng: StdRng,
+    organisation_weights: Vec<f64>,
+    kind_weights: Vec<f64>,
+    next_at: Duration,
+    next_index: usize,
+}
+
+impl<'a> Schedule<'a> {
+    /// Schedule of `scenario` under `plan`.
+    #[must_use]
+    pub fn new(scenario: &'a Scenario, plan: Plan) -> Self {
+        let ranks = 1..=scenario.organisations.len();
+        let organisation_weights = ranks
+            .map(|rank| (rank as f64).powf(-scenario.zipf_exponent))
+            .collect();
+        Self {
+            scenario,
+            plan,
+            rng: StdRng::seed_from_u64(plan.seed),
+            organisation_weights,
+            kind_weights: scenario.mix.iter().map(Kind::share).collect(),
+            next_at: Duration::ZERO,
+            next_index: 0,
+        }
+    }
+
+    fn draw(&mut self) -> Arrival {
+        self.next_at += exponential(&mut self.rng, self.plan.rate_per_s);
+        let index = self.next_index;
+        self.next_index += 1;
+        // One generator for each arrival: what one kind draws can't shift the
+        // next arrival.
+        let mut rng = StdRng::seed_from_u64(self.rng.random());
+        let organisation = pick(&mut rng, &self.organisation_weights);
+        let kind = &self.scenario.mix[pick(&mut rng, &self.kind_weights)];
+        let work = match kind {
+            Kind::Model(kind) => {
+                let histories = u64::from(self.scenario.histories_per_organisation);
+                Work::Model(draw_model(&mut rng, kind, organisation, histories))
+            }
+            Kind::Service(kind) => Work::Service(draw_service(&mut rng, kind)),
+        };
+        Arrival {
+            index,
+            at: self.next_at,
+            organisation: self.scenario.organisations[organisation].clone(),
+            class: kind.class().clone(),
+            seed: rng.random(),
+            work,
+        }
+    }
+
+    fn is_left_out(&self, arrival: &Arrival) -> bool {
+        match &arrival.work {
+            Work::Model(work) => self.plan.without_long && work.length_tokens > LONG_TOKENS,
+            Work::Service(_) => false,
+        }
+    }
+}
+
+impl Iterator for Schedule<'_> {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        loop {
+            if self.next_index >= self.scenario.request_cap {
+                return None;
+            }
+            let arrival = self.draw();
+            if arrival.at >= self.plan.duration {
+                return None;
+            }
+            if !self.is_left_out(&arrival) {
+                return Some(arrival);
+            }
+        }
+    }
+}
+
+fn draw_model(
+    rng: &mut StdRng,
+    kind: &ModelKind,
+    organisation: usize,
+    histories: u64,
+) -> ModelWork {
+    let weights: Vec<f64> = kind.lengths.iter().map(|range| range.weight).collect();
+    let range = kind.lengths[pick(rng, &weights)];
+    let length_tokens = log_uniform(rng, range.from_tokens, range.to_tokens);
+    let [least, greatest] = kind.max_tokens;
+    let max_tokens = rng.random_range(least..=greatest);
+    let shares = rng.random::<f64>() < kind.shared_prefix_share;
+    let history = rng.random_range(0..histories.max(1));
+    let shared = History {
+        seed: organisation as u64 * histories.max(1) + history,
+        length_tokens: (length_tokens as f64 * SHARED_PREFIX_PART) as u64,
+    };
+    ModelWork {
+        model: kind.model.clone(),
+        endpoint: kind.endpoint,
+        stream: kind.stream,
+        max_tokens,
+        length_tokens,
+        history: (shares && histories > 0).then_some(shared),
+    }
+}
+
+fn draw_service(rng: &mut StdRng, kind: &ServiceKind) -> ServiceWork {
+    ServiceWork {
+        service: kind.service.clone(),
+        path: kind.path.clone(),
+        repeat: rng.random::<f64>() < kind.repeat_share,
+    }
+}
+
+fn exponential(rng: &mut StdRng, rate_per_s: f64) -> Duration {
+    let uniform: f64 = rng.random();
+    Duration::from_secs_f64(-(1.0 - uniform).ln() / rate_per_s)
+}
+
+fn log_uniform(rng: &mut StdRng, from: u64, to: u64) -> u64 {
+    let low = (from as f64).ln();
+    let high = (to as f64).ln();
+    let drawn = (low + rng.random::<f64>() * (high - low)).exp();
+    (drawn.round() as u64).clamp(from, to)
+}
+
+/// Index drawn with probabilities in the ratio of `weights`.
+fn pick(rng: &mut StdRng, weights: &[f64]) -> usize {
+    let total: f64 = weights.iter().sum();
+    let mut left = rng.random::<f64>() * total;
+    for (index, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return index;
+        }
+    }
+    weights.len() - 1
+}
+
+fn as_us<S: serde::Serializer>(time: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_u64(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/load/src/times.rs
@@ -0,0 +1,86 @@
+//! Distribution of measured times.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+/// Longest time told apart, in microseconds: an hour.
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// Significant digits kept.
+const DIGITS: u8 = 3;
+
+/// Histogram of times.
+#[derive(Debug, Clone)]
+pub struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl FromIterator<Duration> for Times {
+    fn from_iter<I: IntoIterator<Item = Duration>>(times: I) -> Self {
+        let mut all = Self::new();
+        for time in times {
+            all.add(time);
+        }
+        all
+    }
+}
+
+impl Times {
+    /// Histogram without a time.
+    #[must_use]
+    pub fn new() -> Self {
+        let bounded = Histogram::new_with_bounds(1, LONGEST_US, DIGITS);
+        Self(bounded.expect("the bounds are constants that the library accepts"))
+    }
+
+    /// Adds one time; longer ones than an hour count as an hour.
+    pub fn add(&mut self, time: Duration) {
+        let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.0.saturating_record(time_us);
+    }
+
+    /// Number of times.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// Time that a share of all do not exceed, in milliseconds; 0 when empty.
+    #[must_use]
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.0.value_at_quantile(share) as f64 / 1000.0
+    }
+
+    /// The figures of a report.
+    #[must_use]
+    pub fn quantiles(&self) -> Quantiles {
+        Quantiles {
+            count: self.count(),
+            p50_ms: self.quantile_ms(0.50),
+            p95_ms: self.quantile_ms(0.95),
+            p99_ms: self.quantile_ms(0.99),
+            max_ms: self.0.max() as f64 / 1000.0,
+        }
+    }
+}
+
+/// Figures of a distribution of times.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Number of times.
+    pub count: u64,
+    /// Median, in milliseconds.
+    pub p50_ms: f64,
+    /// 95th percentile, in milliseconds.
+    pub p95_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// Greatest, in milliseconds.
+    pub max_ms: f64,
+}
--- /dev/null
+++ b/crates/load/tests/generator.rs
@@ -0,0 +1,121 @@
+//! The generator against a small server in the same process.
+
+#![allow(clippy::unwrap_used, reason = "a helper of tests fails by panicking")]
+
+mod support;
+
+use std::time::Duration;
+
+use mangofront_load::generator::generate;
+use mangofront_load::report::{Report, RunFacts, build};
+use mangofront_load::requests::Requests;
+use mangofront_load::scenario::Scenario;
+use mangofront_load::schedule::{Plan, Schedule};
+
+use support::{Fault, rule, server};
+
+/// Runs the first arrivals of the demo against a server with `fault`.
+fn run(fault: Fault, concurrency_cap: usize, time_scale: f64) -> Report {
+    let mut scenario = Scenario::load("demo").unwrap();
+    scenario.request_cap = 60;
+    let plan = Plan {
+        seed: 7,
+        rate_per_s: 400.0,
+        duration: Duration::from_secs(1),
+        without_long: true,
+    };
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let record = runtime.block_on(async {
+        let targets = vec![server(fault).await, server(fault).await];
+        let requests = Requests::new(&scenario, targets, time_scale, rule());
+        let client = mangofront_http::client().unwrap();
+        let schedule = Schedule::new(&scenario, plan);
+        generate(client, requests, concurrency_cap, schedule).await
+    });
+    let facts = RunFacts {
+        scenario: scenario.name.clone(),
+        seed: plan.seed,
+        targets: 2,
+        rate_per_s: plan.rate_per_s,
+        time_scale,
+        without_long: true,
+        arrivals: plan.duration,
+    };
+    build(&facts, &scenario.configuration, &record)
+}
+
+#[test]
+fn right_answers_are_all_done() {
+    let report = run(Fault::None, 100, 1.0);
+    assert_eq!(report.wrong_answers, []);
+    assert_eq!(report.counts.done, report.counts.requests);
+    assert!(report.counts.requests >= 55);
+    assert!(report.services.keys > 0);
+    assert_eq!(report.services.duplicates, 0);
+    assert!(report.time_between_tokens.count > 0);
+    assert_eq!(report.fairness.jain_index, 1.0);
+}
+
+#[test]
+fn faulty_answers_are_wrong() {
+    for fault in [
+        Fault::SwapTwoTokens,
+        Fault::DropLastToken,
+        Fault::RepeatToken,
+        Fault::NoEndMark,
+    ] {
+        let report = run(fault, 100, 1.0);
+        let wrong = report.counts.wrong_answer;
+        let expected = report
+            .by_length
+            .values()
+            .map(|length| length.counts.requests);
+        // The demo's plain JSON answers have no end mark to miss.
+        let spared = if fault == Fault::NoEndMark {
+            report.counts.done - service_calls(&report)
+        } else {
+            0
+        };
+        assert_eq!(wrong + spared, expected.sum::<u64>(), "{fault:?}");
+        assert!(wrong > 0);
+        let first = &report.wrong_answers[0];
+        assert!(
+            first
+                .request_id
+                .as_ref()
+                .is_some_and(|id| id.starts_with("r-"))
+        );
+    }
+}
+
+fn service_calls(report: &Report) -> u64 {
+    report.services.keys + report.services.repeats
+}
+
+#[test]
+fn errors_are_told_apart() {
+    let refused = run(Fault::Refuse, 100, 1.0);
+    assert_eq!(refused.counts.refused, refused.counts.requests);
+    assert_eq!(
+        refused.refused_by_code["class_overloaded"],
+        refused.counts.requests
+    );
+    let failed = run(Fault::ErrorInStream, 100, 1.0);
+    assert!(failed.failed_by_cause["upstream_lost/failed"] > 0);
+    assert_eq!(failed.counts.wrong_answer, 0);
+    let twice = run(Fault::RunServiceTwice, 100, 1.0);
+    assert_eq!(twice.services.duplicates, twice.services.keys);
+}
+
+#[test]
+fn a_hanging_target_does_not_hold_the_generator() {
+    let report = run(Fault::Hang, 10, 100_000.0);
+    assert_eq!(report.generator.in_flight_max, 10);
+    assert_eq!(
+        report.failed_by_cause["client_timeout/unknown"],
+        report.counts.failed
+    );
+    assert!(report.counts.generator_failure > 0);
+    let ended = report.counts.failed + report.counts.generator_failure;
+    assert_eq!(ended, report.counts.requests);
+}
