Serve one request from caller to engine: entry and daemon, thin

The path: read and check, admit, place, start at an engine, relay frames by (request, attempt, offset), try again elsewhere within a retry budget, resume at the same engine when only the connection broke, give up at the class's time. Keyed orders are refused as not run until the once crate stands.

--- /dev/null
+++ b/crates/daemon/src/arguments.rs
@@ -0,0 +1,54 @@
+//! The daemon's command line.
+
+use std::path::PathBuf;
+
+use crate::error::DaemonError;
+
+/// Text of `--help`.
+pub(crate) const HELP: &str = "\
+mangofrontd: serve model requests and service calls
+
+Usage: mangofrontd --settings FILE
+
+Options:
+  --settings FILE   settings of this process, JSON with comments
+  --version         print the version
+  --help            print this text
+
+The process stops gracefully on SIGTERM and SIGINT.";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    /// Settings file.
+    pub(crate) settings: PathBuf,
+}
+
+impl Arguments {
+    /// Reads the process's arguments.
+    ///
+    /// # Errors
+    /// [`DaemonError::Arguments`] for anything not understood,
+    /// [`DaemonError::Help`] when help is asked for.
+    pub(crate) fn read() -> Result<Self, DaemonError> {
+        let mut arguments = pico_args::Arguments::from_env();
+        if arguments.contains(["-h", "--help"]) {
+            return Err(DaemonError::Help);
+        }
+        if arguments.contains("--version") {
+            println!("mangofrontd {}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        let settings = arguments
+            .value_from_os_str("--settings", |value| Ok::<_, String>(PathBuf::from(value)))
+            .map_err(|error| DaemonError::Arguments(error.to_string()))?;
+        let rest = arguments.finish();
+        if let Some(unknown) = rest.first() {
+            let unknown = unknown.to_string_lossy();
+            return Err(DaemonError::Arguments(format!(
+                "unknown argument {unknown}"
+            )));
+        }
+        Ok(Self { settings })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/engines.rs
@@ -0,0 +1,134 @@
+//! One task per engine: its load reports and its cache events.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use compio::runtime::JoinHandle;
+use mangofront_placement::{CacheEvents, CacheSnapshot, CacheSync, EngineInfo, LoadReport};
+use mangofront_settings::ids::InstanceId;
+use mangofront_upstream::{SendError, Target, engine};
+
+use crate::parts::Parts;
+
+/// Time between two reads of an engine's load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for an engine to answer a read of its load or cache.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time that an engine may hold a read of cache events open.
+const EVENTS_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed read of the cache.
+const CACHE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The tasks of all engines listed.
+///
+/// Invariant: exactly one entry per listed engine and address; dropping an
+/// entry ends its tasks.
+#[derive(Debug)]
+pub(crate) struct EngineTasks {
+    parts: Parts,
+    running: RefCell<HashMap<InstanceId, EngineTask>>,
+}
+
+#[derive(Debug)]
+struct EngineTask {
+    target: Target,
+    _load: JoinHandle<()>,
+    _cache: JoinHandle<()>,
+}
+
+impl EngineTasks {
+    /// No engine yet.
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
+            parts,
+            running: RefCell::default(),
+        }
+    }
+
+    /// Starts tasks of new engines and ends those of engines no longer listed.
+    pub(crate) fn set(&self, listed: &[EngineInfo]) {
+        let mut running = self.running.borrow_mut();
+        running.retain(|instance, task| {
+            listed
+                .iter()
+                .any(|engine| engine.instance == *instance && engine.address == task.target.address)
+        });
+        for engine in listed {
+            if !running.contains_key(&engine.instance) {
+                running.insert(engine.instance.clone(), self.start(engine));
+            }
+        }
+    }
+
+    fn start(&self, engine: &EngineInfo) -> EngineTask {
+        let target = Target {
+            instance: engine.instance.clone(),
+            address: engine.address,
+        };
+        let load = compio::runtime::spawn(follow_load(self.parts.clone(), target.clone()));
+        let cache = compio::runtime::spawn(follow_cache(self.parts.clone(), target.clone()));
+        EngineTask {
+            target,
+            _load: load,
+            _cache: cache,
+        }
+    }
+}
+
+async fn follow_load(parts: Parts, target: Target) {
+    loop {
+        match read::<LoadReport>(&parts, &target, "/v1/load", REPORT_TIMEOUT).await {
+            Ok(Some(report)) => parts.placement.report(&target.instance, report),
+            Ok(None) => {}
+            Err(error) => {
+                log::debug!("engines: load of {} not read: {error}", target.instance);
+                parts.placement.report_failed(&target.instance);
+            }
+        }
+        compio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
+
+async fn follow_cache(parts: Parts, target: Target) {
+    loop {
+        if let Err(error) = follow_cache_from_snapshot(&parts, &target).await {
+            log::debug!("engines: cache of {} not read: {error}", target.instance);
+        }
+        compio::time::sleep(CACHE_PAUSE).await;
+    }
+}
+
+/// Reads a snapshot and the events after it, until a gap or an error.
+async fn follow_cache_from_snapshot(parts: &Parts, target: &Target) -> Result<(), SendError> {
+    let snapshot = read::<CacheSnapshot>(parts, target, "/v1/cache", REPORT_TIMEOUT).await?;
+    let Some(snapshot) = snapshot else {
+        return Ok(());
+    };
+    let mut from = snapshot.sequence;
+    parts.placement.cache_snapshot(&target.instance, snapshot);
+    loop {
+        let wait_ms = EVENTS_WAIT.as_millis();
+        let path = format!("/v1/cache/events?from={from}&wait_ms={wait_ms}");
+        let timeout = EVENTS_WAIT + REPORT_TIMEOUT;
+        let Some(events) = read::<CacheEvents>(parts, target, &path, timeout).await? else {
+            continue;
+        };
+        match parts.placement.cache_events(&target.instance, events) {
+            CacheSync::InSync { next_sequence } => from = next_sequence,
+            CacheSync::NeedsSnapshot => return Ok(()),
+        }
+    }
+}
+
+async fn read<T: serde::de::DeserializeOwned>(
+    parts: &Parts,
+    target: &Target,
+    path: &str,
+    timeout: Duration,
+) -> Result<Option<T>, SendError> {
+    engine::report(&parts.connections, target, path, Instant::now() + timeout).await
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,46 @@
+//! Reasons why a daemon does not start.
+
+use std::net::SocketAddr;
+
+use mangofront_http::ClientError;
+use mangofront_settings::process::SettingsError;
+use mangofront_telemetry::logs::LogsError;
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// A daemon that did not start or did not stop cleanly.
+#[derive(Debug, Error, Diagnostic)]
+pub enum DaemonError {
+    /// Help was asked for.
+    #[error("help")]
+    Help,
+    /// Command line not understood.
+    #[error("{0}")]
+    #[diagnostic(help("see mangofrontd --help"))]
+    Arguments(String),
+    /// Settings file not taken.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// Log could not be set up.
+    #[error("log: {0}")]
+    Logs(#[from] LogsError),
+    /// HTTP client could not be made.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// An address could not be listened on.
+    #[error("listen on {address} failed: {cause}")]
+    Listen {
+        /// Address of the settings.
+        address: SocketAddr,
+        /// System's words.
+        cause: std::io::Error,
+    },
+    /// The system refused something else.
+    #[error("{step} failed: {cause}")]
+    Io {
+        /// What was tried.
+        step: &'static str,
+        /// System's words.
+        cause: std::io::Error,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/feeds.rs
@@ -0,0 +1,63 @@
+//! News carried from the platform to the parts that act on it.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use mangofront_placement::EngineInfo;
+use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
+
+use crate::engines::EngineTasks;
+use crate::parts::Parts;
+
+/// Passes on each accepted configuration and instance list, for ever.
+pub(crate) async fn follow_platform(parts: Parts) {
+    let engines = EngineTasks::new(parts.clone());
+    let mut seen = parts.platform.seen();
+    loop {
+        pass_on_configuration(&parts);
+        pass_on_instances(&parts, &engines);
+        seen = parts.platform.changed(seen).await;
+    }
+}
+
+fn pass_on_configuration(parts: &Parts) {
+    if let Some(accepted) = parts.platform.configuration() {
+        parts.admission.set_classes(&accepted.configuration.classes);
+    }
+}
+
+fn pass_on_instances(parts: &Parts, engines: &EngineTasks) {
+    let Some(accepted) = parts.platform.instances() else {
+        return;
+    };
+    let instances = &accepted.list.instances;
+    let listed: Vec<EngineInfo> = instances.iter().filter_map(engine_info).collect();
+    engines.set(&listed);
+    parts.placement.set_engines(listed);
+    let addresses: HashSet<SocketAddr> = instances.iter().filter_map(upstream_address).collect();
+    parts
+        .connections
+        .retain(|address| addresses.contains(address));
+}
+
+fn engine_info(instance: &Instance) -> Option<EngineInfo> {
+    let InstanceRole::Engine { address, model } = &instance.role else {
+        return None;
+    };
+    Some(EngineInfo {
+        instance: instance.instance.clone(),
+        model: model.clone(),
+        availability_zone: instance.availability_zone.clone(),
+        address: *address,
+        leaving: instance.state == InstanceState::Leaving,
+    })
+}
+
+fn upstream_address(instance: &Instance) -> Option<SocketAddr> {
+    match &instance.role {
+        InstanceRole::Engine { address, .. } | InstanceRole::Service { address, .. } => {
+            Some(*address)
+        }
+        InstanceRole::Entry { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion/attempts.rs
@@ -0,0 +1,315 @@
+//! The attempts at one request, seen as one run of tokens.
+//!
+//! Invariants: at most one attempt is open; `next_offset` is the only token
+//! that the caller is given next, whatever attempt it comes from; nothing
+//! happens after the caller's deadline. An attempt that fails is followed by
+//! another one from the same offset, within the retry budget.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use mangofront_admission::{Backoff, Permit};
+use mangofront_http::Outcome;
+use mangofront_placement::{EngineOutcome, Placed};
+use mangofront_settings::ids::InstanceId;
+use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
+use mangofront_upstream::{SendError, Target};
+
+use super::CompletionRequest;
+use crate::context::Entry;
+use crate::error::EntryError;
+use crate::observe;
+
+/// Most attempts at one request, resumptions included.
+const ATTEMPTS_LIMIT: u32 = 5;
+
+/// Least time an engine gets for its first token before another is tried.
+const FIRST_TOKEN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How many times its estimate an engine gets for its first token.
+const FIRST_TOKEN_FACTOR: u32 = 4;
+
+/// Longest silence between two tokens before another engine is tried.
+const TOKEN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Longest pause before the second attempt.
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+
+/// Longest pause before any attempt.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time after which a caller may come back when its attempts failed.
+const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
+
+/// Time after which a caller may come back when no engine takes work.
+const RETRY_AFTER_NO_ENGINE: Duration = Duration::from_secs(2);
+
+/// The attempts at one request.
+#[derive(Debug)]
+pub(crate) struct Attempts {
+    entry: Entry,
+    request: Rc<CompletionRequest>,
+    permit: Permit,
+    backoff: Backoff,
+    made: u32,
+    next_offset: u32,
+    excluded: Vec<InstanceId>,
+    running: Option<Running>,
+    finished: bool,
+}
+
+/// The attempt that is open.
+#[derive(Debug)]
+struct Running {
+    placed: Placed,
+    stream: EngineStream,
+    call: Generate,
+    target: Target,
+    started: Instant,
+    first_token_seen: bool,
+}
+
+impl Attempts {
+    /// No attempt made yet.
+    pub(crate) fn new(entry: Entry, request: Rc<CompletionRequest>, permit: Permit) -> Self {
+        Self {
+            entry,
+            request,
+            permit,
+            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
+            made: 0,
+            next_offset: 0,
+            excluded: Vec::new(),
+            running: None,
+            finished: false,
+        }
+    }
+
+    /// Whether the last token was given.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Next token of the answer.
+    ///
+    /// # Errors
+    /// The class's time is over, or no further attempt is allowed.
+    pub(crate) async fn next(&mut self) -> Result<Frame, EntryError> {
+        loop {
+            self.check_deadline()?;
+            let mut running = match self.running.take() {
+                Some(running) => running,
+                None => match self.begin().await? {
+                    Some(running) => running,
+                    None => continue,
+                },
+            };
+            match running.stream.next(self.patience(&running)).await {
+                Ok(frame) => {
+                    self.accept(&mut running, &frame);
+                    if !self.finished {
+                        self.running = Some(running);
+                    }
+                    return Ok(frame);
+                }
+                Err(error) => self.recover(running, error).await?,
+            }
+        }
+    }
+
+    /// Starts an attempt; `None` when it failed and another may be made.
+    async fn begin(&mut self) -> Result<Option<Running>, EntryError> {
+        let placement = &self.entry.parts().placement;
+        let placed = placement
+            .place(&self.request.demand, &self.excluded)
+            .map_err(|_none| self.no_engine())?;
+        self.made += 1;
+        let call = self.call(&placed);
+        let target = Target {
+            instance: placed.instance.clone(),
+            address: placed.address,
+        };
+        let started = Instant::now();
+        let connections = &self.entry.parts().connections;
+        match engine::generate(connections, &target, call.clone()).await {
+            Ok(stream) => Ok(Some(Running {
+                placed,
+                stream,
+                call,
+                target,
+                started,
+                first_token_seen: false,
+            })),
+            Err(error) => {
+                drop(placed);
+                self.give_up_or_retry(error).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    fn call(&self, placed: &Placed) -> Generate {
+        Generate {
+            endpoint: self.request.endpoint,
+            body: self.request.body.clone(),
+            request: self.request.id.clone(),
+            attempt: self.made,
+            priority: placed.priority,
+            resume_offset: self.next_offset,
+            reservation: None,
+            deadline: self.request.caller.deadline,
+        }
+    }
+
+    fn accept(&mut self, running: &mut Running, frame: &Frame) {
+        self.next_offset = frame.offset + 1;
+        if running.first_token_seen {
+            running.placed.tokens(1);
+        } else {
+            running.first_token_seen = true;
+            running.placed.first_token();
+        }
+        if frame.offset == 0 {
+            self.observe_first_token();
+        }
+        if frame.finish_reason.is_some() {
+            self.finished = true;
+            self.permit.succeeded();
+            let placement = &self.entry.parts().placement;
+            placement.outcome(&running.target.instance, EngineOutcome::Success);
+        }
+    }
+
+    fn observe_first_token(&mut self) {
+        let time = self.request.caller.arrived.elapsed();
+        self.permit.first_token(time);
+        observe::first_token(
+            &self.request.caller.class,
+            self.request.prompt.length_tokens,
+            time,
+        );
+    }
+
+    /// Takes a broken stream up where it broke, or leaves it for a new attempt.
+    async fn recover(&mut self, running: Running, error: SendError) -> Result<(), EntryError> {
+        let resumable = matches!(error, SendError::Broken { .. }) && running.first_token_seen;
+        let stream_id = running.stream.stream_id().map(str::to_owned);
+        let Some(stream_id) = stream_id.filter(|_| resumable) else {
+            drop(running);
+            return self.give_up_or_retry(error).await;
+        };
+        let call = Generate {
+            resume_offset: self.next_offset,
+            ..running.call.clone()
+        };
+        let Running {
+            placed,
+            stream,
+            target,
+            started,
+            ..
+        } = running;
+        stream.keep();
+        let connections = &self.entry.parts().connections;
+        match engine::resume(connections, &target, &stream_id, call.clone()).await {
+            Ok(stream) => {
+                observe::retried("same_engine");
+                let first_token_seen = true;
+                self.running = Some(Running {
+                    placed,
+                    stream,
+                    call,
+                    target,
+                    started,
+                    first_token_seen,
+                });
+                Ok(())
+            }
+            Err(error) => {
+                drop(placed);
+                self.give_up_or_retry(error).await
+            }
+        }
+    }
+
+    /// Notes a failed attempt; an error when no other may be made.
+    async fn give_up_or_retry(&mut self, error: SendError) -> Result<(), EntryError> {
+        log::debug!(
+            "entry: attempt {} of {} failed: {error}",
+            self.made,
+            self.request.id
+        );
+        self.check_deadline()?;
+        let parts = self.entry.parts();
+        parts
+            .placement
+            .outcome(error.peer(), engine_outcome(&error));
+        observe::upstream_failed(error.step_name());
+        self.excluded.push(error.peer().clone());
+        let allowed = self.made < ATTEMPTS_LIMIT && parts.admission.retry_budget().try_take();
+        if !allowed {
+            return Err(EntryError::AttemptsFailed {
+                attempts: self.made,
+                last: self.settle(error),
+                retry_after: RETRY_AFTER_FAILURE,
+            });
+        }
+        observe::retried("other_engine");
+        compio::time::sleep(self.backoff.next_wait()).await;
+        Ok(())
+    }
+
+    /// Error of the last attempt, telling also of the earlier ones.
+    ///
+    /// An earlier attempt may have run, so only the first one may say not run.
+    fn settle(&self, error: SendError) -> SendError {
+        if self.made > 1 && error.outcome() == Outcome::NotRun {
+            let cause = format!("{error}, after earlier attempts that may have run");
+            return SendError::Protocol {
+                peer: error.peer().clone(),
+                cause,
+            };
+        }
+        error
+    }
+
+    fn no_engine(&self) -> EntryError {
+        EntryError::NoUpstream {
+            kind: "engine",
+            retry_after: RETRY_AFTER_NO_ENGINE,
+        }
+    }
+
+    fn check_deadline(&self) -> Result<(), EntryError> {
+        if Instant::now() < self.request.caller.deadline {
+            return Ok(());
+        }
+        let outcome = if self.made == 0 {
+            Outcome::NotRun
+        } else {
+            Outcome::Failed
+        };
+        Err(EntryError::DeadlineExceeded { outcome })
+    }
+
+    /// Until when the open attempt may stay silent.
+    fn patience(&self, running: &Running) -> Instant {
+        let until = if running.first_token_seen {
+            Instant::now() + TOKEN_PATIENCE
+        } else {
+            let estimate = running.placed.estimate.time_to_first_token;
+            running.started + FIRST_TOKEN_PATIENCE + estimate * FIRST_TOKEN_FACTOR
+        };
+        until.min(self.request.caller.deadline)
+    }
+}
+
+fn engine_outcome(error: &SendError) -> EngineOutcome {
+    match error {
+        SendError::Timeout { .. } => EngineOutcome::Timeout,
+        SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
+            EngineOutcome::Busy
+        }
+        _ => EngineOutcome::Error,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion/mod.rs
@@ -0,0 +1,176 @@
+//! Requests for a model's answer.
+//!
+//! Until the first token the caller's own task drives the request, so that a
+//! caller who goes away takes its place in the queue and its attempt along.
+//! After it a streamed answer is relayed by a task of its own: its time limit
+//! then holds also when the caller's connection takes no more bytes.
+
+mod answer;
+mod attempts;
+mod relay;
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use mangofront_admission::{AdmissionRequest, RefusalReason};
+use mangofront_http::{Body, collect, json};
+use mangofront_placement::Demand;
+use mangofront_prompt::{Endpoint, Prompt};
+
+use crate::caller::{self, Caller};
+use crate::context::Entry;
+use crate::error::EntryError;
+use attempts::Attempts;
+
+/// A request that was read and checked.
+#[derive(Debug)]
+pub(crate) struct CompletionRequest {
+    /// Id given by this daemon.
+    pub(crate) id: String,
+    /// Endpoint it was sent to.
+    pub(crate) endpoint: Endpoint,
+    /// Body as it came.
+    pub(crate) body: Bytes,
+    /// What was read of the body; its blocks moved into `demand`.
+    pub(crate) prompt: Prompt,
+    /// Who sent it and until when.
+    pub(crate) caller: Caller,
+    /// What it asks of an engine.
+    pub(crate) demand: Demand,
+}
+
+/// Answers a request for a model's answer.
+///
+/// # Errors
+/// Anything that keeps it from its first token, or from its whole answer when
+/// it is not streamed.
+pub(crate) async fn answer(
+    entry: &Entry,
+    endpoint: Endpoint,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Body>, EntryError> {
+    if let Some(retry_after) = entry.stopping() {
+        return Err(EntryError::Stopping { retry_after });
+    }
+    let request = Rc::new(read(entry, endpoint, request, id).await?);
+    let in_progress = entry.begin();
+    let mut attempts = admit(entry, &request).await?;
+    let first = attempts.next().await?;
+    if request.prompt.stream {
+        let relay = relay::Relay {
+            entry: entry.clone(),
+            request,
+            attempts,
+            in_progress,
+        };
+        return Ok(relay.start(first));
+    }
+    let whole = answer::collect(&request, attempts, first).await?;
+    Ok(json(StatusCode::OK, &whole))
+}
+
+async fn read(
+    entry: &Entry,
+    endpoint: Endpoint,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<CompletionRequest, EntryError> {
+    let arrived = Instant::now();
+    let (head, incoming) = request.into_parts();
+    let caller = identify(entry, &head.headers, arrived)?;
+    let body = read_body(entry, incoming, caller.deadline).await?;
+    let mut prompt = mangofront_prompt::read(endpoint, &body)?;
+    check_model(entry, &prompt.model)?;
+    let demand = Demand {
+        model: prompt.model.clone(),
+        length_tokens: prompt.length_tokens,
+        max_tokens: prompt.max_tokens,
+        blocks: std::mem::take(&mut prompt.blocks),
+        time_to_first_token: caller.time_to_first_token,
+        deadline: caller.deadline,
+    };
+    Ok(CompletionRequest {
+        id: id.to_owned(),
+        endpoint,
+        body,
+        prompt,
+        caller,
+        demand,
+    })
+}
+
+fn identify(entry: &Entry, headers: &HeaderMap, arrived: Instant) -> Result<Caller, EntryError> {
+    let accepted = entry
+        .parts()
+        .platform
+        .configuration()
+        .ok_or(EntryError::NoConfiguration)?;
+    caller::identify(&accepted.configuration, headers, arrived)
+}
+
+fn check_model(entry: &Entry, model: &str) -> Result<(), EntryError> {
+    let accepted = entry
+        .parts()
+        .platform
+        .configuration()
+        .ok_or(EntryError::NoConfiguration)?;
+    if accepted.configuration.models.contains_key(model) {
+        return Ok(());
+    }
+    Err(EntryError::UnknownModel {
+        model: model.to_owned(),
+    })
+}
+
+/// Reads a body within the limits of size and time.
+pub(crate) async fn read_body(
+    entry: &Entry,
+    incoming: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, EntryError> {
+    let limits = &entry.parts().limits;
+    let until = deadline.min(Instant::now() + limits.body_timeout);
+    let reading = collect(incoming, limits.body_limit_bytes);
+    match compio::time::timeout_at(until, reading).await {
+        Ok(body) => Ok(body?),
+        Err(_elapsed) => Err(EntryError::BodyTimeout),
+    }
+}
+
+async fn admit(entry: &Entry, request: &Rc<CompletionRequest>) -> Result<Attempts, EntryError> {
+    let parts = entry.parts();
+    let ask = AdmissionRequest {
+        class: request.caller.class.clone(),
+        organisation: request.caller.organisation.clone(),
+        model: request.prompt.model.clone(),
+        length_tokens: request.prompt.length_tokens,
+        arrived: request.caller.arrived,
+        deadline: request.caller.deadline,
+    };
+    let estimate = || parts.placement.estimate(&request.demand).ok();
+    match parts.admission.admit(ask, estimate).await {
+        Ok(permit) => Ok(Attempts::new(entry.clone(), Rc::clone(request), permit)),
+        Err(refusal) => {
+            let code = refusal_code(refusal.reason);
+            Err(EntryError::Refused {
+                code,
+                reason: refusal.to_string(),
+                retry_after: refusal.retry_after,
+            })
+        }
+    }
+}
+
+fn refusal_code(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::UnknownClass => "unknown_class",
+        RefusalReason::NoEngine => "no_upstream",
+        RefusalReason::TooLate => "class_time_cannot_be_met",
+        RefusalReason::QueueFull => "queue_full",
+        RefusalReason::Closed => "stopping",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion/relay.rs
@@ -0,0 +1,96 @@
+//! Streamed answers.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::SinkExt;
+use http::{HeaderValue, Response, header};
+use mangofront_http::{Body, Outcome, stream};
+use mangofront_upstream::engine::Frame;
+
+use super::attempts::Attempts;
+use super::{CompletionRequest, answer};
+use crate::context::{Entry, InProgress};
+use crate::observe;
+
+/// Relays one answer from its attempts to its caller.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    pub(crate) entry: Entry,
+    pub(crate) request: Rc<CompletionRequest>,
+    pub(crate) attempts: Attempts,
+    pub(crate) in_progress: InProgress,
+}
+
+/// Why a relay stopped before the answer's end.
+enum Stopped {
+    /// Caller's connection is gone.
+    CallerGone,
+    /// Caller took no byte until its deadline.
+    CallerStalled,
+}
+
+impl Relay {
+    /// Response whose body the relay's own task fills.
+    pub(crate) fn start(self, first: Frame) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(self.entry.parts().limits.stream_buffer_frames);
+        compio::runtime::spawn(self.run(first, sender)).detach();
+        let mut response = Response::new(stream(receiver));
+        let content_type = HeaderValue::from_static("text/event-stream");
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+        response
+            .headers_mut()
+            .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        response
+    }
+
+    async fn run(mut self, first: Frame, mut sender: mpsc::Sender<Bytes>) {
+        let request = Rc::clone(&self.request);
+        if let Err(stopped) = self.relay(first, &mut sender).await {
+            let reason = match stopped {
+                Stopped::CallerGone => "caller_gone",
+                Stopped::CallerStalled => "caller_stalled",
+            };
+            log::debug!("entry: answer to {} stopped: {reason}", request.id);
+            observe::request_failed(reason, Outcome::Failed);
+        }
+        drop(self.in_progress);
+    }
+
+    async fn relay(
+        &mut self,
+        first: Frame,
+        sender: &mut mpsc::Sender<Bytes>,
+    ) -> Result<(), Stopped> {
+        let mut frame = first;
+        loop {
+            self.send(sender, answer::chunk(&self.request, &frame))
+                .await?;
+            if self.attempts.is_finished() {
+                observe::request_finished(&self.request.caller.class);
+                return self.send(sender, answer::done()).await;
+            }
+            frame = match self.attempts.next().await {
+                Ok(frame) => frame,
+                Err(error) => {
+                    observe::request_failed(error.code(), error.outcome());
+                    let last = answer::error_event(&error.body(&self.request.id));
+                    return self.send(sender, last).await;
+                }
+            };
+        }
+    }
+
+    async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
+        observe::token_relayed();
+        let deadline = self.request.caller.deadline;
+        match compio::time::timeout_at(deadline, sender.send(chunk)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_closed)) => Err(Stopped::CallerGone),
+            Err(_elapsed) => Err(Stopped::CallerStalled),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,143 @@
+//! What every request of a daemon shares.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use mangofront_admission::Admission;
+use mangofront_http::Body;
+use mangofront_placement::Placement;
+use mangofront_platform::Platform;
+use mangofront_settings::ids::AvailabilityZone;
+use mangofront_upstream::Connections;
+
+use crate::router;
+
+/// Limits of what a caller may send and how long its connection may stall.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryLimits {
+    /// Largest body of a request, in bytes.
+    pub body_limit_bytes: usize,
+    /// Longest time for a request's body to arrive.
+    pub body_timeout: Duration,
+    /// Tokens held for a reader that is slower than its engine.
+    pub stream_buffer_frames: usize,
+    /// Longest answer of a plain service, in bytes.
+    pub service_answer_limit_bytes: usize,
+    /// Time limit of a service call that names no class.
+    pub service_timeout: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            body_limit_bytes: 16 * 1024 * 1024,
+            body_timeout: Duration::from_secs(30),
+            stream_buffer_frames: 16,
+            service_answer_limit_bytes: 4 * 1024 * 1024,
+            service_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// The neighbours that an [`Entry`] asks.
+#[derive(Debug, Clone)]
+pub struct EntryParts {
+    /// Availability zone of this daemon.
+    pub availability_zone: AvailabilityZone,
+    /// Configuration and instances in force.
+    pub platform: Platform,
+    /// When a request may start.
+    pub admission: Admission,
+    /// Where a request goes.
+    pub placement: Placement,
+    /// Connections to upstreams.
+    pub connections: Connections,
+    /// Limits towards callers.
+    pub limits: EntryLimits,
+}
+
+/// The caller-facing side of a daemon. Clones share their state.
+#[derive(Debug, Clone)]
+pub struct Entry(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    parts: EntryParts,
+    in_progress: Cell<usize>,
+    /// Set once the daemon stops: the time after which a caller may come back.
+    stopping: Cell<Option<Duration>>,
+    next_service: Cell<usize>,
+}
+
+impl Entry {
+    /// Entry over its neighbours.
+    #[must_use]
+    pub fn new(parts: EntryParts) -> Self {
+        Self(Rc::new(Shared {
+            parts,
+            in_progress: Cell::new(0),
+            stopping: Cell::new(None),
+            next_service: Cell::new(0),
+        }))
+    }
+
+    /// Answers one request of the caller at `peer`.
+    pub async fn handle(self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        router::route(&self, request, peer).await
+    }
+
+    /// Refuses all new work from now on; callers may come back after `retry_after`.
+    pub fn stop(&self, retry_after: Duration) {
+        self.0.stopping.set(Some(retry_after));
+        self.0.parts.admission.close(retry_after);
+    }
+
+    /// Requests admitted and not yet answered whole.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.0.in_progress.get()
+    }
+
+    /// Whether new work is refused.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping().is_some()
+    }
+
+    /// Time after which a caller may come back, when the daemon stops.
+    pub(crate) fn stopping(&self) -> Option<Duration> {
+        self.0.stopping.get()
+    }
+
+    pub(crate) fn parts(&self) -> &EntryParts {
+        &self.0.parts
+    }
+
+    /// Counts a request as in progress while the guard lives.
+    pub(crate) fn begin(&self) -> InProgress {
+        self.0.in_progress.set(self.0.in_progress.get() + 1);
+        InProgress(self.clone())
+    }
+
+    /// Turn for choosing among equal service instances.
+    pub(crate) fn next_service_turn(&self) -> usize {
+        let turn = self.0.next_service.get();
+        self.0.next_service.set(turn.wrapping_add(1));
+        turn
+    }
+}
+
+/// Counts one request in progress.
+#[derive(Debug)]
+pub(crate) struct InProgress(Entry);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        let count = &self.0.0.in_progress;
+        count.set(count.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,206 @@
+//! Everything that can keep a request from its answer, as the caller sees it.
+
+use std::time::Duration;
+
+use http::{Method, Response, StatusCode};
+use mangofront_http::{Body, BodyError, ErrorBody, Outcome};
+use mangofront_prompt::PromptError;
+use mangofront_settings::ids::InstanceId;
+use mangofront_upstream::SendError;
+use thiserror::Error;
+
+/// A request that was not answered as asked.
+#[derive(Debug, Error)]
+pub(crate) enum EntryError {
+    #[error("no such path: {path}")]
+    UnknownPath { path: String },
+    #[error("this path takes {wanted}")]
+    WrongMethod { wanted: Method },
+    #[error("header {name} is missing")]
+    MissingHeader { name: &'static str },
+    #[error("header {name} is not readable text")]
+    BadHeader { name: &'static str },
+    #[error("unknown class {class}")]
+    UnknownClass { class: String },
+    #[error("unknown organisation {organisation}")]
+    UnknownOrganisation { organisation: String },
+    #[error("unknown model {model}")]
+    UnknownModel { model: String },
+    #[error("unknown service {service}")]
+    UnknownService { service: String },
+    #[error("{0}")]
+    Body(#[from] BodyError),
+    #[error("body did not arrive in time")]
+    BodyTimeout,
+    #[error("{0}")]
+    Prompt(#[from] PromptError),
+    #[error("no configuration is known yet")]
+    NoConfiguration,
+    #[error("this daemon is stopping")]
+    Stopping { retry_after: Duration },
+    #[error("{reason}")]
+    Refused {
+        code: &'static str,
+        reason: String,
+        retry_after: Duration,
+    },
+    #[error("no {kind} takes work now")]
+    NoUpstream {
+        kind: &'static str,
+        retry_after: Duration,
+    },
+    #[error("the class's time is over")]
+    DeadlineExceeded { outcome: Outcome },
+    #[error("gave up after {attempts} attempts: {last}")]
+    AttemptsFailed {
+        attempts: u32,
+        last: SendError,
+        retry_after: Duration,
+    },
+    #[error("{0}")]
+    Service(SendError),
+    #[error("this call may not be repeated and needs the header idempotency-key")]
+    KeyRequired,
+    #[error("{reason}")]
+    Order {
+        code: &'static str,
+        outcome: Outcome,
+        reason: String,
+        retry_after: Option<Duration>,
+    },
+}
+
+impl EntryError {
+    /// Stable code for programs.
+    pub(crate) fn code(&self) -> &'static str {
+        match self {
+            Self::UnknownPath { .. } => "unknown_path",
+            Self::WrongMethod { .. } => "wrong_method",
+            Self::MissingHeader { .. } => "missing_header",
+            Self::BadHeader { .. } => "bad_header",
+            Self::UnknownClass { .. } => "unknown_class",
+            Self::UnknownOrganisation { .. } => "unknown_organisation",
+            Self::UnknownModel { .. } => "unknown_model",
+            Self::UnknownService { .. } => "unknown_service",
+            Self::Body(BodyError::TooLarge { .. }) => "body_too_large",
+            Self::Body(BodyError::Broken(_)) => "body_broken",
+            Self::BodyTimeout => "body_timeout",
+            Self::Prompt(_) => "malformed_request",
+            Self::NoConfiguration => "no_configuration",
+            Self::Stopping { .. } => "stopping",
+            Self::Refused { code, .. } | Self::Order { code, .. } => code,
+            Self::NoUpstream { .. } => "no_upstream",
+            Self::DeadlineExceeded { .. } => "deadline_exceeded",
+            Self::AttemptsFailed { .. } | Self::Service(_) => "upstream_failed",
+            Self::KeyRequired => "idempotency_key_required",
+        }
+    }
+
+    /// What is known of the work behind the request.
+    ///
+    /// A model's answer is worth nothing without its caller, so an attempt of
+    /// unknown end counts as failed; a service's call may have done something.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            Self::DeadlineExceeded { outcome } | Self::Order { outcome, .. } => *outcome,
+            Self::AttemptsFailed { last, .. } => match last.outcome() {
+                Outcome::NotRun => Outcome::NotRun,
+                Outcome::Failed | Outcome::Unknown => Outcome::Failed,
+            },
+            Self::Service(error) => error.outcome(),
+            _ => Outcome::NotRun,
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownPath { .. } | Self::UnknownModel { .. } | Self::UnknownService { .. } => {
+                StatusCode::NOT_FOUND
+            }
+            Self::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            Self::UnknownOrganisation { .. } => StatusCode::FORBIDDEN,
+            Self::MissingHeader { .. }
+            | Self::BadHeader { .. }
+            | Self::UnknownClass { .. }
+            | Self::Body(BodyError::Broken(_))
+            | Self::Prompt(_)
+            | Self::KeyRequired => StatusCode::BAD_REQUEST,
+            Self::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::Refused { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration | Self::Stopping { .. } | Self::NoUpstream { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::DeadlineExceeded { .. } => StatusCode::GATEWAY_TIMEOUT,
+            Self::AttemptsFailed { .. } | Self::Service(_) => StatusCode::BAD_GATEWAY,
+            Self::Order {
+                outcome: Outcome::NotRun,
+                code: "key_conflict",
+                ..
+            } => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Order {
+                outcome: Outcome::NotRun,
+                ..
+            } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Order {
+                outcome: Outcome::Failed,
+                ..
+            } => StatusCode::BAD_GATEWAY,
+            Self::Order {
+                outcome: Outcome::Unknown,
+                ..
+            } => StatusCode::CONFLICT,
+        }
+    }
+
+    /// Step at which the error arose.
+    fn step(&self) -> &'static str {
+        match self {
+            Self::Body(_) | Self::BodyTimeout => "read_body",
+            Self::NoConfiguration => "configuration",
+            Self::Stopping { .. } | Self::Refused { .. } => "admission",
+            Self::NoUpstream { .. } => "placement",
+            Self::DeadlineExceeded { .. } => "deadline",
+            Self::AttemptsFailed { last, .. } | Self::Service(last) => last.step_name(),
+            Self::Order { .. } => "once",
+            _ => "read_request",
+        }
+    }
+
+    fn peer(&self) -> Option<&InstanceId> {
+        match self {
+            Self::AttemptsFailed { last, .. } | Self::Service(last) => Some(last.peer()),
+            _ => None,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Stopping { retry_after }
+            | Self::Refused { retry_after, .. }
+            | Self::NoUpstream { retry_after, .. }
+            | Self::AttemptsFailed { retry_after, .. } => Some(*retry_after),
+            Self::Order { retry_after, .. } => *retry_after,
+            Self::NoConfiguration => Some(Duration::from_secs(1)),
+            _ => None,
+        }
+    }
+
+    /// Error body for the caller.
+    pub(crate) fn body(&self, request_id: &str) -> ErrorBody {
+        let mut body = ErrorBody::new(self.code(), self.outcome(), self.step(), self.to_string())
+            .request_id(request_id);
+        if let Some(peer) = self.peer() {
+            body = body.peer(peer.as_str());
+        }
+        if let Some(delay) = self.retry_after() {
+            body = body.retry_after(delay);
+        }
+        body
+    }
+
+    /// Response for the caller.
+    pub(crate) fn into_response(self, request_id: &str) -> Response<Body> {
+        self.body(request_id).into_response(self.status())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/models.rs
@@ -0,0 +1,47 @@
+//! The list of models.
+
+use http::{Response, StatusCode};
+use mangofront_http::{Body, json};
+use serde::Serialize;
+
+use crate::context::Entry;
+use crate::error::EntryError;
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// Answers with the models of the configuration in force.
+pub(crate) fn answer(entry: &Entry) -> Result<Response<Body>, EntryError> {
+    let accepted = entry
+        .parts()
+        .platform
+        .configuration()
+        .ok_or(EntryError::NoConfiguration)?;
+    let data = accepted
+        .configuration
+        .models
+        .keys()
+        .map(|id| ModelEntry {
+            id,
+            object: "model",
+            owned_by: "mangofront",
+        })
+        .collect();
+    Ok(json(
+        StatusCode::OK,
+        &ModelList {
+            object: "list",
+            data,
+        },
+    ))
+}
--- /dev/null
+++ b/crates/entry/src/service/mod.rs
@@ -0,0 +1,277 @@
+//! Calls of plain services.
+//!
+//! A call that carries an idempotency key, or that the configuration lists as
+//! non-repeatable, goes through `once` and is sent at most once ([`order`]).
+//! Any other call is sent again elsewhere only while it is certain that no
+//! byte of it was written, or when its method is safe.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use mangofront_http::{Body, Outcome, full, headers};
+use mangofront_settings::ids::ServiceName;
+use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
+use mangofront_settings::published::{CallPattern, Configuration, Service};
+use mangofront_upstream::Target;
+use mangofront_upstream::service::{Call, Repeat, ServiceAnswer, call};
+
+use crate::caller;
+use crate::completion::read_body;
+use crate::context::Entry;
+use crate::error::EntryError;
+use crate::observe;
+
+/// Time after which a caller may come back when no instance of a service is left.
+pub(crate) const RETRY_AFTER_NO_SERVICE: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Prefix of the paths of plain services.
+const SERVICES: &str = "/v1/services/";
+
+/// A call that was read and checked.
+#[derive(Debug)]
+pub(crate) struct ServiceCall {
+    pub(crate) organisation: String,
+    pub(crate) service: ServiceName,
+    pub(crate) call: Call,
+    pub(crate) deadline: Instant,
+}
+
+/// Answers a call of a plain service.
+///
+/// # Errors
+/// Anything that keeps it from the service's own answer.
+pub(crate) async fn answer(
+    entry: &Entry,
+    request: Request<Incoming>,
+    id: &str,
+) -> Result<Response<Body>, EntryError> {
+    if let Some(retry_after) = entry.stopping() {
+        return Err(EntryError::Stopping { retry_after });
+    }
+    let arrived = Instant::now();
+    let _in_progress = entry.begin();
+    let (head, incoming) = request.into_parts();
+    let key = caller::text(&head.headers, headers::IDEMPOTENCY_KEY)?.map(str::to_owned);
+    let (service_call, repeat) = read(entry, head, incoming, arrived, id).await?;
+    let answer = match (key, repeat) {
+        (Some(_), _) => return Err(orders_unavailable()),
+        (None, Repeat::Forbidden) => return Err(EntryError::KeyRequired),
+        (None, Repeat::Allowed) => send(entry, &service_call).await?,
+    };
+    Ok(respond(answer))
+}
+
+async fn read(
+    entry: &Entry,
+    head: Parts,
+    incoming: Incoming,
+    arrived: Instant,
+    id: &str,
+) -> Result<(ServiceCall, Repeat), EntryError> {
+    let accepted = entry
+        .parts()
+        .platform
+        .configuration()
+        .ok_or(EntryError::NoConfiguration)?;
+    let configuration = &accepted.configuration;
+    let (service, path) = split_path(&head)?;
+    let rules = configuration
+        .services
+        .get(&service)
+        .ok_or_else(|| EntryError::UnknownService {
+            service: service.clone(),
+        })?;
+    let repeat = repeat(rules, &head.method, &path);
+    let (organisation, deadline) = identify(entry, configuration, &head, arrived)?;
+    let body = read_body(entry, incoming, deadline).await?;
+    let mut passed_on = head.headers;
+    if let Ok(value) = id.parse() {
+        passed_on.insert(headers::REQUEST_ID, value);
+    }
+    let call = Call {
+        method: head.method,
+        path_and_query: path,
+        headers: passed_on,
+        body,
+    };
+    Ok((
+        ServiceCall {
+            organisation,
+            service,
+            call,
+            deadline,
+        },
+        repeat,
+    ))
+}
+
+/// Organisation and deadline of a call; a class is optional here.
+fn identify(
+    entry: &Entry,
+    configuration: &Configuration,
+    head: &Parts,
+    arrived: Instant,
+) -> Result<(String, Instant), EntryError> {
+    match caller::identify(configuration, &head.headers, arrived) {
+        Ok(caller) => Ok((caller.organisation, caller.deadline)),
+        Err(EntryError::MissingHeader {
+            name: headers::CLASS,
+        }) => {
+            let organisation = caller::text(&head.headers, headers::ORGANISATION)?;
+            let deadline = arrived + entry.parts().limits.service_timeout;
+            Ok((organisation.unwrap_or_default().to_owned(), deadline))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Service's name, and the path and query below it.
+fn split_path(head: &Parts) -> Result<(ServiceName, String), EntryError> {
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str);
+    let below = path.strip_prefix(SERVICES).unwrap_or_default();
+    let end = below.find(['/', '?']).unwrap_or(below.len());
+    let (service, rest) = below.split_at(end);
+    if service.is_empty() {
+        return Err(EntryError::UnknownPath {
+            path: path.to_owned(),
+        });
+    }
+    let rest = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    Ok((service.to_owned(), rest))
+}
+
+fn repeat(service: &Service, method: &Method, path_and_query: &str) -> Repeat {
+    let path = path_and_query.split('?').next().unwrap_or_default();
+    let matches = |pattern: &CallPattern| {
+        pattern.method == method.as_str() && path.starts_with(&pattern.path_prefix)
+    };
+    if service.non_repeatable.iter().any(matches) {
+        Repeat::Forbidden
+    } else {
+        Repeat::Allowed
+    }
+}
+
+/// Live instances of a service, those of the daemon's own availability zone first.
+pub(crate) fn targets(entry: &Entry, service: &str) -> Vec<Target> {
+    let Some(accepted) = entry.parts().platform.instances() else {
+        return Vec::new();
+    };
+    let own_zone = &entry.parts().availability_zone;
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for instance in &accepted.list.instances {
+        if let Some(target) = live_target(instance, service) {
+            let zone = if instance.availability_zone == *own_zone {
+                &mut near
+            } else {
+                &mut far
+            };
+            zone.push(target);
+        }
+    }
+    let turn = entry.next_service_turn();
+    for zone in [&mut near, &mut far] {
+        let count = zone.len();
+        zone.rotate_left(if count == 0 { 0 } else { turn % count });
+    }
+    near.append(&mut far);
+    near
+}
+
+fn live_target(instance: &Instance, wanted: &str) -> Option<Target> {
+    match &instance.role {
+        InstanceRole::Service { address, service }
+            if service == wanted && instance.state == InstanceState::Live =>
+        {
+            Some(Target {
+                instance: instance.instance.clone(),
+                address: *address,
+            })
+        }
+        _ => None,
+    }
+}
+
+/// Sends a call that may be repeated.
+async fn send(entry: &Entry, service_call: &ServiceCall) -> Result<ServiceAnswer, EntryError> {
+    let parts = entry.parts();
+    let limit_bytes = parts.limits.service_answer_limit_bytes;
+    let safe = service_call.call.method.is_safe();
+    let mut last = None;
+    for target in targets(entry, &service_call.service) {
+        let sent = call(
+            &parts.connections,
+            &target,
+            service_call.call.clone(),
+            Repeat::Allowed,
+            limit_bytes,
+            service_call.deadline,
+        );
+        match sent.await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => {
+                observe::upstream_failed(error.step_name());
+                let again = safe || error.outcome() == Outcome::NotRun;
+                last = Some(error);
+                if !again || !parts.admission.retry_budget().try_take() {
+                    break;
+                }
+            }
+        }
+    }
+    Err(match last {
+        Some(error) => EntryError::Service(error),
+        None => no_service(),
+    })
+}
+
+/// Error for a service without a live instance.
+pub(crate) fn no_service() -> EntryError {
+    EntryError::NoUpstream {
+        kind: "service",
+        retry_after: RETRY_AFTER_NO_SERVICE,
+    }
+}
+
+fn respond(answer: ServiceAnswer) -> Response<Body> {
+    let mut response = Response::new(full(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Fingerprint of a call: the same key may not name another call.
+pub(crate) fn fingerprint(service_call: &ServiceCall) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    for part in [
+        service_call.service.as_bytes(),
+        service_call.call.method.as_str().as_bytes(),
+    ] {
+        hash.update(part);
+        hash.update(b"\0");
+    }
+    hash.update(service_call.call.path_and_query.as_bytes());
+    hash.update(b"\0");
+    let body: &Bytes = &service_call.call.body;
+    hash.update(body);
+    hash.digest()
+}
+
+fn orders_unavailable() -> EntryError {
+    EntryError::Order {
+        code: "orders_unavailable",
+        outcome: Outcome::NotRun,
+        reason: "this build runs no non-repeatable orders".to_owned(),
+        retry_after: None,
+    }
+}
--- a/src/bin/mangofrontd.rs
+++ b/src/bin/mangofrontd.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The daemon on each entry instance.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mangofront_daemon::main()
+}
