Tell every fault of a document with its line and column

Cause: serde stops at the first fault and often knows only the section, so an operator would mend a file one guess at a time. Weighed: serde_path_to_error gives the path of one fault, after which the range must still be found, and knows neither units nor ranges. A table of the fields walked along the tree with ranges finds all faults in the order of the text, and is also where ranges and units stand. The structs deny unknown fields and the tests load an example with every field, so table and struct can't drift apart unseen. At most 20 faults are told, and quotations are cut and escaped: a published text may hold a megabyte of anything, and the audit trail keeps one line of it. Change: check (document, walk, shape, hint, problem, fault), tables and rules for the settings and the published configuration, a builder for settings, both annotated examples, docs/settings.md. strsim joins the workspace's dependencies; it was in the lock file already.

--- /dev/null
+++ b/crates/settings/src/check/document.rs
@@ -0,0 +1,91 @@
+//! Parsing of JSON with comments.
+//!
+//! Comments and trailing commas are allowed; everything else is plain JSON, so
+//! that a document means the same to every tool that reads it.
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Range;
+use jsonc_parser::errors::{ParseError, ParseErrorKind};
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+use serde::de::DeserializeOwned;
+
+use super::fault::{CheckError, Fault};
+use super::problem::Problem;
+
+/// Keys that only a published configuration has at its top.
+const CONFIGURATION_KEYS: [&str; 4] = ["classes", "organisations", "models", "services"];
+
+/// Which of the two documents a text is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DocumentKind {
+    /// Settings of a daemon.
+    Settings,
+    /// Published configuration.
+    Configuration,
+}
+
+impl DocumentKind {
+    /// Tells the kind by the keys at the top of `text`; settings when in doubt.
+    #[must_use]
+    pub fn guess(text: &str) -> Self {
+        let Ok(Value::Object(object)) = parse(text) else {
+            return Self::Settings;
+        };
+        let has = |key: &&str| object.get(key).is_some();
+        if CONFIGURATION_KEYS.iter().any(has) {
+            Self::Configuration
+        } else {
+            Self::Settings
+        }
+    }
+}
+
+/// Parses `text` without a schema; `name` stands for it in the error.
+///
+/// # Errors
+/// [`CheckError`] with the place of the fault when `text` is not JSON with
+/// comments.
+pub fn parse_value(name: &str, text: &str) -> Result<serde_json::Value, CheckError> {
+    // The tree is parsed first because only that parser bounds the nesting.
+    parse(text)
+        .and_then(|_| deserialize(text))
+        .map_err(|fault| CheckError::one(name, text, fault))
+}
+
+/// Parses `text` into a tree with ranges.
+pub(super) fn parse(text: &str) -> Result<Value<'_>, Fault> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options())
+        .map_err(|error| syntax_fault(text, &error))?;
+    parsed.value.ok_or_else(|| {
+        let end = Range::new(text.len(), text.len());
+        Fault::new(text, String::new(), end, Problem::Empty)
+    })
+}
+
+/// Reads `text`, already parsed once, into a type.
+pub(super) fn deserialize<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    parse_to_serde_value(text, &options()).map_err(|error| syntax_fault(text, &error))
+}
+
+fn syntax_fault(text: &str, error: &ParseError) -> Fault {
+    let problem = match error.kind() {
+        ParseErrorKind::Custom(message) => Problem::Unfit(message.clone()),
+        kind => Problem::Syntax(kind.to_string()),
+    };
+    Fault::new(text, String::new(), error.range(), problem)
+}
+
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -5,12 +5,18 @@
 //! what a missing section or key means; `docs/settings.md` lists every field
 //! with unit and default.
 
+mod builder;
+mod fields;
+mod read;
+
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use builder::DaemonSettingsBuilder;
+pub use read::{check_daemon_settings, read_daemon_settings};
+
 use crate::ids::{AvailabilityZone, InstanceId, Region};
 
 /// Settings of one daemon.
@@ -186,43 +192,3 @@
         Duration::from_millis(self.suspect_after_ms)
     }
 }
-
-/// Settings that could not be read.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// File that could not be opened or is no text.
-    #[error("settings: {path} can't be read: {cause}")]
-    Unreadable {
-        /// Path as it was given.
-        path: String,
-        /// What the system said.
-        cause: std::io::Error,
-    },
-    /// Document with a fault.
-    #[error("settings: {path}: {reason}")]
-    Faulty {
-        /// Path as it was given.
-        path: String,
-        /// First fault and its place.
-        reason: String,
-    },
-}
-
-/// Reads the settings file of a daemon.
-///
-/// # Errors
-/// [`SettingsError::Unreadable`] when there is no such text,
-/// [`SettingsError::Faulty`] when it is not one whole and valid document.
-pub fn read_daemon_settings(path: &Path) -> Result<DaemonSettings, SettingsError> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
-        path: name.clone(),
-        cause,
-    })?;
-    jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default()).map_err(
-        |error| SettingsError::Faulty {
-            path: name,
-            reason: error.to_string(),
-        },
-    )
-}
--- /dev/null
+++ b/crates/settings/src/process/fields.rs
@@ -0,0 +1,118 @@
+//! Table of the settings' fields and their ranges.
+
+use std::collections::BTreeMap;
+
+use jsonc_parser::ast::Object;
+
+use crate::check::shape::{Field, Schema, Shape, TextForm};
+use crate::check::{Finding, Problem};
+
+const SECOND_MS: u64 = 1_000;
+const MINUTE_MS: u64 = 60 * SECOND_MS;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+const KIB_BYTES: u64 = 1024;
+const MIB_BYTES: u64 = 1024 * KIB_BYTES;
+
+/// The settings file of a daemon.
+pub(super) static SCHEMA: Schema = Schema {
+    fields: FIELDS,
+    guard_steering: false,
+    rules: &[addresses_differ, suspicion_outlasts_heartbeats],
+};
+
+const FIELDS: &[Field] = &[
+    Field::required("instance", Shape::Text(TextForm::Name)),
+    Field::required("region", Shape::Text(TextForm::Name)),
+    Field::required("availability_zone", Shape::Text(TextForm::Name)),
+    Field::required("caller_address", Shape::Address),
+    Field::required("peer_address", Shape::Address),
+    Field::required("admin_address", Shape::Address),
+    Field::required("platform_address", Shape::Address),
+    Field::defaulted("limits", Shape::Object(LIMITS)),
+    Field::defaulted("logs", Shape::Object(LOGS)),
+    Field::defaulted("peers", Shape::Object(PEERS)),
+    Field::defaulted("audit_capacity_entries", between(1, 1_000_000)),
+    Field::optional("stop_limit_ms", between(1, 24 * HOUR_MS)),
+    Field::defaulted("fatal_invariants", Shape::Boolean),
+];
+
+const LIMITS: &[Field] = &[
+    // hyper takes no smaller buffer for a head.
+    Field::defaulted("header_limit_bytes", between(8 * KIB_BYTES, MIB_BYTES)),
+    Field::defaulted("body_limit_bytes", between(KIB_BYTES, 256 * MIB_BYTES)),
+    Field::defaulted("header_timeout_ms", between(1, HOUR_MS)),
+    Field::defaulted("body_timeout_ms", between(1, HOUR_MS)),
+    Field::defaulted("stream_buffer_frames", between(1, 65_536)),
+    Field::defaulted("stream_stall_timeout_ms", between(1, HOUR_MS)),
+    Field::defaulted("connect_timeout_ms", between(1, MINUTE_MS)),
+];
+
+const LOGS: &[Field] = &[
+    Field::defaulted(
+        "level",
+        Shape::Choice(&["error", "warn", "info", "debug", "trace"]),
+    ),
+    Field::defaulted("format", Shape::Choice(&["human", "json"])),
+];
+
+const PEERS: &[Field] = &[
+    Field::defaulted("heartbeat_ms", between(10, MINUTE_MS)),
+    Field::defaulted("suspect_after_ms", between(20, 10 * MINUTE_MS)),
+];
+
+const fn between(min: u64, max: u64) -> Shape {
+    Shape::Integer { min, max }
+}
+
+/// The addresses that the process itself listens on.
+const OWN_ADDRESSES: [&str; 3] = ["caller_address", "peer_address", "admin_address"];
+
+fn addresses_differ(root: &Object<'_>, findings: &mut Vec<Finding>) {
+    let mut seen = BTreeMap::new();
+    for key in OWN_ADDRESSES {
+        let Some(address) = root.get_string(key) else {
+            continue;
+        };
+        // Port 0 is another free port each time.
+        if address.value.ends_with(":0") {
+            continue;
+        }
+        if let Some(other) = seen.insert(address.value.to_string(), key) {
+            let what = format!("same address as `{other}`");
+            let help = "give each listener its own port";
+            findings.push(Finding {
+                path: key.to_owned(),
+                range: address.range,
+                problem: Problem::Conflict { what, help },
+            });
+        }
+    }
+}
+
+fn suspicion_outlasts_heartbeats(root: &Object<'_>, findings: &mut Vec<Finding>) {
+    let defaults = super::PeerSettings::default();
+    let Some(peers) = root.get_object("peers") else {
+        return;
+    };
+    let number = |key, default| {
+        let found = peers.get_number(key);
+        found
+            .and_then(|number| number.value.parse::<u64>().ok())
+            .unwrap_or(default)
+    };
+    let heartbeat_ms = number("heartbeat_ms", defaults.heartbeat_ms);
+    let suspect_after_ms = number("suspect_after_ms", defaults.suspect_after_ms);
+    if suspect_after_ms >= 2 * heartbeat_ms {
+        return;
+    }
+    let what = format!("suspicion after {suspect_after_ms} ms, a heartbeat each {heartbeat_ms} ms");
+    let help = "let `suspect_after_ms` be at least twice `heartbeat_ms`";
+    let at_fault = peers
+        .get_number("suspect_after_ms")
+        .or(peers.get_number("heartbeat_ms"));
+    findings.push(Finding {
+        path: "peers".to_owned(),
+        range: at_fault.map_or(peers.range, |number| number.range),
+        problem: Problem::Conflict { what, help },
+    });
+}
--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -4,11 +4,16 @@
 //! weight, an instance or an address, and an unknown field is refused, so that
 //! nobody can steer by them.
 
+mod check;
+mod fields;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use check::{check_published, check_published_as, check_published_text};
+
 use crate::ids::{ClassName, ModelName, OrganisationId, ServiceName};
 
 /// One published configuration.
