--- a/crates/audit/src/event.rs
+++ b/crates/audit/src/event.rs
@@ -2,17 +2,9 @@
 
 use std::fmt;
 
+use mangofront_settings::ids::{Incarnation, InstanceId, Revision};
 use serde::{Deserialize, Serialize};
 
-/// Name of a machine.
-pub type InstanceId = String;
-
-/// Revision of a published value.
-pub type Revision = u64;
-
-/// Number of a process's life.
-pub type Incarnation = u64;
-
 /// One change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -9,5 +9,5 @@
 mod event;
 mod ring;
 
-pub use event::{AuditEvent, Incarnation, InstanceId, Revision};
+pub use event::AuditEvent;
 pub use ring::{AuditEntry, AuditLog, AuditPage, Sequence};
