Reserve a group of engines all or nothing

Members are asked in the stable order and a refusal frees what was taken, so two long prompts can't hold parts of each other's group. Leases are renewed while the reservation lives and run out when its daemon dies. Not wired into the attempts and not tested yet.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 pub mod engine;
 mod error;
+pub mod reservation;
 pub mod service;
 
 pub use connection::{Answer, Connections, ConnectionsOptions};
