Add the emulated engine and weight store, thin

Cause: daemons, load tool and fault tests need an engine to talk to that batches, runs out of memory and fails on demand.

Weighed: mangofront_http::serve can't cut a connection in mid-answer, which an engine's death needs; a serve loop of the crate's own does, at the price of standing beside the other. A stream stores only offsets, since its text follows from the prompt, so a slow reader costs nothing.

Change: answer text, batch with KV memory and prefix cache, streams with resume and cancel, reservations, segments, orders, KV transfer, load reports, cache events, switches; the weight store.

--- /dev/null
+++ b/crates/standin/src/engine/head.rs
@@ -0,0 +1,59 @@
+//! What the headers and the query of a request say.
+
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use http::{HeaderMap, Request};
+use hyper::body::Incoming;
+use mangofront_http::headers;
+
+use super::state::Engine;
+use super::submit::{Refusal, RequestHead};
+
+/// Priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 128;
+
+/// Reads the headers of a completion request.
+pub(crate) fn request_head(engine: &Engine, map: &HeaderMap) -> Result<RequestHead, Refusal> {
+    let request = match text(map, headers::REQUEST_ID) {
+        Some(id) => id.to_owned(),
+        None => format!("unnamed-{}", engine.state.borrow_mut().arrival()),
+    };
+    let deadline_ms: Option<u64> = number(map, headers::DEADLINE_MS)?;
+    Ok(RequestHead {
+        request,
+        attempt: number(map, headers::ATTEMPT)?.unwrap_or(1),
+        priority: number(map, headers::PRIORITY)?.unwrap_or(DEFAULT_PRIORITY),
+        deadline: deadline_ms.map(Duration::from_millis),
+        resume_offset: number(map, headers::RESUME_OFFSET)?.unwrap_or(0),
+        reservation: text(map, headers::RESERVATION).map(str::to_owned),
+    })
+}
+
+fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    map.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn number<T>(map: &HeaderMap, name: &str) -> Result<Option<T>, Refusal>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    let Some(text) = text(map, name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|error: T::Err| {
+        let message = format!("header {name} is no such number: {error}");
+        Refusal::Malformed(message)
+    })
+}
+
+/// Value of a query parameter, when it is a number.
+pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let mut values = pairs.filter_map(|pair| pair.split_once('='));
+    values
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/standin/src/engine/memory.rs
@@ -0,0 +1,219 @@
+//! KV memory of the emulated engine, counted in tokens.
+//!
+//! Three things hold memory: private tokens of running sequences,
+//! reservations, and prefix blocks. A block that a running sequence builds on
+//! is pinned; the others are cache, evicted least recently used first when
+//! room is wanted.
+
+use std::collections::{BTreeMap, HashMap};
+
+use mangofront_prompt::{BLOCK_TOKENS, BlockHash};
+
+pub(crate) const BLOCK: u64 = BLOCK_TOKENS as u64;
+
+/// Changes of the set of blocks since they were last taken.
+#[derive(Debug, Default)]
+pub(crate) struct BlockChanges {
+    /// Blocks that came in.
+    pub(crate) stored: Vec<BlockHash>,
+    /// Blocks that were evicted.
+    pub(crate) evicted: Vec<BlockHash>,
+}
+
+/// Memory and what holds it.
+///
+/// Invariant: `private + reserved + blocks.len() * BLOCK <= total`, and `idle`
+/// holds exactly the blocks without pins, each under its own stamp.
+#[derive(Debug)]
+pub(crate) struct KvMemory {
+    total_tokens: u64,
+    private_tokens: u64,
+    reserved_tokens: u64,
+    blocks: HashMap<BlockHash, Block>,
+    idle: BTreeMap<u64, BlockHash>,
+    next_stamp: u64,
+    changes: BlockChanges,
+}
+
+#[derive(Debug)]
+struct Block {
+    pins: u32,
+    stamp: u64,
+}
+
+impl KvMemory {
+    pub(crate) fn new(total_tokens: u64) -> Self {
+        Self {
+            total_tokens,
+            private_tokens: 0,
+            reserved_tokens: 0,
+            blocks: HashMap::new(),
+            idle: BTreeMap::new(),
+            next_stamp: 0,
+            changes: BlockChanges::default(),
+        }
+    }
+
+    pub(crate) fn total_tokens(&self) -> u64 {
+        self.total_tokens
+    }
+
+    pub(crate) fn reserved_tokens(&self) -> u64 {
+        self.reserved_tokens
+    }
+
+    /// Tokens that running sequences hold, pinned blocks included.
+    pub(crate) fn used_tokens(&self) -> u64 {
+        let pinned = self.blocks.len() - self.idle.len();
+        self.private_tokens + pinned as u64 * BLOCK
+    }
+
+    /// Tokens that a newcomer could get, by eviction if need be.
+    pub(crate) fn available_tokens(&self) -> u64 {
+        let held = self.used_tokens() + self.reserved_tokens;
+        self.total_tokens.saturating_sub(held)
+    }
+
+    /// Whether the invariant of this type holds.
+    pub(crate) fn is_sound(&self) -> bool {
+        let cached = self.idle.len() as u64 * BLOCK;
+        let held = self.used_tokens() + self.reserved_tokens + cached;
+        held <= self.total_tokens && self.idle.len() <= self.blocks.len()
+    }
+
+    /// Number of leading `blocks` that are present.
+    pub(crate) fn matching(&self, blocks: &[BlockHash]) -> usize {
+        blocks
+            .iter()
+            .take_while(|hash| self.blocks.contains_key(hash))
+            .count()
+    }
+
+    /// Takes private tokens, or leaves everything as it is.
+    pub(crate) fn claim(&mut self, tokens: u64) -> bool {
+        let claimed = self.make_room(tokens);
+        if claimed {
+            self.private_tokens += tokens;
+        }
+        claimed
+    }
+
+    /// Gives private tokens back.
+    pub(crate) fn release(&mut self, tokens: u64) {
+        self.private_tokens -= tokens;
+    }
+
+    /// Takes tokens for a reservation, or leaves everything as it is.
+    pub(crate) fn reserve(&mut self, tokens: u64) -> bool {
+        let reserved = self.make_room(tokens);
+        if reserved {
+            self.reserved_tokens += tokens;
+        }
+        reserved
+    }
+
+    /// Gives a reservation's tokens back.
+    pub(crate) fn unreserve(&mut self, tokens: u64) {
+        self.reserved_tokens -= tokens;
+    }
+
+    /// Keeps present `blocks` from eviction.
+    pub(crate) fn pin(&mut self, blocks: &[BlockHash]) {
+        for hash in blocks {
+            if let Some(block) = self.blocks.get_mut(hash) {
+                if block.pins == 0 {
+                    self.idle.remove(&block.stamp);
+                }
+                block.pins += 1;
+            }
+        }
+    }
+
+    /// Lets pinned `blocks` go.
+    ///
+    /// The last block gets the oldest stamp, so that a prefix outlives what
+    /// was built on it.
+    pub(crate) fn unpin(&mut self, blocks: &[BlockHash]) {
+        for hash in blocks.iter().rev() {
+            let Some(block) = self.blocks.get_mut(hash) else {
+                continue;
+            };
+            block.pins -= 1;
+            if block.pins == 0 {
+                block.stamp = self.next_stamp;
+                self.next_stamp += 1;
+                self.idle.insert(block.stamp, *hash);
+            }
+        }
+    }
+
+    /// Turns one block of private tokens into a pinned prefix block.
+    pub(crate) fn publish(&mut self, hash: BlockHash) {
+        self.private_tokens -= BLOCK;
+        if self.blocks.contains_key(&hash) {
+            self.pin(&[hash]);
+            return;
+        }
+        self.blocks.insert(hash, Block { pins: 1, stamp: 0 });
+        self.changes.stored.push(hash);
+    }
+
+    /// Brings in a block computed elsewhere; false when there is no room.
+    pub(crate) fn import(&mut self, hash: BlockHash) -> bool {
+        if self.blocks.contains_key(&hash) {
+            return true;
+        }
+        if !self.make_room(BLOCK) {
+            return false;
+        }
+        self.blocks.insert(hash, Block { pins: 1, stamp: 0 });
+        self.changes.stored.push(hash);
+        self.unpin(&[hash]);
+        true
+    }
+
+    /// Evicts every block that no sequence builds on.
+    pub(crate) fn clear_cache(&mut self) {
+        for hash in std::mem::take(&mut self.idle).into_values() {
+            self.blocks.remove(&hash);
+            self.changes.evicted.push(hash);
+        }
+    }
+
+    /// Whether a block is present.
+    pub(crate) fn contains(&self, hash: BlockHash) -> bool {
+        self.blocks.contains_key(&hash)
+    }
+
+    /// Every block that is present, in ascending order.
+    pub(crate) fn blocks(&self) -> Vec<BlockHash> {
+        let mut blocks: Vec<_> = self.blocks.keys().copied().collect();
+        blocks.sort_unstable();
+        blocks
+    }
+
+    /// Takes the changes since the last call.
+    pub(crate) fn take_changes(&mut self) -> BlockChanges {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn make_room(&mut self, tokens: u64) -> bool {
+        if tokens > self.available_tokens() {
+            return false;
+        }
+        while self.free_tokens() < tokens {
+            let Some((_, hash)) = self.idle.pop_first() else {
+                return false;
+            };
+            self.blocks.remove(&hash);
+            self.changes.evicted.push(hash);
+        }
+        true
+    }
+
+    fn free_tokens(&self) -> u64 {
+        let blocks = self.blocks.len() as u64 * BLOCK;
+        let held = self.private_tokens + self.reserved_tokens + blocks;
+        self.total_tokens.saturating_sub(held)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,49 @@
+//! Emulated model engine.
+//!
+//! [`run`] serves the engine's side of `docs/interfaces.md`. One task steps the
+//! batch, one ends what has run out, and each connection has its own. Several
+//! engines may run in one runtime; each has its own state.
+
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use mangofront_http::Shutdown;
+
+mod batch;
+mod cache_events;
+mod control;
+mod head;
+mod load;
+mod memory;
+mod orders;
+mod output;
+mod rejection;
+mod reservations;
+mod routes;
+mod scheduler;
+mod sequence;
+mod settings;
+mod state;
+mod stream;
+mod submit;
+mod transfer;
+
+pub use settings::{EngineRole, EngineSettings, StepSettings};
+
+use crate::connections::{Ends, serve};
+use state::Engine;
+
+/// Serves an emulated engine on `listener`.
+///
+/// Returns after `shutdown`, once the answers in progress are ended, or at
+/// once when its switch lets it die; then all its connections are cut.
+pub async fn run(listener: TcpListener, settings: EngineSettings, shutdown: Shutdown) {
+    let (engine, death) = Engine::new(settings);
+    let steps = compio::runtime::spawn(scheduler::run_steps(Rc::clone(&engine)));
+    let sweeps = compio::runtime::spawn(scheduler::run_sweeps(Rc::clone(&engine)));
+    let handler = move |request| routes::answer(Rc::clone(&engine), request);
+    serve(listener, handler, Ends { shutdown, death }).await;
+    // Dropping a task's handle ends the task.
+    drop(steps);
+    drop(sweeps);
+}
--- /dev/null
+++ b/crates/standin/src/engine/rejection.rs
@@ -0,0 +1,82 @@
+//! Error answers of the engine.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use mangofront_http::{Body, ErrorBody, Outcome};
+
+use super::orders::OrderError;
+use super::output::End;
+use super::submit::Refusal;
+use super::transfer::TransferError;
+
+/// Time after which a refusal for now may be tried again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One error answer.
+#[derive(Debug)]
+pub(crate) struct Rejection {
+    status: StatusCode,
+    body: Box<ErrorBody>,
+}
+
+impl Rejection {
+    fn new(status: StatusCode, body: ErrorBody) -> Self {
+        let body = Box::new(body);
+        Self { status, body }
+    }
+
+    /// Something that was not understood.
+    pub(crate) fn malformed(step: &str, reason: &impl Display) -> Self {
+        let body = ErrorBody::new("malformed", Outcome::NotRun, step, reason.to_string());
+        Self::new(StatusCode::BAD_REQUEST, body)
+    }
+
+    /// Something that is not there.
+    pub(crate) fn unknown(code: &str, step: &str, message: &str) -> Self {
+        let body = ErrorBody::new(code, Outcome::NotRun, step, message);
+        Self::new(StatusCode::NOT_FOUND, body)
+    }
+
+    /// Work that was not taken in.
+    pub(crate) fn refused(refusal: &Refusal, step: &str) -> Self {
+        let (status, code) = refusal.status_and_code();
+        let mut body = ErrorBody::new(code, Outcome::NotRun, step, refusal.to_string());
+        if matches!(refusal, Refusal::Busy(_) | Refusal::Loading) {
+            body = body.retry_after(RETRY_AFTER);
+        }
+        Self::new(status, body)
+    }
+
+    /// A transfer of KV cache that was not taken in.
+    pub(crate) fn transfer(error: &TransferError) -> Self {
+        let (status, code) = match error {
+            TransferError::MalformedBlock(_) => (StatusCode::BAD_REQUEST, "malformed"),
+            TransferError::WrongDigest => (StatusCode::UNPROCESSABLE_ENTITY, "wrong_digest"),
+        };
+        let body = ErrorBody::new(code, Outcome::NotRun, "transfer", error.to_string());
+        Self::new(status, body)
+    }
+
+    /// An order that was not taken.
+    pub(crate) fn order(error: &OrderError) -> Self {
+        let (status, code) = match error {
+            OrderError::StaleToken => (StatusCode::CONFLICT, "stale_token"),
+            OrderError::UnknownRole => (StatusCode::BAD_REQUEST, "malformed"),
+        };
+        let body = ErrorBody::new(code, Outcome::NotRun, "order", error.to_string());
+        Self::new(status, body)
+    }
+
+    /// A segment that was not computed to its end.
+    pub(crate) fn segment(end: End) -> Self {
+        let message = format!("segment ended early: {}", end.code());
+        let body = ErrorBody::new(end.code(), Outcome::Failed, "segment", message);
+        Self::new(StatusCode::CONFLICT, body)
+    }
+
+    pub(crate) fn into_response(self) -> Response<Body> {
+        self.body.into_response(self.status)
+    }
+}
