--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use mangofront_http::ClientError;
-use mangofront_settings::process::SettingsError;
+use mangofront_settings::check::SettingsError;
 use mangofront_telemetry::logs::LogsError;
 use miette::Diagnostic;
 use thiserror::Error;
@@ -20,6 +20,7 @@
     Arguments(String),
     /// Settings file not taken.
     #[error(transparent)]
+    #[diagnostic(transparent)]
     Settings(#[from] SettingsError),
     /// Log could not be set up.
     #[error("log: {0}")]
