Place prompts larger than one engine on a group

The attempt reserves the group all or nothing, has each member compute its share and generates under the reservation. A group that is full is asked again after a pause, holding nothing meanwhile, until the class's time is over. Not measured yet: placement still gives no group.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -13,9 +13,10 @@
 use mangofront_placement::{EngineOutcome, Placed};
 use mangofront_settings::ids::InstanceId;
 use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
+use mangofront_upstream::reservation::GroupReservation;
 use mangofront_upstream::{SendError, Target};
 
-use super::CompletionRequest;
+use super::{CompletionRequest, group};
 use crate::context::Entry;
 use crate::error::EntryError;
 use crate::observe;
@@ -38,6 +39,12 @@
 /// Longest pause before any attempt.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
+/// Longest first pause before a full group is asked again.
+const FIRST_GROUP_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest pause before a full group is asked again.
+const LONGEST_GROUP_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time after which a caller may come back when its attempts failed.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
 
@@ -51,6 +58,7 @@
     request: Rc<CompletionRequest>,
     permit: Permit,
     backoff: Backoff,
+    group_backoff: Backoff,
     made: u32,
     next_offset: u32,
     excluded: Vec<InstanceId>,
@@ -62,6 +70,8 @@
 #[derive(Debug)]
 struct Running {
     placed: Placed,
+    /// Held until the attempt is over.
+    _reservation: Option<GroupReservation>,
     stream: EngineStream,
     call: Generate,
     target: Target,
@@ -77,6 +87,7 @@
             request,
             permit,
             backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
+            group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
             made: 0,
             next_offset: 0,
             excluded: Vec::new(),
@@ -124,31 +135,36 @@
             .place(&self.request.demand, &self.excluded)
             .map_err(|_none| self.no_engine())?;
         self.made += 1;
-        let call = self.call(&placed);
+        match self.start(placed).await {
+            Ok(running) => return Ok(Some(running)),
+            Err(error) if group::is_full(&error) => self.wait_for_group().await?,
+            Err(error) => self.give_up_or_retry(error).await?,
+        }
+        Ok(None)
+    }
+
+    async fn start(&self, placed: Placed) -> Result<Running, SendError> {
+        let started = Instant::now();
+        let reservation = group::prepare(&self.entry, &self.request, self.made, &placed).await?;
+        let call = self.call(&placed, reservation.as_ref());
         let target = Target {
             instance: placed.instance.clone(),
             address: placed.address,
         };
-        let started = Instant::now();
         let connections = &self.entry.parts().connections;
-        match engine::generate(connections, &target, call.clone()).await {
-            Ok(stream) => Ok(Some(Running {
-                placed,
-                stream,
-                call,
-                target,
-                started,
-                first_token_seen: false,
-            })),
-            Err(error) => {
-                drop(placed);
-                self.give_up_or_retry(error).await?;
-                Ok(None)
-            }
-        }
+        let stream = engine::generate(connections, &target, call.clone()).await?;
+        Ok(Running {
+            placed,
+            _reservation: reservation,
+            stream,
+            call,
+            target,
+            started,
+            first_token_seen: false,
+        })
     }
 
-    fn call(&self, placed: &Placed) -> Generate {
+    fn call(&self, placed: &Placed, reservation: Option<&GroupReservation>) -> Generate {
         Generate {
             endpoint: self.request.endpoint,
             body: self.request.body.clone(),
@@ -156,7 +172,7 @@
             attempt: self.made,
             priority: placed.priority,
             resume_offset: self.next_offset,
-            reservation: None,
+            reservation: reservation.map(|reservation| reservation.id().to_owned()),
             deadline: self.request.caller.deadline,
         }
     }
@@ -191,47 +207,38 @@
     }
 
     /// Takes a broken stream up where it broke, or leaves it for a new attempt.
-    async fn recover(&mut self, running: Running, error: SendError) -> Result<(), EntryError> {
+    async fn recover(&mut self, mut running: Running, error: SendError) -> Result<(), EntryError> {
         let resumable = matches!(error, SendError::Broken { .. }) && running.first_token_seen;
         let stream_id = running.stream.stream_id().map(str::to_owned);
         let Some(stream_id) = stream_id.filter(|_| resumable) else {
             drop(running);
             return self.give_up_or_retry(error).await;
         };
-        let call = Generate {
-            resume_offset: self.next_offset,
-            ..running.call.clone()
-        };
-        let Running {
-            placed,
-            stream,
-            target,
-            started,
-            ..
-        } = running;
-        stream.keep();
+        running.call.resume_offset = self.next_offset;
         let connections = &self.entry.parts().connections;
-        match engine::resume(connections, &target, &stream_id, call.clone()).await {
+        let call = running.call.clone();
+        match engine::resume(connections, &running.target, &stream_id, call).await {
             Ok(stream) => {
                 observe::retried("same_engine");
-                let first_token_seen = true;
-                self.running = Some(Running {
-                    placed,
-                    stream,
-                    call,
-                    target,
-                    started,
-                    first_token_seen,
-                });
+                std::mem::replace(&mut running.stream, stream).keep();
+                self.running = Some(running);
                 Ok(())
             }
             Err(error) => {
-                drop(placed);
+                drop(running);
                 self.give_up_or_retry(error).await
             }
         }
     }
 
+    /// Waits a little for memory that other groups hold; holds none itself.
+    async fn wait_for_group(&mut self) -> Result<(), EntryError> {
+        observe::retried("group_full");
+        self.made -= 1;
+        compio::time::sleep(self.group_backoff.next_wait()).await;
+        self.check_deadline()
+    }
+
     /// Notes a failed attempt; an error when no other may be made.
     async fn give_up_or_retry(&mut self, error: SendError) -> Result<(), EntryError> {
         log::debug!(
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempts;
+mod group;
 mod relay;
 
 use std::rc::Rc;
