--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -17,12 +17,12 @@
 impl Standin {
     async fn start() -> Self {
         let settings = r#"{"service": "narudzbe-app", "delay_ms": 1}"#;
-        let settings: ServiceSettings = serde_json::from_str(settings).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+        let settings: ServiceSettings = serde_json::from_str(settings).expect("settings");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
         let (trigger, shutdown) = Shutdown::new();
         let running = compio::runtime::spawn(service::run(listener, settings, shutdown));
-        let client = mangofront_http::client().unwrap();
+        let client = mangofront_http::client().expect("client");
         Self {
             address,
             client,
@@ -34,14 +34,14 @@
     /// One exchange, as a line of a session.
     async fn exchange(&self, method: &str, path: &str, key: &str, body: &str) -> String {
         let url = format!("http://{}{path}", self.address);
-        let verb = http::Method::from_bytes(method.as_bytes()).unwrap();
-        let request = self.client.request(verb, url).unwrap();
-        let request = request.header(headers::IDEMPOTENCY_KEY, key).unwrap();
+        let verb = http::Method::from_bytes(method.as_bytes()).expect("method");
+        let request = self.client.request(verb, url).expect("URL");
+        let request = request.header(headers::IDEMPOTENCY_KEY, key).expect("key");
         let line = format!("{method} {path} {key} {body}");
         match request.body(body.to_owned()).send().await {
             Ok(response) => {
                 let status = response.status().as_u16();
-                let answer = response.text().await.unwrap();
+                let answer = response.text().await.expect("body");
                 format!("{line}\n  {status} {answer}\n")
             }
             Err(_) => format!("{line}\n  connection broken\n"),
@@ -63,7 +63,7 @@
     async fn stop(self) {
         self.trigger.trigger();
         drop(self.client);
-        self.running.await.unwrap();
+        self.running.await.expect("end of the stand-in");
     }
 }
 
