Export a daemon's metrics and check invariants at all times

Labels are closed sets, class names or stable codes, so that series stay bounded. Change: Metrics with typed instruments by the OpenTelemetry SDK and its Prometheus exporter; Invariant with check, violations and set_fatal; tests of both, the log and the abort by child processes of the test binary.

--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,150 @@
+//! Instruments of a daemon and their Prometheus text.
+//!
+//! One [`Metrics`] belongs to one daemon; a clone shares its instruments.
+//! Labels are closed sets, names of published classes, or stable codes, so
+//! that the number of series stays bounded; nothing of a caller's own becomes
+//! a label.
+
+mod instruments;
+mod labels;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use thiserror::Error;
+
+use instruments::Instruments;
+pub use labels::{LengthBucket, PeerState, RequestOutcome};
+
+/// Start of every metric's name.
+const NAMESPACE: &str = "mangofront";
+
+/// Metrics that could not be set up.
+#[derive(Debug, Error)]
+#[error("metrics: set-up failed: {0}")]
+pub struct MetricsError(String);
+
+/// Instruments of one daemon.
+#[derive(Debug, Clone)]
+pub struct Metrics(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    registry: Registry,
+    instruments: Instruments,
+    // Instruments record nothing once their provider is gone.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    /// [`MetricsError`] when the library refuses the exporter.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .map_err(|error| MetricsError(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let instruments = Instruments::new(&provider.meter(NAMESPACE));
+        Ok(Self(Arc::new(Inner {
+            registry,
+            instruments,
+            _provider: provider,
+        })))
+    }
+
+    /// Everything that was recorded, as Prometheus text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let families = self.0.registry.gather();
+        match TextEncoder::new().encode_to_string(&families) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!("metrics: text could not be written: {error}");
+                String::new()
+            }
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn request_ended(&self, class: &str, outcome: RequestOutcome) {
+        let labels = [label("class", class), label("outcome", outcome.name())];
+        self.0.instruments.requests.add(1, &labels);
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn first_token(&self, class: &str, length: LengthBucket, after: Duration) {
+        let labels = [label("class", class), label("length", length.name())];
+        let histogram = &self.0.instruments.time_to_first_token;
+        histogram.record(after.as_secs_f64(), &labels);
+    }
+
+    /// Counts a stream as in flight until the guard is dropped.
+    pub fn stream_started(&self) -> InFlightStream {
+        self.0.instruments.in_flight_streams.add(1, &[]);
+        InFlightStream(self.clone())
+    }
+
+    /// Counts tokens passed on to a caller.
+    pub fn tokens_relayed(&self, tokens: u64) {
+        self.0.instruments.tokens_relayed.add(tokens, &[]);
+    }
+
+    /// Counts a refused request; `reason` is the error body's code.
+    pub fn refused(&self, reason: &'static str) {
+        let labels = [label("reason", reason)];
+        self.0.instruments.refusals.add(1, &labels);
+    }
+
+    /// Counts an attempt after the first one.
+    pub fn retried(&self) {
+        self.0.instruments.retries.add(1, &[]);
+    }
+
+    /// Counts a fault of an upstream at `step`.
+    pub fn upstream_error(&self, step: &'static str) {
+        let labels = [label("step", step)];
+        self.0.instruments.upstream_errors.add(1, &labels);
+    }
+
+    /// Sets how many other daemons are in `state`.
+    pub fn peers(&self, state: PeerState, count: u64) {
+        let labels = [label("state", state.name())];
+        self.0.instruments.peers.record(count, &labels);
+    }
+
+    /// Counts bytes sent for control: peers, platform and reports.
+    pub fn control_sent(&self, bytes: u64) {
+        self.0.instruments.control_sent.add(bytes, &[]);
+    }
+
+    /// Counts bytes received for control.
+    pub fn control_received(&self, bytes: u64) {
+        self.0.instruments.control_received.add(bytes, &[]);
+    }
+}
+
+/// One stream in flight.
+#[derive(Debug)]
+#[must_use = "the stream counts as ended once this is dropped"]
+pub struct InFlightStream(Metrics);
+
+impl Drop for InFlightStream {
+    fn drop(&mut self) {
+        self.0.0.instruments.in_flight_streams.add(-1, &[]);
+    }
+}
+
+fn label(key: &'static str, value: impl Into<String>) -> KeyValue {
+    KeyValue::new(key, value.into())
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -0,0 +1,76 @@
+//! The instruments, with names, units and bounds.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
+
+use crate::invariants;
+
+/// Upper bounds of the time to first token, in seconds: from an idle engine's
+/// start on a short prompt up to a class that may wait ten minutes.
+const FIRST_TOKEN_BOUNDS_S: [f64; 16] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.52, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 180.0, 600.0,
+];
+
+#[derive(Debug)]
+pub(super) struct Instruments {
+    pub(super) requests: Counter<u64>,
+    pub(super) time_to_first_token: Histogram<f64>,
+    pub(super) in_flight_streams: UpDownCounter<i64>,
+    pub(super) tokens_relayed: Counter<u64>,
+    pub(super) refusals: Counter<u64>,
+    pub(super) retries: Counter<u64>,
+    pub(super) upstream_errors: Counter<u64>,
+    pub(super) peers: Gauge<u64>,
+    pub(super) control_sent: Counter<u64>,
+    pub(super) control_received: Counter<u64>,
+}
+
+impl Instruments {
+    pub(super) fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        observe_violations(meter);
+        Self {
+            requests: counter("requests", "Requests that ended, by class and outcome"),
+            time_to_first_token: meter
+                .f64_histogram("time_to_first_token")
+                .with_description("Time from a request's arrival to its first token")
+                .with_unit("s")
+                .with_boundaries(FIRST_TOKEN_BOUNDS_S.to_vec())
+                .build(),
+            in_flight_streams: meter
+                .i64_up_down_counter("in_flight_streams")
+                .with_description("Streams that are being passed on")
+                .build(),
+            tokens_relayed: counter("tokens_relayed", "Tokens passed on to callers"),
+            refusals: counter("refusals", "Refused requests, by reason"),
+            retries: counter("retries", "Attempts after a request's first one"),
+            upstream_errors: counter("upstream_errors", "Faults of upstreams, by step"),
+            peers: meter
+                .u64_gauge("peers")
+                .with_description("Other daemons, by state")
+                .build(),
+            control_sent: counter("control_sent_bytes", "Bytes sent for control"),
+            control_received: counter("control_received_bytes", "Bytes received for control"),
+        }
+    }
+}
+
+/// The counts stand in a static array, so they are read at each scrape. A
+/// series is there from the start, also while its count is 0.
+fn observe_violations(meter: &Meter) {
+    // The meter keeps the callback; the handle itself does nothing more.
+    let _ = meter
+        .u64_observable_counter("invariant_violations")
+        .with_description("Times that something that must always hold did not")
+        .with_callback(|observer| {
+            for (invariant, count) in invariants::violations() {
+                observer.observe(count, &[KeyValue::new("invariant", invariant.name())]);
+            }
+        })
+        .build();
+}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,57 @@
+//! The Prometheus text of a daemon.
+
+use std::time::Duration;
+
+use mangofront_telemetry::metrics::{LengthBucket, Metrics, PeerState, RequestOutcome};
+
+#[test]
+fn everything_recorded_is_in_the_text() {
+    let metrics = Metrics::new().expect("metrics");
+    metrics.request_ended("diagnosis", RequestOutcome::Answered);
+    metrics.request_ended("diagnosis", RequestOutcome::NotRun);
+    metrics.first_token(
+        "diagnosis",
+        LengthBucket::of(900),
+        Duration::from_millis(120),
+    );
+    metrics.first_token(
+        "contract-review",
+        LengthBucket::of(1_000_000),
+        Duration::from_secs(40),
+    );
+    let ended = metrics.stream_started();
+    let still_open = metrics.clone().stream_started();
+    drop(ended);
+    metrics.tokens_relayed(17);
+    metrics.refused("class_time");
+    metrics.retried();
+    metrics.upstream_error("connect");
+    metrics.peers(PeerState::Live, 5);
+    metrics.peers(PeerState::Live, 4);
+    metrics.peers(PeerState::Suspected, 1);
+    metrics.control_sent(300);
+    metrics.control_received(200);
+    insta::assert_snapshot!(metrics.render());
+    drop(still_open);
+}
+
+#[test]
+fn two_daemons_in_one_process_have_their_own() {
+    let (first, second) = (
+        Metrics::new().expect("metrics"),
+        Metrics::new().expect("metrics"),
+    );
+    first.retried();
+    assert!(first.render().contains("mangofront_retries_total 1"));
+    assert!(!second.render().contains("mangofront_retries_total 1"));
+}
+
+#[test]
+fn lengths_fall_into_their_range() {
+    let of = LengthBucket::of;
+    assert_eq!([of(0), of(4_000)], [LengthBucket::UpTo4k; 2]);
+    assert_eq!([of(4_001), of(16_000)], [LengthBucket::UpTo16k; 2]);
+    assert_eq!([of(16_001), of(100_000)], [LengthBucket::UpTo100k; 2]);
+    assert_eq!([of(100_001), of(400_000)], [LengthBucket::UpTo400k; 2]);
+    assert_eq!([of(400_001), of(u64::MAX)], [LengthBucket::Over400k; 2]);
+}
--- /dev/null
+++ b/crates/telemetry/tests/processes.rs
@@ -0,0 +1,131 @@
+//! What touches a whole process: its log and its invariants. Each test runs
+//! this binary again as a child with one role, and looks at what it left.
+
+use std::os::unix::process::ExitStatusExt;
+use std::process::{Command, Output};
+
+use mangofront_settings::process::{LogFormat, LogLevel, LogSettings};
+use mangofront_telemetry::invariants::{self, Invariant};
+use mangofront_telemetry::logs;
+use mangofront_telemetry::metrics::Metrics;
+
+const ROLE: &str = "MANGOFRONT_TEST_ROLE";
+
+/// Runs the test `child` of this binary with `role` in its environment.
+fn run(role: &str) -> Output {
+    let binary = std::env::current_exe().expect("path of this binary");
+    Command::new(binary)
+        .args(["child", "--exact", "--nocapture"])
+        .env(ROLE, role)
+        .output()
+        .expect("child runs")
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).expect("text")
+}
+
+/// The roles; without one there is nothing to do.
+#[test]
+fn child() {
+    match std::env::var(ROLE).as_deref() {
+        Ok("human") => write_lines(LogLevel::Info, LogFormat::Human),
+        Ok("json") => write_lines(LogLevel::Debug, LogFormat::Json),
+        Ok("counted") => break_twice(),
+        Ok("fatal") => {
+            invariants::set_fatal(true);
+            break_twice();
+        }
+        _ => {}
+    }
+}
+
+fn write_lines(level: LogLevel, format: LogFormat) {
+    logs::init(&LogSettings { level, format }).expect("first set-up");
+    assert!(
+        logs::init(&LogSettings::default()).is_err(),
+        "second set-up"
+    );
+    log::info!(target: "mangofront_peers", "peers: entry-a2 joined");
+    log::debug!(target: "mangofront_peers", revision = 7; "peers: heartbeat of entry-a2");
+    log::info!(target: "hyper", "a library's chatter");
+    log::warn!(target: "hyper", "a library's warning");
+}
+
+fn break_twice() {
+    assert!(invariants::check(
+        Invariant::AtMostOnce,
+        true,
+        || unreachable!()
+    ));
+    for run in 1..=2 {
+        assert!(!invariants::check(
+            Invariant::AtMostOnce,
+            false,
+            || format!("run {run}")
+        ));
+    }
+    let broken: Vec<_> = invariants::violations()
+        .into_iter()
+        .filter(|(_, count)| *count > 0)
+        .collect();
+    assert_eq!(broken, [(Invariant::AtMostOnce, 2)]);
+    let text = Metrics::new().expect("metrics").render();
+    let line = |name: &str, count: u64| {
+        format!("mangofront_invariant_violations_total{{invariant=\"{name}\"}} {count}\n")
+    };
+    assert!(text.contains(&line("at_most_once", 2)), "{text}");
+    assert!(text.contains(&line("configuration_floor", 0)), "{text}");
+}
+
+#[test]
+fn human_lines_are_short_sentences() {
+    let output = run("human");
+    assert!(output.status.success(), "{output:?}");
+    let text = stderr(&output);
+    let lines: Vec<_> = text.lines().filter(|line| line.starts_with("20")).collect();
+    let told: Vec<_> = lines
+        .iter()
+        .filter_map(|line| line.split_once(' '))
+        .collect();
+    assert!(told.iter().all(|(time, _)| time.ends_with('Z')), "{text}");
+    let sentences: Vec<_> = told.iter().map(|(_, sentence)| *sentence).collect();
+    assert_eq!(
+        sentences,
+        ["INFO  peers: entry-a2 joined", "WARN  a library's warning"]
+    );
+}
+
+#[test]
+fn json_lines_are_objects() {
+    let output = run("json");
+    assert!(output.status.success(), "{output:?}");
+    let text = stderr(&output);
+    let lines: Vec<_> = text.lines().filter(|line| line.starts_with('{')).collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    for part in [
+        "\"level\":\"DEBUG\"",
+        "\"message\":\"peers: heartbeat of entry-a2\"",
+        "7",
+    ] {
+        assert!(lines[1].contains(part), "{}", lines[1]);
+    }
+}
+
+#[test]
+fn a_broken_invariant_is_counted() {
+    let output = run("counted");
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test]
+fn a_fatal_broken_invariant_ends_the_process() {
+    const SIGABRT: i32 = 6;
+    let output = run("fatal");
+    assert_eq!(output.status.signal(), Some(SIGABRT), "{output:?}");
+    let text = stderr(&output);
+    assert!(
+        text.contains("invariants: at_most_once is broken: run 1; the process ends"),
+        "{text}"
+    );
+}
