Membership, gossip and calls between daemons (thin)

Cause: the other slices need to know who is there, in which life, and to call one another.

Weighed: a Bus0 mesh has no addressing and drops in silence; one-way Push links don't tell that the other side is gone. Req0/Rep0 alone carries both heartbeats and calls: the answer to a heartbeat is the sign of life and brings news back, one listener and one address are enough, and no second port has to be announced. A heartbeat counter for each member would cost 1,000 counters a message; here only changes travel, and the heartbeat of a whole zone stands for its far members.

--- /dev/null
+++ b/crates/peers/src/serve.rs
@@ -0,0 +1,169 @@
+//! Answers heartbeats and calls.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::runtime::spawn;
+use nng::{Context, Message};
+
+use crate::gossip::{self, Reader};
+use crate::state::Shared;
+use crate::transport::Operation;
+use crate::wire::{self, Ack, CallHead, Cursors, Ping, Refusal, Reply, Request, Wants};
+
+/// Tasks that take requests; one is enough but for the moments of hand-over.
+pub(crate) const RECEIVERS: usize = 4;
+
+/// Calls that may run at once.
+const RUNNING_CALLS_LIMIT: usize = 256;
+
+/// Time for a reply to reach the connection of a peer that reads slowly.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed receive, so that a lack of memory does not spin.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
+
+/// A place that takes one request at a time.
+struct Receiver {
+    context: Context,
+    operation: Operation,
+}
+
+/// Takes requests until the socket is closed.
+pub(crate) async fn run(shared: Rc<Shared>) {
+    let mut idle = None;
+    loop {
+        let receiver = idle.take().or_else(|| open(&shared));
+        let Some(mut receiver) = receiver else {
+            compio::time::sleep(RECEIVE_PAUSE).await;
+            continue;
+        };
+        match receive(&mut receiver).await {
+            Ok(message) => idle = take_up(&shared, receiver, &message).await,
+            Err(nng::Error::Closed) => return,
+            Err(cause) => {
+                log::warn!("peers: receiving a request failed: {cause}");
+                compio::time::sleep(RECEIVE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn open(shared: &Shared) -> Option<Receiver> {
+    let context = shared.server.context();
+    let operation = Operation::new();
+    match (context, operation) {
+        (Ok(context), Ok(operation)) => Some(Receiver { context, operation }),
+        (Err(cause), _) | (_, Err(cause)) => {
+            log::warn!("peers: no place to receive a request: {cause}");
+            None
+        }
+    }
+}
+
+async fn receive(receiver: &mut Receiver) -> nng::Result<Message> {
+    receiver.operation.set_timeout(None)?;
+    receiver.operation.receive(&receiver.context).await
+}
+
+/// Answers a heartbeat here, a call in a task of its own; gives the place back when it is free.
+async fn take_up(shared: &Rc<Shared>, receiver: Receiver, message: &Message) -> Option<Receiver> {
+    match wire::decode_request(message) {
+        Some((Request::Ping(ping), _)) => {
+            shared
+                .counters
+                .update(|counters| counters.gossip.received(message.len()));
+            let reply = answer_ping(shared, ping);
+            let reply = wire::encode(&reply, &[]);
+            let bytes = reply.as_ref().map_or(0, Vec::len);
+            shared
+                .counters
+                .update(|counters| counters.gossip.sent(bytes));
+            Some(send(receiver, reply).await)
+        }
+        Some((Request::Call(head), payload)) => {
+            shared
+                .counters
+                .update(|counters| counters.calls.received(message.len()));
+            let payload = Bytes::copy_from_slice(payload);
+            // A call must not hold up the heartbeats behind it.
+            spawn(answer_call(Rc::clone(shared), receiver, head, payload)).detach();
+            None
+        }
+        None => {
+            shared.counters.update(|counters| counters.malformed += 1);
+            Some(receiver)
+        }
+    }
+}
+
+async fn send(mut receiver: Receiver, reply: Option<Vec<u8>>) -> Receiver {
+    let Some(reply) = reply else {
+        return receiver;
+    };
+    let message = Message::from(reply.as_slice());
+    let ready = receiver.operation.set_timeout(Some(REPLY_TIMEOUT));
+    let sent = match ready {
+        Ok(()) => receiver.operation.send(&receiver.context, message).await,
+        Err(cause) => Err(cause),
+    };
+    if let Err(cause) = sent {
+        log::debug!("peers: a reply was not sent: {cause}");
+    }
+    receiver
+}
+
+fn answer_ping(shared: &Rc<Shared>, ping: Ping) -> Reply {
+    if ping.to != shared.options.instance {
+        return Reply::Refused(Refusal::WrongInstance);
+    }
+    let teacher = (ping.from, ping.incarnation);
+    gossip::apply(shared, &teacher, ping.delta, &ping.pulses);
+    let now = Instant::now();
+    let mut state = shared.state.borrow_mut();
+    let view = state.table.view();
+    let delta = match ping.wants {
+        Wants::OwnRecord => gossip::compose_own(&state, &shared.options.instance),
+        Wants::After(life, cursors) => {
+            let known = life == state.incarnation();
+            let mut after = if known { cursors } else { Cursors::default() };
+            if !known && view == ping.view {
+                // Both know the same members, so that none has to be told.
+                after.members = state.table.last_change();
+            }
+            let reader = Reader {
+                instance: &teacher.0,
+                incarnation: teacher.1,
+                after,
+            };
+            gossip::compose(&mut state, &reader, now)
+        }
+    };
+    Reply::Ack(Ack {
+        incarnation: state.incarnation(),
+        view,
+        stale: state.is_stale(now),
+        delta,
+        pulses: state.pulses.compose(),
+    })
+}
+
+async fn answer_call(shared: Rc<Shared>, receiver: Receiver, head: CallHead, payload: Bytes) {
+    let running = shared.running_calls.get();
+    let reply = if head.to != shared.options.instance {
+        wire::encode(&Reply::Refused(Refusal::WrongInstance), &[])
+    } else if running >= RUNNING_CALLS_LIMIT {
+        wire::encode(&Reply::Refused(Refusal::Busy), &[])
+    } else {
+        shared.running_calls.set(running + 1);
+        let answer = (shared.responder)(head.from, head.service, payload).await;
+        shared.running_calls.set(shared.running_calls.get() - 1);
+        wire::encode(&Reply::Answer, &answer)
+    };
+    let bytes = reply.as_ref().map_or(0, Vec::len);
+    shared
+        .counters
+        .update(|counters| counters.calls.sent(bytes));
+    send(receiver, reply).await;
+}
--- /dev/null
+++ b/crates/peers/src/topology.rs
@@ -0,0 +1,62 @@
+//! Whom a daemon links to.
+//!
+//! A small fleet is a full mesh. A larger one is a ring in each availability
+//! zone, in the order of the instances' hashes, with a link to the next few on
+//! the ring; and a few links to other zones and regions, drawn by rendezvous
+//! hashing so that they stay put while others come and go. Every member is thus
+//! watched by those before it on its ring, and any two are a few hops apart.
+
+use std::net::SocketAddr;
+
+use mangofront_settings::ids::{AvailabilityZone, InstanceId, Region};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::options::PeersOptions;
+
+/// A member that may become a neighbour.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate {
+    pub(crate) instance: InstanceId,
+    pub(crate) region: Region,
+    pub(crate) availability_zone: AvailabilityZone,
+    pub(crate) address: SocketAddr,
+    /// It did not answer lately, so that a far link should go elsewhere.
+    pub(crate) avoid: bool,
+}
+
+/// Picks the neighbours among the others.
+pub(crate) fn neighbours(own: &PeersOptions, others: Vec<Candidate>) -> Vec<Candidate> {
+    if others.len() < own.full_mesh_limit {
+        return others;
+    }
+    let (near, far): (Vec<_>, Vec<_>) = others.into_iter().partition(|c| in_zone(own, c));
+    let (region, beyond): (Vec<_>, Vec<_>) = far
+        .into_iter()
+        .filter(|c| !c.avoid)
+        .partition(|c| c.region == own.region);
+    let mut picked = successors(own, near);
+    picked.extend(rendezvous(own, region, own.cross_zone_links));
+    picked.extend(rendezvous(own, beyond, own.cross_region_links));
+    picked
+}
+
+fn in_zone(own: &PeersOptions, other: &Candidate) -> bool {
+    other.region == own.region && other.availability_zone == own.availability_zone
+}
+
+/// The next few on the zone's ring.
+fn successors(own: &PeersOptions, mut zone: Vec<Candidate>) -> Vec<Candidate> {
+    let own_hash = xxh3_64(own.instance.as_bytes());
+    // Distance on the ring; hashes before the own one wrap around.
+    zone.sort_by_key(|c| xxh3_64(c.instance.as_bytes()).wrapping_sub(own_hash));
+    zone.truncate(own.zone_successors);
+    zone
+}
+
+/// Those that hash highest together with the own name.
+fn rendezvous(own: &PeersOptions, mut others: Vec<Candidate>, count: usize) -> Vec<Candidate> {
+    let seed = xxh3_64(own.instance.as_bytes());
+    others.sort_by_key(|c| std::cmp::Reverse(xxh3_64_with_seed(c.instance.as_bytes(), seed)));
+    others.truncate(count);
+    others
+}
