--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -17,21 +17,12 @@
 
 impl Standin {
     async fn start(settings: &str) -> Self {
-<<<<<<< HEAD
-        let settings: PlatformSettings = serde_json::from_str(settings).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (trigger, shutdown) = Shutdown::new();
-        let running = compio::runtime::spawn(platform::run(listener, settings, shutdown));
-        let client = mangofront_http::client().unwrap();
-=======
         let settings: PlatformSettings = serde_json::from_str(settings).expect("settings");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let (trigger, shutdown) = Shutdown::new();
         let running = compio::runtime::spawn(platform::run(listener, settings, shutdown));
         let client = mangofront_http::client().expect("client");
->>>>>>> platform
         Self {
             address,
             client,
@@ -43,19 +34,11 @@
     /// One exchange, as a line of a session.
     async fn exchange(&self, method: &str, path: &str, body: &str) -> String {
         let url = format!("http://{}{path}", self.address);
-<<<<<<< HEAD
-        let method = http::Method::from_bytes(method.as_bytes()).unwrap();
-        let request = self.client.request(method.clone(), url).unwrap();
-        let response = request.body(body.to_owned()).send().await.unwrap();
-        let status = response.status().as_u16();
-        let answer = response.text().await.unwrap();
-=======
         let method = http::Method::from_bytes(method.as_bytes()).expect("method");
         let request = self.client.request(method.clone(), url).expect("URL");
         let response = request.body(body.to_owned()).send().await.expect("answer");
         let status = response.status().as_u16();
         let answer = response.text().await.expect("body");
->>>>>>> platform
         format!("{method} {path} {body}\n  {status} {answer}\n")
     }
 
@@ -74,11 +57,7 @@
     async fn stop(self) {
         self.trigger.trigger();
         drop(self.client);
-<<<<<<< HEAD
-        self.running.await.unwrap();
-=======
         self.running.await.expect("end of the stand-in");
->>>>>>> platform
     }
 }
 
