Run non-repeatable orders at most once (thin)

Cause: orders that may not repeat need one runner for each key, while every record lives in some process's memory only and no store may be kept.

Weighed: a home by rendezvous with a majority lease needs a lease, tenures and mint times for every key; keys valid in one incarnation only leave every restart in doubt. Taken instead: minted keys decided by their issuer alone, plain keys by the votes of a majority, without leases.

Change: crate `once` with its public API, claims, votes, minted keys, synchronisation and hand-over. `idempotency.first_start_epoch` becomes `first_start_unix_ms`, a time for which an operator vouches that no key was sent before it; a count could not tell which processes it covers.

Conclusion: the API stands for colleagues to build against.

--- /dev/null
+++ b/crates/once/src/gather.rs
@@ -0,0 +1,321 @@
+//! How a claim gathers its right to run.
+//!
+//! A plain key's claim goes to the key's first reachable voter alone, so that
+//! claims on one key mostly meet there, and then to the others at once. A minted
+//! key's claim goes to its home, or, when that is gone, to those that may keep
+//! its records.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use mangofront_settings::ids::InstanceId;
+
+use crate::core::Core;
+use crate::exchange::ExchangeError;
+use crate::ids::ClaimId;
+use crate::key::{Fingerprint, MintedKey, OrderKey};
+use crate::message::{ClaimAnswer, Grant, Holding, Reply, Request};
+use crate::open_claim::OpenClaim;
+use crate::options::Weakness;
+use crate::outcome::{NotRunReason, OrderError, Record, UnknownReason};
+use crate::seat::counted;
+use crate::view::{MAX_VOTERS, VoterSet, rendezvous};
+
+/// What gathering came to.
+pub(crate) enum Gathered {
+    /// The claim alone may run the key.
+    Won(OpenClaim),
+    /// The key ran; this is what it came to.
+    Ran(Record),
+    /// The key never ran.
+    NotRun(NotRunReason),
+    /// The call is at fault.
+    Fault(OrderError),
+    /// Another claim runs or gathers; asking again makes sense until the deadline.
+    Busy(UnknownReason),
+    /// Neither; a new attempt makes sense for a while.
+    Short(UnknownReason),
+    /// Neither, and a new attempt makes no sense.
+    Lost(UnknownReason),
+}
+
+/// The order on whose behalf a claim is made.
+#[derive(Debug, Clone)]
+pub(crate) struct Subject {
+    pub(crate) order: OrderKey,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+/// What a holding means for another claim.
+enum Held {
+    End(Gathered),
+    /// Its claims can't be settled; the key may still be won elsewhere.
+    Orphaned(String),
+}
+
+impl Core {
+    fn open(self: &Rc<Self>, subject: &Subject, keepers: Vec<InstanceId>) -> Option<OpenClaim> {
+        let made = Instant::now();
+        let id = self.claims.borrow_mut().open(made)?;
+        Some(OpenClaim {
+            core: Rc::clone(self),
+            id,
+            made,
+            order: subject.order.clone(),
+            fingerprint: subject.fingerprint,
+            asked: Vec::new(),
+            keepers,
+        })
+    }
+
+    /// Claims a plain key.
+    pub(crate) async fn gather_plain(self: &Rc<Self>, subject: &Subject) -> Gathered {
+        let Some(set) = self.state.borrow().seat.view().cloned() else {
+            return Gathered::Short(no_majority("no list of instances yet"));
+        };
+        let Some(mut claim) = self.open(subject, set.members.clone()) else {
+            return Gathered::Short(no_majority("too many claims are open"));
+        };
+        let request = Request::Claim {
+            order: subject.order.clone(),
+            fingerprint: subject.fingerprint,
+            claim: claim.id.clone(),
+            set: Some(set.clone()),
+        };
+        let mut tally = Tally::new(&set, self.options.weakness);
+        let order = rendezvous(&set.members, &subject.order.key);
+        let mut voters = self.suspects_last(order).into_iter();
+        for voter in voters.by_ref() {
+            claim.asked.push(voter.clone());
+            let replied = self.call(&voter, &request).await;
+            let reached = replied.is_ok();
+            if let Some(end) = self.absorb(subject, &mut tally, voter, replied).await {
+                return end;
+            }
+            if reached {
+                break;
+            }
+        }
+        let rest: Vec<InstanceId> = voters.collect();
+        claim.asked.extend(rest.iter().cloned());
+        let mut calls: FuturesUnordered<_> = rest
+            .into_iter()
+            .map(|voter| async {
+                let replied = self.call(&voter, &request).await;
+                (voter, replied)
+            })
+            .collect();
+        while !tally.is_won() && !tally.is_lost() {
+            let Some((voter, replied)) = calls.next().await else {
+                break;
+            };
+            if let Some(end) = self.absorb(subject, &mut tally, voter, replied).await {
+                return end;
+            }
+        }
+        drop(calls);
+        if tally.is_won() {
+            return Gathered::Won(claim);
+        }
+        Gathered::Short(UnknownReason::NoMajority(tally.refusals.join("; ")))
+    }
+
+    /// Counts one voter's reply; an end when it decides the matter.
+    async fn absorb(
+        self: &Rc<Self>,
+        subject: &Subject,
+        tally: &mut Tally,
+        voter: InstanceId,
+        replied: Result<Reply, ExchangeError>,
+    ) -> Option<Gathered> {
+        let refusal = match replied {
+            Ok(Reply::Granted(grant)) if grant.voter.instance == voter => {
+                tally.grants.push(grant);
+                return None;
+            }
+            Ok(Reply::Held(holding)) => match self.look_into(subject, &voter, holding).await {
+                Held::End(end) => return Some(end),
+                Held::Orphaned(why) => why,
+            },
+            Ok(Reply::OtherSet(set)) => {
+                self.state.borrow_mut().seat.adopt(&set);
+                "another set of voters".to_owned()
+            }
+            Ok(Reply::NotReady) => "not ready".to_owned(),
+            Ok(Reply::Full) => "full".to_owned(),
+            Ok(other) => format!("unexpected reply {other:?}"),
+            Err(error) => error.to_string(),
+        };
+        tally.refusals.push(format!("{voter}: {refusal}"));
+        None
+    }
+
+    /// Finds out about the claims that hold a key.
+    async fn look_into(
+        self: &Rc<Self>,
+        subject: &Subject,
+        voter: &InstanceId,
+        holding: Holding,
+    ) -> Held {
+        if holding.fingerprint != subject.fingerprint {
+            return Held::End(Gathered::Fault(OrderError::Conflict));
+        }
+        if let Some(record) = holding.record {
+            return Held::End(Gathered::Ran(record));
+        }
+        let mut reasons = Vec::new();
+        for claim in holding.holders {
+            match self.ask(subject, &claim, voter).await {
+                Ok(ClaimAnswer::Busy) => {
+                    let runner = claim.process.instance;
+                    return Held::End(Gathered::Busy(UnknownReason::StillRunning(runner)));
+                }
+                Ok(ClaimAnswer::Settled(record)) => return Held::End(Gathered::Ran(record)),
+                Ok(ClaimAnswer::Released) => reasons.push("released, not yet dropped".to_owned()),
+                Ok(ClaimAnswer::Forgotten) => {
+                    reasons.push(format!(
+                        "held for {}, which is gone",
+                        claim.process.instance
+                    ));
+                }
+                Err(error) => reasons.push(error.to_string()),
+            }
+        }
+        Held::Orphaned(reasons.join(", "))
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        subject: &Subject,
+        claim: &ClaimId,
+        voter: &InstanceId,
+    ) -> Result<ClaimAnswer, ExchangeError> {
+        let request = Request::Ask {
+            order: subject.order.clone(),
+            claim: claim.clone(),
+            voter: voter.clone(),
+        };
+        match self.call(&claim.process.instance, &request).await? {
+            Reply::Claim(answer) => Ok(answer),
+            other => Err(ExchangeError {
+                step: "ask about a claim",
+                peer: claim.process.instance.clone(),
+                reason: format!("unexpected reply {other:?}"),
+            }),
+        }
+    }
+
+    /// Claims a minted key.
+    pub(crate) async fn gather_minted(
+        self: &Rc<Self>,
+        subject: &Subject,
+        key: &MintedKey,
+    ) -> Gathered {
+        let home = key.home.instance.clone();
+        let Some(mut claim) = self.open(subject, vec![home.clone()]) else {
+            return Gathered::Short(no_majority("too many claims are open"));
+        };
+        let request = Request::Claim {
+            order: subject.order.clone(),
+            fingerprint: subject.fingerprint,
+            claim: claim.id.clone(),
+            set: None,
+        };
+        claim.asked.push(home.clone());
+        let replied = self.call(&home, &request).await;
+        let why = match replied {
+            Ok(Reply::Granted(grant)) if grant.voter == key.home => return Gathered::Won(claim),
+            Ok(Reply::HomeGone) => UnknownReason::HomeGone(home.clone()),
+            Ok(reply) => return self.minted_end(subject, &home, reply).await,
+            Err(error) => UnknownReason::HomeUnreachable(error.to_string()),
+        };
+        if let Some(end) = self.gather_from_archives(subject, key, &request).await {
+            return end;
+        }
+        match why {
+            UnknownReason::HomeGone(_) => Gathered::Lost(why),
+            _ => Gathered::Short(why),
+        }
+    }
+
+    async fn gather_from_archives(
+        self: &Rc<Self>,
+        subject: &Subject,
+        key: &MintedKey,
+        request: &Request,
+    ) -> Option<Gathered> {
+        for keeper in self.archive_keepers(&key.home.instance, key.home.incarnation) {
+            match self.call(&keeper, request).await {
+                Ok(Reply::HomeGone | Reply::Granted(_)) | Err(_) => {}
+                Ok(reply) => return Some(self.minted_end(subject, &keeper, reply).await),
+            }
+        }
+        None
+    }
+
+    /// Who keeps the records of a process that handed over.
+    pub(crate) fn archive_keepers(&self, instance: &str, incarnation: u64) -> Vec<InstanceId> {
+        let listed = self.state.borrow().listed.clone();
+        let order = rendezvous(&listed, &format!("{instance}.{incarnation}"));
+        let mut keepers = self.suspects_last(order);
+        keepers.truncate(MAX_VOTERS);
+        keepers
+    }
+
+    async fn minted_end(
+        self: &Rc<Self>,
+        subject: &Subject,
+        teller: &InstanceId,
+        reply: Reply,
+    ) -> Gathered {
+        match reply {
+            Reply::Held(holding) => match self.look_into(subject, teller, holding).await {
+                Held::End(end) => end,
+                Held::Orphaned(why) => Gathered::Short(UnknownReason::StillRunning(why)),
+            },
+            Reply::Retired => Gathered::NotRun(NotRunReason::KeyRetired),
+            Reply::Full => Gathered::NotRun(NotRunReason::Full),
+            Reply::NeverMinted => Gathered::Fault(OrderError::NeverMinted),
+            other => Gathered::Short(UnknownReason::HomeUnreachable(format!("{other:?}"))),
+        }
+    }
+}
+
+fn no_majority(why: &str) -> UnknownReason {
+    UnknownReason::NoMajority(why.to_owned())
+}
+
+/// Votes for one claim.
+struct Tally {
+    voters: usize,
+    majority: usize,
+    weakness: Weakness,
+    grants: Vec<Grant>,
+    refusals: Vec<String>,
+}
+
+impl Tally {
+    fn new(set: &VoterSet, weakness: Weakness) -> Self {
+        let majority = match weakness {
+            Weakness::MajorityOfOne => 1,
+            _ => set.majority(),
+        };
+        Self {
+            voters: set.members.len(),
+            majority,
+            weakness,
+            grants: Vec::new(),
+            refusals: Vec::new(),
+        }
+    }
+
+    fn is_won(&self) -> bool {
+        counted(&self.grants, self.weakness) >= self.majority
+    }
+
+    fn is_lost(&self) -> bool {
+        self.voters - self.refusals.len() < self.majority
+    }
+}
--- /dev/null
+++ b/crates/once/src/seat.rs
@@ -0,0 +1,292 @@
+//! This process as a voter: which set it votes in and what it must know first.
+//!
+//! A voter is *established* in a set when it knows every claim that may have run
+//! or may still run under an earlier set, and every vote that an earlier life of
+//! its own gave in this one. Only then does it vote. It gets there by
+//! synchronising (see [`crate::synchronise`]), or without it in three cases:
+//!
+//! - its set has stood for longer than records are kept, so nothing that it
+//!   could have missed is still of use;
+//! - an operator vouches that no key was sent before a time `T`, and the voter
+//!   took its set before `T` by more than the clock margin: it missed nothing;
+//! - for one key alone: the key's own time of issue lies after the time at which
+//!   the voter took its set, by more than the margin.
+//!
+//! The last two trust that the list of instances reaches all daemons within the
+//! margin; see `docs/design/at-most-once.md` for what follows when it doesn't.
+//!
+//! Sets are fenced: a voter that hears of a newer set, in a claim or in a request
+//! to synchronise, takes it over at once and never again votes under the former.
+//! Two majorities of sets that differ in one member need not meet (of {a, b, c}
+//! and {a, b, d}: {a, c} and {b, d}), so each change of members synchronises.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use mangofront_settings::ids::{Incarnation, InstanceId, Revision};
+
+use crate::ballots::{Ballots, Vote};
+use crate::ids::{ClaimId, Process};
+use crate::key::{Fingerprint, OrderKey, mint_time_unix_ms};
+use crate::message::{Grant, Page, Reply};
+use crate::options::{OnceOptions, Weakness, duration_ms, unix_ms};
+use crate::view::VoterSet;
+
+const PAGE_ENTRIES: usize = 200;
+const MAX_PENDING: usize = 8;
+
+/// Rules that decide when a voter may vote.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VotingRules {
+    pub(crate) keep: Duration,
+    pub(crate) clock_margin: Duration,
+    pub(crate) first_start_unix_ms: u64,
+}
+
+/// A voter's state.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    process: Process,
+    weakness: Weakness,
+    /// Newest set that this process has heard of.
+    view: Option<VoterSet>,
+    /// When it took that set, on both clocks.
+    taken_at: Instant,
+    taken_unix_ms: u64,
+    /// Newest set in which it knows what it must.
+    established: Option<VoterSet>,
+    /// Sets between the two that others may have voted in, oldest first, and
+    /// the newest.
+    pending: Vec<VoterSet>,
+    /// Latest lives of other voters that this one has given its records to.
+    fences: BTreeMap<InstanceId, Incarnation>,
+    pub(crate) ballots: Ballots<OrderKey>,
+    voting: bool,
+}
+
+impl Seat {
+    pub(crate) fn new(options: &OnceOptions) -> Self {
+        Self {
+            process: options.process.clone(),
+            weakness: options.weakness,
+            view: None,
+            taken_at: Instant::now(),
+            taken_unix_ms: options.started_unix_ms,
+            established: None,
+            pending: Vec::new(),
+            fences: BTreeMap::new(),
+            ballots: Ballots::new(options.max_records, options.max_answers_bytes),
+            voting: true,
+        }
+    }
+
+    pub(crate) fn view(&self) -> Option<&VoterSet> {
+        self.view.as_ref()
+    }
+
+    pub(crate) fn established(&self) -> Option<&VoterSet> {
+        self.established.as_ref()
+    }
+
+    pub(crate) fn pending(&self) -> &[VoterSet] {
+        &self.pending
+    }
+
+    pub(crate) fn stop_voting(&mut self) {
+        self.voting = false;
+    }
+
+    /// Takes a newer set over; an older one, or the same members, changes nothing.
+    pub(crate) fn adopt(&mut self, set: &VoterSet) {
+        let known = self.view.as_ref();
+        if known.is_some_and(|view| view.revision >= set.revision || view.same_members(set)) {
+            return;
+        }
+        log::info!(
+            "once: voters at list revision {}: {:?}",
+            set.revision,
+            set.members
+        );
+        self.view = Some(set.clone());
+        self.taken_at = Instant::now();
+        self.taken_unix_ms = unix_ms().max(self.taken_unix_ms);
+        self.pending.push(set.clone());
+        if self.pending.len() > MAX_PENDING {
+            // A bystander that never needed to synchronise starts afresh.
+            self.established = None;
+            self.pending = vec![set.clone()];
+        }
+    }
+
+    /// Learns of a set that others may have voted in before the newest.
+    pub(crate) fn hear_of(&mut self, set: &VoterSet) {
+        self.adopt(set);
+        let newer = |than: Option<&VoterSet>| than.is_none_or(|than| set.revision > than.revision);
+        let known = self.pending.iter().any(|other| other.same_members(set));
+        if newer(self.established.as_ref()) && !newer(self.view.as_ref()) && !known {
+            self.pending.push(set.clone());
+            self.pending.sort_by_key(|set| set.revision);
+        }
+    }
+
+    /// Takes one step: all that could run under `base` or before is known, so the
+    /// next set after it is established, or `base` itself when there is none.
+    pub(crate) fn establish_after(&mut self, base: &VoterSet) {
+        self.pending.retain(|set| set.revision > base.revision);
+        while self
+            .pending
+            .first()
+            .is_some_and(|set| set.same_members(base))
+        {
+            self.pending.remove(0);
+        }
+        let next = if self.pending.is_empty() {
+            base.clone()
+        } else {
+            self.pending.remove(0)
+        };
+        log::info!("once: established at list revision {}", next.revision);
+        self.established = Some(next);
+    }
+
+    /// Whether the newest set has this process as a member and is not established.
+    pub(crate) fn wants_records(&self) -> bool {
+        let mut wanted = self.pending.iter().chain(self.view.as_ref());
+        !self.is_established() && wanted.any(|set| set.has(&self.process.instance))
+    }
+
+    pub(crate) fn is_established(&self) -> bool {
+        match (&self.established, &self.view) {
+            (Some(established), Some(view)) => {
+                established.same_members(view) && self.pending.is_empty()
+            }
+            _ => false,
+        }
+    }
+
+    /// Establishes the newest set where no records are needed.
+    pub(crate) fn establish_by_rule(&mut self, rules: VotingRules, now: Instant) {
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        if self.is_established() {
+            return;
+        }
+        let outlived = now.duration_since(self.taken_at) > rules.keep;
+        let vouched = self.established.is_none() && self.is_vouched(rules);
+        if outlived || vouched || self.weakness == Weakness::NoSynchronisation {
+            self.pending.clear();
+            self.establish_after(&view);
+        }
+    }
+
+    fn is_vouched(&self, rules: VotingRules) -> bool {
+        let first_start = rules.first_start_unix_ms;
+        let margin_ms = duration_ms(rules.clock_margin);
+        self.taken_unix_ms.saturating_add(margin_ms) < first_start && first_start <= unix_ms()
+    }
+
+    fn is_younger_than_set(&self, key: &str, rules: VotingRules) -> bool {
+        let Some(minted) = mint_time_unix_ms(key) else {
+            return false;
+        };
+        let margin_ms = duration_ms(rules.clock_margin);
+        let in_future = minted > unix_ms().saturating_add(margin_ms);
+        !in_future && minted > self.taken_unix_ms.saturating_add(margin_ms)
+    }
+
+    /// Answers a claim on a plain key.
+    pub(crate) fn claim(
+        &mut self,
+        order: &OrderKey,
+        fingerprint: Fingerprint,
+        claim: &ClaimId,
+        set: &VoterSet,
+        rules: VotingRules,
+    ) -> Reply {
+        let now = Instant::now();
+        self.adopt(set);
+        self.establish_by_rule(rules, now);
+        let Some(view) = &self.view else {
+            return Reply::NotReady;
+        };
+        if !view.same_members(set) {
+            return Reply::OtherSet(view.clone());
+        }
+        let may_vote = self.voting
+            && view.has(&self.process.instance)
+            && (self.is_established() || self.is_younger_than_set(&order.key, rules));
+        if !may_vote {
+            let holding = self.ballots.holding(order, now);
+            return holding.map_or(Reply::NotReady, Reply::Held);
+        }
+        let vote = self
+            .ballots
+            .vote(order, fingerprint, claim, now, rules.keep);
+        match vote {
+            Vote::Granted => Reply::Granted(self.grant()),
+            Vote::Held(holding) => Reply::Held(holding),
+            Vote::Full => Reply::Full,
+        }
+    }
+
+    fn grant(&self) -> Grant {
+        let fences = self.fences.iter();
+        Grant {
+            voter: self.process.clone(),
+            fences: fences
+                .map(|(instance, incarnation)| (instance.clone(), *incarnation))
+                .collect(),
+        }
+    }
+
+    /// Gives records to another process, and is fenced by it.
+    ///
+    /// From the first page on, this voter votes under no older set, and each of
+    /// its votes tells that former lives of the other no longer count.
+    pub(crate) fn page(
+        &mut self,
+        reader: &Process,
+        target: &VoterSet,
+        after: Option<&OrderKey>,
+    ) -> Reply {
+        self.hear_of(target);
+        let fence = self.fences.entry(reader.instance.clone()).or_default();
+        *fence = reader.incarnation.max(*fence);
+        let Some(view) = self.view.clone() else {
+            return Reply::NotReady;
+        };
+        let (entries, more) = self.ballots.page(after, PAGE_ENTRIES, Instant::now());
+        Reply::Page(Box::new(Page {
+            process: self.process.clone(),
+            view,
+            established: self.established.clone(),
+            pending: self.pending.clone(),
+            entries,
+            more,
+        }))
+    }
+
+    /// Revision of the newest set, 0 when none is known.
+    pub(crate) fn revision(&self) -> Revision {
+        self.view.as_ref().map_or(0, |view| view.revision)
+    }
+}
+
+/// Grants that count together: none of an earlier life of a voter that one of
+/// the others has already given its records to.
+pub(crate) fn counted(grants: &[Grant], weakness: Weakness) -> usize {
+    if weakness == Weakness::NoIncarnationFence {
+        return grants.len();
+    }
+    let fenced = |voter: &Process| {
+        grants
+            .iter()
+            .flat_map(|grant| &grant.fences)
+            .any(|(instance, incarnation)| {
+                *instance == voter.instance && *incarnation > voter.incarnation
+            })
+    };
+    let current = grants.iter().filter(|grant| !fenced(&grant.voter));
+    current.count()
+}
--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -118,10 +118,11 @@
     /// Time for which a caller may retry a key, in milliseconds.
     #[serde(default = "default_window_ms")]
     pub window_ms: u64,
-    /// Number that an operator raises to say that the whole fleet starts
-    /// afresh and that no key in use was ever sent before.
+    /// Wall-clock time in Unix milliseconds for which an operator vouches that
+    /// no key in use was sent before it; 0 when nobody does. Processes that
+    /// started earlier than that need no records of others.
     #[serde(default)]
-    pub first_start_epoch: u64,
+    pub first_start_unix_ms: u64,
 }
 
 const fn default_window_ms() -> u64 {
@@ -132,7 +133,7 @@
     fn default() -> Self {
         Self {
             window_ms: default_window_ms(),
-            first_start_epoch: 0,
+            first_start_unix_ms: 0,
         }
     }
 }
