Run keyed orders through once, count and check every request

An order opens its connection first and asks for its permit last, with nothing awaited before the first byte. Each request that was read ends in the metrics exactly once; the end of its class's time and the ownership of each token are checked always.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -12,6 +12,7 @@
 use mangofront_http::Outcome;
 use mangofront_placement::{EngineOutcome, Placed};
 use mangofront_settings::ids::InstanceId;
+use mangofront_telemetry::invariants::{Invariant, check};
 use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
 use mangofront_upstream::reservation::GroupReservation;
 use mangofront_upstream::{SendError, Target};
@@ -19,7 +20,7 @@
 use super::{CompletionRequest, group};
 use crate::context::Entry;
 use crate::error::EntryError;
-use crate::observe;
+use crate::progress::InProgress;
 
 /// Most attempts at one request, resumptions included.
 const ATTEMPTS_LIMIT: u32 = 5;
@@ -56,6 +57,7 @@
 pub(crate) struct Attempts {
     entry: Entry,
     request: Rc<CompletionRequest>,
+    progress: Rc<InProgress>,
     permit: Permit,
     backoff: Backoff,
     group_backoff: Backoff,
@@ -81,10 +83,16 @@
 
 impl Attempts {
     /// No attempt made yet.
-    pub(crate) fn new(entry: Entry, request: Rc<CompletionRequest>, permit: Permit) -> Self {
+    pub(crate) fn new(
+        entry: Entry,
+        request: Rc<CompletionRequest>,
+        progress: Rc<InProgress>,
+        permit: Permit,
+    ) -> Self {
         Self {
             entry,
             request,
+            progress,
             permit,
             backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
             group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
@@ -178,6 +186,11 @@
     }
 
     fn accept(&mut self, running: &mut Running, frame: &Frame) {
+        let own = frame.request == self.request.id && frame.offset == self.next_offset;
+        check(Invariant::OwnAnswerOnly, own, || {
+            let (request, offset) = (&frame.request, frame.offset);
+            format!("token {offset} of {request} came for {}", self.request.id)
+        });
         self.next_offset = frame.offset + 1;
         if running.first_token_seen {
             running.placed.tokens(1);
@@ -199,11 +212,8 @@
     fn observe_first_token(&mut self) {
         let time = self.request.caller.arrived.elapsed();
         self.permit.first_token(time);
-        observe::first_token(
-            &self.request.caller.class,
-            self.request.prompt.length_tokens,
-            time,
-        );
+        let length_tokens = self.request.prompt.length_tokens;
+        self.progress.first_token(length_tokens, time);
     }
 
     /// Takes a broken stream up where it broke, or leaves it for a new attempt.
@@ -219,7 +229,7 @@
         let call = running.call.clone();
         match engine::resume(connections, &running.target, &stream_id, call).await {
             Ok(stream) => {
-                observe::retried("same_engine");
+                self.entry.parts().metrics.retried();
                 std::mem::replace(&mut running.stream, stream).keep();
                 self.running = Some(running);
                 Ok(())
@@ -233,7 +243,7 @@
 
     /// Waits a little for memory that other groups hold; holds none itself.
     async fn wait_for_group(&mut self) -> Result<(), EntryError> {
-        observe::retried("group_full");
+        self.entry.parts().metrics.retried();
         self.made -= 1;
         compio::time::sleep(self.group_backoff.next_wait()).await;
         self.check_deadline()
@@ -251,7 +261,7 @@
         parts
             .placement
             .outcome(error.peer(), engine_outcome(&error));
-        observe::upstream_failed(error.step_name());
+        parts.metrics.upstream_error(error.step_name());
         self.excluded.push(error.peer().clone());
         let allowed = self.made < ATTEMPTS_LIMIT && parts.admission.retry_budget().try_take();
         if !allowed {
@@ -261,7 +271,7 @@
                 retry_after: RETRY_AFTER_FAILURE,
             });
         }
-        observe::retried("other_engine");
+        self.entry.parts().metrics.retried();
         compio::time::sleep(self.backoff.next_wait()).await;
         Ok(())
     }
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -22,8 +22,9 @@
 use mangofront_prompt::{Endpoint, Prompt};
 
 use crate::caller::{self, Caller};
-use crate::context::Entry;
+use crate::context::{Active, Entry};
 use crate::error::EntryError;
+use crate::progress::InProgress;
 use attempts::Attempts;
 
 /// A request that was read and checked.
@@ -50,27 +51,38 @@
 /// it is not streamed.
 pub(crate) async fn answer(
     entry: &Entry,
+    active: &Rc<Active>,
     endpoint: Endpoint,
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Body>, EntryError> {
-    if let Some(retry_after) = entry.stopping() {
-        return Err(EntryError::Stopping { retry_after });
-    }
     let request = Rc::new(read(entry, endpoint, request, id).await?);
-    let in_progress = entry.begin();
-    let mut attempts = admit(entry, &request).await?;
+    let progress = Rc::new(InProgress::begin(active, &request.caller));
+    let answered = respond(entry, &request, &progress).await;
+    if let Err(error) = &answered {
+        progress.failed(error);
+    }
+    answered
+}
+
+async fn respond(
+    entry: &Entry,
+    request: &Rc<CompletionRequest>,
+    progress: &Rc<InProgress>,
+) -> Result<Response<Body>, EntryError> {
+    let mut attempts = admit(entry, request, progress).await?;
     let first = attempts.next().await?;
     if request.prompt.stream {
         let relay = relay::Relay {
             entry: entry.clone(),
-            request,
+            request: Rc::clone(request),
             attempts,
-            in_progress,
+            progress: Rc::clone(progress),
         };
         return Ok(relay.start(first));
     }
-    let whole = answer::collect(&request, attempts, first).await?;
+    let whole = answer::collect(request, attempts, first).await?;
+    progress.answered();
     Ok(json(StatusCode::OK, &whole))
 }
 
@@ -142,7 +154,11 @@
     }
 }
 
-async fn admit(entry: &Entry, request: &Rc<CompletionRequest>) -> Result<Attempts, EntryError> {
+async fn admit(
+    entry: &Entry,
+    request: &Rc<CompletionRequest>,
+    progress: &Rc<InProgress>,
+) -> Result<Attempts, EntryError> {
     let parts = entry.parts();
     let ask = AdmissionRequest {
         class: request.caller.class.clone(),
@@ -154,7 +170,12 @@
     };
     let estimate = || parts.placement.estimate(&request.demand).ok();
     match parts.admission.admit(ask, estimate).await {
-        Ok(permit) => Ok(Attempts::new(entry.clone(), Rc::clone(request), permit)),
+        Ok(permit) => Ok(Attempts::new(
+            entry.clone(),
+            Rc::clone(request),
+            Rc::clone(progress),
+            permit,
+        )),
         Err(refusal) => {
             let code = refusal_code(refusal.reason);
             Err(EntryError::Refused {
--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -6,13 +6,13 @@
 use futures_channel::mpsc;
 use futures_util::SinkExt;
 use http::{HeaderValue, Response, header};
-use mangofront_http::{Body, Outcome, stream};
+use mangofront_http::{Body, stream};
 use mangofront_upstream::engine::Frame;
 
 use super::attempts::Attempts;
 use super::{CompletionRequest, answer};
-use crate::context::{Entry, InProgress};
-use crate::observe;
+use crate::context::Entry;
+use crate::progress::InProgress;
 
 /// Relays one answer from its attempts to its caller.
 #[derive(Debug)]
@@ -20,7 +20,7 @@
     pub(crate) entry: Entry,
     pub(crate) request: Rc<CompletionRequest>,
     pub(crate) attempts: Attempts,
-    pub(crate) in_progress: InProgress,
+    pub(crate) progress: Rc<InProgress>,
 }
 
 /// Why a relay stopped before the answer's end.
@@ -48,6 +48,7 @@
     }
 
     async fn run(mut self, first: Frame, mut sender: mpsc::Sender<Bytes>) {
+        let _in_flight = self.entry.parts().metrics.stream_started();
         let request = Rc::clone(&self.request);
         if let Err(stopped) = self.relay(first, &mut sender).await {
             let reason = match stopped {
@@ -55,9 +56,7 @@
                 Stopped::CallerStalled => "caller_stalled",
             };
             log::debug!("entry: answer to {} stopped: {reason}", request.id);
-            observe::request_failed(reason, Outcome::Failed);
         }
-        drop(self.in_progress);
     }
 
     async fn relay(
@@ -70,13 +69,13 @@
             self.send(sender, answer::chunk(&self.request, &frame))
                 .await?;
             if self.attempts.is_finished() {
-                observe::request_finished(&self.request.caller.class);
+                self.progress.answered();
                 return self.send(sender, answer::done()).await;
             }
             frame = match self.attempts.next().await {
                 Ok(frame) => frame,
                 Err(error) => {
-                    observe::request_failed(error.code(), error.outcome());
+                    self.progress.failed(&error);
                     let last = answer::error_event(&error.body(&self.request.id));
                     return self.send(sender, last).await;
                 }
@@ -85,7 +84,6 @@
     }
 
     async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
-        observe::token_relayed();
         let deadline = self.request.caller.deadline;
         match compio::time::timeout_at(deadline, sender.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -9,9 +9,11 @@
 use hyper::body::Incoming;
 use mangofront_admission::Admission;
 use mangofront_http::Body;
+use mangofront_once::Once;
 use mangofront_placement::Placement;
 use mangofront_platform::Platform;
 use mangofront_settings::ids::AvailabilityZone;
+use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::Connections;
 
 use crate::router;
@@ -54,8 +56,12 @@
     pub admission: Admission,
     /// Where a request goes.
     pub placement: Placement,
+    /// Whether an order may run.
+    pub once: Once,
     /// Connections to upstreams.
     pub connections: Connections,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Limits towards callers.
     pub limits: EntryLimits,
 }
@@ -118,9 +124,9 @@
     }
 
     /// Counts a request as in progress while the guard lives.
-    pub(crate) fn begin(&self) -> InProgress {
+    pub(crate) fn begin(&self) -> Rc<Active> {
         self.0.in_progress.set(self.0.in_progress.get() + 1);
-        InProgress(self.clone())
+        Rc::new(Active(self.clone()))
     }
 
     /// Turn for choosing among equal service instances.
@@ -131,11 +137,18 @@
     }
 }
 
-/// Counts one request in progress.
+/// Counts one request in progress, from its head to the end of its answer.
 #[derive(Debug)]
-pub(crate) struct InProgress(Entry);
+pub(crate) struct Active(Entry);
 
-impl Drop for InProgress {
+impl Active {
+    /// The entry side it belongs to.
+    pub(crate) fn entry(&self) -> &Entry {
+        &self.0
+    }
+}
+
+impl Drop for Active {
     fn drop(&mut self) {
         let count = &self.0.0.in_progress;
         count.set(count.get() - 1);
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -112,6 +112,25 @@
         }
     }
 
+    /// Whether the caller may simply come back later.
+    pub(crate) fn is_refusal(&self) -> bool {
+        self.outcome() == Outcome::NotRun && self.retry_after().is_some()
+    }
+
+    /// Whether the request had been read when the error arose.
+    pub(crate) fn was_in_progress(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused { .. }
+                | Self::NoUpstream { .. }
+                | Self::DeadlineExceeded { .. }
+                | Self::AttemptsFailed { .. }
+                | Self::Service(_)
+                | Self::KeyRequired
+                | Self::Order { .. }
+        )
+    }
+
     fn status(&self) -> StatusCode {
         match self {
             Self::UnknownPath { .. } | Self::UnknownModel { .. } | Self::UnknownService { .. } => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,7 @@
 mod context;
 mod error;
 mod models;
-mod observe;
+mod progress;
 mod router;
 mod service;
 
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,22 +1,29 @@
 //! Which handler answers which path.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mangofront_http::{Body, headers};
+use mangofront_http::{Body, headers, json};
 use mangofront_prompt::Endpoint;
+use serde::Serialize;
 
 use crate::context::Entry;
 use crate::error::EntryError;
-use crate::{completion, models, observe, service};
+use crate::progress::{NO_CLASS, request_outcome};
+use crate::{completion, models, service};
 
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/v1/services/";
 
+/// Time after which a caller may ask another daemon for a key.
+const RETRY_AFTER_MINT: Duration = Duration::from_secs(1);
+
 enum Route {
     Complete(Endpoint),
     Models,
+    MintKey,
     Service,
 }
 
@@ -27,16 +34,23 @@
     peer: SocketAddr,
 ) -> Response<Body> {
     let id = uuid::Uuid::new_v4().simple().to_string();
-    let path = request.uri().path();
-    let answered = match find(request.method(), path) {
-        Ok(Route::Complete(endpoint)) => completion::answer(entry, endpoint, request, &id).await,
-        Ok(Route::Models) => models::answer(entry),
-        Ok(Route::Service) => service::answer(entry, request, &id).await,
-        Err(error) => Err(error),
+    let active = entry.begin();
+    let answered = match (
+        entry.stopping(),
+        find(request.method(), request.uri().path()),
+    ) {
+        (Some(retry_after), _) => Err(EntryError::Stopping { retry_after }),
+        (None, Ok(Route::Complete(endpoint))) => {
+            completion::answer(entry, &active, endpoint, request, &id).await
+        }
+        (None, Ok(Route::Models)) => models::answer(entry),
+        (None, Ok(Route::MintKey)) => mint(entry),
+        (None, Ok(Route::Service)) => service::answer(entry, &active, request, &id).await,
+        (None, Err(error)) => Err(error),
     };
     let mut response = answered.unwrap_or_else(|error| {
         log::debug!("entry: request {id} of {peer} failed: {error}");
-        observe::request_failed(error.code(), error.outcome());
+        count_failure(entry, &error);
         error.into_response(&id)
     });
     if let Ok(value) = id.parse() {
@@ -49,6 +63,7 @@
     let (wanted, route) = match path {
         "/v1/completions" => (Method::POST, Route::Complete(Endpoint::Completions)),
         "/v1/chat/completions" => (Method::POST, Route::Complete(Endpoint::ChatCompletions)),
+        "/v1/idempotency-keys" => (Method::POST, Route::MintKey),
         "/v1/models" => (Method::GET, Route::Models),
         _ if path.starts_with(SERVICES) => return Ok(Route::Service),
         _ => {
@@ -63,3 +78,27 @@
         Err(EntryError::WrongMethod { wanted })
     }
 }
+
+#[derive(Serialize)]
+struct MintedKey {
+    key: String,
+}
+
+fn mint(entry: &Entry) -> Result<Response<Body>, EntryError> {
+    let minted = entry.parts().once.mint();
+    let key = minted.map_err(|_stopping| EntryError::Stopping {
+        retry_after: RETRY_AFTER_MINT,
+    })?;
+    Ok(json(StatusCode::CREATED, &MintedKey { key }))
+}
+
+/// Counts a failure whose request never came to be in progress.
+fn count_failure(entry: &Entry, error: &EntryError) {
+    let metrics = &entry.parts().metrics;
+    if error.is_refusal() {
+        metrics.refused(error.code());
+    }
+    if !error.was_in_progress() {
+        metrics.request_ended(NO_CLASS, request_outcome(error.outcome()));
+    }
+}
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -5,9 +5,11 @@
 //! Any other call is sent again elsewhere only while it is certain that no
 //! byte of it was written, or when its method is safe.
 
+mod order;
+
+use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::request::Parts;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
@@ -16,13 +18,13 @@
 use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
 use mangofront_settings::published::{CallPattern, Configuration, Service};
 use mangofront_upstream::Target;
-use mangofront_upstream::service::{Call, Repeat, ServiceAnswer, call};
+use mangofront_upstream::service::{Call, ServiceAnswer, call};
 
-use crate::caller;
+use crate::caller::{self, Caller};
 use crate::completion::read_body;
-use crate::context::Entry;
+use crate::context::{Active, Entry};
 use crate::error::EntryError;
-use crate::observe;
+use crate::progress::{InProgress, NO_CLASS};
 
 /// Time after which a caller may come back when no instance of a service is left.
 pub(crate) const RETRY_AFTER_NO_SERVICE: std::time::Duration = std::time::Duration::from_secs(2);
@@ -30,13 +32,19 @@
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/v1/services/";
 
+/// Whether a call may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Repeat {
+    Allowed,
+    Forbidden,
+}
+
 /// A call that was read and checked.
 #[derive(Debug)]
 pub(crate) struct ServiceCall {
-    pub(crate) organisation: String,
+    pub(crate) caller: Caller,
     pub(crate) service: ServiceName,
     pub(crate) call: Call,
-    pub(crate) deadline: Instant,
 }
 
 /// Answers a call of a plain service.
@@ -45,23 +53,25 @@
 /// Anything that keeps it from the service's own answer.
 pub(crate) async fn answer(
     entry: &Entry,
+    active: &Rc<Active>,
     request: Request<Incoming>,
     id: &str,
 ) -> Result<Response<Body>, EntryError> {
-    if let Some(retry_after) = entry.stopping() {
-        return Err(EntryError::Stopping { retry_after });
-    }
     let arrived = Instant::now();
-    let _in_progress = entry.begin();
     let (head, incoming) = request.into_parts();
     let key = caller::text(&head.headers, headers::IDEMPOTENCY_KEY)?.map(str::to_owned);
     let (service_call, repeat) = read(entry, head, incoming, arrived, id).await?;
-    let answer = match (key, repeat) {
-        (Some(_), _) => return Err(orders_unavailable()),
-        (None, Repeat::Forbidden) => return Err(EntryError::KeyRequired),
-        (None, Repeat::Allowed) => send(entry, &service_call).await?,
+    let progress = InProgress::begin(active, &service_call.caller);
+    let answered = match (key, repeat) {
+        (Some(key), _) => order::execute(entry, &service_call, key).await,
+        (None, Repeat::Forbidden) => Err(EntryError::KeyRequired),
+        (None, Repeat::Allowed) => send(entry, &service_call).await,
     };
-    Ok(respond(answer))
+    match &answered {
+        Ok(_) => progress.answered(),
+        Err(error) => progress.failed(error),
+    }
+    answered.map(respond)
 }
 
 async fn read(
@@ -85,8 +95,8 @@
             service: service.clone(),
         })?;
     let repeat = repeat(rules, &head.method, &path);
-    let (organisation, deadline) = identify(entry, configuration, &head, arrived)?;
-    let body = read_body(entry, incoming, deadline).await?;
+    let caller = identify(entry, configuration, &head, arrived)?;
+    let body = read_body(entry, incoming, caller.deadline).await?;
     let mut passed_on = head.headers;
     if let Ok(value) = id.parse() {
         passed_on.insert(headers::REQUEST_ID, value);
@@ -99,32 +109,36 @@
     };
     Ok((
         ServiceCall {
-            organisation,
+            caller,
             service,
             call,
-            deadline,
         },
         repeat,
     ))
 }
 
-/// Organisation and deadline of a call; a class is optional here.
+/// Caller of a service; its class is optional.
 fn identify(
     entry: &Entry,
     configuration: &Configuration,
     head: &Parts,
     arrived: Instant,
-) -> Result<(String, Instant), EntryError> {
+) -> Result<Caller, EntryError> {
     match caller::identify(configuration, &head.headers, arrived) {
-        Ok(caller) => Ok((caller.organisation, caller.deadline)),
         Err(EntryError::MissingHeader {
             name: headers::CLASS,
         }) => {
             let organisation = caller::text(&head.headers, headers::ORGANISATION)?;
-            let deadline = arrived + entry.parts().limits.service_timeout;
-            Ok((organisation.unwrap_or_default().to_owned(), deadline))
+            let limit = entry.parts().limits.service_timeout;
+            Ok(Caller {
+                organisation: organisation.unwrap_or_default().to_owned(),
+                class: NO_CLASS.to_owned(),
+                time_to_first_token: limit,
+                arrived,
+                deadline: arrived + limit,
+            })
         }
-        Err(error) => Err(error),
+        identified => identified,
     }
 }
 
@@ -213,14 +227,13 @@
             &parts.connections,
             &target,
             service_call.call.clone(),
-            Repeat::Allowed,
             limit_bytes,
-            service_call.deadline,
+            service_call.caller.deadline,
         );
         match sent.await {
             Ok(answer) => return Ok(answer),
             Err(error) => {
-                observe::upstream_failed(error.step_name());
+                parts.metrics.upstream_error(error.step_name());
                 let again = safe || error.outcome() == Outcome::NotRun;
                 last = Some(error);
                 if !again || !parts.admission.retry_budget().try_take() {
@@ -249,29 +262,3 @@
     *response.headers_mut() = answer.headers;
     response
 }
-
-/// Fingerprint of a call: the same key may not name another call.
-pub(crate) fn fingerprint(service_call: &ServiceCall) -> u64 {
-    let mut hash = xxhash_rust::xxh3::Xxh3::new();
-    for part in [
-        service_call.service.as_bytes(),
-        service_call.call.method.as_str().as_bytes(),
-    ] {
-        hash.update(part);
-        hash.update(b"\0");
-    }
-    hash.update(service_call.call.path_and_query.as_bytes());
-    hash.update(b"\0");
-    let body: &Bytes = &service_call.call.body;
-    hash.update(body);
-    hash.digest()
-}
-
-fn orders_unavailable() -> EntryError {
-    EntryError::Order {
-        code: "orders_unavailable",
-        outcome: Outcome::NotRun,
-        reason: "this build runs no non-repeatable orders".to_owned(),
-        retry_after: None,
-    }
-}
--- /dev/null
+++ b/crates/entry/src/service/order.rs
@@ -0,0 +1,206 @@
+//! Orders that may not repeat.
+//!
+//! `once` says whether this call may run the order. The one run it allows sends
+//! the call to the first instance of the service that can be connected to;
+//! after the first byte was written there is no second try.
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use mangofront_http::Outcome;
+use mangofront_once::{
+    Answer, Decision, Fingerprint, NotRunReason, Order, OrderError, RunOutcome, RunPermit,
+    StoredBody,
+};
+use mangofront_upstream::Opened;
+use mangofront_upstream::service::{ServiceAnswer, call_once};
+
+use super::{ServiceCall, targets};
+use crate::context::Entry;
+use crate::error::EntryError;
+
+/// Header of an answer that was given before.
+const REPLAYED: &str = "mangofront-replayed";
+
+/// Runs an order under `key`, or answers with what became of it.
+///
+/// # Errors
+/// [`EntryError::Order`] whenever there is no answer of the service to give.
+pub(crate) async fn execute(
+    entry: &Entry,
+    service_call: &ServiceCall,
+    key: String,
+) -> Result<ServiceAnswer, EntryError> {
+    let order = Order {
+        organisation: service_call.caller.organisation.clone(),
+        key,
+        fingerprint: fingerprint(service_call),
+    };
+    let once = &entry.parts().once;
+    let run = |permit| run(entry, service_call, permit);
+    let decision = once.execute(order, service_call.caller.deadline, run).await;
+    answer(decision)
+}
+
+/// Digest of what the key stands for: the same key may name no other call.
+fn fingerprint(service_call: &ServiceCall) -> Fingerprint {
+    let path = format!(
+        "{}{}",
+        service_call.service, service_call.call.path_and_query
+    );
+    let method = service_call.call.method.as_str();
+    Fingerprint::of(method, &path, &service_call.call.body)
+}
+
+async fn run(entry: &Entry, service_call: &ServiceCall, permit: RunPermit) -> RunOutcome {
+    let parts = entry.parts();
+    let deadline = service_call.caller.deadline;
+    let opened = match open(entry, service_call).await {
+        Ok(opened) => opened,
+        Err(reason) => return RunOutcome::NotStarted { reason },
+    };
+    let _begun = match permit.begin() {
+        Ok(begun) => begun,
+        Err(error) => {
+            let reason = error.to_string();
+            return RunOutcome::NotStarted { reason };
+        }
+    };
+    let limit_bytes = parts.limits.service_answer_limit_bytes;
+    let call = service_call.call.clone();
+    match call_once(opened, call, limit_bytes, deadline).await {
+        Ok(answer) => RunOutcome::Answered(stored(answer)),
+        Err(error) => {
+            parts.metrics.upstream_error(error.step_name());
+            let reason = error.to_string();
+            match error.outcome() {
+                Outcome::NotRun => RunOutcome::NotStarted { reason },
+                Outcome::Failed | Outcome::Unknown => RunOutcome::Unknown { reason },
+            }
+        }
+    }
+}
+
+/// Opens a connection to the first instance of the service that takes one.
+async fn open(entry: &Entry, service_call: &ServiceCall) -> Result<Opened, String> {
+    let parts = entry.parts();
+    let mut reason = "no instance of the service takes work".to_owned();
+    for target in targets(entry, &service_call.service) {
+        let deadline = service_call.caller.deadline;
+        match parts.connections.open(&target, deadline).await {
+            Ok(opened) => return Ok(opened),
+            Err(error) => {
+                parts.metrics.upstream_error(error.step_name());
+                reason = error.to_string();
+            }
+        }
+    }
+    Err(reason)
+}
+
+fn stored(answer: ServiceAnswer) -> Answer {
+    let headers = answer
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect();
+    Answer {
+        status: answer.status.as_u16(),
+        headers,
+        body: answer.body,
+    }
+}
+
+fn answer(decision: Decision) -> Result<ServiceAnswer, EntryError> {
+    match decision {
+        Decision::Answer(answer) => {
+            let Answer {
+                status,
+                headers,
+                body,
+            } = answer;
+            Ok(ServiceAnswer {
+                status: status_code(status),
+                headers: header_map(headers),
+                body,
+            })
+        }
+        Decision::Replay {
+            status,
+            headers,
+            body: StoredBody::Whole(body),
+        } => {
+            let mut headers = header_map(headers);
+            headers.insert(REPLAYED, HeaderValue::from_static("true"));
+            Ok(ServiceAnswer {
+                status: status_code(status),
+                headers,
+                body: body.into(),
+            })
+        }
+        Decision::Replay {
+            status,
+            body: StoredBody::Digest { length_bytes, xxh3 },
+            ..
+        } => Err(EntryError::Order {
+            code: "answer_not_kept",
+            outcome: Outcome::Failed,
+            reason: format!(
+                "the order ran once and was answered with status {status}; the answer of \
+                     {length_bytes} bytes (xxh3 {xxh3:016x}) is too large to be given again"
+            ),
+            retry_after: None,
+        }),
+        Decision::NotRun {
+            reason,
+            retry_after,
+        } => Err(EntryError::Order {
+            code: not_run_code(&reason),
+            outcome: Outcome::NotRun,
+            reason: reason.to_string(),
+            retry_after,
+        }),
+        Decision::Failed(error) => Err(EntryError::Order {
+            code: match error {
+                OrderError::Conflict => "key_conflict",
+                OrderError::NeverMinted => "key_never_minted",
+            },
+            // The key may have run, for another request; this one did not.
+            outcome: Outcome::NotRun,
+            reason: error.to_string(),
+            retry_after: None,
+        }),
+        Decision::Unknown {
+            reason,
+            retry_after,
+        } => Err(EntryError::Order {
+            code: "outcome_unknown",
+            outcome: Outcome::Unknown,
+            reason: reason.to_string(),
+            retry_after,
+        }),
+    }
+}
+
+fn not_run_code(reason: &NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::NotStarted(_) => "order_not_started",
+        NotRunReason::KeyRetired => "key_retired",
+        NotRunReason::Full => "too_many_records",
+    }
+}
+
+fn status_code(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+fn header_map(headers: Vec<(String, String)>) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
+            map.append(name, value);
+        }
+    }
+    map
+}
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -99,37 +99,21 @@
                 },
             }
         }
-        self.send_fresh(target, request, deadline).await
+        let opened = self.open(target, deadline).await?;
+        opened.send(request, deadline).await
     }
 
-    /// Sends a call on a connection of its own.
+    /// Opens a connection for one call of its own.
     ///
     /// # Errors
-    /// [`SendError`] when no head arrived by `deadline`.
-    pub async fn send_fresh(
-        &self,
-        target: &Target,
-        request: Request<Full<Bytes>>,
-        deadline: Instant,
-    ) -> Result<Answer, SendError> {
-        let mut sender = self.connect(target, deadline).await?;
-        let sent = within(
-            deadline,
-            target,
-            Step::Head,
-            sender.try_send_request(request),
-        )
-        .await?;
-        match sent {
-            Ok(response) => Ok(self.answer(target, sender, response)),
-            Err(mut error) => {
-                let step = match error.take_message() {
-                    Some(_) => Step::Send,
-                    None => Step::Head,
-                };
-                Err(broken(target, step, error.error()))
-            }
-        }
+    /// [`SendError`] when it is not open by `deadline`; no call was written.
+    pub async fn open(&self, target: &Target, deadline: Instant) -> Result<Opened, SendError> {
+        let sender = self.connect(target, deadline).await?;
+        Ok(Opened {
+            sender,
+            target: target.clone(),
+            connections: self.clone(),
+        })
     }
 
     fn answer(
@@ -210,6 +194,47 @@
     }
 }
 
+/// A connection that has carried nothing yet.
+#[derive(Debug)]
+pub struct Opened {
+    sender: Sender,
+    target: Target,
+    connections: Connections,
+}
+
+impl Opened {
+    /// Sends a call; the only one that this value can send.
+    ///
+    /// # Errors
+    /// [`SendError`] when no head arrived by `deadline`.
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Answer, SendError> {
+        let sending = self.sender.try_send_request(request);
+        match within(deadline, &self.target, Step::Head, sending).await? {
+            Ok(response) => {
+                let connections = self.connections.clone();
+                Ok(connections.answer(&self.target, self.sender, response))
+            }
+            Err(mut error) => {
+                let step = match error.take_message() {
+                    Some(_) => Step::Send,
+                    None => Step::Head,
+                };
+                Err(broken(&self.target, step, error.error()))
+            }
+        }
+    }
+
+    /// Instance at the other end.
+    #[must_use]
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+}
+
 /// Head of an answer and the way to its body.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod reservation;
 pub mod service;
 
-pub use connection::{Answer, Connections, ConnectionsOptions};
+pub use connection::{Answer, Connections, ConnectionsOptions, Opened};
 pub use error::{SendError, Step};
 
 use std::net::SocketAddr;
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 
 use crate::Target;
-use crate::connection::Connections;
+use crate::connection::{Answer, Connections, Opened};
 use crate::error::SendError;
 
 /// Headers that belong to one connection and are not passed on.
@@ -45,16 +45,7 @@
     pub body: Bytes,
 }
 
-/// Whether a call may be sent again if its connection fails.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Repeat {
-    /// May run more than once.
-    Allowed,
-    /// Must not run twice: sent once, on a connection of its own.
-    Forbidden,
-}
-
-/// Calls a service once and reads its answer whole, up to `limit_bytes`.
+/// Calls a service and reads its answer whole, up to `limit_bytes`.
 ///
 /// # Errors
 /// [`SendError`]; its outcome tells whether the call may have run.
@@ -62,15 +53,37 @@
     connections: &Connections,
     target: &Target,
     call: Call,
-    repeat: Repeat,
     limit_bytes: usize,
     deadline: Instant,
 ) -> Result<ServiceAnswer, SendError> {
     let request = request(target, call)?;
-    let answer = match repeat {
-        Repeat::Allowed => connections.send(target, request, deadline).await?,
-        Repeat::Forbidden => connections.send_fresh(target, request, deadline).await?,
-    };
+    let answer = connections.send(target, request, deadline).await?;
+    read(answer, limit_bytes, deadline).await
+}
+
+/// Sends a call that must not run twice, and reads its answer whole.
+///
+/// The connection was opened before, so that the caller can decide at the last
+/// moment whether the call is written at all.
+///
+/// # Errors
+/// [`SendError`]; its outcome tells whether the call may have run.
+pub async fn call_once(
+    opened: Opened,
+    call: Call,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<ServiceAnswer, SendError> {
+    let request = request(opened.target(), call)?;
+    let answer = opened.send(request, deadline).await?;
+    read(answer, limit_bytes, deadline).await
+}
+
+async fn read(
+    answer: Answer,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<ServiceAnswer, SendError> {
     let status = answer.status;
     let headers = without_hop_headers(&answer.headers);
     let body = answer.bytes(limit_bytes, deadline).await?;
