--- /dev/null
+++ b/crates/platform/examples/fleet.rs
@@ -0,0 +1,147 @@
+//! Counts the calls that many readers make to one service: while nothing
+//! changes, while it is down, and when it is back.
+//!
+//! `cargo run --release -p mangofront-platform --example fleet -- 200 30` runs
+//! 200 readers in one process against the emulator, each phase for 30 s. With
+//! `relayed` as third argument no reader holds a watch.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use mangofront_http::Shutdown;
+use mangofront_platform::{Platform, PlatformOptions};
+use mangofront_standin::platform::{self, PlatformSettings};
+use serde::Deserialize;
+
+/// Time between two looks at the counters.
+const TICK: Duration = Duration::from_secs(1);
+
+const CONFIGURATION: &str = r#"{"classes": {}, "organisations": {}}"#;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// What the run was asked to do.
+struct Arguments {
+    readers: u64,
+    phase: Duration,
+    watching: bool,
+}
+
+/// Calls that the service counted.
+#[derive(Debug, Default, Clone, Copy, Deserialize)]
+struct Counters {
+    reads: u64,
+    watches: u64,
+}
+
+impl Counters {
+    fn calls(self) -> u64 {
+        self.reads + self.watches
+    }
+}
+
+/// The service's own switches.
+struct Control {
+    client: cyper::Client,
+    address: SocketAddr,
+}
+
+impl Control {
+    async fn send(&self, method: http::Method, path: &str, body: &'static str) -> Result<Bytes> {
+        let url = format!("http://{}/control{path}", self.address);
+        let request = self.client.request(method, url)?.body(body);
+        Ok(request.send().await?.bytes().await?)
+    }
+
+    async fn counters(&self) -> Result<Counters> {
+        let answer = self.send(http::Method::GET, "/counters", "").await?;
+        Ok(serde_json::from_slice(&answer)?)
+    }
+
+    /// Lets a phase pass and prints its calls.
+    async fn phase(&self, name: &str, arguments: &Arguments) -> Result<()> {
+        let first = self.counters().await?;
+        let mut last = first;
+        let mut most_in_a_second = 0;
+        let started = Instant::now();
+        while started.elapsed() < arguments.phase {
+            compio::time::sleep(TICK).await;
+            let now = self.counters().await?;
+            most_in_a_second = most_in_a_second.max(now.calls() - last.calls());
+            last = now;
+        }
+        let calls = last.calls() - first.calls();
+        let minutes = started.elapsed().as_secs_f64() / 60.0;
+        let a_minute = calls as f64 / minutes / arguments.readers as f64;
+        println!(
+            "{name}: {calls} calls, {a_minute:.1} a minute and reader, at most {most_in_a_second} in a second"
+        );
+        Ok(())
+    }
+}
+
+fn arguments() -> Result<Arguments> {
+    let mut arguments = std::env::args().skip(1);
+    let readers = arguments.next().unwrap_or("200".to_owned()).parse()?;
+    let phase_s = arguments.next().unwrap_or("30".to_owned()).parse()?;
+    Ok(Arguments {
+        readers,
+        phase: Duration::from_secs(phase_s),
+        watching: arguments.next().as_deref() != Some("relayed"),
+    })
+}
+
+/// Waits until every reader has revision 2, and prints how long that took.
+async fn until_everywhere(readers: &[Platform], limit: Duration) {
+    let started = Instant::now();
+    let has_it = |reader: &Platform| reader.configuration().is_some_and(|it| it.revision >= 2);
+    while started.elapsed() < limit && !readers.iter().all(has_it) {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let with_it = readers.iter().filter(|reader| has_it(reader)).count();
+    let elapsed = started.elapsed();
+    println!(
+        "new revision: at {with_it} of {} readers after {elapsed:.1?}",
+        readers.len()
+    );
+}
+
+#[compio::main]
+async fn main() -> Result<()> {
+    let arguments = arguments()?;
+    let settings = PlatformSettings {
+        configuration: Some(serde_json::from_str(CONFIGURATION)?),
+        instances: Some(serde_json::json!({ "instances": [] })),
+        ..PlatformSettings::default()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let (_trigger, shutdown) = Shutdown::new();
+    let _service = compio::runtime::spawn(platform::run(listener, settings, shutdown));
+    let control = Control {
+        client: mangofront_http::client()?,
+        address,
+    };
+    let mut readers = Vec::new();
+    for _ in 0..arguments.readers {
+        let options = PlatformOptions::builder(address).watching(arguments.watching);
+        readers.push(Platform::start(options.build())?);
+    }
+    control.phase("start", &arguments).await?;
+    control.phase("steady", &arguments).await?;
+    control
+        .send(http::Method::POST, "", r#"{"down": true}"#)
+        .await?;
+    control.phase("down", &arguments).await?;
+    control
+        .send(http::Method::PUT, "/configuration", CONFIGURATION)
+        .await?;
+    control
+        .send(http::Method::POST, "", r#"{"down": false}"#)
+        .await?;
+    until_everywhere(&readers, 4 * arguments.phase).await;
+    control.phase("back", &arguments).await
+}
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -20,6 +20,11 @@
 /// told of twice.
 const REFUSED_LIMIT: usize = 8;
 
+/// Current answers in a row after which a service that was stale counts as
+/// caught up; fewer would make an episode of every answer when one of its
+/// replicas is stale and another is not.
+const CURRENT_ANSWERS: u32 = 3;
+
 /// Typed value of a text, or what is wrong with it.
 pub(crate) type Parse<'a, A> = &'a dyn Fn(Version, &str) -> Result<A, String>;
 
@@ -62,8 +67,9 @@
     kind: Kind,
     held: Option<Held<A>>,
     refused: VecDeque<Refused>,
-    /// Whether the service's last answer was below the floor.
-    behind: bool,
+    /// Current answers that are missing until a service that was stale counts
+    /// as caught up; 0 when it is.
+    behind: u32,
     pub(crate) tally: Tally,
 }
 
@@ -73,7 +79,7 @@
             kind,
             held: None,
             refused: VecDeque::new(),
-            behind: false,
+            behind: 0,
             tally: Tally::default(),
         }
     }
@@ -90,9 +96,16 @@
         self.version().map(|version| version.revision)
     }
 
-    /// Whether the service's last answer was below the floor.
+    /// Whether the service serves values below the floor.
     pub(crate) fn is_behind(&self) -> bool {
-        self.behind
+        self.behind > 0
+    }
+
+    /// Notes that the service answered that `told` is still its revision.
+    pub(crate) fn unchanged(&mut self, told: Option<Revision>) {
+        if told >= self.revision() {
+            self.service_caught_up(&Source::Service);
+        }
     }
 
     /// Judges a whole value.
@@ -194,7 +207,8 @@
             return quiet(OfferOutcome::Outdated);
         }
         self.tally.stale += 1;
-        let was_behind = std::mem::replace(&mut self.behind, true);
+        let was_behind = self.is_behind();
+        self.behind = CURRENT_ANSWERS;
         let reason = Refusal::Lower { floor };
         let change = self.refusal(revision, source, reason.clone());
         Verdict {
@@ -205,7 +219,7 @@
 
     fn service_caught_up(&mut self, source: &Source) {
         if *source == Source::Service {
-            self.behind = false;
+            self.behind = self.behind.saturating_sub(1);
         }
     }
 
--- a/crates/platform/src/health.rs
+++ b/crates/platform/src/health.rs
@@ -44,7 +44,8 @@
     pub accepted_for_ms: Option<u64>,
     /// Revision that the service told last.
     pub told: Option<Revision>,
-    /// Whether the service's last answer was below the revision in force.
+    /// Whether the service serves values below the revision in force; ends
+    /// after a few current answers in a row.
     pub service_is_behind: bool,
     /// Answers of the service refused as stale.
     pub stale_refused: u64,
--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -213,7 +213,11 @@
         floor_at_request: Option<Revision>,
     ) -> Option<OfferOutcome> {
         match answer {
-            Answer::Unchanged | Answer::Absent => None,
+            Answer::Absent => None,
+            Answer::Unchanged => {
+                self.note_unchanged(kind);
+                None
+            }
             Answer::Value { revision, body } => {
                 self.told(kind).set(Some(revision));
                 let document = Document {
@@ -240,6 +244,14 @@
         }
     }
 
+    fn note_unchanged(&self, kind: Kind) {
+        let told = self.told(kind).get();
+        match kind {
+            Kind::Configuration => self.configuration.borrow_mut().unchanged(told),
+            Kind::Instances => self.instances.borrow_mut().unchanged(told),
+        }
+    }
+
     /// Tells the callback; no borrow may be held, it may call back.
     pub(crate) fn tell(&self, change: PlatformChange) {
         (self.options.on_change)(change);
--- /dev/null
+++ b/crates/platform/tests/sequences.rs
@@ -0,0 +1,107 @@
+//! The floor under any sequence of offers.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{configuration, document, options, peer, start};
+use mangofront_platform::{Platform, Source};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const SEED: u64 = 20_261_202;
+
+/// An offer of one of a few revisions, with one of a few values.
+#[derive(Debug, Clone)]
+struct Offer {
+    from_service: bool,
+    revision: u64,
+    value: Value,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Value {
+    Valid { target_ms: u64 },
+    Invalid,
+    NoJson,
+}
+
+impl Arbitrary for Offer {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let values = [
+            Value::Valid { target_ms: 100 },
+            Value::Valid { target_ms: 200 },
+            Value::Invalid,
+            Value::NoJson,
+        ];
+        Self {
+            from_service: bool::arbitrary(g),
+            revision: u64::arbitrary(g) % 12,
+            value: *g.choose(&values).unwrap_or(&Value::Invalid),
+        }
+    }
+}
+
+impl Offer {
+    fn body(&self) -> String {
+        match self.value {
+            Value::Valid { target_ms } => configuration(target_ms),
+            Value::Invalid => configuration(0),
+            Value::NoJson => "[".to_owned(),
+        }
+    }
+
+    fn source(&self) -> Source {
+        if self.from_service {
+            Source::Service
+        } else {
+            peer()
+        }
+    }
+}
+
+/// Gives `offers` to `platform`; true when what is in force never fell, never
+/// changed under its revision, and was always one of the valid offers.
+fn holds(platform: &Platform, offers: &[Offer]) -> bool {
+    let mut valid: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    let mut former = None;
+    offers.iter().all(|offer| {
+        if let Value::Valid { target_ms } = offer.value {
+            valid.entry(offer.revision).or_default().push(target_ms);
+        }
+        platform.offer(document(offer.revision, offer.body()), offer.source());
+        let now = common::revision(platform).zip(common::target_ms(platform));
+        let is_offered = now.is_none_or(|(revision, target_ms)| {
+            valid
+                .get(&revision)
+                .is_some_and(|targets| targets.contains(&target_ms))
+        });
+        let highest = valid.keys().next_back().copied();
+        let is_highest = now.map(|(revision, _)| revision) == highest;
+        let never_fell = match (former, now) {
+            (Some((before, value)), Some((revision, target_ms))) => {
+                revision > before || (revision == before && target_ms == value)
+            }
+            (Some(_), None) => false,
+            (None, _) => true,
+        };
+        former = now;
+        is_offered && is_highest && never_fell
+    })
+}
+
+fn property(offers: Vec<Offer>) -> bool {
+    let runtime = compio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        let nowhere = "127.0.0.1:9".parse().expect("address");
+        let (platform, _changes) = start(options(nowhere));
+        holds(&platform, &offers)
+    })
+}
+
+#[test]
+fn revision_in_force_never_falls_and_is_the_highest_valid_offer() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(300)
+        .quickcheck(property as fn(Vec<Offer>) -> bool);
+}
