Give operators a command line tool

Cause: an operator needs to check a document before it is published, to see what a daemon does and why, and to run the emulators as processes. SettingsError is named under process too, where the daemon takes it from.

--- /dev/null
+++ b/crates/cli/src/standin.rs
@@ -0,0 +1,140 @@
+//! `mangofront standin`: an emulator as a process.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::pin::pin;
+
+use compio::net::TcpListener;
+use futures_util::future::{Either, select};
+use mangofront_http::Shutdown;
+use mangofront_settings::check::parse_value;
+use mangofront_settings::process::LogSettings;
+use mangofront_standin::{engine, platform, service, weights};
+use pico_args::Arguments;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::check::{read, to_path};
+use crate::error::CliError;
+use crate::{block_on, finish, output};
+
+/// Number of the signal of a terminal's interrupt, by POSIX.
+const SIGINT: i32 = 2;
+
+/// Number of the signal to stop, by POSIX.
+const SIGTERM: i32 = 15;
+
+/// An emulator with its settings.
+enum Standin {
+    Engine(engine::EngineSettings),
+    Service(service::ServiceSettings),
+    Platform(platform::PlatformSettings),
+    Weights(weights::WeightsSettings),
+}
+
+pub(crate) fn run(mut arguments: Arguments) -> Result<(), CliError> {
+    let kind = arguments.subcommand()?;
+    let address: SocketAddr = arguments.value_from_str("--address")?;
+    let file: Option<PathBuf> = arguments.opt_value_from_os_str("--settings", to_path)?;
+    let changes: Vec<String> = arguments.values_from_str("--set")?;
+    finish(arguments)?;
+    let settings = merge(file.as_deref(), &changes)?;
+    let standin = match kind.as_deref() {
+        Some("engine") => Standin::Engine(typed(settings)?),
+        Some("service") => Standin::Service(typed(settings)?),
+        Some("platform") => Standin::Platform(typed(settings)?),
+        Some("weights") => Standin::Weights(typed(settings)?),
+        other => {
+            let other = other.unwrap_or_default();
+            return Err(CliError::UnknownCommand(format!("standin {other}")));
+        }
+    };
+    mangofront_telemetry::logs::init(&LogSettings::default())?;
+    block_on(serve(standin, address))
+}
+
+async fn serve(standin: Standin, address: SocketAddr) -> Result<(), CliError> {
+    let listen = |cause| CliError::Listen { address, cause };
+    let listener = TcpListener::bind(address).await.map_err(listen)?;
+    let bound = listener.local_addr().map_err(listen)?;
+    let (trigger, shutdown) = Shutdown::new();
+    let mut stop = pin!(stop_signal());
+    // The first poll takes the signals over, so that none is missed once the
+    // line below tells that the process is up.
+    let _ = futures_util::poll!(stop.as_mut());
+    output::print(&format!("listening on {bound}\n"))?;
+    let serving = pin!(standin.run(listener, shutdown));
+    if let Either::Left((_, serving)) = select(stop, serving).await {
+        trigger.trigger();
+        serving.await;
+    }
+    Ok(())
+}
+
+/// Ends with the first SIGTERM or SIGINT; a second one then ends the process.
+async fn stop_signal() {
+    use compio::signal::unix::signal;
+    let terminated = pin!(signal(SIGTERM));
+    let interrupted = pin!(signal(SIGINT));
+    select(terminated, interrupted).await;
+}
+
+impl Standin {
+    async fn run(self, listener: TcpListener, shutdown: Shutdown) {
+        match self {
+            Self::Engine(settings) => engine::run(listener, settings, shutdown).await,
+            Self::Service(settings) => service::run(listener, settings, shutdown).await,
+            Self::Platform(settings) => platform::run(listener, settings, shutdown).await,
+            Self::Weights(settings) => weights::run(listener, settings, shutdown).await,
+        }
+    }
+}
+
+fn typed<T: DeserializeOwned>(settings: Value) -> Result<T, CliError> {
+    serde_json::from_value(settings).map_err(CliError::UnfitSettings)
+}
+
+/// The file's settings, or none, with the changes in their order.
+fn merge(file: Option<&Path>, changes: &[String]) -> Result<Value, CliError> {
+    let mut settings = match file {
+        Some(path) => read_json(path)?,
+        None => Value::Object(Map::new()),
+    };
+    for change in changes {
+        let bad = || CliError::BadSetting(change.clone());
+        let (name, value) = change.split_once('=').ok_or_else(bad)?;
+        let place = place(&mut settings, name).ok_or_else(bad)?;
+        *place = parse_setting(value)?;
+    }
+    Ok(settings)
+}
+
+fn read_json(path: &Path) -> Result<Value, CliError> {
+    let text = read(path)?;
+    let value = parse_value(&path.display().to_string(), &text)?;
+    Ok(value)
+}
+
+fn parse_setting(text: &str) -> Result<Value, CliError> {
+    if let Some(path) = text.strip_prefix('@') {
+        return read_json(Path::new(path));
+    }
+    let value = serde_json::from_str(text);
+    Ok(value.unwrap_or_else(|_| Value::String(text.to_owned())))
+}
+
+/// Where `name`, with dots between sections, stands; made if need be. `None`
+/// when the name is empty or goes through what is no section.
+fn place<'a>(settings: &'a mut Value, name: &str) -> Option<&'a mut Value> {
+    let mut place = settings;
+    for key in name.split('.') {
+        if key.is_empty() {
+            return None;
+        }
+        if place.is_null() {
+            *place = Value::Object(Map::new());
+        }
+        place = place.as_object_mut()?.entry(key).or_insert(Value::Null);
+    }
+    Some(place)
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::check::SettingsError;
 pub use builder::DaemonSettingsBuilder;
 pub use read::{check_daemon_settings, read_daemon_settings};
 
