--- a/crates/load/src/answers.rs
+++ b/crates/load/src/answers.rs
@@ -1,5 +1,7 @@
 //! The answers that prompts must get.
 
+use mangofront_standin::answer;
+
 use crate::scenario::Endpoint;
 use crate::verify::{Expected, TokenText};
 
@@ -15,11 +17,10 @@
 impl AnswerRule {
     /// Rule of the emulated engine.
     #[must_use]
-    pub fn standin() -> Self {
-        // Interim, until the emulated engine's own functions are merged.
+    pub const fn standin() -> Self {
         Self {
-            token_text: |_, offset| format!(" {offset}"),
-            length_tokens: |_, limit| limit,
+            token_text: answer::token_text,
+            length_tokens: answer::length_tokens,
         }
     }
 
--- /dev/null
+++ b/crates/load/src/capacity.rs
@@ -0,0 +1,332 @@
+//! Highest rate of short streamed requests that is held.
+//!
+//! The rate grows step by step until a step breaks. A step is held when its
+//! answers come, in time and right; a step in which the generator itself was
+//! late says nothing of the target and ends the search.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyper::Client;
+use serde::{Deserialize, Serialize};
+
+use crate::answers::AnswerRule;
+use crate::generator::{Record, generate};
+use crate::process::{Pid, Usage, UsageError, UsageReport};
+use crate::report::{Counts, GeneratorReport, RunFacts, build};
+use crate::requests::Requests;
+use crate::scenario::{Endpoint, Kind, LengthRange, ModelKind, Scenario};
+use crate::schedule::{Plan, Schedule};
+use crate::text::fresh_salt;
+use crate::times::{Quantiles, Times};
+
+/// Share of requests that may be refused or fail in a step that is held.
+const ERROR_SHARE: f64 = 0.001;
+
+/// Lateness of the generator at p99 from which its step counts no more, in
+/// milliseconds.
+const LATENESS_LIMIT_MS: f64 = 20.0;
+
+/// Rate of the first step, in requests a second.
+const DEFAULT_FIRST_RATE_PER_S: f64 = 50.0;
+
+/// Factor from step to step.
+const DEFAULT_GROWTH: f64 = 1.25;
+
+/// Length of a step.
+const DEFAULT_STEP: Duration = Duration::from_secs(5);
+
+/// Most steps.
+const DEFAULT_STEPS_CAP: u64 = 25;
+
+/// Greatest time to first token at p99, in milliseconds: the users' target.
+const DEFAULT_FIRST_TOKEN_LIMIT_MS: f64 = 520.0;
+
+/// Length of the prompts, in tokens.
+const DEFAULT_LENGTH_TOKENS: u64 = 200;
+
+/// Answer limit, in tokens.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// How to look for the highest rate.
+#[derive(Debug, Clone)]
+pub struct CapacityPlan {
+    targets: Vec<SocketAddr>,
+    pid: Option<Pid>,
+    rule: AnswerRule,
+    first_rate_per_s: f64,
+    growth: f64,
+    step: Duration,
+    steps_cap: u64,
+    first_token_limit_ms: f64,
+    length_tokens: u64,
+    max_tokens: u32,
+}
+
+impl CapacityPlan {
+    /// Search of the highest rate that `targets` hold.
+    #[must_use]
+    pub const fn new(targets: Vec<SocketAddr>) -> Self {
+        Self {
+            targets,
+            pid: None,
+            rule: AnswerRule::standin(),
+            first_rate_per_s: DEFAULT_FIRST_RATE_PER_S,
+            growth: DEFAULT_GROWTH,
+            step: DEFAULT_STEP,
+            steps_cap: DEFAULT_STEPS_CAP,
+            first_token_limit_ms: DEFAULT_FIRST_TOKEN_LIMIT_MS,
+            length_tokens: DEFAULT_LENGTH_TOKENS,
+            max_tokens: DEFAULT_MAX_TOKENS,
+        }
+    }
+
+    /// Process whose usage is read; none by default.
+    #[must_use]
+    pub const fn pid(mut self, pid: Option<Pid>) -> Self {
+        self.pid = pid;
+        self
+    }
+
+    /// Rule by which engines answer; the emulated engine's by default.
+    #[must_use]
+    pub const fn rule(mut self, rule: AnswerRule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    /// Rate of the first step, in requests a second; 50 by default.
+    #[must_use]
+    pub const fn first_rate_per_s(mut self, rate_per_s: f64) -> Self {
+        self.first_rate_per_s = rate_per_s;
+        self
+    }
+
+    /// Factor from step to step, above 1; 1.25 by default.
+    #[must_use]
+    pub const fn growth(mut self, growth: f64) -> Self {
+        self.growth = growth;
+        self
+    }
+
+    /// Length of a step; 5 s by default.
+    #[must_use]
+    pub const fn step(mut self, step: Duration) -> Self {
+        self.step = step;
+        self
+    }
+
+    /// Most steps; 25 by default.
+    #[must_use]
+    pub const fn steps_cap(mut self, steps_cap: u64) -> Self {
+        self.steps_cap = steps_cap;
+        self
+    }
+
+    /// Greatest time to first token at p99 of a step that is held, in
+    /// milliseconds; 520 by default.
+    #[must_use]
+    pub const fn first_token_limit_ms(mut self, limit_ms: f64) -> Self {
+        self.first_token_limit_ms = limit_ms;
+        self
+    }
+
+    /// Length of the prompts, in tokens; 200 by default.
+    #[must_use]
+    pub const fn length_tokens(mut self, length_tokens: u64) -> Self {
+        self.length_tokens = length_tokens;
+        self
+    }
+
+    /// Answer limit, in tokens; 16 by default.
+    #[must_use]
+    pub const fn max_tokens(mut self, max_tokens: u32) -> Self {
+        self.max_tokens = max_tokens;
+        self
+    }
+}
+
+/// Result of the search.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CapacityReport {
+    /// Highest rate held, in requests a second; 0 when the first step broke.
+    pub held_rate_per_s: f64,
+    /// Why the search ended.
+    pub ended: StepEnd,
+    /// All steps, the one that broke included.
+    pub steps: Vec<StepReport>,
+}
+
+/// One step.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StepReport {
+    /// Arrivals a second that were asked for.
+    pub rate_per_s: f64,
+    /// Right answers a second, of the time to the last answer.
+    pub done_per_s: f64,
+    /// Requests by their end.
+    pub counts: Counts,
+    /// Time to first token.
+    pub time_to_first_token: Quantiles,
+    /// Time to the end of the answer.
+    pub total: Quantiles,
+    /// The generator's own state.
+    pub generator: GeneratorReport,
+    /// Usage of the process, when one was named.
+    pub usage: Option<UsageReport>,
+    /// How the step is judged.
+    pub end: StepEnd,
+}
+
+/// Judgement of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StepEnd {
+    /// The rate was held.
+    Held,
+    /// Too many refusals or failures.
+    Errors,
+    /// An answer was wrong.
+    WrongAnswer,
+    /// First tokens came too late.
+    Slow,
+    /// The generator was late or left requests out.
+    GeneratorSaturated,
+}
+
+/// Runs the search.
+///
+/// # Errors
+/// [`UsageError`] when the named process can't be read.
+pub async fn search(
+    client: &Client,
+    base: &Scenario,
+    plan: &CapacityPlan,
+) -> Result<CapacityReport, UsageError> {
+    let scenario = short_requests(base, plan);
+    let mut report = CapacityReport {
+        held_rate_per_s: 0.0,
+        ended: StepEnd::Held,
+        steps: Vec::new(),
+    };
+    let mut rate_per_s = plan.first_rate_per_s;
+    for step in 0..plan.steps_cap {
+        let result = run_step(client, &scenario, plan, rate_per_s, step).await?;
+        report.ended = result.end;
+        report.steps.push(result);
+        if report.ended != StepEnd::Held {
+            break;
+        }
+        report.held_rate_per_s = rate_per_s;
+        rate_per_s *= plan.growth;
+    }
+    Ok(report)
+}
+
+/// The scenario of a step: nothing but short streamed prompts.
+fn short_requests(base: &Scenario, plan: &CapacityPlan) -> Scenario {
+    let mut scenario = base.clone();
+    scenario.request_cap = usize::MAX;
+    scenario.histories_per_organisation = 0;
+    scenario.mix = base
+        .first_model()
+        .map(|first| {
+            Kind::Model(ModelKind {
+                endpoint: Endpoint::Completions,
+                stream: true,
+                share: 1.0,
+                shared_prefix_share: 0.0,
+                max_tokens: [plan.max_tokens; 2],
+                lengths: vec![LengthRange {
+                    from_tokens: plan.length_tokens,
+                    to_tokens: plan.length_tokens,
+                    weight: 1.0,
+                }],
+                ..first.clone()
+            })
+        })
+        .into_iter()
+        .collect();
+    scenario
+}
+
+async fn run_step(
+    client: &Client,
+    scenario: &Scenario,
+    plan: &CapacityPlan,
+    rate_per_s: f64,
+    step: u64,
+) -> Result<StepReport, UsageError> {
+    let draws = Plan {
+        // Another seed in each step: a repeated prompt would be found cached.
+        seed: step + 1,
+        rate_per_s,
+        duration: plan.step,
+        without_long: false,
+    };
+    let requests = Requests::builder(scenario, plan.targets.clone())
+        .text_salt(fresh_salt())
+        .rule(plan.rule)
+        .build();
+    let before = plan.pid.map(Usage::read).transpose()?;
+    let arrivals = Schedule::new(scenario, draws);
+    let cap = scenario.concurrency_cap;
+    let record = generate(client.clone(), requests, cap, arrivals).await;
+    let after = plan.pid.map(Usage::read).transpose()?;
+    let usage = before
+        .zip(after)
+        .map(|(before, after)| after.since(&before, record.elapsed));
+    Ok(judge(scenario, plan, &draws, &record, usage))
+}
+
+fn judge(
+    scenario: &Scenario,
+    plan: &CapacityPlan,
+    draws: &Plan,
+    record: &Record,
+    usage: Option<UsageReport>,
+) -> StepReport {
+    let facts = RunFacts::new(scenario, *draws).targets(plan.targets.len());
+    let report = build(&facts, &scenario.configuration, record);
+    let first_tokens: Times = record
+        .samples
+        .iter()
+        .filter_map(|s| s.first_token)
+        .collect();
+    let totals: Times = record.samples.iter().map(|s| s.total).collect();
+    let mut step = StepReport {
+        rate_per_s: draws.rate_per_s,
+        done_per_s: report.counts.done as f64 / record.elapsed.as_secs_f64(),
+        counts: report.counts,
+        time_to_first_token: first_tokens.quantiles(),
+        total: totals.quantiles(),
+        generator: report.generator,
+        usage,
+        end: StepEnd::Held,
+    };
+    step.end = step_end(&step, plan.first_token_limit_ms);
+    step
+}
+
+fn step_end(step: &StepReport, first_token_limit_ms: f64) -> StepEnd {
+    let Counts {
+        requests,
+        refused,
+        failed,
+        wrong_answer,
+        generator_failure,
+        ..
+    } = step.counts;
+    let error_share = (refused + failed) as f64 / requests.max(1) as f64;
+    if wrong_answer > 0 {
+        StepEnd::WrongAnswer
+    } else if error_share > ERROR_SHARE {
+        StepEnd::Errors
+    } else if generator_failure > 0 || step.generator.lateness.p99_ms > LATENESS_LIMIT_MS {
+        StepEnd::GeneratorSaturated
+    } else if step.time_to_first_token.p99_ms > first_token_limit_ms {
+        StepEnd::Slow
+    } else {
+        StepEnd::Held
+    }
+}
--- /dev/null
+++ b/crates/load/src/cli/capacity.rs
@@ -0,0 +1,113 @@
+//! `mangofront load capacity`: the highest rate that is held.
+
+use std::time::Duration;
+
+use pico_args::Arguments;
+
+use super::{
+    CommandError, Verdict, addresses, block_on, finish, opt_positive, opt_whole, usage_line,
+    write_json,
+};
+use crate::capacity::{CapacityPlan, CapacityReport, StepEnd, StepReport, search};
+use crate::scenario::Scenario;
+
+pub(super) fn main(mut args: Arguments) -> Result<Verdict, CommandError> {
+    let plan = read(&mut args)?;
+    let scenario = super::scenario(&mut args)?;
+    let json: Option<String> = args.opt_value_from_str("--json")?;
+    finish(args)?;
+    let report = block_on(run(&scenario, &plan))?;
+    print(&report);
+    if let Some(path) = &json {
+        write_json(path, &report)?;
+    }
+    let wrong = report.steps.iter().map(|step| step.counts.wrong_answer);
+    Ok(Verdict::of(wrong.sum()))
+}
+
+fn read(args: &mut Arguments) -> Result<CapacityPlan, CommandError> {
+    let targets = args.value_from_fn("--target", addresses)?;
+    let mut plan = CapacityPlan::new(targets).pid(args.opt_value_from_str("--pid")?);
+    if let Some(rate_per_s) = opt_positive(args, "--rate")? {
+        plan = plan.first_rate_per_s(rate_per_s);
+    }
+    if let Some(growth) = opt_positive(args, "--growth")? {
+        if growth <= 1.0 {
+            return Err(CommandError::NoGrowth);
+        }
+        plan = plan.growth(growth);
+    }
+    if let Some(step_s) = opt_positive(args, "--step-s")? {
+        plan = plan.step(Duration::from_secs_f64(step_s));
+    }
+    if let Some(steps_cap) = opt_whole(args, "--steps")? {
+        plan = plan.steps_cap(steps_cap);
+    }
+    if let Some(limit_ms) = opt_positive(args, "--p99-ms")? {
+        plan = plan.first_token_limit_ms(limit_ms);
+    }
+    if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
+        plan = plan.length_tokens(length_tokens);
+    }
+    if let Some(max_tokens) = opt_whole(args, "--max-tokens")? {
+        plan = plan.max_tokens(max_tokens);
+    }
+    Ok(plan)
+}
+
+async fn run(scenario: &Scenario, plan: &CapacityPlan) -> Result<CapacityReport, CommandError> {
+    let client = mangofront_http::client()?;
+    Ok(search(&client, scenario, plan).await?)
+}
+
+fn print(report: &CapacityReport) {
+    println!(
+        "{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>8}{:>8}{:>12}  {:<20}usage",
+        "rate/s",
+        "done/s",
+        "p50 ms",
+        "p95 ms",
+        "p99 ms",
+        "refused",
+        "failed",
+        "wrong",
+        "late p99 ms",
+        "judgement",
+    );
+    for step in &report.steps {
+        print_step(step);
+    }
+    println!(
+        "highest rate held: {:.1} requests/s (search ended: {})",
+        report.held_rate_per_s,
+        end_name(report.ended),
+    );
+}
+
+fn print_step(step: &StepReport) {
+    let times = &step.time_to_first_token;
+    println!(
+        "{:>9.1}{:>9.1}{:>9.2}{:>9.2}{:>9.2}{:>8}{:>8}{:>8}{:>12.2}  {:<20}{}",
+        step.rate_per_s,
+        step.done_per_s,
+        times.p50_ms,
+        times.p95_ms,
+        times.p99_ms,
+        step.counts.refused,
+        step.counts.failed,
+        step.counts.wrong_answer,
+        step.generator.lateness.p99_ms,
+        end_name(step.end),
+        step.usage.as_ref().map(usage_line).unwrap_or_default(),
+    );
+}
+
+const fn end_name(end: StepEnd) -> &'static str {
+    match end {
+        StepEnd::Held => "held",
+        StepEnd::Errors => "errors",
+        StepEnd::WrongAnswer => "wrong answer",
+        StepEnd::Slow => "slow",
+        StepEnd::GeneratorSaturated => "generator saturated",
+    }
+}
--- /dev/null
+++ b/crates/load/src/cli/idle.rs
@@ -0,0 +1,65 @@
+//! `mangofront load idle`: the figures of an idle engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pico_args::Arguments;
+
+use super::{CommandError, Verdict, block_on, finish, opt_positive, opt_whole, prober, write_json};
+use crate::idle::{IdlePlan, IdleReport, measure};
+use crate::probe::Destination;
+use crate::scenario::Scenario;
+
+/// Prompts of each length bucket.
+const DEFAULT_PER_BUCKET: usize = 20;
+
+/// Longest time spent on one bucket, in seconds.
+const DEFAULT_BUCKET_LIMIT_S: f64 = 60.0;
+
+pub(super) fn main(mut args: Arguments) -> Result<Verdict, CommandError> {
+    let engine: SocketAddr = args.value_from_str("--direct")?;
+    let bucket_limit_s = opt_positive(&mut args, "--bucket-limit-s")?;
+    let plan = IdlePlan {
+        engine: Destination::Engine(engine),
+        per_bucket: opt_whole(&mut args, "--per-bucket")?.unwrap_or(DEFAULT_PER_BUCKET),
+        bucket_limit: Duration::from_secs_f64(bucket_limit_s.unwrap_or(DEFAULT_BUCKET_LIMIT_S)),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+    };
+    let scenario = super::scenario(&mut args)?;
+    let json: Option<String> = args.opt_value_from_str("--json")?;
+    finish(args)?;
+    let report = block_on(run(&scenario, plan))?;
+    print(&report);
+    if let Some(path) = &json {
+        write_json(path, &report)?;
+    }
+    Ok(Verdict::Right)
+}
+
+async fn run(scenario: &Scenario, plan: IdlePlan) -> Result<IdleReport, CommandError> {
+    let client = mangofront_http::client()?;
+    Ok(measure(&client, &prober(scenario)?, scenario, plan).await)
+}
+
+fn print(report: &IdleReport) {
+    println!(
+        "{:<14}{:>7}{:>9}{:>8}{:>11}{:>11}{:>11}",
+        "idle engine", "count", "refused", "failed", "p50 ms", "p95 ms", "p99 ms"
+    );
+    for (bucket, length) in &report.by_length {
+        let times = &length.time_to_first_token;
+        println!(
+            "{:<14}{:>7}{:>9}{:>8}{:>11.2}{:>11.2}{:>11.2}",
+            bucket.name(),
+            times.count,
+            length.refused,
+            length.failed,
+            times.p50_ms,
+            times.p95_ms,
+            times.p99_ms,
+        );
+        if let Some(problem) = &length.first_problem {
+            println!("  first problem: {problem}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/cli/latency.rs
@@ -0,0 +1,162 @@
+//! `mangofront load latency`: a daemon against the engine behind it.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use pico_args::Arguments;
+use serde::Serialize;
+
+use super::{CommandError, Verdict, block_on, finish, opt_whole, prober, usage_line, write_json};
+use crate::latency::{Added, Comparison, LatencyReport, PathReport, compare};
+use crate::probe::Destination;
+use crate::process::{Pid, Usage, UsageReport};
+use crate::scenario::Scenario;
+
+/// Pairs of each comparison.
+const DEFAULT_PAIRS: u64 = 500;
+
+/// Seed of the prompts.
+const DEFAULT_SEED: u64 = 1;
+
+/// Distance between the seeds of the two comparisons.
+const CONCURRENT_SEEDS: u64 = 1 << 48;
+
+/// Workers of the concurrent comparison.
+const DEFAULT_WORKERS: u64 = 32;
+
+struct Options {
+    comparison: Comparison,
+    pairs: u64,
+    seed: u64,
+    workers: u64,
+    scenario: Scenario,
+    pid: Option<Pid>,
+    json: Option<String>,
+}
+
+/// Both comparisons, and the named process's usage over them.
+#[derive(Serialize)]
+struct Latencies {
+    sequential: LatencyReport,
+    concurrent: LatencyReport,
+    usage: Option<UsageReport>,
+}
+
+pub(super) fn main(mut args: Arguments) -> Result<Verdict, CommandError> {
+    let options = read(&mut args)?;
+    finish(args)?;
+    let latencies = block_on(run(&options))?;
+    print(&latencies);
+    if let Some(path) = &options.json {
+        write_json(path, &latencies)?;
+    }
+    let reports = [&latencies.sequential, &latencies.concurrent];
+    let paths = reports
+        .iter()
+        .flat_map(|report| [&report.daemon, &report.direct]);
+    Ok(Verdict::of(paths.map(|path| path.wrong_answers).sum()))
+}
+
+fn read(args: &mut Arguments) -> Result<Options, CommandError> {
+    let daemon: SocketAddr = args.value_from_str("--target")?;
+    let engine: SocketAddr = args.value_from_str("--direct")?;
+    let pairs = opt_whole(args, "--pairs")?.unwrap_or(DEFAULT_PAIRS);
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
+    let mut comparison =
+        Comparison::new(Destination::Daemon(daemon), Destination::Engine(engine)).pairs(pairs);
+    if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
+        comparison = comparison.length_tokens(length_tokens);
+    }
+    if let Some(max_tokens) = opt_whole(args, "--max-tokens")? {
+        comparison = comparison.max_tokens(max_tokens);
+    }
+    Ok(Options {
+        comparison: comparison.seed(seed),
+        pairs,
+        seed,
+        workers: opt_whole(args, "--concurrency")?.unwrap_or(DEFAULT_WORKERS),
+        scenario: super::scenario(args)?,
+        pid: args.opt_value_from_str("--pid")?,
+        json: args.opt_value_from_str("--json")?,
+    })
+}
+
+async fn run(options: &Options) -> Result<Latencies, CommandError> {
+    let client = mangofront_http::client()?;
+    let prober = prober(&options.scenario)?;
+    let before = options.pid.map(Usage::read).transpose()?;
+    let started = Instant::now();
+    let sequential = compare(&client, &prober, options.comparison).await;
+    let concurrent = options
+        .comparison
+        .workers(options.workers)
+        .pairs(options.pairs.div_ceil(options.workers))
+        .warm_up_pairs(1)
+        // Other prompts than those that the engine has seen.
+        .seed(options.seed + CONCURRENT_SEEDS);
+    let concurrent = compare(&client, &prober, concurrent).await;
+    let elapsed = started.elapsed();
+    let after = options.pid.map(Usage::read).transpose()?;
+    let usage = before
+        .zip(after)
+        .map(|(before, after)| after.since(&before, elapsed));
+    Ok(Latencies {
+        sequential,
+        concurrent,
+        usage,
+    })
+}
+
+fn print(latencies: &Latencies) {
+    for report in [&latencies.sequential, &latencies.concurrent] {
+        println!("{} at once, ms", report.workers);
+        println!(
+            "  {:<22}{:>9}{:>9}{:>9}   {:<8}{:>9}{:>9}{:>9}",
+            "first token", "p50", "p95", "p99", "total", "p50", "p95", "p99"
+        );
+        print_path("through the daemon", &report.daemon);
+        print_path("straight to engine", &report.direct);
+        print_added(&report.added_first_token, &report.added_total);
+        println!(
+            "  median added within a pair (first token): {:.3} ms",
+            report.added_first_token_paired_p50_ms
+        );
+    }
+    if let Some(usage) = &latencies.usage {
+        println!("process   {}", usage_line(usage));
+    }
+}
+
+fn print_path(name: &str, path: &PathReport) {
+    let (first, total) = (&path.first_token, &path.total);
+    println!(
+        "  {name:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}   {} done, {} errors, {} wrong",
+        first.p50_ms,
+        first.p95_ms,
+        first.p99_ms,
+        "",
+        total.p50_ms,
+        total.p95_ms,
+        total.p99_ms,
+        total.count,
+        path.errors,
+        path.wrong_answers,
+    );
+    if let Some(problem) = &path.first_problem {
+        println!("    first problem: {problem}");
+    }
+}
+
+fn print_added(first: &Added, total: &Added) {
+    println!(
+        "  {:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}",
+        "added",
+        first.p50_ms,
+        first.p95_ms,
+        first.p99_ms,
+        "",
+        total.p50_ms,
+        total.p95_ms,
+        total.p99_ms,
+    );
+}
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -1,22 +1,47 @@
 //! The `mangofront load` subcommand.
 
+mod capacity;
+mod compare;
+mod idle;
+mod latency;
 mod run;
 
 use std::ffi::OsString;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use pico_args::Arguments;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::scenario::ScenarioError;
+use crate::answers::AnswerRule;
+use crate::probe::Prober;
+use crate::process::{UsageError, UsageReport};
+use crate::scenario::{Scenario, ScenarioError};
 
 const HELP: &str = "\
 mangofront load run --target ADDR[,ADDR…] --scenario NAME|FILE
     [--seed N] [--duration-s N] [--rate R | --rate-factor F|normal|peak]
-    [--time-scale S] [--without-long] [--json FILE] [--svg FILE] [--table]
+    [--time-scale S] [--without-long] [--text-salt N] [--idle FILE]
+    [--json FILE] [--svg FILE] [--table]
+mangofront load latency --target ADDR --direct ADDR
+    [--pairs N] [--concurrency N] [--prompt-tokens N] [--max-tokens N]
+    [--seed N] [--scenario NAME|FILE] [--pid PID] [--json FILE]
+mangofront load capacity --target ADDR[,ADDR…]
+    [--pid PID] [--rate R] [--growth F] [--step-s N] [--steps N] [--p99-ms N]
+    [--prompt-tokens N] [--max-tokens N] [--scenario NAME|FILE] [--json FILE]
+mangofront load idle --direct ADDR
+    [--scenario NAME|FILE] [--per-bucket N] [--bucket-limit-s N] [--seed N]
+    [--json FILE]
+mangofront load compare A.json B.json [--idle FILE]
+mangofront load configuration [--scenario NAME|FILE] [--json FILE]
 ";
 
+/// Scenario of a command that names none.
+const DEFAULT_SCENARIO: &str = "demo";
+
 /// Exit code of a run with a wrong answer.
 const EXIT_WRONG: u8 = 1;
 
@@ -34,6 +59,12 @@
     Unknown(Option<String>),
     #[error("{0} must be above 0")]
     NotPositive(&'static str),
+    #[error("--growth must be above 1")]
+    NoGrowth,
+    #[error("scenario {0} has no prompts")]
+    NoPrompts(String),
+    #[error(transparent)]
+    Usage(#[from] UsageError),
     #[error(transparent)]
     Scenario(#[from] ScenarioError),
     #[error(transparent)]
@@ -63,6 +94,16 @@
     Wrong,
 }
 
+impl Verdict {
+    fn of(wrong_answers: u64) -> Self {
+        if wrong_answers == 0 {
+            Self::Right
+        } else {
+            Self::Wrong
+        }
+    }
+}
+
 /// Runs `mangofront load` with what follows that word on the command line.
 ///
 /// Exit codes: 0, 1 when an answer was wrong, 2 when the command could not be
@@ -86,6 +127,11 @@
     }
     match args.subcommand()?.as_deref() {
         Some("run") => run::main(args),
+        Some("latency") => latency::main(args),
+        Some("capacity") => capacity::main(args),
+        Some("idle") => idle::main(args),
+        Some("compare") => compare::main(args),
+        Some("configuration") => configuration(args),
         other => Err(CommandError::Unknown(other.map(str::to_owned))),
     }
 }
@@ -110,13 +156,69 @@
     text.split(',').map(str::parse).collect()
 }
 
-/// A number that must be above 0, or its default.
-fn positive(args: &mut Arguments, name: &'static str, default: f64) -> Result<f64, CommandError> {
-    let value: f64 = args.opt_value_from_str(name)?.unwrap_or(default);
-    if value.is_finite() && value > 0.0 {
-        return Ok(value);
+/// A number that must be above 0, when it is given.
+fn opt_positive(args: &mut Arguments, name: &'static str) -> Result<Option<f64>, CommandError> {
+    let value: Option<f64> = args.opt_value_from_str(name)?;
+    if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
+        return Err(CommandError::NotPositive(name));
+    }
+    Ok(value)
+}
+
+/// A whole number above 0, when it is given.
+fn opt_whole<T>(args: &mut Arguments, name: &'static str) -> Result<Option<T>, CommandError>
+where
+    T: FromStr<Err: Display> + Default + PartialEq,
+{
+    let value = args.opt_value_from_str(name)?;
+    if value == Some(T::default()) {
+        return Err(CommandError::NotPositive(name));
+    }
+    Ok(value)
+}
+
+/// The scenario that `--scenario` names, or the default one.
+fn scenario(args: &mut Arguments) -> Result<Scenario, CommandError> {
+    let name: Option<String> = args.opt_value_from_str("--scenario")?;
+    Ok(Scenario::load(name.as_deref().unwrap_or(DEFAULT_SCENARIO))?)
+}
+
+fn prober(scenario: &Scenario) -> Result<Prober, CommandError> {
+    Prober::of(scenario, AnswerRule::standin())
+        .ok_or_else(|| CommandError::NoPrompts(scenario.name.clone()))
+}
+
+/// `mangofront load configuration`: what operators publish for a scenario.
+fn configuration(mut args: Arguments) -> Result<Verdict, CommandError> {
+    let scenario = scenario(&mut args)?;
+    let json: Option<String> = args.opt_value_from_str("--json")?;
+    finish(args)?;
+    match json {
+        Some(path) => write_json(&path, &scenario.configuration)?,
+        None => print!("{}", pretty("standard output", &scenario.configuration)?),
     }
-    Err(CommandError::NotPositive(name))
+    Ok(Verdict::Right)
+}
+
+fn usage_line(usage: &UsageReport) -> String {
+    let mib = |bytes: u64| bytes as f64 / (1024.0 * 1024.0);
+    format!(
+        "{:.3} cores, {:.1} MiB resident, {:.1} MiB at most",
+        usage.cpu_cores,
+        mib(usage.resident_bytes),
+        mib(usage.resident_peak_bytes),
+    )
+}
+
+fn read_json<T: DeserializeOwned>(path: &str) -> Result<T, CommandError> {
+    let content = std::fs::read(path).map_err(|source| CommandError::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    serde_json::from_slice(&content).map_err(|source| CommandError::Json {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 fn write_file(path: &str, content: &str) -> Result<(), CommandError> {
@@ -127,9 +229,14 @@
 }
 
 fn write_json(path: &str, value: &impl serde::Serialize) -> Result<(), CommandError> {
+    write_file(path, &pretty(path, value)?)
+}
+
+/// Indented JSON; `path` is named in the error.
+fn pretty(path: &str, value: &impl serde::Serialize) -> Result<String, CommandError> {
     let content = serde_json::to_string_pretty(value).map_err(|source| CommandError::Json {
         path: path.to_owned(),
         source,
     })?;
-    write_file(path, &(content + "\n"))
+    Ok(content + "\n")
 }
--- a/crates/load/src/cli/run.rs
+++ b/crates/load/src/cli/run.rs
@@ -5,13 +5,18 @@
 
 use pico_args::Arguments;
 
-use super::{CommandError, Verdict, addresses, block_on, finish, positive, write_file, write_json};
-use crate::answers::AnswerRule;
+use super::compare::print_idle_ratio;
+use super::{
+    CommandError, Verdict, addresses, block_on, finish, opt_positive, read_json, write_file,
+    write_json,
+};
 use crate::generator::generate;
+use crate::idle::IdleReport;
 use crate::report::{Report, RunFacts, build, table, write_chart};
 use crate::requests::Requests;
 use crate::scenario::Scenario;
 use crate::schedule::{Plan, Schedule};
+use crate::text::{TextSalt, fresh_salt};
 
 /// Seed of a run that names none.
 const DEFAULT_SEED: u64 = 1;
@@ -21,6 +26,8 @@
     scenario: Scenario,
     plan: Plan,
     time_scale: f64,
+    text_salt: TextSalt,
+    idle: Option<IdleReport>,
     outputs: Outputs,
 }
 
@@ -35,25 +42,26 @@
     finish(args)?;
     let report = block_on(run(&options))?;
     write(&report, &options.outputs)?;
-    let right = report.counts.wrong_answer == 0 && report.services.duplicates == 0;
-    Ok(if right {
-        Verdict::Right
-    } else {
-        Verdict::Wrong
-    })
+    if let Some(idle) = &options.idle {
+        print_idle_ratio("this run", &report, idle);
+    }
+    // A key that ran twice is a wrong answer too.
+    Ok(Verdict::of(report.counts.wrong_answer))
 }
 
 fn read(args: &mut Arguments) -> Result<Options, CommandError> {
     let targets = args.value_from_fn("--target", addresses)?;
     let scenario = Scenario::load(&args.value_from_str::<_, String>("--scenario")?)?;
-    let time_scale = positive(args, "--time-scale", 1.0)?;
-    let duration_s = positive(args, "--duration-s", scenario.duration_s as f64)?;
+    let time_scale = opt_positive(args, "--time-scale")?.unwrap_or(1.0);
+    let duration_s = opt_positive(args, "--duration-s")?.unwrap_or(scenario.duration_s as f64);
     let plan = Plan {
         seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
         rate_per_s: rate(args, &scenario)? * time_scale,
         duration: Duration::from_secs_f64(duration_s / time_scale),
         without_long: args.contains("--without-long"),
     };
+    let text_salt = args.opt_value_from_str("--text-salt")?;
+    let idle: Option<String> = args.opt_value_from_str("--idle")?;
     let outputs = Outputs {
         json: args.opt_value_from_str("--json")?,
         svg: args.opt_value_from_str("--svg")?,
@@ -64,6 +72,8 @@
         scenario,
         plan,
         time_scale,
+        text_salt: text_salt.unwrap_or_else(fresh_salt),
+        idle: idle.as_deref().map(read_json).transpose()?,
         outputs,
     })
 }
@@ -81,7 +91,8 @@
             .filter(|factor: &f64| factor.is_finite() && *factor > 0.0)
             .ok_or(CommandError::NotPositive("--rate-factor"))?,
     };
-    positive(args, "--rate", factor * scenario.capacity_per_s)
+    let rate_per_s = opt_positive(args, "--rate")?;
+    Ok(rate_per_s.unwrap_or(factor * scenario.capacity_per_s))
 }
 
 async fn run(options: &Options) -> Result<Report, CommandError> {
@@ -91,25 +102,19 @@
         scenario,
         plan,
         time_scale,
+        text_salt,
         ..
     } = options;
-    let requests = Requests::new(
-        scenario,
-        targets.clone(),
-        *time_scale,
-        AnswerRule::standin(),
-    );
+    let requests = Requests::builder(scenario, targets.clone())
+        .time_scale(*time_scale)
+        .text_salt(*text_salt)
+        .build();
     let schedule = Schedule::new(scenario, *plan);
     let record = generate(client, requests, scenario.concurrency_cap, schedule).await;
-    let facts = RunFacts {
-        scenario: scenario.name.clone(),
-        seed: plan.seed,
-        targets: targets.len(),
-        rate_per_s: plan.rate_per_s,
-        time_scale: *time_scale,
-        without_long: plan.without_long,
-        arrivals: plan.duration,
-    };
+    let facts = RunFacts::new(scenario, *plan)
+        .targets(targets.len())
+        .time_scale(*time_scale)
+        .text_salt(*text_salt);
     Ok(build(&facts, &scenario.configuration, &record))
 }
 
--- /dev/null
+++ b/crates/load/src/idle.rs
@@ -0,0 +1,142 @@
+//! Times to first token of an idle engine, by prompt length.
+//!
+//! Prompts are sent one at a time straight to an engine, drawn from the same
+//! length ranges as the scenario's, without shared beginnings. They are the
+//! measure against which a loaded fleet is judged.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use cyper::Client;
+use serde::{Deserialize, Serialize};
+
+use crate::exchange::exchange;
+use crate::probe::{Destination, Prober};
+use crate::report::LengthBucket;
+use crate::sample::End;
+use crate::scenario::Scenario;
+use crate::schedule::{ModelWork, Plan, Schedule, Work};
+use crate::times::{Quantiles, Times};
+
+/// Most arrivals drawn to find prompts of the rare lengths.
+const DRAWN_CAP: usize = 200_000;
+
+/// Answer limit of the probes, in tokens: only the first one counts.
+const MAX_TOKENS: u32 = 4;
+
+/// How to measure an idle engine.
+#[derive(Debug, Clone, Copy)]
+pub struct IdlePlan {
+    /// The engine.
+    pub engine: Destination,
+    /// Prompts of each length bucket.
+    pub per_bucket: usize,
+    /// Longest time spent on one bucket.
+    pub bucket_limit: Duration,
+    /// Seed of the prompts.
+    pub seed: u64,
+}
+
+/// Figures of an idle engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct IdleReport {
+    /// Scenario that the lengths come from.
+    pub scenario: String,
+    /// Seed of the prompts.
+    pub seed: u64,
+    /// Buckets that the scenario has.
+    pub by_length: BTreeMap<LengthBucket, IdleLength>,
+}
+
+/// Figures of one length bucket.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct IdleLength {
+    /// Time to first token.
+    pub time_to_first_token: Quantiles,
+    /// Prompts that the engine refused: longer ones than its memory holds, say.
+    pub refused: u64,
+    /// Prompts that failed or were answered wrongly.
+    pub failed: u64,
+    /// First problem.
+    pub first_problem: Option<String>,
+}
+
+/// Measures the engine of `plan`.
+pub async fn measure(
+    client: &Client,
+    prober: &Prober,
+    scenario: &Scenario,
+    plan: IdlePlan,
+) -> IdleReport {
+    let mut by_length = BTreeMap::new();
+    for (bucket, works) in prompts(scenario, plan) {
+        by_length.insert(bucket, measure_bucket(client, prober, plan, works).await);
+    }
+    IdleReport {
+        scenario: scenario.name.clone(),
+        seed: plan.seed,
+        by_length,
+    }
+}
+
+/// First prompts of each bucket in the scenario's schedule.
+fn prompts(scenario: &Scenario, plan: IdlePlan) -> BTreeMap<LengthBucket, Vec<(u64, ModelWork)>> {
+    let mut scenario = scenario.clone();
+    scenario.request_cap = DRAWN_CAP;
+    let draws = Plan {
+        seed: plan.seed,
+        rate_per_s: 1.0,
+        duration: Duration::MAX,
+        without_long: false,
+    };
+    let mut prompts: BTreeMap<LengthBucket, Vec<(u64, ModelWork)>> = BTreeMap::new();
+    for arrival in Schedule::new(&scenario, draws) {
+        let Work::Model(mut work) = arrival.work else {
+            continue;
+        };
+        let of_bucket = prompts
+            .entry(LengthBucket::of(work.length_tokens))
+            .or_default();
+        if of_bucket.len() < plan.per_bucket {
+            work.history = None;
+            work.stream = true;
+            work.max_tokens = MAX_TOKENS;
+            of_bucket.push((arrival.seed, work));
+        }
+    }
+    prompts
+}
+
+async fn measure_bucket(
+    client: &Client,
+    prober: &Prober,
+    plan: IdlePlan,
+    works: Vec<(u64, ModelWork)>,
+) -> IdleLength {
+    let started = Instant::now();
+    let mut times = Times::new();
+    let mut refused = 0;
+    let mut failed = 0;
+    let mut first_problem = None;
+    for (seed, work) in works {
+        if started.elapsed() > plan.bucket_limit {
+            break;
+        }
+        let exchanged = exchange(client, prober.outgoing(plan.engine, &work, seed)).await;
+        match (&exchanged.end, exchanged.first_token) {
+            (End::Done, Some(first_token)) => {
+                times.add(first_token);
+                continue;
+            }
+            (End::Refused { .. }, _) => refused += 1,
+            _ => failed += 1,
+        }
+        first_problem.get_or_insert_with(|| format!("{:?}", exchanged.end));
+    }
+    IdleLength {
+        time_to_first_token: times.quantiles(),
+        refused,
+        failed,
+        first_problem,
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,9 +11,15 @@
 //! [`exchange`] and [`verify`] for each request) → [`report`].
 
 pub mod answers;
+pub mod capacity;
 pub mod cli;
 pub mod exchange;
+pub mod figures;
 pub mod generator;
+pub mod idle;
+pub mod latency;
+pub mod probe;
+pub mod process;
 pub mod report;
 pub mod requests;
 pub mod sample;
--- /dev/null
+++ b/crates/load/src/probe.rs
@@ -0,0 +1,107 @@
+//! Single streamed requests to a daemon or straight to an engine.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mangofront_http::headers;
+use mangofront_settings::ids::{ClassName, ModelName, OrganisationId};
+
+use crate::answers::AnswerRule;
+use crate::exchange::{Answer, Outgoing};
+use crate::scenario::{Endpoint, Scenario};
+use crate::schedule::ModelWork;
+use crate::text::{Slab, fresh_salt};
+
+/// Time after which a probe is given up.
+const TIME_LIMIT: Duration = Duration::from_secs(300);
+
+/// Priority of a probe at an engine.
+const PRIORITY: &str = "0";
+
+/// Who a probe is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Destination {
+    /// A daemon, as its callers do.
+    Daemon(SocketAddr),
+    /// An engine, as a daemon does.
+    Engine(SocketAddr),
+}
+
+/// Makes probes in the name of one caller.
+#[derive(Debug, Clone)]
+pub struct Prober {
+    /// Model asked for.
+    pub model: ModelName,
+    /// Class sent in.
+    pub class: ClassName,
+    /// Organisation that sends.
+    pub organisation: OrganisationId,
+    /// Rule by which engines answer.
+    pub rule: AnswerRule,
+    /// Text of the prompts.
+    pub slab: Rc<Slab>,
+}
+
+impl Prober {
+    /// Probes in the name of a scenario's largest organisation and first class
+    /// of prompts; `None` when the scenario has no prompts.
+    #[must_use]
+    pub fn of(scenario: &Scenario, rule: AnswerRule) -> Option<Self> {
+        let first = scenario.first_model()?;
+        Some(Self {
+            model: first.model.clone(),
+            class: first.class.clone(),
+            organisation: scenario.organisations.first()?.clone(),
+            rule,
+            slab: Rc::new(Slab::new(fresh_salt())),
+        })
+    }
+
+    /// Prompt of a length that shares nothing with others.
+    #[must_use]
+    pub fn work(&self, length_tokens: u64, max_tokens: u32) -> ModelWork {
+        ModelWork {
+            model: self.model.clone(),
+            endpoint: Endpoint::Completions,
+            stream: true,
+            max_tokens,
+            length_tokens,
+            history: None,
+        }
+    }
+
+    /// Request for `work`, whose text comes from `seed`.
+    #[must_use]
+    pub fn outgoing(&self, to: Destination, work: &ModelWork, seed: u64) -> Outgoing {
+        let body = self.slab.body(work, seed);
+        let expected = self.rule.expected(work.endpoint, &body);
+        let (Destination::Daemon(address) | Destination::Engine(address)) = to;
+        Outgoing {
+            url: format!("http://{address}{}", work.endpoint.path()),
+            headers: self.headers(to),
+            body,
+            answer: Answer::Stream(expected),
+            time_limit: TIME_LIMIT,
+        }
+    }
+
+    fn headers(&self, to: Destination) -> Vec<(&'static str, String)> {
+        let mut named = vec![("content-type", "application/json".to_owned())];
+        match to {
+            Destination::Daemon(_) => {
+                named.push((headers::CLASS, self.class.clone()));
+                named.push((headers::ORGANISATION, self.organisation.clone()));
+            }
+            Destination::Engine(_) => {
+                // An engine keeps a request's stream for a while: an id used
+                // before would name that one.
+                named.push((headers::REQUEST_ID, uuid::Uuid::now_v7().to_string()));
+                named.push((headers::ATTEMPT, "1".to_owned()));
+                named.push((headers::PRIORITY, PRIORITY.to_owned()));
+                named.push((headers::DEADLINE_MS, TIME_LIMIT.as_millis().to_string()));
+            }
+        }
+        named
+    }
+}
--- a/crates/load/src/report/build.rs
+++ b/crates/load/src/report/build.rs
@@ -12,6 +12,9 @@
 };
 use crate::generator::Record;
 use crate::sample::{End, Sample, SampleKind};
+use crate::scenario::Scenario;
+use crate::schedule::Plan;
+use crate::text::TextSalt;
 use crate::times::Times;
 
 /// Most wrong answers listed.
@@ -20,20 +23,47 @@
 /// What the record does not say about its run.
 #[derive(Debug, Clone)]
 pub struct RunFacts {
-    /// Name of the scenario.
-    pub scenario: String,
-    /// Seed of the schedule.
-    pub seed: u64,
-    /// Number of target addresses.
-    pub targets: usize,
-    /// Mean arrivals a second, of the wall clock.
-    pub rate_per_s: f64,
-    /// Scenario seconds that pass in a second of the wall clock.
-    pub time_scale: f64,
-    /// Whether prompts over 100 000 tokens were left out.
-    pub without_long: bool,
-    /// Time during which requests arrived, of the wall clock.
-    pub arrivals: Duration,
+    scenario: String,
+    plan: Plan,
+    targets: usize,
+    time_scale: f64,
+    text_salt: TextSalt,
+}
+
+impl RunFacts {
+    /// Facts of a run of `scenario` under `plan`, which is in the wall clock's
+    /// time.
+    #[must_use]
+    pub fn new(scenario: &Scenario, plan: Plan) -> Self {
+        Self {
+            scenario: scenario.name.clone(),
+            plan,
+            targets: 1,
+            time_scale: 1.0,
+            text_salt: 0,
+        }
+    }
+
+    /// Number of target addresses; 1 by default.
+    #[must_use]
+    pub const fn targets(mut self, targets: usize) -> Self {
+        self.targets = targets;
+        self
+    }
+
+    /// Scenario seconds that pass in a second of the wall clock; 1 by default.
+    #[must_use]
+    pub const fn time_scale(mut self, time_scale: f64) -> Self {
+        self.time_scale = time_scale;
+        self
+    }
+
+    /// Salt of the texts; 0 by default.
+    #[must_use]
+    pub const fn text_salt(mut self, text_salt: TextSalt) -> Self {
+        self.text_salt = text_salt;
+        self
+    }
 }
 
 /// Makes the report of `record`, judged by the targets in `configuration`.
@@ -93,6 +123,7 @@
         let started = match sample.end {
             // An answer that is not streamed starts when it is there.
             End::Done => Some(sample.first_token.unwrap_or(sample.total)),
+            End::WrongAnswer { .. } => None,
             _ => sample.first_token,
         };
         started.is_some_and(|started| started <= self.target(&sample.class))
@@ -106,12 +137,13 @@
 fn run_report(facts: &RunFacts, record: &Record) -> RunReport {
     RunReport {
         scenario: facts.scenario.clone(),
-        seed: facts.seed,
+        seed: facts.plan.seed,
+        text_salt: facts.text_salt,
         targets: facts.targets,
-        rate_per_s: facts.rate_per_s,
+        rate_per_s: facts.plan.rate_per_s,
         time_scale: facts.time_scale,
-        without_long: facts.without_long,
-        arrivals_ms: millis(facts.arrivals),
+        without_long: facts.plan.without_long,
+        arrivals_ms: millis(facts.plan.duration),
         elapsed_ms: millis(record.elapsed),
     }
 }
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -61,6 +61,8 @@
     pub scenario: String,
     /// Seed of the schedule.
     pub seed: u64,
+    /// Salt of the texts.
+    pub text_salt: u64,
     /// Number of target addresses.
     pub targets: usize,
     /// Mean arrivals a second, of the wall clock.
--- a/crates/load/src/requests.rs
+++ b/crates/load/src/requests.rs
@@ -12,9 +12,9 @@
 
 use crate::answers::AnswerRule;
 use crate::exchange::{Answer, Outgoing};
-use crate::scenario::{Endpoint, Scenario};
+use crate::scenario::Scenario;
 use crate::schedule::{Arrival, ModelWork, ServiceWork, Work};
-use crate::text::Slab;
+use crate::text::{Slab, TextSalt};
 
 /// Time over its class's limit after which the tool gives a request up. The
 /// daemon has to answer within the limit; the rest is for the way.
@@ -35,26 +35,65 @@
     rule: AnswerRule,
 }
 
-impl Requests {
-    /// Requests of `scenario` for `targets`, whose times pass `time_scale`
-    /// times as fast as the scenario says, answered by `rule`.
+/// Settings of [`Requests`].
+#[derive(Debug)]
+pub struct RequestsBuilder {
+    targets: Vec<SocketAddr>,
+    classes: BTreeMap<ClassName, Class>,
+    time_scale: f64,
+    text_salt: TextSalt,
+    rule: AnswerRule,
+}
+
+impl RequestsBuilder {
+    /// Scenario seconds that pass in a second of the wall clock; 1 by default.
+    #[must_use]
+    pub const fn time_scale(mut self, time_scale: f64) -> Self {
+        self.time_scale = time_scale;
+        self
+    }
+
+    /// Salt of the texts; 0 by default.
+    #[must_use]
+    pub const fn text_salt(mut self, text_salt: TextSalt) -> Self {
+        self.text_salt = text_salt;
+        self
+    }
+
+    /// Rule by which engines answer; the emulated engine's by default.
     #[must_use]
-    pub fn new(
-        scenario: &Scenario,
-        targets: Vec<SocketAddr>,
-        time_scale: f64,
-        rule: AnswerRule,
-    ) -> Self {
+    pub const fn rule(mut self, rule: AnswerRule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    /// The requests; keys count as minted from now on.
+    #[must_use]
+    pub fn build(self) -> Requests {
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        Self {
-            targets,
+        Requests {
+            targets: self.targets,
             next_target: Cell::new(0),
-            classes: scenario.configuration.classes.clone(),
-            time_scale,
+            classes: self.classes,
+            time_scale: self.time_scale,
             // A clock before 1970 only makes keys look old.
             started_at: now.unwrap_or_default(),
-            slab: Slab::new(),
-            rule,
+            slab: Slab::new(self.text_salt),
+            rule: self.rule,
+        }
+    }
+}
+
+impl Requests {
+    /// Requests of `scenario` for `targets`, of which there must be one.
+    #[must_use]
+    pub fn builder(scenario: &Scenario, targets: Vec<SocketAddr>) -> RequestsBuilder {
+        RequestsBuilder {
+            targets,
+            classes: scenario.configuration.classes.clone(),
+            time_scale: 1.0,
+            text_salt: 0,
+            rule: AnswerRule::standin(),
         }
     }
 
@@ -89,14 +128,10 @@
     }
 
     fn model(&self, arrival: &Arrival, work: &ModelWork) -> Outgoing {
-        let path = match work.endpoint {
-            Endpoint::Completions => "completions",
-            Endpoint::ChatCompletions => "chat/completions",
-        };
         let body = self.slab.body(work, arrival.seed);
         let expected = self.rule.expected(work.endpoint, &body);
         Outgoing {
-            url: format!("http://{}/v1/{path}", self.target()),
+            url: format!("http://{}{}", self.target(), work.endpoint.path()),
             headers: common_headers(arrival),
             body,
             answer: if work.stream {
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -136,6 +136,17 @@
     ChatCompletions,
 }
 
+impl Endpoint {
+    /// Path of the calls.
+    #[must_use]
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::Completions => "/v1/completions",
+            Self::ChatCompletions => "/v1/chat/completions",
+        }
+    }
+}
+
 /// Calls of a plain service.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -226,6 +237,15 @@
         }
     }
 
+    /// First kind of prompts in the mix.
+    #[must_use]
+    pub fn first_model(&self) -> Option<&ModelKind> {
+        self.mix.iter().find_map(|kind| match kind {
+            Kind::Model(kind) => Some(kind),
+            Kind::Service(_) => None,
+        })
+    }
+
     /// Share of the prompts that are longer than [`LONG_TOKENS`].
     #[must_use]
     pub fn long_share(&self) -> f64 {
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -3,6 +3,8 @@
 //! A million tokens are four megabytes. All prompts are slices of one random
 //! text, so making one costs a copy into the body and nothing else.
 
+use std::time::SystemTime;
+
 use bytes::Bytes;
 use mangofront_prompt::BYTES_PER_TOKEN;
 use rand::rngs::StdRng;
@@ -23,20 +25,31 @@
 /// Space in a body for all that is not text, in bytes.
 const FRAME_BYTES: usize = 256;
 
+/// Number mixed into every text's seed.
+///
+/// Engines keep the prefixes of earlier prompts. A salt of its own gives a run
+/// texts that no engine has seen, while its schedule stays that of the seed.
+pub type TextSalt = u64;
+
+/// A salt that no earlier run had: the wall clock's microseconds.
+#[must_use]
+pub fn fresh_salt() -> TextSalt {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 gives every run the same salt, which the report shows.
+    now.map_or(0, |now| u64::try_from(now.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// Random text of lower-case words, without anything that JSON escapes.
 #[derive(Debug)]
-pub struct Slab(String);
-
-impl Default for Slab {
-    fn default() -> Self {
-        Self::new()
-    }
+pub struct Slab {
+    text: String,
+    salt: TextSalt,
 }
 
 impl Slab {
     /// Makes the slab, some milliseconds of work.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(salt: TextSalt) -> Self {
         let mut rng = StdRng::seed_from_u64(SLAB_SEED);
         let mut text = String::with_capacity(SLAB_BYTES);
         let mut left_of_word = 0;
@@ -54,11 +67,12 @@
             }
         }
         text.truncate(SLAB_BYTES);
-        Self(text)
+        Self { text, salt }
     }
 
     /// Appends `length_bytes` of the text that belongs to `seed`.
     fn push(&self, body: &mut String, seed: u64, length_bytes: usize) {
+        let seed = seed ^ self.salt;
         let mark = format!("{seed:016x} ");
         let mark_bytes = mark.len().min(length_bytes);
         body.push_str(&mark[..mark_bytes]);
@@ -67,7 +81,7 @@
         let mut start = (seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as usize % SLAB_BYTES;
         while left > 0 {
             let taken = left.min(SLAB_BYTES - start);
-            body.push_str(&self.0[start..start + taken]);
+            body.push_str(&self.text[start..start + taken]);
             left -= taken;
             start = 0;
         }
--- /dev/null
+++ b/crates/load/tests/capacity.rs
@@ -0,0 +1,51 @@
+//! The search for the highest rate.
+
+mod support;
+
+use std::time::Duration;
+
+use mangofront_load::capacity::{CapacityPlan, CapacityReport, StepEnd, search};
+use mangofront_load::scenario::Scenario;
+
+use support::{Fault, rule, server};
+
+fn find(fault: Fault, first_token_limit_ms: f64) -> CapacityReport {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let plan = CapacityPlan::new(vec![server(fault).await])
+            .pid(Some(std::process::id()))
+            .rule(rule())
+            .growth(2.0)
+            .step(Duration::from_millis(300))
+            .steps_cap(2)
+            .first_token_limit_ms(first_token_limit_ms)
+            .max_tokens(4);
+        let client = mangofront_http::client().expect("a client");
+        let scenario = Scenario::load("demo").expect("an embedded scenario");
+        search(&client, &scenario, &plan).await.expect("own usage")
+    })
+}
+
+#[test]
+fn steps_grow_until_one_breaks() {
+    let refused = find(Fault::Refuse, 10_000.0);
+    assert_eq!(refused.ended, StepEnd::Errors);
+    assert_eq!((refused.steps.len(), refused.held_rate_per_s), (1, 0.0));
+    assert_eq!(
+        find(Fault::RepeatToken, 10_000.0).ended,
+        StepEnd::WrongAnswer
+    );
+    // On a busy machine the generator may be late, which ends the search too.
+    let slow = find(Fault::None, 0.0).ended;
+    assert!(matches!(slow, StepEnd::Slow | StepEnd::GeneratorSaturated));
+}
+
+#[test]
+fn steps_carry_the_named_process_usage() {
+    let report = find(Fault::None, 10_000.0);
+    let step = &report.steps[0];
+    assert_eq!(step.counts.done, step.counts.requests);
+    let usage = step.usage.as_ref().expect("a process was named");
+    assert!(usage.resident_bytes > 0);
+    assert!(usage.resident_peak_bytes >= usage.resident_bytes);
+}
--- a/crates/load/tests/generator.rs
+++ b/crates/load/tests/generator.rs
@@ -27,20 +27,17 @@
     let runtime = compio::runtime::Runtime::new().unwrap();
     let record = runtime.block_on(async {
         let targets = vec![server(fault).await, server(fault).await];
-        let requests = Requests::new(&scenario, targets, time_scale, rule());
+        let requests = Requests::builder(&scenario, targets)
+            .time_scale(time_scale)
+            .rule(rule())
+            .build();
         let client = mangofront_http::client().unwrap();
         let schedule = Schedule::new(&scenario, plan);
         generate(client, requests, concurrency_cap, schedule).await
     });
-    let facts = RunFacts {
-        scenario: scenario.name.clone(),
-        seed: plan.seed,
-        targets: 2,
-        rate_per_s: plan.rate_per_s,
-        time_scale,
-        without_long: true,
-        arrivals: plan.duration,
-    };
+    let facts = RunFacts::new(&scenario, plan)
+        .targets(2)
+        .time_scale(time_scale);
     build(&facts, &scenario.configuration, &record)
 }
 
--- /dev/null
+++ b/crates/load/tests/scenarios.rs
@@ -0,0 +1,119 @@
+//! Embedded scenarios and the schedules drawn from them.
+
+#![allow(clippy::unwrap_used, reason = "a helper of tests fails by panicking")]
+
+use std::time::Duration;
+
+use mangofront_load::scenario::{LONG_TOKENS, Scenario};
+use mangofront_load::schedule::{Arrival, Plan, Schedule, Work};
+use quickcheck::{QuickCheck, TestResult};
+
+const PLAN: Plan = Plan {
+    seed: 1,
+    rate_per_s: 100.0,
+    duration: Duration::from_secs(100),
+    without_long: false,
+};
+
+fn arrivals(scenario: &Scenario, plan: Plan) -> Vec<Arrival> {
+    Schedule::new(scenario, plan).collect()
+}
+
+fn length_tokens(arrival: &Arrival) -> Option<u64> {
+    match &arrival.work {
+        Work::Model(work) => Some(work.length_tokens),
+        Work::Service(_) => None,
+    }
+}
+
+#[test]
+fn embedded_scenarios_are_sound() {
+    for name in Scenario::embedded() {
+        let scenario = Scenario::load(name).unwrap();
+        assert_eq!(scenario.name, name);
+    }
+}
+
+#[test]
+fn one_prompt_in_fifty_is_long() {
+    for name in Scenario::embedded() {
+        let mut scenario = Scenario::load(name).unwrap();
+        assert!((scenario.long_share() - 0.02).abs() < 1e-9, "{name}");
+        scenario.request_cap = 100_000;
+        let plan = Plan {
+            duration: Duration::from_secs(1000),
+            ..PLAN
+        };
+        let lengths = arrivals(&scenario, plan);
+        let lengths: Vec<u64> = lengths.iter().filter_map(length_tokens).collect();
+        let long = lengths
+            .iter()
+            .filter(|tokens| **tokens > LONG_TOKENS)
+            .count();
+        let share = long as f64 / lengths.len() as f64;
+        assert!((0.018..0.022).contains(&share), "{name}: {share}");
+        assert!(
+            lengths
+                .iter()
+                .all(|tokens| (1_000..=1_000_000).contains(tokens))
+        );
+    }
+}
+
+#[test]
+fn first_arrivals_of_a_seed() {
+    let scenario = Scenario::load("tuul").unwrap();
+    let first: Vec<Arrival> = Schedule::new(&scenario, PLAN).take(20).collect();
+    let lines: Vec<String> = first
+        .iter()
+        .map(|arrival| serde_json::to_string(arrival).unwrap())
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn mean_rate_is_the_asked_one() {
+    let scenario = Scenario::load("bijela-staza").unwrap();
+    let count = arrivals(&scenario, PLAN).len();
+    // Four standard deviations of a Poisson count of 10 000.
+    assert!((9_600..=10_400).contains(&count), "{count}");
+}
+
+#[test]
+fn a_seed_gives_one_schedule_with_or_without_long_prompts() {
+    fn holds(seed: u64) -> TestResult {
+        let scenario = Scenario::load("demo").unwrap();
+        let plan = Plan { seed, ..PLAN };
+        let all = format!("{:?}", arrivals(&scenario, plan));
+        assert_eq!(all, format!("{:?}", arrivals(&scenario, plan)));
+        let mut with = arrivals(&scenario, plan);
+        with.retain(|arrival| length_tokens(arrival).is_none_or(|tokens| tokens <= LONG_TOKENS));
+        let without = Plan {
+            without_long: true,
+            ..plan
+        };
+        let without = arrivals(&scenario, without);
+        TestResult::from_bool(format!("{with:?}") == format!("{without:?}"))
+    }
+    QuickCheck::new()
+        .tests(20)
+        .quickcheck(holds as fn(u64) -> TestResult);
+}
+
+#[test]
+fn contradictions_are_refused() {
+    let text = include_str!("../scenarios/demo.jsonc");
+    let cases = [
+        ("\"class\": \"contract-review\"", "\"class\": \"unknown\""),
+        ("\"max_tokens\": [8, 24]", "\"max_tokens\": [24, 8]"),
+        ("\"from_tokens\": 4000", "\"from_tokens\": 40000"),
+        ("\"zipf_exponent\"", "\"zipf_exponents\""),
+    ];
+    let mut problems = Vec::new();
+    for (good, bad) in cases {
+        assert!(text.contains(good));
+        let error = Scenario::parse("demo", &text.replace(good, bad)).unwrap_err();
+        problems.push(error.to_string());
+    }
+    insta::assert_snapshot!(problems.join("\n"));
+}
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A server that answers like a daemon, whole or with one fault.
 
+#![allow(dead_code, reason = "no test binary uses every fault")]
+#![allow(clippy::unwrap_used, reason = "a helper of tests fails by panicking")]
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
