--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,8 +1,8 @@
 //! The listener for operators.
 
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use mangofront_http::{Body, ErrorBody, Outcome, empty, json};
+use mangofront_http::{Body, ErrorBody, Outcome, empty, full, json};
 
 use crate::parts::Parts;
 use crate::status;
@@ -11,6 +11,7 @@
 pub(crate) async fn handle(parts: Parts, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => health(&parts),
+        (&Method::GET, "/metrics") => metrics(&parts),
         (&Method::GET, "/status") => json(StatusCode::OK, &status::status(&parts)),
         (&Method::GET, "/audit") => audit(&parts, request.uri().query()),
         _ => ErrorBody::new("unknown_path", Outcome::NotRun, "admin", "no such path")
@@ -28,6 +29,15 @@
     response
 }
 
+fn metrics(parts: &Parts) -> Response<Body> {
+    let mut response = Response::new(full(parts.metrics.render()));
+    let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
 fn audit(parts: &Parts, query: Option<&str>) -> Response<Body> {
     let after = query
         .unwrap_or_default()
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use mangofront_http::ClientError;
+use mangofront_peers::PeersError;
 use mangofront_settings::check::SettingsError;
 use mangofront_telemetry::logs::LogsError;
+use mangofront_telemetry::metrics::MetricsError;
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -28,6 +30,12 @@
     /// HTTP client could not be made.
     #[error(transparent)]
     Client(#[from] ClientError),
+    /// Links to other daemons could not be started.
+    #[error(transparent)]
+    Peers(#[from] PeersError),
+    /// Metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// An address could not be listened on.
     #[error("listen on {address} failed: {cause}")]
     Listen {
--- a/crates/daemon/src/feeds.rs
+++ b/crates/daemon/src/feeds.rs
@@ -7,6 +7,7 @@
 use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
 
 use crate::engines::EngineTasks;
+use crate::membership;
 use crate::parts::Parts;
 
 /// Passes on each accepted configuration and instance list, for ever.
@@ -23,6 +24,7 @@
 fn pass_on_configuration(parts: &Parts) {
     if let Some(accepted) = parts.platform.configuration() {
         parts.admission.set_classes(&accepted.configuration.classes);
+        parts.once.set_rules(&accepted.configuration.idempotency);
     }
 }
 
@@ -30,6 +32,8 @@
     let Some(accepted) = parts.platform.instances() else {
         return;
     };
+    let region = &parts.settings.region;
+    membership::pass_on_list(region, &accepted, &parts.peers, &parts.once);
     let instances = &accepted.list.instances;
     let listed: Vec<EngineInfo> = instances.iter().filter_map(engine_info).collect();
     engines.set(&listed);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,9 +9,12 @@
 mod engines;
 mod error;
 mod feeds;
+mod membership;
 mod parts;
+mod relay;
 mod run;
 mod status;
+mod views;
 
 pub use error::DaemonError;
 
@@ -38,6 +41,7 @@
 fn start(arguments: Arguments) -> Result<(), DaemonError> {
     let settings = mangofront_settings::process::read_daemon_settings(&arguments.settings)?;
     mangofront_telemetry::logs::init(&settings.logs)?;
+    mangofront_telemetry::invariants::set_fatal(settings.fatal_invariants);
     let runtime = compio::runtime::Runtime::new().map_err(|cause| DaemonError::Io {
         step: "start runtime",
         cause,
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -1,26 +1,35 @@
 //! The parts of one daemon.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use mangofront_admission::{Admission, AdmissionOptions};
 use mangofront_audit::{AuditEvent, AuditLog};
 use mangofront_entry::{Entry, EntryLimits, EntryParts};
+use mangofront_once::{Once, OnceOptions};
+use mangofront_peers::Peers;
 use mangofront_placement::{Placement, PlacementOptions};
-use mangofront_platform::{Platform, PlatformChange, PlatformOptions};
+use mangofront_platform::{Kind, Platform, PlatformChange, PlatformOptions};
+use mangofront_settings::ids::Revision;
 use mangofront_settings::process::DaemonSettings;
+use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
 use crate::error::DaemonError;
+use crate::membership::{self, PeerExchange};
 
 /// Every part of a daemon; clones share them.
 #[derive(Debug, Clone)]
 pub(crate) struct Parts {
-    pub(crate) settings: std::rc::Rc<DaemonSettings>,
+    pub(crate) settings: Rc<DaemonSettings>,
     pub(crate) started: Instant,
     pub(crate) audit: AuditLog,
     pub(crate) platform: Platform,
     pub(crate) placement: Placement,
     pub(crate) admission: Admission,
+    pub(crate) peers: Peers,
+    pub(crate) once: Once,
+    pub(crate) metrics: Metrics,
     pub(crate) connections: Connections,
     pub(crate) entry: Entry,
 }
@@ -28,7 +37,7 @@
 /// Starts the parts.
 ///
 /// # Errors
-/// [`DaemonError`] when the platform's client can't be made.
+/// [`DaemonError`] when a part refuses its settings or its address.
 pub(crate) fn assemble(settings: DaemonSettings) -> Result<Parts, DaemonError> {
     let audit = AuditLog::new(settings.audit_capacity_entries as usize);
     let platform = start_platform(&settings, &audit)?;
@@ -41,21 +50,32 @@
         connect_timeout: settings.limits.connect_timeout(),
         ..ConnectionsOptions::default()
     });
+    let metrics = Metrics::new()?;
+    let responders = Rc::default();
+    let peers = membership::start(&settings, &audit, &platform, &responders)?;
+    let options = OnceOptions::new(settings.instance.clone(), peers.incarnation());
+    let once = Once::new(options, Rc::new(PeerExchange(peers.clone())));
+    responders.set_once(once.clone());
     let entry = Entry::new(EntryParts {
         availability_zone: settings.availability_zone.clone(),
         platform: platform.clone(),
         admission: admission.clone(),
         placement: placement.clone(),
+        once: once.clone(),
         connections: connections.clone(),
+        metrics: metrics.clone(),
         limits: entry_limits(&settings),
     });
     Ok(Parts {
-        settings: std::rc::Rc::new(settings),
+        settings: Rc::new(settings),
         started: Instant::now(),
         audit,
         platform,
         placement,
         admission,
+        peers,
+        once,
+        metrics,
         connections,
         entry,
     })
@@ -74,8 +94,39 @@
 }
 
 fn audit_event(change: PlatformChange) -> Option<AuditEvent> {
-    log::info!("platform: {change:?}");
-    None
+    match change {
+        PlatformChange::Accepted {
+            kind: Kind::Configuration,
+            revision,
+            ..
+        } => Some(AuditEvent::ConfigurationAccepted { revision }),
+        PlatformChange::Accepted {
+            kind: Kind::Instances,
+            revision,
+            ..
+        } => Some(AuditEvent::InstancesAccepted { revision }),
+        PlatformChange::Refused {
+            kind,
+            revision,
+            reason,
+            ..
+        } => Some(refused(kind, revision, reason.to_string())),
+        PlatformChange::Diverged { kind, revision, .. } => {
+            let reason = "a peer holds another value under this revision".to_owned();
+            Some(refused(kind, revision, reason))
+        }
+        other => {
+            log::info!("platform: {other}");
+            None
+        }
+    }
+}
+
+fn refused(kind: Kind, revision: Revision, reason: String) -> AuditEvent {
+    match kind {
+        Kind::Configuration => AuditEvent::ConfigurationRefused { revision, reason },
+        Kind::Instances => AuditEvent::InstancesRefused { revision, reason },
+    }
 }
 
 fn entry_limits(settings: &DaemonSettings) -> EntryLimits {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
+use compio::runtime::{JoinHandle, spawn};
 use futures_util::FutureExt;
 use mangofront_http::{ServeLimits, Shutdown, serve};
 use mangofront_settings::process::DaemonSettings;
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, feeds};
+use crate::{admin, feeds, relay, views};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -39,23 +40,41 @@
     let (stop_entry, entry_stopped) = Shutdown::new();
     let admin_parts = parts.clone();
     let answer_operator = move |request, _peer| admin::handle(admin_parts.clone(), request);
-    compio::runtime::spawn(serve(operators, limits, answer_operator, admin_stopped)).detach();
+    spawn(serve(operators, limits, answer_operator, admin_stopped)).detach();
     let entry = parts.entry.clone();
     let answer_caller = move |request, peer| entry.clone().handle(request, peer);
-    let serving = compio::runtime::spawn(serve(callers, limits, answer_caller, entry_stopped));
-    let follower = compio::runtime::spawn(feeds::follow_platform(parts.clone()));
+    let serving = spawn(serve(callers, limits, answer_caller, entry_stopped));
+    let background = start_background(&parts);
     wait_for_stop().await?;
     drain(&parts).await;
+    let handed_over = parts.once.hand_over().await;
+    log::info!("daemon: {handed_over:?}");
+    parts.peers.leave();
     stop_entry.trigger();
     // A connection left open by a caller that reads nothing must not hold the
     // process: its request has ended already.
     let _ = compio::time::timeout(RETRY_AFTER_STOP, serving).await;
-    drop(follower);
+    drop(background);
     stop_admin.trigger();
     log::info!("daemon: stopped");
     Ok(())
 }
 
+/// Starts the tasks that carry news between the parts.
+fn start_background(parts: &Parts) -> Vec<JoinHandle<()>> {
+    let (platform, peers) = (&parts.platform, &parts.peers);
+    let placement = &parts.placement;
+    let own = parts.settings.instance.clone();
+    vec![
+        spawn(feeds::follow_platform(parts.clone())),
+        spawn(relay::publish(platform.clone(), peers.clone())),
+        spawn(relay::fetch(platform.clone(), peers.clone())),
+        spawn(views::publish(placement.clone(), peers.clone())),
+        spawn(views::receive(placement.clone(), peers.clone(), own)),
+        spawn(parts.once.maintain()),
+    ]
+}
+
 /// Refuses new work and waits until every request in progress has ended.
 async fn drain(parts: &Parts) {
     let started = Instant::now();
