--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -5,7 +5,7 @@
 //! short for an urgent sequence, less urgent ones give theirs up and wait
 //! again; their prefix blocks stay cached as long as there is room.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use super::memory::{BLOCK, KvMemory};
@@ -197,6 +197,7 @@
     /// when even all of a lower priority would not.
     fn victims(&self, rank: Rank, tokens: u64) -> Vec<Rank> {
         let mut room_tokens = self.memory.available_tokens();
+        let mut unpinned = HashMap::new();
         let mut victims = Vec::new();
         for (other, sequence) in self.running.iter().rev() {
             if room_tokens >= tokens || other.priority <= rank.priority {
@@ -205,9 +206,10 @@
             if sequence.memory != Memory::Pool {
                 continue;
             }
-            // Blocks that others share stay pinned, so only the private part
-            // is sure to come free.
+            // A block that several share comes free with the last of them.
+            let pinned = &sequence.blocks[..sequence.pinned_blocks];
             room_tokens += sequence.private_tokens;
+            room_tokens += self.memory.freed_by_unpinning(pinned, &mut unpinned);
             victims.push(*other);
         }
         if room_tokens < tokens {
--- a/crates/standin/src/engine/cache_events.rs
+++ b/crates/standin/src/engine/cache_events.rs
@@ -56,13 +56,11 @@
     pub(crate) fn visible(&self, from: u64, now: Instant) -> VisibleEvents {
         let first = self.next_sequence - self.events.len() as u64;
         let seen = self.events.partition_point(|(at, _)| *at <= now);
-        let events = self.events.iter().take(seen);
+        let known = usize::try_from(from.saturating_sub(first)).unwrap_or(usize::MAX);
+        let events = self.events.iter().take(seen).skip(known);
         VisibleEvents {
             next_sequence: first + seen as u64,
-            events: events
-                .filter_map(|(_, event)| event.clone())
-                .filter(|event| event.sequence >= from)
-                .collect(),
+            events: events.filter_map(|(_, event)| event.clone()).collect(),
         }
     }
 
--- a/crates/standin/src/engine/load.rs
+++ b/crates/standin/src/engine/load.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use super::sequence::Sequence;
 use super::settings::{EngineRole, EngineSettings};
 use super::state::State;
 
@@ -32,6 +33,7 @@
     pub(crate) age_ms: u64,
     pub(crate) running: u64,
     pub(crate) waiting: u64,
+    /// Prefill that is left of all sequences, also of those that run.
     pub(crate) waiting_prefill_tokens: u64,
     pub(crate) kv_total_tokens: u64,
     pub(crate) kv_used_tokens: u64,
@@ -127,7 +129,7 @@
 
     fn load_snapshot(&self) -> LoadReport {
         let memory = &self.batch.memory;
-        let waiting = self.batch.waiting.values();
+        let sequences = self.batch.sequences();
         let state = match self.switches.leaving {
             true => EngineState::Leaving,
             false => EngineState::Live,
@@ -138,7 +140,7 @@
             age_ms: 0,
             running: self.batch.running.len() as u64,
             waiting: self.batch.waiting.len() as u64,
-            waiting_prefill_tokens: waiting.map(|sequence| sequence.unfilled_tokens()).sum(),
+            waiting_prefill_tokens: sequences.map(Sequence::unfilled_tokens).sum(),
             kv_total_tokens: memory.total_tokens(),
             kv_used_tokens: memory.used_tokens() + memory.reserved_tokens(),
             prefill_tokens_per_s: self.load.prefill_tokens_per_s,
--- a/crates/standin/src/engine/memory.rs
+++ b/crates/standin/src/engine/memory.rs
@@ -147,6 +147,25 @@
         }
     }
 
+    /// Tokens that come free when pins on `blocks` go, after those counted in
+    /// `unpinned`; adds these pins to it.
+    pub(crate) fn freed_by_unpinning(
+        &self,
+        blocks: &[BlockHash],
+        unpinned: &mut HashMap<BlockHash, u32>,
+    ) -> u64 {
+        let mut freed_tokens = 0;
+        for hash in blocks {
+            let count = unpinned.entry(*hash).or_insert(0);
+            *count += 1;
+            let pins = self.blocks.get(hash).map(|block| block.pins);
+            if pins == Some(*count) {
+                freed_tokens += BLOCK;
+            }
+        }
+        freed_tokens
+    }
+
     /// Turns one block of private tokens into a pinned prefix block.
     pub(crate) fn publish(&mut self, hash: BlockHash) {
         self.private_tokens -= BLOCK;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
 use mangofront_http::Shutdown;
 
 mod batch;
@@ -39,11 +40,32 @@
 /// once when its switch lets it die; then all its connections are cut.
 pub async fn run(listener: TcpListener, settings: EngineSettings, shutdown: Shutdown) {
     let (engine, death) = Engine::new(settings);
-    let steps = compio::runtime::spawn(scheduler::run_steps(Rc::clone(&engine)));
-    let sweeps = compio::runtime::spawn(scheduler::run_sweeps(Rc::clone(&engine)));
+    let tasks = Tasks::start(&engine);
     let handler = move |request| routes::answer(Rc::clone(&engine), request);
     serve(listener, handler, Ends { shutdown, death }).await;
-    // Dropping a task's handle ends the task.
-    drop(steps);
-    drop(sweeps);
+    drop(tasks);
+}
+
+/// Tasks of an engine; they end when this is dropped.
+struct Tasks {
+    engine: Rc<Engine>,
+    _steps: JoinHandle<()>,
+    _sweeps: JoinHandle<()>,
+}
+
+impl Tasks {
+    fn start(engine: &Rc<Engine>) -> Self {
+        Self {
+            engine: Rc::clone(engine),
+            _steps: compio::runtime::spawn(scheduler::run_steps(Rc::clone(engine))),
+            _sweeps: compio::runtime::spawn(scheduler::run_sweeps(Rc::clone(engine))),
+        }
+    }
+}
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        // Dropping a task's handle ends the task.
+        drop(self.engine.loads.take());
+    }
 }
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -223,8 +223,8 @@
         }
         let loads_already = orders.wish.replace(wish).is_some();
         if !loads_already {
-            let engine = Rc::clone(self);
-            compio::runtime::spawn(async move { engine.load_wish().await }).detach();
+            let load = compio::runtime::spawn(Rc::clone(self).load_wish());
+            self.loads.borrow_mut().push(load);
         }
         LoadState::Loading
     }
@@ -267,9 +267,9 @@
         }
         if !orders.loading_adapters.iter().any(|known| known == adapter) {
             orders.loading_adapters.push(adapter.to_owned());
-            let engine = Rc::clone(self);
-            let adapter = adapter.to_owned();
-            compio::runtime::spawn(async move { engine.load_adapter(adapter).await }).detach();
+            let load = Rc::clone(self).load_adapter(adapter.to_owned());
+            let load = compio::runtime::spawn(load);
+            self.loads.borrow_mut().push(load);
         }
         LoadState::Loading
     }
--- a/crates/standin/src/engine/rejection.rs
+++ b/crates/standin/src/engine/rejection.rs
@@ -42,7 +42,7 @@
     /// Work that was not taken in.
     pub(crate) fn refused(refusal: &Refusal, step: &str) -> Self {
         let (status, code) = refusal.status_and_code();
-        let mut body = ErrorBody::new(code, Outcome::NotRun, step, refusal.to_string());
+        let mut body = ErrorBody::new(code, refusal.outcome(), step, refusal.to_string());
         if matches!(refusal, Refusal::Busy(_) | Refusal::Loading) {
             body = body.retry_after(RETRY_AFTER);
         }
--- a/crates/standin/src/engine/scheduler.rs
+++ b/crates/standin/src/engine/scheduler.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::batch::Step;
-use super::output::End;
+use super::output::{End, Output};
 use super::sequence::{Kind, Rank};
 use super::state::{Engine, State};
 
@@ -106,10 +106,10 @@
         state.end_where(End::Cancelled, |sequence| {
             unread(sequence.output.unread_since())
         });
-        state.forget_unread(unread);
+        state.forget_unread(unread, now);
         state
             .tombstones
-            .retain(|_, cancelled| now.saturating_duration_since(*cancelled) < tombstone);
+            .retain(|_, kept| now.saturating_duration_since(kept.buried_at) < tombstone);
         state.reservations.forget_tombstones(tombstone, now);
         drop(state);
         self.after_change();
@@ -140,14 +140,14 @@
     }
 
     /// Forgets ended streams that nobody came back for.
-    fn forget_unread(&mut self, unread: impl Fn(Option<Instant>) -> bool) {
-        let attempts = &mut self.attempts;
-        self.streams.retain(|_, output| {
-            let keep = output.end.get().is_none() || !unread(output.unread_since());
-            if !keep {
-                attempts.remove(&(output.request.clone(), output.attempt));
-            }
-            keep
-        });
+    fn forget_unread(&mut self, unread: impl Fn(Option<Instant>) -> bool, now: Instant) {
+        let is_over = |output: &Output| output.end.get().is_some() && unread(output.unread_since());
+        let over = self.streams.extract_if(|_, output| is_over(output));
+        let over: Vec<Rc<Output>> = over.map(|(_, output)| output).collect();
+        for output in over {
+            let key = (output.request.clone(), output.attempt);
+            self.attempts.remove(&key);
+            self.bury(key, true, now);
+        }
     }
 }
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -10,6 +10,8 @@
 use mangofront_settings::published::Fencing;
 use serde::{Deserialize, Serialize};
 
+use crate::clock::scale;
+
 /// Settings of one emulated engine.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -80,7 +82,7 @@
 impl EngineSettings {
     /// The engine's own duration of `duration_ms`, scaled.
     pub(crate) fn scaled(&self, duration_ms: u64) -> Duration {
-        Duration::from_millis(duration_ms).mul_f64(self.time_scale.max(0.0))
+        scale(duration_ms, self.time_scale)
     }
 }
 
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use compio::runtime::JoinHandle;
 use mangofront_http::{Shutdown, ShutdownTrigger};
 use mangofront_settings::ids::Incarnation;
 
@@ -33,6 +34,9 @@
     pub(crate) work: Notify,
     /// A cache event was written.
     pub(crate) cache_changed: Notify,
+    /// Tasks that load weights; they hold the engine in turn, so `run` takes
+    /// them out in the end.
+    pub(crate) loads: RefCell<Vec<JoinHandle<()>>>,
     frozen_until: Cell<Option<Instant>>,
     death: RefCell<Option<ShutdownTrigger>>,
 }
@@ -44,7 +48,7 @@
     pub(crate) reservations: Reservations,
     pub(crate) streams: HashMap<StreamId, Rc<Output>>,
     pub(crate) attempts: HashMap<(RequestId, Attempt), StreamId>,
-    pub(crate) tombstones: HashMap<(RequestId, Attempt), Instant>,
+    pub(crate) tombstones: HashMap<(RequestId, Attempt), Tombstone>,
     pub(crate) cache_events: CacheEvents,
     pub(crate) load: LoadReports,
     pub(crate) orders: Orders,
@@ -53,6 +57,14 @@
     next_arrival: u64,
 }
 
+/// Memory of an attempt that was cancelled or whose stream was forgotten.
+#[derive(Debug)]
+pub(crate) struct Tombstone {
+    pub(crate) buried_at: Instant,
+    /// Whether the attempt came before that, and so may have run.
+    pub(crate) had_arrived: bool,
+}
+
 impl Engine {
     /// An idle engine and the signal of its death.
     pub(crate) fn new(settings: EngineSettings) -> (Rc<Self>, Shutdown) {
@@ -65,6 +77,7 @@
             state: RefCell::new(state),
             work: Notify::default(),
             cache_changed: Notify::default(),
+            loads: RefCell::default(),
             frozen_until: Cell::new(None),
             death: RefCell::new(Some(trigger)),
         };
@@ -168,10 +181,22 @@
     /// Cancels an attempt, also one that has not arrived yet.
     pub(crate) fn cancel(&mut self, request: &str, attempt: Attempt, now: Instant) {
         let key = (request.to_owned(), attempt);
-        self.tombstones.insert(key, now);
-        self.end_where(End::Cancelled, |sequence| {
+        let is_named = |sequence: &Sequence| {
             sequence.output.attempt == attempt && sequence.output.request == request
+        };
+        let arrived = self.attempts.contains_key(&key) || self.batch.sequences().any(is_named);
+        self.bury(key, arrived, now);
+        self.end_where(End::Cancelled, is_named);
+    }
+
+    /// Remembers an attempt, so that it is refused when it comes later.
+    pub(crate) fn bury(&mut self, key: (RequestId, Attempt), arrived: bool, now: Instant) {
+        let tombstone = self.tombstones.entry(key).or_insert(Tombstone {
+            buried_at: now,
+            had_arrived: false,
         });
+        tombstone.buried_at = now;
+        tombstone.had_arrived |= arrived;
     }
 
     /// Releases a reservation and ends what computes under it.
--- a/crates/standin/src/engine/submit.rs
+++ b/crates/standin/src/engine/submit.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use mangofront_http::Outcome;
 use mangofront_prompt::Prompt;
 use thiserror::Error;
 
@@ -34,7 +35,7 @@
     priority: u8,
 }
 
-/// Reason to refuse work; none of it ran.
+/// Reason to refuse work.
 #[derive(Debug, Error)]
 pub(crate) enum Refusal {
     #[error("{0}")]
@@ -75,6 +76,14 @@
             Self::Loading => (StatusCode::SERVICE_UNAVAILABLE, "loading"),
         }
     }
+
+    /// What is known of the work: an attempt that came twice may have run.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            Self::Duplicate => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
 }
 
 impl Engine {
@@ -300,9 +309,10 @@
 
     fn check_tombstone(&self, request: &str, attempt: Attempt) -> Result<(), Refusal> {
         let key = (request.to_owned(), attempt);
-        match self.tombstones.contains_key(&key) {
-            true => Err(Refusal::Cancelled),
-            false => Ok(()),
+        match self.tombstones.get(&key) {
+            Some(tombstone) if tombstone.had_arrived => Err(Refusal::Duplicate),
+            Some(_) => Err(Refusal::Cancelled),
+            None => Ok(()),
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! processes, `load` drives them; no other crate depends on them.
 
 pub mod answer;
+mod clock;
 mod connections;
 pub mod engine;
 mod notify;
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::clock::scale;
+
 /// Pause after a fetch that failed, also when the store names none.
 const FETCH_PAUSE: Duration = Duration::from_secs(1);
 
@@ -93,8 +95,7 @@
     }
 
     fn transfer_time(&self) -> Duration {
-        let scale = self.settings.time_scale.max(0.0);
-        Duration::from_millis(self.settings.transfer_time_ms).mul_f64(scale)
+        scale(self.settings.transfer_time_ms, self.settings.time_scale)
     }
 }
 
--- a/crates/standin/tests/engine_session.rs
+++ b/crates/standin/tests/engine_session.rs
@@ -1,5 +1,7 @@
 //! Golden session with an emulated engine.
 
+#![allow(clippy::unwrap_used, reason = "a helper that fails ends its test")]
+
 mod support;
 
 use std::fmt::Write as _;
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -5,7 +5,6 @@
     reason = "each test binary uses its own part of these helpers"
 )]
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
@@ -184,6 +183,11 @@
     Box::pin(mangofront_http::events(response.bytes_stream()))
 }
 
+/// Body of a JSON answer.
+pub async fn body(response: cyper::Response) -> Value {
+    serde_json::from_str(&response.text().await.unwrap()).unwrap()
+}
+
 /// Reads `count` frames.
 pub async fn frames(events: &mut Events, count: usize) -> Vec<Value> {
     let mut frames = Vec::new();
