Hold the command line tool's answers by tests of the built binary

Cause: exit codes and reports are what scripts and people rely on. Conclusion: the tool stands; the daemon's own /status and /explain were not in reach of these tests.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -14,6 +14,9 @@
 /// Exit code when the question could not be put.
 const EXIT_UNASKED: u8 = 2;
 
+/// Width of a report, in characters.
+const REPORT_WIDTH: usize = 100;
+
 /// Command that did not end well.
 #[derive(Debug, Error, Diagnostic)]
 pub(crate) enum CliError {
@@ -97,7 +100,7 @@
         }
         let mut text = String::new();
         // Without colours and with plain characters unless it is a terminal.
-        let handler = GraphicalReportHandler::new();
+        let handler = GraphicalReportHandler::new().with_width(REPORT_WIDTH);
         match handler.render_report(&mut text, self) {
             Ok(()) => eprint!("{text}"),
             Err(_) => eprintln!("{self}"),
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,382 @@
+//! The operator's tool, run as the built binary.
+
+#[path = "cli/admin.rs"]
+mod admin;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+use admin::FakeAdmin;
+
+const TOOL: &str = env!("CARGO_BIN_EXE_mangofront");
+
+fn tool(arguments: &[&str]) -> Output {
+    Command::new(TOOL)
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .args(arguments)
+        .output()
+        .expect("the tool runs")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).expect("text")
+}
+
+/// Exit code and both outputs, as a person sees them.
+fn seen(output: &Output) -> String {
+    let code = output.status.code().expect("an exit code");
+    let stderr = String::from_utf8(output.stderr.clone()).expect("text");
+    format!(
+        "exit {code}\n--- stdout\n{}--- stderr\n{stderr}",
+        stdout(output)
+    )
+}
+
+/// A file that is gone with this value.
+struct TemporaryFile(PathBuf);
+
+impl TemporaryFile {
+    fn new(name: &str, content: &str) -> Self {
+        let name = format!("mangofront-cli-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, content).expect("file is written");
+        Self(path)
+    }
+
+    fn name(&self) -> &str {
+        self.0.to_str().expect("path is text")
+    }
+}
+
+impl Drop for TemporaryFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn good_documents_pass() {
+    for (file, kind) in [
+        ("examples/mangofrontd.jsonc", "settings"),
+        ("examples/configuration.jsonc", "configuration"),
+    ] {
+        let guessed = tool(&["check", file]);
+        assert_eq!(guessed.status.code(), Some(0), "{}", seen(&guessed));
+        assert!(stdout(&guessed).contains(&format!("good {kind}")));
+        assert_eq!(tool(&["check", file, "--kind", kind]), guessed);
+    }
+}
+
+#[test]
+fn a_fault_is_told_with_line_and_column() {
+    let file = TemporaryFile::new(
+        "fault.jsonc",
+        "{\n  \"classes\": {\"a\": {\"weight\": 2}}\n}\n",
+    );
+    let output = tool(&["check", file.name()]);
+    insta::assert_snapshot!(seen(&output).replace(file.name(), "fault.jsonc"));
+}
+
+#[test]
+fn the_kind_can_be_given() {
+    let output = tool(&[
+        "check",
+        "examples/configuration.jsonc",
+        "--kind",
+        "settings",
+    ]);
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn what_cannot_be_read_is_another_exit_code() {
+    assert_eq!(
+        tool(&["check", "/nonexistent.jsonc"]).status.code(),
+        Some(2)
+    );
+    let file = TemporaryFile::new("binary.jsonc", "");
+    std::fs::write(&file.0, [0xff, 0xfe]).expect("file is written");
+    assert_eq!(tool(&["check", file.name()]).status.code(), Some(2));
+}
+
+#[test]
+fn help_and_version() {
+    insta::assert_snapshot!(stdout(&tool(&["--help"])));
+    assert_eq!(tool(&["help"]), tool(&["--help"]));
+    assert_eq!(stdout(&tool(&["--version"])), "mangofront 0.1.0\n");
+}
+
+#[test]
+fn wrong_arguments() {
+    let wrong: &[&[&str]] = &[
+        &[],
+        &["frobnicate"],
+        &["check"],
+        &["check", "a", "b"],
+        &["check", "a", "--kind", "poem"],
+        &["status"],
+        &["status", "--admin", "localhost"],
+        &["standin", "kettle", "--address", "127.0.0.1:0"],
+        &[
+            "standin",
+            "engine",
+            "--address",
+            "127.0.0.1:0",
+            "--set",
+            "model",
+        ],
+        &[
+            "standin",
+            "service",
+            "--address",
+            "127.0.0.1:0",
+            "--set",
+            "delay_ms=soon",
+        ],
+        &[
+            "standin",
+            "engine",
+            "--address",
+            "127.0.0.1:0",
+            "--set",
+            "model.name=a",
+        ],
+    ];
+    let told: Vec<_> = wrong
+        .iter()
+        .map(|arguments| {
+            format!(
+                "$ mangofront {}\n{}",
+                arguments.join(" "),
+                seen(&tool(arguments))
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn nobody_at_the_address() {
+    insta::assert_snapshot!(seen(&tool(&["status", "--admin", "127.0.0.1:1"])));
+}
+
+const STATUS: &str = r#"{
+    "instance": "entry-a1", "uptime_ms": 1200, "stopping": false,
+    "configuration": {"revision": 7, "source": "peer", "refused": null},
+    "members": [
+        {"instance": "entry-a2", "state": "live", "incarnation": 3},
+        {"instance": "entry-b1", "state": "suspected", "incarnation": 12, "silent_ms": 2600}
+    ],
+    "classes": {
+        "diagnosis": {"admitted": 120, "refused": 0},
+        "contract-review": {"admitted": 3, "refused": 1}
+    },
+    "upstreams": [],
+    "zones": ["hall-a", "hall-b"],
+    "orders": {},
+    "border": {"short": ["e1", "e2"], "long": {"first": 4}},
+    "odd": "two\nlines \u001b[31m"
+}"#;
+
+#[test]
+fn status_is_laid_out_or_passed_on() {
+    let admin = FakeAdmin::start([(200, STATUS), (200, STATUS)]);
+    insta::assert_snapshot!(seen(&tool(&["status", "--admin", admin.address()])));
+    let json = tool(&["status", "--admin", admin.address(), "--json"]);
+    let read: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(
+        read,
+        serde_json::from_str::<serde_json::Value>(STATUS).expect("JSON")
+    );
+    assert_eq!(admin.calls(), ["GET /status ", "GET /status "]);
+}
+
+#[test]
+fn a_refusal_tells_the_daemons_message() {
+    let body = r#"{"error": {"message": "no model kuhar-llm", "code": "unknown_model",
+        "outcome": "not_run", "step": "explain"}}"#;
+    let admin = FakeAdmin::start([(404, body), (200, "not JSON")]);
+    let arguments = [
+        "explain",
+        "--admin",
+        admin.address(),
+        "--model",
+        "kuhar-llm",
+        "--tokens",
+        "900",
+    ];
+    let refused = seen(&tool(&arguments)).replace(admin.address(), "ADDR");
+    let unreadable = seen(&tool(&arguments)).replace(admin.address(), "ADDR");
+    insta::assert_snapshot!(format!("{refused}\n{unreadable}"));
+}
+
+#[test]
+fn explain_sends_the_question() {
+    let admin = FakeAdmin::start([(200, r#"{"placed_on": "engine-a4"}"#)]);
+    let output = tool(&[
+        "explain",
+        "--admin",
+        admin.address(),
+        "--model",
+        "assist-llm",
+        "--tokens",
+        "900",
+        "--class",
+        "diagnosis",
+        "--organisation",
+        "tuul",
+    ]);
+    assert_eq!(stdout(&output), "placed_on  engine-a4\n");
+    let body = r#"{"class":"diagnosis","model":"assist-llm","organisation":"tuul","tokens":900}"#;
+    assert_eq!(admin.calls(), [format!("POST /explain {body}")]);
+}
+
+const AUDIT: &str = r#"{"next_sequence": 9, "oldest_sequence": 6, "entries": [
+    {"sequence": 6, "unix_time_ms": 1764700000123, "kind": "configuration_accepted", "revision": 7},
+    {"sequence": 7, "unix_time_ms": 1764700001000, "kind": "member_joined",
+     "instance": "entry-a2", "incarnation": 3},
+    {"sequence": 8, "unix_time_ms": 1764700002000, "kind": "of_a_later_version", "field": 1}
+]}"#;
+
+#[test]
+fn audit_tells_entries_gaps_and_unknown_kinds() {
+    let admin = FakeAdmin::start([(200, AUDIT), (200, AUDIT)]);
+    let told = seen(&tool(&[
+        "audit",
+        "--admin",
+        admin.address(),
+        "--after",
+        "3",
+    ]));
+    let json = seen(&tool(&["audit", "--admin", admin.address(), "--json"]));
+    insta::assert_snapshot!(format!("{told}\n{json}"));
+    assert_eq!(
+        admin.calls(),
+        ["GET /audit?after=3 ", "GET /audit?after=0 "]
+    );
+}
+
+#[test]
+fn audit_follows_through_a_restart() {
+    let later = r#"{"next_sequence": 2, "oldest_sequence": 1, "entries": [
+        {"sequence": 1, "unix_time_ms": 0, "kind": "drain_started", "in_flight_requests": 1}]}"#;
+    let admin = FakeAdmin::start([(200, AUDIT), (200, later), (200, later), (500, "")]);
+    let output = tool(&["audit", "--admin", admin.address(), "--follow"]);
+    assert_eq!(output.status.code(), Some(1), "the 500 ends it");
+    assert!(
+        stdout(&output).ends_with("#1 drain started with 1 requests\n"),
+        "{}",
+        seen(&output)
+    );
+    let calls = [
+        "GET /audit?after=0 ",
+        "GET /audit?after=8 ",
+        "GET /audit?after=0 ",
+    ];
+    assert_eq!(admin.calls()[..3], calls);
+}
+
+/// A stand-in process; killed with this value unless it has ended.
+struct Standin {
+    child: Child,
+    address: String,
+}
+
+impl Standin {
+    fn start(arguments: &[&str]) -> Self {
+        let mut child = Command::new(TOOL)
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .arg("standin")
+            .args(arguments)
+            .args(["--address", "127.0.0.1:0"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the tool runs");
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("piped"))
+            .read_line(&mut line)
+            .expect("a line");
+        let address = line.trim_end().strip_prefix("listening on ");
+        let address = address.expect("the address").to_owned();
+        Self { child, address }
+    }
+
+    fn get(&self, path: &str) -> String {
+        let mut stream = TcpStream::connect(&self.address).expect("connects");
+        write!(
+            stream,
+            "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        .expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    fn get_json(&self, path: &str) -> serde_json::Value {
+        let answer = self.get(path);
+        let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+        serde_json::from_str(body).expect("JSON")
+    }
+
+    fn stop(mut self, signal: &str) -> Option<i32> {
+        let pid = self.child.id().to_string();
+        Command::new("kill")
+            .args([signal, &pid])
+            .status()
+            .expect("kill runs");
+        self.child.wait().expect("ends").code()
+    }
+}
+
+impl Drop for Standin {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn each_standin_serves_until_it_is_stopped() {
+    for (kind, path, status) in [
+        ("engine", "/v1/health", "204"),
+        ("service", "/control/counters", "200"),
+        ("platform", "/control/counters", "200"),
+        ("weights", "/control/counters", "200"),
+    ] {
+        let standin = Standin::start(&[kind]);
+        let answer = standin.get(path);
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{kind}: {answer}"
+        );
+        assert_eq!(standin.stop("-TERM"), Some(0), "{kind}");
+    }
+}
+
+#[test]
+fn standin_settings_come_from_file_and_arguments() {
+    let file = TemporaryFile::new(
+        "platform.jsonc",
+        "{\n  \"first_revision\": 3, // overridden below\n  \"reads_per_s\": 50,\n}\n",
+    );
+    let standin = Standin::start(&[
+        "platform",
+        "--settings",
+        file.name(),
+        "--set",
+        "first_revision=7",
+        "--set",
+        "configuration=@examples/configuration.jsonc",
+        "--set",
+        "instances.instances=[]",
+    ]);
+    let configuration = standin.get_json("/v1/configuration");
+    assert_eq!(configuration["revision"], 7);
+    assert!(configuration["value"]["classes"]["diagnosis"].is_object());
+    let instances = standin.get_json("/v1/instances");
+    assert_eq!(instances["value"], serde_json::json!({"instances": []}));
+    assert_eq!(standin.stop("-INT"), Some(0));
+}
