Tell faults in long lines in words, and follow the renamed field

Cause: a published text is often one line of up to a megabyte; a trial of `mangofront check` on a minified configuration printed that line once for each fault. And `first_start_epoch` became `first_start_unix_ms`, which the tests of the example caught. Weighed: an excerpt around the fault would shift the columns that miette tells, so lines over 240 bytes are not quoted and the place stands in the sentence. A label ends with its line, so that an unterminated comment does not quote the rest of the file.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -46,10 +46,10 @@
     text: &str,
     schema: &Schema,
 ) -> Result<T, CheckError> {
-    let root = document::parse(text).map_err(|fault| CheckError::one(name, text, fault))?;
+    let root = document::parse(text).map_err(|fault| CheckError::one(name, text, *fault))?;
     let findings = findings(&root, schema);
     if findings.is_empty() {
-        return document::deserialize(text).map_err(|fault| CheckError::one(name, text, fault));
+        return document::deserialize(text).map_err(|fault| CheckError::one(name, text, *fault));
     }
     let total_faults = findings.len();
     let first = findings.into_iter().take(MOST_FAULTS);
--- a/crates/settings/src/check/document.rs
+++ b/crates/settings/src/check/document.rs
@@ -49,30 +49,30 @@
     // The tree is parsed first because only that parser bounds the nesting.
     parse(text)
         .and_then(|_| deserialize(text))
-        .map_err(|fault| CheckError::one(name, text, fault))
+        .map_err(|fault| CheckError::one(name, text, *fault))
 }
 
 /// Parses `text` into a tree with ranges.
-pub(super) fn parse(text: &str) -> Result<Value<'_>, Fault> {
+pub(super) fn parse(text: &str) -> Result<Value<'_>, Box<Fault>> {
     let parsed = parse_to_ast(text, &CollectOptions::default(), &options())
         .map_err(|error| syntax_fault(text, &error))?;
     parsed.value.ok_or_else(|| {
         let end = Range::new(text.len(), text.len());
-        Fault::new(text, String::new(), end, Problem::Empty)
+        Box::new(Fault::new(text, String::new(), end, Problem::Empty))
     })
 }
 
 /// Reads `text`, already parsed once, into a type.
-pub(super) fn deserialize<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+pub(super) fn deserialize<T: DeserializeOwned>(text: &str) -> Result<T, Box<Fault>> {
     parse_to_serde_value(text, &options()).map_err(|error| syntax_fault(text, &error))
 }
 
-fn syntax_fault(text: &str, error: &ParseError) -> Fault {
+fn syntax_fault(text: &str, error: &ParseError) -> Box<Fault> {
     let problem = match error.kind() {
         ParseErrorKind::Custom(message) => Problem::Unfit(message.clone()),
         kind => Problem::Syntax(kind.to_string()),
     };
-    Fault::new(text, String::new(), error.range(), problem)
+    Box::new(Fault::new(text, String::new(), error.range(), problem))
 }
 
 fn options() -> ParseOptions {
--- a/crates/settings/src/check/fault.rs
+++ b/crates/settings/src/check/fault.rs
@@ -4,11 +4,15 @@
 use std::path::PathBuf;
 
 use jsonc_parser::common::Range;
-use miette::{Diagnostic, NamedSource, SourceSpan};
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
 use thiserror::Error;
 
 use super::problem::Problem;
 
+/// Longest line that a report quotes, in bytes. A published text is often one
+/// line of up to a megabyte, which would bury the fault.
+const LONGEST_QUOTED_LINE_BYTES: usize = 240;
+
 /// One fault and its place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
@@ -20,39 +24,59 @@
     pub column: usize,
     /// What is wrong.
     pub problem: Problem,
-    span: SourceSpan,
+    /// What a report quotes, within one line; `None` when the lines around are
+    /// too long to be quoted, and the place is told in words.
+    span: Option<SourceSpan>,
 }
 
 impl Fault {
     pub(super) fn new(text: &str, path: String, range: Range, problem: Problem) -> Self {
-        let start = floor_char_boundary(text, range.start);
-        let end = floor_char_boundary(text, range.end).max(start);
+        let start = text.floor_char_boundary(range.start);
+        let end = text.floor_char_boundary(range.end).max(start);
         let before = &text[..start];
         let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        let line_end = text[start..]
+            .find('\n')
+            .map_or(text.len(), |length| start + length);
+        let span = SourceSpan::from(start..end.min(line_end));
         Self {
             path,
             line: before.matches('\n').count() + 1,
             column: before[line_start..].chars().count() + 1,
             problem,
-            span: SourceSpan::from(start..end),
+            span: is_quotable(text, line_start, line_end).then_some(span),
         }
     }
-}
 
-fn floor_char_boundary(text: &str, index: usize) -> usize {
-    let mut index = index.min(text.len());
-    while !text.is_char_boundary(index) {
-        index -= 1;
+    /// What is wrong, without the place in the text.
+    fn sentence(&self) -> String {
+        if self.path.is_empty() {
+            return self.problem.to_string();
+        }
+        format!("{}: {}", self.path, self.problem)
     }
-    index
+
+    fn place(&self) -> String {
+        format!("line {}, column {}", self.line, self.column)
+    }
+}
+
+/// Whether a line and those before and after it are short, since a report
+/// quotes all three.
+fn is_quotable(text: &str, line_start: usize, line_end: usize) -> bool {
+    let before = text[..line_start].lines().next_back();
+    let after = text[line_end..].lines().nth(1);
+    let around = before.into_iter().chain(after).map(str::len);
+    let longest = around.max().unwrap_or(0).max(line_end - line_start);
+    longest <= LONGEST_QUOTED_LINE_BYTES
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if !self.path.is_empty() {
-            write!(f, "{}: ", self.path)?;
+        match self.span {
+            Some(_) => write!(f, "{}", self.sentence()),
+            None => write!(f, "{}: {}", self.place(), self.sentence()),
         }
-        write!(f, "{}", self.problem)
     }
 }
 
@@ -64,8 +88,8 @@
         Some(Box::new(help))
     }
 
-    fn labels(&self) -> Option<Box<dyn Iterator<Item = miette::LabeledSpan> + '_>> {
-        let label = miette::LabeledSpan::new_with_span(Some("here".to_owned()), self.span);
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let label = LabeledSpan::new_with_span(Some("here".to_owned()), self.span?);
         Some(Box::new(std::iter::once(label)))
     }
 }
@@ -118,14 +142,13 @@
         let Some(fault) = self.faults.first() else {
             return self.to_string();
         };
-        let place = format!("line {}, column {}", fault.line, fault.column);
         let help = fault.problem.help();
         let help = help.map_or_else(String::new, |help| format!(" ({help})"));
         let more = match self.total_faults - 1 {
             0 => String::new(),
             more => format!("; {more} more"),
         };
-        let line = format!("{place}: {fault}{help}{more}");
+        let line = format!("{}: {}{help}{more}", fault.place(), fault.sentence());
         // Quotations are escaped already; a library's message might not be.
         line.replace(char::is_control, " ")
     }
--- a/crates/settings/src/published/fields.rs
+++ b/crates/settings/src/published/fields.rs
@@ -62,7 +62,7 @@
 const IDEMPOTENCY: &[Field] = &[
     Field::defaulted("window_ms", TIME_MS),
     Field::defaulted(
-        "first_start_epoch",
+        "first_start_unix_ms",
         Shape::Integer {
             min: 0,
             max: u64::MAX,
--- a/crates/settings/tests/reports.rs
+++ b/crates/settings/tests/reports.rs
@@ -150,3 +150,12 @@
     assert!(!reason.contains('\n'));
     insta::assert_snapshot!(reason);
 }
+
+/// A report of a text in one long line tells the place and doesn't quote it.
+#[test]
+fn long_lines_are_not_quoted() {
+    let configuration = check_published(include_str!("../../../examples/configuration.jsonc"));
+    let text = serde_json::to_string(&configuration.expect("good")).expect("JSON");
+    let broken = text.replacen("500", "0", 1);
+    insta::assert_snapshot!(render(&check_published(&broken).expect_err("broken")));
+}
