Beat once a second by default, as the control budget was worked out for

Cause: the daemon passes these settings on, and 500 ms overrode the period of 1 s that the peers' budget of messages and bytes stands on.

--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -174,8 +174,8 @@
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
-            heartbeat_ms: 500,
-            suspect_after_ms: 2_500,
+            heartbeat_ms: 1_000,
+            suspect_after_ms: 4_000,
         }
     }
 }
--- a/crates/settings/tests/reports.rs
+++ b/crates/settings/tests/reports.rs
@@ -105,7 +105,7 @@
 
 #[test]
 fn suspicion_before_two_heartbeats() {
-    insta::assert_snapshot!(settings_with("2500", "900"));
+    insta::assert_snapshot!(settings_with("4000", "1900"));
 }
 
 #[test]
