Choose engines by length, load, cache and health

Cause: the thin placement took the engine with the fewest own requests, blind to prompt lengths, prefix caches, other daemons and failing engines.

Weighed: one border between "short" and "long" against an interval of the stable order for each of six length classes: the second needs no rule for prompts in between, and its widths follow the demand by themselves. A prefill rate as a mean of tokens over time against a weighted line fit: the mean calls every engine slow after short prompts, whose time is mostly fixed. One hash lookup for each block and engine against a search that grows with the logarithm of the prompt: 4,000 blocks by 25 engines are 100,000 lookups.

Change: load view of report, own placements since and peers' views; cache view with sequence numbers; intervals by recent demand; priority from work and slack; a budget of overtaking for each long prompt; groups with exact shares; ejection of at most half, probing and slow start; explanation and status.

--- /dev/null
+++ b/crates/placement/src/choose.rs
@@ -0,0 +1,291 @@
+//! The choice among a model's engines.
+
+use std::rc::Rc;
+
+use mangofront_settings::ids::InstanceId;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::demand::{Demand, NoEngine};
+use crate::engine::Engine;
+use crate::estimate::{Asked, Terms, seconds, weigh, weigh_share};
+use crate::explain::Verdict;
+use crate::group::{Room, Share, plan};
+use crate::model::{Model, SharedEngine};
+use crate::options::{PlacementOptions, Policy};
+
+/// Costs that differ by less than this share are not told apart.
+const TIE_SHARE: f64 = 0.02;
+
+/// Costs that differ by less than this are not told apart, in seconds.
+const TIE_S: f64 = 0.000_5;
+
+/// Engines' memory is believed up to this many times the typical, either way.
+const KV_BELIEF: u64 = 4;
+
+/// What was decided for a request.
+#[derive(Debug)]
+pub(crate) struct Choice {
+    /// The engine that answers, with its terms.
+    pub(crate) engine: SharedEngine,
+    pub(crate) terms: Terms,
+    /// All members' shares, the answering engine's first, when it takes more
+    /// than one.
+    pub(crate) group: Vec<(SharedEngine, u64)>,
+}
+
+/// One engine, weighed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Weighed {
+    pub(crate) index: usize,
+    pub(crate) terms: Terms,
+    /// Why it can't be taken; none when it can.
+    pub(crate) barred: Option<Verdict>,
+    held_back: bool,
+}
+
+/// Order in which engines are preferred whatever they cost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Good,
+    DelaysOthers,
+    MissesTarget,
+    HeldBack,
+}
+
+impl Weighed {
+    fn rank(&self) -> Rank {
+        if self.held_back {
+            Rank::HeldBack
+        } else if self.terms.misses_target {
+            Rank::MissesTarget
+        } else if self.terms.delays_others {
+            Rank::DelaysOthers
+        } else {
+            Rank::Good
+        }
+    }
+
+    /// Why it was not taken, though it could have been.
+    pub(crate) fn verdict(&self) -> Verdict {
+        if let Some(barred) = self.barred {
+            return barred;
+        }
+        match self.rank() {
+            Rank::Good => Verdict::CostsMore,
+            Rank::DelaysOthers => Verdict::DelaysOthers,
+            Rank::MissesTarget => Verdict::MissesTarget,
+            Rank::HeldBack => Verdict::HeldBack,
+        }
+    }
+}
+
+/// Weighs every engine of the model.
+pub(crate) fn weigh_all(model: &Model, asked: &Asked<'_>, excluded: &[InstanceId]) -> Vec<Weighed> {
+    let mean_outstanding = mean_outstanding(model);
+    let engines = model.order.iter().enumerate();
+    engines
+        .map(|(index, engine)| {
+            let engine = engine.borrow();
+            Weighed {
+                index,
+                terms: weigh(&engine, asked),
+                barred: barred(&engine, asked, excluded),
+                held_back: held_back(&engine, asked, mean_outstanding),
+            }
+        })
+        .collect()
+}
+
+/// Chooses among weighed engines.
+pub(crate) fn choose(
+    model: &Model,
+    asked: &Asked<'_>,
+    weighed: &[Weighed],
+    options: &PlacementOptions,
+) -> Result<Choice, NoEngine> {
+    if model.order.is_empty() {
+        return Err(NoEngine::UnknownModel);
+    }
+    let usable = usable(weighed);
+    if let Some(chosen) = pick(model, &usable, options) {
+        return Ok(Choice {
+            engine: Rc::clone(&model.order[chosen.index]),
+            terms: chosen.terms,
+            group: Vec::new(),
+        });
+    }
+    if weighed
+        .iter()
+        .any(|weighed| weighed.barred == Some(Verdict::TooSmall))
+    {
+        return choose_group(model, asked, weighed);
+    }
+    Err(NoEngine::NoneUsable)
+}
+
+/// Engines that can be taken; ejected and unreachable ones when there is no other.
+fn usable(weighed: &[Weighed]) -> Vec<Weighed> {
+    let free = weighed.iter().filter(|weighed| weighed.barred.is_none());
+    let free: Vec<_> = free.copied().collect();
+    if !free.is_empty() {
+        return free;
+    }
+    let doubtful = weighed.iter().filter(|weighed| {
+        matches!(
+            weighed.barred,
+            Some(Verdict::Ejected | Verdict::Unreachable)
+        )
+    });
+    doubtful.copied().collect()
+}
+
+fn pick(model: &Model, usable: &[Weighed], options: &PlacementOptions) -> Option<Weighed> {
+    match options.policy {
+        Policy::LengthAware => pick_by_cost(model, usable, options),
+        Policy::LeastOutstanding => usable
+            .iter()
+            .min_by_key(|weighed| model.order[weighed.index].borrow().own.outstanding())
+            .copied(),
+        Policy::RoundRobin => {
+            let index = model.next_round % usable.len().max(1);
+            usable.get(index).copied()
+        }
+    }
+}
+
+/// The cheapest of the best rank; among near equals the one with least to do.
+fn pick_by_cost(model: &Model, usable: &[Weighed], options: &PlacementOptions) -> Option<Weighed> {
+    let best_rank = usable.iter().map(Weighed::rank).min()?;
+    let of_rank = || usable.iter().filter(|weighed| weighed.rank() == best_rank);
+    let costs = of_rank().map(|weighed| weighed.terms.cost_s);
+    let least_s = costs.min_by(f64::total_cmp)?;
+    let limit_s = least_s * (1.0 + TIE_SHARE) + TIE_S;
+    of_rank()
+        .filter(|weighed| weighed.terms.cost_s <= limit_s)
+        .min_by_key(|weighed| {
+            let engine = model.order[weighed.index].borrow();
+            let is_elsewhere = engine.info.availability_zone != options.availability_zone;
+            (engine.outstanding(), is_elsewhere, salt(options, &engine))
+        })
+        .copied()
+}
+
+/// Differs between daemons, so that they don't all take the same of equals.
+fn salt(options: &PlacementOptions, engine: &Engine) -> u64 {
+    xxh3_64(options.daemon.as_bytes()) ^ u64::from(engine.key).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
+
+fn barred(engine: &Engine, asked: &Asked<'_>, excluded: &[InstanceId]) -> Option<Verdict> {
+    if engine.is_leaving(asked.now) {
+        Some(Verdict::Leaving)
+    } else if excluded.contains(&engine.info.instance) {
+        Some(Verdict::Excluded)
+    } else if kv_tokens(engine, asked).is_some_and(|kv| needed_tokens(asked.demand) > kv) {
+        Some(Verdict::TooSmall)
+    } else if engine.health.is_ejected() {
+        Some(Verdict::Ejected)
+    } else if engine.health.is_unreachable() {
+        Some(Verdict::Unreachable)
+    } else {
+        None
+    }
+}
+
+/// Whether an engine should get no more for the moment, if others can.
+fn held_back(engine: &Engine, asked: &Asked<'_>, mean_outstanding: f64) -> bool {
+    let health = &engine.health;
+    if health.is_busy(asked.now) {
+        return true;
+    }
+    let outstanding = f64::from(engine.own.outstanding());
+    if health.is_probing() {
+        return outstanding >= 1.0;
+    }
+    let share = health.share(asked.now);
+    share < 1.0 && outstanding >= 1.0 + share * mean_outstanding
+}
+
+fn mean_outstanding(model: &Model) -> f64 {
+    let engines = model.order.iter();
+    let sum: u32 = engines
+        .map(|engine| engine.borrow().own.outstanding())
+        .sum();
+    f64::from(sum) / model.order.len().max(1) as f64
+}
+
+fn choose_group(model: &Model, asked: &Asked<'_>, weighed: &[Weighed]) -> Result<Choice, NoEngine> {
+    let members = weighed
+        .iter()
+        .filter(|weighed| weighed.barred == Some(Verdict::TooSmall));
+    let healthy = members.clone().filter(|weighed| {
+        let engine = model.order[weighed.index].borrow();
+        !engine.health.is_ejected() && !engine.health.is_unreachable()
+    });
+    let needed_tokens = needed_tokens(asked.demand);
+    let shares = plan(&rooms(model, asked, healthy), needed_tokens)
+        .or_else(|_| plan(&rooms(model, asked, members), needed_tokens))?;
+    Ok(group_choice(model, asked, &shares))
+}
+
+fn rooms<'a>(
+    model: &Model,
+    asked: &Asked<'_>,
+    members: impl Iterator<Item = &'a Weighed>,
+) -> Vec<Room> {
+    members
+        .map(|weighed| {
+            let engine = model.order[weighed.index].borrow();
+            let reported = engine.report.as_ref();
+            let used_tokens = reported.map_or(0, |reported| reported.load.kv_used_tokens);
+            Room {
+                index: weighed.index,
+                total_tokens: kv_tokens(&engine, asked).unwrap_or(0),
+                used_tokens: used_tokens + engine.own.since_report_kv_tokens(),
+            }
+        })
+        .collect()
+}
+
+/// The group's terms: its slowest member's, stretched as groups were seen to be.
+fn group_choice(model: &Model, asked: &Asked<'_>, shares: &[Share]) -> Choice {
+    let stretch = model.learned.borrow().group_stretch.mean().unwrap_or(1.0);
+    let mut slowest: Option<Terms> = None;
+    let mut group = Vec::with_capacity(shares.len());
+    for share in shares {
+        let engine = &model.order[share.index];
+        let terms = weigh_share(&engine.borrow(), asked, 0, share.tokens);
+        group.push((Rc::clone(engine), share.tokens));
+        let first_token = terms.estimate.time_to_first_token;
+        if slowest.is_none_or(|slowest| slowest.estimate.time_to_first_token < first_token) {
+            slowest = Some(terms);
+        }
+    }
+    let leader = &model.order[shares[0].index];
+    let mut terms = slowest.unwrap_or_else(|| weigh(&leader.borrow(), asked));
+    let decode = terms.estimate.completion - terms.estimate.time_to_first_token;
+    let first_token_s = terms.estimate.time_to_first_token.as_secs_f64() * stretch;
+    terms.estimate.time_to_first_token = seconds(first_token_s);
+    terms.estimate.completion = seconds(first_token_s) + decode;
+    Choice {
+        engine: Rc::clone(leader),
+        terms,
+        group,
+    }
+}
+
+/// Memory that a request takes while it runs, in tokens.
+pub(crate) fn needed_tokens(demand: &Demand) -> u64 {
+    demand
+        .length_tokens
+        .saturating_add(u64::from(demand.max_tokens))
+}
+
+/// An engine's memory as far as it is believed, in tokens.
+fn kv_tokens(engine: &Engine, asked: &Asked<'_>) -> Option<u64> {
+    let reported = engine.kv_total_tokens();
+    let Some(typical) = asked.typical.kv_total_tokens else {
+        return reported;
+    };
+    let reported = reported.unwrap_or(typical);
+    Some(reported.clamp(typical / KV_BELIEF, typical.saturating_mul(KV_BELIEF)))
+}
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -78,7 +78,8 @@
 }
 
 /// Reason why no engine can take a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Error)]
+#[serde(rename_all = "snake_case")]
 pub enum NoEngine {
     /// No engine of this model is listed.
     #[error("no engine serves the model")]
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,76 +1,111 @@
 //! The handle that the other crates hold.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use mangofront_settings::ids::{Incarnation, InstanceId};
 
-use crate::demand::{Demand, EngineInfo, EngineOutcome, Estimate, NoEngine};
-use crate::engine::Engine;
-use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus, Verdict};
+use crate::border::length_class;
+use crate::choose::{Choice, Weighed, choose, needed_tokens, weigh_all};
+use crate::demand::{Demand, EngineInfo, EngineOutcome, Estimate, GroupMember, NoEngine};
+use crate::estimate::Asked;
+use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus};
+use crate::model::{Model, SharedEngine};
 use crate::options::PlacementOptions;
-use crate::placed::Placed;
+use crate::placed::{Guard, Placed};
 use crate::report::{CacheEvents, CacheSnapshot, CacheSync, LoadReport};
+use crate::view::Views;
+use crate::work::band;
 
-/// Prefill rate assumed before anything was observed, in tokens a second.
-const INITIAL_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+/// Work of a generated token, as a multiple of a prompt token's, in the count
+/// of demand: a decoding step serves a whole batch, yet does little for each.
+const DECODE_WEIGHT: f64 = 4.0;
+
+/// Deviations above the mean at which an answer's length is expected.
+const ANSWER_DEVIATIONS: f64 = 2.0;
 
 /// Chooses engines; clones share one view.
 #[derive(Debug, Clone)]
 pub struct Placement {
     options: Rc<PlacementOptions>,
-    engines: Rc<RefCell<BTreeMap<InstanceId, Rc<RefCell<Engine>>>>>,
+    views: Rc<RefCell<Views>>,
 }
 
 impl Placement {
     /// A placement that knows no engine yet.
     #[must_use]
     pub fn new(options: PlacementOptions) -> Self {
-        log::debug!("placement: daemon {} starts", options.daemon);
         Self {
             options: Rc::new(options),
-            engines: Rc::default(),
+            views: Rc::default(),
         }
     }
 
     /// Takes over the list of engines.
+    ///
+    /// What is known of an engine stays as long as it is listed or own requests
+    /// run there.
     pub fn set_engines(&self, listed: Vec<EngineInfo>) {
-        let mut engines = self.engines.borrow_mut();
-        engines.retain(|instance, _| listed.iter().any(|info| info.instance == *instance));
-        for info in listed {
-            match engines.get(&info.instance) {
-                Some(engine) => engine.borrow_mut().info = info,
-                None => {
-                    let engine = Rc::new(RefCell::new(Engine::new(info.clone())));
-                    engines.insert(info.instance, engine);
-                }
-            }
-        }
+        self.views.borrow_mut().set_engines(listed, self.now());
     }
 
     /// Takes in an engine's load report.
     pub fn report(&self, instance: &InstanceId, report: LoadReport) {
-        if let Some(engine) = self.engines.borrow().get(instance) {
-            engine.borrow_mut().report = Some(report);
+        let mut views = self.views.borrow_mut();
+        let Some(engine) = views.engines.get(instance).cloned() else {
+            return;
+        };
+        let mut engine = engine.borrow_mut();
+        let is_first = engine.report.is_none();
+        engine.take_report(report, self.now());
+        if let Some(model) = views
+            .models
+            .get_mut(&engine.info.model)
+            .filter(|_| is_first)
+        {
+            model.review_soon();
         }
     }
 
     /// Notes that an engine's load report could not be fetched.
-    pub fn report_failed(&self, _instance: &InstanceId) {}
+    pub fn report_failed(&self, instance: &InstanceId) {
+        if let Some(engine) = self.engine(instance) {
+            engine.borrow_mut().health.report_failed();
+        }
+    }
 
     /// Notes how a request ended on an engine.
-    pub fn outcome(&self, _instance: &InstanceId, _outcome: EngineOutcome) {}
+    pub fn outcome(&self, instance: &InstanceId, outcome: EngineOutcome) {
+        let Some(engine) = self.engine(instance) else {
+            return;
+        };
+        let now = self.now();
+        if !engine.borrow_mut().health.outcome(outcome, now) {
+            return;
+        }
+        let views = self.views.borrow();
+        let model = views.models.get(&engine.borrow().info.model);
+        if let Some(model) = model {
+            model.eject(&engine, "failed several times in a row", now);
+        }
+    }
 
     /// Takes in the whole content of an engine's prefix cache.
-    pub fn cache_snapshot(&self, _instance: &InstanceId, _snapshot: CacheSnapshot) {}
+    pub fn cache_snapshot(&self, instance: &InstanceId, snapshot: CacheSnapshot) {
+        if let Some(engine) = self.engine(instance) {
+            engine.borrow_mut().cache.snapshot(&snapshot);
+        }
+    }
 
     /// Takes in changes of an engine's prefix cache.
-    pub fn cache_events(&self, _instance: &InstanceId, events: CacheEvents) -> CacheSync {
-        CacheSync::InSync {
-            next_sequence: events.next_sequence,
+    pub fn cache_events(&self, instance: &InstanceId, events: CacheEvents) -> CacheSync {
+        match self.engine(instance) {
+            Some(engine) => engine.borrow_mut().cache.events(&events),
+            None => CacheSync::InSync {
+                next_sequence: events.next_sequence,
+            },
         }
     }
 
@@ -79,7 +114,8 @@
     /// # Errors
     /// [`NoEngine`] when no engine can take it.
     pub fn estimate(&self, demand: &Demand) -> Result<Estimate, NoEngine> {
-        self.best(demand, &[]).map(|_| estimate(demand))
+        let choice = self.decide(demand, &[])?;
+        Ok(choice.terms.estimate)
     }
 
     /// Chooses an engine, passing over those in `excluded`.
@@ -87,42 +123,76 @@
     /// # Errors
     /// [`NoEngine`] when no engine can take it.
     pub fn place(&self, demand: &Demand, excluded: &[InstanceId]) -> Result<Placed, NoEngine> {
-        let engine = self.best(demand, excluded)?;
-        engine.borrow_mut().outstanding += 1;
-        let info = engine.borrow().info.clone();
+        let choice = self.decide(demand, excluded)?;
+        let now = self.now();
+        let mut views = self.views.borrow_mut();
+        let Some(model) = views.models.get_mut(&demand.model) else {
+            return Err(NoEngine::UnknownModel);
+        };
+        count_demand(model, demand, &choice, now);
+        let mut guard = Guard::new(
+            self.options.clock.clone(),
+            choice.terms,
+            Rc::clone(&model.learned),
+            demand,
+        );
+        if choice.group.is_empty() {
+            let tokens = choice.terms.uncached_tokens;
+            let work = choice.terms.work(tokens, needed_tokens(demand), now);
+            let id = choice.engine.borrow_mut().own.add(work);
+            guard.works.push((Rc::clone(&choice.engine), id));
+        }
+        for (engine, tokens) in &choice.group {
+            let work = choice.terms.work(*tokens, *tokens, now);
+            let id = engine.borrow_mut().own.add(work);
+            guard.works.push((Rc::clone(engine), id));
+        }
+        let info = &choice.engine.borrow().info;
         Ok(Placed {
-            instance: info.instance,
+            instance: info.instance.clone(),
             address: info.address,
-            priority: priority(demand),
-            estimate: estimate(demand),
-            group: None,
-            engine,
+            priority: choice.terms.priority,
+            estimate: choice.terms.estimate,
+            group: members(&choice),
+            guard,
         })
     }
 
     /// This daemon's view of its own placements, for its peers.
     #[must_use]
     pub fn own_view(&self) -> Bytes {
-        Bytes::new()
+        let view = self.views.borrow_mut().own_view(self.now());
+        view.encode()
     }
 
     /// Takes in a peer's view of its own placements.
-    pub fn peer_view(&self, _daemon: &InstanceId, _incarnation: Incarnation, _view: Bytes) {}
+    pub fn peer_view(&self, daemon: &InstanceId, incarnation: Incarnation, view: Bytes) {
+        if *daemon == self.options.daemon {
+            return;
+        }
+        let mut views = self.views.borrow_mut();
+        views.peer_view(daemon, incarnation, &view, self.now());
+    }
 
     /// Lays open how `demand` would be placed, without placing it.
     #[must_use]
     pub fn explain(&self, demand: &Demand) -> Explanation {
-        let chosen = self.best(demand, &[]).ok();
-        let chosen = chosen.map(|engine| engine.borrow().info.instance.clone());
-        let engines = self.engines.borrow();
-        let considered = engines
-            .values()
-            .filter(|engine| engine.borrow().info.model == demand.model)
-            .map(|engine| consider(&engine.borrow(), demand, chosen.as_ref()))
-            .collect();
+        let decided = self.weigh(demand, &[], |model, weighed, choice| {
+            let considered = weighed
+                .iter()
+                .map(|weighed| Considered::of(&model.order[weighed.index], weighed, choice));
+            considered.collect()
+        });
+        let (choice, considered) = match decided {
+            Ok((choice, considered)) => (choice, considered),
+            Err(refused) => (Err(refused), Vec::new()),
+        };
+        let chosen = choice.as_ref().ok();
         Explanation {
             model: demand.model.clone(),
-            chosen,
+            chosen: chosen.map(|choice| choice.engine.borrow().info.instance.clone()),
+            group: chosen.and_then(members),
+            refused: choice.as_ref().err().copied(),
             considered,
         }
     }
@@ -130,78 +200,94 @@
     /// The view, for a status page.
     #[must_use]
     pub fn status(&self) -> PlacementStatus {
-        let engines = self.engines.borrow();
-        let engines = engines.values().map(|engine| status(&engine.borrow()));
+        let views = self.views.borrow();
+        let now = self.now();
+        let engines = views.engines.values();
         PlacementStatus {
-            engines: engines.collect(),
+            peers: views.peers.len(),
+            engines: engines
+                .map(|engine| EngineStatus::of(&engine.borrow(), &views, now))
+                .collect(),
         }
     }
 
-    /// Outstanding requests, the own availability zone first among equals.
-    fn load(&self, engine: &Engine) -> (u32, bool) {
-        let elsewhere = engine.info.availability_zone != self.options.availability_zone;
-        (engine.outstanding, elsewhere)
+    fn now(&self) -> Instant {
+        self.options.clock.now()
     }
 
-    fn best(
+    fn engine(&self, instance: &InstanceId) -> Option<SharedEngine> {
+        self.views.borrow().engines.get(instance).cloned()
+    }
+
+    fn decide(&self, demand: &Demand, excluded: &[InstanceId]) -> Result<Choice, NoEngine> {
+        let (choice, ()) = self.weigh(demand, excluded, |_, _, _| ())?;
+        choice
+    }
+
+    /// Decides on `demand` and has `look` see what the decision was made from.
+    fn weigh<T>(
         &self,
         demand: &Demand,
         excluded: &[InstanceId],
-    ) -> Result<Rc<RefCell<Engine>>, NoEngine> {
-        let engines = self.engines.borrow();
-        let mut of_model = engines
-            .values()
-            .filter(|engine| engine.borrow().info.model == demand.model)
-            .peekable();
-        if of_model.peek().is_none() {
-            return Err(NoEngine::UnknownModel);
-        }
-        of_model
-            .filter(|engine| !engine.borrow().is_leaving())
-            .filter(|engine| !excluded.contains(&engine.borrow().info.instance))
-            .min_by_key(|engine| self.load(&engine.borrow()))
-            .cloned()
-            .ok_or(NoEngine::NoneUsable)
+        look: impl FnOnce(&Model, &[Weighed], &Result<Choice, NoEngine>) -> T,
+    ) -> Result<(Result<Choice, NoEngine>, T), NoEngine> {
+        let now = self.now();
+        let mut views = self.views.borrow_mut();
+        views.expire_peers(now);
+        let model = views.models.get_mut(&demand.model);
+        let model = model.ok_or(NoEngine::UnknownModel)?;
+        model.review(now);
+        let asked = Asked {
+            demand,
+            now,
+            availability_zone: &self.options.availability_zone,
+            zone_penalty: self.options.zone_penalty,
+            intervals: model.demand.intervals(now),
+            ahead_share: model.ahead_share(now),
+            typical: model.typical,
+            answer_tokens: answer_tokens(model, demand),
+        };
+        let weighed = weigh_all(model, &asked, excluded);
+        let choice = choose(model, &asked, &weighed, &self.options);
+        let seen = look(model, &weighed, &choice);
+        Ok((choice, seen))
     }
 }
 
-fn consider(engine: &Engine, demand: &Demand, chosen: Option<&InstanceId>) -> Considered {
-    let verdict = if engine.is_leaving() {
-        Verdict::Leaving
-    } else if chosen == Some(&engine.info.instance) {
-        Verdict::Chosen
-    } else {
-        Verdict::CostsMore
-    };
-    Considered {
-        instance: engine.info.instance.clone(),
-        availability_zone: engine.info.availability_zone.clone(),
-        estimate: estimate(demand),
-        verdict,
-    }
+/// Expected length of the answer, in tokens.
+fn answer_tokens(model: &Model, demand: &Demand) -> f64 {
+    let learned = model.learned.borrow();
+    let share = learned.answer_share.upper(ANSWER_DEVIATIONS).unwrap_or(1.0);
+    (f64::from(demand.max_tokens) * share.min(1.0)).max(1.0)
 }
 
-fn status(engine: &Engine) -> EngineStatus {
-    EngineStatus {
-        instance: engine.info.instance.clone(),
-        model: engine.info.model.clone(),
-        availability_zone: engine.info.availability_zone.clone(),
-        leaving: engine.is_leaving(),
-        outstanding: engine.outstanding,
-    }
+fn count_demand(model: &mut Model, demand: &Demand, choice: &Choice, now: Instant) {
+    let uncached_tokens = choice.terms.uncached_tokens;
+    let prefill_tokens = if choice.group.is_empty() {
+        uncached_tokens
+    } else {
+        demand.length_tokens
+    };
+    let decode_tokens = DECODE_WEIGHT * answer_tokens(model, demand);
+    let class = length_class(prefill_tokens);
+    model
+        .demand
+        .add(class, prefill_tokens as f64 + decode_tokens, now);
+    model.add_to_mix(band(choice.terms.priority), prefill_tokens as f64, now);
+    model.next_round = model.next_round.wrapping_add(1);
 }
 
-fn estimate(demand: &Demand) -> Estimate {
-    let prefill_s = demand.length_tokens as f64 / INITIAL_PREFILL_TOKENS_PER_S;
-    let time_to_first_token = Duration::from_secs_f64(prefill_s);
-    Estimate {
-        time_to_first_token,
-        completion: time_to_first_token,
-        queue: Duration::ZERO,
+fn members(choice: &Choice) -> Option<Vec<GroupMember>> {
+    if choice.group.is_empty() {
+        return None;
     }
-}
-
-fn priority(demand: &Demand) -> u8 {
-    let doublings = (demand.length_tokens / 1_000).max(1).ilog2();
-    u8::try_from(doublings * 16).unwrap_or(u8::MAX)
+    let members = choice.group.iter().map(|(engine, tokens)| {
+        let info = &engine.borrow().info;
+        GroupMember {
+            instance: info.instance.clone(),
+            address: info.address,
+            tokens: *tokens,
+        }
+    });
+    Some(members.collect())
 }
--- /dev/null
+++ b/crates/placement/src/view.rs
@@ -0,0 +1,184 @@
+//! Everything that one daemon knows: engines, models and peers' views.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use mangofront_settings::ids::{Incarnation, InstanceId, ModelName};
+
+use crate::demand::EngineInfo;
+use crate::engine::{Engine, PeerWork};
+use crate::gossip::{ModelDemand, NameKey, PeerViews, View, name_key};
+use crate::health::Health;
+use crate::model::{Model, SharedEngine};
+
+/// The view behind a [`Placement`](crate::Placement).
+///
+/// Invariants: a listed engine stands in `engines` and in its model's order; an
+/// engine that is no longer listed stands in `engines` only while own requests
+/// run there, marked as leaving. The peers' sums in engines and models are
+/// those of the views in `peers`.
+#[derive(Debug, Default)]
+pub(crate) struct Views {
+    pub(crate) engines: BTreeMap<InstanceId, SharedEngine>,
+    pub(crate) models: BTreeMap<ModelName, Model>,
+    pub(crate) peers: PeerViews,
+    by_key: BTreeMap<NameKey, SharedEngine>,
+    sent_views: u64,
+}
+
+impl Views {
+    /// Takes over the list of engines.
+    pub(crate) fn set_engines(&mut self, listed: Vec<EngineInfo>, now: Instant) {
+        for engine in self.engines.values() {
+            engine.borrow_mut().info.leaving = true;
+        }
+        let mut orders: BTreeMap<ModelName, Vec<SharedEngine>> = BTreeMap::new();
+        for info in listed {
+            let engine = self.listed_engine(&info, now);
+            orders.entry(info.model).or_default().push(engine);
+        }
+        self.models.retain(|name, _| orders.contains_key(name));
+        for (name, order) in orders {
+            let model = self.models.entry(name);
+            let model = model.or_insert_with_key(Model::new);
+            model.set_order(order);
+        }
+        self.forget_unlisted();
+        self.recount_peers();
+    }
+
+    /// Takes in a peer's view.
+    pub(crate) fn peer_view(
+        &mut self,
+        daemon: &InstanceId,
+        incarnation: Incarnation,
+        encoded: &[u8],
+        now: Instant,
+    ) {
+        let peer = name_key(daemon);
+        if let Some((former, view)) = self.peers.accept(daemon, incarnation, encoded, now) {
+            remove_view(&self.by_key, &mut self.models, peer, &former);
+            add_view(&self.by_key, &mut self.models, peer, view);
+        }
+        self.expire_peers(now);
+    }
+
+    /// Drops the views of peers that have been silent for too long.
+    pub(crate) fn expire_peers(&mut self, now: Instant) {
+        for (daemon, view) in self.peers.expire(now) {
+            log::info!("placement: view of {daemon} has expired");
+            remove_view(&self.by_key, &mut self.models, name_key(&daemon), &view);
+        }
+    }
+
+    /// This daemon's own outstanding work and demand.
+    pub(crate) fn own_view(&mut self, now: Instant) -> View {
+        self.sent_views += 1;
+        let engines = self.engines.values();
+        let models = self.models.values().map(|model| ModelDemand {
+            model: model.key,
+            tokens: model.demand.own_tokens(now),
+        });
+        View {
+            sequence: self.sent_views,
+            models: models.collect(),
+            engines: engines
+                .map(|engine| engine.borrow().own_work())
+                .filter(|work| work.outstanding > 0)
+                .collect(),
+        }
+    }
+
+    fn listed_engine(&mut self, info: &EngineInfo, now: Instant) -> SharedEngine {
+        if let Some(engine) = self.engines.get(&info.instance) {
+            let is_same = {
+                let known = &engine.borrow().info;
+                known.model == info.model && known.address == info.address
+            };
+            if is_same {
+                engine.borrow_mut().info = info.clone();
+                return Rc::clone(engine);
+            }
+        }
+        // Newcomers to a model in service start slowly; a whole list doesn't.
+        let health = if self.models.contains_key(&info.model) {
+            Health::newcomer(now)
+        } else {
+            Health::settled()
+        };
+        let engine = Rc::new(RefCell::new(Engine::new(info.clone(), health)));
+        self.engines
+            .insert(info.instance.clone(), Rc::clone(&engine));
+        engine
+    }
+
+    fn forget_unlisted(&mut self) {
+        let models = &self.models;
+        self.engines.retain(|_, engine| {
+            let is_listed = models
+                .get(&engine.borrow().info.model)
+                .is_some_and(|model| model.order.iter().any(|other| Rc::ptr_eq(other, engine)));
+            is_listed || engine.borrow().own.outstanding() > 0
+        });
+        let engines = self.engines.values();
+        self.by_key = engines
+            .map(|engine| (engine.borrow().key, Rc::clone(engine)))
+            .collect();
+    }
+
+    fn recount_peers(&mut self) {
+        for engine in self.engines.values() {
+            engine.borrow_mut().peers = PeerWork::default();
+        }
+        for model in self.models.values_mut() {
+            model.demand.clear_peers();
+        }
+        for (daemon, view) in self.peers.iter() {
+            add_view(&self.by_key, &mut self.models, name_key(daemon), view);
+        }
+    }
+}
+
+fn add_view(
+    engines: &BTreeMap<NameKey, SharedEngine>,
+    models: &mut BTreeMap<ModelName, Model>,
+    peer: NameKey,
+    view: &View,
+) {
+    for work in &view.engines {
+        if let Some(engine) = engines.get(&work.engine) {
+            engine.borrow_mut().peers.add(peer, work);
+        }
+    }
+    for demand in &view.models {
+        for model in models
+            .values_mut()
+            .filter(|model| model.key == demand.model)
+        {
+            model.demand.add_peer(&demand.tokens);
+        }
+    }
+}
+
+fn remove_view(
+    engines: &BTreeMap<NameKey, SharedEngine>,
+    models: &mut BTreeMap<ModelName, Model>,
+    peer: NameKey,
+    view: &View,
+) {
+    for work in &view.engines {
+        if let Some(engine) = engines.get(&work.engine) {
+            engine.borrow_mut().peers.remove(peer, work);
+        }
+    }
+    for demand in &view.models {
+        for model in models
+            .values_mut()
+            .filter(|model| model.key == demand.model)
+        {
+            model.demand.remove_peer(&demand.tokens);
+        }
+    }
+}
