--- a/crates/admission/src/backoff.rs
+++ b/crates/admission/src/backoff.rs
@@ -2,13 +2,38 @@
 
 use std::time::Duration;
 
+/// Even draws from 0 to 1, by xorshift.
+///
+/// Invariant: the state is never zero, which the generator would not leave.
+#[derive(Debug, Clone)]
+pub(crate) struct Jitter(u64);
+
+impl Default for Jitter {
+    fn default() -> Self {
+        Self::seeded(0x9E37_79B9_7F4A_7C15)
+    }
+}
+
+impl Jitter {
+    pub(crate) fn seeded(seed: u64) -> Self {
+        Self(seed | 1)
+    }
+
+    pub(crate) fn draw(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
 /// Waits that grow twofold up to a limit, each drawn evenly from zero to its
 /// bound.
 #[derive(Debug, Clone)]
 pub struct Backoff {
     next_bound: Duration,
     limit: Duration,
-    random: u64,
+    jitter: Jitter,
 }
 
 impl Backoff {
@@ -18,8 +43,7 @@
         Self {
             next_bound: first.min(limit),
             limit,
-            // The generator never leaves zero.
-            random: seed | 1,
+            jitter: Jitter::seeded(seed),
         }
     }
 
@@ -27,14 +51,6 @@
     pub fn next_wait(&mut self) -> Duration {
         let bound = self.next_bound;
         self.next_bound = (bound * 2).min(self.limit);
-        bound.mul_f64(self.draw())
-    }
-
-    /// An even draw from 0 to 1, by xorshift.
-    fn draw(&mut self) -> f64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        (self.random >> 11) as f64 / (1_u64 << 53) as f64
+        bound.mul_f64(self.jitter.draw())
     }
 }
--- a/crates/admission/src/retry.rs
+++ b/crates/admission/src/retry.rs
@@ -1,7 +1,7 @@
 //! A budget that keeps retries a small share of the successes.
 //!
 //! When engines fail in numbers, retries would add load just when there is
-//! least room. Each success pays a fraction of a retry into a small store; a
+//! least room. Each request that got its first token pays a fraction of a retry into a store; a
 //! retry is made only when the store holds a whole one.
 
 use std::cell::Cell;
