--- /dev/null
+++ b/tests/processes/sessions.rs
@@ -0,0 +1,172 @@
+//! Golden files of whole sessions.
+
+use insta::assert_snapshot;
+use mangofront_prompt::Endpoint;
+use mangofront_standin::answer::{length_tokens, token_text};
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, Plan, wait_until};
+
+/// A technician's question.
+fn question(max_tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "assist-llm",
+        "prompt": "Copier 12 shows E-045 after a paper jam in tray 2. What first?",
+        "max_tokens": max_tokens,
+        "stream": stream
+    })
+}
+
+/// The text that the emulated engine gives to `body`.
+fn expected_text(endpoint: Endpoint, body: &Value) -> String {
+    let prompt = mangofront_prompt::read(endpoint, body.to_string().as_bytes());
+    let prompt = prompt.expect("the body is a request");
+    let length = length_tokens(prompt.digest, prompt.max_tokens);
+    (0..length)
+        .map(|offset| token_text(prompt.digest, offset))
+        .collect()
+}
+
+fn counter(fleet: &Fleet, engine: usize, name: &str) -> u64 {
+    let counters = fleet.engine(engine).get("/control/counters").json();
+    counters[name].as_u64().unwrap_or_default()
+}
+
+#[test]
+fn streamed_answer() {
+    let fleet = Fleet::start(Plan::default());
+    let answer = fleet.caller(0).post("/v1/completions", &question(5, true));
+    assert_eq!(
+        answer.text(),
+        expected_text(Endpoint::Completions, &question(5, true))
+    );
+    assert_snapshot!(answer.record());
+}
+
+#[test]
+fn plain_answer() {
+    let fleet = Fleet::start(Plan::default());
+    let messages = json!([
+        {"role": "system", "content": "Answer briefly."},
+        {"role": "user", "content": "Which menus are free of nuts?"}
+    ]);
+    let body = json!({"model": "assist-llm", "messages": messages, "max_tokens": 4});
+    let answer = fleet.caller(0).post("/v1/chat/completions", &body);
+    assert_eq!(
+        answer.text(),
+        expected_text(Endpoint::ChatCompletions, &body)
+    );
+    assert_snapshot!(answer.record());
+}
+
+#[test]
+fn refused_requests() {
+    let fleet = Fleet::start(Plan::default());
+    let caller = fleet.caller(0);
+    let path = "/v1/completions";
+    let asked = question(4, false);
+    let no_tokens = question(0, false);
+    let mut other_model = asked.clone();
+    other_model["model"] = json!("other-llm");
+    let records = [
+        (
+            "malformed body",
+            caller.send(http::Method::POST, path, "{\"model\":".into()),
+        ),
+        ("no token wanted", caller.post(path, &no_tokens)),
+        (
+            "unknown class",
+            caller.with("mangofront-class", "haste").post(path, &asked),
+        ),
+        (
+            "unknown organisation",
+            caller
+                .with("mangofront-organisation", "x")
+                .post(path, &asked),
+        ),
+        (
+            "no organisation",
+            caller.without("mangofront-organisation").post(path, &asked),
+        ),
+        ("unknown model", caller.post(path, &other_model)),
+        ("unknown path", caller.get("/v2/models")),
+        ("wrong method", caller.get(path)),
+        ("unknown service", caller.get("/v1/services/billing/open")),
+        (
+            "order without key",
+            caller.post("/v1/services/fleet-ops/orders/toner", &json!({})),
+        ),
+        (
+            "body too large",
+            caller.send(http::Method::POST, path, vec![b' '; (16 << 20) + 1].into()),
+        ),
+    ];
+    let session: Vec<String> = records
+        .iter()
+        .map(|(name, answer)| format!("== {name}\n{}\n", answer.record()))
+        .collect();
+    assert_snapshot!(session.join("\n"));
+    assert_eq!(
+        counter(&fleet, 0, "started") + counter(&fleet, 1, "started"),
+        0
+    );
+}
+
+#[test]
+fn service_order() {
+    let fleet = Fleet::start(Plan::default());
+    let minted = fleet.caller(0).post("/v1/idempotency-keys", &json!({}));
+    assert_eq!(minted.status, 201);
+    let key = minted.json()["key"]
+        .as_str()
+        .expect("a key is minted")
+        .to_owned();
+    let caller = fleet.caller(0).with("idempotency-key", &key);
+    let order = json!({"toner": "black", "copies": 2});
+    let path = "/v1/services/fleet-ops/orders/toner";
+    let first = caller.post(path, &order);
+    let again = caller.post(path, &order);
+    let other = caller.post(path, &json!({"toner": "cyan", "copies": 1}));
+    let session = [first.record(), again.record(), other.record()].join("\n\n");
+    assert_snapshot!(session);
+    let counters = fleet.service(0).get("/control/counters").json();
+    assert_eq!(counters["by_key"][&key], 1);
+}
+
+#[test]
+fn engine_dies_in_mid_stream() {
+    let fleet = Fleet::start(Plan::default());
+    let body = question(40, true);
+    // Of four requests at least one goes to the first engine, which dies; the
+    // other one takes over.
+    fleet
+        .engine(0)
+        .post("/control", &json!({"die_after_tokens": 5}));
+    let answers: Vec<_> = (0..4)
+        .map(|_| fleet.caller(0).post("/v1/completions", &body))
+        .collect();
+    for answer in &answers {
+        assert_eq!(answer.text(), expected_text(Endpoint::Completions, &body));
+        assert!(answer.whole && answer.body.ends_with("data: [DONE]\n\n"));
+    }
+    wait_until("the first engine died", || {
+        fleet.engine(0).get("/v1/health").status == 0
+    });
+    assert_snapshot!(answers[0].record());
+}
+
+#[test]
+fn cancelled_request() {
+    let fleet = Fleet::start(Plan::default());
+    let answer = fleet
+        .caller(0)
+        .leave_after(3, "/v1/completions", &question(2000, true));
+    assert_eq!(answer.status, 200);
+    let cancelled = || counter(&fleet, 0, "cancelled") + counter(&fleet, 1, "cancelled");
+    wait_until("the engine cancels the answer", || cancelled() == 1);
+    let used = || counter(&fleet, 0, "kv_used_tokens") + counter(&fleet, 1, "kv_used_tokens");
+    wait_until("the memory comes back", || used() == 0);
+    wait_until("the daemon forgets the request", || {
+        fleet.operator(0).get("/status").json()["daemon"]["requests_in_progress"] == 0
+    });
+}
