Show nested values of a status with dotted keys

Cause: a trial against the daemon as it stands showed its platform section as lines of JSON. Change: objects below a section become rows with their keys joined by dots.

--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -2,8 +2,9 @@
 //!
 //! Plain values at the top come first; every other key becomes a section:
 //! aligned pairs for an object, a table for a list of objects or for an object
-//! whose values are objects. What is nested deeper is shown as JSON. No field
-//! is known by name, so a newer daemon's status is shown whole.
+//! whose values are objects. What is nested deeper is shown with its keys joined
+//! by dots, or as JSON in a table. No field is known by name, so a newer
+//! daemon's status is shown whole.
 
 use serde_json::{Map, Value};
 
@@ -55,10 +56,23 @@
 }
 
 fn pairs<'a>(entries: impl IntoIterator<Item = (&'a String, &'a Value)>) -> Vec<Row> {
-    let entries = entries.into_iter();
-    entries
-        .map(|(key, value)| vec![plain(key), cell(value)])
-        .collect()
+    let mut rows = Vec::new();
+    for (key, value) in entries {
+        flatten(plain(key), value, &mut rows);
+    }
+    rows
+}
+
+/// One row for each value that is no object, its keys joined by dots.
+fn flatten(path: String, value: &Value, rows: &mut Vec<Row>) {
+    match value {
+        Value::Object(object) if !object.is_empty() => {
+            for (key, below) in object {
+                flatten(format!("{path}.{}", plain(key)), below, rows);
+            }
+        }
+        _ => rows.push(vec![path, cell(value)]),
+    }
 }
 
 /// A head and a row for each object; the columns are all their keys.
@@ -92,6 +106,7 @@
         Value::Null => "-".to_owned(),
         Value::String(text) => plain(text),
         Value::Array(elements) if elements.is_empty() => "-".to_owned(),
+        Value::Object(object) if object.is_empty() => "-".to_owned(),
         Value::Array(elements) if !elements.iter().any(|one| one.is_object() || one.is_array()) => {
             elements.iter().map(cell).collect::<Vec<_>>().join(", ")
         }
