Pin the queue estimate by tests

Cause: three mutations of the estimate survived: without own placements since the report, without the report's fading, and without peers' work in either sum.

Change: two tests that give the queue to the millisecond.

--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -57,6 +57,60 @@
     drop(held);
 }
 
+#[test]
+fn the_queue_is_what_others_left_and_what_was_placed_since() {
+    let fleet = fleet(1);
+    let mut busy = report(2);
+    busy.waiting_prefill_tokens = 50_000;
+    fleet.placement.report(&"engine-0".to_owned(), busy);
+    let held = place(&fleet, 1);
+    let queue = || {
+        fleet
+            .placement
+            .estimate(&fleet.demand(8_000))
+            .unwrap()
+            .queue
+    };
+    assert_eq!(queue().as_millis(), 5_800);
+    // The engine makes headway between two reports.
+    fleet.clock.advance(Duration::from_secs(1));
+    assert_eq!(queue().as_millis(), 4_800);
+    drop(held);
+    assert_eq!(queue().as_millis(), 4_000);
+}
+
+#[test]
+fn what_a_report_and_a_peer_both_tell_counts_once() {
+    let clock = Clock::manual(Instant::now());
+    let one = daemon("entry-1", 1, clock.clone(), Policy::LengthAware);
+    let other = daemon("entry-2", 1, clock.clone(), Policy::LengthAware);
+    let held = place(&one, 5);
+    let queue = || {
+        other
+            .placement
+            .estimate(&other.demand(8_000))
+            .unwrap()
+            .queue
+    };
+    other
+        .placement
+        .peer_view(&"entry-1".to_owned(), 1, one.placement.own_view());
+    assert_eq!(queue().as_millis(), 4_000, "told by the peer");
+    clock.advance(Duration::from_millis(1));
+    let mut busy = report(2);
+    busy.waiting_prefill_tokens = 40_000;
+    for daemon in [&one, &other] {
+        daemon
+            .placement
+            .report(&"engine-0".to_owned(), busy.clone());
+    }
+    other
+        .placement
+        .peer_view(&"entry-1".to_owned(), 1, one.placement.own_view());
+    assert_eq!(queue().as_millis(), 4_000, "told by both");
+    drop(held);
+}
+
 #[test]
 fn peers_views_avoid_herding() {
     let clock = Clock::manual(Instant::now());
