Check the services' own counts, judge steps apart, describe the tool

Cause: an answer can only tell of the runs before it, so a double that came after the last answer stayed unseen. A closed pipe ended `compare` with a panic. Goodput fell with the quiet time after the last arrival.

Weighed: goodput by the whole run was ruled out, since the tail after the last arrival depends on the longest answer and not on the load; what ended while requests arrived, by that time, is steady.

Figures: none taken against a daemon.

Conclusion: the tool is whole but for a trial against a daemon.

--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity/mod.rs
@@ -4,15 +4,15 @@
 //! answers come, in time and right; a step in which the generator itself was
 //! late says nothing of the target and ends the search.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+mod plan;
 
 use cyper::Client;
 use serde::{Deserialize, Serialize};
 
-use crate::answers::AnswerRule;
+pub use plan::CapacityPlan;
+
 use crate::generator::{Record, generate};
-use crate::process::{Pid, Usage, UsageError, UsageReport};
+use crate::process::{Usage, UsageError, UsageReport};
 use crate::report::{Counts, GeneratorReport, RunFacts, build};
 use crate::requests::Requests;
 use crate::scenario::{Endpoint, Kind, LengthRange, ModelKind, Scenario};
@@ -27,125 +27,6 @@
 /// milliseconds.
 const LATENESS_LIMIT_MS: f64 = 20.0;
 
-/// Rate of the first step, in requests a second.
-const DEFAULT_FIRST_RATE_PER_S: f64 = 50.0;
-
-/// Factor from step to step.
-const DEFAULT_GROWTH: f64 = 1.25;
-
-/// Length of a step.
-const DEFAULT_STEP: Duration = Duration::from_secs(5);
-
-/// Most steps.
-const DEFAULT_STEPS_CAP: u64 = 25;
-
-/// Greatest time to first token at p99, in milliseconds: the users' target.
-const DEFAULT_FIRST_TOKEN_LIMIT_MS: f64 = 520.0;
-
-/// Length of the prompts, in tokens.
-const DEFAULT_LENGTH_TOKENS: u64 = 200;
-
-/// Answer limit, in tokens.
-const DEFAULT_MAX_TOKENS: u32 = 16;
-
-/// How to look for the highest rate.
-#[derive(Debug, Clone)]
-pub struct CapacityPlan {
-    targets: Vec<SocketAddr>,
-    pid: Option<Pid>,
-    rule: AnswerRule,
-    first_rate_per_s: f64,
-    growth: f64,
-    step: Duration,
-    steps_cap: u64,
-    first_token_limit_ms: f64,
-    length_tokens: u64,
-    max_tokens: u32,
-}
-
-impl CapacityPlan {
-    /// Search of the highest rate that `targets` hold.
-    #[must_use]
-    pub const fn new(targets: Vec<SocketAddr>) -> Self {
-        Self {
-            targets,
-            pid: None,
-            rule: AnswerRule::standin(),
-            first_rate_per_s: DEFAULT_FIRST_RATE_PER_S,
-            growth: DEFAULT_GROWTH,
-            step: DEFAULT_STEP,
-            steps_cap: DEFAULT_STEPS_CAP,
-            first_token_limit_ms: DEFAULT_FIRST_TOKEN_LIMIT_MS,
-            length_tokens: DEFAULT_LENGTH_TOKENS,
-            max_tokens: DEFAULT_MAX_TOKENS,
-        }
-    }
-
-    /// Process whose usage is read; none by default.
-    #[must_use]
-    pub const fn pid(mut self, pid: Option<Pid>) -> Self {
-        self.pid = pid;
-        self
-    }
-
-    /// Rule by which engines answer; the emulated engine's by default.
-    #[must_use]
-    pub const fn rule(mut self, rule: AnswerRule) -> Self {
-        self.rule = rule;
-        self
-    }
-
-    /// Rate of the first step, in requests a second; 50 by default.
-    #[must_use]
-    pub const fn first_rate_per_s(mut self, rate_per_s: f64) -> Self {
-        self.first_rate_per_s = rate_per_s;
-        self
-    }
-
-    /// Factor from step to step, above 1; 1.25 by default.
-    #[must_use]
-    pub const fn growth(mut self, growth: f64) -> Self {
-        self.growth = growth;
-        self
-    }
-
-    /// Length of a step; 5 s by default.
-    #[must_use]
-    pub const fn step(mut self, step: Duration) -> Self {
-        self.step = step;
-        self
-    }
-
-    /// Most steps; 25 by default.
-    #[must_use]
-    pub const fn steps_cap(mut self, steps_cap: u64) -> Self {
-        self.steps_cap = steps_cap;
-        self
-    }
-
-    /// Greatest time to first token at p99 of a step that is held, in
-    /// milliseconds; 520 by default.
-    #[must_use]
-    pub const fn first_token_limit_ms(mut self, limit_ms: f64) -> Self {
-        self.first_token_limit_ms = limit_ms;
-        self
-    }
-
-    /// Length of the prompts, in tokens; 200 by default.
-    #[must_use]
-    pub const fn length_tokens(mut self, length_tokens: u64) -> Self {
-        self.length_tokens = length_tokens;
-        self
-    }
-
-    /// Answer limit, in tokens; 16 by default.
-    #[must_use]
-    pub const fn max_tokens(mut self, max_tokens: u32) -> Self {
-        self.max_tokens = max_tokens;
-        self
-    }
-}
-
 /// Result of the search.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CapacityReport {
@@ -190,7 +71,10 @@
     WrongAnswer,
     /// First tokens came too late.
     Slow,
-    /// The generator was late or left requests out.
+    /// More requests were under way at once than the plan allows: answers take
+    /// too long for the rate.
+    ConcurrencyCap,
+    /// The generator was late.
     GeneratorSaturated,
 }
 
@@ -227,6 +111,7 @@
 fn short_requests(base: &Scenario, plan: &CapacityPlan) -> Scenario {
     let mut scenario = base.clone();
     scenario.request_cap = usize::MAX;
+    scenario.concurrency_cap = plan.concurrency_cap;
     scenario.histories_per_organisation = 0;
     scenario.mix = base
         .first_model()
@@ -322,8 +207,10 @@
         StepEnd::WrongAnswer
     } else if error_share > ERROR_SHARE {
         StepEnd::Errors
-    } else if generator_failure > 0 || step.generator.lateness.p99_ms > LATENESS_LIMIT_MS {
+    } else if step.generator.lateness.p99_ms > LATENESS_LIMIT_MS {
         StepEnd::GeneratorSaturated
+    } else if generator_failure > 0 {
+        StepEnd::ConcurrencyCap
     } else if step.time_to_first_token.p99_ms > first_token_limit_ms {
         StepEnd::Slow
     } else {
--- /dev/null
+++ b/crates/load/src/capacity/plan.rs
@@ -0,0 +1,138 @@
+//! How to look for the highest rate.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::answers::AnswerRule;
+use crate::process::Pid;
+
+/// Rate of the first step, in requests a second.
+const DEFAULT_FIRST_RATE_PER_S: f64 = 50.0;
+
+/// Factor from step to step.
+const DEFAULT_GROWTH: f64 = 1.25;
+
+/// Length of a step.
+const DEFAULT_STEP: Duration = Duration::from_secs(5);
+
+/// Most steps.
+const DEFAULT_STEPS_CAP: u64 = 25;
+
+/// Greatest time to first token at p99, in milliseconds: the users' target.
+const DEFAULT_FIRST_TOKEN_LIMIT_MS: f64 = 520.0;
+
+/// Length of the prompts, in tokens.
+const DEFAULT_LENGTH_TOKENS: u64 = 200;
+
+/// Answer limit, in tokens.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// Most requests under way at once.
+const DEFAULT_CONCURRENCY_CAP: usize = 2000;
+
+/// How to look for the highest rate.
+#[derive(Debug, Clone)]
+pub struct CapacityPlan {
+    pub(super) targets: Vec<SocketAddr>,
+    pub(super) pid: Option<Pid>,
+    pub(super) rule: AnswerRule,
+    pub(super) first_rate_per_s: f64,
+    pub(super) growth: f64,
+    pub(super) step: Duration,
+    pub(super) steps_cap: u64,
+    pub(super) first_token_limit_ms: f64,
+    pub(super) length_tokens: u64,
+    pub(super) max_tokens: u32,
+    pub(super) concurrency_cap: usize,
+}
+
+impl CapacityPlan {
+    /// Search of the highest rate that `targets` hold.
+    #[must_use]
+    pub const fn new(targets: Vec<SocketAddr>) -> Self {
+        Self {
+            targets,
+            pid: None,
+            rule: AnswerRule::standin(),
+            first_rate_per_s: DEFAULT_FIRST_RATE_PER_S,
+            growth: DEFAULT_GROWTH,
+            step: DEFAULT_STEP,
+            steps_cap: DEFAULT_STEPS_CAP,
+            first_token_limit_ms: DEFAULT_FIRST_TOKEN_LIMIT_MS,
+            length_tokens: DEFAULT_LENGTH_TOKENS,
+            max_tokens: DEFAULT_MAX_TOKENS,
+            concurrency_cap: DEFAULT_CONCURRENCY_CAP,
+        }
+    }
+
+    /// Process whose usage is read; none by default.
+    #[must_use]
+    pub const fn pid(mut self, pid: Option<Pid>) -> Self {
+        self.pid = pid;
+        self
+    }
+
+    /// Rule by which engines answer; the emulated engine's by default.
+    #[must_use]
+    pub const fn rule(mut self, rule: AnswerRule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    /// Rate of the first step, in requests a second; 50 by default.
+    #[must_use]
+    pub const fn first_rate_per_s(mut self, rate_per_s: f64) -> Self {
+        self.first_rate_per_s = rate_per_s;
+        self
+    }
+
+    /// Factor from step to step, above 1; 1.25 by default.
+    #[must_use]
+    pub const fn growth(mut self, growth: f64) -> Self {
+        self.growth = growth;
+        self
+    }
+
+    /// Length of a step; 5 s by default.
+    #[must_use]
+    pub const fn step(mut self, step: Duration) -> Self {
+        self.step = step;
+        self
+    }
+
+    /// Most steps; 25 by default.
+    #[must_use]
+    pub const fn steps_cap(mut self, steps_cap: u64) -> Self {
+        self.steps_cap = steps_cap;
+        self
+    }
+
+    /// Greatest time to first token at p99 of a step that is held, in
+    /// milliseconds; 520 by default.
+    #[must_use]
+    pub const fn first_token_limit_ms(mut self, limit_ms: f64) -> Self {
+        self.first_token_limit_ms = limit_ms;
+        self
+    }
+
+    /// Length of the prompts, in tokens; 200 by default.
+    #[must_use]
+    pub const fn length_tokens(mut self, length_tokens: u64) -> Self {
+        self.length_tokens = length_tokens;
+        self
+    }
+
+    /// Answer limit, in tokens; 16 by default.
+    #[must_use]
+    pub const fn max_tokens(mut self, max_tokens: u32) -> Self {
+        self.max_tokens = max_tokens;
+        self
+    }
+
+    /// Most requests under way at once; 2000 by default.
+    #[must_use]
+    pub const fn concurrency_cap(mut self, concurrency_cap: usize) -> Self {
+        self.concurrency_cap = concurrency_cap;
+        self
+    }
+}
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -1,11 +1,12 @@
 //! `mangofront load capacity`: the highest rate that is held.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use pico_args::Arguments;
 
 use super::{
-    CommandError, Verdict, addresses, block_on, finish, opt_positive, opt_whole, usage_line,
+    CommandError, Verdict, addresses, block_on, emit, finish, opt_positive, opt_whole, usage_line,
     write_json,
 };
 use crate::capacity::{CapacityPlan, CapacityReport, StepEnd, StepReport, search};
@@ -17,7 +18,7 @@
     let json: Option<String> = args.opt_value_from_str("--json")?;
     finish(args)?;
     let report = block_on(run(&scenario, &plan))?;
-    print(&report);
+    emit(|text| write(text, &report))?;
     if let Some(path) = &json {
         write_json(path, &report)?;
     }
@@ -46,6 +47,9 @@
     if let Some(limit_ms) = opt_positive(args, "--p99-ms")? {
         plan = plan.first_token_limit_ms(limit_ms);
     }
+    if let Some(cap) = opt_whole(args, "--concurrency-cap")? {
+        plan = plan.concurrency_cap(cap);
+    }
     if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
         plan = plan.length_tokens(length_tokens);
     }
@@ -60,8 +64,9 @@
     Ok(search(&client, scenario, plan).await?)
 }
 
-fn print(report: &CapacityReport) {
-    println!(
+fn write(text: &mut String, report: &CapacityReport) -> std::fmt::Result {
+    writeln!(
+        text,
         "{:>9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>8}{:>8}{:>12}  {:<20}usage",
         "rate/s",
         "done/s",
@@ -73,20 +78,22 @@
         "wrong",
         "late p99 ms",
         "judgement",
-    );
+    )?;
     for step in &report.steps {
-        print_step(step);
+        write_step(text, step)?;
     }
-    println!(
+    writeln!(
+        text,
         "highest rate held: {:.1} requests/s (search ended: {})",
         report.held_rate_per_s,
         end_name(report.ended),
-    );
+    )
 }
 
-fn print_step(step: &StepReport) {
+fn write_step(text: &mut String, step: &StepReport) -> std::fmt::Result {
     let times = &step.time_to_first_token;
-    println!(
+    writeln!(
+        text,
         "{:>9.1}{:>9.1}{:>9.2}{:>9.2}{:>9.2}{:>8}{:>8}{:>8}{:>12.2}  {:<20}{}",
         step.rate_per_s,
         step.done_per_s,
@@ -99,7 +106,7 @@
         step.generator.lateness.p99_ms,
         end_name(step.end),
         step.usage.as_ref().map(usage_line).unwrap_or_default(),
-    );
+    )
 }
 
 const fn end_name(end: StepEnd) -> &'static str {
@@ -108,6 +115,7 @@
         StepEnd::Errors => "errors",
         StepEnd::WrongAnswer => "wrong answer",
         StepEnd::Slow => "slow",
+        StepEnd::ConcurrencyCap => "too many at once",
         StepEnd::GeneratorSaturated => "generator saturated",
     }
 }
--- a/crates/load/src/cli/compare.rs
+++ b/crates/load/src/cli/compare.rs
@@ -1,10 +1,11 @@
 //! `mangofront load compare`: two reports side by side.
 
+use std::fmt::Write;
+
 use pico_args::Arguments;
-use serde_json::Value;
 
-use super::{CommandError, Verdict, finish, read_json};
-use crate::figures::{differences, idle_ratio, slowdown};
+use super::{CommandError, Verdict, emit, finish, read_json};
+use crate::figures::{Difference, differences, idle_ratio, slowdown};
 use crate::idle::IdleReport;
 use crate::report::Report;
 
@@ -15,57 +16,70 @@
     finish(args)?;
     let before: Report = read_json(&before_path)?;
     let after: Report = read_json(&after_path)?;
-    match slowdown(&before, &after) {
-        Ok(slowdown) => println!("slowdown of short prompts at p95: {slowdown:.3}"),
-        Err(error) => println!("slowdown of short prompts at p95: none, {error}"),
-    }
-    if let Some(path) = &idle {
-        let idle: IdleReport = read_json(path)?;
-        print_idle_ratio(&before_path, &before, &idle);
-        print_idle_ratio(&after_path, &after, &idle);
-    }
-    print_differences(&read_json(&before_path)?, &read_json(&after_path)?);
+    let idle: Option<IdleReport> = idle.as_deref().map(read_json).transpose()?;
+    let differing = differences(&read_json(&before_path)?, &read_json(&after_path)?);
+    emit(|text| {
+        write_slowdown(text, &before, &after)?;
+        if let Some(idle) = &idle {
+            write_idle_ratio(text, &before_path, &before, idle)?;
+            write_idle_ratio(text, &after_path, &after, idle)?;
+        }
+        write_differences(text, &differing)
+    })?;
     Ok(Verdict::Right)
 }
 
-pub(super) fn print_idle_ratio(name: &str, report: &Report, idle: &IdleReport) {
+fn write_slowdown(text: &mut String, before: &Report, after: &Report) -> std::fmt::Result {
+    match slowdown(before, after) {
+        Ok(slowdown) => writeln!(text, "slowdown of short prompts at p95: {slowdown:.3}"),
+        Err(error) => writeln!(text, "slowdown of short prompts at p95: none, {error}"),
+    }
+}
+
+pub(super) fn write_idle_ratio(
+    text: &mut String,
+    name: &str,
+    report: &Report,
+    idle: &IdleReport,
+) -> std::fmt::Result {
+    write!(text, "TTFT p95 against an idle engine, {name}: ")?;
     let ratio = match idle_ratio(report, idle) {
         Ok(ratio) => ratio,
-        Err(error) => {
-            println!("TTFT p95 against an idle engine, {name}: none, {error}");
-            return;
-        }
+        Err(error) => return writeln!(text, "none, {error}"),
     };
-    println!(
-        "TTFT p95 against an idle engine, {name}: geometric mean {:.3}",
-        ratio.geometric_mean
-    );
+    writeln!(text, "geometric mean {:.3}", ratio.geometric_mean)?;
     for (bucket, ratio) in &ratio.by_length {
-        println!("  {:<12}{ratio:>9.3}", bucket.name());
+        writeln!(text, "  {:<12}{ratio:>9.3}", bucket.name())?;
     }
     for bucket in &ratio.left_out {
-        println!(
-            "  {:<12}  left out: no first token in one of the two",
-            bucket.name()
-        );
+        let name = bucket.name();
+        writeln!(
+            text,
+            "  {name:<12}  left out: no first token in one of the two"
+        )?;
     }
+    Ok(())
 }
 
-fn print_differences(before: &Value, after: &Value) {
-    println!(
-        "\n{:<64}{:>14}{:>14}{:>9}",
-        "field", "first", "second", "ratio"
-    );
-    for difference in differences(before, after) {
+fn write_differences(text: &mut String, differing: &[Difference]) -> std::fmt::Result {
+    let (first, second) = ("first", "second");
+    writeln!(
+        text,
+        "\n{:<64}{first:>14}{second:>14}{:>9}",
+        "field", "ratio"
+    )?;
+    for difference in differing {
         let ratio = difference.after / difference.before;
         let ratio = if ratio.is_finite() {
             format!("{ratio:.3}")
         } else {
             "-".to_owned()
         };
-        println!(
+        writeln!(
+            text,
             "{:<64}{:>14.3}{:>14.3}{ratio:>9}",
             difference.field, difference.before, difference.after
-        );
+        )?;
     }
+    Ok(())
 }
--- a/crates/load/src/cli/idle.rs
+++ b/crates/load/src/cli/idle.rs
@@ -1,11 +1,14 @@
 //! `mangofront load idle`: the figures of an idle engine.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use pico_args::Arguments;
 
-use super::{CommandError, Verdict, block_on, finish, opt_positive, opt_whole, prober, write_json};
+use super::{
+    CommandError, Verdict, block_on, emit, finish, opt_positive, opt_whole, prober, write_json,
+};
 use crate::idle::{IdlePlan, IdleReport, measure};
 use crate::probe::Destination;
 use crate::scenario::Scenario;
@@ -29,7 +32,7 @@
     let json: Option<String> = args.opt_value_from_str("--json")?;
     finish(args)?;
     let report = block_on(run(&scenario, plan))?;
-    print(&report);
+    emit(|text| write(text, &report))?;
     if let Some(path) = &json {
         write_json(path, &report)?;
     }
@@ -41,14 +44,16 @@
     Ok(measure(&client, &prober(scenario)?, scenario, plan).await)
 }
 
-fn print(report: &IdleReport) {
-    println!(
+fn write(text: &mut String, report: &IdleReport) -> std::fmt::Result {
+    writeln!(
+        text,
         "{:<14}{:>7}{:>9}{:>8}{:>11}{:>11}{:>11}",
         "idle engine", "count", "refused", "failed", "p50 ms", "p95 ms", "p99 ms"
-    );
+    )?;
     for (bucket, length) in &report.by_length {
         let times = &length.time_to_first_token;
-        println!(
+        writeln!(
+            text,
             "{:<14}{:>7}{:>9}{:>8}{:>11.2}{:>11.2}{:>11.2}",
             bucket.name(),
             times.count,
@@ -57,9 +62,10 @@
             times.p50_ms,
             times.p95_ms,
             times.p99_ms,
-        );
+        )?;
         if let Some(problem) = &length.first_problem {
-            println!("  first problem: {problem}");
+            writeln!(text, "  first problem: {problem}")?;
         }
     }
+    Ok(())
 }
--- a/crates/load/src/cli/latency.rs
+++ b/crates/load/src/cli/latency.rs
@@ -1,12 +1,15 @@
 //! `mangofront load latency`: a daemon against the engine behind it.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use pico_args::Arguments;
 use serde::Serialize;
 
-use super::{CommandError, Verdict, block_on, finish, opt_whole, prober, usage_line, write_json};
+use super::{
+    CommandError, Verdict, block_on, emit, finish, opt_whole, prober, usage_line, write_json,
+};
 use crate::latency::{Added, Comparison, LatencyReport, PathReport, compare};
 use crate::probe::Destination;
 use crate::process::{Pid, Usage, UsageReport};
@@ -46,7 +49,7 @@
     let options = read(&mut args)?;
     finish(args)?;
     let latencies = block_on(run(&options))?;
-    print(&latencies);
+    emit(|text| write(text, &latencies))?;
     if let Some(path) = &options.json {
         write_json(path, &latencies)?;
     }
@@ -107,29 +110,33 @@
     })
 }
 
-fn print(latencies: &Latencies) {
+fn write(text: &mut String, latencies: &Latencies) -> std::fmt::Result {
     for report in [&latencies.sequential, &latencies.concurrent] {
-        println!("{} at once, ms", report.workers);
-        println!(
+        writeln!(text, "{} at once, ms", report.workers)?;
+        writeln!(
+            text,
             "  {:<22}{:>9}{:>9}{:>9}   {:<8}{:>9}{:>9}{:>9}",
             "first token", "p50", "p95", "p99", "total", "p50", "p95", "p99"
-        );
-        print_path("through the daemon", &report.daemon);
-        print_path("straight to engine", &report.direct);
-        print_added(&report.added_first_token, &report.added_total);
-        println!(
+        )?;
+        write_path(text, "through the daemon", &report.daemon)?;
+        write_path(text, "straight to engine", &report.direct)?;
+        write_added(text, &report.added_first_token, &report.added_total)?;
+        writeln!(
+            text,
             "  median added within a pair (first token): {:.3} ms",
             report.added_first_token_paired_p50_ms
-        );
+        )?;
     }
     if let Some(usage) = &latencies.usage {
-        println!("process   {}", usage_line(usage));
+        writeln!(text, "process   {}", usage_line(usage))?;
     }
+    Ok(())
 }
 
-fn print_path(name: &str, path: &PathReport) {
+fn write_path(text: &mut String, name: &str, path: &PathReport) -> std::fmt::Result {
     let (first, total) = (&path.first_token, &path.total);
-    println!(
+    writeln!(
+        text,
         "  {name:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}   {} done, {} errors, {} wrong",
         first.p50_ms,
         first.p95_ms,
@@ -141,14 +148,16 @@
         total.count,
         path.errors,
         path.wrong_answers,
-    );
+    )?;
     if let Some(problem) = &path.first_problem {
-        println!("    first problem: {problem}");
+        writeln!(text, "    first problem: {problem}")?;
     }
+    Ok(())
 }
 
-fn print_added(first: &Added, total: &Added) {
-    println!(
+fn write_added(text: &mut String, first: &Added, total: &Added) -> std::fmt::Result {
+    writeln!(
+        text,
         "  {:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}",
         "added",
         first.p50_ms,
@@ -158,5 +167,5 @@
         total.p50_ms,
         total.p95_ms,
         total.p99_ms,
-    );
+    )
 }
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -7,7 +7,8 @@
 mod run;
 
 use std::ffi::OsString;
-use std::fmt::Display;
+use std::fmt::{Display, Write as _};
+use std::io::{ErrorKind, Write as _};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::str::FromStr;
@@ -17,6 +18,7 @@
 use thiserror::Error;
 
 use crate::answers::AnswerRule;
+use crate::counted::CountsError;
 use crate::probe::Prober;
 use crate::process::{UsageError, UsageReport};
 use crate::scenario::{Scenario, ScenarioError};
@@ -25,13 +27,15 @@
 mangofront load run --target ADDR[,ADDR…] --scenario NAME|FILE
     [--seed N] [--duration-s N] [--rate R | --rate-factor F|normal|peak]
     [--time-scale S] [--without-long] [--text-salt N] [--idle FILE]
+    [--service ADDR[,ADDR…]] [--all-done]
     [--json FILE] [--svg FILE] [--table]
 mangofront load latency --target ADDR --direct ADDR
     [--pairs N] [--concurrency N] [--prompt-tokens N] [--max-tokens N]
     [--seed N] [--scenario NAME|FILE] [--pid PID] [--json FILE]
 mangofront load capacity --target ADDR[,ADDR…]
     [--pid PID] [--rate R] [--growth F] [--step-s N] [--steps N] [--p99-ms N]
-    [--prompt-tokens N] [--max-tokens N] [--scenario NAME|FILE] [--json FILE]
+    [--concurrency-cap N] [--prompt-tokens N] [--max-tokens N]
+    [--scenario NAME|FILE] [--json FILE]
 mangofront load idle --direct ADDR
     [--scenario NAME|FILE] [--per-bucket N] [--bucket-limit-s N] [--seed N]
     [--json FILE]
@@ -66,11 +70,15 @@
     #[error(transparent)]
     Usage(#[from] UsageError),
     #[error(transparent)]
+    Counts(#[from] CountsError),
+    #[error(transparent)]
     Scenario(#[from] ScenarioError),
     #[error(transparent)]
     Client(#[from] mangofront_http::ClientError),
     #[error(transparent)]
     Chart(#[from] crate::report::ChartError),
+    #[error("standard output: {0}")]
+    Output(std::io::Error),
     #[error("runtime: {0}")]
     Runtime(std::io::Error),
     #[error("{path}: {source}")]
@@ -90,7 +98,7 @@
 pub(crate) enum Verdict {
     /// Every answer was right.
     Right,
-    /// An answer was wrong.
+    /// An answer was wrong, or a key did not run as was told.
     Wrong,
 }
 
@@ -106,15 +114,17 @@
 
 /// Runs `mangofront load` with what follows that word on the command line.
 ///
-/// Exit codes: 0, 1 when an answer was wrong, 2 when the command could not be
-/// done.
+/// Exit codes: 0; 1 when an answer was wrong, a key did not run as its callers
+/// were told, or `--all-done` was asked for and not so; 2 when the command could
+/// not be done.
 #[must_use]
 pub fn main(args: Arguments) -> ExitCode {
     match dispatch(args) {
         Ok(Verdict::Right) => ExitCode::SUCCESS,
         Ok(Verdict::Wrong) => ExitCode::from(EXIT_WRONG),
         Err(error) => {
-            eprintln!("mangofront load: {error}");
+            // Where standard error is gone too, the exit code has to tell.
+            let _ = writeln!(std::io::stderr(), "mangofront load: {error}");
             ExitCode::from(EXIT_USAGE)
         }
     }
@@ -122,7 +132,7 @@
 
 fn dispatch(mut args: Arguments) -> Result<Verdict, CommandError> {
     if args.contains(["-h", "--help"]) {
-        print!("{HELP}");
+        emit(|text| text.write_str(HELP))?;
         return Ok(Verdict::Right);
     }
     match args.subcommand()?.as_deref() {
@@ -142,6 +152,17 @@
     runtime.block_on(work)
 }
 
+/// Prints what `write` puts into a buffer. A reader that went away is no error.
+fn emit(write: impl FnOnce(&mut String) -> std::fmt::Result) -> Result<(), CommandError> {
+    let mut text = String::new();
+    // Writing to a string can't fail.
+    let _ = write(&mut text);
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(CommandError::Output(error)),
+        _ => Ok(()),
+    }
+}
+
 /// Refuses arguments that no option took.
 fn finish(args: Arguments) -> Result<(), CommandError> {
     let leftover = args.finish();
@@ -195,7 +216,10 @@
     finish(args)?;
     match json {
         Some(path) => write_json(&path, &scenario.configuration)?,
-        None => print!("{}", pretty("standard output", &scenario.configuration)?),
+        None => {
+            let document = pretty("standard output", &scenario.configuration)?;
+            emit(|text| text.write_str(&document))?;
+        }
     }
     Ok(Verdict::Right)
 }
--- a/crates/load/src/cli/run.rs
+++ b/crates/load/src/cli/run.rs
@@ -1,15 +1,17 @@
 //! `mangofront load run`: a scenario against daemons.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use pico_args::Arguments;
 
-use super::compare::print_idle_ratio;
+use super::compare::write_idle_ratio;
 use super::{
-    CommandError, Verdict, addresses, block_on, finish, opt_positive, read_json, write_file,
+    CommandError, Verdict, addresses, block_on, emit, finish, opt_positive, read_json, write_file,
     write_json,
 };
+use crate::counted;
 use crate::generator::generate;
 use crate::idle::IdleReport;
 use crate::report::{Report, RunFacts, build, table, write_chart};
@@ -27,7 +29,9 @@
     plan: Plan,
     time_scale: f64,
     text_salt: TextSalt,
+    services: Vec<SocketAddr>,
     idle: Option<IdleReport>,
+    all_done: bool,
     outputs: Outputs,
 }
 
@@ -43,10 +47,17 @@
     let report = block_on(run(&options))?;
     write(&report, &options.outputs)?;
     if let Some(idle) = &options.idle {
-        print_idle_ratio("this run", &report, idle);
+        emit(|text| write_idle_ratio(text, "this run", &report, idle))?;
     }
-    // A key that ran twice is a wrong answer too.
-    Ok(Verdict::of(report.counts.wrong_answer))
+    let counted = report.counted_services;
+    let keys_right = counted.is_none_or(|counted| counted.is_right());
+    // An answer that tells of a second run counts as wrong by itself.
+    let all_done = report.counts.done == report.counts.requests;
+    let right = keys_right && (all_done || !options.all_done);
+    Ok(match Verdict::of(report.counts.wrong_answer) {
+        Verdict::Right if right => Verdict::Right,
+        _ => Verdict::Wrong,
+    })
 }
 
 fn read(args: &mut Arguments) -> Result<Options, CommandError> {
@@ -56,10 +67,11 @@
     let duration_s = opt_positive(args, "--duration-s")?.unwrap_or(scenario.duration_s as f64);
     let plan = Plan {
         seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
-        rate_per_s: rate(args, &scenario)? * time_scale,
-        duration: Duration::from_secs_f64(duration_s / time_scale),
+        rate_per_s: rate(args, &scenario)? / time_scale,
+        duration: Duration::from_secs_f64(duration_s * time_scale),
         without_long: args.contains("--without-long"),
     };
+    let services = args.opt_value_from_fn("--service", addresses)?;
     let text_salt = args.opt_value_from_str("--text-salt")?;
     let idle: Option<String> = args.opt_value_from_str("--idle")?;
     let outputs = Outputs {
@@ -73,7 +85,9 @@
         plan,
         time_scale,
         text_salt: text_salt.unwrap_or_else(fresh_salt),
+        services: services.unwrap_or_default(),
         idle: idle.as_deref().map(read_json).transpose()?,
+        all_done: args.contains("--all-done"),
         outputs,
     })
 }
@@ -103,6 +117,7 @@
         plan,
         time_scale,
         text_salt,
+        services,
         ..
     } = options;
     let requests = Requests::builder(scenario, targets.clone())
@@ -110,12 +125,17 @@
         .text_salt(*text_salt)
         .build();
     let schedule = Schedule::new(scenario, *plan);
-    let record = generate(client, requests, scenario.concurrency_cap, schedule).await;
+    let record = generate(client.clone(), requests, scenario.concurrency_cap, schedule).await;
     let facts = RunFacts::new(scenario, *plan)
         .targets(targets.len())
         .time_scale(*time_scale)
         .text_salt(*text_salt);
-    Ok(build(&facts, &scenario.configuration, &record))
+    let mut report = build(&facts, &scenario.configuration, &record);
+    if !services.is_empty() {
+        let runs = counted::read(&client, services).await?;
+        report.counted_services = Some(counted::judge(&record.samples, &runs));
+    }
+    Ok(report)
 }
 
 fn write(report: &Report, outputs: &Outputs) -> Result<(), CommandError> {
@@ -126,7 +146,7 @@
         write_file(path, &write_chart(report)?)?;
     }
     if outputs.table || (outputs.json.is_none() && outputs.svg.is_none()) {
-        print!("{}", table(report));
+        emit(|text| text.write_str(&table(report)))?;
     }
     Ok(())
 }
--- a/crates/load/src/generator.rs
+++ b/crates/load/src/generator.rs
@@ -151,6 +151,7 @@
             class: arrival.class.clone(),
             organisation: arrival.organisation.clone(),
             kind,
+            due: arrival.at,
             lateness,
             request_id: exchanged.request_id,
             first_token: exchanged.first_token,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod answers;
 pub mod capacity;
 pub mod cli;
+pub mod counted;
 pub mod exchange;
 pub mod figures;
 pub mod generator;
--- a/crates/load/src/report/build.rs
+++ b/crates/load/src/report/build.rs
@@ -1,71 +1,25 @@
 //! A report made of a run's record.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mangofront_http::Outcome;
 use mangofront_settings::published::{Class, Configuration};
 
+use super::facts::RunFacts;
+use super::rounding::{millis, rounded, share};
+use super::shares::{fairness, services};
 use super::{
-    ClassReport, Counts, Fairness, GeneratorReport, Goodput, LengthBucket, LengthReport,
-    REPORT_VERSION, Report, RunReport, Served, ServiceReport, WrongAnswerReport,
+    ClassReport, Counts, GeneratorReport, Goodput, LengthBucket, LengthReport, REPORT_VERSION,
+    Report, RunReport, WrongAnswerReport,
 };
 use crate::generator::Record;
 use crate::sample::{End, Sample, SampleKind};
-use crate::scenario::Scenario;
-use crate::schedule::Plan;
-use crate::text::TextSalt;
 use crate::times::Times;
 
 /// Most wrong answers listed.
 const WRONG_ANSWERS_LISTED: usize = 20;
 
-/// What the record does not say about its run.
-#[derive(Debug, Clone)]
-pub struct RunFacts {
-    scenario: String,
-    plan: Plan,
-    targets: usize,
-    time_scale: f64,
-    text_salt: TextSalt,
-}
-
-impl RunFacts {
-    /// Facts of a run of `scenario` under `plan`, which is in the wall clock's
-    /// time.
-    #[must_use]
-    pub fn new(scenario: &Scenario, plan: Plan) -> Self {
-        Self {
-            scenario: scenario.name.clone(),
-            plan,
-            targets: 1,
-            time_scale: 1.0,
-            text_salt: 0,
-        }
-    }
-
-    /// Number of target addresses; 1 by default.
-    #[must_use]
-    pub const fn targets(mut self, targets: usize) -> Self {
-        self.targets = targets;
-        self
-    }
-
-    /// Scenario seconds that pass in a second of the wall clock; 1 by default.
-    #[must_use]
-    pub const fn time_scale(mut self, time_scale: f64) -> Self {
-        self.time_scale = time_scale;
-        self
-    }
-
-    /// Salt of the texts; 0 by default.
-    #[must_use]
-    pub const fn text_salt(mut self, text_salt: TextSalt) -> Self {
-        self.text_salt = text_salt;
-        self
-    }
-}
-
 /// Makes the report of `record`, judged by the targets in `configuration`.
 #[must_use]
 pub fn build(facts: &RunFacts, configuration: &Configuration, record: &Record) -> Report {
@@ -89,12 +43,13 @@
         by_length: by_length(samples),
         by_class: by_class(samples, &limits),
         time_between_tokens: record.gaps.quantiles(),
-        goodput: goodput(samples, &limits, record.elapsed),
+        goodput: goodput(samples, &limits, facts.plan.duration),
         refused_by_code: count_by(samples, refusal_code),
         refusal_answer_time: refusal_answer_time(samples),
         failed_by_cause: count_by(samples, failure_cause),
         fairness: fairness(samples),
         services: services(samples),
+        counted_services: None,
         wrong_answers: wrong_answers(samples),
     }
 }
@@ -116,7 +71,7 @@
 
     fn of(&self, class: &str, time: fn(&Class) -> Duration) -> Duration {
         let class = self.configuration.classes.get(class);
-        class.map_or(Duration::MAX, |class| time(class).div_f64(self.time_scale))
+        class.map_or(Duration::MAX, |class| time(class).mul_f64(self.time_scale))
     }
 
     fn meets_target(&self, sample: &Sample) -> bool {
@@ -223,18 +178,23 @@
     }
 }
 
-fn goodput(samples: &[Sample], limits: &Limits<'_>, elapsed: Duration) -> Goodput {
+/// Counts what ended while requests still arrived: the quiet time after the
+/// last arrival says nothing of the load.
+fn goodput(samples: &[Sample], limits: &Limits<'_>, arrivals: Duration) -> Goodput {
+    let ended_in_time = |sample: &&Sample| sample.due + sample.lateness + sample.total <= arrivals;
     let good = samples.iter().filter(|sample| limits.meets_limit(sample));
-    let (requests, tokens) = good.fold((0_u64, 0_u64), |(requests, tokens), sample| {
-        (requests + 1, tokens + u64::from(sample.tokens))
-    });
-    let elapsed_s = elapsed.as_secs_f64();
-    if elapsed_s == 0.0 {
+    let (requests, tokens) = good
+        .filter(ended_in_time)
+        .fold((0_u64, 0_u64), |(requests, tokens), sample| {
+            (requests + 1, tokens + u64::from(sample.tokens))
+        });
+    let arrivals_s = arrivals.as_secs_f64();
+    if arrivals_s == 0.0 {
         return Goodput::default();
     }
     Goodput {
-        requests_per_s: rounded(requests as f64 / elapsed_s),
-        tokens_per_s: rounded(tokens as f64 / elapsed_s),
+        requests_per_s: rounded(requests as f64 / arrivals_s),
+        tokens_per_s: rounded(tokens as f64 / arrivals_s),
     }
 }
 
@@ -275,69 +235,6 @@
     counts
 }
 
-fn fairness(samples: &[Sample]) -> Fairness {
-    let mut organisations: BTreeMap<String, Served> = BTreeMap::new();
-    for sample in samples {
-        if matches!(sample.end, End::GeneratorFailure { .. }) {
-            continue;
-        }
-        let served = organisations
-            .entry(sample.organisation.clone())
-            .or_default();
-        served.offered += 1;
-        served.done += u64::from(sample.end == End::Done);
-    }
-    for served in organisations.values_mut() {
-        served.share = share(served.done, served.offered);
-    }
-    let shares: Vec<f64> = organisations.values().map(|served| served.share).collect();
-    Fairness {
-        jain_index: jain_index(&shares),
-        organisations,
-    }
-}
-
-fn jain_index(shares: &[f64]) -> f64 {
-    let sum: f64 = shares.iter().sum();
-    let squares: f64 = shares.iter().map(|share| share * share).sum();
-    if squares == 0.0 {
-        return 0.0;
-    }
-    rounded(sum * sum / (shares.len() as f64 * squares))
-}
-
-fn services(samples: &[Sample]) -> ServiceReport {
-    let mut report = ServiceReport::default();
-    let mut keys = BTreeSet::new();
-    let mut duplicates = BTreeSet::new();
-    for sample in samples {
-        let SampleKind::Service {
-            key,
-            repeat,
-            executions,
-        } = &sample.kind
-        else {
-            continue;
-        };
-        keys.insert(key);
-        report.repeats += u64::from(*repeat);
-        if executions.is_some_and(|executions| executions > 1) {
-            duplicates.insert(key);
-        }
-        match &sample.end {
-            End::Refused { .. } => report.not_run += 1,
-            End::Failed {
-                outcome: Outcome::Unknown,
-                ..
-            } => report.unknown += 1,
-            _ => {}
-        }
-    }
-    report.keys = keys.len() as u64;
-    report.duplicates = duplicates.len() as u64;
-    report
-}
-
 fn wrong_answers(samples: &[Sample]) -> Vec<WrongAnswerReport> {
     let wrong = samples.iter().filter_map(|sample| match &sample.end {
         End::WrongAnswer { problem } => Some(WrongAnswerReport {
@@ -348,19 +245,3 @@
     });
     wrong.take(WRONG_ANSWERS_LISTED).collect()
 }
-
-fn share(part: u64, whole: u64) -> f64 {
-    if whole == 0 {
-        return 0.0;
-    }
-    rounded(part as f64 / whole as f64)
-}
-
-/// To four decimals: more would only be noise in a report.
-fn rounded(value: f64) -> f64 {
-    (value * 10_000.0).round() / 10_000.0
-}
-
-fn millis(time: Duration) -> f64 {
-    rounded(time.as_secs_f64() * 1000.0)
-}
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -5,6 +5,9 @@
 
 mod build;
 mod chart;
+mod facts;
+mod rounding;
+mod shares;
 mod table;
 
 use std::collections::BTreeMap;
@@ -12,10 +15,12 @@
 use mangofront_settings::ids::{ClassName, OrganisationId};
 use serde::{Deserialize, Serialize};
 
-pub use build::{RunFacts, build};
+pub use build::build;
 pub use chart::{ChartError, write_chart};
+pub use facts::RunFacts;
 pub use table::table;
 
+use crate::counted::CountedServices;
 use crate::times::Quantiles;
 
 /// Version of the report's form.
@@ -50,6 +55,8 @@
     pub fairness: Fairness,
     /// Calls of plain services.
     pub services: ServiceReport,
+    /// What the services themselves counted, when they were asked.
+    pub counted_services: Option<CountedServices>,
     /// First wrong answers.
     pub wrong_answers: Vec<WrongAnswerReport>,
 }
@@ -67,7 +74,7 @@
     pub targets: usize,
     /// Mean arrivals a second, of the wall clock.
     pub rate_per_s: f64,
-    /// Scenario seconds that pass in a second of the wall clock.
+    /// Factor on the durations of the scenario, its classes' targets included.
     pub time_scale: f64,
     /// Whether prompts over 100 000 tokens were left out.
     pub without_long: bool,
@@ -188,12 +195,13 @@
     pub limit_met_share: f64,
 }
 
-/// Requests done within their class's limit.
+/// Requests done within their class's limit and before the last arrival was
+/// due, by the time during which requests arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Goodput {
-    /// Such requests a second of the whole run.
+    /// Such requests a second.
     pub requests_per_s: f64,
-    /// Their answers' tokens a second of the whole run.
+    /// Their answers' tokens a second.
     pub tokens_per_s: f64,
 }
 
--- a/crates/load/src/report/table.rs
+++ b/crates/load/src/report/table.rs
@@ -149,6 +149,16 @@
         "services    {} keys, {} repeats: {} ran more than once, {} unknown, {} not run",
         services.keys, services.repeats, services.duplicates, services.unknown, services.not_run,
     )?;
+    if let Some(counted) = &report.counted_services {
+        writeln!(
+            text,
+            "counted     {} keys: {} ran more than once, {} ran though not run was said, {} did not run though done was said",
+            counted.keys,
+            counted.ran_more_than_once,
+            counted.ran_though_not_run,
+            counted.not_run_though_done,
+        )?;
+    }
     let refusals = &report.refusal_answer_time;
     if refusals.count > 0 {
         writeln!(
--- a/crates/load/src/requests.rs
+++ b/crates/load/src/requests.rs
@@ -46,7 +46,7 @@
 }
 
 impl RequestsBuilder {
-    /// Scenario seconds that pass in a second of the wall clock; 1 by default.
+    /// Factor on the durations of the scenario; 1 by default.
     #[must_use]
     pub const fn time_scale(mut self, time_scale: f64) -> Self {
         self.time_scale = time_scale;
@@ -167,7 +167,7 @@
             .classes
             .get(class)
             .map_or(DEFAULT_LIMIT, Class::time_limit);
-        limit.div_f64(self.time_scale) + GRACE
+        limit.mul_f64(self.time_scale) + GRACE
     }
 }
 
--- a/crates/load/src/sample.rs
+++ b/crates/load/src/sample.rs
@@ -14,6 +14,8 @@
     pub organisation: OrganisationId,
     /// What was asked for.
     pub kind: SampleKind,
+    /// Time after the run's start at which it was due.
+    pub due: Duration,
     /// Time by which it was sent later than due.
     pub lateness: Duration,
     /// Id that the daemon gave it.
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mangofront_http::Outcome;
+use mangofront_load::counted::{CountedServices, RunsByKey, judge};
 use mangofront_load::figures::{FigureError, differences, idle_ratio, slowdown};
 use mangofront_load::generator::Record;
 use mangofront_load::idle::{IdleLength, IdleReport};
@@ -22,6 +23,7 @@
         class: class.to_owned(),
         organisation: organisation.to_owned(),
         kind,
+        due: Duration::ZERO,
         lateness: Duration::from_micros(100 + first_ms),
         request_id: Some(format!("r-{first_ms}")),
         first_token: (first_ms > 0).then_some(ms(first_ms)),
@@ -130,6 +132,9 @@
             End::Done,
         ));
     }
+    for (number, sample) in (0..).zip(&mut samples) {
+        sample.due = ms(number * 100);
+    }
     samples
 }
 
@@ -204,6 +209,38 @@
     assert!(write_chart(&report).unwrap().ends_with("</svg>\n"));
 }
 
+#[test]
+fn counts_of_the_services_show_what_answers_hid() {
+    let mut samples = samples(1);
+    let runs = |runs: &[(&str, u64)]| -> RunsByKey {
+        runs.iter()
+            .map(|(key, runs)| ((*key).to_owned(), *runs))
+            .collect()
+    };
+    // k1 was done, k2 refused, k3 is unknown: it may have run or not.
+    let right = judge(&samples, &runs(&[("k1", 1), ("k3", 1)]));
+    assert!(right.is_right());
+    assert_eq!(right, judge(&samples, &runs(&[("k1", 1)])));
+    let wrong = judge(&samples, &runs(&[("k2", 1), ("k3", 2), ("other", 5)]));
+    let expected = CountedServices {
+        keys: 3,
+        ran_more_than_once: 1,
+        ran_though_not_run: 1,
+        not_run_though_done: 1,
+    };
+    assert_eq!(wrong, expected);
+    // A key once refused and once done has run.
+    let orders = "order-confirmation";
+    samples.push(sample(
+        orders,
+        "gobi-mining",
+        call("k2", true, Some(1)),
+        0,
+        End::Done,
+    ));
+    assert!(judge(&samples, &runs(&[("k1", 1), ("k2", 1)])).is_right());
+}
+
 #[test]
 fn slowdown_divides_short_p95_of_a_pair() {
     let with = report(3, false);
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -66,6 +66,8 @@
     let mut response = if fault == Fault::Refuse {
         let error = ErrorBody::new("class_overloaded", Outcome::NotRun, "admission", "full");
         error.into_response(StatusCode::TOO_MANY_REQUESTS)
+    } else if request.uri().path() == "/control/counters" {
+        mangofront_http::json(StatusCode::OK, &json!({ "total": 3, "by_key": { "k": 3 } }))
     } else if request.uri().path().starts_with("/v1/services/") {
         assert!(request.headers().contains_key(headers::IDEMPOTENCY_KEY));
         let executions = if fault == Fault::RunServiceTwice {
