Check ends of answers strictly, bound all numbers

Cause: a stream that failed with tokens sent and said not_run, or that went on after its error, passed as an ordinary failure; a wrong finish reason passed as right. Absurd numbers on the command line or in a scenario file could panic.

Conclusion: what a caller may be told at an answer's end is checked whole.

--- a/crates/load/src/answers.rs
+++ b/crates/load/src/answers.rs
@@ -38,6 +38,7 @@
         Expected {
             digest,
             length_tokens: (self.length_tokens)(digest, max_tokens),
+            limit_tokens: max_tokens,
             token_text: self.token_text,
         }
     }
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 
 use super::{
-    CommandError, Verdict, addresses, block_on, emit, finish, opt_positive, opt_whole, usage_line,
+    CommandError, Verdict, addresses, block_on, emit, finish, opt_number, opt_whole, usage_line,
     write_json,
 };
 use crate::capacity::{CapacityPlan, CapacityReport, StepEnd, StepReport, search};
@@ -29,22 +29,22 @@
 fn read(args: &mut Arguments) -> Result<CapacityPlan, CommandError> {
     let targets = args.value_from_fn("--target", addresses)?;
     let mut plan = CapacityPlan::new(targets).pid(args.opt_value_from_str("--pid")?);
-    if let Some(rate_per_s) = opt_positive(args, "--rate")? {
+    if let Some(rate_per_s) = opt_number(args, "--rate")? {
         plan = plan.first_rate_per_s(rate_per_s);
     }
-    if let Some(growth) = opt_positive(args, "--growth")? {
+    if let Some(growth) = opt_number(args, "--growth")? {
         if growth <= 1.0 {
             return Err(CommandError::NoGrowth);
         }
         plan = plan.growth(growth);
     }
-    if let Some(step_s) = opt_positive(args, "--step-s")? {
+    if let Some(step_s) = opt_number(args, "--step-s")? {
         plan = plan.step(Duration::from_secs_f64(step_s));
     }
     if let Some(steps_cap) = opt_whole(args, "--steps")? {
         plan = plan.steps_cap(steps_cap);
     }
-    if let Some(limit_ms) = opt_positive(args, "--p99-ms")? {
+    if let Some(limit_ms) = opt_number(args, "--p99-ms")? {
         plan = plan.first_token_limit_ms(limit_ms);
     }
     if let Some(cap) = opt_whole(args, "--concurrency-cap")? {
--- a/crates/load/src/cli/idle.rs
+++ b/crates/load/src/cli/idle.rs
@@ -7,7 +7,7 @@
 use pico_args::Arguments;
 
 use super::{
-    CommandError, Verdict, block_on, emit, finish, opt_positive, opt_whole, prober, write_json,
+    CommandError, Verdict, block_on, emit, finish, opt_number, opt_whole, prober, write_json,
 };
 use crate::idle::{IdlePlan, IdleReport, measure};
 use crate::probe::Destination;
@@ -21,7 +21,7 @@
 
 pub(super) fn main(mut args: Arguments) -> Result<Verdict, CommandError> {
     let engine: SocketAddr = args.value_from_str("--direct")?;
-    let bucket_limit_s = opt_positive(&mut args, "--bucket-limit-s")?;
+    let bucket_limit_s = opt_number(&mut args, "--bucket-limit-s")?;
     let plan = IdlePlan {
         engine: Destination::Engine(engine),
         per_bucket: opt_whole(&mut args, "--per-bucket")?.unwrap_or(DEFAULT_PER_BUCKET),
--- a/crates/load/src/cli/latency.rs
+++ b/crates/load/src/cli/latency.rs
@@ -96,7 +96,7 @@
         .pairs(options.pairs.div_ceil(options.workers))
         .warm_up_pairs(1)
         // Other prompts than those that the engine has seen.
-        .seed(options.seed + CONCURRENT_SEEDS);
+        .seed(options.seed.wrapping_add(CONCURRENT_SEEDS));
     let concurrent = compare(&client, &prober, concurrent).await;
     let elapsed = started.elapsed();
     let after = options.pid.map(Usage::read).transpose()?;
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -43,6 +43,12 @@
 mangofront load configuration [--scenario NAME|FILE] [--json FILE]
 ";
 
+/// Least number that an option takes.
+const LEAST: f64 = 1e-6;
+
+/// Greatest number that an option takes.
+const GREATEST: f64 = 1e6;
+
 /// Scenario of a command that names none.
 const DEFAULT_SCENARIO: &str = "demo";
 
@@ -63,6 +69,8 @@
     Unknown(Option<String>),
     #[error("{0} must be above 0")]
     NotPositive(&'static str),
+    #[error("{0} must be between {LEAST} and {GREATEST}")]
+    OutOfRange(&'static str),
     #[error("--growth must be above 1")]
     NoGrowth,
     #[error("scenario {0} has no prompts")]
@@ -177,11 +185,11 @@
     text.split(',').map(str::parse).collect()
 }
 
-/// A number that must be above 0, when it is given.
-fn opt_positive(args: &mut Arguments, name: &'static str) -> Result<Option<f64>, CommandError> {
+/// A number of sensible size, when it is given.
+fn opt_number(args: &mut Arguments, name: &'static str) -> Result<Option<f64>, CommandError> {
     let value: Option<f64> = args.opt_value_from_str(name)?;
-    if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
-        return Err(CommandError::NotPositive(name));
+    if value.is_some_and(|value| !(LEAST..=GREATEST).contains(&value)) {
+        return Err(CommandError::OutOfRange(name));
     }
     Ok(value)
 }
--- a/crates/load/src/cli/run.rs
+++ b/crates/load/src/cli/run.rs
@@ -8,8 +8,8 @@
 
 use super::compare::write_idle_ratio;
 use super::{
-    CommandError, Verdict, addresses, block_on, emit, finish, opt_positive, read_json, write_file,
-    write_json,
+    CommandError, GREATEST, LEAST, Verdict, addresses, block_on, emit, finish, opt_number,
+    read_json, write_file, write_json,
 };
 use crate::counted;
 use crate::generator::generate;
@@ -19,6 +19,7 @@
 use crate::scenario::Scenario;
 use crate::schedule::{Plan, Schedule};
 use crate::text::{TextSalt, fresh_salt};
+use crate::times::scaled;
 
 /// Seed of a run that names none.
 const DEFAULT_SEED: u64 = 1;
@@ -63,12 +64,12 @@
 fn read(args: &mut Arguments) -> Result<Options, CommandError> {
     let targets = args.value_from_fn("--target", addresses)?;
     let scenario = Scenario::load(&args.value_from_str::<_, String>("--scenario")?)?;
-    let time_scale = opt_positive(args, "--time-scale")?.unwrap_or(1.0);
-    let duration_s = opt_positive(args, "--duration-s")?.unwrap_or(scenario.duration_s as f64);
+    let time_scale = opt_number(args, "--time-scale")?.unwrap_or(1.0);
+    let duration_s = opt_number(args, "--duration-s")?.unwrap_or(scenario.duration_s as f64);
     let plan = Plan {
         seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
         rate_per_s: rate(args, &scenario)? / time_scale,
-        duration: Duration::from_secs_f64(duration_s * time_scale),
+        duration: scaled(Duration::from_secs_f64(duration_s), time_scale),
         without_long: args.contains("--without-long"),
     };
     let services = args.opt_value_from_fn("--service", addresses)?;
@@ -102,10 +103,10 @@
         Some(number) => number
             .parse()
             .ok()
-            .filter(|factor: &f64| factor.is_finite() && *factor > 0.0)
-            .ok_or(CommandError::NotPositive("--rate-factor"))?,
+            .filter(|factor| (LEAST..=GREATEST).contains(factor))
+            .ok_or(CommandError::OutOfRange("--rate-factor"))?,
     };
-    let rate_per_s = opt_positive(args, "--rate")?;
+    let rate_per_s = opt_number(args, "--rate")?;
     Ok(rate_per_s.unwrap_or(factor * scenario.capacity_per_s))
 }
 
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cyper::{Client, Response};
 use futures_util::{Stream, StreamExt};
-use mangofront_http::{ErrorBody, Outcome, events, headers};
+use mangofront_http::{ErrorBody, ErrorDetail, Outcome, events, headers};
 use serde::Deserialize;
 
 use crate::sample::End;
@@ -146,7 +146,8 @@
             }
             let chunk: Chunk = serde_json::from_str(&event.data).map_err(malformed)?;
             if let Some(error) = chunk.error {
-                return Err(error_end(error.code, error.outcome));
+                no_more(events).await?;
+                return Err(self.broken_off(error));
             }
             self.take(chunk, &mut check).map_err(wrong)?;
         }
@@ -154,7 +155,7 @@
     }
 
     fn take(&mut self, chunk: Chunk, check: &mut Check) -> Result<(), WrongAnswer> {
-        let (text, finished) = chunk.text_and_finish();
+        let (text, finish_reason) = chunk.text_and_finish();
         if let Some(text) = text.filter(|text| !text.is_empty()) {
             if let Some(offset) = chunk.offset {
                 check.offset(offset)?;
@@ -163,10 +164,18 @@
             self.token_came();
             self.tokens = check.tokens();
         }
-        if finished {
-            check.finish_reason();
+        match finish_reason {
+            Some(reason) => check.finish_reason(reason),
+            None => Ok(()),
+        }
+    }
+
+    /// End of a stream whose last event is an error.
+    fn broken_off(&self, error: ErrorDetail) -> End {
+        match error.outcome {
+            Outcome::NotRun if self.first_token.is_some() => wrong(WrongAnswer::NotRunAfterTokens),
+            outcome => error_end(error.code, outcome),
         }
-        Ok(())
     }
 
     fn token_came(&mut self) {
@@ -210,7 +219,7 @@
     match events.next().await {
         None => Ok(()),
         Some(_) => Err(wrong(WrongAnswer::Malformed(
-            "an event follows the end mark".to_owned(),
+            "an event follows the last one".to_owned(),
         ))),
     }
 }
@@ -259,7 +268,7 @@
 struct Chunk {
     #[serde(default)]
     choices: Vec<Choice>,
-    error: Option<mangofront_http::ErrorDetail>,
+    error: Option<ErrorDetail>,
     offset: Option<u32>,
     text: Option<String>,
     finish_reason: Option<String>,
@@ -284,13 +293,13 @@
 }
 
 impl Chunk {
-    fn text_and_finish(&self) -> (Option<&str>, bool) {
+    fn text_and_finish(&self) -> (Option<&str>, Option<&str>) {
         let Some(choice) = self.choices.first() else {
-            return (self.text.as_deref(), self.finish_reason.is_some());
+            return (self.text.as_deref(), self.finish_reason.as_deref());
         };
         let message = choice.delta.as_ref().or(choice.message.as_ref());
         let content = message.and_then(|message| message.content.as_deref());
         let text = content.or(choice.text.as_deref());
-        (text, choice.finish_reason.is_some())
+        (text, choice.finish_reason.as_deref())
     }
 }
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -189,9 +189,11 @@
     worker: u64,
     state: Rc<RefCell<State>>,
 ) {
-    let first_seed = comparison.seed + worker * WORKER_SEEDS;
+    let first_seed = comparison
+        .seed
+        .wrapping_add(worker.wrapping_mul(WORKER_SEEDS));
     for pair in 0..comparison.warm_up_pairs + comparison.pairs {
-        let seed = first_seed + pair;
+        let seed = first_seed.wrapping_add(pair);
         let [daemon, engine] = run_pair(client, prober, comparison, seed).await;
         if pair >= comparison.warm_up_pairs {
             state.borrow_mut().add(daemon, engine);
--- a/crates/load/src/report/build.rs
+++ b/crates/load/src/report/build.rs
@@ -15,7 +15,7 @@
 };
 use crate::generator::Record;
 use crate::sample::{End, Sample, SampleKind};
-use crate::times::Times;
+use crate::times::{Times, scaled};
 
 /// Most wrong answers listed.
 const WRONG_ANSWERS_LISTED: usize = 20;
@@ -71,7 +71,7 @@
 
     fn of(&self, class: &str, time: fn(&Class) -> Duration) -> Duration {
         let class = self.configuration.classes.get(class);
-        class.map_or(Duration::MAX, |class| time(class).mul_f64(self.time_scale))
+        class.map_or(Duration::MAX, |class| scaled(time(class), self.time_scale))
     }
 
     fn meets_target(&self, sample: &Sample) -> bool {
--- a/crates/load/src/requests.rs
+++ b/crates/load/src/requests.rs
@@ -15,6 +15,7 @@
 use crate::scenario::Scenario;
 use crate::schedule::{Arrival, ModelWork, ServiceWork, Work};
 use crate::text::{Slab, TextSalt};
+use crate::times::scaled;
 
 /// Time over its class's limit after which the tool gives a request up. The
 /// daemon has to answer within the limit; the rest is for the way.
@@ -167,7 +168,7 @@
             .classes
             .get(class)
             .map_or(DEFAULT_LIMIT, Class::time_limit);
-        limit.mul_f64(self.time_scale) + GRACE
+        scaled(limit, self.time_scale) + GRACE
     }
 }
 
--- a/crates/load/src/scenario/check.rs
+++ b/crates/load/src/scenario/check.rs
@@ -4,12 +4,23 @@
 
 use super::{Kind, LengthRange, ModelKind, Scenario};
 
+/// Longest prompt of a scenario, in tokens: twice what users send today.
+const LONGEST_PROMPT_TOKENS: u64 = 2_000_000;
+
 impl Scenario {
     /// First contradiction, as a sentence.
     pub(super) fn problem(&self) -> Option<String> {
         if self.organisations.is_empty() || self.mix.is_empty() {
             return Some("organisations and mix must not be empty".to_owned());
         }
+        let rates = [
+            self.capacity_per_s,
+            self.rate_factors.normal,
+            self.rate_factors.peak,
+        ];
+        if !rates.into_iter().all(is_positive) || !self.zipf_exponent.is_finite() {
+            return Some("capacity and rate factors must be above 0".to_owned());
+        }
         for organisation in &self.organisations {
             if !self.configuration.organisations.contains_key(organisation) {
                 return Some(format!("organisation {organisation} is not configured"));
@@ -23,6 +34,9 @@
         if !self.configuration.classes.contains_key(class) {
             return Some(format!("class {class} is not configured"));
         }
+        if !is_positive(kind.share()) {
+            return Some(format!("share of {class} must be above 0"));
+        }
         match kind {
             Kind::Model(kind) => model_problem(kind, &self.configuration),
             Kind::Service(kind) if !self.configuration.services.contains_key(&kind.service) => {
@@ -42,10 +56,17 @@
         return Some(format!("max_tokens of {} is no range", kind.class));
     }
     let sound = |range: &LengthRange| {
-        0 < range.from_tokens && range.from_tokens <= range.to_tokens && range.weight > 0.0
+        0 < range.from_tokens
+            && range.from_tokens <= range.to_tokens
+            && range.to_tokens <= LONGEST_PROMPT_TOKENS
+            && is_positive(range.weight)
     };
     if kind.lengths.is_empty() || !kind.lengths.iter().all(sound) {
         return Some(format!("lengths of {} are no ranges", kind.class));
     }
     None
 }
+
+const fn is_positive(number: f64) -> bool {
+    number.is_finite() && number > 0.0
+}
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -127,7 +127,8 @@
     }
 
     fn draw(&mut self) -> Arrival {
-        self.next_at += exponential(&mut self.rng, self.plan.rate_per_s);
+        let gap = exponential(&mut self.rng, self.plan.rate_per_s);
+        self.next_at = self.next_at.saturating_add(gap);
         let index = self.next_index;
         self.next_index += 1;
         // One generator for each arrival: what one kind draws can't shift the
@@ -216,7 +217,8 @@
 
 fn exponential(rng: &mut StdRng, rate_per_s: f64) -> Duration {
     let uniform: f64 = rng.random();
-    Duration::from_secs_f64(-(1.0 - uniform).ln() / rate_per_s)
+    // A rate near 0 puts the next arrival beyond any run.
+    Duration::try_from_secs_f64(-(1.0 - uniform).ln() / rate_per_s).unwrap_or(Duration::MAX)
 }
 
 fn log_uniform(rng: &mut StdRng, from: u64, to: u64) -> u64 {
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -9,6 +9,7 @@
 use mangofront_prompt::BYTES_PER_TOKEN;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde_json::Value;
 
 use crate::scenario::Endpoint;
 use crate::schedule::ModelWork;
@@ -97,8 +98,10 @@
         let own_bytes = length_bytes - shared_bytes.min(length_bytes);
         let mut body = String::with_capacity(length_bytes + FRAME_BYTES);
         body.push_str(&format!(
-            r#"{{"model":"{}","stream":{},"max_tokens":{},"#,
-            work.model, work.stream, work.max_tokens
+            r#"{{"model":{},"stream":{},"max_tokens":{},"#,
+            Value::from(work.model.as_str()),
+            work.stream,
+            work.max_tokens
         ));
         match work.endpoint {
             Endpoint::Completions => {
--- a/crates/load/src/times.rs
+++ b/crates/load/src/times.rs
@@ -11,6 +11,16 @@
 /// Significant digits kept.
 const DIGITS: u8 = 3;
 
+/// Longest duration that scaling gives: a day.
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// `time` by `factor`, at most a day.
+#[must_use]
+pub fn scaled(time: Duration, factor: f64) -> Duration {
+    let scaled = Duration::try_from_secs_f64(time.as_secs_f64() * factor);
+    scaled.map_or(LONGEST, |scaled| scaled.min(LONGEST))
+}
+
 /// Histogram of times.
 #[derive(Debug, Clone)]
 pub struct Times(Histogram<u64>);
--- a/crates/load/src/verify.rs
+++ b/crates/load/src/verify.rs
@@ -16,10 +16,24 @@
     pub digest: u64,
     /// Length of the answer, in tokens.
     pub length_tokens: u32,
+    /// Limit of the request, in tokens; a shorter answer stopped by itself.
+    pub limit_tokens: u32,
     /// Text of each token.
     pub token_text: TokenText,
 }
 
+impl Expected {
+    /// Reason that the answer's end gives.
+    #[must_use]
+    pub const fn finish_reason(&self) -> &'static str {
+        if self.length_tokens < self.limit_tokens {
+            "stop"
+        } else {
+            "length"
+        }
+    }
+}
+
 /// Way in which an answer differs.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WrongAnswer {
@@ -58,6 +72,12 @@
     /// No finish reason, or more than one.
     #[error("answer has {0} finish reasons")]
     FinishReasons(u32),
+    /// Another finish reason than expected.
+    #[error("finish reason {0:?}")]
+    FinishReason(String),
+    /// An error that denies the run of an answer that had begun.
+    #[error("an answer that had begun ends with outcome not_run")]
+    NotRunAfterTokens,
     /// The stream ended without its end mark.
     #[error("stream ends without [DONE]")]
     NoEndMark,
@@ -127,8 +147,15 @@
     }
 
     /// Takes a finish reason.
-    pub const fn finish_reason(&mut self) {
+    ///
+    /// # Errors
+    /// [`WrongAnswer::FinishReason`] when it is another one than expected.
+    pub fn finish_reason(&mut self, got: &str) -> Result<(), WrongAnswer> {
+        if got != self.expected.finish_reason() {
+            return Err(WrongAnswer::FinishReason(got.to_owned()));
+        }
         self.finish_reasons += 1;
+        Ok(())
     }
 
     /// Whole tokens read so far.
@@ -165,6 +192,7 @@
             digest,
             length_tokens,
             token_text,
+            ..
         } = self.expected;
         if self.next_offset >= length_tokens {
             return Err(WrongAnswer::TooLong { length_tokens });
--- a/crates/load/tests/generator.rs
+++ b/crates/load/tests/generator.rs
@@ -61,20 +61,25 @@
         Fault::DropLastToken,
         Fault::RepeatToken,
         Fault::NoEndMark,
+        Fault::NotRunInStream,
+        Fault::EventAfterError,
     ] {
         let report = run(fault, 100, 1.0);
         let wrong = report.counts.wrong_answer;
-        let expected = report
+        let prompts: u64 = report
             .by_length
             .values()
-            .map(|length| length.counts.requests);
-        // The demo's plain JSON answers have no end mark to miss.
-        let spared = if fault == Fault::NoEndMark {
-            report.counts.done - service_calls(&report)
-        } else {
-            0
-        };
-        assert_eq!(wrong + spared, expected.sum::<u64>(), "{fault:?}");
+            .map(|length| length.counts.requests)
+            .sum();
+        // Plain JSON answers are no streams: what is wrong with a stream's end
+        // can't be wrong with them.
+        let spared = report.counts.done - service_calls(&report);
+        let spares = matches!(
+            fault,
+            Fault::NoEndMark | Fault::NotRunInStream | Fault::EventAfterError
+        );
+        assert_eq!(wrong + spared, prompts, "{fault:?}");
+        assert_eq!(spared > 0, spares, "{fault:?}");
         assert!(wrong > 0);
         let first = &report.wrong_answers[0];
         assert!(
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -28,6 +28,8 @@
     RepeatToken,
     NoEndMark,
     ErrorInStream,
+    NotRunInStream,
+    EventAfterError,
     Refuse,
     RunServiceTwice,
     Hang,
@@ -41,8 +43,14 @@
     }
 }
 
-/// Starts a server on loopback; it ends with the runtime.
+/// Starts a server on loopback that answers by the tests' rule; it ends with
+/// the runtime.
 pub async fn server(fault: Fault) -> SocketAddr {
+    server_by(rule(), fault).await
+}
+
+/// Starts a server on loopback that answers by `rule`.
+pub async fn server_by(rule: AnswerRule, fault: Fault) -> SocketAddr {
     let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (trigger, shutdown) = Shutdown::new();
@@ -50,7 +58,7 @@
     compio::runtime::spawn(async move {
         let handler = move |request, _| {
             requests.set(requests.get() + 1);
-            answer(request, fault, requests.get())
+            answer(request, rule, fault, requests.get())
         };
         mangofront_http::serve(listener, ServeLimits::default(), handler, shutdown).await;
         drop(trigger);
@@ -59,7 +67,12 @@
     address
 }
 
-async fn answer(request: Request<Incoming>, fault: Fault, number: u64) -> Response<Body> {
+async fn answer(
+    request: Request<Incoming>,
+    rule: AnswerRule,
+    fault: Fault,
+    number: u64,
+) -> Response<Body> {
     if fault == Fault::Hang {
         std::future::pending::<()>().await;
     }
@@ -77,14 +90,14 @@
         };
         mangofront_http::json(StatusCode::OK, &json!({ "executions": executions }))
     } else {
-        model(request, fault).await
+        model(request, rule, fault).await
     };
     let id = HeaderValue::from_str(&format!("r-{number}")).unwrap();
     response.headers_mut().insert(headers::REQUEST_ID, id);
     response
 }
 
-async fn model(request: Request<Incoming>, fault: Fault) -> Response<Body> {
+async fn model(request: Request<Incoming>, rule: AnswerRule, fault: Fault) -> Response<Body> {
     let chat = request.uri().path() == "/v1/chat/completions";
     assert!(request.headers().contains_key(headers::CLASS));
     let body = collect(request.into_body(), BODY_LIMIT_BYTES)
@@ -95,16 +108,16 @@
     } else {
         mangofront_load::scenario::Endpoint::Completions
     };
-    let expected = rule().expected(endpoint, &body);
+    let expected = rule.expected(endpoint, &body);
     let wants_stream = serde_json::from_slice::<serde_json::Value>(&body).unwrap()["stream"]
         .as_bool()
         .unwrap();
     if !wants_stream {
         let text: String = tokens(expected, fault).concat();
         let choice = if chat {
-            json!({ "message": { "content": text }, "finish_reason": "stop" })
+            json!({ "message": { "content": text }, "finish_reason": expected.finish_reason() })
         } else {
-            json!({ "text": text, "finish_reason": "stop" })
+            json!({ "text": text, "finish_reason": expected.finish_reason() })
         };
         return mangofront_http::json(StatusCode::OK, &json!({ "choices": [choice] }));
     }
@@ -135,15 +148,23 @@
         };
         events.push(format!("data: {}\n\n", json!({ "choices": [choice] })));
     }
-    if fault == Fault::ErrorInStream {
-        let error = ErrorBody::new("upstream_lost", Outcome::Failed, "stream", "gone");
+    let outcome = match fault {
+        Fault::ErrorInStream | Fault::EventAfterError => Some(Outcome::Failed),
+        Fault::NotRunInStream => Some(Outcome::NotRun),
+        _ => None,
+    };
+    if let Some(outcome) = outcome {
+        let error = ErrorBody::new("upstream_lost", outcome, "stream", "gone");
         events.push(format!(
             "data: {}\n\n",
             serde_json::to_string(&error).unwrap()
         ));
+        if fault == Fault::EventAfterError {
+            events.push("data: [DONE]\n\n".to_owned());
+        }
         return events;
     }
-    let last = json!({ "choices": [{ "delta": {}, "finish_reason": "stop" }] });
+    let last = json!({ "choices": [{ "delta": {}, "finish_reason": expected.finish_reason() }] });
     events.push(format!("data: {last}\n\n"));
     if fault != Fault::NoEndMark {
         events.push("data: [DONE]\n\n".to_owned());
--- a/crates/load/tests/verify.rs
+++ b/crates/load/tests/verify.rs
@@ -8,6 +8,7 @@
 const EXPECTED: Expected = Expected {
     digest: 0,
     length_tokens: 4,
+    limit_tokens: 4,
     token_text: |_, offset| ANSWER[offset as usize].to_owned(),
 };
 
@@ -16,7 +17,7 @@
     for piece in pieces {
         check.text(piece)?;
     }
-    check.finish_reason();
+    check.finish_reason("length")?;
     check.end()
 }
 
@@ -38,6 +39,7 @@
         check(&["one"]),
         check(&[]),
         Check::new(EXPECTED).offset(2),
+        Check::new(EXPECTED).finish_reason("stop"),
         Check::new(Expected {
             length_tokens: 0,
             ..EXPECTED
