--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -4,11 +4,16 @@
 //! weight, an instance or an address, and an unknown field is refused, so that
 //! nobody can steer by them.
 
+mod check;
+mod fields;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use check::{check_published, check_published_as, check_published_text};
+
 use crate::ids::{ClassName, ModelName, OrganisationId, ServiceName};
 
 /// One published configuration.
@@ -118,10 +123,11 @@
     /// Time for which a caller may retry a key, in milliseconds.
     #[serde(default = "default_window_ms")]
     pub window_ms: u64,
-    /// Number that an operator raises to say that the whole fleet starts
-    /// afresh and that no key in use was ever sent before.
+    /// Wall-clock time in Unix milliseconds for which an operator vouches that
+    /// no key in use was sent before it; 0 when nobody does. Processes that
+    /// started earlier than that need no records of others.
     #[serde(default)]
-    pub first_start_epoch: u64,
+    pub first_start_unix_ms: u64,
 }
 
 const fn default_window_ms() -> u64 {
@@ -132,7 +138,7 @@
     fn default() -> Self {
         Self {
             window_ms: default_window_ms(),
-            first_start_epoch: 0,
+            first_start_unix_ms: 0,
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,7 +7,10 @@
 //! processes, `load` drives them; no other crate depends on them.
 
 pub mod answer;
+mod clock;
 mod connections;
 pub mod engine;
 mod notify;
+pub mod platform;
+pub mod service;
 pub mod weights;
