--- a/crates/load/tests/generator.rs
+++ b/crates/load/tests/generator.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use mangofront_load::counted;
 use mangofront_load::generator::generate;
 use mangofront_load::report::{Report, RunFacts, build};
 use mangofront_load::requests::Requests;
@@ -60,20 +61,25 @@
         Fault::DropLastToken,
         Fault::RepeatToken,
         Fault::NoEndMark,
+        Fault::NotRunInStream,
+        Fault::EventAfterError,
     ] {
         let report = run(fault, 100, 1.0);
         let wrong = report.counts.wrong_answer;
-        let expected = report
+        let prompts: u64 = report
             .by_length
             .values()
-            .map(|length| length.counts.requests);
-        // The demo's plain JSON answers have no end mark to miss.
-        let spared = if fault == Fault::NoEndMark {
-            report.counts.done - service_calls(&report)
-        } else {
-            0
-        };
-        assert_eq!(wrong + spared, expected.sum::<u64>(), "{fault:?}");
+            .map(|length| length.counts.requests)
+            .sum();
+        // Plain JSON answers are no streams: what is wrong with a stream's end
+        // can't be wrong with them.
+        let spared = report.counts.done - service_calls(&report);
+        let spares = matches!(
+            fault,
+            Fault::NoEndMark | Fault::NotRunInStream | Fault::EventAfterError
+        );
+        assert_eq!(wrong + spared, prompts, "{fault:?}");
+        assert_eq!(spared > 0, spares, "{fault:?}");
         assert!(wrong > 0);
         let first = &report.wrong_answers[0];
         assert!(
@@ -106,7 +112,7 @@
 
 #[test]
 fn a_hanging_target_does_not_hold_the_generator() {
-    let report = run(Fault::Hang, 10, 100_000.0);
+    let report = run(Fault::Hang, 10, 0.000_01);
     assert_eq!(report.generator.in_flight_max, 10);
     assert_eq!(
         report.failed_by_cause["client_timeout/unknown"],
@@ -116,3 +122,14 @@
     let ended = report.counts.failed + report.counts.generator_failure;
     assert_eq!(ended, report.counts.requests);
 }
+
+#[test]
+fn counts_of_all_services_are_added() {
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let runs = runtime.block_on(async {
+        let services = [server(Fault::None).await, server(Fault::None).await];
+        let client = mangofront_http::client().unwrap();
+        counted::read(&client, &services).await.unwrap()
+    });
+    assert_eq!(runs["k"], 6);
+}
