Check what is published by the settings' own rules; answer explain

The platform part used a weaker check of its own, by which a path prefix without its slash passed and its orders would have counted as repeatable. A call is now matched also in the spelling that a service would resolve it to (empty, dot and percent-encoded segments): the new session test shows four spellings refused without a key. A reader that takes no token for stream_stall_timeout_ms is given up; the setting had no reader before.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,7 +5,7 @@
 use mangofront_http::{Body, ErrorBody, Outcome, empty, full, json};
 
 use crate::parts::Parts;
-use crate::status;
+use crate::{explain, status};
 
 /// Answers one request of an operator.
 pub(crate) async fn handle(parts: Parts, request: Request<Incoming>) -> Response<Body> {
@@ -13,6 +13,7 @@
         (&Method::GET, "/healthz") => health(&parts),
         (&Method::GET, "/metrics") => metrics(&parts),
         (&Method::GET, "/status") => json(StatusCode::OK, &status::status(&parts)),
+        (&Method::POST, "/explain") => explain::answer(&parts, request).await,
         (&Method::GET, "/audit") => audit(&parts, request.uri().query()),
         _ => ErrorBody::new("unknown_path", Outcome::NotRun, "admin", "no such path")
             .into_response(StatusCode::NOT_FOUND),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod arguments;
 mod engines;
 mod error;
+mod explain;
 mod feeds;
 mod membership;
 mod parts;
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -12,6 +12,7 @@
 use mangofront_platform::{Kind, Platform, PlatformChange, PlatformOptions};
 use mangofront_settings::ids::Revision;
 use mangofront_settings::process::DaemonSettings;
+use mangofront_settings::published::check_published_text;
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
@@ -84,6 +85,7 @@
 fn start_platform(settings: &DaemonSettings, audit: &AuditLog) -> Result<Platform, DaemonError> {
     let audit = audit.clone();
     let options = PlatformOptions::builder(settings.platform_address)
+        .checker(check_published_text)
         .on_change(move |change| {
             if let Some(event) = audit_event(change) {
                 audit.record(event);
@@ -134,6 +136,7 @@
     EntryLimits {
         body_limit_bytes: limits.body_limit_bytes as usize,
         body_timeout: limits.body_timeout(),
+        stall_timeout: limits.stream_stall_timeout(),
         stream_buffer_frames: limits.stream_buffer_frames as usize,
         ..EntryLimits::default()
     }
--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -1,6 +1,7 @@
 //! Streamed answers.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -27,7 +28,7 @@
 enum Stopped {
     /// Caller's connection is gone.
     CallerGone,
-    /// Caller took no byte until its deadline.
+    /// Caller took no token for too long.
     CallerStalled,
 }
 
@@ -84,7 +85,8 @@
     }
 
     async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
-        let deadline = self.request.caller.deadline;
+        let stalled = Instant::now() + self.entry.parts().limits.stall_timeout;
+        let deadline = stalled.min(self.request.caller.deadline);
         match compio::time::timeout_at(deadline, sender.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_closed)) => Err(Stopped::CallerGone),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -25,6 +25,8 @@
     pub body_limit_bytes: usize,
     /// Longest time for a request's body to arrive.
     pub body_timeout: Duration,
+    /// Longest time for which a reader of a stream may take no token.
+    pub stall_timeout: Duration,
     /// Tokens held for a reader that is slower than its engine.
     pub stream_buffer_frames: usize,
     /// Longest answer of a plain service, in bytes.
@@ -38,6 +40,7 @@
         Self {
             body_limit_bytes: 16 * 1024 * 1024,
             body_timeout: Duration::from_secs(30),
+            stall_timeout: Duration::from_secs(30),
             stream_buffer_frames: 16,
             service_answer_limit_bytes: 4 * 1024 * 1024,
             service_timeout: Duration::from_secs(30),
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -19,6 +19,7 @@
 use mangofront_settings::published::{CallPattern, Configuration, Service};
 use mangofront_upstream::Target;
 use mangofront_upstream::service::{Call, ServiceAnswer, call};
+use percent_encoding::percent_decode_str;
 
 use crate::caller::{self, Caller};
 use crate::completion::read_body;
@@ -164,10 +165,32 @@
     Ok((service.to_owned(), rest))
 }
 
+/// The path as a service may read it: decoded, without empty and dot segments.
+///
+/// A call that some service would take for a non-repeatable one has to be
+/// treated as one, in whatever spelling it comes.
+fn plain_path(path: &str) -> String {
+    let decoded = percent_decode_str(path).decode_utf8_lossy();
+    let mut segments = Vec::new();
+    for segment in decoded.split('/') {
+        match segment {
+            "" | "." => {}
+            ".." => {
+                segments.pop();
+            }
+            segment => segments.push(segment),
+        }
+    }
+    format!("/{}", segments.join("/"))
+}
+
 fn repeat(service: &Service, method: &Method, path_and_query: &str) -> Repeat {
     let path = path_and_query.split('?').next().unwrap_or_default();
+    let plain = plain_path(path);
     let matches = |pattern: &CallPattern| {
-        pattern.method == method.as_str() && path.starts_with(&pattern.path_prefix)
+        let same_method = pattern.method.eq_ignore_ascii_case(method.as_str());
+        let prefix = &pattern.path_prefix;
+        same_method && (path.starts_with(prefix) || plain.starts_with(prefix))
     };
     if service.non_repeatable.iter().any(matches) {
         Repeat::Forbidden
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -170,3 +170,35 @@
         fleet.operator(0).get("/status").json()["daemon"]["requests_in_progress"] == 0
     });
 }
+
+#[test]
+fn order_in_another_spelling_needs_its_key() {
+    let fleet = Fleet::start(Plan::default());
+    for path in [
+        "//orders/toner",
+        "/./orders/toner",
+        "/%6Frders/toner",
+        "/x/../orders/toner",
+    ] {
+        let path = format!("/v1/services/fleet-ops{path}");
+        let answer = fleet.caller(0).post(&path, &json!({}));
+        let code = &answer.json()["error"]["code"];
+        assert_eq!(code, "idempotency_key_required", "{path}: {}", answer.body);
+    }
+    let counters = fleet.service(0).get("/control/counters").json();
+    assert_eq!(counters["total"], 0);
+}
+
+#[test]
+fn explain_tells_each_engine() {
+    let fleet = Fleet::start(Plan::default());
+    let question = json!({"model": "assist-llm", "tokens": 2000, "class": "diagnosis"});
+    let explained = fleet.operator(0).post("/explain", &question);
+    assert_eq!(explained.status, 200);
+    assert_eq!(
+        explained.json()["considered"].as_array().map(Vec::len),
+        Some(2)
+    );
+    let unknown = json!({"model": "assist-llm", "tokens": 2000, "class": "haste"});
+    assert_eq!(fleet.operator(0).post("/explain", &unknown).status, 400);
+}
