--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use mangofront_placement::Policy;
+
 use crate::error::DaemonError;
 
 /// Text of `--help`.
@@ -12,6 +14,8 @@
 
 Options:
   --settings FILE   settings of this process, JSON with comments
+  --experiment-policy length-aware|least-outstanding|round-robin
+                    way of choosing engines, for comparisons only
   --version         print the version
   --help            print this text
 
@@ -22,6 +26,8 @@
 pub(crate) struct Arguments {
     /// Settings file.
     pub(crate) settings: PathBuf,
+    /// Way of choosing engines; length-aware but in experiments.
+    pub(crate) policy: Policy,
 }
 
 impl Arguments {
@@ -42,6 +48,9 @@
         let settings = arguments
             .value_from_os_str("--settings", |value| Ok::<_, String>(PathBuf::from(value)))
             .map_err(|error| DaemonError::Arguments(error.to_string()))?;
+        let policy = arguments
+            .opt_value_from_fn("--experiment-policy", read_policy)
+            .map_err(|error| DaemonError::Arguments(error.to_string()))?;
         let rest = arguments.finish();
         if let Some(unknown) = rest.first() {
             let unknown = unknown.to_string_lossy();
@@ -49,6 +58,18 @@
                 "unknown argument {unknown}"
             )));
         }
-        Ok(Self { settings })
+        Ok(Self {
+            settings,
+            policy: policy.unwrap_or(Policy::LengthAware),
+        })
+    }
+}
+
+fn read_policy(name: &str) -> Result<Policy, String> {
+    match name {
+        "length-aware" => Ok(Policy::LengthAware),
+        "least-outstanding" => Ok(Policy::LeastOutstanding),
+        "round-robin" => Ok(Policy::RoundRobin),
+        _ => Err(format!("unknown policy {name}")),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -47,5 +47,5 @@
         step: "start runtime",
         cause,
     })?;
-    runtime.block_on(run::run(settings))
+    runtime.block_on(run::run(settings, arguments.policy))
 }
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -8,7 +8,7 @@
 use mangofront_entry::{Entry, EntryLimits, EntryParts};
 use mangofront_once::{Once, OnceOptions};
 use mangofront_peers::Peers;
-use mangofront_placement::{Placement, PlacementOptions};
+use mangofront_placement::{Placement, PlacementOptions, Policy};
 use mangofront_platform::{Kind, Platform, PlatformChange, PlatformOptions};
 use mangofront_settings::ids::Revision;
 use mangofront_settings::process::DaemonSettings;
@@ -39,13 +39,12 @@
 ///
 /// # Errors
 /// [`DaemonError`] when a part refuses its settings or its address.
-pub(crate) fn assemble(settings: DaemonSettings) -> Result<Parts, DaemonError> {
+pub(crate) fn assemble(settings: DaemonSettings, policy: Policy) -> Result<Parts, DaemonError> {
     let audit = AuditLog::new(settings.audit_capacity_entries as usize);
     let platform = start_platform(&settings, &audit)?;
-    let placement = Placement::new(PlacementOptions::new(
-        settings.instance.clone(),
-        settings.availability_zone.clone(),
-    ));
+    let (instance, zone) = (&settings.instance, &settings.availability_zone);
+    let options = PlacementOptions::new(instance.clone(), zone.clone()).policy(policy);
+    let placement = Placement::new(options);
     let admission = Admission::new(AdmissionOptions::new());
     let connections = Connections::new(ConnectionsOptions {
         connect_timeout: settings.limits.connect_timeout(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,6 +7,7 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_util::FutureExt;
 use mangofront_http::{ServeLimits, Shutdown, serve};
+use mangofront_placement::Policy;
 use mangofront_settings::process::DaemonSettings;
 
 use crate::error::DaemonError;
@@ -26,11 +27,11 @@
 ///
 /// # Errors
 /// [`DaemonError`] when it can't start.
-pub(crate) async fn run(settings: DaemonSettings) -> Result<(), DaemonError> {
+pub(crate) async fn run(settings: DaemonSettings, policy: Policy) -> Result<(), DaemonError> {
     let callers = listen(settings.caller_address).await?;
     let operators = listen(settings.admin_address).await?;
     let limits = serve_limits(&settings);
-    let parts = assemble(settings)?;
+    let parts = assemble(settings, policy)?;
     log::info!(
         "daemon: {} serves callers on {}",
         parts.settings.instance,
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,6 +12,8 @@
 FLEET_DAEMONS=()
 FLEET_DAEMON_PIDS=()
 FLEET_INSTANCES=()
+# Further arguments of every daemon.
+FLEET_DAEMON_ARGUMENTS=()
 
 fleet_stop() {
     local pid
@@ -89,7 +91,8 @@
         --address "127.0.0.1:$FLEET_PORT" \
         --set "configuration=@$1" --set "instances=@$FLEET_DIR/instances.json"
     for name in "${FLEET_DAEMONS[@]}"; do
-        fleet_run "$name" "$FLEET_BIN/mangofrontd" --settings "$FLEET_DIR/$name.jsonc"
+        fleet_run "$name" "$FLEET_BIN/mangofrontd" --settings "$FLEET_DIR/$name.jsonc" \
+            "${FLEET_DAEMON_ARGUMENTS[@]}"
         FLEET_DAEMON_PIDS+=("${FLEET_PIDS[-1]}")
     done
     fleet_wait_ready
