--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -17,6 +17,12 @@
 /// Pause after a fetch that failed, also when the store names none.
 const FETCH_PAUSE: Duration = Duration::from_secs(1);
 
+/// Largest share by which a pause is drawn out at random.
+const RETRY_JITTER: f64 = 0.25;
+
+/// Longest pause that a store can ask for.
+const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+
 /// Settings of the emulated weight store.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -26,8 +32,8 @@
     pub fetches_per_minute: f64,
     /// Fetches that are let through at once after a rest.
     pub burst_fetches: f64,
-    /// Time of one transfer, in milliseconds. 140 GB at 100 Gbit/s take about
-    /// 11 seconds.
+    /// Time of one transfer, in milliseconds. 70 GB, the assumed model, take
+    /// 5.6 seconds at 100 Gbit/s.
     pub transfer_time_ms: u64,
     /// Factor on the transfer time and on the rate limit's clock.
     pub time_scale: f64,
@@ -38,7 +44,7 @@
         Self {
             fetches_per_minute: 12.0,
             burst_fetches: 2.0,
-            transfer_time_ms: 11_000,
+            transfer_time_ms: 5_600,
             time_scale: 1.0,
         }
     }
@@ -156,7 +162,9 @@
             FetchError::Unreachable { .. } => FETCH_PAUSE,
             FetchError::Refused { retry_after, .. } => retry_after,
         };
-        compio::time::sleep(pause).await;
+        // Engines that were refused together come back apart.
+        let jitter = rand::random_range(0.0..RETRY_JITTER);
+        compio::time::sleep(pause.mul_f64(1.0 + jitter)).await;
     }
 }
 
@@ -187,5 +195,7 @@
 fn retry_after(headers: &http::HeaderMap) -> Duration {
     let value = headers.get(header::RETRY_AFTER);
     let seconds = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    seconds.map_or(FETCH_PAUSE, Duration::from_secs)
+    seconds.map_or(FETCH_PAUSE, |seconds| {
+        Duration::from_secs(seconds).min(LONGEST_PAUSE)
+    })
 }
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -192,7 +192,8 @@
 pub async fn frames(events: &mut Events, count: usize) -> Vec<Value> {
     let mut frames = Vec::new();
     while frames.len() < count {
-        let event = events.next().await.unwrap().unwrap();
+        let next = compio::time::timeout(PATIENCE, events.next()).await;
+        let event = next.unwrap().unwrap().unwrap();
         frames.push(serde_json::from_str(&event.data).unwrap());
     }
     frames
@@ -201,13 +202,16 @@
 /// Reads to the end; events as text, and whether the end was clean.
 pub async fn drain(mut events: Events) -> (Vec<String>, bool) {
     let mut all = Vec::new();
-    while let Some(event) = events.next().await {
+    loop {
+        let next = compio::time::timeout(PATIENCE, events.next()).await;
+        let Some(event) = next.unwrap() else {
+            return (all, true);
+        };
         match event {
             Ok(event) => all.push(event.data),
             Err(_) => return (all, false),
         }
     }
-    (all, true)
 }
 
 /// Text of frames, with their offsets checked to follow one another.
