Estimate queues from sources that are each as old as they are

Change: `backlog` joins own, peers' (fading at the engine's rate) and reported work; waiting for memory counts the work that holds it; delay by less urgent chunks in progress is learned; long work goes from the long end.

--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -16,9 +16,13 @@
 /// Costs that differ by less than this share are not told apart.
 const TIE_SHARE: f64 = 0.02;
 
-/// Costs that differ by less than this are not told apart, in seconds.
+/// Costs that differ by less than this beyond the way to another zone are not
+/// told apart, in seconds.
 const TIE_S: f64 = 0.000_5;
 
+/// Work from which engines are taken from the long end, in tokens.
+const FROM_LONG_END_TOKENS: u64 = 32_768;
+
 /// Engines' memory is believed up to this many times the typical, either way.
 const KV_BELIEF: u64 = 4;
 
@@ -153,23 +157,40 @@
     }
 }
 
-/// The cheapest of the best rank; among near equals the one with least to do.
+/// The cheapest of the best rank; among near equals one of the prompt's interval
+/// with least to do.
 fn pick_by_cost(model: &Model, usable: &[Weighed], options: &PlacementOptions) -> Option<Weighed> {
     let best_rank = usable.iter().map(Weighed::rank).min()?;
     let of_rank = || usable.iter().filter(|weighed| weighed.rank() == best_rank);
     let costs = of_rank().map(|weighed| weighed.terms.cost_s);
     let least_s = costs.min_by(f64::total_cmp)?;
-    let limit_s = least_s * (1.0 + TIE_SHARE) + TIE_S;
+    let round_trip_s = 2.0 * options.zone_penalty.as_secs_f64();
+    let limit_s = least_s * (1.0 + TIE_SHARE) + TIE_S + round_trip_s;
     of_rank()
         .filter(|weighed| weighed.terms.cost_s <= limit_s)
         .min_by_key(|weighed| {
             let engine = model.order[weighed.index].borrow();
-            let is_elsewhere = engine.info.availability_zone != options.availability_zone;
-            (engine.outstanding(), is_elsewhere, salt(options, &engine))
+            let is_outside = weighed.terms.border_distance > 0.0;
+            let (detour, turn) = turn(weighed, &engine, options);
+            (is_outside, engine.outstanding() + detour, turn)
         })
         .copied()
 }
 
+/// Order among equals: what to add to the engine's load, and then whose turn it is.
+///
+/// Long work goes from the long end, for all daemons alike, so that the middle
+/// stays clear. Other work goes in another order for each daemon, since they
+/// don't see each other's latest choices, and the way to another zone weighs as
+/// much as one more request.
+fn turn(weighed: &Weighed, engine: &Engine, options: &PlacementOptions) -> (u32, u64) {
+    if weighed.terms.uncached_tokens >= FROM_LONG_END_TOKENS {
+        return (0, u64::MAX - weighed.index as u64);
+    }
+    let is_elsewhere = engine.info.availability_zone != options.availability_zone;
+    (u32::from(is_elsewhere), salt(options, engine))
+}
+
 /// Differs between daemons, so that they don't all take the same of equals.
 fn salt(options: &PlacementOptions, engine: &Engine) -> u64 {
     xxh3_64(options.daemon.as_bytes()) ^ u64::from(engine.key).wrapping_mul(0x9E37_79B9_7F4A_7C15)
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -8,9 +8,10 @@
 use crate::demand::EngineInfo;
 use crate::gossip::{EngineWork, NameKey, name_key};
 use crate::health::Health;
+use crate::peer_work::PeerWork;
 use crate::rates::{PrefillFit, PrefillLine};
 use crate::report::{EngineState, LoadReport};
-use crate::work::{BandTokens, Overtakable, OwnWork};
+use crate::work::OwnWork;
 
 /// Oldest age believed of a report.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(60);
@@ -51,15 +52,6 @@
     received_at: Instant,
 }
 
-/// Outstanding work of all peers on one engine.
-#[derive(Debug, Default)]
-pub(crate) struct PeerWork {
-    pub(crate) outstanding: u32,
-    pub(crate) waiting_tokens: BandTokens,
-    pub(crate) since_report_tokens: u64,
-    most_overtaken: Vec<(NameKey, Overtakable)>,
-}
-
 impl Engine {
     pub(crate) fn new(info: EngineInfo, health: Health) -> Self {
         Self {
@@ -128,9 +120,8 @@
     /// Least work that may still overtake a long prompt waiting here.
     pub(crate) fn overtaking_left_tokens(&self, priority: u8) -> Option<i64> {
         let own = self.own.most_overtaken(priority);
-        let peers = self.peers.most_overtaken.iter();
+        let peers = self.peers.most_overtaken();
         peers
-            .map(|(_, overtakable)| *overtakable)
             .filter(|overtakable| overtakable.priority > priority)
             .chain(own)
             .map(|overtakable| overtakable.left_tokens)
@@ -165,36 +156,6 @@
     }
 }
 
-impl PeerWork {
-    pub(crate) fn add(&mut self, peer: NameKey, work: &EngineWork) {
-        self.outstanding = self.outstanding.saturating_add(work.outstanding);
-        self.since_report_tokens = self
-            .since_report_tokens
-            .saturating_add(work.since_report_tokens);
-        for (band, tokens) in &work.waiting_tokens {
-            if let Some(sum) = self.waiting_tokens.get_mut(usize::from(*band)) {
-                *sum = sum.saturating_add(*tokens);
-            }
-        }
-        if let Some(overtakable) = work.most_overtaken {
-            self.most_overtaken.push((peer, overtakable));
-        }
-    }
-
-    pub(crate) fn remove(&mut self, peer: NameKey, work: &EngineWork) {
-        self.outstanding = self.outstanding.saturating_sub(work.outstanding);
-        self.since_report_tokens = self
-            .since_report_tokens
-            .saturating_sub(work.since_report_tokens);
-        for (band, tokens) in &work.waiting_tokens {
-            if let Some(sum) = self.waiting_tokens.get_mut(usize::from(*band)) {
-                *sum = sum.saturating_sub(*tokens);
-            }
-        }
-        self.most_overtaken.retain(|(from, _)| *from != peer);
-    }
-}
-
 fn clamped(mut report: LoadReport) -> LoadReport {
     report.waiting_prefill_tokens = report.waiting_prefill_tokens.min(MAX_REPORTED_QUEUE_TOKENS);
     report.kv_total_tokens = report.kv_total_tokens.min(MAX_REPORTED_KV_TOKENS);
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use crate::backlog::{Backlog, backlog, queue_s};
 use crate::border::{Interval, LENGTH_CLASSES, length_class};
 use crate::demand::{Demand, Estimate};
 use crate::engine::Engine;
 use crate::model::Typical;
 use crate::priority::priority;
 use crate::rates::PrefillLine;
-use crate::work::{BANDS, Work, band};
+use crate::work::{BANDS, Work};
 
 /// Decoding step believed of a report, in seconds.
 const REPORTED_STEP_S: std::ops::RangeInclusive<f64> = 0.000_1..=1.0;
@@ -16,12 +17,13 @@
 /// Decoding step before anything was observed or reported, in seconds.
 const INITIAL_STEP_S: f64 = 0.03;
 
-/// Time that a request holds its memory, before any was observed, in seconds.
-const INITIAL_HOLD_S: f64 = 5.0;
+/// Cost of a place outside the prompt's interval, as a multiple of the prompt's
+/// own prefill time for the whole length of the order.
+const BORDER_WEIGHT: f64 = 0.03;
 
-/// Cost of a place outside the prompt's interval, as a multiple of the
-/// prompt's own prefill time for the whole length of the order.
-const BORDER_WEIGHT: f64 = 2.0;
+/// Delay by less urgent work in progress before any was observed, in tokens:
+/// half of a usual prefill chunk.
+const INITIAL_INTERFERENCE_TOKENS: f64 = 512.0;
 
 /// Shortest work for which overtaking is counted, in tokens.
 const OVERTAKABLE_TOKENS: u64 = 8_192;
@@ -46,6 +48,8 @@
     pub(crate) typical: Typical,
     /// Expected length of the answer, in tokens.
     pub(crate) answer_tokens: f64,
+    /// Delay by less urgent work as observed, in seconds.
+    pub(crate) interference_s: Option<f64>,
 }
 
 /// What an engine would do with a request, and what taking it would cost.
@@ -53,10 +57,13 @@
 pub(crate) struct Terms {
     pub(crate) cached_tokens: u64,
     pub(crate) uncached_tokens: u64,
+    /// Queue as the work that would take as long, in tokens.
     pub(crate) queue_tokens: f64,
     pub(crate) priority: u8,
     pub(crate) line: PrefillLine,
     pub(crate) estimate: Estimate,
+    /// Part of the time that less urgent work in progress takes, in seconds.
+    pub(crate) interference_s: f64,
     /// Gap between the engine and the prompt's interval, as a part of the order.
     pub(crate) border_distance: f64,
     pub(crate) cost_s: f64,
@@ -103,19 +110,21 @@
 
     let slack_s = (target_s - prefill_s).min(left_s - decode_s - prefill_s);
     let priority = priority(uncached_tokens, seconds(slack_s));
-    let queue_tokens = queued_tokens(engine, priority, &line, asked);
-    let queue_s = queue_tokens * line.token_s + memory_wait_s(engine, demand);
+    let backlog = backlog(engine, priority, &line, &asked.ahead_share, asked.now);
+    let queue_s = queue_s(engine, &backlog, &line, demand);
     let zone_s = zone_s(engine, asked);
-    let first_token_s = prefill_s + queue_s + zone_s;
+    let interference_s = interference_s(&backlog, &line, asked);
+    let first_token_s = prefill_s + queue_s + zone_s + interference_s;
 
     let interval = asked.intervals[length_class(uncached_tokens)];
     let border_distance = engine.position.distance(&interval);
+    let border_s = BORDER_WEIGHT * border_distance * prefill_s;
     let may_overtake = engine.overtaking_left_tokens(priority);
     let spare_tokens = (left_s - decode_s - first_token_s).max(0.0) / line.token_s;
     Terms {
         cached_tokens,
         uncached_tokens,
-        queue_tokens,
+        queue_tokens: queue_s / line.token_s,
         priority,
         line,
         estimate: Estimate {
@@ -124,7 +133,8 @@
             queue: seconds(queue_s),
         },
         border_distance,
-        cost_s: first_token_s + BORDER_WEIGHT * border_distance * prefill_s,
+        cost_s: first_token_s + border_s,
+        interference_s,
         misses_target: first_token_s > target_s.min(left_s),
         delays_others: may_overtake.is_some_and(|left| left < uncached_tokens as i64),
         overtaking_left_tokens: (uncached_tokens >= OVERTAKABLE_TOKENS)
@@ -157,74 +167,22 @@
         })
 }
 
-/// Time to and from an engine in another availability zone, in seconds.
-fn zone_s(engine: &Engine, asked: &Asked<'_>) -> f64 {
-    if engine.info.availability_zone == asked.availability_zone {
+/// Delay by less urgent work, whose chunk in progress is not broken off, in
+/// seconds.
+fn interference_s(backlog: &Backlog, line: &PrefillLine, asked: &Asked<'_>) -> f64 {
+    let behind_tokens = backlog.total_tokens - backlog.ahead_tokens;
+    if behind_tokens < 1.0 {
         return 0.0;
     }
-    2.0 * asked.zone_penalty.as_secs_f64()
-}
-
-/// Work that the engine will do before a request of `priority`, in tokens.
-///
-/// Two views meet here. Own and peers' placements say which work there is and
-/// how urgent; the report says how much is left, though as of some time ago.
-/// Where the report has more, others placed it, and the share of it that goes
-/// ahead is taken from the recent mix of priorities. Where it has less, the
-/// engine has made headway, most urgent work first, though never on work that
-/// was placed after the measurement, and no faster than it has been seen to.
-fn queued_tokens(engine: &Engine, priority: u8, line: &PrefillLine, asked: &Asked<'_>) -> f64 {
-    let band = band(priority);
-    let own = engine.own.waiting_tokens();
-    let peers = &engine.peers.waiting_tokens;
-    let own_ahead = sum(&own[..=band]);
-    let ahead = own_ahead + sum(&peers[..=band]);
-    let Some(reported) = &engine.report else {
-        return ahead;
-    };
-
-    let total = sum(own) + sum(peers);
-    let own_since = engine.own.since_report_tokens();
-    let peers_since = engine.peers.since_report_tokens as f64;
-    let age_s = (asked.now.saturating_duration_since(reported.measured_at)).as_secs_f64();
-    let waiting = reported.load.waiting_prefill_tokens as f64;
-    let left = (waiting - age_s / line.token_s).max(0.0) + sum(own_since) + peers_since;
-    let share = asked.ahead_share[band];
-    if left >= total {
-        return ahead + (left - total) * share;
-    }
-
-    let oldest = engine.own.oldest_waiting();
-    let busy_s = oldest.map_or(0.0, |oldest| (asked.now - oldest).as_secs_f64());
-    let possible = busy_s / line.token_s + sum(peers);
-    let done = (total - left).min(possible);
-    let since_ahead = sum(&own_since[..=band]) + peers_since * share;
-    (ahead - done).max(since_ahead.min(ahead))
+    let whole_s = asked.interference_s;
+    let whole_s = whole_s.unwrap_or(INITIAL_INTERFERENCE_TOKENS * line.token_s);
+    whole_s.min(behind_tokens * line.token_s)
 }
 
-/// Time until the engine has memory for the request, in seconds.
-fn memory_wait_s(engine: &Engine, demand: &Demand) -> f64 {
-    let Some(reported) = &engine.report else {
-        return 0.0;
-    };
-    let load = &reported.load;
-    let is_idle = load.running == 0 && engine.outstanding() == 0;
-    if load.kv_total_tokens == 0 || is_idle {
+/// Time to and from an engine in another availability zone, in seconds.
+fn zone_s(engine: &Engine, asked: &Asked<'_>) -> f64 {
+    if engine.info.availability_zone == asked.availability_zone {
         return 0.0;
     }
-    let used_tokens = load
-        .kv_used_tokens
-        .saturating_add(engine.own.since_report_kv_tokens())
-        .saturating_add(engine.peers.since_report_tokens);
-    let needed_tokens = demand.length_tokens + u64::from(demand.max_tokens);
-    let missing_tokens = used_tokens
-        .saturating_add(needed_tokens)
-        .saturating_sub(load.kv_total_tokens);
-    let hold_s = engine.hold_s.mean().unwrap_or(INITIAL_HOLD_S);
-    // Memory comes back evenly over the time that requests hold it.
-    hold_s * (missing_tokens as f64 / used_tokens.max(1) as f64).min(1.0)
-}
-
-fn sum(tokens: &[u64]) -> f64 {
-    tokens.iter().map(|tokens| *tokens as f64).sum()
+    2.0 * asked.zone_penalty.as_secs_f64()
 }
--- a/crates/placement/src/gossip.rs
+++ b/crates/placement/src/gossip.rs
@@ -103,11 +103,14 @@
     peers: BTreeMap<InstanceId, PeerView>,
 }
 
+/// View of one peer.
 #[derive(Debug)]
-struct PeerView {
+pub(crate) struct PeerView {
     incarnation: Incarnation,
-    received_at: Instant,
-    view: View,
+    /// When it came in.
+    pub(crate) received_at: Instant,
+    /// What it says.
+    pub(crate) view: View,
 }
 
 impl PeerViews {
@@ -116,19 +119,19 @@
     }
 
     /// Every view with its sender.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&InstanceId, &View)> {
-        self.peers.iter().map(|(daemon, peer)| (daemon, &peer.view))
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&InstanceId, &PeerView)> {
+        self.peers.iter()
     }
 
-    /// Takes in a view; returns the one that it replaces (an empty one when
-    /// there was none) and itself, or nothing when it is refused.
+    /// Takes in a view; returns the one that it replaces, if any, and itself,
+    /// or nothing when it is refused.
     pub(crate) fn accept(
         &mut self,
         daemon: &InstanceId,
         incarnation: Incarnation,
         encoded: &[u8],
         now: Instant,
-    ) -> Option<(View, &View)> {
+    ) -> Option<(Option<PeerView>, &PeerView)> {
         let view = decode(daemon, encoded)?;
         let known = self.peers.get(daemon);
         let newest = known.map(|peer| (peer.incarnation, peer.view.sequence));
@@ -138,21 +141,20 @@
         if newest.is_none() && self.peers.len() >= MAX_PEERS {
             return None;
         }
-        let former = self.peers.remove(daemon).map(|peer| peer.view);
+        let former = self.peers.remove(daemon);
         let peer = PeerView {
             incarnation,
             received_at: now,
             view,
         };
         let peer = self.peers.entry(daemon.clone()).or_insert(peer);
-        Some((former.unwrap_or_default(), &peer.view))
+        Some((former, peer))
     }
 
     /// Takes out the views of peers that have been silent for too long.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(InstanceId, View)> {
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(InstanceId, PeerView)> {
         self.peers
             .extract_if(.., |_, peer| now - peer.received_at > VIEW_LIFETIME)
-            .map(|(daemon, peer)| (daemon, peer.view))
             .collect()
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! `docs/design/placement.md` tells the ways that were weighed.
 
+mod backlog;
 mod border;
 mod cache;
 mod choose;
@@ -24,6 +25,7 @@
 mod health;
 mod model;
 mod options;
+mod peer_work;
 mod placed;
 mod placement;
 mod priority;
--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Learned {
     /// Length of the answer as a share of the longest allowed.
     pub(crate) answer_share: Smoothed,
+    /// Delay of short work by less urgent work in progress, in seconds.
+    pub(crate) interference_s: Smoothed,
     /// Measured over predicted time to first token of groups.
     pub(crate) group_stretch: Smoothed,
 }
--- a/crates/placement/src/placed.rs
+++ b/crates/placement/src/placed.rs
@@ -3,20 +3,26 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mangofront_prompt::BlockHash;
 use mangofront_settings::ids::InstanceId;
 
 use crate::clock::Clock;
 use crate::demand::{Demand, Estimate, GroupMember};
-use crate::estimate::Terms;
+use crate::estimate::{Terms, seconds};
 use crate::model::{Learned, SharedEngine};
 use crate::work::WorkId;
 
 /// Shortest answer from which a decoding step is learned, in tokens.
 const MIN_STEP_TOKENS: u32 = 8;
 
+/// Longest work from which interference is learned, in tokens.
+const MAX_DISTURBED_TOKENS: u64 = 8_192;
+
+/// Interference beyond this many times the undisturbed time counts as that.
+const MAX_INTERFERENCE: f64 = 8.0;
+
 /// Measured over predicted times to first token of groups are held to this.
 const GROUP_STRETCH: std::ops::RangeInclusive<f64> = 0.25..=8.0;
 
@@ -82,12 +88,33 @@
             self.learned.borrow_mut().group_stretch.observe(stretch);
             return;
         }
-        if let Some((engine, _)) = self.works.first() {
-            let tokens = self.terms.queue_tokens + self.terms.uncached_tokens as f64;
-            let engine = &mut *engine.borrow_mut();
-            engine.fit.observe(tokens, measured, self.terms.line, now);
-            engine.cache.presume(&self.blocks);
+        self.learn_interference(measured);
+        let Some((engine, _)) = self.works.first() else {
+            return;
+        };
+        let terms = &self.terms;
+        let tokens = terms.queue_tokens + terms.uncached_tokens as f64;
+        let undisturbed = measured.saturating_sub(seconds(terms.interference_s));
+        let engine = &mut *engine.borrow_mut();
+        engine.fit.observe(tokens, undisturbed, terms.line, now);
+        engine.cache.presume(&self.blocks);
+    }
+
+    /// Learns from short work with little before it, where the delay shows.
+    fn learn_interference(&self, measured: Duration) {
+        let terms = &self.terms;
+        let work_tokens = terms.uncached_tokens as f64;
+        let is_clear = terms.interference_s > 0.0
+            && terms.uncached_tokens <= MAX_DISTURBED_TOKENS
+            && terms.queue_tokens < work_tokens;
+        if !is_clear {
+            return;
         }
+        let undisturbed_s = terms.line.time_s(work_tokens + terms.queue_tokens);
+        let delay_s = measured.as_secs_f64() - undisturbed_s;
+        let most_s = MAX_INTERFERENCE * undisturbed_s;
+        let mut learned = self.learned.borrow_mut();
+        learned.interference_s.observe(delay_s.clamp(0.0, most_s));
     }
 
     fn learn_answer(&self, first_token_at: Instant, now: Instant) {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -246,6 +246,7 @@
             ahead_share: model.ahead_share(now),
             typical: model.typical,
             answer_tokens: answer_tokens(model, demand),
+            interference_s: model.learned.borrow().interference_s.mean(),
         };
         let weighed = weigh_all(model, &asked, excluded);
         let choice = choose(model, &asked, &weighed, &self.options);
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -8,10 +8,11 @@
 use mangofront_settings::ids::{Incarnation, InstanceId, ModelName};
 
 use crate::demand::EngineInfo;
-use crate::engine::{Engine, PeerWork};
-use crate::gossip::{ModelDemand, NameKey, PeerViews, View, name_key};
+use crate::engine::Engine;
+use crate::gossip::{ModelDemand, NameKey, PeerView, PeerViews, View, name_key};
 use crate::health::Health;
 use crate::model::{Model, SharedEngine};
+use crate::peer_work::PeerWork;
 
 /// The view behind a [`Placement`](crate::Placement).
 ///
@@ -59,7 +60,9 @@
     ) {
         let peer = name_key(daemon);
         if let Some((former, view)) = self.peers.accept(daemon, incarnation, encoded, now) {
-            remove_view(&self.by_key, &mut self.models, peer, &former);
+            if let Some(former) = former {
+                remove_view(&self.by_key, &mut self.models, peer, &former);
+            }
             add_view(&self.by_key, &mut self.models, peer, view);
         }
         self.expire_peers(now);
@@ -145,11 +148,14 @@
     engines: &BTreeMap<NameKey, SharedEngine>,
     models: &mut BTreeMap<ModelName, Model>,
     peer: NameKey,
-    view: &View,
+    peer_view: &PeerView,
 ) {
+    let PeerView {
+        view, received_at, ..
+    } = peer_view;
     for work in &view.engines {
         if let Some(engine) = engines.get(&work.engine) {
-            engine.borrow_mut().peers.add(peer, work);
+            engine.borrow_mut().peers.add(peer, work, *received_at);
         }
     }
     for demand in &view.models {
@@ -166,11 +172,14 @@
     engines: &BTreeMap<NameKey, SharedEngine>,
     models: &mut BTreeMap<ModelName, Model>,
     peer: NameKey,
-    view: &View,
+    peer_view: &PeerView,
 ) {
+    let PeerView {
+        view, received_at, ..
+    } = peer_view;
     for work in &view.engines {
         if let Some(engine) = engines.get(&work.engine) {
-            engine.borrow_mut().peers.remove(peer, work);
+            engine.borrow_mut().peers.remove(peer, work, *received_at);
         }
     }
     for demand in &view.models {
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -111,6 +111,89 @@
     drop(held);
 }
 
+#[test]
+fn what_a_peer_told_fades_at_the_engines_rate() {
+    let clock = Clock::manual(Instant::now());
+    let one = daemon("entry-1", 1, clock.clone(), Policy::LengthAware);
+    let other = daemon("entry-2", 1, clock.clone(), Policy::LengthAware);
+    let held = place(&one, 5);
+    other
+        .placement
+        .peer_view(&"entry-1".to_owned(), 1, one.placement.own_view());
+    clock.advance(Duration::from_secs(1));
+    let queue = other
+        .placement
+        .estimate(&other.demand(8_000))
+        .unwrap()
+        .queue;
+    assert_eq!(queue.as_millis(), 3_000);
+    drop(held);
+}
+
+#[test]
+fn headway_is_not_made_on_what_came_after_the_report() {
+    let clock = Clock::manual(Instant::now());
+    let one = daemon("entry-1", 1, clock.clone(), Policy::LengthAware);
+    let other = daemon("entry-2", 1, clock.clone(), Policy::LengthAware);
+    let long = other.placement.place(&other.patient(100_000), &[]).unwrap();
+    clock.advance(Duration::from_secs(10));
+    let mut busy = report(2);
+    busy.waiting_prefill_tokens = 60_000;
+    for daemon in [&one, &other] {
+        daemon
+            .placement
+            .report(&"engine-0".to_owned(), busy.clone());
+    }
+    let peers = place(&one, 5);
+    other
+        .placement
+        .peer_view(&"entry-1".to_owned(), 1, one.placement.own_view());
+    // 60,000 of the long prompt and 40,000 of the peer's are left.
+    let queue = |demand| other.placement.estimate(&demand).unwrap().queue.as_millis();
+    assert_eq!(queue(other.patient(100_000)), 10_000);
+    let short = other.placement.place(&other.demand(1_000), &[]).unwrap();
+    assert_eq!(queue(other.demand(1_000)), 100);
+    drop((long, peers, short));
+}
+
+#[test]
+fn memory_is_waited_for_behind_less_urgent_work() {
+    let fleet = fleet(1);
+    let long = fleet.placement.place(&fleet.patient(300_000), &[]).unwrap();
+    let queue = |demand| fleet.placement.estimate(&demand).unwrap().queue;
+    assert_eq!(queue(fleet.patient(50_000)), Duration::ZERO);
+    assert!(queue(fleet.patient(150_000)) >= Duration::from_secs(30));
+    drop(long);
+    assert_eq!(queue(fleet.patient(150_000)), Duration::ZERO);
+}
+
+#[test]
+fn interference_by_long_work_is_learned() {
+    let fleet = fleet(1);
+    let first_token_ms = || {
+        let estimate = fleet.placement.estimate(&fleet.demand(1_000)).unwrap();
+        estimate.time_to_first_token.as_millis()
+    };
+    assert_eq!(first_token_ms(), 100);
+    let long = fleet.placement.place(&fleet.patient(300_000), &[]).unwrap();
+    assert!(
+        (150..=152).contains(&first_token_ms()),
+        "{}",
+        first_token_ms()
+    );
+    for _ in 0..20 {
+        let mut placed = fleet.placement.place(&fleet.demand(1_000), &[]).unwrap();
+        fleet.clock.advance(Duration::from_millis(300));
+        placed.first_token();
+    }
+    assert!(
+        (290..=310).contains(&first_token_ms()),
+        "{}",
+        first_token_ms()
+    );
+    drop(long);
+}
+
 #[test]
 fn peers_views_avoid_herding() {
     let clock = Clock::manual(Instant::now());
