--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -5,7 +5,8 @@
 use mangofront_settings::ids::InstanceId;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::demand::{Demand, NoEngine};
+use crate::bars::{barred, held_back, kv_tokens, mean_outstanding, needed_tokens};
+use crate::demand::NoEngine;
 use crate::engine::Engine;
 use crate::estimate::{Asked, Terms, seconds, weigh, weigh_share};
 use crate::explain::Verdict;
@@ -23,9 +24,6 @@
 /// Work from which engines are taken from the long end, in tokens.
 const FROM_LONG_END_TOKENS: u64 = 32_768;
 
-/// Engines' memory is believed up to this many times the typical, either way.
-const KV_BELIEF: u64 = 4;
-
 /// What was decided for a request.
 #[derive(Debug)]
 pub(crate) struct Choice {
@@ -196,44 +194,6 @@
     xxh3_64(options.daemon.as_bytes()) ^ u64::from(engine.key).wrapping_mul(0x9E37_79B9_7F4A_7C15)
 }
 
-fn barred(engine: &Engine, asked: &Asked<'_>, excluded: &[InstanceId]) -> Option<Verdict> {
-    if engine.is_leaving(asked.now) {
-        Some(Verdict::Leaving)
-    } else if excluded.contains(&engine.info.instance) {
-        Some(Verdict::Excluded)
-    } else if kv_tokens(engine, asked).is_some_and(|kv| needed_tokens(asked.demand) > kv) {
-        Some(Verdict::TooSmall)
-    } else if engine.health.is_ejected() {
-        Some(Verdict::Ejected)
-    } else if engine.health.is_unreachable() {
-        Some(Verdict::Unreachable)
-    } else {
-        None
-    }
-}
-
-/// Whether an engine should get no more for the moment, if others can.
-fn held_back(engine: &Engine, asked: &Asked<'_>, mean_outstanding: f64) -> bool {
-    let health = &engine.health;
-    if health.is_busy(asked.now) {
-        return true;
-    }
-    let outstanding = f64::from(engine.own.outstanding());
-    if health.is_probing() {
-        return outstanding >= 1.0;
-    }
-    let share = health.share(asked.now);
-    share < 1.0 && outstanding >= 1.0 + share * mean_outstanding
-}
-
-fn mean_outstanding(model: &Model) -> f64 {
-    let engines = model.order.iter();
-    let sum: u32 = engines
-        .map(|engine| engine.borrow().own.outstanding())
-        .sum();
-    f64::from(sum) / model.order.len().max(1) as f64
-}
-
 fn choose_group(model: &Model, asked: &Asked<'_>, weighed: &[Weighed]) -> Result<Choice, NoEngine> {
     let members = weighed
         .iter()
@@ -293,20 +253,3 @@
         group,
     }
 }
-
-/// Memory that a request takes while it runs, in tokens.
-pub(crate) fn needed_tokens(demand: &Demand) -> u64 {
-    demand
-        .length_tokens
-        .saturating_add(u64::from(demand.max_tokens))
-}
-
-/// An engine's memory as far as it is believed, in tokens.
-fn kv_tokens(engine: &Engine, asked: &Asked<'_>) -> Option<u64> {
-    let reported = engine.kv_total_tokens();
-    let Some(typical) = asked.typical.kv_total_tokens else {
-        return reported;
-    };
-    let reported = reported.unwrap_or(typical);
-    Some(reported.clamp(typical / KV_BELIEF, typical.saturating_mul(KV_BELIEF)))
-}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 //! `docs/design/placement.md` tells the ways that were weighed.
 
 mod backlog;
+mod bars;
 mod border;
 mod cache;
 mod choose;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use mangofront_settings::ids::{Incarnation, InstanceId};
 
+use crate::bars::needed_tokens;
 use crate::border::length_class;
-use crate::choose::{Choice, Weighed, choose, needed_tokens, weigh_all};
+use crate::choose::{Choice, Weighed, choose, weigh_all};
 use crate::demand::{Demand, EngineInfo, EngineOutcome, Estimate, GroupMember, NoEngine};
 use crate::estimate::Asked;
 use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus};
