--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -148,7 +148,6 @@
     pub p99_ms: f64,
 }
 
-#[derive(Default)]
 struct Path {
     first_token: Times,
     total: Times,
@@ -157,6 +156,18 @@
     first_problem: Option<String>,
 }
 
+impl Default for Path {
+    fn default() -> Self {
+        Self {
+            first_token: Times::fine(),
+            total: Times::fine(),
+            errors: 0,
+            wrong_answers: 0,
+            first_problem: None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     daemon: Path,
--- a/crates/load/src/times.rs
+++ b/crates/load/src/times.rs
@@ -11,6 +11,12 @@
 /// Significant digits kept.
 const DIGITS: u8 = 3;
 
+/// Longest time that [`Times::fine`] tells apart, in microseconds: a minute.
+const LONGEST_FINE_US: u64 = 60_000_000;
+
+/// Significant digits that [`Times::fine`] keeps.
+const FINE_DIGITS: u8 = 4;
+
 /// Longest duration that scaling gives: a day.
 const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -45,11 +51,24 @@
     /// Histogram without a time.
     #[must_use]
     pub fn new() -> Self {
-        let bounded = Histogram::new_with_bounds(1, LONGEST_US, DIGITS);
-        Self(bounded.expect("the bounds are constants that the library accepts"))
+        Self::bounded(LONGEST_US, DIGITS)
+    }
+
+    /// Histogram for small differences of times up to a minute.
+    ///
+    /// It takes more than a megabyte, so it is not the default.
+    #[must_use]
+    pub fn fine() -> Self {
+        Self::bounded(LONGEST_FINE_US, FINE_DIGITS)
+    }
+
+    fn bounded(longest_us: u64, digits: u8) -> Self {
+        let histogram = Histogram::new_with_bounds(1, longest_us, digits);
+        Self(histogram.expect("the bounds are constants that the library accepts"))
     }
 
-    /// Adds one time; longer ones than an hour count as an hour.
+    /// Adds one time; longer ones than the longest told apart count as
+    /// that.
     pub fn add(&mut self, time: Duration) {
         let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
         self.0.saturating_record(time_us);
--- a/crates/load/tests/emulated.rs
+++ b/crates/load/tests/emulated.rs
@@ -12,7 +12,7 @@
 use mangofront_load::scenario::Scenario;
 use mangofront_standin::engine::{EngineSettings, run};
 
-/// Runs `work` beside an engine that holds 120 000 tokens and computes a
+/// Runs `work` beside an engine that holds 105 000 tokens and computes a
 /// thousand times as fast as the default.
 fn beside_engine<T>(work: impl AsyncFnOnce(Destination, Prober, Scenario) -> T) -> T {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
@@ -23,7 +23,7 @@
         let engine = Destination::Engine(listener.local_addr().expect("an address"));
         let settings = EngineSettings {
             model: prober.model.clone(),
-            kv_total_tokens: 120_000,
+            kv_total_tokens: 105_000,
             time_scale: 0.001,
             ..EngineSettings::default()
         };
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -6,6 +6,7 @@
 
 use mangofront_load::scenario::{LONG_TOKENS, Scenario};
 use mangofront_load::schedule::{Arrival, Plan, Schedule, Work};
+use mangofront_settings::published::check_published_text;
 use quickcheck::{QuickCheck, TestResult};
 
 const PLAN: Plan = Plan {
@@ -34,6 +35,15 @@
     }
 }
 
+#[test]
+fn their_configurations_can_be_published() {
+    for name in Scenario::embedded() {
+        let configuration = Scenario::load(name).unwrap().configuration;
+        let text = serde_json::to_string(&configuration).unwrap();
+        assert_eq!(check_published_text(&text).unwrap(), configuration);
+    }
+}
+
 #[test]
 fn one_prompt_in_fifty_is_long() {
     for name in Scenario::embedded() {
