Scale the published classes with a run's time

Without it the daemons kept twice the time that the tool measured against at scale 0.5, and 26 of 6200 requests of the tuul scenario counted as timed out.

--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -13,6 +13,7 @@
 use std::process::ExitCode;
 use std::str::FromStr;
 
+use mangofront_settings::published::Configuration;
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -40,7 +41,8 @@
     [--scenario NAME|FILE] [--per-bucket N] [--bucket-limit-s N] [--seed N]
     [--json FILE]
 mangofront load compare A.json B.json [--idle FILE]
-mangofront load configuration [--scenario NAME|FILE] [--json FILE]
+mangofront load configuration
+    [--scenario NAME|FILE] [--time-scale S] [--json FILE]
 ";
 
 /// Least number that an option takes.
@@ -219,9 +221,11 @@
 
 /// `mangofront load configuration`: what operators publish for a scenario.
 fn configuration(mut args: Arguments) -> Result<Verdict, CommandError> {
-    let scenario = scenario(&mut args)?;
+    let mut scenario = scenario(&mut args)?;
+    let time_scale = opt_number(&mut args, "--time-scale")?.unwrap_or(1.0);
     let json: Option<String> = args.opt_value_from_str("--json")?;
     finish(args)?;
+    scale_classes(&mut scenario.configuration, time_scale);
     match json {
         Some(path) => write_json(&path, &scenario.configuration)?,
         None => {
@@ -232,6 +236,15 @@
     Ok(Verdict::Right)
 }
 
+/// Multiplies the classes' times, as `load run --time-scale` does.
+fn scale_classes(configuration: &mut Configuration, time_scale: f64) {
+    let scaled = |time_ms: u64| ((time_ms as f64 * time_scale).round() as u64).max(1);
+    for class in configuration.classes.values_mut() {
+        class.time_to_first_token_ms = scaled(class.time_to_first_token_ms);
+        class.allowed_delay_ms = scaled(class.allowed_delay_ms);
+    }
+}
+
 fn usage_line(usage: &UsageReport) -> String {
     let mib = |bytes: u64| bytes as f64 / (1024.0 * 1024.0);
     format!(
