--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -149,11 +149,14 @@
     pub(crate) fn close(&mut self, retry_after: Duration) {
         self.closed = Some(retry_after);
         let refusal = closed(retry_after);
+        let mut refused = 0;
         for lane in self.lanes.values_mut() {
             for waiter in lane.queue.drain() {
                 send(waiter, refusal);
+                refused += 1;
             }
         }
+        log::info!("admission: closed, {refused} waiting requests refused");
     }
 
     fn class(&self, request: &AdmissionRequest) -> Result<Class, Refusal> {
--- a/crates/placement/examples/place_cost.rs
+++ b/crates/placement/examples/place_cost.rs
@@ -1,4 +1,5 @@
-//! Prints what a decision costs for 25 engines and a prompt of a million tokens.
+//! Prints what decisions and peers' views cost for 25 engines and prompts of up
+//! to a million tokens.
 //!
 //! Run with `cargo run --release -p mangofront-placement --example place_cost`.
 
@@ -12,6 +13,7 @@
 const ENGINES: usize = 25;
 const BLOCKS: u64 = 4_000;
 const ROUNDS: u32 = 2_000;
+const PEERS: u32 = 140;
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let options = PlacementOptions::new("entry-1".to_owned(), "hall-a".to_owned());
@@ -36,14 +38,7 @@
         ("1,000 tokens, no block", 1_000, Vec::new()),
         ("1,000,000 tokens, 4,000 blocks", 1_000_000, blocks),
     ] {
-        let demand = Demand {
-            model: "assist-llm".to_owned(),
-            length_tokens,
-            max_tokens: 256,
-            blocks,
-            time_to_first_token: Duration::from_secs(60),
-            deadline: Instant::now() + Duration::from_secs(600),
-        };
+        let demand = demand(length_tokens, blocks);
         let mut held = Vec::new();
         let start = Instant::now();
         for round in 0..ROUNDS {
@@ -60,9 +55,51 @@
         let estimate = start.elapsed() / ROUNDS;
         println!("{name}: place and drop {place:?}, estimate {estimate:?}");
     }
+    views(&placement)
+}
+
+/// Has many peers with work on every engine tell of it, ten times each.
+fn views(placement: &Placement) -> Result<(), Box<dyn std::error::Error>> {
+    let peer = Placement::new(PlacementOptions::new(
+        "entry-2".to_owned(),
+        "hall-b".to_owned(),
+    ));
+    peer.set_engines((0..ENGINES).map(engine).collect());
+    let held: Result<Vec<_>, _> = (0..200)
+        .map(|index| peer.place(&demand(500 << (index % 10), Vec::new()), &[]))
+        .collect();
+    let held = held?;
+    let mut size_bytes = 0;
+    let mut taken = Duration::ZERO;
+    for _ in 0..10 {
+        let view = peer.own_view();
+        size_bytes = view.len();
+        let start = Instant::now();
+        for number in 0..PEERS {
+            placement.peer_view(&format!("entry-{}", number + 2), 1, view.clone());
+        }
+        taken += start.elapsed();
+    }
+    let each = taken / (10 * PEERS);
+    println!(
+        "view of {} requests on {ENGINES} engines: {size_bytes} bytes, taken in in {each:?} \
+         beside {PEERS} peers",
+        held.len()
+    );
     Ok(())
 }
 
+fn demand(length_tokens: u64, blocks: Vec<u64>) -> Demand {
+    Demand {
+        model: "assist-llm".to_owned(),
+        length_tokens,
+        max_tokens: 256,
+        blocks,
+        time_to_first_token: Duration::from_secs(60),
+        deadline: Instant::now() + Duration::from_secs(600),
+    }
+}
+
 /// Spreads numbers as hashes are spread.
 fn spread(number: u64) -> u64 {
     let mixed = (number ^ (number >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -134,7 +134,7 @@
         let mut engine = engine.borrow_mut();
         let instance = &engine.info.instance;
         if 2 * (ejected + 1) > staying {
-            log::warn!("placement: {instance} {reason}; kept, as too many are ejected");
+            log::debug!("placement: {instance} {reason}; kept, as too many are ejected");
             return;
         }
         log::warn!("placement: {instance} {reason}; ejected");
