--- a/crates/daemon/src/feeds.rs
+++ b/crates/daemon/src/feeds.rs
@@ -35,7 +35,10 @@
     let region = &parts.settings.region;
     membership::pass_on_list(region, &accepted, &parts.peers, &parts.once);
     let instances = &accepted.list.instances;
-    let listed: Vec<EngineInfo> = instances.iter().filter_map(engine_info).collect();
+    let near = instances
+        .iter()
+        .filter(|instance| instance.region == *region);
+    let listed: Vec<EngineInfo> = near.filter_map(engine_info).collect();
     engines.set(&listed);
     parts.placement.set_engines(listed);
     let addresses: HashSet<SocketAddr> = instances.iter().filter_map(upstream_address).collect();
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -7,7 +7,7 @@
 use mangofront_placement::Placement;
 
 /// Time between two publications of this daemon's placements.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(250);
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Publishes this daemon's placements while they change.
 pub(crate) async fn publish(placement: Placement, peers: Peers) {
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -79,6 +79,8 @@
     target: Target,
     started: Instant,
     first_token_seen: bool,
+    /// Tokens of this attempt seen so far.
+    generated_tokens: u32,
 }
 
 impl Attempts {
@@ -169,6 +171,7 @@
             target,
             started,
             first_token_seen: false,
+            generated_tokens: 0,
         })
     }
 
@@ -193,9 +196,11 @@
         });
         self.next_offset = frame.offset + 1;
         if running.first_token_seen {
-            running.placed.tokens(1);
+            running.generated_tokens += 1;
+            running.placed.tokens(running.generated_tokens);
         } else {
             running.first_token_seen = true;
+            running.generated_tokens = 1;
             running.placed.first_token();
         }
         if frame.offset == 0 {
@@ -203,7 +208,6 @@
         }
         if frame.finish_reason.is_some() {
             self.finished = true;
-            self.permit.succeeded();
             let placement = &self.entry.parts().placement;
             placement.outcome(&running.target.instance, EngineOutcome::Success);
         }
@@ -324,6 +328,7 @@
 fn engine_outcome(error: &SendError) -> EngineOutcome {
     match error {
         SendError::Timeout { .. } => EngineOutcome::Timeout,
+        SendError::Refused { detail, .. } if detail.code == "leaving" => EngineOutcome::Leaving,
         SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
             EngineOutcome::Busy
         }
--- a/crates/peers/src/publication.rs
+++ b/crates/peers/src/publication.rs
@@ -21,7 +21,7 @@
 use crate::wire::Publication;
 
 /// Largest value, in bytes.
-pub const PUBLICATION_LIMIT_BYTES: usize = 1024;
+pub const PUBLICATION_LIMIT_BYTES: usize = 2048;
 
 /// What a value is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -77,7 +77,8 @@
   "caller_address": "$callers",
   "peer_address": "$links",
   "admin_address": "$operators",
-  "platform_address": "127.0.0.1:$FLEET_PORT"
+  "platform_address": "127.0.0.1:$FLEET_PORT",
+  "logs": {"level": "${FLEET_LOG_LEVEL:-info}"}
 }
 SETTINGS
 }
