Tell why requests failed, scale the published targets

Weighed: messages as keys of the counts were ruled out, for each names its request.

The shapes of answers stand in a module.

Conclusion: a failed run can be read without the daemons' logs.

--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::str::FromStr;
+use std::time::Duration;
 
 use pico_args::Arguments;
 use serde::de::DeserializeOwned;
@@ -22,6 +23,7 @@
 use crate::probe::Prober;
 use crate::process::{UsageError, UsageReport};
 use crate::scenario::{Scenario, ScenarioError};
+use crate::times::scaled;
 
 const HELP: &str = "\
 mangofront load run --target ADDR[,ADDR…] --scenario NAME|FILE
@@ -40,7 +42,7 @@
     [--scenario NAME|FILE] [--per-bucket N] [--bucket-limit-s N] [--seed N]
     [--json FILE]
 mangofront load compare A.json B.json [--idle FILE]
-mangofront load configuration [--scenario NAME|FILE] [--json FILE]
+mangofront load configuration [--scenario NAME|FILE] [--time-scale S] [--json FILE]
 ";
 
 /// Least number that an option takes.
@@ -219,19 +221,30 @@
 
 /// `mangofront load configuration`: what operators publish for a scenario.
 fn configuration(mut args: Arguments) -> Result<Verdict, CommandError> {
-    let scenario = scenario(&mut args)?;
+    let mut configuration = scenario(&mut args)?.configuration;
+    let time_scale = opt_number(&mut args, "--time-scale")?.unwrap_or(1.0);
     let json: Option<String> = args.opt_value_from_str("--json")?;
     finish(args)?;
+    for class in configuration.classes.values_mut() {
+        scale_ms(&mut class.time_to_first_token_ms, time_scale);
+        scale_ms(&mut class.allowed_delay_ms, time_scale);
+    }
     match json {
-        Some(path) => write_json(&path, &scenario.configuration)?,
+        Some(path) => write_json(&path, &configuration)?,
         None => {
-            let document = pretty("standard output", &scenario.configuration)?;
+            let document = pretty("standard output", &configuration)?;
             emit(|text| text.write_str(&document))?;
         }
     }
     Ok(Verdict::Right)
 }
 
+/// Scales a published time, which must stay above 0.
+fn scale_ms(time_ms: &mut u64, time_scale: f64) {
+    let time = scaled(Duration::from_millis(*time_ms), time_scale);
+    *time_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX).max(1);
+}
+
 fn usage_line(usage: &UsageReport) -> String {
     let mib = |bytes: u64| bytes as f64 / (1024.0 * 1024.0);
     format!(
--- /dev/null
+++ b/crates/load/src/dialect.rs
@@ -0,0 +1,48 @@
+//! Shapes of the answers that the tool reads.
+
+use mangofront_http::ErrorDetail;
+use serde::Deserialize;
+
+/// Event or body of any of the dialects: a daemon's to its callers, or an
+/// engine's.
+#[derive(Deserialize)]
+pub(crate) struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    pub(crate) error: Option<ErrorDetail>,
+    pub(crate) offset: Option<u32>,
+    text: Option<String>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Option<Message>,
+    message: Option<Message>,
+    text: Option<String>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    content: Option<String>,
+}
+
+/// Answer of an emulated service.
+#[derive(Deserialize)]
+pub(crate) struct ServiceAnswer {
+    pub(crate) executions: u64,
+}
+
+impl Chunk {
+    /// Text and finish reason, wherever the dialect has them.
+    pub(crate) fn text_and_finish(&self) -> (Option<&str>, Option<&str>) {
+        let Some(choice) = self.choices.first() else {
+            return (self.text.as_deref(), self.finish_reason.as_deref());
+        };
+        let message = choice.delta.as_ref().or(choice.message.as_ref());
+        let content = message.and_then(|message| message.content.as_deref());
+        let text = content.or(choice.text.as_deref());
+        (text, choice.finish_reason.as_deref())
+    }
+}
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -6,8 +6,8 @@
 use cyper::{Client, Response};
 use futures_util::{Stream, StreamExt};
 use mangofront_http::{ErrorBody, ErrorDetail, Outcome, events, headers};
-use serde::Deserialize;
 
+use crate::dialect::{Chunk, ServiceAnswer};
 use crate::sample::End;
 use crate::verify::{Check, Expected, WrongAnswer};
 
@@ -79,6 +79,7 @@
         Err(_) => End::Failed {
             code: CLIENT_TIMEOUT.to_owned(),
             outcome: Outcome::Unknown,
+            message: format!("no whole answer within {time_limit:?}"),
         },
     };
     reading.finish(end)
@@ -174,7 +175,7 @@
     fn broken_off(&self, error: ErrorDetail) -> End {
         match error.outcome {
             Outcome::NotRun if self.first_token.is_some() => wrong(WrongAnswer::NotRunAfterTokens),
-            outcome => error_end(error.code, outcome),
+            Outcome::NotRun | Outcome::Failed | Outcome::Unknown => error_end(error),
         }
     }
 
@@ -230,21 +231,36 @@
         Err(error) => return broken(error),
     };
     match serde_json::from_slice::<ErrorBody>(&body) {
-        Ok(body) => error_end(body.error.code, body.error.outcome),
-        Err(_) => error_end(UNTYPED.to_owned(), Outcome::Unknown),
+        Ok(body) => error_end(body.error),
+        Err(error) => End::Failed {
+            code: UNTYPED.to_owned(),
+            outcome: Outcome::Unknown,
+            message: error.to_string(),
+        },
     }
 }
 
-fn error_end(code: String, outcome: Outcome) -> End {
-    match outcome {
+fn error_end(error: ErrorDetail) -> End {
+    let code = error.code;
+    match error.outcome {
         Outcome::NotRun => End::Refused { code },
-        Outcome::Failed | Outcome::Unknown => End::Failed { code, outcome },
+        outcome @ (Outcome::Failed | Outcome::Unknown) => End::Failed {
+            code,
+            outcome,
+            message: match error.peer {
+                Some(peer) => format!("{} at {peer}: {}", error.step, error.message),
+                None => format!("{}: {}", error.step, error.message),
+            },
+        },
     }
 }
 
 fn broken(error: impl std::fmt::Display) -> End {
-    log::debug!("load: connection broke: {error}");
-    error_end(CONNECTION.to_owned(), Outcome::Unknown)
+    End::Failed {
+        code: CONNECTION.to_owned(),
+        outcome: Outcome::Unknown,
+        message: error.to_string(),
+    }
 }
 
 fn wrong(answer: WrongAnswer) -> End {
@@ -261,45 +277,3 @@
     let value = response.headers().get(name)?;
     value.to_str().ok().map(str::to_owned)
 }
-
-/// Event or body of any of the dialects: a daemon's to its callers, or an
-/// engine's.
-#[derive(Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    choices: Vec<Choice>,
-    error: Option<ErrorDetail>,
-    offset: Option<u32>,
-    text: Option<String>,
-    finish_reason: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    delta: Option<Message>,
-    message: Option<Message>,
-    text: Option<String>,
-    finish_reason: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct Message {
-    content: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct ServiceAnswer {
-    executions: u64,
-}
-
-impl Chunk {
-    fn text_and_finish(&self) -> (Option<&str>, Option<&str>) {
-        let Some(choice) = self.choices.first() else {
-            return (self.text.as_deref(), self.finish_reason.as_deref());
-        };
-        let message = choice.delta.as_ref().or(choice.message.as_ref());
-        let content = message.and_then(|message| message.content.as_deref());
-        let text = content.or(choice.text.as_deref());
-        (text, choice.finish_reason.as_deref())
-    }
-}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod capacity;
 pub mod cli;
 pub mod counted;
+mod dialect;
 pub mod exchange;
 pub mod figures;
 pub mod generator;
--- a/crates/load/src/report/build.rs
+++ b/crates/load/src/report/build.rs
@@ -10,15 +10,15 @@
 use super::rounding::{millis, rounded, share};
 use super::shares::{fairness, services};
 use super::{
-    ClassReport, Counts, GeneratorReport, Goodput, LengthBucket, LengthReport, REPORT_VERSION,
-    Report, RunReport, WrongAnswerReport,
+    ClassReport, Counts, GeneratorReport, Goodput, LengthBucket, LengthReport, ProblemReport,
+    REPORT_VERSION, Report, RunReport,
 };
 use crate::generator::Record;
 use crate::sample::{End, Sample, SampleKind};
 use crate::times::{Times, scaled};
 
-/// Most wrong answers listed.
-const WRONG_ANSWERS_LISTED: usize = 20;
+/// Most problems of a kind listed.
+const PROBLEMS_LISTED: usize = 20;
 
 /// Makes the report of `record`, judged by the targets in `configuration`.
 #[must_use]
@@ -50,7 +50,14 @@
         fairness: fairness(samples),
         services: services(samples),
         counted_services: None,
-        wrong_answers: wrong_answers(samples),
+        first_failures: first_problems(samples, |end| match end {
+            End::Failed { message, .. } => Some(message),
+            _ => None,
+        }),
+        wrong_answers: first_problems(samples, |end| match end {
+            End::WrongAnswer { problem } => Some(problem),
+            _ => None,
+        }),
     }
 }
 
@@ -216,7 +223,7 @@
 }
 
 fn failure_cause(sample: &Sample) -> Option<String> {
-    let End::Failed { code, outcome } = &sample.end else {
+    let End::Failed { code, outcome, .. } = &sample.end else {
         return None;
     };
     let outcome = match outcome {
@@ -235,13 +242,12 @@
     counts
 }
 
-fn wrong_answers(samples: &[Sample]) -> Vec<WrongAnswerReport> {
-    let wrong = samples.iter().filter_map(|sample| match &sample.end {
-        End::WrongAnswer { problem } => Some(WrongAnswerReport {
+fn first_problems(samples: &[Sample], of: fn(&End) -> Option<&String>) -> Vec<ProblemReport> {
+    let problems = samples.iter().filter_map(|sample| {
+        Some(ProblemReport {
             request_id: sample.request_id.clone(),
-            problem: problem.clone(),
-        }),
-        _ => None,
+            problem: of(&sample.end)?.clone(),
+        })
     });
-    wrong.take(WRONG_ANSWERS_LISTED).collect()
+    problems.take(PROBLEMS_LISTED).collect()
 }
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -57,8 +57,10 @@
     pub services: ServiceReport,
     /// What the services themselves counted, when they were asked.
     pub counted_services: Option<CountedServices>,
+    /// First failures.
+    pub first_failures: Vec<ProblemReport>,
     /// First wrong answers.
-    pub wrong_answers: Vec<WrongAnswerReport>,
+    pub wrong_answers: Vec<ProblemReport>,
 }
 
 /// How a run was made.
@@ -240,11 +242,11 @@
     pub not_run: u64,
 }
 
-/// One wrong answer.
+/// One failure or wrong answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WrongAnswerReport {
+pub struct ProblemReport {
     /// Id that the daemon gave it.
     pub request_id: Option<String>,
-    /// How it differs.
+    /// What went wrong.
     pub problem: String,
 }
--- a/crates/load/src/report/table.rs
+++ b/crates/load/src/report/table.rs
@@ -5,6 +5,9 @@
 use super::{Counts, Report};
 use crate::times::Quantiles;
 
+/// Most failures shown; the JSON form has more.
+const FAILURES_SHOWN: usize = 3;
+
 /// Report for a person at a terminal.
 #[must_use]
 pub fn table(report: &Report) -> String {
@@ -173,6 +176,10 @@
     for (cause, count) in &report.failed_by_cause {
         writeln!(text, "  failed {cause}: {count}")?;
     }
+    for failure in report.first_failures.iter().take(FAILURES_SHOWN) {
+        let id = failure.request_id.as_deref().unwrap_or("without id");
+        writeln!(text, "    {id}: {}", failure.problem)?;
+    }
     for wrong in &report.wrong_answers {
         let id = wrong.request_id.as_deref().unwrap_or("without id");
         writeln!(text, "  WRONG ANSWER {id}: {}", wrong.problem)?;
--- a/crates/load/src/sample.rs
+++ b/crates/load/src/sample.rs
@@ -65,6 +65,8 @@
         code: String,
         /// What is known of the work.
         outcome: Outcome,
+        /// Step, peer and sentence of the error.
+        message: String,
     },
     /// Answer that differs from the expected one.
     WrongAnswer {
--- a/crates/load/tests/cli.rs
+++ b/crates/load/tests/cli.rs
@@ -10,6 +10,7 @@
 use mangofront_load::answers::AnswerRule;
 use mangofront_load::cli;
 use mangofront_load::report::Report;
+use mangofront_settings::published::check_published_text;
 use pico_args::Arguments;
 
 use support::{Fault, server_by};
@@ -58,6 +59,24 @@
     }
 }
 
+#[test]
+fn a_scenario_gives_its_configuration_scaled() {
+    let path = file("configuration.json");
+    let line = format!(
+        "configuration --scenario tuul --time-scale 0.1 --json {}",
+        path.display()
+    );
+    assert_eq!(load(&line), ExitCode::SUCCESS);
+    let text = std::fs::read_to_string(&path).expect("the command wrote it");
+    std::fs::remove_file(path).expect("the command wrote it");
+    let configuration = check_published_text(&text).expect("it can be published");
+    let class = &configuration.classes["field-diagnosis"];
+    assert_eq!(
+        (class.time_to_first_token_ms, class.allowed_delay_ms),
+        (52, 1_500)
+    );
+}
+
 #[test]
 fn wrong_answers_give_one() {
     let run = "--scenario demo --duration-s 0.5 --rate 50";
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -53,6 +53,7 @@
     let failed = |outcome| End::Failed {
         code: "upstream_lost".to_owned(),
         outcome,
+        message: "stream at engine-1: gone".to_owned(),
     };
     let wrong = |problem: &str| End::WrongAnswer {
         problem: problem.to_owned(),
