--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -22,7 +22,7 @@
 use crate::error::EntryError;
 use crate::progress::InProgress;
 
-/// Most attempts at one request, resumptions included.
+/// Most failed attempts at one request.
 const ATTEMPTS_LIMIT: u32 = 5;
 
 /// Least time an engine gets for its first token before another is tried.
@@ -61,7 +61,10 @@
     permit: Permit,
     backoff: Backoff,
     group_backoff: Backoff,
+    /// Attempts made; the number of the last one.
     made: u32,
+    /// Attempts that failed otherwise than by a full group.
+    failed: u32,
     next_offset: u32,
     excluded: Vec<InstanceId>,
     running: Option<Running>,
@@ -99,6 +102,7 @@
             backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
             group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
             made: 0,
+            failed: 0,
             next_offset: 0,
             excluded: Vec::new(),
             running: None,
@@ -248,7 +252,6 @@
     /// Waits a little for memory that other groups hold; holds none itself.
     async fn wait_for_group(&mut self) -> Result<(), EntryError> {
         self.entry.parts().metrics.retried();
-        self.made -= 1;
         compio::time::sleep(self.group_backoff.next_wait()).await;
         self.check_deadline()
     }
@@ -261,13 +264,14 @@
             self.request.id
         );
         self.check_deadline()?;
+        self.failed += 1;
         let parts = self.entry.parts();
         parts
             .placement
             .outcome(error.peer(), engine_outcome(&error));
         parts.metrics.upstream_error(error.step_name());
         self.excluded.push(error.peer().clone());
-        let allowed = self.made < ATTEMPTS_LIMIT && parts.admission.retry_budget().try_take();
+        let allowed = self.failed < ATTEMPTS_LIMIT && parts.admission.retry_budget().try_take();
         if !allowed {
             return Err(EntryError::AttemptsFailed {
                 attempts: self.made,
