Keep a fleet's calls under the platform's budget when it falls and returns

Cause: measured with the example fleet, 200 watching readers, phases of 20 s, one process. At the moment the service fell they made 952 calls in one second, which for 1,000 is over twice the budget; and in one of two runs the last reader had the change only 16.0 s after the service's return, with a longest pause of 10 s. The likely reason, not proved, is a pooled connection that the service closed while idle: the next call broke and paused again.

Weighed: longer pauses throughout would miss the five seconds after a return.

--- a/crates/platform/src/options.rs
+++ b/crates/platform/src/options.rs
@@ -31,12 +31,14 @@
 /// Mean time between plain reads of one value.
 pub const DEFAULT_PLAIN_INTERVAL: Duration = Duration::from_secs(60);
 
-/// First pause after a failure.
-const DEFAULT_BACKOFF_BASE: Duration = Duration::from_millis(200);
+/// First pause after a failure; so long that 1,000 watching daemons that fail
+/// in the same moment make no more than 2,000 calls in the second after it.
+const DEFAULT_BACKOFF_BASE: Duration = Duration::from_secs(1);
 
 /// Longest pause after failures; with it 1,000 watching daemons call a service
-/// that is down, or just back, some 270 times a second.
-const DEFAULT_BACKOFF_CAP: Duration = Duration::from_secs(10);
+/// that is down, or just back, some 530 times a second, and have a change 5 s
+/// after its return.
+const DEFAULT_BACKOFF_CAP: Duration = Duration::from_secs(5);
 
 /// Published values: configuration and instance list.
 const VALUES: u64 = 2;
@@ -125,7 +127,7 @@
         self
     }
 
-    /// First and longest pause after failures; 200 ms and 10 s by default.
+    /// First and longest pause after failures; 1 s and 5 s by default.
     pub fn backoff(mut self, base: Duration, cap: Duration) -> Self {
         self.0.backoff_base = base;
         self.0.backoff_cap = cap;
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -61,12 +61,14 @@
     let mut failures = Backoff::new(options.backoff_base, options.backoff_cap);
     let mut idle_answers = Backoff::new(options.backoff_base, IDLE_ANSWER_CAP);
     let mut read_next = true;
+    let mut was_answered = false;
     loop {
         shared.watching_on().await;
         let call = shared.next_call(kind, read_next);
         match shared.make_call(kind, call).await {
             Ok(progress) => {
                 failures.reset();
+                was_answered = true;
                 read_next = shared.told(kind).get().is_none();
                 if progress == Progress::Made {
                     idle_answers.reset();
@@ -74,14 +76,31 @@
                     compio::time::sleep(idle_answers.next_pause()).await;
                 }
             }
-            Err(_) => {
+            Err(error) => {
                 read_next = true;
-                compio::time::sleep(failures.next_pause()).await;
+                let retries_now = needs_no_pause(&error, was_answered);
+                was_answered = matches!(error, ReadError::Status { .. });
+                if !retries_now {
+                    compio::time::sleep(failures.next_pause()).await;
+                }
             }
         }
     }
 }
 
+/// Whether a plain read may follow `error` at once.
+///
+/// A watch that hung took its whole wait already. A connection that broke
+/// after an answer may be one that the service closed while it was idle; the
+/// next failure in a row pauses.
+fn needs_no_pause(error: &ReadError, was_answered: bool) -> bool {
+    match error {
+        ReadError::TimedOut { step, .. } => matches!(step, ReadStep::Watch(_)),
+        ReadError::Connection { .. } => was_answered,
+        ReadError::Status { .. } | ReadError::NoRevision { .. } => false,
+    }
+}
+
 /// Reads `kind` plainly: rarely, but without a pause of that length while
 /// nothing is in force and no watch would fetch it.
 async fn read_plainly(shared: Rc<Shared>, kind: Kind) {
