--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -4,7 +4,6 @@
 //! in force never falls; the value under a revision in force never changes;
 //! what is in force passed its checks whole.
 
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -15,10 +14,7 @@
 use crate::digest;
 use crate::document::{Digest, Document, Kind, Source, Version};
 use crate::options::VALUE_LIMIT_BYTES;
-
-/// Refused values that are remembered, so that none is fetched, checked or
-/// told of twice.
-const REFUSED_LIMIT: usize = 8;
+use crate::refusals::Refusals;
 
 /// Current answers in a row after which a service that was stale counts as
 /// caught up; fewer would make an episode of every answer when one of its
@@ -45,14 +41,6 @@
     pub(crate) accepted_at: Instant,
 }
 
-/// A value that was refused. The digest is unknown of one not read whole.
-#[derive(Debug)]
-struct Refused {
-    revision: Revision,
-    digest: Option<Digest>,
-    reason: Refusal,
-}
-
 /// Offers by what became of them.
 #[derive(Debug, Default)]
 pub(crate) struct Tally {
@@ -66,7 +54,7 @@
 pub(crate) struct Floor<A> {
     kind: Kind,
     held: Option<Held<A>>,
-    refused: VecDeque<Refused>,
+    refused: Refusals,
     /// Current answers that are missing until a service that was stale counts
     /// as caught up; 0 when it is.
     behind: u32,
@@ -78,7 +66,7 @@
         Self {
             kind,
             held: None,
-            refused: VecDeque::new(),
+            refused: Refusals::default(),
             behind: 0,
             tally: Tally::default(),
         }
@@ -168,17 +156,18 @@
     /// Whether a peer's version is worth a fetch.
     pub(crate) fn wants(&self, met: Version) -> bool {
         let is_newer = self.revision().is_none_or(|floor| met.revision > floor);
-        is_newer && !self.was_refused(met.revision, Some(met.digest))
+        is_newer && !self.refused.contains(met.revision, Some(met.digest))
     }
 
     /// Notes a peer's version; a change when it differs under one revision.
     pub(crate) fn meet(&mut self, met: Version) -> Option<PlatformChange> {
         let held = self.version()?;
         let diverged = held.revision == met.revision && held.digest != met.digest;
-        if !diverged || self.was_refused(met.revision, Some(met.digest)) {
+        if !diverged || self.refused.contains(met.revision, Some(met.digest)) {
             return None;
         }
-        self.remember(met.revision, Some(met.digest), other_digest(met, held));
+        self.refused
+            .remember(met.revision, Some(met.digest), other_digest(met, held));
         Some(PlatformChange::Diverged {
             kind: self.kind,
             revision: held.revision,
@@ -232,8 +221,8 @@
     }
 
     fn refused_before(&self, version: Version) -> Option<Verdict> {
-        let refused = self.find_refused(version.revision, Some(version.digest))?;
-        Some(quiet(OfferOutcome::Refused(refused.reason.clone())))
+        let reason = self.refused.find(version.revision, Some(version.digest))?;
+        Some(quiet(OfferOutcome::Refused(reason.clone())))
     }
 
     fn accept(
@@ -272,9 +261,9 @@
         reason: Refusal,
     ) -> Verdict {
         self.tally.refused += 1;
-        let is_known = self.was_refused(revision, digest);
+        let is_known = self.refused.contains(revision, digest);
         if !is_known {
-            self.remember(revision, digest, reason.clone());
+            self.refused.remember(revision, digest, reason.clone());
         }
         let change = self.refusal(revision, source, reason.clone());
         Verdict {
@@ -291,27 +280,6 @@
             reason,
         }
     }
-
-    fn remember(&mut self, revision: Revision, digest: Option<Digest>, reason: Refusal) {
-        if self.refused.len() == REFUSED_LIMIT {
-            self.refused.pop_front();
-        }
-        self.refused.push_back(Refused {
-            revision,
-            digest,
-            reason,
-        });
-    }
-
-    fn was_refused(&self, revision: Revision, digest: Option<Digest>) -> bool {
-        self.find_refused(revision, digest).is_some()
-    }
-
-    fn find_refused(&self, revision: Revision, digest: Option<Digest>) -> Option<&Refused> {
-        self.refused
-            .iter()
-            .find(|refused| refused.revision == revision && refused.digest == digest)
-    }
 }
 
 /// Digest and text of a body; of one that is no JSON the digest and the fault.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,7 +25,9 @@
 mod options;
 mod platform;
 mod reader;
+mod refusals;
 mod service;
+mod shared;
 mod waiters;
 
 pub use accepted::{AcceptedConfiguration, AcceptedInstances};
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -15,8 +15,8 @@
 use crate::change::{OfferOutcome, PlatformChange};
 use crate::document::Kind;
 use crate::error::{ReadError, ReadStep};
-use crate::platform::Shared;
 use crate::service::{self, Answer, Call, Target};
+use crate::shared::Shared;
 
 /// Longest pause between calls that are answered at once without news, as by
 /// two replicas of the service of which one is stale.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,7 @@
 //! the service itself (down, stale, watches that hang, lag) are switches of
 //! `POST /control`, see `docs/interfaces.md`.
 
+mod answers;
 mod published;
 mod rate;
 
@@ -18,10 +19,11 @@
 use futures_util::future::{Either, select};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mangofront_http::{Body, ErrorBody, Outcome, ServeLimits, Shutdown};
+use mangofront_http::{Body, ServeLimits, Shutdown};
 use serde::{Deserialize, Serialize};
 
-use published::{Published, Visible};
+use answers::{document, down, error, refusal, status};
+use published::Published;
 use rate::RateCap;
 
 /// Largest value that can be published, in bytes; above what the platform
@@ -269,19 +271,6 @@
     }
 }
 
-/// `{"revision", "value"}` around the published bytes as they are.
-fn document(visible: &Visible) -> Response<Body> {
-    let mut content = format!("{{\"revision\": {}, \"value\": ", visible.revision).into_bytes();
-    content.extend_from_slice(&visible.value);
-    content.push(b'}');
-    let mut response = Response::new(mangofront_http::full(content));
-    let json = http::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(http::header::CONTENT_TYPE, json);
-    response
-}
-
 fn parse_query(text: &str) -> Option<Query> {
     let mut query = Query::default();
     for pair in text.split('&').filter(|pair| !pair.is_empty()) {
@@ -294,25 +283,3 @@
     }
     Some(query)
 }
-
-fn status(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(mangofront_http::empty());
-    *response.status_mut() = status;
-    response
-}
-
-fn down() -> Response<Body> {
-    refusal(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "down",
-        "the service is down",
-    )
-}
-
-fn error(code: &str, message: &str) -> ErrorBody {
-    ErrorBody::new(code, Outcome::NotRun, "platform stand-in", message)
-}
-
-fn refusal(status: StatusCode, code: &str, message: &str) -> Response<Body> {
-    error(code, message).into_response(status)
-}
