--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -25,14 +25,14 @@
 /// Most failed attempts at one request.
 const ATTEMPTS_LIMIT: u32 = 5;
 
-/// Least time an engine gets for its first token before another is tried.
+/// Longest silence before the first token until the engine is probed.
 const FIRST_TOKEN_PATIENCE: Duration = Duration::from_secs(2);
 
-/// How many times its estimate an engine gets for its first token.
-const FIRST_TOKEN_FACTOR: u32 = 4;
+/// Longest silence between two tokens until the engine is probed.
+const TOKEN_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Longest silence between two tokens before another engine is tried.
-const TOKEN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time for an engine to take a stream up again.
+const RESUME_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Longest pause before the second attempt.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
@@ -65,6 +65,8 @@
     made: u32,
     /// Attempts that failed otherwise than by a full group.
     failed: u32,
+    /// Whether any attempt may have run.
+    may_have_run: bool,
     next_offset: u32,
     excluded: Vec<InstanceId>,
     running: Option<Running>,
@@ -80,7 +82,6 @@
     stream: EngineStream,
     call: Generate,
     target: Target,
-    started: Instant,
     first_token_seen: bool,
     /// Tokens of this attempt seen so far.
     generated_tokens: u32,
@@ -103,6 +104,7 @@
             group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
             made: 0,
             failed: 0,
+            may_have_run: false,
             next_offset: 0,
             excluded: Vec::new(),
             running: None,
@@ -150,7 +152,10 @@
             .map_err(|_none| self.no_engine())?;
         self.made += 1;
         match self.start(placed).await {
-            Ok(running) => return Ok(Some(running)),
+            Ok(running) => {
+                self.may_have_run = true;
+                return Ok(Some(running));
+            }
             Err(error) if group::is_full(&error) => self.wait_for_group().await?,
             Err(error) => self.give_up_or_retry(error).await?,
         }
@@ -158,7 +163,6 @@
     }
 
     async fn start(&self, placed: Placed) -> Result<Running, SendError> {
-        let started = Instant::now();
         let reservation = group::prepare(&self.entry, &self.request, self.made, &placed).await?;
         let call = self.call(&placed, reservation.as_ref());
         let target = Target {
@@ -173,7 +177,6 @@
             stream,
             call,
             target,
-            started,
             first_token_seen: false,
             generated_tokens: 0,
         })
@@ -224,20 +227,26 @@
         self.progress.first_token(length_tokens, time);
     }
 
-    /// Takes a broken stream up where it broke, or leaves it for a new attempt.
+    /// Takes a broken or silent stream up at its engine, or leaves it for a new
+    /// attempt.
+    ///
+    /// A silent engine may just be slow, above all before the first token of a
+    /// long prompt. Taking the stream up on another connection tells it from
+    /// one that is gone or frozen, and costs no work that was done.
     async fn recover(&mut self, mut running: Running, error: SendError) -> Result<(), EntryError> {
-        let resumable = matches!(error, SendError::Broken { .. }) && running.first_token_seen;
+        let resumable = matches!(error, SendError::Broken { .. } | SendError::Timeout { .. });
         let stream_id = running.stream.stream_id().map(str::to_owned);
         let Some(stream_id) = stream_id.filter(|_| resumable) else {
             drop(running);
             return self.give_up_or_retry(error).await;
         };
+        self.check_deadline()?;
         running.call.resume_offset = self.next_offset;
+        let until = self.request.caller.deadline.min(Instant::now() + RESUME_PATIENCE);
         let connections = &self.entry.parts().connections;
         let call = running.call.clone();
-        match engine::resume(connections, &running.target, &stream_id, call).await {
+        match engine::resume(connections, &running.target, &stream_id, call, until).await {
             Ok(stream) => {
-                self.entry.parts().metrics.retried();
                 std::mem::replace(&mut running.stream, stream).keep();
                 self.running = Some(running);
                 Ok(())
@@ -265,6 +274,7 @@
         );
         self.check_deadline()?;
         self.failed += 1;
+        self.may_have_run |= error.outcome() != Outcome::NotRun;
         let parts = self.entry.parts();
         parts
             .placement
@@ -286,9 +296,9 @@
 
     /// Error of the last attempt, telling also of the earlier ones.
     ///
-    /// An earlier attempt may have run, so only the first one may say not run.
+    /// The request may say not run only if none of its attempts may have run.
     fn settle(&self, error: SendError) -> SendError {
-        if self.made > 1 && error.outcome() == Outcome::NotRun {
+        if self.may_have_run && error.outcome() == Outcome::NotRun {
             let cause = format!("{error}, after earlier attempts that may have run");
             return SendError::Protocol {
                 peer: error.peer().clone(),
@@ -309,23 +319,22 @@
         if Instant::now() < self.request.caller.deadline {
             return Ok(());
         }
-        let outcome = if self.made == 0 {
-            Outcome::NotRun
-        } else {
+        let outcome = if self.may_have_run {
             Outcome::Failed
+        } else {
+            Outcome::NotRun
         };
         Err(EntryError::DeadlineExceeded { outcome })
     }
 
-    /// Until when the open attempt may stay silent.
+    /// Until when the open attempt may stay silent before its engine is probed.
     fn patience(&self, running: &Running) -> Instant {
-        let until = if running.first_token_seen {
-            Instant::now() + TOKEN_PATIENCE
+        let patience = if running.first_token_seen {
+            TOKEN_PATIENCE
         } else {
-            let estimate = running.placed.estimate.time_to_first_token;
-            running.started + FIRST_TOKEN_PATIENCE + estimate * FIRST_TOKEN_FACTOR
+            FIRST_TOKEN_PATIENCE
         };
-        until.min(self.request.caller.deadline)
+        self.request.caller.deadline.min(Instant::now() + patience)
     }
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -128,7 +128,8 @@
     Ok(EngineStream::new(target, call, answer, guard))
 }
 
-/// Takes a stream up again at the same engine, from token `offset`.
+/// Takes a stream up again at the same engine, from its next token; the
+/// engine has `until` to answer.
 ///
 /// # Errors
 /// [`SendError`]; refused with 404 when the engine no longer has it.
@@ -137,13 +138,14 @@
     target: &Target,
     stream: &str,
     call: Generate,
+    until: Instant,
 ) -> Result<EngineStream, SendError> {
     let guard = CancelGuard::new(connections, target, &call);
     let path = format!("/v1/streams/{stream}?offset={}", call.resume_offset);
     let request = plain(target, Method::GET, &path, Bytes::new())?;
-    let answer = connections.send(target, request, call.deadline).await?;
+    let answer = connections.send(target, request, until).await?;
     if answer.status != StatusCode::OK {
-        return Err(refusal(target, answer, call.deadline).await);
+        return Err(refusal(target, answer, until).await);
     }
     Ok(EngineStream::new(target, call, answer, guard))
 }
