Split the engine's admission of work into shorter parts

Cause: submit.rs held refusals, reservations and two long functions.

Change: refusals and reservations have their own modules; a sequence is made in one place. No change of behaviour.

--- a/crates/standin/src/engine/head.rs
+++ b/crates/standin/src/engine/head.rs
@@ -8,8 +8,9 @@
 use hyper::body::Incoming;
 use mangofront_http::headers;
 
+use super::refusal::Refusal;
 use super::state::Engine;
-use super::submit::{Refusal, RequestHead};
+use super::submit::RequestHead;
 
 /// Priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 128;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod orders;
 mod output;
+mod refusal;
 mod rejection;
 mod reservations;
 mod routes;
--- a/crates/standin/src/engine/rejection.rs
+++ b/crates/standin/src/engine/rejection.rs
@@ -8,7 +8,7 @@
 
 use super::orders::OrderError;
 use super::output::End;
-use super::submit::Refusal;
+use super::refusal::Refusal;
 use super::transfer::TransferError;
 
 /// Time after which a refusal for now may be tried again.
--- a/crates/standin/src/engine/reservations.rs
+++ b/crates/standin/src/engine/reservations.rs
@@ -6,7 +6,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::refusal::Refusal;
 use super::sequence::{Kind, ReservationId, Sequence};
+use super::state::Engine;
 
 /// Live reservations and those released before they arrived.
 #[derive(Debug, Default)]
@@ -112,3 +114,47 @@
         reservation.held_tokens = reservation.held_tokens.saturating_sub(held_tokens);
     }
 }
+
+impl Engine {
+    /// Makes a reservation, or renews the one of that id.
+    pub(crate) fn reserve(
+        &self,
+        id: ReservationId,
+        tokens: u64,
+        lease: Duration,
+    ) -> Result<(), Refusal> {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        state.check_open()?;
+        if state.reservations.is_buried(&id) {
+            return Err(Refusal::Cancelled);
+        }
+        if let Some(reservation) = state.reservations.get_mut(&id) {
+            if reservation.tokens != tokens {
+                return Err(Refusal::Duplicate);
+            }
+            state.reservations.renew(&id, lease, now);
+            return Ok(());
+        }
+        if !state.batch.memory.reserve(tokens) {
+            return Err(Refusal::NoMemory {
+                wanted_tokens: tokens,
+                room_tokens: state.batch.memory.available_tokens(),
+            });
+        }
+        state.reservations.insert(id, tokens, lease, now);
+        drop(state);
+        self.after_change();
+        Ok(())
+    }
+
+    /// Releases a reservation, also one that arrives later.
+    pub(crate) fn release(&self, id: &str) {
+        let mut state = self.state.borrow_mut();
+        state.reservations.bury(id, Instant::now());
+        state.drop_reservation(id);
+        drop(state);
+        self.after_change();
+        self.work.notify();
+    }
+}
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -16,10 +16,11 @@
 use super::head::{query, request_head};
 use super::orders::{LoadState, OrderKind, OrderRequest};
 use super::output::{Attempt, End, Reader};
+use super::refusal::Refusal;
 use super::rejection::Rejection;
 use super::state::Engine;
 use super::stream::chunks;
-use super::submit::{Refusal, SegmentRequest};
+use super::submit::SegmentRequest;
 use super::transfer::{Export, ExportRequest};
 
 /// Longest wait for cache events, in milliseconds.
--- a/crates/standin/src/engine/sequence.rs
+++ b/crates/standin/src/engine/sequence.rs
@@ -62,6 +62,23 @@
 }
 
 impl Sequence {
+    /// A waiting sequence on the common pool, without blocks or deadline.
+    pub(crate) fn new(kind: Kind, rank: Rank, share_tokens: u64, output: Rc<Output>) -> Self {
+        Self {
+            rank,
+            kind,
+            memory: Memory::Pool,
+            blocks: Rc::default(),
+            share_tokens,
+            context_tokens: 0,
+            prefilled_tokens: 0,
+            private_tokens: 0,
+            pinned_blocks: 0,
+            deadline: None,
+            output,
+        }
+    }
+
     /// Tokens to prefill before the next token: the share and what was
     /// answered already.
     pub(crate) fn prefill_tokens(&self) -> u64 {
--- a/crates/standin/src/engine/submit.rs
+++ b/crates/standin/src/engine/submit.rs
@@ -3,12 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
-use mangofront_http::Outcome;
 use mangofront_prompt::Prompt;
-use thiserror::Error;
 
-use super::output::{AnswerPlan, Attempt, Output, Reader, RequestId};
+use super::output::{AnswerPlan, Attempt, Output, Reader, RequestId, StreamId};
+use super::refusal::Refusal;
 use super::sequence::{Kind, Memory, Rank, ReservationId, Sequence};
 use super::state::{Engine, State};
 use crate::answer::length_tokens;
@@ -35,107 +33,24 @@
     priority: u8,
 }
 
-/// Reason to refuse work.
-#[derive(Debug, Error)]
-pub(crate) enum Refusal {
-    #[error("{0}")]
-    Malformed(String),
-    #[error("no model or adapter {0} is loaded")]
-    UnknownModel(String),
-    #[error("reservation {0} is unknown or expired")]
-    UnknownReservation(ReservationId),
-    #[error("{wanted_tokens} tokens can never fit into {room_tokens}")]
-    NoMemory {
-        wanted_tokens: u64,
-        room_tokens: u64,
-    },
-    #[error("attempt was cancelled before it arrived")]
-    Cancelled,
-    #[error("attempt was already received")]
-    Duplicate,
-    #[error("{0} requests wait already")]
-    Busy(usize),
-    #[error("engine takes no new work")]
-    Leaving,
-    #[error("engine loads a model")]
-    Loading,
-}
-
-impl Refusal {
-    /// Status and stable code.
-    pub(crate) fn status_and_code(&self) -> (StatusCode, &'static str) {
-        match self {
-            Self::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed"),
-            Self::UnknownModel(_) => (StatusCode::NOT_FOUND, "unknown_model"),
-            Self::UnknownReservation(_) => (StatusCode::NOT_FOUND, "unknown_reservation"),
-            Self::NoMemory { .. } => (StatusCode::CONFLICT, "no_memory"),
-            Self::Cancelled => (StatusCode::CONFLICT, "cancelled"),
-            Self::Duplicate => (StatusCode::CONFLICT, "duplicate"),
-            Self::Busy(_) => (StatusCode::TOO_MANY_REQUESTS, "busy"),
-            Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving"),
-            Self::Loading => (StatusCode::SERVICE_UNAVAILABLE, "loading"),
-        }
-    }
-
-    /// What is known of the work: an attempt that came twice may have run.
-    pub(crate) fn outcome(&self) -> Outcome {
-        match self {
-            Self::Duplicate => Outcome::Unknown,
-            _ => Outcome::NotRun,
-        }
-    }
-}
-
 impl Engine {
     /// Queues an answer; the reader it is for.
     pub(crate) fn submit(&self, head: RequestHead, prompt: Prompt) -> Result<Reader, Refusal> {
         let mut state = self.state.borrow_mut();
-        state.check_open()?;
-        if !state.orders.serves(&prompt.model) {
-            return Err(Refusal::UnknownModel(prompt.model));
-        }
+        state.check_answer(&head, &prompt.model)?;
+        let plan = plan_answer(&prompt, head.resume_offset)?;
+        let share_tokens = self.take_share(&mut state, &head, &plan)?;
+        let (rank, id) = self.next_rank(&mut state, head.priority);
         let key = (head.request.clone(), head.attempt);
-        if state.attempts.contains_key(&key) {
-            return Err(Refusal::Duplicate);
+        let output = Rc::new(Output::new(id.clone(), head.request, head.attempt, plan));
+        let mut sequence = Sequence::new(Kind::Answer, rank, share_tokens, Rc::clone(&output));
+        match head.reservation {
+            Some(reservation) => sequence.memory = Memory::Reservation(reservation),
+            None => sequence.blocks = prompt.blocks.into(),
         }
-        state.check_tombstone(&key.0, key.1)?;
-        let plan = AnswerPlan {
-            digest: prompt.digest,
-            prompt_tokens: prompt.length_tokens,
-            max_tokens: prompt.max_tokens,
-            length_tokens: length_tokens(prompt.digest, prompt.max_tokens),
-            start_offset: head.resume_offset,
-        };
-        if plan.start_offset >= plan.length_tokens {
-            let message = format!("the answer ends before offset {}", plan.start_offset);
-            return Err(Refusal::Malformed(message));
-        }
-        let share_tokens = self.take_share(&mut state, &head, &plan)?;
-        let arrival = state.arrival();
-        let id = format!("{:x}-{arrival:x}", self.incarnation);
-        let output = Rc::new(Output::new(id.clone(), key.0.clone(), key.1, plan));
-        let rank = Rank {
-            priority: head.priority,
-            arrival,
-        };
-        let sequence = Sequence {
-            rank,
-            kind: Kind::Answer,
-            blocks: match head.reservation {
-                Some(_) => Rc::default(),
-                None => prompt.blocks.into(),
-            },
-            memory: head.reservation.map_or(Memory::Pool, Memory::Reservation),
-            share_tokens,
-            context_tokens: prompt.length_tokens.saturating_sub(share_tokens),
-            prefilled_tokens: 0,
-            private_tokens: 0,
-            pinned_blocks: 0,
-            deadline: head
-                .deadline
-                .and_then(|left| Instant::now().checked_add(left)),
-            output: Rc::clone(&output),
-        };
+        sequence.context_tokens = prompt.length_tokens.saturating_sub(share_tokens);
+        let deadline = head.deadline;
+        sequence.deadline = deadline.and_then(|left| Instant::now().checked_add(left));
         state.batch.waiting.insert(rank, sequence);
         state.streams.insert(id.clone(), Rc::clone(&output));
         state.attempts.insert(key, id);
@@ -146,6 +61,12 @@
         Ok(output.reader())
     }
 
+    fn next_rank(&self, state: &mut State, priority: u8) -> (Rank, StreamId) {
+        let arrival = state.arrival();
+        let rank = Rank { priority, arrival };
+        (rank, format!("{:x}-{arrival:x}", self.incarnation))
+    }
+
     /// Prefill that this engine does for an answer, with its memory checked.
     fn take_share(
         &self,
@@ -210,7 +131,6 @@
             });
         }
         reservation.held_tokens += request.tokens;
-        let arrival = state.arrival();
         let plan = AnswerPlan {
             digest: 0,
             prompt_tokens: request.tokens,
@@ -218,25 +138,10 @@
             length_tokens: 0,
             start_offset: 0,
         };
-        let id = format!("{:x}-{arrival:x}", self.incarnation);
+        let (rank, id) = self.next_rank(&mut state, request.priority);
         let output = Rc::new(Output::new(id, request.request, request.attempt, plan));
-        let rank = Rank {
-            priority: request.priority,
-            arrival,
-        };
-        let sequence = Sequence {
-            rank,
-            kind: Kind::Segment,
-            memory: Memory::Reservation(request.reservation),
-            blocks: Rc::default(),
-            share_tokens: request.tokens,
-            context_tokens: 0,
-            prefilled_tokens: 0,
-            private_tokens: 0,
-            pinned_blocks: 0,
-            deadline: None,
-            output: Rc::clone(&output),
-        };
+        let mut sequence = Sequence::new(Kind::Segment, rank, request.tokens, Rc::clone(&output));
+        sequence.memory = Memory::Reservation(request.reservation);
         state.batch.waiting.insert(rank, sequence);
         drop(state);
         self.after_change();
@@ -244,48 +149,6 @@
         Ok(output.reader())
     }
 
-    /// Makes a reservation, or renews the one of that id.
-    pub(crate) fn reserve(
-        &self,
-        id: ReservationId,
-        tokens: u64,
-        lease: Duration,
-    ) -> Result<(), Refusal> {
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        state.check_open()?;
-        if state.reservations.is_buried(&id) {
-            return Err(Refusal::Cancelled);
-        }
-        if let Some(reservation) = state.reservations.get_mut(&id) {
-            if reservation.tokens != tokens {
-                return Err(Refusal::Duplicate);
-            }
-            state.reservations.renew(&id, lease, now);
-            return Ok(());
-        }
-        if !state.batch.memory.reserve(tokens) {
-            return Err(Refusal::NoMemory {
-                wanted_tokens: tokens,
-                room_tokens: state.batch.memory.available_tokens(),
-            });
-        }
-        state.reservations.insert(id, tokens, lease, now);
-        drop(state);
-        self.after_change();
-        Ok(())
-    }
-
-    /// Releases a reservation, also one that arrives later.
-    pub(crate) fn release(&self, id: &str) {
-        let mut state = self.state.borrow_mut();
-        state.reservations.bury(id, Instant::now());
-        state.drop_reservation(id);
-        drop(state);
-        self.after_change();
-        self.work.notify();
-    }
-
     /// Cancels an attempt, also one that arrives later.
     pub(crate) fn cancel(&self, request: &str, attempt: Attempt) {
         self.state
@@ -296,8 +159,35 @@
     }
 }
 
+fn plan_answer(prompt: &Prompt, start_offset: u32) -> Result<AnswerPlan, Refusal> {
+    let length_tokens = length_tokens(prompt.digest, prompt.max_tokens);
+    if start_offset >= length_tokens {
+        let message = format!("the answer ends before offset {start_offset}");
+        return Err(Refusal::Malformed(message));
+    }
+    Ok(AnswerPlan {
+        digest: prompt.digest,
+        prompt_tokens: prompt.length_tokens,
+        max_tokens: prompt.max_tokens,
+        length_tokens,
+        start_offset,
+    })
+}
+
 impl State {
-    fn check_open(&self) -> Result<(), Refusal> {
+    fn check_answer(&self, head: &RequestHead, model: &str) -> Result<(), Refusal> {
+        self.check_open()?;
+        if !self.orders.serves(model) {
+            return Err(Refusal::UnknownModel(model.to_owned()));
+        }
+        let key = (head.request.clone(), head.attempt);
+        if self.attempts.contains_key(&key) {
+            return Err(Refusal::Duplicate);
+        }
+        self.check_tombstone(&head.request, head.attempt)
+    }
+
+    pub(crate) fn check_open(&self) -> Result<(), Refusal> {
         if self.switches.leaving {
             return Err(Refusal::Leaving);
         }
