--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -20,6 +20,7 @@
 mod output;
 mod refusal;
 mod rejection;
+mod reports;
 mod reservations;
 mod routes;
 mod scheduler;
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -11,21 +11,18 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::cache_events::{CacheEvent, hex};
 use super::control::ControlRequest;
 use super::head::{query, request_head};
 use super::orders::{LoadState, OrderKind, OrderRequest};
 use super::output::{Attempt, End, Reader};
 use super::refusal::Refusal;
 use super::rejection::Rejection;
+use super::reports;
 use super::state::Engine;
 use super::stream::chunks;
 use super::submit::SegmentRequest;
 use super::transfer::{Export, ExportRequest};
 
-/// Longest wait for cache events, in milliseconds.
-const LONGEST_WAIT_MS: u64 = 60_000;
-
 type Answer = Result<Response<Body>, Rejection>;
 
 #[derive(Deserialize)]
@@ -52,20 +49,6 @@
     state: LoadState,
 }
 
-#[derive(Serialize)]
-struct CacheReport {
-    incarnation: u64,
-    sequence: u64,
-    blocks: Vec<String>,
-}
-
-#[derive(Serialize)]
-struct EventsReport {
-    incarnation: u64,
-    next_sequence: u64,
-    events: Vec<CacheEvent>,
-}
-
 /// Answers one request.
 pub(crate) async fn answer(engine: Rc<Engine>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
@@ -99,9 +82,9 @@
         (Method::DELETE, ["v1", "requests", id, "attempts", attempt]) => {
             cancel(engine, id, attempt)
         }
-        (Method::GET, ["v1", "load"]) => Ok(load(engine)),
-        (Method::GET, ["v1", "cache"]) => Ok(cache(engine)),
-        (Method::GET, ["v1", "cache", "events"]) => events(engine, &request).await,
+        (Method::GET, ["v1", "load"]) => Ok(reports::load(engine)),
+        (Method::GET, ["v1", "cache"]) => Ok(reports::cache(engine)),
+        (Method::GET, ["v1", "cache", "events"]) => Ok(reports::events(engine, &request).await),
         (Method::POST, ["v1", "kv", "export"]) => export(engine, request).await,
         (Method::POST, ["v1", "kv", "import"]) => import(engine, request).await,
         (Method::POST, ["v1", "reservations"]) => reserve(engine, request).await,
@@ -112,7 +95,7 @@
         }
         (Method::POST, ["v1", "segments"]) => segment(engine, request).await,
         (Method::PUT, ["v1", "orders", kind]) => order(engine, kind, request).await,
-        (Method::GET, ["v1", "state"]) => Ok(state(engine)),
+        (Method::GET, ["v1", "state"]) => Ok(reports::state(engine)),
         (Method::GET, ["v1", "health"]) => Ok(no_content()),
         (Method::POST, ["control"]) => control(engine, request).await,
         (Method::GET, ["control", "counters"]) => {
@@ -172,52 +155,6 @@
     Ok(no_content())
 }
 
-fn load(engine: &Engine) -> Response<Body> {
-    let now = Instant::now();
-    let report = engine
-        .state
-        .borrow_mut()
-        .load_report(engine.incarnation, now);
-    json(StatusCode::OK, &report)
-}
-
-fn cache(engine: &Engine) -> Response<Body> {
-    let state = engine.state.borrow();
-    let report = CacheReport {
-        incarnation: engine.incarnation,
-        sequence: state.cache_events.next_sequence(),
-        blocks: state.batch.memory.blocks().into_iter().map(hex).collect(),
-    };
-    json(StatusCode::OK, &report)
-}
-
-async fn events(engine: &Engine, request: &Request<Incoming>) -> Answer {
-    let from = query(request, "from").unwrap_or(0);
-    let wait_ms = query(request, "wait_ms").unwrap_or(0).min(LONGEST_WAIT_MS);
-    let until = Instant::now() + Duration::from_millis(wait_ms);
-    loop {
-        let seen = engine.cache_changed.generation();
-        let now = Instant::now();
-        let (visible, next_at) = {
-            let state = engine.state.borrow();
-            let log = &state.cache_events;
-            (log.visible(from, now), log.next_visible_at(now))
-        };
-        if visible.next_sequence > from || now >= until {
-            let report = EventsReport {
-                incarnation: engine.incarnation,
-                next_sequence: visible.next_sequence,
-                events: visible.events,
-            };
-            return Ok(json(StatusCode::OK, &report));
-        }
-        let wake = next_at.unwrap_or(until).min(until);
-        let changed = engine.cache_changed.changed(seen);
-        let left = wake.saturating_duration_since(now);
-        let _ = compio::time::timeout(left, changed).await;
-    }
-}
-
 async fn export(engine: &Engine, request: Request<Incoming>) -> Answer {
     let request: ExportRequest = read(engine, request).await?;
     let export = engine
@@ -285,11 +222,6 @@
     Ok(json(StatusCode::OK, &OrderAnswer { state }))
 }
 
-fn state(engine: &Engine) -> Response<Body> {
-    let report = engine.state.borrow().orders.report(engine.incarnation);
-    json(StatusCode::OK, &report)
-}
-
 async fn control(engine: &Engine, request: Request<Incoming>) -> Answer {
     let request: ControlRequest = read(engine, request).await?;
     engine.control(&request);
