--- a/crates/once/src/answers.rs
+++ b/crates/once/src/answers.rs
@@ -8,7 +8,7 @@
 use crate::core::Core;
 use crate::ids::ClaimId;
 use crate::key::{Fingerprint, MintedKey, OrderKey};
-use crate::message::{ClaimAnswer, Holding, Reply, Request};
+use crate::message::{ClaimAnswer, Decider, Holding, Reply, Request};
 use crate::outcome::Record;
 use crate::view::VoterSet;
 
@@ -23,18 +23,24 @@
                 claim,
                 set,
             } => self.answer_claim(&order, fingerprint, &claim, set.as_ref()),
-            Request::Release { order, claim } => self.answer_release(from, &order, &claim),
+            Request::Release {
+                order,
+                decider,
+                claim,
+            } => self.answer_release(from, &order, decider, &claim),
             Request::Settle {
                 order,
+                decider,
                 fingerprint,
                 claim,
                 record,
-            } => self.answer_settle(from, &order, fingerprint, claim, record),
+            } => self.answer_settle(from, &order, decider, fingerprint, claim, record),
             Request::Ask {
                 order,
+                decider,
                 claim,
                 voter,
-            } => self.answer_ask(order, claim, voter),
+            } => self.answer_ask(order, decider, claim, voter),
             Request::Synchronise {
                 process,
                 target,
@@ -73,8 +79,8 @@
                 state.mint.claim(key.counter, fingerprint, claim, now, keep)
             }
             (Some(key), None) => state.archives.claim(&key, now),
-            (None, Some(set)) => state.seat.claim(order, fingerprint, claim, set, rules),
-            _ => Reply::Malformed,
+            (_, Some(set)) => state.seat.claim(order, fingerprint, claim, set, rules),
+            (None, None) => Reply::Malformed,
         };
         match reply {
             Reply::Granted(_) => state.counters.grants += 1,
@@ -83,17 +89,24 @@
         reply
     }
 
-    fn answer_release(&self, from: &InstanceId, order: &OrderKey, claim: &ClaimId) -> Reply {
+    fn answer_release(
+        &self,
+        from: &InstanceId,
+        order: &OrderKey,
+        decider: Decider,
+        claim: &ClaimId,
+    ) -> Reply {
         if claim.process.instance != *from {
             return Reply::Malformed;
         }
         let mut state = self.state.borrow_mut();
-        match MintedKey::parse(&order.key) {
-            Some(key) if key.home == self.options.process => {
+        match (decider, MintedKey::parse(&order.key)) {
+            (Decider::Voters, _) => state.seat.ballots.release(order, claim),
+            (Decider::Home, Some(key)) if key.home == self.options.process => {
                 state.mint.ballots.release(&key.counter, claim);
             }
-            Some(key) => state.archives.release(&key, claim),
-            None => state.seat.ballots.release(order, claim),
+            (Decider::Home, Some(key)) => state.archives.release(&key, claim),
+            (Decider::Home, None) => return Reply::Malformed,
         }
         Reply::Done
     }
@@ -102,6 +115,7 @@
         &self,
         from: &InstanceId,
         order: &OrderKey,
+        decider: Decider,
         fingerprint: Fingerprint,
         claim: ClaimId,
         record: Record,
@@ -117,21 +131,34 @@
             record: Some(record),
         };
         let mut state = self.state.borrow_mut();
-        match MintedKey::parse(&order.key) {
-            Some(key) if key.home == self.options.process => {
-                state.mint.ballots.settle(&key.counter, holding, now, keep);
+        match (decider, MintedKey::parse(&order.key)) {
+            (Decider::Voters, _) => state.seat.ballots.settle(order, holding, now, keep),
+            (Decider::Home, Some(key)) if key.home == self.options.process => {
+                let ballots = &mut state.mint.ballots;
+                ballots.settle(&key.counter, holding, now, keep);
             }
-            Some(key) => state.archives.settle(&key, holding, now),
-            None => state.seat.ballots.settle(order, holding, now, keep),
+            (Decider::Home, Some(key)) => state.archives.settle(&key, holding, now),
+            (Decider::Home, None) => return Reply::Malformed,
         }
         Reply::Done
     }
 
-    fn answer_ask(self: &Rc<Self>, order: OrderKey, claim: ClaimId, voter: InstanceId) -> Reply {
+    fn answer_ask(
+        self: &Rc<Self>,
+        order: OrderKey,
+        decider: Decider,
+        claim: ClaimId,
+        voter: InstanceId,
+    ) -> Reply {
         let answer = self.claims.borrow().answer(&claim);
         if matches!(answer, ClaimAnswer::Released) {
             // The voter missed the release, or the claim came after it.
-            self.tell(&[voter], &Request::Release { order, claim });
+            let release = Request::Release {
+                order,
+                decider,
+                claim,
+            };
+            self.tell(&[voter], &release);
         }
         Reply::Claim(answer)
     }
--- a/crates/once/src/ballots.rs
+++ b/crates/once/src/ballots.rs
@@ -12,7 +12,7 @@
 use crate::ids::ClaimId;
 use crate::key::Fingerprint;
 use crate::message::{Holding, SentEntry};
-use crate::options::duration_ms;
+use crate::options::{duration_ms, expiry};
 use crate::outcome::Record;
 
 /// What a claim on a key came to.
@@ -86,7 +86,7 @@
             holders: vec![claim.clone()],
             record: None,
         };
-        let expires = now + keep;
+        let expires = expiry(now, keep);
         self.entries.insert(key.clone(), Entry { holding, expires });
         Vote::Granted
     }
@@ -124,7 +124,7 @@
     /// Adds what another process remembers.
     pub(crate) fn merge(&mut self, key: &K, sent: SentEntry, now: Instant) {
         self.forget_expired(key, now);
-        let expires = now + Duration::from_millis(sent.expires_in_ms);
+        let expires = expiry(now, Duration::from_millis(sent.expires_in_ms));
         let mut holding = sent.holding;
         holding.record = holding.record.map(|record| self.fitting(record));
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/once/src/execute.rs
+++ b/crates/once/src/execute.rs
@@ -170,13 +170,9 @@
 }
 
 fn not_run(reason: NotRunReason) -> Decision {
-    let retry_after = match reason {
-        NotRunReason::KeyRetired => None,
-        NotRunReason::NotStarted(_) | NotRunReason::Full => Some(RETRY_AFTER),
-    };
     Decision::NotRun {
         reason,
-        retry_after,
+        retry_after: Some(RETRY_AFTER),
     }
 }
 
--- a/crates/once/src/gather.rs
+++ b/crates/once/src/gather.rs
@@ -15,7 +15,7 @@
 use crate::exchange::ExchangeError;
 use crate::ids::ClaimId;
 use crate::key::{Fingerprint, OrderKey};
-use crate::message::{ClaimAnswer, Grant, Holding, Reply, Request};
+use crate::message::{ClaimAnswer, Decider, Grant, Holding, Reply, Request};
 use crate::open_claim::OpenClaim;
 use crate::options::Weakness;
 use crate::outcome::{NotRunReason, OrderError, Record, UnknownReason};
@@ -58,6 +58,7 @@
     pub(crate) fn open(
         self: &Rc<Self>,
         subject: &Subject,
+        decider: Decider,
         keepers: Vec<InstanceId>,
     ) -> Option<OpenClaim> {
         let made = Instant::now();
@@ -67,6 +68,7 @@
             id,
             made,
             order: subject.order.clone(),
+            decider,
             fingerprint: subject.fingerprint,
             asked: Vec::new(),
             keepers,
@@ -78,7 +80,7 @@
         let Some(set) = self.state.borrow().seat.view().cloned() else {
             return Gathered::Short(no_majority("no list of instances yet"));
         };
-        let Some(mut claim) = self.open(subject, set.members.clone()) else {
+        let Some(mut claim) = self.open(subject, Decider::Voters, set.members.clone()) else {
             return Gathered::Short(no_majority("too many claims are open"));
         };
         let request = Request::Claim {
@@ -139,7 +141,10 @@
                 tally.grants.push(grant);
                 return None;
             }
-            Ok(Reply::Held(holding)) => match self.look_into(subject, &voter, holding).await {
+            Ok(Reply::Held(holding)) => match self
+                .look_into(subject, Decider::Voters, &voter, holding)
+                .await
+            {
                 Held::End(end) => return Some(end),
                 Held::Orphaned(why) => why,
             },
@@ -160,6 +165,7 @@
     pub(crate) async fn look_into(
         self: &Rc<Self>,
         subject: &Subject,
+        decider: Decider,
         voter: &InstanceId,
         holding: Holding,
     ) -> Held {
@@ -171,7 +177,7 @@
         }
         let mut reasons = Vec::new();
         for claim in holding.holders {
-            match self.ask(subject, &claim, voter).await {
+            match self.ask(subject, decider, &claim, voter).await {
                 Ok(ClaimAnswer::Busy) => {
                     let runner = claim.process.instance;
                     return Held::End(Gathered::Busy(UnknownReason::StillRunning(runner)));
@@ -193,11 +199,13 @@
     async fn ask(
         self: &Rc<Self>,
         subject: &Subject,
+        decider: Decider,
         claim: &ClaimId,
         voter: &InstanceId,
     ) -> Result<ClaimAnswer, ExchangeError> {
         let request = Request::Ask {
             order: subject.order.clone(),
+            decider,
             claim: claim.clone(),
             voter: voter.clone(),
         };
--- a/crates/once/src/gather_minted.rs
+++ b/crates/once/src/gather_minted.rs
@@ -2,6 +2,11 @@
 //!
 //! It goes to the key's home, or, when that is gone, to those that may keep the
 //! home's records.
+//!
+//! A home that stopped deciding, or whose key is too old, says that it never
+//! granted the key and never will. From then on the key is decided by the voters
+//! like any other: whoever runs it has that word, so every run of it needs a
+//! majority, and votes are kept for longer than that word is given.
 
 use std::rc::Rc;
 
@@ -10,7 +15,7 @@
 use crate::core::Core;
 use crate::gather::{Gathered, Held, Subject, no_majority};
 use crate::key::MintedKey;
-use crate::message::{Reply, Request};
+use crate::message::{Decider, Reply, Request};
 use crate::outcome::{NotRunReason, OrderError, UnknownReason};
 use crate::view::{MAX_VOTERS, rendezvous};
 
@@ -22,7 +27,7 @@
         key: &MintedKey,
     ) -> Gathered {
         let home = key.home.instance.clone();
-        let Some(mut claim) = self.open(subject, vec![home.clone()]) else {
+        let Some(mut claim) = self.open(subject, Decider::Home, vec![home.clone()]) else {
             return Gathered::Short(no_majority("too many claims are open"));
         };
         let request = Request::Claim {
@@ -79,11 +84,14 @@
         reply: Reply,
     ) -> Gathered {
         match reply {
-            Reply::Held(holding) => match self.look_into(subject, teller, holding).await {
+            Reply::Held(holding) => match self
+                .look_into(subject, Decider::Home, teller, holding)
+                .await
+            {
                 Held::End(end) => end,
                 Held::Orphaned(why) => Gathered::Short(UnknownReason::StillRunning(why)),
             },
-            Reply::Retired => Gathered::NotRun(NotRunReason::KeyRetired),
+            Reply::Retired => self.gather_plain(subject).await,
             Reply::Full => Gathered::NotRun(NotRunReason::Full),
             Reply::NeverMinted => Gathered::Fault(OrderError::NeverMinted),
             other => Gathered::Short(UnknownReason::HomeUnreachable(format!("{other:?}"))),
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -12,7 +12,9 @@
 //!   That is safe because the home notes the grant's claim before it answers,
 //!   gives the key to no other claim until that claim's own process says that it
 //!   never will run, and a claim is used for one run or none. A grant that is
-//!   lost on its way blocks its key, and never doubles it.
+//!   lost on its way blocks its key, and never doubles it. A process that stops
+//!   as planned hands its records over; keys that it never granted pass to the
+//!   voters.
 //! - A *plain* key (any text) is put to the region's voters ([`view`]): a run
 //!   needs the votes of a majority, and a voter gives a key to one claim only.
 //!
--- a/crates/once/src/message.rs
+++ b/crates/once/src/message.rs
@@ -8,6 +8,15 @@
 use crate::outcome::Record;
 use crate::view::VoterSet;
 
+/// Who decides about a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Decider {
+    /// The process that issued it, or those that keep its records.
+    Home,
+    /// The voters.
+    Voters,
+}
+
 /// What one daemon asks of another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Request {
@@ -16,14 +25,19 @@
         order: OrderKey,
         fingerprint: Fingerprint,
         claim: ClaimId,
-        /// Voters that the claimant counts; `None` for a minted key.
+        /// Voters that the claimant counts; `None` when the key's home decides.
         set: Option<VoterSet>,
     },
     /// The claim will never run; sent by its own process only.
-    Release { order: OrderKey, claim: ClaimId },
+    Release {
+        order: OrderKey,
+        decider: Decider,
+        claim: ClaimId,
+    },
     /// What the run came to.
     Settle {
         order: OrderKey,
+        decider: Decider,
         fingerprint: Fingerprint,
         claim: ClaimId,
         record: Record,
@@ -31,6 +45,7 @@
     /// What became of the claim; `voter` holds the key for it.
     Ask {
         order: OrderKey,
+        decider: Decider,
         claim: ClaimId,
         voter: InstanceId,
     },
@@ -59,7 +74,7 @@
     Full,
     /// No such key was issued.
     NeverMinted,
-    /// The key was never used and never will be.
+    /// The home never granted the key and never will; the voters may.
     Retired,
     /// This process is neither the key's home nor keeps its records.
     HomeGone,
--- a/crates/once/src/mint.rs
+++ b/crates/once/src/mint.rs
@@ -7,8 +7,11 @@
 //!
 //! A process that stops grants nothing from the moment on at which it collects
 //! its records, so what its successors hold (an [`Archive`]) is final: a key in
-//! it without a record never ran and never will. Successors answer and never
-//! grant, so it does no harm that there are several.
+//! it without a record never ran by its home's grant and never will. Successors
+//! answer and never grant, so it does no harm that there are several. A key that
+//! is so retired passes to the voters, see [`crate::gather_minted`]. The votes
+//! are kept from their grant for as long as the word *retired* is given from the
+//! stop, or from the end of the key's window, so they outlive it.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -17,7 +20,7 @@
 use crate::ids::{ClaimId, Process};
 use crate::key::{Fingerprint, MintedKey};
 use crate::message::{ArchivePart, Grant, Holding, Reply, SentEntry};
-use crate::options::{OnceOptions, duration_ms};
+use crate::options::{OnceOptions, duration_ms, expiry};
 
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 const PART_ENTRIES: usize = 200;
@@ -145,7 +148,7 @@
             complete_from: first_counter,
             total: entries.len(),
             ballots: Ballots::new(0, 0),
-            expires: now + keep.record,
+            expires: expiry(now, keep.record),
         };
         archive.parts_of(&self.process, entries, now)
     }
@@ -173,7 +176,7 @@
     }
 
     pub(crate) fn take(&mut self, part: ArchivePart, options: &OnceOptions, now: Instant) {
-        let expires = now + Duration::from_millis(part.expires_in_ms);
+        let expires = expiry(now, Duration::from_millis(part.expires_in_ms));
         let archive = self.table.entry(part.former).or_insert_with(|| Archive {
             next_counter: part.next_counter,
             complete_from: part.complete_from,
--- a/crates/once/src/open_claim.rs
+++ b/crates/once/src/open_claim.rs
@@ -8,7 +8,7 @@
 use crate::core::Core;
 use crate::ids::ClaimId;
 use crate::key::{Fingerprint, OrderKey};
-use crate::message::Request;
+use crate::message::{Decider, Request};
 use crate::outcome::Record;
 
 const DROPPED: &str = "the call was given up during the run";
@@ -22,6 +22,7 @@
     pub(crate) id: ClaimId,
     pub(crate) made: Instant,
     pub(crate) order: OrderKey,
+    pub(crate) decider: Decider,
     pub(crate) fingerprint: Fingerprint,
     /// Who may hold the key for this claim.
     pub(crate) asked: Vec<InstanceId>,
@@ -38,6 +39,7 @@
         }
         let request = Request::Release {
             order: self.order.clone(),
+            decider: self.decider,
             claim: self.id.clone(),
         };
         self.core.tell(&self.asked, &request);
@@ -53,6 +55,7 @@
         }
         let request = Request::Settle {
             order: self.order.clone(),
+            decider: self.decider,
             fingerprint: self.fingerprint,
             claim: self.id.clone(),
             record: record.clone(),
--- a/crates/once/src/options.rs
+++ b/crates/once/src/options.rs
@@ -1,6 +1,6 @@
 //! Limits of one process.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mangofront_settings::ids::{Incarnation, InstanceId};
 
@@ -146,6 +146,15 @@
     }
 }
 
+/// Longest time that anything is kept. Longer ones, published or sent by a
+/// peer, would not fit the clock's range.
+const LONGEST_KEEP: Duration = Duration::from_hours(366 * 24);
+
+/// Time at which what is kept for `keep` from `now` on expires.
+pub(crate) fn expiry(now: Instant, keep: Duration) -> Instant {
+    now + keep.min(LONGEST_KEEP)
+}
+
 /// Wall-clock time in Unix milliseconds.
 pub(crate) fn unix_ms() -> u64 {
     SystemTime::now()
--- a/crates/once/src/outcome.rs
+++ b/crates/once/src/outcome.rs
@@ -158,9 +158,6 @@
     /// The run reported that it sent no byte.
     #[error("the run did not start: {0}")]
     NotStarted(String),
-    /// The key's home is gone or the key too old, and it was never used.
-    #[error("the key was never used and can't be any more")]
-    KeyRetired,
     /// The key's home keeps too many records to take another.
     #[error("too many records are kept")]
     Full,
--- a/crates/once/tests/alone.rs
+++ b/crates/once/tests/alone.rs
@@ -4,6 +4,7 @@
 
 use fleet::{Fleet, Upstream, is_answer, is_not_run, is_replay, is_unknown};
 use mangofront_once::{Decision, NotRunReason, OrderError, StoredBody};
+use quickcheck::{Gen, QuickCheck};
 
 #[compio::test]
 async fn minted_key_runs_once_and_is_replayed() {
@@ -113,3 +114,87 @@
     ));
     assert_eq!(fleet.runs(&key), 0);
 }
+
+#[compio::test]
+async fn long_answer_keeps_its_digest() {
+    let fleet = Fleet::started(1, 1).await;
+    assert!(is_answer(
+        &fleet.order(0, "plain", Upstream::AnswersLong).await
+    ));
+    let again = fleet.order(0, "plain", Upstream::Answers).await;
+    let Some(Decision::Replay {
+        status: 200, body, ..
+    }) = again
+    else {
+        panic!("{again:?}");
+    };
+    assert!(matches!(
+        body,
+        StoredBody::Digest {
+            length_bytes: 65,
+            ..
+        }
+    ));
+}
+
+#[compio::test]
+async fn full_tables_refuse_and_forget_nothing() {
+    let mut fleet = Fleet::new(1);
+    fleet.max_records = 2;
+    fleet.start_all(1).await;
+    let once = fleet.once(0).unwrap();
+    let keys: Vec<String> = (0..3).map(|_| once.mint().unwrap()).collect();
+    for key in &keys[..2] {
+        assert!(is_answer(&fleet.order(0, key, Upstream::Answers).await));
+    }
+    let third = fleet.order(0, &keys[2], Upstream::Answers).await;
+    let reason = NotRunReason::Full;
+    assert!(matches!(third, Some(Decision::NotRun { reason: why, .. }) if why == reason));
+    assert!(is_replay(
+        &fleet.order(0, &keys[0], Upstream::Answers).await
+    ));
+    for key in ["plain-1", "plain-2"] {
+        assert!(is_answer(&fleet.order(0, key, Upstream::Answers).await));
+    }
+    assert!(is_unknown(
+        &fleet.order(0, "plain-3", Upstream::Answers).await
+    ));
+    assert!(is_replay(
+        &fleet.order(0, "plain-1", Upstream::Answers).await
+    ));
+}
+
+#[test]
+fn any_bytes_from_a_peer_are_answered() {
+    fn answers(requests: Vec<Vec<u8>>) -> bool {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let fleet = Fleet::started(1, 1).await;
+            let once = fleet.once(0).unwrap();
+            let from = "entry-9".to_owned();
+            requests
+                .into_iter()
+                .enumerate()
+                .all(|(number, mut request)| {
+                    // Most start as one of the six kinds of requests.
+                    request.insert(0, (number % 7) as u8);
+                    !once.handle(&from, &request.into()).is_empty()
+                })
+        })
+    }
+    let generator = Gen::from_size_and_seed(300, 1);
+    let mut check = QuickCheck::new().rng(generator).tests(40);
+    check.quickcheck(answers as fn(Vec<Vec<u8>>) -> bool);
+}
+
+#[compio::test]
+async fn endless_window_is_no_fault() {
+    let fleet = Fleet::new(1);
+    fleet.publish_window(u64::MAX);
+    fleet.start_all(1).await;
+    let minted = fleet.once(0).unwrap().mint().unwrap();
+    for key in [minted.as_str(), "plain"] {
+        assert!(is_answer(&fleet.order(0, key, Upstream::Answers).await));
+    }
+    fleet.once(0).unwrap().hand_over().await;
+}
