--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -242,7 +242,11 @@
         };
         self.check_deadline()?;
         running.call.resume_offset = self.next_offset;
-        let until = self.request.caller.deadline.min(Instant::now() + RESUME_PATIENCE);
+        let until = self
+            .request
+            .caller
+            .deadline
+            .min(Instant::now() + RESUME_PATIENCE);
         let connections = &self.entry.parts().connections;
         let call = running.call.clone();
         match engine::resume(connections, &running.target, &stream_id, call, until).await {
@@ -272,9 +276,9 @@
             self.made,
             self.request.id
         );
+        self.may_have_run |= error.outcome() != Outcome::NotRun;
         self.check_deadline()?;
         self.failed += 1;
-        self.may_have_run |= error.outcome() != Outcome::NotRun;
         let parts = self.entry.parts();
         parts
             .placement
