Let an order's run outlive its caller's connection

A caller that goes away in the middle of a run dropped the run's future, and its outcome with it: the key was then unknown for good. The run now has a task of its own, and a later retry gets the answer.

--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -64,7 +64,7 @@
     let (service_call, repeat) = read(entry, head, incoming, arrived, id).await?;
     let progress = InProgress::begin(active, &service_call.caller);
     let answered = match (key, repeat) {
-        (Some(key), _) => order::execute(entry, &service_call, key).await,
+        (Some(key), _) => order::execute(entry, active, service_call, key).await,
         (None, Repeat::Forbidden) => Err(EntryError::KeyRequired),
         (None, Repeat::Allowed) => send(entry, &service_call).await,
     };
--- a/crates/entry/src/service/order.rs
+++ b/crates/entry/src/service/order.rs
@@ -2,8 +2,13 @@
 //!
 //! `once` says whether this call may run the order. The one run it allows sends
 //! the call to the first instance of the service that can be connected to;
-//! after the first byte was written there is no second try.
+//! after the first byte was written there is no second try. The run has a task
+//! of its own: a caller that goes away must not lose the outcome, which a retry
+//! asks for.
 
+use std::rc::Rc;
+
+use futures_channel::oneshot;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use mangofront_http::Outcome;
 use mangofront_once::{
@@ -14,7 +19,7 @@
 use mangofront_upstream::service::{ServiceAnswer, call_once};
 
 use super::{ServiceCall, targets};
-use crate::context::Entry;
+use crate::context::{Active, Entry};
 use crate::error::EntryError;
 
 /// Header of an answer that was given before.
@@ -26,9 +31,32 @@
 /// [`EntryError::Order`] whenever there is no answer of the service to give.
 pub(crate) async fn execute(
     entry: &Entry,
-    service_call: &ServiceCall,
+    active: &Rc<Active>,
+    service_call: ServiceCall,
     key: String,
 ) -> Result<ServiceAnswer, EntryError> {
+    let (sender, receiver) = oneshot::channel();
+    let entry = entry.clone();
+    let active = Rc::clone(active);
+    compio::runtime::spawn(async move {
+        let decision = decide(&entry, &service_call, key).await;
+        // A caller that went away takes its answer from a later retry.
+        let _ = sender.send(decision);
+        drop(active);
+    })
+    .detach();
+    match receiver.await {
+        Ok(decision) => answer(decision),
+        Err(oneshot::Canceled) => Err(EntryError::Order {
+            code: "outcome_unknown",
+            outcome: Outcome::Unknown,
+            reason: "the run was given up".to_owned(),
+            retry_after: None,
+        }),
+    }
+}
+
+async fn decide(entry: &Entry, service_call: &ServiceCall, key: String) -> Decision {
     let order = Order {
         organisation: service_call.caller.organisation.clone(),
         key,
@@ -36,8 +64,7 @@
     };
     let once = &entry.parts().once;
     let run = |permit| run(entry, service_call, permit);
-    let decision = once.execute(order, service_call.caller.deadline, run).await;
-    answer(decision)
+    once.execute(order, service_call.caller.deadline, run).await
 }
 
 /// Digest of what the key stands for: the same key may name no other call.
@@ -186,7 +213,6 @@
 fn not_run_code(reason: &NotRunReason) -> &'static str {
     match reason {
         NotRunReason::NotStarted(_) => "order_not_started",
-        NotRunReason::KeyRetired => "key_retired",
         NotRunReason::Full => "too_many_records",
     }
 }
