Order models, versions and adapters of engines (thin)

Cause: decision 9: one daemon of a zone carries out the published wish. Weighed: a lease on the view as plain data, so that the crate needs neither links nor platform. Not connected to the daemon yet.

--- /dev/null
+++ b/crates/orders/src/wish.rs
@@ -0,0 +1,70 @@
+//! What is wished of an engine, and the order that is missing.
+
+use mangofront_settings::ids::ModelName;
+
+use crate::message::{EngineReport, Order, OrderKind};
+use crate::view::{EngineRole, OrdersEngine, OrdersView};
+
+/// What an engine should serve.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wish {
+    /// Model, as the platform lists the engine.
+    pub model: ModelName,
+    /// Version; `None` leaves model and version alone.
+    pub version: Option<String>,
+    /// Adapters that should be loaded; others may be there besides.
+    pub adapters: Vec<String>,
+    /// Role; `None` leaves it alone.
+    pub role: Option<EngineRole>,
+}
+
+impl Wish {
+    /// The wish of `view` for `engine`; `None` when its model isn't published.
+    #[must_use]
+    pub fn of(view: &OrdersView, engine: &OrdersEngine) -> Option<Self> {
+        let model = view.models.get(&engine.model)?;
+        Some(Self {
+            model: engine.model.clone(),
+            version: model.version.clone(),
+            adapters: model.adapters.clone(),
+            role: engine.role,
+        })
+    }
+
+    /// The first order that `report` lacks; `None` when all is in force.
+    ///
+    /// The role comes first as it loads nothing.
+    #[must_use]
+    pub fn next_order(&self, report: &EngineReport) -> Option<Order> {
+        match self.role.filter(|role| *role != report.role) {
+            Some(role) => order(OrderKind::Role, role.name()),
+            None => self.next_load(report),
+        }
+    }
+
+    /// The first order that `report` lacks and that loads something.
+    ///
+    /// Adapters come last as another model or version drops them.
+    #[must_use]
+    pub fn next_load(&self, report: &EngineReport) -> Option<Order> {
+        if self.model != report.model {
+            // Nobody published a version of this model: the list may lag.
+            self.version.as_ref()?;
+            return order(OrderKind::Model, &self.model);
+        }
+        let version = self.version.as_ref();
+        if let Some(version) = version.filter(|version| **version != report.version) {
+            return order(OrderKind::Version, version);
+        }
+        let missing = |adapter: &&String| !report.adapters.contains(adapter);
+        let adapter = self.adapters.iter().find(missing)?;
+        order(OrderKind::Adapter, adapter)
+    }
+}
+
+fn order(kind: OrderKind, value: &str) -> Option<Order> {
+    Some(Order {
+        kind,
+        value: value.to_owned(),
+    })
+}
