Carry out orders in the daemon, prove them against emulated engines

Cause: the crate stood alone and had one test. Weighed: a lease that each engine's task asks of the links, ruled out as the crate would then need them; the view is handed in again and again instead and runs out by itself, on the monotonic and the wall clock. Change: the daemon hands in its view while its links' view is fresh, records orders in the audit trail and tells them in its status. Tests over loopback: both ways of fencing with a late order, a cut with one and with two wishes, a restart, adapters, model, role, lowered revision, a lease that ran out, turns of six engines at a rate-limited store with and without limits; quickcheck of tokens, turns and responsibility.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod feeds;
 mod membership;
+mod orders;
 mod parts;
 mod relay;
 mod run;
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -7,6 +7,7 @@
 use mangofront_audit::{AuditEvent, AuditLog};
 use mangofront_entry::{Entry, EntryLimits, EntryParts};
 use mangofront_once::{Once, OnceOptions};
+use mangofront_orders::Orders;
 use mangofront_peers::Peers;
 use mangofront_placement::{Placement, PlacementOptions};
 use mangofront_platform::{Kind, Platform, PlatformChange, PlatformOptions};
@@ -18,6 +19,7 @@
 
 use crate::error::DaemonError;
 use crate::membership::{self, PeerExchange};
+use crate::orders;
 
 /// Every part of a daemon; clones share them.
 #[derive(Debug, Clone)]
@@ -30,6 +32,7 @@
     pub(crate) admission: Admission,
     pub(crate) peers: Peers,
     pub(crate) once: Once,
+    pub(crate) orders: Orders,
     pub(crate) metrics: Metrics,
     pub(crate) connections: Connections,
     pub(crate) entry: Entry,
@@ -57,6 +60,7 @@
     let options = OnceOptions::new(settings.instance.clone(), peers.incarnation());
     let once = Once::new(options, Rc::new(PeerExchange(peers.clone())));
     responders.set_once(once.clone());
+    let orders = orders::make(&settings, &audit, &connections);
     let entry = Entry::new(EntryParts {
         availability_zone: settings.availability_zone.clone(),
         platform: platform.clone(),
@@ -76,6 +80,7 @@
         admission,
         peers,
         once,
+        orders,
         metrics,
         connections,
         entry,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -11,7 +11,7 @@
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, feeds, relay, views};
+use crate::{admin, feeds, orders, relay, views};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -72,6 +72,7 @@
         spawn(views::publish(placement.clone(), peers.clone())),
         spawn(views::receive(placement.clone(), peers.clone(), own)),
         spawn(parts.once.maintain()),
+        spawn(orders::follow(parts.clone())),
     ]
 }
 
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,6 +1,7 @@
 //! What a daemon tells of itself to an operator.
 
 use mangofront_admission::AdmissionStatus;
+use mangofront_orders::OrdersStatus;
 use mangofront_placement::PlacementStatus;
 use mangofront_platform::PlatformHealth;
 use serde::Serialize;
@@ -14,6 +15,7 @@
     platform: PlatformHealth,
     admission: AdmissionStatus,
     placement: PlacementStatus,
+    orders: OrdersStatus,
 }
 
 #[derive(Debug, Serialize)]
@@ -40,5 +42,6 @@
         platform: parts.platform.health(),
         admission: parts.admission.status(),
         placement: parts.placement.status(),
+        orders: parts.orders.status(),
     }
 }
--- a/crates/orders/src/keeper.rs
+++ b/crates/orders/src/keeper.rs
@@ -10,6 +10,7 @@
 
 use crate::backoff::Repeats;
 use crate::change::{OrderChange, OrderOutcome};
+use crate::clock::Moment;
 use crate::error::OrderError;
 use crate::exchange;
 use crate::message::{EngineReport, LoadState, Order};
@@ -54,7 +55,7 @@
     view: Rc<OrdersView>,
     engine: OrdersEngine,
     report: EngineReport,
-    read_at: Instant,
+    read_at: Moment,
 }
 
 impl Keeper {
@@ -80,8 +81,8 @@
         let view = self.shared.fresh_view().ok_or(Phase::ViewStale)?;
         let engine = view.engine(&self.engine).cloned().ok_or(Phase::New)?;
         let options = &self.shared.options;
-        let read_at = Instant::now();
-        let deadline = read_at + options.order_timeout;
+        let read_at = Moment::now();
+        let deadline = Instant::now() + options.order_timeout;
         let read = exchange::read_state(&options.connections, &engine.target(), deadline).await;
         match read {
             Ok(report) => Ok(Sight {
@@ -101,7 +102,7 @@
         let report = &sight.report;
         self.repeats.enter(report.incarnation, sight.view.revision);
         self.loading_since = match report.state {
-            LoadState::Loading => self.loading_since.or(Some(sight.read_at)),
+            LoadState::Loading => self.loading_since.or_else(|| Some(Instant::now())),
             LoadState::Ready => None,
         };
     }
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod backoff;
 mod change;
+mod clock;
 mod error;
 mod exchange;
 mod keeper;
--- a/crates/orders/src/orders.rs
+++ b/crates/orders/src/orders.rs
@@ -4,11 +4,11 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
-use std::time::Instant;
 
 use compio::runtime::{JoinHandle, spawn};
 use mangofront_settings::ids::InstanceId;
 
+use crate::clock::Moment;
 use crate::keeper::keep;
 use crate::options::OrdersOptions;
 use crate::responsible::responsible;
@@ -55,16 +55,15 @@
     /// than before, the configuration is left out. After a lease ran out every
     /// responsibility counts as new.
     pub fn set_view(&self, view: OrdersView) {
-        let now = Instant::now();
         let lease = self.shared.options.view_lease;
         let former = self.shared.held.borrow_mut().take();
         let lapsed = former
             .as_ref()
-            .is_some_and(|held| now.saturating_duration_since(held.since) >= lease);
+            .is_some_and(|held| held.since.age() >= lease);
         let view = Rc::new(keep_floor(view, former));
         *self.shared.held.borrow_mut() = Some(Held {
             view: Rc::clone(&view),
-            since: now,
+            since: Moment::now(),
         });
         if lapsed {
             log::info!("orders: the view had run out, every engine is taken over anew");
--- a/crates/orders/src/shared.rs
+++ b/crates/orders/src/shared.rs
@@ -3,10 +3,10 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::Instant;
 
 use mangofront_settings::ids::{InstanceId, ModelName, Revision};
 
+use crate::clock::Moment;
 use crate::options::OrdersOptions;
 use crate::responsible::responsible;
 use crate::status::EngineStatus;
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Held {
     pub(crate) view: Rc<OrdersView>,
-    pub(crate) since: Instant,
+    pub(crate) since: Moment,
 }
 
 /// State of [`crate::Orders`].
@@ -44,7 +44,7 @@
     /// The view, while its lease runs.
     pub(crate) fn fresh_view(&self) -> Option<Rc<OrdersView>> {
         let held = self.held.borrow();
-        let fresh = |held: &&Held| held.since.elapsed() < self.options.view_lease;
+        let fresh = |held: &&Held| held.since.age() < self.options.view_lease;
         held.as_ref()
             .filter(fresh)
             .map(|held| Rc::clone(&held.view))
@@ -55,7 +55,7 @@
     /// True while this daemon is responsible by a fresh view of the same
     /// revision, and the engine was read at `read_at` within one lease. A
     /// process that was paused since its decision fails here.
-    pub(crate) fn may_send(&self, engine: &str, revision: Revision, read_at: Instant) -> bool {
+    pub(crate) fn may_send(&self, engine: &str, revision: Revision, read_at: Moment) -> bool {
         let Some(view) = self.fresh_view() else {
             return false;
         };
@@ -63,6 +63,6 @@
             let first = responsible(&view.daemons, engine)?;
             (*first == view.own && !engine.leaving).then_some(())
         });
-        own.is_some() && view.revision == revision && read_at.elapsed() < self.options.view_lease
+        own.is_some() && view.revision == revision && read_at.age() < self.options.view_lease
     }
 }
--- a/crates/orders/tests/support/mod.rs
+++ b/crates/orders/tests/support/mod.rs
@@ -6,6 +6,8 @@
     reason = "each test binary uses its own part of these helpers"
 )]
 
+pub mod delay;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +23,7 @@
 };
 use mangofront_settings::published::{Fencing, Model};
 use mangofront_standin::engine::{EngineSettings, run};
+use mangofront_standin::weights::{self, WeightsSettings};
 use mangofront_upstream::{Connections, ConnectionsOptions};
 use serde_json::{Value, json};
 
@@ -47,12 +50,7 @@
 
 impl TestEngine {
     pub async fn start(settings: EngineSettings) -> Self {
-        let free = "127.0.0.1:0".parse().unwrap();
-        Self::start_at(free, settings).await
-    }
-
-    pub async fn start_at(address: SocketAddr, settings: EngineSettings) -> Self {
-        let listener = TcpListener::bind(address).await.unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (trigger, shutdown) = Shutdown::new();
         Self {
             address: listener.local_addr().unwrap(),
@@ -87,7 +85,7 @@
         assert!(request.send().await.unwrap().status().is_success());
     }
 
-    /// Sends an order by hand; the answer's status.
+    /// Sends an order past all daemons; the answer's status.
     pub async fn order(&self, kind: &str, token: Value, value: &str) -> u16 {
         let client = mangofront_http::client().unwrap();
         let url = format!("http://{}/v1/orders/{kind}", self.address);
@@ -96,10 +94,11 @@
         request.send().await.unwrap().status().as_u16()
     }
 
-    pub async fn wait_for_version(&self, version: &str) {
-        wait_until("the version is in force", async || {
+    /// Waits until `field` of the state is `value` and nothing is loaded.
+    pub async fn wait_for(&self, field: &str, value: Value) {
+        wait_until(&format!("{field} is {value}"), async || {
             let state = self.get("/v1/state").await;
-            state["version"] == version && state["state"] == "ready"
+            state[field] == value && state["state"] == "ready"
         })
         .await;
     }
@@ -112,6 +111,30 @@
     serde_json::from_str(&answer.text().await.unwrap()).unwrap()
 }
 
+/// A running weight store; dropped, it shuts down.
+pub struct TestStore {
+    pub address: SocketAddr,
+    _shutdown: ShutdownTrigger,
+    _serving: JoinHandle<()>,
+}
+
+impl TestStore {
+    pub async fn start(settings: WeightsSettings) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (trigger, shutdown) = Shutdown::new();
+        Self {
+            address: listener.local_addr().unwrap(),
+            _shutdown: trigger,
+            _serving: spawn(weights::run(listener, settings, shutdown)),
+        }
+    }
+
+    pub async fn counter(&self, name: &str) -> u64 {
+        let counters = get(self.address, "/control/counters").await;
+        counters[name].as_u64().unwrap()
+    }
+}
+
 /// Polls `holds` until it is true.
 pub async fn wait_until(what: &str, holds: impl AsyncFn() -> bool) {
     let started = Instant::now();
@@ -128,11 +151,13 @@
 /// A daemon's orders with the changes they told.
 pub struct TestDaemon {
     pub name: String,
+    pub incarnation: u64,
     pub orders: Orders,
     pub changes: Rc<RefCell<Vec<OrderChange>>>,
 }
 
-/// Options of a daemon that is a hundred times as hasty as a real one.
+/// Options of a daemon that is a hundred times as hasty as a real one; its
+/// lease is an ordinary one, so that a busy machine ends none.
 pub fn hasty() -> OrdersOptionsBuilder {
     OrdersOptions::builder(Connections::new(ConnectionsOptions::default()))
         .poll_interval(Duration::from_millis(10))
@@ -141,12 +166,13 @@
 }
 
 impl TestDaemon {
-    pub fn new(name: &str, options: OrdersOptionsBuilder) -> Self {
+    pub fn new(name: &str, incarnation: u64, options: OrdersOptionsBuilder) -> Self {
         let changes: Rc<RefCell<Vec<OrderChange>>> = Rc::default();
         let told = Rc::clone(&changes);
         let options = options.on_change(move |change| told.borrow_mut().push(change));
         Self {
             name: name.to_owned(),
+            incarnation,
             orders: Orders::new(options.build()),
             changes,
         }
@@ -154,20 +180,25 @@
 
     /// Hands in `view` as this daemon's own.
     pub fn see(&self, view: &OrdersView) {
-        let mut view = view.clone();
-        view.own.clone_from(&self.name);
-        self.orders.set_view(view);
+        self.orders.set_view(self.own_view(view));
+    }
+
+    fn own_view(&self, view: &OrdersView) -> OrdersView {
+        OrdersView {
+            own: self.name.clone(),
+            incarnation: self.incarnation,
+            ..view.clone()
+        }
     }
 
     /// Hands in `view` again and again, as an embedder does.
     pub fn keep_seeing(&self, view: &OrdersView) -> JoinHandle<()> {
-        let mut view = view.clone();
-        view.own.clone_from(&self.name);
+        let view = self.own_view(view);
         let orders = self.orders.clone();
         spawn(async move {
             loop {
                 orders.set_view(view.clone());
-                pause(50).await;
+                pause(20).await;
             }
         })
     }
@@ -198,7 +229,7 @@
     });
     OrdersView {
         own: String::new(),
-        incarnation: 7,
+        incarnation: 0,
         daemons: daemons.collect(),
         engines: engines.collect(),
         revision,
@@ -213,3 +244,8 @@
         adapters: Vec::new(),
     }
 }
+
+/// An order that an engine took, as [`TestEngine::orders`] tells it.
+pub fn taken(kind: &str, value: &str) -> (String, String, bool) {
+    (kind.to_owned(), value.to_owned(), true)
+}
