Prove a rollout over a killed daemon with processes

Cause: the turns and the succession were proved in one process only. Change: four daemons and six engines that check tokens; a version is published, the daemon of an engine that still waits is killed, every engine reports the version after one order each. Conclusion: the successor takes over without a second order.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,5 +6,6 @@
 
 mod caller;
 mod fleet;
+mod orders;
 mod sessions;
 mod stop;
--- /dev/null
+++ b/tests/processes/orders.rs
@@ -0,0 +1,91 @@
+//! A published version comes to all engines, also when a daemon dies meanwhile.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, Plan, configuration, wait_until};
+
+const ENGINES: usize = 6;
+
+const DAEMONS: usize = 4;
+
+/// Version that the test publishes.
+const VERSION: &str = "2";
+
+#[test]
+fn a_new_version_comes_to_all_engines_though_its_daemon_is_killed() {
+    let mut plan = Plan {
+        daemons: DAEMONS,
+        ..Plan::default()
+    };
+    // A load takes 400 ms, so that the kill comes in between.
+    let engine = json!({"time_scale": 0.02, "load_lag_ms": 20, "fencing": "checked"});
+    plan.engines = vec![engine; ENGINES];
+    let fleet = Fleet::start(plan);
+    wait_until("every engine has its daemon", || {
+        responsible(&fleet).iter().all(|daemons| daemons.len() == 1)
+    });
+    let before = responsible(&fleet);
+    let mut published = configuration();
+    published["models"]["assist-llm"] = json!({"version": VERSION, "fencing": "checked"});
+    let answer = fleet
+        .platform_control()
+        .put("/control/configuration", &published);
+    assert!((200..300).contains(&answer.status), "{}", answer.body);
+    wait_until("the first engine loads", || {
+        (0..ENGINES).any(|engine| !orders(&fleet, engine).is_empty())
+    });
+    let waiting = (0..ENGINES).find(|engine| orders(&fleet, *engine).is_empty());
+    let waiting = waiting.expect("not all engines load at once");
+    let killed = *before[waiting].first().expect("the engine has a daemon");
+    fleet.daemons[killed].signal("KILL");
+    wait_until("every engine reports the version", || {
+        (0..ENGINES).all(|engine| has_version(&fleet, engine))
+    });
+    for engine in 0..ENGINES {
+        let orders = orders(&fleet, engine);
+        assert_eq!(orders.len(), 1, "engine {engine} got {orders:?}");
+    }
+    let after = responsible_of(&fleet, (0..DAEMONS).filter(|daemon| *daemon != killed));
+    assert!(after[waiting].iter().all(|daemon| *daemon != killed));
+    assert!(audited(&fleet, killed) >= 1);
+}
+
+/// Daemons that say they are responsible, for each engine.
+fn responsible(fleet: &Fleet) -> Vec<BTreeSet<usize>> {
+    responsible_of(fleet, 0..DAEMONS)
+}
+
+fn responsible_of(fleet: &Fleet, daemons: impl Iterator<Item = usize>) -> Vec<BTreeSet<usize>> {
+    let mut responsible = vec![BTreeSet::new(); ENGINES];
+    for daemon in daemons {
+        let status = fleet.operator(daemon).get("/status").json();
+        for (engine, daemons) in responsible.iter_mut().enumerate() {
+            let told = &status["orders"]["engines"][format!("engine-{engine}")];
+            if told.is_object() {
+                daemons.insert(daemon);
+            }
+        }
+    }
+    responsible
+}
+
+fn orders(fleet: &Fleet, engine: usize) -> Vec<Value> {
+    let counters = fleet.engine(engine).get("/control/counters").json();
+    counters["orders"].as_array().cloned().unwrap_or_default()
+}
+
+fn has_version(fleet: &Fleet, engine: usize) -> bool {
+    let state = fleet.engine(engine).get("/v1/state").json();
+    state["version"] == VERSION && state["state"] == "ready"
+}
+
+/// Orders in the trails of the daemons that live.
+fn audited(fleet: &Fleet, killed: usize) -> usize {
+    let living = (0..DAEMONS).filter(|daemon| *daemon != killed);
+    let trails = living.map(|daemon| fleet.operator(daemon).get("/audit").body);
+    trails
+        .map(|trail| trail.matches("order_sent").count())
+        .sum()
+}
