Keep requests off loading engines, take a roll-back to them

Cause: an engine that loads version 2 in vain reports version 1 in force, so a roll-back to 1 looked carried out and the engine stayed out of service; and a load report says nothing of loading, so a refused engine looked idle again after half a second. Weighed: reading every engine's state on every daemon, ruled out for now: one more read a second each for a rare state; the refusal tells it too. Change: while an engine loads under an older configuration its version is stated again; a refusal as loading leaves it out of placement for 2 s, one as leaving counts as leaving. Figures: tests of orders, placement, entry, daemon and processes pass. Conclusion: a loading engine still gets one probe in 2 s from each daemon.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -325,7 +325,11 @@
     match error {
         SendError::Timeout { .. } => EngineOutcome::Timeout,
         SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
-            EngineOutcome::Busy
+            match detail.code.as_str() {
+                "loading" => EngineOutcome::Loading,
+                "leaving" => EngineOutcome::Leaving,
+                _ => EngineOutcome::Busy,
+            }
         }
         _ => EngineOutcome::Error,
     }
--- a/crates/orders/src/keeper.rs
+++ b/crates/orders/src/keeper.rs
@@ -66,7 +66,10 @@
         };
         self.note_report(&sight);
         let wish = Wish::of(&sight.view, &sight.engine);
-        let order = wish.and_then(|wish| wish.next_order(&sight.report));
+        let order = wish.and_then(|wish| match sight.report.state {
+            LoadState::Loading => wish.order_while_loading(&sight.report),
+            LoadState::Ready => wish.next_order(&sight.report),
+        });
         let phase = match &order {
             Some(order) => self.pursue(&sight, order).await,
             None if sight.report.state == LoadState::Loading => Phase::Loading,
@@ -158,7 +161,7 @@
         let Some(since) = self.loading_since else {
             return false;
         };
-        if since.elapsed() >= self.shared.options.loading_limit {
+        if !order.kind.loads() || since.elapsed() >= self.shared.options.loading_limit {
             return false;
         }
         let own = self.last.as_ref();
--- a/crates/orders/src/wish.rs
+++ b/crates/orders/src/wish.rs
@@ -42,6 +42,18 @@
         }
     }
 
+    /// The order that puts an engine right that loads something else.
+    ///
+    /// What it loads is not reported. While it loads away from what is wished
+    /// (after a roll-back, say), what is in force may be the wish, and yet the
+    /// version has to be stated again.
+    #[must_use]
+    pub fn order_while_loading(&self, report: &EngineReport) -> Option<Order> {
+        let version = self.version.as_ref();
+        let restated = || order(OrderKind::Version, version?);
+        self.next_order(report).or_else(restated)
+    }
+
     /// The first order that `report` lacks and that loads something.
     ///
     /// Adapters come last as another model or version drops them.
--- a/crates/orders/tests/wishes.rs
+++ b/crates/orders/tests/wishes.rs
@@ -79,6 +79,36 @@
     assert_eq!(engine.orders().await, expected);
 }
 
+#[compio::test]
+async fn a_roll_back_reaches_an_engine_that_loads() {
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let mut stuck = settings(fencing);
+        stuck.load_time_ms = 100_000_000;
+        let engine = TestEngine::start(stuck).await;
+        let daemon = TestDaemon::new("entry-0", 1, hasty());
+        let view = |wish| view(&["entry-0"], &[&engine], &["hall-a"], wish);
+        let forward = daemon.keep_seeing(&view((7, model(fencing, "2"))));
+        wait_until("the engine loads", async || {
+            engine.get("/v1/state").await["state"] == "loading"
+        })
+        .await;
+        // A change of something else leads to no order.
+        drop(forward);
+        let unrelated = daemon.keep_seeing(&view((8, model(fencing, "2"))));
+        pause(SEVERAL_POLLS_MS).await;
+        assert_eq!(engine.orders().await, [taken("version", "2")]);
+        drop(unrelated);
+        let _back = daemon.keep_seeing(&view((9, model(fencing, "1"))));
+        let expected = [taken("version", "2"), taken("version", "1")];
+        wait_until("the roll-back is ordered", async || {
+            engine.orders().await == expected
+        })
+        .await;
+        pause(SEVERAL_POLLS_MS).await;
+        assert_eq!(engine.orders().await, expected);
+    }
+}
+
 #[compio::test]
 async fn a_lower_revision_leads_to_no_order() {
     let engine = TestEngine::start(settings(Fencing::Ignored)).await;
--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -178,6 +178,8 @@
 fn barred(engine: &Engine, asked: &Asked<'_>, excluded: &[InstanceId]) -> Option<Verdict> {
     if engine.is_leaving(asked.now) {
         Some(Verdict::Leaving)
+    } else if engine.health.refuses_as_loading(asked.now) {
+        Some(Verdict::Loading)
     } else if excluded.contains(&engine.info.instance) {
         Some(Verdict::Excluded)
     } else if kv_tokens(engine, asked).is_some_and(|kv| needed_tokens(asked.demand) > kv) {
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -73,8 +73,10 @@
     Timeout,
     /// The engine refused for want of room.
     Busy,
-    /// The engine refused because it is leaving or loading.
+    /// The engine refused because it is leaving.
     Leaving,
+    /// The engine refused because it loads a model.
+    Loading,
 }
 
 /// Reason why no engine can take a request.
--- a/crates/placement/src/explain.rs
+++ b/crates/placement/src/explain.rs
@@ -66,6 +66,8 @@
     HeldBack,
     /// It takes no new work.
     Leaving,
+    /// It loads a model.
+    Loading,
     /// The caller asked for another one.
     Excluded,
     /// It failed too often or is too slow.
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -28,6 +28,10 @@
 /// report says otherwise.
 const LEAVING_HOLD: Duration = Duration::from_secs(10);
 
+/// Time for which an engine's refusal as loading is believed. Load reports
+/// don't tell of it, so this is also the time between two probes.
+const LOADING_HOLD: Duration = Duration::from_secs(2);
+
 /// Failed reports in a row that make an engine count as unreachable.
 const MAX_REPORTS_FAILED: u32 = 3;
 
@@ -49,6 +53,7 @@
     full_share_at: Option<Instant>,
     busy_until: Option<Instant>,
     leaving_until: Option<Instant>,
+    loading_until: Option<Instant>,
 }
 
 impl Health {
@@ -62,6 +67,7 @@
             full_share_at: None,
             busy_until: None,
             leaving_until: None,
+            loading_until: None,
         }
     }
 
@@ -89,6 +95,10 @@
                 self.leaving_until = Some(now + LEAVING_HOLD);
                 false
             }
+            EngineOutcome::Loading => {
+                self.loading_until = Some(now + LOADING_HOLD);
+                false
+            }
         }
     }
 
@@ -143,6 +153,10 @@
         self.leaving_until.is_some_and(|until| now < until)
     }
 
+    pub(crate) fn refuses_as_loading(&self, now: Instant) -> bool {
+        self.loading_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn is_busy(&self, now: Instant) -> bool {
         self.busy_until.is_some_and(|until| now < until)
     }
--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -52,6 +52,22 @@
     assert_eq!(refused.unwrap_err(), NoEngine::NoneUsable);
 }
 
+#[test]
+fn a_loading_engine_is_left_out_for_a_while() {
+    let fleet = fleet(2);
+    let loading = "engine-1".to_owned();
+    fleet.placement.outcome(&loading, EngineOutcome::Loading);
+    // Its load report says nothing of it.
+    fleet.placement.report(&loading, report(2));
+    let held: Vec<_> = (0..20)
+        .map(|_| fleet.placement.place(&fleet.demand(8_000), &[]).unwrap())
+        .collect();
+    assert!(held.iter().all(|placed| placed.instance == "engine-0"));
+    fleet.clock.advance(Duration::from_secs(3));
+    let probe = fleet.placement.place(&fleet.demand(8_000), &[]).unwrap();
+    assert_eq!(probe.instance, loading);
+}
+
 #[test]
 fn ejection_never_empties_the_set() {
     for count in 1..=9 {
--- a/crates/placement/tests/sequences.rs
+++ b/crates/placement/tests/sequences.rs
@@ -30,6 +30,7 @@
             EngineOutcome::Timeout,
             EngineOutcome::Busy,
             EngineOutcome::Leaving,
+            EngineOutcome::Loading,
         ];
         match u8::arbitrary(g) % 12 {
             0..=4 => Step::Place(length_tokens),
--- a/tests/processes/orders.rs
+++ b/tests/processes/orders.rs
@@ -41,6 +41,8 @@
     let killed = *before[waiting].first().expect("the engine has a daemon");
     fleet.daemons[killed].signal("KILL");
     wait_until("every engine reports the version", || {
+        // The model keeps serving meanwhile.
+        assert_eq!(ask(&fleet, (killed + 1) % DAEMONS), 200);
         (0..ENGINES).all(|engine| has_version(&fleet, engine))
     });
     for engine in 0..ENGINES {
@@ -52,6 +54,13 @@
     assert!(audited(&fleet, killed) >= 1);
 }
 
+/// Status of a short request to one daemon.
+fn ask(fleet: &Fleet, daemon: usize) -> u16 {
+    let question = json!({"model": "assist-llm", "prompt": "E-045?", "max_tokens": 2});
+    let answer = fleet.caller(daemon).post("/v1/completions", &question);
+    answer.status
+}
+
 /// Daemons that say they are responsible, for each engine.
 fn responsible(fleet: &Fleet) -> Vec<BTreeSet<usize>> {
     responsible_of(fleet, 0..DAEMONS)
