--- a/tests/processes/orders.rs
+++ b/tests/processes/orders.rs
@@ -15,24 +15,9 @@
 
 #[test]
 fn a_new_version_comes_to_all_engines_though_its_daemon_is_killed() {
-    let mut plan = Plan {
-        daemons: DAEMONS,
-        ..Plan::default()
-    };
-    // A load takes 400 ms, so that the kill comes in between.
-    let engine = json!({"time_scale": 0.02, "load_lag_ms": 20, "fencing": "checked"});
-    plan.engines = vec![engine; ENGINES];
-    let fleet = Fleet::start(plan);
-    wait_until("every engine has its daemon", || {
-        responsible(&fleet).iter().all(|daemons| daemons.len() == 1)
-    });
-    let before = responsible(&fleet);
-    let mut published = configuration();
-    published["models"]["assist-llm"] = json!({"version": VERSION, "fencing": "checked"});
-    let answer = fleet
-        .platform_control()
-        .put("/control/configuration", &published);
-    assert!((200..300).contains(&answer.status), "{}", answer.body);
+    let fleet = start();
+    let before = responsible_of(&fleet, 0..DAEMONS);
+    publish(&fleet);
     wait_until("the first engine loads", || {
         (0..ENGINES).any(|engine| !orders(&fleet, engine).is_empty())
     });
@@ -45,13 +30,65 @@
         assert_eq!(ask(&fleet, (killed + 1) % DAEMONS), 200);
         (0..ENGINES).all(|engine| has_version(&fleet, engine))
     });
+    assert_one_order_each(&fleet);
+    let living = || (0..DAEMONS).filter(|daemon| *daemon != killed);
+    assert_eq!(responsible_of(&fleet, living())[waiting].len(), 1);
+    assert!(audited(&fleet, living()) >= 1);
+}
+
+#[test]
+fn a_frozen_daemon_that_wakes_orders_nothing_again() {
+    let fleet = start();
+    // The only daemon of hall-b, so that another zone's has to stand in.
+    let frozen = 1;
+    fleet.daemons[frozen].signal("STOP");
+    publish(&fleet);
+    wait_until("every engine reports the version", || {
+        (0..ENGINES).all(|engine| has_version(&fleet, engine))
+    });
+    fleet.daemons[frozen].signal("CONT");
+    wait_until("it is responsible again and finds nothing to do", || {
+        let status = fleet.operator(frozen).get("/status").json();
+        let orders = &status["orders"];
+        orders["revision"] == 2
+            && orders["view_fresh"] == true
+            && orders["engines"]["engine-1"]["phase"] == "settled"
+    });
+    assert_one_order_each(&fleet);
+    assert_eq!(audited(&fleet, 0..DAEMONS), ENGINES);
+    assert_eq!(audited(&fleet, frozen..=frozen), 0);
+}
+
+/// A fleet in which every engine has exactly one daemon.
+fn start() -> Fleet {
+    // A load takes 400 ms, so that a fault comes in between.
+    let engine = json!({"time_scale": 0.02, "load_lag_ms": 20, "fencing": "checked"});
+    let fleet = Fleet::start(Plan {
+        engines: vec![engine; ENGINES],
+        daemons: DAEMONS,
+        ..Plan::default()
+    });
+    wait_until("every engine has its daemon", || {
+        let daemons = responsible_of(&fleet, 0..DAEMONS);
+        daemons.iter().all(|daemons| daemons.len() == 1)
+    });
+    fleet
+}
+
+/// Publishes the version, as revision 2.
+fn publish(fleet: &Fleet) {
+    let mut published = configuration();
+    published["models"]["assist-llm"] = json!({"version": VERSION, "fencing": "checked"});
+    let path = "/control/configuration";
+    let answer = fleet.platform_control().put(path, &published);
+    assert!((200..300).contains(&answer.status), "{}", answer.body);
+}
+
+fn assert_one_order_each(fleet: &Fleet) {
     for engine in 0..ENGINES {
-        let orders = orders(&fleet, engine);
+        let orders = orders(fleet, engine);
         assert_eq!(orders.len(), 1, "engine {engine} got {orders:?}");
     }
-    let after = responsible_of(&fleet, (0..DAEMONS).filter(|daemon| *daemon != killed));
-    assert!(after[waiting].iter().all(|daemon| *daemon != killed));
-    assert!(audited(&fleet, killed) >= 1);
 }
 
 /// Status of a short request to one daemon.
@@ -61,11 +98,7 @@
     answer.status
 }
 
-/// Daemons that say they are responsible, for each engine.
-fn responsible(fleet: &Fleet) -> Vec<BTreeSet<usize>> {
-    responsible_of(fleet, 0..DAEMONS)
-}
-
+/// Those of `daemons` that say they are responsible, for each engine.
 fn responsible_of(fleet: &Fleet, daemons: impl Iterator<Item = usize>) -> Vec<BTreeSet<usize>> {
     let mut responsible = vec![BTreeSet::new(); ENGINES];
     for daemon in daemons {
@@ -90,10 +123,9 @@
     state["version"] == VERSION && state["state"] == "ready"
 }
 
-/// Orders in the trails of the daemons that live.
-fn audited(fleet: &Fleet, killed: usize) -> usize {
-    let living = (0..DAEMONS).filter(|daemon| *daemon != killed);
-    let trails = living.map(|daemon| fleet.operator(daemon).get("/audit").body);
+/// Orders in the trails of `daemons`.
+fn audited(fleet: &Fleet, daemons: impl Iterator<Item = usize>) -> usize {
+    let trails = daemons.map(|daemon| fleet.operator(daemon).get("/audit").body);
     trails
         .map(|trail| trail.matches("order_sent").count())
         .sum()
