--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -347,7 +347,11 @@
         SendError::Timeout { .. } => EngineOutcome::Timeout,
         SendError::Refused { detail, .. } if detail.code == "leaving" => EngineOutcome::Leaving,
         SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
-            EngineOutcome::Busy
+            match detail.code.as_str() {
+                "loading" => EngineOutcome::Loading,
+                "leaving" => EngineOutcome::Leaving,
+                _ => EngineOutcome::Busy,
+            }
         }
         _ => EngineOutcome::Error,
     }
--- a/crates/entry/src/completion/group.rs
+++ b/crates/entry/src/completion/group.rs
@@ -24,8 +24,7 @@
 /// Longest time for all members of a group to grant their shares.
 const RESERVE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Memory that the first member needs beside its share and the answer, in
-/// tokens: the last token of the prompt is computed with the answer.
+/// Memory that the first member needs beside its share, in tokens: the last token of the prompt is computed with the answer.
 const LEADER_EXTRA_TOKENS: u64 = 1;
 
 /// Reserves the group of `placed` and computes the prompt on it; `None` when
@@ -45,18 +44,19 @@
     let deadline = request.caller.deadline;
     let connections = &entry.parts().connections;
     let id = format!("{}-{attempt}", request.id);
-    let shares = shares(group, request.prompt.max_tokens);
+    let shares = shares(group);
     let until = deadline.min(Instant::now() + RESERVE_TIMEOUT);
     let reservation = reserve(connections, &id, &shares, LEASE, until).await?;
-    let segments = group.iter().map(|member| async {
+    let segments = group.iter().enumerate().map(|(index, member)| {
+        let tokens = prompt_tokens(index, member, request.prompt.max_tokens);
         let segment = Segment {
             reservation: id.clone(),
             request: request.id.clone(),
             attempt,
-            tokens: member.tokens,
+            tokens,
             priority: placed.priority,
         };
-        compute_segment(connections, &target(member), &segment, deadline).await
+        async move { compute_segment(connections, &target(member), &segment, deadline).await }
     });
     try_join_all(segments).await?;
     Ok(Some(reservation))
@@ -72,10 +72,16 @@
     }
 }
 
-fn shares(group: &[GroupMember], max_tokens: u32) -> Vec<Share> {
-    let leader_tokens = u64::from(max_tokens) + LEADER_EXTRA_TOKENS;
+/// Tokens of the prompt that a member computes; the first one's share holds the
+/// answer too.
+fn prompt_tokens(index: usize, member: &GroupMember, max_tokens: u32) -> u64 {
+    let answer_tokens = if index == 0 { u64::from(max_tokens) } else { 0 };
+    member.tokens.saturating_sub(answer_tokens).max(1)
+}
+
+fn shares(group: &[GroupMember]) -> Vec<Share> {
     let share = |(index, member): (usize, &GroupMember)| {
-        let extra_tokens = if index == 0 { leader_tokens } else { 0 };
+        let extra_tokens = if index == 0 { LEADER_EXTRA_TOKENS } else { 0 };
         Share {
             target: target(member),
             tokens: member.tokens + extra_tokens,
--- a/crates/placement/src/bars.rs
+++ b/crates/placement/src/bars.rs
@@ -19,6 +19,8 @@
 ) -> Option<Verdict> {
     if engine.is_leaving(asked.now) {
         Some(Verdict::Leaving)
+    } else if engine.health.refuses_as_loading(asked.now) {
+        Some(Verdict::Loading)
     } else if excluded.contains(&engine.info.instance) {
         Some(Verdict::Excluded)
     } else if kv_tokens(engine, asked).is_some_and(|kv| needed_tokens(asked.demand) > kv) {
