Test the peers crate, and bring nng's results over one channel

The first ones, repeated, hung in the seventh run: the runtime's thread waited in nng_close for nng's task threads, and those spun in compio's wake, which holds 64 wakes from other threads and lets a further one wait until the runtime takes them (seen in the stacks by gdb).

Weighed: never blocking on the runtime's thread (nng has no close that doesn't wait), and a thread that polls. One channel for all operations is simplest: its reader is woken once until it reads again, so that one wake is open instead of one for each operation.

--- a/crates/peers/src/call.rs
+++ b/crates/peers/src/call.rs
@@ -17,7 +17,7 @@
 use crate::error::{LinkError, LinkStep};
 use crate::member::MemberState;
 use crate::state::Shared;
-use crate::transport::Connection;
+use crate::transport::{Connection, Server};
 use crate::wire::{self, CallHead, Refusal, Reply, Request};
 
 /// Connections kept for calls; the least recently used goes first.
@@ -137,13 +137,18 @@
 
 impl CallLinks {
     /// The connection to a peer's present address, opened when there is none.
-    fn get(&mut self, peer: &InstanceId, address: SocketAddr) -> nng::Result<Rc<Connection>> {
+    fn get(
+        &mut self,
+        server: &Server,
+        peer: &InstanceId,
+        address: SocketAddr,
+    ) -> nng::Result<Rc<Connection>> {
         let used = Instant::now();
         if let Some(link) = self.0.get_mut(peer).filter(|link| link.address == address) {
             link.used = used;
             return Ok(Rc::clone(&link.connection));
         }
-        let connection = Rc::new(Connection::open(address)?);
+        let connection = Rc::new(server.dial(address)?);
         let link = CallLink {
             address,
             connection: Rc::clone(&connection),
@@ -187,7 +192,10 @@
     timeout: Duration,
 ) -> Result<Bytes, CallError> {
     let address = address_of(shared, peer)?;
-    let opened = shared.call_links.borrow_mut().get(peer, address);
+    let opened = shared
+        .call_links
+        .borrow_mut()
+        .get(&shared.server, peer, address);
     let connection = opened.map_err(|cause| CallError::Open {
         peer: peer.clone(),
         cause,
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -40,6 +40,9 @@
 /// Members up to which every value goes to everyone.
 const WIDE_FLEET_LIMIT: usize = 64;
 
+/// Longest name of an instance, zone or region, in bytes.
+const NAME_LIMIT_BYTES: usize = 128;
+
 /// Bytes of a record besides its strings, at most.
 const RECORD_BASE_BYTES: usize = 32;
 
@@ -212,6 +215,11 @@
     record: Record,
     now: Instant,
 ) {
+    let names = [instance, &record.region, &record.availability_zone];
+    if names.iter().any(|name| name.len() > NAME_LIMIT_BYTES) {
+        shared.counters.update(|counters| counters.malformed += 1);
+        return;
+    }
     if *instance == shared.options.instance {
         refute(shared, state, &record, now);
         return;
--- a/crates/peers/src/keeper.rs
+++ b/crates/peers/src/keeper.rs
@@ -78,12 +78,15 @@
 /// Starts and ends links so that they are those of the present view.
 fn keep_links(shared: &Rc<Shared>, links: &mut BTreeMap<InstanceId, Link>, now: Instant) {
     let others = candidates(&shared.state.borrow(), shared, now);
+    let known = others.len();
     let wanted = topology::neighbours(&shared.options, others);
+    let full_mesh = wanted.len() == known;
     let wanted: BTreeMap<InstanceId, SocketAddr> = wanted
         .into_iter()
         .map(|candidate| (candidate.instance, candidate.address))
         .collect();
     let mut state = shared.state.borrow_mut();
+    state.full_mesh = full_mesh;
     links.retain(|instance, link| {
         let keep = wanted.get(instance) == Some(&link.address);
         if !keep {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -19,6 +19,7 @@
 //! in [`gossip`].
 
 mod call;
+mod completion;
 mod counters;
 mod error;
 mod gossip;
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -45,7 +45,7 @@
     let mut connection = None;
     loop {
         if connection.is_none() {
-            connection = open(&peer, address);
+            connection = open(&shared, &peer, address);
         }
         let beaten = match &connection {
             Some(connection) => beat(&shared, &peer, connection, &mut progress).await,
@@ -65,8 +65,8 @@
     }
 }
 
-fn open(peer: &InstanceId, address: SocketAddr) -> Option<Connection> {
-    match Connection::open(address) {
+fn open(shared: &Shared, peer: &InstanceId, address: SocketAddr) -> Option<Connection> {
+    match shared.server.dial(address) {
         Ok(connection) => Some(connection),
         Err(cause) => {
             log::warn!("peers: link to {peer} could not be opened: {cause}");
@@ -247,7 +247,7 @@
 /// that trying is cheap; if it is there it becomes a neighbour or is heard of
 /// from its neighbours.
 pub(crate) async fn try_contact(shared: Rc<Shared>, peer: InstanceId, address: SocketAddr) {
-    let Some(connection) = open(&peer, address) else {
+    let Some(connection) = open(&shared, &peer, address) else {
         return;
     };
     let ping = {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -112,6 +112,9 @@
     }
 
     /// Life of this process: milliseconds since 1970 at its start, and ten random bits below.
+    ///
+    /// It rises once more when the first answer of all tells of an earlier life
+    /// whose clock ran ahead; after that it stays.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
         self.shared.state.borrow().incarnation()
--- a/crates/peers/src/serve.rs
+++ b/crates/peers/src/serve.rs
@@ -7,9 +7,9 @@
 use compio::runtime::spawn;
 use nng::{Context, Message};
 
+use crate::completion::Operation;
 use crate::gossip::{self, Reader};
 use crate::state::Shared;
-use crate::transport::Operation;
 use crate::wire::{self, Ack, CallHead, Cursors, Ping, Refusal, Reply, Request, Wants};
 
 /// Tasks that take requests; one is enough but for the moments of hand-over.
@@ -35,11 +35,11 @@
     let mut idle = None;
     loop {
         let receiver = idle.take().or_else(|| open(&shared));
-        let Some(mut receiver) = receiver else {
+        let Some(receiver) = receiver else {
             compio::time::sleep(RECEIVE_PAUSE).await;
             continue;
         };
-        match receive(&mut receiver).await {
+        match receive(&receiver).await {
             Ok(message) => idle = take_up(&shared, receiver, &message).await,
             Err(nng::Error::Closed) => return,
             Err(cause) => {
@@ -52,7 +52,7 @@
 
 fn open(shared: &Shared) -> Option<Receiver> {
     let context = shared.server.context();
-    let operation = Operation::new();
+    let operation = shared.server.operation();
     match (context, operation) {
         (Ok(context), Ok(operation)) => Some(Receiver { context, operation }),
         (Err(cause), _) | (_, Err(cause)) => {
@@ -62,7 +62,7 @@
     }
 }
 
-async fn receive(receiver: &mut Receiver) -> nng::Result<Message> {
+async fn receive(receiver: &Receiver) -> nng::Result<Message> {
     receiver.operation.set_timeout(None)?;
     receiver.operation.receive(&receiver.context).await
 }
@@ -98,7 +98,7 @@
     }
 }
 
-async fn send(mut receiver: Receiver, reply: Option<Vec<u8>>) -> Receiver {
+async fn send(receiver: Receiver, reply: Option<Vec<u8>>) -> Receiver {
     let Some(reply) = reply else {
         return receiver;
     };
--- a/crates/peers/src/state.rs
+++ b/crates/peers/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) pulses: Pulses,
     pub(crate) publications: Publications,
     pub(crate) allowance: Allowance,
+    /// Whether this daemon has links to all others.
+    pub(crate) full_mesh: bool,
     /// Change of the table up to which the embedder was told.
     reported_through: u64,
     /// Last answer of each neighbour, or when its link began or was forgiven.
@@ -102,6 +104,7 @@
             pulses: Pulses::new(zone, now),
             publications: Publications::default(),
             allowance: Allowance::new(options.news_bytes_per_s, now),
+            full_mesh: true,
             reported_through: 0,
             contacts: BTreeMap::new(),
             last_contact: None,
@@ -259,11 +262,12 @@
 
     /// Looks at both clocks; true when the process was paused since the last call.
     pub(crate) fn tick(&mut self, slice: Duration, now: Instant) -> bool {
-        let paused = self.overslept(slice, now);
+        let gap = self.gap(now);
+        let paused = gap > slice + self.options.pause_threshold;
         self.last_tick = now;
         self.last_tick_wall = SystemTime::now();
         if paused {
-            self.wake(now);
+            self.wake(gap, now);
         }
         if self
             .stale_since
@@ -279,16 +283,22 @@
         self.options.suspect_after + self.options.dead_after
     }
 
-    fn overslept(&self, slice: Duration, now: Instant) -> bool {
-        let limit = slice + self.options.pause_threshold;
+    /// Time since the last tick, by the clock that went further.
+    fn gap(&self, now: Instant) -> Duration {
         // The monotonic clock stands still while a whole machine is suspended.
         let wall = SystemTime::now().duration_since(self.last_tick_wall);
-        now.saturating_duration_since(self.last_tick) > limit || wall.is_ok_and(|gap| gap > limit)
+        let monotonic = now.saturating_duration_since(self.last_tick);
+        monotonic.max(wall.unwrap_or_default())
     }
 
-    fn wake(&mut self, now: Instant) {
+    fn wake(&mut self, gap: Duration, now: Instant) {
         self.woke += 1;
         self.stale_since = Some(now);
+        if gap >= self.options.tombstone_after / 2 {
+            // Others may have forgotten by now whom this view still calls alive.
+            self.table.forget_others(&self.options.instance);
+            self.last_contact = None;
+        }
         self.table.restart_suspicions(now);
         self.pulses.restart_silences(now);
         for contact in self.contacts.values_mut() {
@@ -306,7 +316,8 @@
 
     /// Whether the process woke from a pause and has not refreshed its view.
     pub(crate) fn is_stale(&self, now: Instant) -> bool {
-        self.stale_since.is_some() || self.overslept(self.options.heartbeat_period, now)
+        let limit = self.options.heartbeat_period + self.options.pause_threshold;
+        self.stale_since.is_some() || self.gap(now) > limit
     }
 
     /// Whether the view can be relied upon.
--- a/crates/peers/src/table.rs
+++ b/crates/peers/src/table.rs
@@ -19,6 +19,9 @@
 use crate::pulse::{ZoneKey, zone_key};
 use crate::wire::ViewHash;
 
+/// Daemons remembered at most, far above any fleet: gossip can't fill the memory.
+const ENTRY_LIMIT: usize = 10_000;
+
 /// Who told of a change, and in which life of it.
 pub(crate) type Teacher = (InstanceId, Incarnation);
 
@@ -103,6 +106,9 @@
         from: Option<Teacher>,
         now: Instant,
     ) -> bool {
+        if self.entries.len() >= ENTRY_LIMIT && !self.entries.contains_key(instance) {
+            return false;
+        }
         let entry = self
             .entries
             .entry(instance.clone())
@@ -172,6 +178,17 @@
         });
     }
 
+    /// Forgets every record but one's own; the platform's lines stay.
+    pub(crate) fn forget_others(&mut self, own: &InstanceId) {
+        for (instance, entry) in &mut self.entries {
+            if instance != own && entry.record.take().is_some() {
+                self.changes.remove(&entry.change);
+                entry.reported = None;
+            }
+        }
+        self.view.set(None);
+    }
+
     /// Starts every running suspicion anew: the time was not ours.
     pub(crate) fn restart_suspicions(&mut self, now: Instant) {
         for entry in self.entries.values_mut() {
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -1,22 +1,16 @@
-//! nng sockets as futures.
-//!
-//! nng calls back on threads of its own. A callback here only pushes the result
-//! into a channel that wakes the compio task. Its own handle to the operation
-//! goes first: were it the last one, nng would wait on its own thread for the
-//! callback that it is running. For the same reason [`Operation`] waits on drop
-//! until no callback runs.
+//! nng sockets: the listening side and one for each peer that is dialled.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use futures_channel::mpsc::{UnboundedReceiver, unbounded};
-use futures_util::StreamExt;
 use nng::options::protocol::reqrep::ResendTime;
 use nng::options::transport::tcp::{BoundPort, KeepAlive, NoDelay};
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
-use nng::{Aio, AioResult, Context, Dialer, DialerBuilder, Listener, ListenerBuilder};
+use nng::{Context, Dialer, DialerBuilder, Listener, ListenerBuilder};
 use nng::{Message, Protocol, Socket};
 
+use crate::completion::{Completions, Operation};
 use crate::error::{LinkError, LinkStep, PeersError};
 
 /// Largest message taken, in bytes: a configuration of a megabyte and its head.
@@ -28,64 +22,12 @@
 /// Bound that the pause doubles up to.
 const RECONNECT_MAX: Duration = Duration::from_secs(5);
 
-/// One asynchronous operation at a time, and its results.
-#[derive(Debug)]
-pub(crate) struct Operation {
-    aio: Aio,
-    results: UnboundedReceiver<AioResult>,
-}
-
-impl Operation {
-    /// An idle operation.
-    pub(crate) fn new() -> nng::Result<Self> {
-        let (sender, results) = unbounded();
-        let aio = Aio::new(move |aio, result| {
-            drop(aio);
-            // The receiver is gone only when nobody waits any more.
-            let _ = sender.unbounded_send(result);
-        })?;
-        Ok(Self { aio, results })
-    }
-
-    /// Bounds the next operations.
-    pub(crate) fn set_timeout(&self, timeout: Option<Duration>) -> nng::Result<()> {
-        self.aio.set_timeout(timeout)
-    }
-
-    /// Sends on a context.
-    pub(crate) async fn send(&mut self, context: &Context, message: Message) -> nng::Result<()> {
-        context
-            .send(&self.aio, message)
-            .map_err(|(_, cause)| cause)?;
-        match self.results.next().await {
-            Some(AioResult::Send(Ok(()))) => Ok(()),
-            Some(AioResult::Send(Err((_, cause)))) => Err(cause),
-            _ => Err(nng::Error::IncorrectState),
-        }
-    }
-
-    /// Receives on a context.
-    pub(crate) async fn receive(&mut self, context: &Context) -> nng::Result<Message> {
-        context.recv(&self.aio)?;
-        match self.results.next().await {
-            Some(AioResult::Recv(result)) => result,
-            _ => Err(nng::Error::IncorrectState),
-        }
-    }
-}
-
-impl Drop for Operation {
-    fn drop(&mut self) {
-        self.aio.cancel();
-        self.aio.wait();
-    }
-}
-
 /// The listening side.
 #[derive(Debug)]
 pub(crate) struct Server {
     socket: Socket,
     address: SocketAddr,
+    completions: Rc<Completions>,
     _listener: Listener,
 }
 
@@ -111,6 +53,7 @@
         Ok(Self {
             socket,
             address: SocketAddr::new(listen.ip(), port),
+            completions: Completions::start(),
             _listener: listener,
         })
     }
@@ -125,6 +68,16 @@
         Context::new(&self.socket)
     }
 
+    /// An idle operation.
+    pub(crate) fn operation(&self) -> nng::Result<Operation> {
+        self.completions.operation()
+    }
+
+    /// A connection whose results come the same way.
+    pub(crate) fn dial(&self, address: SocketAddr) -> nng::Result<Connection> {
+        Connection::open(address, Rc::clone(&self.completions))
+    }
+
     /// Ends every connection and frees the address.
     pub(crate) fn close(&self) {
         self.socket.close();
@@ -135,12 +88,13 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     socket: Socket,
+    completions: Rc<Completions>,
     _dialer: Dialer,
 }
 
 impl Connection {
     /// Starts to dial; a request sent before the connection stands waits for it.
-    pub(crate) fn open(address: SocketAddr) -> nng::Result<Self> {
+    fn open(address: SocketAddr, completions: Rc<Completions>) -> nng::Result<Self> {
         let socket = Socket::new(Protocol::Req0)?;
         socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT_BYTES)?;
         // Without a resend time nng never sends a request twice, also when the
@@ -154,6 +108,7 @@
         let dialer = builder.start(true).map_err(|(_, cause)| cause)?;
         Ok(Self {
             socket,
+            completions,
             _dialer: dialer,
         })
     }
@@ -166,9 +121,9 @@
     ) -> Result<Message, LinkError> {
         let open = LinkError::at(LinkStep::Open);
         let context = Context::new(&self.socket).map_err(&open)?;
-        let mut operation = Operation::new().map_err(&open)?;
+        let operation = self.completions.operation().map_err(&open)?;
         operation.set_timeout(Some(timeout)).map_err(&open)?;
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         operation
             .send(&context, Message::from(request))
             .await
--- /dev/null
+++ b/crates/peers/tests/gossip.rs
@@ -0,0 +1,195 @@
+//! What strangers and late messages can do: nothing.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{all_alive, all_see, eventually, fleet, state_of};
+use mangofront_peers::{MemberState, Peers, Record};
+use nng::options::{Options, RecvTimeout};
+use nng::{Protocol, Socket};
+use quickcheck::{Gen, QuickCheck};
+use serde::Serialize;
+
+/// The messages as they are on the wire, written down a second time.
+#[derive(Serialize)]
+enum RawRequest {
+    Ping(RawPing),
+}
+
+#[derive(Serialize)]
+struct RawPing {
+    from: String,
+    to: String,
+    incarnation: u64,
+    view: [u8; 4],
+    wants: RawWants,
+    delta: RawDelta,
+    pulses: Vec<(u32, u32)>,
+}
+
+#[derive(Serialize)]
+enum RawWants {
+    After(u64, (u64, u64)),
+}
+
+#[derive(Serialize)]
+struct RawDelta {
+    through: (u64, u64),
+    complete: bool,
+    members: Vec<(String, Record)>,
+    publications: Vec<()>,
+}
+
+/// Sends one message from a socket of its own; whether an answer came.
+fn send_raw(address: SocketAddr, bytes: &[u8]) -> bool {
+    let socket = Socket::new(Protocol::Req0).expect("socket");
+    socket
+        .set_opt::<RecvTimeout>(Some(Duration::from_millis(100)))
+        .expect("option");
+    socket.dial(&format!("tcp://{address}")).expect("dial");
+    socket.send(bytes).expect("send");
+    socket.recv().is_ok()
+}
+
+/// Tells one member a record, as a late or lying neighbour would.
+fn tell(to: &str, address: SocketAddr, instance: &str, record: Record) {
+    let ping = RawPing {
+        from: "ghost".to_owned(),
+        to: to.to_owned(),
+        incarnation: 1,
+        view: [0; 4],
+        wants: RawWants::After(0, (0, 0)),
+        delta: RawDelta {
+            through: (0, 0),
+            complete: false,
+            members: vec![(instance.to_owned(), record)],
+            publications: Vec::new(),
+        },
+        pulses: Vec::new(),
+    };
+    let bytes = postcard::to_extend(&RawRequest::Ping(ping), vec![1]).expect("encode");
+    send_raw(address, &bytes);
+}
+
+fn record(peers: &Peers, state: MemberState) -> Record {
+    Record {
+        incarnation: peers.incarnation(),
+        refutation: 0,
+        state,
+        region: "r1".to_owned(),
+        availability_zone: "za".to_owned(),
+        address: peers.address(),
+    }
+}
+
+#[compio::test]
+async fn a_living_member_refutes_its_death() {
+    let ring = fleet(&["za"], 6, 4);
+    eventually("the ring is whole", || all_alive(&ring)).await;
+    let victim = &ring[2].1;
+    for (name, peers) in [&ring[0], &ring[4]] {
+        tell(
+            name,
+            peers.address(),
+            &ring[2].0,
+            record(victim, MemberState::Dead),
+        );
+    }
+    eventually("it refuted", || victim.counters().refutations > 0).await;
+    eventually("all believe it", || all_alive(&ring)).await;
+}
+
+#[compio::test]
+async fn late_gossip_does_not_revive_the_dead() {
+    let mut ring = fleet(&["za"], 5, 8);
+    eventually("the ring is whole", || all_alive(&ring)).await;
+    let (name, dropped) = ring.pop().expect("member");
+    let late = record(&dropped, MemberState::Alive);
+    drop(dropped);
+    eventually("it is dead", || all_see(&ring, &name, MemberState::Dead)).await;
+    for (to, peers) in &ring {
+        tell(to, peers.address(), &name, late.clone());
+        assert_eq!(state_of(peers, &name), Some(MemberState::Dead));
+    }
+    let lifted = Record {
+        incarnation: late.incarnation + 1,
+        ..late
+    };
+    tell(&ring[0].0, ring[0].1.address(), &name, lifted);
+    let revived = || state_of(&ring[0].1, &name) != Some(MemberState::Dead);
+    eventually("a later life is believed until it is missed", revived).await;
+}
+
+#[compio::test]
+async fn malformed_messages_are_counted_and_dropped() {
+    let ring = fleet(&["za"], 2, 8);
+    eventually("both met", || all_alive(&ring)).await;
+    let target = &ring[0].1;
+    let mut random = Gen::from_size_and_seed(64, 7);
+    let before = target.counters().malformed;
+    let mut messages = vec![Vec::new(), vec![9], vec![1], vec![1, 0], vec![1, 255, 255]];
+    messages.extend((0..10).map(|_| <Vec<u8> as quickcheck::Arbitrary>::arbitrary(&mut random)));
+    let sent = messages.len() as u64;
+    for mut message in messages {
+        // Any version but the present one, or an unknown kind of request.
+        message.insert(0, 77);
+        assert!(!send_raw(target.address(), &message));
+    }
+    eventually("all are counted", || {
+        target.counters().malformed >= before + sent
+    })
+    .await;
+    eventually("both still meet", || all_alive(&ring)).await;
+}
+
+/// Instance, incarnation, refutation and state, to be folded into few.
+type Told = (u8, u8, u8, u8);
+
+/// Merging the same records in any order, any number of times, ends the same.
+fn merges_alike(records: Vec<Told>, order: Vec<usize>) -> bool {
+    let now = std::time::Instant::now();
+    let states = [
+        MemberState::Alive,
+        MemberState::Leaving,
+        MemberState::Suspect,
+        MemberState::Dead,
+    ];
+    let records: Vec<(String, Record)> = records
+        .into_iter()
+        .map(|(instance, incarnation, refutation, state)| {
+            let record = Record {
+                incarnation: u64::from(incarnation % 3),
+                refutation: u32::from(refutation % 3),
+                state: states[usize::from(state % 4)],
+                region: "r1".to_owned(),
+                availability_zone: format!("z{}", state % 2),
+                address: SocketAddr::from(([127, 0, 0, 1], u16::from(refutation))),
+            };
+            (format!("i{}", instance % 4), record)
+        })
+        .collect();
+    let mut straight = mangofront_peers::table::Table::new();
+    let mut shuffled = mangofront_peers::table::Table::new();
+    for (instance, record) in &records {
+        straight.merge(instance, record.clone(), now);
+    }
+    let picks = order.iter().map(|pick| pick % records.len().max(1));
+    for pick in picks.chain((0..records.len()).rev()) {
+        if let Some((instance, record)) = records.get(pick) {
+            shuffled.merge(instance, record.clone(), now);
+        }
+    }
+    straight.records().eq(shuffled.records())
+}
+
+#[test]
+fn the_order_of_gossip_does_not_matter() {
+    let property: fn(Vec<Told>, Vec<usize>) -> bool = merges_alike;
+    let random = Gen::from_size_and_seed(40, 20_261_202);
+    QuickCheck::new()
+        .rng(random)
+        .tests(300)
+        .quickcheck(property);
+}
