Measure the peers crate; bound news; split freshness from the state

Cause: the budget of 6 KB a second and 4% of a core was arithmetic only, and nothing showed how nng behaves over a half-open link.

Change: examples/measure.rs starts a fleet of examples/member.rs and prints averages; a test that news stays within its allowance; the clock's part of the state in a module of its own; the module's arithmetic now rests on measured message sizes.

Conclusion: traffic doesn't grow with the fleet but for the zones' beats.

--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -4,16 +4,21 @@
 //! members in its zone and 4 links of its own (2 successors, 1 other zone, 1
 //! other region); about 4 others link to it. Each link carries one heartbeat
 //! and one answer a period, so that with a period of 1 s a daemon sends 8
-//! messages and receives 8, however large the fleet is. The figures in bytes
-//! stand in this crate's measurement, `docs/MEASUREMENTS.md`.
+//! messages and receives 8, however large the fleet is. With 24 zones such a
+//! message has about 95 bytes, nng's framing included (`examples/measure.rs`):
+//! 0.75 KB a second each way, and 0.4 KB more for TCP's and IP's headers, or
+//! twice that where the kernel acknowledges each message by itself. That makes
+//! 2.4 to 3.2 KB a second of the 6 that a daemon may spend.
 //!
 //! News is what changed: each record or value crosses a link once, after the
 //! number up to which the other side has read ([`crate::wire::Cursors`]). A
 //! record is about 60 bytes. At 110 failures and 1,100 replacements a day, with
 //! three records for each, that is 0.04 records a second over 8 links, 20 bytes
-//! a second. Values of [`crate::Topic::Load`] and `Platform` stay in the zone:
-//! 41 others' values of 50 bytes every 10 s are 205 bytes a second received
-//! once, and sent on over up to 4 links of the zone.
+//! a second. A newcomer reads the whole table over each of its links: 1,000
+//! records or 60 KB a link, with 1,210 newcomers a day less than 10 bytes a
+//! second for each daemon. Values of [`crate::Topic::Load`] and `Platform` stay
+//! in the zone: 41 others' values of 75 bytes every 10 s, over the 4 links in
+//! the zone, are at most 1.2 KB a second sent.
 //!
 //! Whatever is published, [`Allowance`] bounds the bytes of news that a daemon
 //! sends; a value that has to wait is replaced by its next one, so that nothing
@@ -232,7 +237,7 @@
 /// Answers what is said of this instance itself.
 fn refute(shared: &Shared, state: &mut State, record: &Record, now: Instant) {
     if record.incarnation > state.own.incarnation {
-        if state.joined() {
+        if state.freshness.joined() {
             // Two processes under one name, and no way to tell who is right.
             shared
                 .counters
--- a/crates/peers/src/keeper.rs
+++ b/crates/peers/src/keeper.rs
@@ -35,7 +35,7 @@
     let mut slices = 0;
     loop {
         let now = Instant::now();
-        if shared.state.borrow_mut().tick(slice, now) {
+        if shared.state.borrow_mut().tick(now) {
             log::warn!("peers: the process was paused, its view counts as stale");
         }
         let beat = slices % link::SLICES == 0;
@@ -61,7 +61,7 @@
     let mut state = shared.state.borrow_mut();
     state.pulses.beat(now);
     // After a pause only fresh news may condemn; before it the time was not ours.
-    if !state.is_stale(now) {
+    if !state.freshness.is_stale(now) {
         state
             .table
             .age(options.dead_after, options.tombstone_after, now);
@@ -138,7 +138,7 @@
 /// the healing of a cut brings no storm.
 fn contact_lost(shared: &Rc<Shared>, slices: u32, now: Instant) -> Vec<JoinHandle<()>> {
     let state = shared.state.borrow();
-    let joined = state.joined();
+    let joined = state.freshness.joined();
     let turn = rand::random_ratio(1, CONTACT_EVERY_PERIODS);
     if joined && !turn && slices > 0 {
         return Vec::new();
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,16 +12,17 @@
 //! and `placement` answer calls in the responder given to [`Peers::start`].
 //! None of them sees a socket. `examples/member.rs` embeds the crate alone.
 //!
-//! Inside, one task for each neighbour ([`link`]) sends a heartbeat with news
-//! and reads the answer; one task ([`keeper`]) watches the clock, picks the
-//! neighbours ([`topology`]) and ages suspicions; a few tasks ([`serve`])
-//! answer. They share one [`state`]. The budget for all of it is worked out
-//! in [`gossip`].
+//! Inside, one task for each neighbour (`link`) sends a heartbeat with news
+//! and reads the answer; one task (`keeper`) watches the clock, picks the
+//! neighbours (`topology`) and ages suspicions; a few tasks (`serve`)
+//! answer. They share one `state`. The budget for all of it is worked out
+//! in `gossip`.
 
 mod call;
 mod completion;
 mod counters;
 mod error;
+mod freshness;
 mod gossip;
 mod keeper;
 mod link;
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -170,7 +170,7 @@
     let mut state = shared.state.borrow_mut();
     state.heard(peer, Instant::now());
     if complete && !stale {
-        state.refreshed(asked);
+        state.freshness.refreshed(asked);
     }
     let agree = state.table.view() == view;
     progress.incarnation = ack.incarnation;
@@ -205,7 +205,8 @@
     }
     let now = Instant::now();
     let mut state = shared.state.borrow_mut();
-    if state.is_stale(now) || state.unheard_for(peer, now) < shared.options.suspect_after {
+    if state.freshness.is_stale(now) || state.unheard_for(peer, now) < shared.options.suspect_after
+    {
         return;
     }
     if state.watches(peer) {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -150,7 +150,7 @@
     /// How many pauses of this process were seen.
     #[must_use]
     pub fn woke(&self) -> u64 {
-        self.shared.state.borrow().woke()
+        self.shared.state.borrow().freshness.woke()
     }
 
     /// Publishes this daemon's latest value of a topic.
--- a/crates/peers/src/serve.rs
+++ b/crates/peers/src/serve.rs
@@ -143,7 +143,7 @@
     Reply::Ack(Ack {
         incarnation: state.incarnation(),
         view,
-        stale: state.is_stale(now),
+        stale: state.freshness.is_stale(now),
         delta,
         pulses: state.pulses.compose(),
     })
--- a/crates/peers/src/state.rs
+++ b/crates/peers/src/state.rs
@@ -4,20 +4,16 @@
 //! silence and by the platform's line; only the record travels. That keeps a
 //! cut between regions from filling the links with records of death, and its
 //! healing from filling them with refutations.
-//!
-//! Freshness: after a pause nothing that was believed before counts until a
-//! neighbour that did not sleep has told all it knows, or until the own
-//! heartbeats had the time to judge everyone anew. [`State::view_fresh`] looks
-//! at the clock itself, so that it is right before any timer has fired.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::{Incarnation, InstanceId};
 
 use crate::call::CallLinks;
 use crate::counters::LiveCounters;
+use crate::freshness::Freshness;
 use crate::gossip::Allowance;
 use crate::member::{Member, MemberChange, MemberState, Record};
 use crate::options::PeersOptions;
@@ -82,13 +78,7 @@
     reported_through: u64,
     /// Last answer of each neighbour, or when its link began or was forgiven.
     contacts: BTreeMap<InstanceId, Instant>,
-    /// Last answer of anyone.
-    last_contact: Option<Instant>,
-    last_tick: Instant,
-    last_tick_wall: SystemTime,
-    woke: u64,
-    /// When the process woke, while its view has not been refreshed since.
-    stale_since: Option<Instant>,
+    pub(crate) freshness: Freshness,
 }
 
 impl State {
@@ -107,11 +97,7 @@
             full_mesh: true,
             reported_through: 0,
             contacts: BTreeMap::new(),
-            last_contact: None,
-            last_tick: now,
-            last_tick_wall: SystemTime::now(),
-            woke: 0,
-            stale_since: None,
+            freshness: Freshness::new(options, now),
         }
     }
 
@@ -120,11 +106,6 @@
         self.own.incarnation
     }
 
-    /// Whether any other daemon ever answered.
-    pub(crate) fn joined(&self) -> bool {
-        self.last_contact.is_some()
-    }
-
     /// Announces the own record anew, above whatever was said of it.
     pub(crate) fn announce(&mut self, above: u32, now: Instant) {
         self.own.refutation = self.own.refutation.max(above).saturating_add(1);
@@ -251,7 +232,7 @@
         if let Some(entry) = self.table.get_mut(instance) {
             entry.last_heard = Some(now);
         }
-        self.last_contact = Some(now);
+        self.freshness.heard(now);
     }
 
     /// How long a neighbour has not answered.
@@ -260,44 +241,20 @@
         now.saturating_duration_since(contact)
     }
 
-    /// Looks at both clocks; true when the process was paused since the last call.
-    pub(crate) fn tick(&mut self, slice: Duration, now: Instant) -> bool {
-        let gap = self.gap(now);
-        let paused = gap > slice + self.options.pause_threshold;
-        self.last_tick = now;
-        self.last_tick_wall = SystemTime::now();
-        if paused {
-            self.wake(gap, now);
-        }
-        if self
-            .stale_since
-            .is_some_and(|since| now - since >= self.judging_time())
-        {
-            self.stale_since = None;
+    /// Notes that the process runs; true when it was paused since the last call.
+    pub(crate) fn tick(&mut self, now: Instant) -> bool {
+        let pause = self.freshness.tick(now);
+        if let Some(pause) = pause {
+            self.wake(pause, now);
         }
-        paused
-    }
-
-    /// Time in which the own heartbeats judge every neighbour.
-    fn judging_time(&self) -> Duration {
-        self.options.suspect_after + self.options.dead_after
-    }
-
-    /// Time since the last tick, by the clock that went further.
-    fn gap(&self, now: Instant) -> Duration {
-        // The monotonic clock stands still while a whole machine is suspended.
-        let wall = SystemTime::now().duration_since(self.last_tick_wall);
-        let monotonic = now.saturating_duration_since(self.last_tick);
-        monotonic.max(wall.unwrap_or_default())
+        pause.is_some()
     }
 
-    fn wake(&mut self, gap: Duration, now: Instant) {
-        self.woke += 1;
-        self.stale_since = Some(now);
-        if gap >= self.options.tombstone_after / 2 {
+    fn wake(&mut self, pause: Duration, now: Instant) {
+        if pause >= self.options.tombstone_after / 2 {
             // Others may have forgotten by now whom this view still calls alive.
             self.table.forget_others(&self.options.instance);
-            self.last_contact = None;
+            self.freshness.forget_contact();
         }
         self.table.restart_suspicions(now);
         self.pulses.restart_silences(now);
@@ -307,31 +264,9 @@
         self.announce(0, now);
     }
 
-    /// Takes note that a neighbour told all it knows, in answer to a question after the wake.
-    pub(crate) fn refreshed(&mut self, asked: Instant) {
-        if self.stale_since.is_some_and(|since| asked >= since) {
-            self.stale_since = None;
-        }
-    }
-
-    /// Whether the process woke from a pause and has not refreshed its view.
-    pub(crate) fn is_stale(&self, now: Instant) -> bool {
-        let limit = self.options.heartbeat_period + self.options.pause_threshold;
-        self.stale_since.is_some() || self.gap(now) > limit
-    }
-
     /// Whether the view can be relied upon.
     pub(crate) fn view_fresh(&self, now: Instant) -> bool {
-        if self.is_stale(now) {
-            return false;
-        }
         let alone = self.table.iter().count() <= 1;
-        let heard = |at: Instant| now.saturating_duration_since(at) <= self.judging_time();
-        alone || self.last_contact.is_some_and(heard)
-    }
-
-    /// Pauses seen so far.
-    pub(crate) fn woke(&self) -> u64 {
-        self.woke
+        self.freshness.is_fresh(alone, now)
     }
 }
--- a/crates/peers/tests/publish.rs
+++ b/crates/peers/tests/publish.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use common::{all_alive, eventually, fleet};
@@ -64,3 +65,45 @@
     let refused = mesh[0].1.publish(Topic::Load, large);
     assert!(matches!(refused, Err(PublishError::TooLarge { .. })));
 }
+
+#[compio::test]
+async fn news_stays_within_its_allowance_and_the_last_value_arrives() {
+    const BURST_BYTES: u64 = 64 * 1024;
+    const BYTES_PER_S: u32 = 20_000;
+    // Names, hashes and beats of one heartbeat, answer or framing.
+    const HEAD_BYTES: u64 = 200;
+    let options = |name| common::options(name, "za").news_bytes_per_s(BYTES_PER_S);
+    let publisher = common::start(options("publisher"));
+    let reader = common::start(options("reader"));
+    reader.set_listed(&[common::listed("publisher", "za", &publisher)]);
+    let started = Instant::now();
+    let mut values = 0;
+    while started.elapsed() < Duration::from_secs(3) {
+        for topic in 0..8 {
+            let value = Bytes::from(vec![topic; PUBLICATION_LIMIT_BYTES]);
+            publisher
+                .publish(Topic::Custom(topic), value)
+                .expect("publish");
+        }
+        values += 1;
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let gossip = publisher.counters().gossip;
+    let allowed =
+        BURST_BYTES + started.elapsed().as_millis() as u64 * u64::from(BYTES_PER_S) / 1000;
+    assert!(
+        gossip.bytes_sent > BURST_BYTES,
+        "too little was offered: {gossip:?}"
+    );
+    let heads = gossip.messages_sent * HEAD_BYTES;
+    assert!(gossip.bytes_sent <= allowed + heads, "{gossip:?}");
+    let subscription = std::cell::RefCell::new(reader.subscribe(Topic::Custom(7)));
+    let seen = std::cell::RefCell::new(BTreeMap::new());
+    eventually("the last value is there", || {
+        drain(&mut subscription.borrow_mut(), &mut seen.borrow_mut());
+        seen.borrow()
+            .get("publisher")
+            .is_some_and(|(sequence, _)| *sequence == values)
+    })
+    .await;
+}
