--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -112,6 +112,9 @@
     }
 
     /// Life of this process: milliseconds since 1970 at its start, and ten random bits below.
+    ///
+    /// It rises once more when the first answer of all tells of an earlier life
+    /// whose clock ran ahead; after that it stays.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
         self.shared.state.borrow().incarnation()
@@ -147,7 +150,7 @@
     /// How many pauses of this process were seen.
     #[must_use]
     pub fn woke(&self) -> u64 {
-        self.shared.state.borrow().woke()
+        self.shared.state.borrow().freshness.woke()
     }
 
     /// Publishes this daemon's latest value of a topic.
