Cut availability zones from each other in tests of real processes (thin)

Cause: the at-most-once claims were proved on processes within one test program only; a cut between zones was not yet brought about on daemons.

Weighed: an instance list for each zone with other addresses. Ruled out, as the list is relayed between daemons and two values under one revision are refused. Now all daemons get one list, and a forwarder before each process looks up which daemon connects, and so knows the zones between which it passes, breaks or keeps back.

Change: each zone may have a platform of its own; the address that the platform lists for a daemon goes before the one that it gossips itself. A daemon replaced under the same name at another address is thus called at its former address until the list follows, up to the list's lag.

--- a/crates/peers/src/keeper.rs
+++ b/crates/peers/src/keeper.rs
@@ -111,7 +111,7 @@
 fn candidates(state: &State, shared: &Shared, now: Instant) -> Vec<Candidate> {
     let mut candidates = Vec::new();
     for (instance, entry) in state.table.iter() {
-        let Some(record) = &entry.record else {
+        let (Some(record), Some(address)) = (&entry.record, entry.address()) else {
             continue;
         };
         if *instance == shared.options.instance || state.state_of(entry, now) == MemberState::Dead {
@@ -121,7 +121,7 @@
             instance: instance.clone(),
             region: record.region.clone(),
             availability_zone: record.availability_zone.clone(),
-            address: record.address,
+            address,
             avoid: entry.avoid_until.is_some_and(|until| now < until),
         });
     }
--- a/crates/peers/src/state.rs
+++ b/crates/peers/src/state.rs
@@ -150,7 +150,7 @@
                 instance: instance.clone(),
                 region: record.region.clone(),
                 availability_zone: record.availability_zone.clone(),
-                address: record.address,
+                address: entry.address()?,
                 incarnation: record.incarnation,
                 state,
                 last_heard: entry.last_heard,
--- a/crates/peers/src/table.rs
+++ b/crates/peers/src/table.rs
@@ -10,6 +10,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::{Incarnation, InstanceId};
@@ -70,6 +71,15 @@
         }
     }
 
+    /// Where to reach it: the platform's line goes before what it says itself.
+    ///
+    /// A daemon knows the address that it listens on, the platform the one by
+    /// which others reach it, which differs behind a forwarder.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        let listed = self.listed.as_ref().map(|listed| listed.address);
+        listed.or_else(|| self.record.as_ref().map(|record| record.address))
+    }
+
     /// Whether the record says dead.
     pub(crate) fn is_dead(&self) -> bool {
         matches!(&self.record, Some(record) if record.state == MemberState::Dead)
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -4,12 +4,15 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::sync::{Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 
+use crate::link::{Links, Route, ZONES};
+
 /// How long a condition may take to come about before a test fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -20,7 +23,15 @@
 const PEER_PORT: u16 = 9400;
 const ADMIN_PORT: u16 = 9500;
 
+/// Offset of a forwarder's port from that of its target.
+const LINK_OFFSET: u16 = 1000;
+
+/// Most processes that the fleets of all tests run at once.
+const PROCESS_LIMIT: usize = 40;
+
 static FLEETS: AtomicU16 = AtomicU16::new(0);
+static PROCESSES: Mutex<usize> = Mutex::new(0);
+static PROCESSES_ENDED: Condvar = Condvar::new();
 
 /// A process that ends with its owner.
 #[derive(Debug)]
@@ -67,6 +78,12 @@
         );
     }
 
+    /// Ends the process at once, as a fault.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process can be waited for");
+    }
+
     /// Waits for the process to end by itself; its exit code.
     pub fn exit_code(&mut self) -> Option<i32> {
         let started = Instant::now();
@@ -101,6 +118,11 @@
     pub services: Vec<Value>,
     /// Number of daemons.
     pub daemons: usize,
+    /// Whether each availability zone has a platform of its own and all
+    /// traffic of daemons goes through links that can be cut.
+    pub apart: bool,
+    /// Time between two heartbeats of daemons.
+    pub heartbeat_ms: u64,
     /// Published configuration.
     pub configuration: Value,
 }
@@ -112,11 +134,36 @@
             engines: vec![engine.clone(), engine],
             services: vec![json!({"delay_ms": 5})],
             daemons: 1,
+            apart: false,
+            heartbeat_ms: 200,
             configuration: configuration(),
         }
     }
 }
 
+impl Plan {
+    /// `daemons` in three availability zones that can be cut from each other,
+    /// with an engine and a service instance in each.
+    pub fn zones(daemons: usize) -> Self {
+        let engine = json!({"time_scale": 0.02, "load_lag_ms": 20});
+        Self {
+            engines: vec![engine; ZONES],
+            services: vec![json!({"delay_ms": 5}); ZONES],
+            daemons,
+            apart: true,
+            ..Self::default()
+        }
+    }
+
+    fn platforms(&self) -> usize {
+        if self.apart { ZONES } else { 1 }
+    }
+
+    fn processes(&self) -> usize {
+        self.engines.len() + self.services.len() + self.daemons + self.platforms()
+    }
+}
+
 /// Configuration that the tests publish.
 pub fn configuration() -> Value {
     json!({
@@ -137,11 +184,14 @@
 pub struct Fleet {
     ip: String,
     folder: PathBuf,
-    pub platform: Option<Process>,
+    plan: Plan,
+    links: Option<Links>,
+    pub platforms: Vec<Process>,
     pub engines: Vec<Process>,
     pub services: Vec<Process>,
     pub daemons: Vec<Process>,
     instances: Value,
+    numbers: AtomicU64,
 }
 
 impl Fleet {
@@ -152,43 +202,65 @@
         let ip = format!("127.{}.{}.{}", 1 + (id >> 8) % 250, id % 256, 1 + number);
         let folder = std::env::temp_dir().join(format!("mangofront-{id}-{number}"));
         fs::create_dir_all(&folder).expect("the folder is made");
+        reserve(plan.processes());
         let mut fleet = Self {
             ip,
             folder,
-            platform: None,
+            plan,
+            links: None,
+            platforms: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
             instances: Value::Null,
+            numbers: AtomicU64::new(0),
         };
-        for (index, settings) in plan.engines.iter().enumerate() {
-            let address = fleet.address(ENGINE_PORT, index);
-            fleet
-                .engines
-                .push(Process::standin("engine", &address, settings));
+        for index in 0..fleet.plan.engines.len() {
+            let engine = fleet.start_engine(index);
+            fleet.engines.push(engine);
+        }
+        for index in 0..fleet.plan.services.len() {
+            let service = fleet.start_service(index);
+            fleet.services.push(service);
         }
-        for (index, settings) in plan.services.iter().enumerate() {
-            let address = fleet.address(SERVICE_PORT, index);
-            fleet
-                .services
-                .push(Process::standin("service", &address, settings));
+        fleet.instances = fleet.list();
+        if fleet.plan.apart {
+            fleet.links = Some(Links::start(fleet.routes()));
         }
-        fleet.instances = fleet.list(&plan);
-        fleet.start_platform(&plan.configuration);
-        for index in 0..plan.daemons {
+        for index in 0..fleet.plan.platforms() {
+            let platform = fleet.start_platform(index);
+            fleet.platforms.push(platform);
+        }
+        for index in 0..fleet.plan.daemons {
             let daemon = fleet.start_daemon(index);
             fleet.daemons.push(daemon);
         }
-        for index in 0..plan.daemons {
+        for index in 0..fleet.plan.daemons {
             fleet.wait_until_serving(index);
         }
         fleet
     }
 
-    fn start_platform(&mut self, configuration: &Value) {
+    fn start_platform(&self, index: usize) -> Process {
+        let configuration = &self.plan.configuration;
         let settings = json!({"configuration": configuration, "instances": self.instances});
-        let address = self.address(PLATFORM_PORT, 0);
-        self.platform = Some(Process::standin("platform", &address, &settings));
+        Process::standin("platform", &self.address(PLATFORM_PORT, index), &settings)
+    }
+
+    /// Starts the engine of `index`, also again after its end.
+    pub fn start_engine(&self, index: usize) -> Process {
+        let address = self.address(ENGINE_PORT, index);
+        Process::standin("engine", &address, &self.plan.engines[index])
+    }
+
+    fn start_service(&self, index: usize) -> Process {
+        let address = self.address(SERVICE_PORT, index);
+        Process::standin("service", &address, &self.plan.services[index])
+    }
+
+    /// The links between availability zones.
+    pub fn links(&self) -> &Links {
+        self.links.as_ref().expect("the plan has zones apart")
     }
 
     /// Starts the daemon of `index`, also again after its end.
@@ -200,16 +272,47 @@
             "caller_address": self.address(CALLER_PORT, index),
             "peer_address": self.address(PEER_PORT, index),
             "admin_address": self.address(ADMIN_PORT, index),
-            "platform_address": self.address(PLATFORM_PORT, 0),
+            "platform_address": self.address(PLATFORM_PORT, index % self.plan.platforms()),
+            "peers": {
+                "heartbeat_ms": self.plan.heartbeat_ms,
+                "suspect_after_ms": self.plan.heartbeat_ms * 5
+            },
             "fatal_invariants": true
         });
         let path = self.folder.join(format!("entry-{index}.jsonc"));
         fs::write(&path, settings.to_string()).expect("the settings are written");
-        let log = fs::File::create(self.folder.join(format!("entry-{index}.log")));
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("entry-{index}.log")));
         let mut command = Command::new(env!("CARGO_BIN_EXE_mangofrontd"));
         command.arg("--settings").arg(path);
         command.stderr(log.expect("the log file is made"));
-        Process::start(&mut command)
+        let daemon = Process::start(&mut command);
+        if let Some(links) = &self.links {
+            links.know(daemon.child.id(), index % ZONES);
+        }
+        daemon
+    }
+
+    /// Ends the daemon of `index` at once and starts it anew.
+    pub fn replace_daemon(&mut self, index: usize) {
+        self.daemons[index].kill();
+        self.daemons[index] = self.start_daemon(index);
+    }
+
+    /// A number not given before in this fleet.
+    pub fn next_number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The configuration, with an operator's word that the fleet started first just now.
+    pub fn vouched_configuration(&self) -> Value {
+        let mut configuration = self.plan.configuration.clone();
+        // Past the voters' own start by more than their clock margin.
+        let first_start = unix_ms() + 2500;
+        configuration["idempotency"] = json!({"first_start_unix_ms": first_start});
+        configuration
     }
 
     /// Waits until the daemon of `index` knows a configuration.
@@ -220,22 +323,29 @@
         });
     }
 
-    fn list(&self, plan: &Plan) -> Value {
+    /// Address by which daemons reach a process.
+    fn listed(&self, base: u16, index: usize) -> String {
+        let offset = if self.plan.apart { LINK_OFFSET } else { 0 };
+        self.address(base + offset, index)
+    }
+
+    fn list(&self) -> Value {
         let mut instances = Vec::new();
-        for index in 0..plan.engines.len() {
-            let address = self.address(ENGINE_PORT, index);
+        for index in 0..self.plan.engines.len() {
+            let address = self.listed(ENGINE_PORT, index);
             let role = json!({"kind": "engine", "address": address, "model": "assist-llm"});
             instances.push(instance(&format!("engine-{index}"), index, &role));
         }
-        for index in 0..plan.services.len() {
-            let address = self.address(SERVICE_PORT, index);
-            let role = json!({"kind": "service", "address": address, "service": "fleet-ops"});
+        for (index, settings) in self.plan.services.iter().enumerate() {
+            let address = self.listed(SERVICE_PORT, index);
+            let service = settings["service"].as_str().unwrap_or("fleet-ops");
+            let role = json!({"kind": "service", "address": address, "service": service});
             instances.push(instance(&format!("service-{index}"), index, &role));
         }
-        for index in 0..plan.daemons {
+        for index in 0..self.plan.daemons {
             let role = json!({
                 "kind": "entry",
-                "peer_address": self.address(PEER_PORT, index),
+                "peer_address": self.listed(PEER_PORT, index),
                 "caller_address": self.address(CALLER_PORT, index)
             });
             instances.push(instance(&format!("entry-{index}"), index, &role));
@@ -243,9 +353,22 @@
         json!({"instances": instances})
     }
 
-    /// List of instances as it was published at the start.
-    pub fn instances(&self) -> Value {
-        self.instances.clone()
+    fn routes(&self) -> Vec<Route> {
+        let plan = &self.plan;
+        let targets = [
+            (ENGINE_PORT, plan.engines.len()),
+            (SERVICE_PORT, plan.services.len()),
+            (PEER_PORT, plan.daemons),
+        ];
+        let route = |base: u16, index: usize| Route {
+            listen: self.listed(base, index).parse().expect("an address"),
+            target: self.address(base, index).parse().expect("an address"),
+            zone: index % ZONES,
+        };
+        targets
+            .iter()
+            .flat_map(|(base, count)| (0..*count).map(|index| route(*base, index)))
+            .collect()
     }
 
     fn address(&self, base: u16, index: usize) -> String {
@@ -273,9 +396,18 @@
         crate::caller::Caller::new(self.address(SERVICE_PORT, index))
     }
 
-    /// Direct access to the platform.
-    pub fn platform_control(&self) -> crate::caller::Caller {
-        crate::caller::Caller::new(self.address(PLATFORM_PORT, 0))
+    /// Direct access to the platform of an availability zone.
+    pub fn platform(&self, zone: usize) -> crate::caller::Caller {
+        let index = zone % self.plan.platforms();
+        crate::caller::Caller::new(self.address(PLATFORM_PORT, index))
+    }
+
+    /// Publishes a value on every platform.
+    pub fn publish(&self, kind: &str, value: &Value) {
+        for index in 0..self.platforms.len() {
+            let published = self.platform(index).put(&format!("/control/{kind}"), value);
+            assert_eq!(published.status, 200, "{}", published.body);
+        }
     }
 }
 
@@ -285,6 +417,7 @@
             self.print_logs();
         }
         let _ = fs::remove_dir_all(&self.folder);
+        release(self.plan.processes());
     }
 }
 
@@ -299,6 +432,19 @@
     }
 }
 
+/// Waits until `count` more processes may run.
+fn reserve(count: usize) {
+    let running = PROCESSES.lock().expect("no holder panics");
+    let fits = |running: &mut usize| *running > 0 && *running + count > PROCESS_LIMIT;
+    let free = PROCESSES_ENDED.wait_while(running, fits);
+    *free.expect("no holder panics") += count;
+}
+
+fn release(count: usize) {
+    *PROCESSES.lock().expect("no holder panics") -= count;
+    PROCESSES_ENDED.notify_all();
+}
+
 fn zone(index: usize) -> &'static str {
     ["hall-a", "hall-b", "hall-c"][index % 3]
 }
@@ -313,6 +459,13 @@
     })
 }
 
+/// Wall-clock time in Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since = since.expect("the clock is past 1970");
+    u64::try_from(since.as_millis()).expect("it fits")
+}
+
 /// Polls `holds` until it is true.
 pub fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let started = Instant::now();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,5 +6,7 @@
 
 mod caller;
 mod fleet;
+mod link;
+mod orders;
 mod sessions;
 mod stop;
