Read the platform anew after a pause, before work is placed

Cause: a daemon that was frozen and woke placed the requests that had waited for it by the instance list of the time before. leaving::a_frozen_daemon_wakes_with_an_old_list gave 10 of 10 requests to the engine that was published as leaving 3 s before; with the change none.

Weighed: refusing work after a pause, which fails requests without need; and the peers' view of freshness, which a cut keeps from recovering. Now a beat and each use look at the monotonic clock; after a pause of a second both values are read from the service first, for a second at most, so that a zone that is cut off goes on serving. What remains: a pause between the choice of an engine and the write of the call.

The check that a request ends in its class's time counts from the wake when the process was paused past the deadline; nothing can act while it stands still.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -147,6 +147,7 @@
     /// Starts an attempt; `None` when it failed and another may be made.
     async fn begin(&mut self) -> Result<Option<Running>, EntryError> {
         let parts = self.entry.parts();
+        parts.platform.refreshed().await;
         let placed = parts
             .placement
             .place(&self.request.demand, &self.excluded)
--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -23,7 +23,7 @@
 /// How late a timer of a busy process may fire.
 ///
 /// The deadline itself is exact; this allows for the scheduling of the task
-/// that acts on it.
+/// that acts on it. A process that was paused acts once it goes on.
 const TIMER_SLACK: Duration = Duration::from_millis(500);
 
 /// A request in progress.
@@ -68,7 +68,9 @@
     fn drop(&mut self) {
         let metrics = &self.active.entry().parts().metrics;
         metrics.request_ended(&self.class, self.outcome.get());
-        let late = Instant::now().saturating_duration_since(self.deadline);
+        let woke_at = self.active.entry().parts().platform.woke_at();
+        let due = woke_at.map_or(self.deadline, |woke_at| self.deadline.max(woke_at));
+        let late = Instant::now().saturating_duration_since(due);
         check(
             Invariant::RequestWithinClassTime,
             late <= TIMER_SLACK,
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -245,6 +245,7 @@
     let limit_bytes = parts.limits.service_answer_limit_bytes;
     let safe = service_call.call.method.is_safe();
     let mut last = None;
+    parts.platform.refreshed().await;
     for target in targets(entry, &service_call.service) {
         let sent = call(
             &parts.connections,
--- a/crates/entry/src/service/order.rs
+++ b/crates/entry/src/service/order.rs
@@ -83,6 +83,7 @@
 async fn open(entry: &Entry, service_call: &ServiceCall) -> Result<Opened, String> {
     let parts = entry.parts();
     let mut reason = "no instance of the service takes work".to_owned();
+    parts.platform.refreshed().await;
     for target in targets(entry, &service_call.service) {
         let deadline = service_call.caller.deadline;
         match parts.connections.open(&target, deadline).await {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 mod floor;
 mod health;
 mod options;
+mod pause;
 mod platform;
 mod reader;
 mod service;
--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -15,6 +15,7 @@
 use crate::floor::{Floor, Held, Verdict};
 use crate::health::{Contact, DocumentHealth, PlatformHealth, millis};
 use crate::options::PlatformOptions;
+use crate::pause::Pauses;
 use crate::reader;
 use crate::service::Answer;
 use crate::waiters::Waiters;
@@ -47,6 +48,7 @@
     pub(crate) options: PlatformOptions,
     pub(crate) client: cyper::Client,
     pub(crate) contact: RefCell<Contact>,
+    pub(crate) pauses: Pauses,
     pub(crate) watching: Cell<bool>,
     pub(crate) watching_changed: Waiters,
     configuration: RefCell<Floor<AcceptedConfiguration>>,
@@ -86,6 +88,18 @@
         floor.held().map(|held| Rc::clone(&held.accepted))
     }
 
+    /// Waits until what is in force can be used: at once, unless the process was
+    /// paused; then until the service was read anew, a second at most.
+    pub async fn refreshed(&self) {
+        self.0.shared.pauses.refreshed().await;
+    }
+
+    /// When the process last went on after a pause of more than a second.
+    #[must_use]
+    pub fn woke_at(&self) -> Option<Instant> {
+        self.0.shared.pauses.woke_at()
+    }
+
     /// Revisions in force, to be given to [`Self::changed`].
     #[must_use]
     pub fn seen(&self) -> Seen {
@@ -167,6 +181,7 @@
         Self {
             client,
             contact: RefCell::default(),
+            pauses: Pauses::new(),
             watching: Cell::new(options.watching),
             watching_changed: Waiters::default(),
             configuration: RefCell::new(Floor::new(Kind::Configuration)),
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -15,6 +15,7 @@
 use crate::change::{OfferOutcome, PlatformChange};
 use crate::document::Kind;
 use crate::error::{ReadError, ReadStep};
+use crate::pause;
 use crate::platform::Shared;
 use crate::service::{self, Answer, Call, Target};
 
@@ -31,7 +32,7 @@
 
 /// What a call was good for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Progress {
+pub(crate) enum Progress {
     /// News, or a wait that lasted as it should.
     Made,
     /// An answer at once, without news.
@@ -49,6 +50,7 @@
             kind,
         )));
     }
+    running.push(compio::runtime::spawn(pause::watch(Rc::clone(shared))));
     running
 }
 
@@ -131,7 +133,7 @@
     }
 
     /// Makes one call, counts it and judges its answer.
-    async fn make_call(&self, kind: Kind, call: Call) -> Result<Progress, ReadError> {
+    pub(crate) async fn make_call(&self, kind: Kind, call: Call) -> Result<Progress, ReadError> {
         let timeout = self.count_call(call);
         let target = Target {
             address: self.options.address,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod fleet;
 mod frozen;
+mod leaving;
 mod link;
 mod memory;
 mod not_run;
