--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -4,16 +4,21 @@
 //! newer fetches it from the daemon that told. What is fetched passes the same
 //! checks as what the platform serves.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use mangofront_peers::{Peers, Published, Service, Topic};
+use mangofront_peers::{Peers, Service, Topic};
 use mangofront_platform::{Document, Kind, Platform, Source, Summary};
+use mangofront_settings::ids::InstanceId;
 
 /// Time for a peer to hand over a document.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Pause before what could not be fetched is asked for again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Publishes what this daemon has accepted, each time it changes.
 pub(crate) async fn publish(platform: Platform, peers: Peers) {
     let mut seen = platform.seen();
@@ -29,21 +34,34 @@
 }
 
 /// Fetches what other daemons have accepted and this one has not.
+///
+/// A daemon tells of a revision once, so one that could not be fetched is asked
+/// for again until it is here.
 pub(crate) async fn fetch(platform: Platform, peers: Peers) {
     let mut summaries = peers.subscribe(Topic::Platform);
-    while let Some(published) = summaries.next().await {
-        if let Ok(summary) = postcard::from_bytes::<Summary>(&published.value) {
-            fetch_newer(&platform, &peers, &published, &summary).await;
+    let mut told: BTreeMap<InstanceId, Summary> = BTreeMap::new();
+    loop {
+        match compio::time::timeout(RETRY_PAUSE, summaries.next()).await {
+            Ok(Some(published)) => {
+                if let Ok(summary) = postcard::from_bytes(&published.value) {
+                    told.insert(published.origin, summary);
+                }
+            }
+            Ok(None) => return,
+            Err(_elapsed) => {}
+        }
+        for (origin, summary) in &told {
+            fetch_newer(&platform, &peers, origin, summary).await;
         }
+        told.retain(|_, summary| !platform.wants(summary).is_empty());
     }
 }
 
-async fn fetch_newer(platform: &Platform, peers: &Peers, published: &Published, summary: &Summary) {
+async fn fetch_newer(platform: &Platform, peers: &Peers, from: &InstanceId, summary: &Summary) {
     for wanted in platform.wants(summary) {
         let Ok(request) = postcard::to_stdvec(&wanted.kind) else {
             continue;
         };
-        let from = &published.origin;
         let call = peers.call(from, Service::Platform, Bytes::from(request), FETCH_TIMEOUT);
         match call.await {
             Ok(answer) => offer(platform, from, &answer),
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod caller;
+mod configuration;
 mod fleet;
 mod frozen;
 mod leaving;
