Renew the leases of a group's members at once

Cause: found by reading. Renewals went one after the other, each with 2 s; one frozen member could thus keep the next ones' leases of 3 s from being renewed. No test brings it about by itself; the soak run freezes engines under groups.

--- a/crates/upstream/src/reservation.rs
+++ b/crates/upstream/src/reservation.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
+use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use serde::Serialize;
 
@@ -186,19 +187,15 @@
     });
     loop {
         compio::time::sleep(lease / RENEWALS_PER_LEASE).await;
-        for target in &held {
-            let until = Instant::now() + CALL_TIMEOUT;
-            let call = call_json::<serde::de::IgnoredAny>(
-                &connections,
-                target,
-                Method::PUT,
-                &path,
-                Some(body.clone()),
-                until,
-            );
-            if let Err(error) = call.await {
-                log::warn!("upstream: lease of {id} was not renewed: {error}");
-            }
+        // At once: a member that does not answer must not hold up the others.
+        let until = Instant::now() + CALL_TIMEOUT;
+        let renewals = held.iter().map(|target| {
+            let body = Some(body.clone());
+            call_json(&connections, target, Method::PUT, &path, body, until)
+        });
+        let renewed: Vec<Result<Option<serde::de::IgnoredAny>, _>> = join_all(renewals).await;
+        for error in renewed.into_iter().filter_map(Result::err) {
+            log::warn!("upstream: lease of {id} was not renewed: {error}");
         }
     }
 }
