--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod feeds;
 mod membership;
+mod orders;
 mod parts;
 mod relay;
 mod run;
@@ -47,5 +48,5 @@
         step: "start runtime",
         cause,
     })?;
-    runtime.block_on(run::run(settings))
+    runtime.block_on(run::run(settings, arguments.policy))
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,11 +7,12 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_util::FutureExt;
 use mangofront_http::{ServeLimits, Shutdown, serve};
+use mangofront_placement::Policy;
 use mangofront_settings::process::DaemonSettings;
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, feeds, relay, views};
+use crate::{admin, feeds, orders, relay, views};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -26,11 +27,11 @@
 ///
 /// # Errors
 /// [`DaemonError`] when it can't start.
-pub(crate) async fn run(settings: DaemonSettings) -> Result<(), DaemonError> {
+pub(crate) async fn run(settings: DaemonSettings, policy: Policy) -> Result<(), DaemonError> {
     let callers = listen(settings.caller_address).await?;
     let operators = listen(settings.admin_address).await?;
     let limits = serve_limits(&settings);
-    let parts = assemble(settings)?;
+    let parts = assemble(settings, policy)?;
     log::info!(
         "daemon: {} serves callers on {}",
         parts.settings.instance,
@@ -72,6 +73,7 @@
         spawn(views::publish(placement.clone(), peers.clone())),
         spawn(views::receive(placement.clone(), peers.clone(), own)),
         spawn(parts.once.maintain()),
+        spawn(orders::follow(parts.clone())),
     ]
 }
 
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -2,9 +2,8 @@
 //!
 //! Invariants: at most one attempt is open; `next_offset` is the only token
 //! that the caller is given next, whatever attempt it comes from; nothing
-//! happens after the caller's deadline; no number of an attempt is used twice,
-//! as engines refuse one that was cancelled. An attempt that fails is followed
-//! by another one from the same offset, within the retry budget.
+//! happens after the caller's deadline. An attempt that fails is followed by
+//! another one from the same offset, within the retry budget.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -23,17 +22,17 @@
 use crate::error::EntryError;
 use crate::progress::InProgress;
 
-/// Most attempts at one request, resumptions included.
+/// Most failed attempts at one request.
 const ATTEMPTS_LIMIT: u32 = 5;
 
-/// Least time an engine gets for its first token before another is tried.
+/// Longest silence before the first token until the engine is probed.
 const FIRST_TOKEN_PATIENCE: Duration = Duration::from_secs(2);
 
-/// How many times its estimate an engine gets for its first token.
-const FIRST_TOKEN_FACTOR: u32 = 4;
+/// Longest silence between two tokens until the engine is probed.
+const TOKEN_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Longest silence between two tokens before another engine is tried.
-const TOKEN_PATIENCE: Duration = Duration::from_secs(2);
+/// Time for an engine to take a stream up again.
+const RESUME_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Longest pause before the second attempt.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
@@ -62,11 +61,11 @@
     permit: Permit,
     backoff: Backoff,
     group_backoff: Backoff,
-    /// Number of the last attempt.
-    number: u32,
-    /// Attempts that count against the limit: waiting for a group does not.
+    /// Attempts made; the number of the last one.
     made: u32,
-    /// Whether an engine may have worked for the request.
+    /// Attempts that failed otherwise than by a full group.
+    failed: u32,
+    /// Whether any attempt may have run.
     may_have_run: bool,
     next_offset: u32,
     excluded: Vec<InstanceId>,
@@ -83,8 +82,9 @@
     stream: EngineStream,
     call: Generate,
     target: Target,
-    started: Instant,
     first_token_seen: bool,
+    /// Tokens of this attempt seen so far.
+    generated_tokens: u32,
 }
 
 impl Attempts {
@@ -102,8 +102,8 @@
             permit,
             backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
             group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
-            number: 0,
             made: 0,
+            failed: 0,
             may_have_run: false,
             next_offset: 0,
             excluded: Vec::new(),
@@ -152,7 +152,6 @@
             .placement
             .place(&self.request.demand, &self.excluded)
             .map_err(|_none| self.no_engine())?;
-        self.number += 1;
         self.made += 1;
         match self.start(placed).await {
             Ok(running) => return Ok(Some(running)),
@@ -163,16 +162,15 @@
     }
 
     async fn start(&mut self, placed: Placed) -> Result<Running, SendError> {
-        let started = Instant::now();
-        let patience = self.first_token_patience(started, &placed);
-        let reservation = self.prepare_group(&placed, patience).await?;
+        let reservation = self.prepare_group(&placed).await?;
         let call = self.call(&placed, reservation.as_ref());
         let target = Target {
             instance: placed.instance.clone(),
             address: placed.address,
         };
         let connections = &self.entry.parts().connections;
-        let stream = engine::generate(connections, &target, call.clone(), patience).await?;
+        let queued_by = self.deadline_within(FIRST_TOKEN_PATIENCE);
+        let stream = engine::generate(connections, &target, call.clone(), queued_by).await?;
         self.may_have_run = true;
         Ok(Running {
             placed,
@@ -180,8 +178,8 @@
             stream,
             call,
             target,
-            started,
             first_token_seen: false,
+            generated_tokens: 0,
         })
     }
 
@@ -189,21 +187,20 @@
     async fn prepare_group(
         &mut self,
         placed: &Placed,
-        patience: Instant,
     ) -> Result<Option<GroupReservation>, SendError> {
         let Some(members) = &placed.group else {
             return Ok(None);
         };
-        let share = group::Preparation {
+        let group = group::Preparation {
             entry: &self.entry,
             request: &self.request,
-            attempt: self.number,
+            attempt: self.made,
             members,
             priority: placed.priority,
         };
-        let reservation = share.reserve().await?;
+        let reservation = group.reserve().await?;
         self.may_have_run = true;
-        share.compute(patience).await?;
+        group.compute().await?;
         Ok(Some(reservation))
     }
 
@@ -212,7 +209,7 @@
             endpoint: self.request.endpoint,
             body: self.request.body.clone(),
             request: self.request.id.clone(),
-            attempt: self.number,
+            attempt: self.made,
             priority: placed.priority,
             resume_offset: self.next_offset,
             reservation: reservation.map(|reservation| reservation.id().to_owned()),
@@ -228,9 +225,11 @@
         });
         self.next_offset = frame.offset + 1;
         if running.first_token_seen {
-            running.placed.tokens(1);
+            running.generated_tokens += 1;
+            running.placed.tokens(running.generated_tokens);
         } else {
             running.first_token_seen = true;
+            running.generated_tokens = 1;
             running.placed.first_token();
         }
         if frame.offset == 0 {
@@ -238,7 +237,6 @@
         }
         if frame.finish_reason.is_some() {
             self.finished = true;
-            self.permit.succeeded();
             let placement = &self.entry.parts().placement;
             placement.outcome(&running.target.instance, EngineOutcome::Success);
         }
@@ -251,22 +249,26 @@
         self.progress.first_token(length_tokens, time);
     }
 
-    /// Takes a broken stream up where it broke, or leaves it for a new attempt.
+    /// Takes a broken or silent stream up at its engine, or leaves it for a new
+    /// attempt.
+    ///
+    /// A silent engine may just be slow, above all before the first token of a
+    /// long prompt. Taking the stream up on another connection tells it from
+    /// one that is gone or frozen, and costs no work that was done.
     async fn recover(&mut self, mut running: Running, error: SendError) -> Result<(), EntryError> {
-        let resumable = matches!(error, SendError::Broken { .. }) && running.first_token_seen;
+        let resumable = matches!(error, SendError::Broken { .. } | SendError::Timeout { .. });
         let stream_id = running.stream.stream_id().map(str::to_owned);
         let Some(stream_id) = stream_id.filter(|_| resumable) else {
             drop(running);
             return self.give_up_or_retry(error).await;
         };
+        self.check_deadline()?;
         running.call.resume_offset = self.next_offset;
+        let until = self.deadline_within(RESUME_PATIENCE);
         let connections = &self.entry.parts().connections;
         let call = running.call.clone();
-        let answered_by = self.patience(&running);
-        let target = &running.target;
-        match engine::resume(connections, target, &stream_id, call, answered_by).await {
+        match engine::resume(connections, &running.target, &stream_id, call, until).await {
             Ok(stream) => {
-                self.entry.parts().metrics.retried();
                 std::mem::replace(&mut running.stream, stream).keep();
                 self.running = Some(running);
                 Ok(())
@@ -281,7 +283,6 @@
     /// Waits a little for memory that other groups hold; holds none itself.
     async fn wait_for_group(&mut self) -> Result<(), EntryError> {
         self.entry.parts().metrics.retried();
-        self.made -= 1;
         compio::time::sleep(self.group_backoff.next_wait()).await;
         self.check_deadline()
     }
@@ -295,12 +296,13 @@
         );
         self.may_have_run |= error.outcome() != Outcome::NotRun;
         self.check_deadline()?;
+        self.failed += 1;
         let parts = self.entry.parts();
         let outcome = engine_outcome(&error);
         parts.placement.outcome(error.peer(), outcome);
         parts.metrics.upstream_error(error.step_name());
         self.excluded.push(error.peer().clone());
-        if self.made >= ATTEMPTS_LIMIT || !self.may_retry(outcome) {
+        if self.failed >= ATTEMPTS_LIMIT || !self.may_retry(outcome) {
             return Err(EntryError::AttemptsFailed {
                 attempts: self.made,
                 last: self.settle(error),
@@ -324,7 +326,7 @@
 
     /// Error of the last attempt, telling also of the earlier ones.
     ///
-    /// Not run is said only when no attempt may have run.
+    /// The request may say not run only if none of its attempts may have run.
     fn settle(&self, error: SendError) -> SendError {
         if self.may_have_run && error.outcome() == Outcome::NotRun {
             let cause = format!("{error}, after earlier attempts that may have run");
@@ -361,21 +363,19 @@
         }
     }
 
-    /// Until when the open attempt may stay silent.
-    fn patience(&self, running: &Running) -> Instant {
-        if running.first_token_seen {
-            let until = Instant::now() + TOKEN_PATIENCE;
-            until.min(self.request.caller.deadline)
-        } else {
-            self.first_token_patience(running.started, &running.placed)
-        }
+    /// The end of `time` from now, within the class's time.
+    fn deadline_within(&self, time: Duration) -> Instant {
+        self.request.caller.deadline.min(Instant::now() + time)
     }
 
-    /// Until when an attempt begun at `started` may show no token.
-    fn first_token_patience(&self, started: Instant, placed: &Placed) -> Instant {
-        let estimate = placed.estimate.time_to_first_token;
-        let until = started + FIRST_TOKEN_PATIENCE + estimate * FIRST_TOKEN_FACTOR;
-        until.min(self.request.caller.deadline)
+    /// Until when the open attempt may stay silent before its engine is probed.
+    fn patience(&self, running: &Running) -> Instant {
+        let patience = if running.first_token_seen {
+            TOKEN_PATIENCE
+        } else {
+            FIRST_TOKEN_PATIENCE
+        };
+        self.deadline_within(patience)
     }
 }
 
@@ -389,7 +389,7 @@
         SendError::Timeout { .. } => EngineOutcome::Timeout,
         SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
             match detail.code.as_str() {
-                "leaving" | "loading" => EngineOutcome::Leaving,
+                "loading" => EngineOutcome::Loading,
                 _ => EngineOutcome::Busy,
             }
         }
--- a/crates/entry/src/completion/group.rs
+++ b/crates/entry/src/completion/group.rs
@@ -24,8 +24,7 @@
 /// Longest time for all members of a group to grant their shares.
 const RESERVE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Memory that the first member needs beside its share and the answer, in
-/// tokens: the last token of the prompt is computed with the answer.
+/// Memory that the first member needs beside its share, in tokens: the last token of the prompt is computed with the answer.
 const LEADER_EXTRA_TOKENS: u64 = 1;
 
 /// What a group does for one attempt.
@@ -46,27 +45,28 @@
     /// [`SendError`] of the member that refused or failed.
     pub(crate) async fn reserve(&self) -> Result<GroupReservation, SendError> {
         let connections = &self.entry.parts().connections;
-        let shares = shares(self.members, self.request.prompt.max_tokens);
         let deadline = self.request.caller.deadline;
         let until = deadline.min(Instant::now() + RESERVE_TIMEOUT);
-        reserve(connections, &self.id(), &shares, LEASE, until).await
+        reserve(connections, &self.id(), &shares(self.members), LEASE, until).await
     }
 
-    /// Computes the prompt on the members, which must be done by `until`.
+    /// Computes the prompt on the members.
     ///
     /// # Errors
     /// [`SendError`] of the member that failed.
-    pub(crate) async fn compute(&self, until: Instant) -> Result<(), SendError> {
+    pub(crate) async fn compute(&self) -> Result<(), SendError> {
         let connections = &self.entry.parts().connections;
-        let segments = self.members.iter().map(|member| async {
+        let deadline = self.request.caller.deadline;
+        let max_tokens = self.request.prompt.max_tokens;
+        let segments = self.members.iter().enumerate().map(|(index, member)| {
             let segment = Segment {
                 reservation: self.id(),
                 request: self.request.id.clone(),
                 attempt: self.attempt,
-                tokens: member.tokens,
+                tokens: prompt_tokens(index, member, max_tokens),
                 priority: self.priority,
             };
-            compute_segment(connections, &target(member), &segment, until).await
+            async move { compute_segment(connections, &target(member), &segment, deadline).await }
         });
         try_join_all(segments).await?;
         Ok(())
@@ -87,10 +87,16 @@
     }
 }
 
-fn shares(group: &[GroupMember], max_tokens: u32) -> Vec<Share> {
-    let leader_tokens = u64::from(max_tokens) + LEADER_EXTRA_TOKENS;
+/// Tokens of the prompt that a member computes; the first one's share holds the
+/// answer too.
+fn prompt_tokens(index: usize, member: &GroupMember, max_tokens: u32) -> u64 {
+    let answer_tokens = if index == 0 { u64::from(max_tokens) } else { 0 };
+    member.tokens.saturating_sub(answer_tokens).max(1)
+}
+
+fn shares(group: &[GroupMember]) -> Vec<Share> {
     let share = |(index, member): (usize, &GroupMember)| {
-        let extra_tokens = if index == 0 { leader_tokens } else { 0 };
+        let extra_tokens = if index == 0 { LEADER_EXTRA_TOKENS } else { 0 };
         Share {
             target: target(member),
             tokens: member.tokens + extra_tokens,
--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -5,7 +5,8 @@
 use mangofront_settings::ids::InstanceId;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::demand::{Demand, NoEngine};
+use crate::bars::{barred, held_back, kv_tokens, mean_outstanding, needed_tokens};
+use crate::demand::NoEngine;
 use crate::engine::Engine;
 use crate::estimate::{Asked, Terms, seconds, weigh, weigh_share};
 use crate::explain::Verdict;
@@ -16,11 +17,12 @@
 /// Costs that differ by less than this share are not told apart.
 const TIE_SHARE: f64 = 0.02;
 
-/// Costs that differ by less than this are not told apart, in seconds.
+/// Costs that differ by less than this beyond the way to another zone are not
+/// told apart, in seconds.
 const TIE_S: f64 = 0.000_5;
 
-/// Engines' memory is believed up to this many times the typical, either way.
-const KV_BELIEF: u64 = 4;
+/// Work from which engines are taken from the long end, in tokens.
+const FROM_LONG_END_TOKENS: u64 = 32_768;
 
 /// What was decided for a request.
 #[derive(Debug)]
@@ -153,64 +155,43 @@
     }
 }
 
-/// The cheapest of the best rank; among near equals the one with least to do.
+/// The cheapest of the best rank; among near equals one of the prompt's interval
+/// with least to do.
 fn pick_by_cost(model: &Model, usable: &[Weighed], options: &PlacementOptions) -> Option<Weighed> {
     let best_rank = usable.iter().map(Weighed::rank).min()?;
     let of_rank = || usable.iter().filter(|weighed| weighed.rank() == best_rank);
     let costs = of_rank().map(|weighed| weighed.terms.cost_s);
     let least_s = costs.min_by(f64::total_cmp)?;
-    let limit_s = least_s * (1.0 + TIE_SHARE) + TIE_S;
+    let round_trip_s = 2.0 * options.zone_penalty.as_secs_f64();
+    let limit_s = least_s * (1.0 + TIE_SHARE) + TIE_S + round_trip_s;
     of_rank()
         .filter(|weighed| weighed.terms.cost_s <= limit_s)
         .min_by_key(|weighed| {
             let engine = model.order[weighed.index].borrow();
-            let is_elsewhere = engine.info.availability_zone != options.availability_zone;
-            (engine.outstanding(), is_elsewhere, salt(options, &engine))
+            let is_outside = weighed.terms.border_distance > 0.0;
+            let (detour, turn) = turn(weighed, &engine, options);
+            (is_outside, engine.outstanding() + detour, turn)
         })
         .copied()
 }
 
-/// Differs between daemons, so that they don't all take the same of equals.
-fn salt(options: &PlacementOptions, engine: &Engine) -> u64 {
-    xxh3_64(options.daemon.as_bytes()) ^ u64::from(engine.key).wrapping_mul(0x9E37_79B9_7F4A_7C15)
-}
-
-fn barred(engine: &Engine, asked: &Asked<'_>, excluded: &[InstanceId]) -> Option<Verdict> {
-    if engine.is_leaving(asked.now) {
-        Some(Verdict::Leaving)
-    } else if excluded.contains(&engine.info.instance) {
-        Some(Verdict::Excluded)
-    } else if kv_tokens(engine, asked).is_some_and(|kv| needed_tokens(asked.demand) > kv) {
-        Some(Verdict::TooSmall)
-    } else if engine.health.is_ejected() {
-        Some(Verdict::Ejected)
-    } else if engine.health.is_unreachable() {
-        Some(Verdict::Unreachable)
-    } else {
-        None
-    }
-}
-
-/// Whether an engine should get no more for the moment, if others can.
-fn held_back(engine: &Engine, asked: &Asked<'_>, mean_outstanding: f64) -> bool {
-    let health = &engine.health;
-    if health.is_busy(asked.now) {
-        return true;
+/// Order among equals: what to add to the engine's load, and then whose turn it is.
+///
+/// Long work goes from the long end, for all daemons alike, so that the middle
+/// stays clear. Other work goes in another order for each daemon, since they
+/// don't see each other's latest choices, and the way to another zone weighs as
+/// much as one more request.
+fn turn(weighed: &Weighed, engine: &Engine, options: &PlacementOptions) -> (u32, u64) {
+    if weighed.terms.uncached_tokens >= FROM_LONG_END_TOKENS {
+        return (0, u64::MAX - weighed.index as u64);
     }
-    let outstanding = f64::from(engine.own.outstanding());
-    if health.is_probing() {
-        return outstanding >= 1.0;
-    }
-    let share = health.share(asked.now);
-    share < 1.0 && outstanding >= 1.0 + share * mean_outstanding
+    let is_elsewhere = engine.info.availability_zone != options.availability_zone;
+    (u32::from(is_elsewhere), salt(options, engine))
 }
 
-fn mean_outstanding(model: &Model) -> f64 {
-    let engines = model.order.iter();
-    let sum: u32 = engines
-        .map(|engine| engine.borrow().own.outstanding())
-        .sum();
-    f64::from(sum) / model.order.len().max(1) as f64
+/// Differs between daemons, so that they don't all take the same of equals.
+fn salt(options: &PlacementOptions, engine: &Engine) -> u64 {
+    xxh3_64(options.daemon.as_bytes()) ^ u64::from(engine.key).wrapping_mul(0x9E37_79B9_7F4A_7C15)
 }
 
 fn choose_group(model: &Model, asked: &Asked<'_>, weighed: &[Weighed]) -> Result<Choice, NoEngine> {
@@ -272,20 +253,3 @@
         group,
     }
 }
-
-/// Memory that a request takes while it runs, in tokens.
-pub(crate) fn needed_tokens(demand: &Demand) -> u64 {
-    demand
-        .length_tokens
-        .saturating_add(u64::from(demand.max_tokens))
-}
-
-/// An engine's memory as far as it is believed, in tokens.
-fn kv_tokens(engine: &Engine, asked: &Asked<'_>) -> Option<u64> {
-    let reported = engine.kv_total_tokens();
-    let Some(typical) = asked.typical.kv_total_tokens else {
-        return reported;
-    };
-    let reported = reported.unwrap_or(typical);
-    Some(reported.clamp(typical / KV_BELIEF, typical.saturating_mul(KV_BELIEF)))
-}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -10,6 +10,8 @@
 //!
 //! `docs/design/placement.md` tells the ways that were weighed.
 
+mod backlog;
+mod bars;
 mod border;
 mod cache;
 mod choose;
@@ -24,6 +26,7 @@
 mod health;
 mod model;
 mod options;
+mod peer_work;
 mod placed;
 mod placement;
 mod priority;
--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Learned {
     /// Length of the answer as a share of the longest allowed.
     pub(crate) answer_share: Smoothed,
+    /// Delay of short work by less urgent work in progress, in seconds.
+    pub(crate) interference_s: Smoothed,
     /// Measured over predicted time to first token of groups.
     pub(crate) group_stretch: Smoothed,
 }
@@ -132,7 +134,7 @@
         let mut engine = engine.borrow_mut();
         let instance = &engine.info.instance;
         if 2 * (ejected + 1) > staying {
-            log::warn!("placement: {instance} {reason}; kept, as too many are ejected");
+            log::debug!("placement: {instance} {reason}; kept, as too many are ejected");
             return;
         }
         log::warn!("placement: {instance} {reason}; ejected");
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use mangofront_settings::ids::{Incarnation, InstanceId};
 
+use crate::bars::needed_tokens;
 use crate::border::length_class;
-use crate::choose::{Choice, Weighed, choose, needed_tokens, weigh_all};
+use crate::choose::{Choice, Weighed, choose, weigh_all};
 use crate::demand::{Demand, EngineInfo, EngineOutcome, Estimate, GroupMember, NoEngine};
 use crate::estimate::Asked;
 use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus};
@@ -246,6 +247,7 @@
             ahead_share: model.ahead_share(now),
             typical: model.typical,
             answer_tokens: answer_tokens(model, demand),
+            interference_s: model.learned.borrow().interference_s.mean(),
         };
         let weighed = weigh_all(model, &asked, excluded);
         let choice = choose(model, &asked, &weighed, &self.options);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -26,7 +26,9 @@
 mod pause;
 mod platform;
 mod reader;
+mod refusals;
 mod service;
+mod shared;
 mod waiters;
 
 pub use accepted::{AcceptedConfiguration, AcceptedInstances};
--- a/crates/platform/src/pause.rs
+++ b/crates/platform/src/pause.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use crate::document::Kind;
-use crate::platform::Shared;
 use crate::service::Call;
+use crate::shared::Shared;
 use crate::waiters::Waiters;
 
 /// Time between two beats.
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -130,8 +130,8 @@
     Ok(EngineStream::new(target, call, answer, guard))
 }
 
-/// Takes a stream up again at the same engine, from the offset of `call`; the
-/// engine has to answer by `answered_by`.
+/// Takes a stream up again at the same engine, from its next token; the
+/// engine has `until` to answer.
 ///
 /// # Errors
 /// [`SendError`]; refused with 404 when the engine no longer has it.
@@ -140,14 +140,14 @@
     target: &Target,
     stream: &str,
     call: Generate,
-    answered_by: Instant,
+    until: Instant,
 ) -> Result<EngineStream, SendError> {
     let guard = CancelGuard::new(connections, target, &call);
     let path = format!("/v1/streams/{stream}?offset={}", call.resume_offset);
     let request = plain(target, Method::GET, &path, Bytes::new())?;
-    let answer = connections.send(target, request, answered_by).await?;
+    let answer = connections.send(target, request, until).await?;
     if answer.status != StatusCode::OK {
-        return Err(refusal(target, answer, answered_by).await);
+        return Err(refusal(target, answer, until).await);
     }
     Ok(EngineStream::new(target, call, answer, guard))
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -450,12 +450,15 @@
     /// for the fleet's first start.
     pub fn wait_until_orders_run(&self) {
         self.publish("configuration", &self.vouched_configuration());
-        for index in 0..self.daemons.len() {
-            wait_until("orders run", || {
-                let number = self.numbers.fetch_add(1, Ordering::Relaxed);
-                self.order(index, &format!("ready-{number}")).status == 200
-            });
-        }
+        (0..self.daemons.len()).for_each(|index| self.wait_until_order_runs(index));
+    }
+
+    /// Waits until the daemon of `index` runs an order under some new key.
+    pub fn wait_until_order_runs(&self, index: usize) {
+        wait_until("orders run", || {
+            let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+            self.order(index, &format!("ready-{number}")).status == 200
+        });
     }
 
     /// How often each key ran, on all service instances together.
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod not_run;
 mod once;
+mod orders;
 mod requests;
 mod sessions;
 mod stop;
