Prove replacement under load, freezes and a fleet's restart for orders

stop::every_daemon_is_replaced_under_load: three daemons one after the other, six callers and a stream of orders; every request is answered whole, every key has run once and its answer is given again. once:: adds a daemon frozen in mid-run and the restart of the whole fleet (plain key unknown, a UUID minted after the restart runs).

--- a/tests/processes/once.rs
+++ b/tests/processes/once.rs
@@ -1,11 +1,12 @@
 //! Non-repeatable orders run at most once, whatever fails.
 
 use std::thread;
+use std::time::Duration;
 
 use serde_json::Value;
 
 use crate::caller::Answer;
-use crate::fleet::{Fleet, Plan, wait_until};
+use crate::fleet::{Fleet, Plan, unix_ms, wait_until};
 use crate::link::{Mode, ZONES};
 
 /// How often `key` ran, on all instances of the service together.
@@ -78,3 +79,64 @@
     }
     assert_eq!(runs(&fleet, "dead-1"), 1);
 }
+
+/// A UUID of version 7, minted now.
+fn time_stamped_key(number: u64) -> String {
+    let minted = unix_ms();
+    let (high, low) = (minted >> 16, minted & 0xffff);
+    format!("{high:08x}-{low:04x}-7000-8000-{number:012x}")
+}
+
+#[test]
+fn the_daemon_that_runs_it_is_frozen_and_wakes() {
+    let fleet = Fleet::start(Plan::zones(3));
+    fleet.wait_until_orders_run();
+    for service in 0..ZONES {
+        let slow = serde_json::json!({"delay_ms": 500});
+        fleet.service(service).post("/control", &slow);
+    }
+    thread::scope(|scope| {
+        let first = scope.spawn(|| fleet.order(0, "frozen-1"));
+        wait_until("the order runs", || runs(&fleet, "frozen-1") == 1);
+        fleet.daemons[0].signal("STOP");
+        let meanwhile = fleet.order(1, "frozen-1");
+        assert_ne!(meanwhile.outcome().as_deref(), Some("not_run"));
+        fleet.daemons[0].signal("CONT");
+        let first = first.join().expect("an order");
+        assert_ne!(first.outcome().as_deref(), Some("not_run"), "{first:?}");
+    });
+    wait_until("its answer is given everywhere", || {
+        (0..ZONES).all(|daemon| fleet.order(daemon, "frozen-1").status == 200)
+    });
+    assert_eq!(runs(&fleet, "frozen-1"), 1);
+}
+
+#[test]
+fn the_whole_fleet_is_killed_and_started_again() {
+    let mut fleet = Fleet::start(Plan::zones(3));
+    fleet.wait_until_orders_run();
+    assert_eq!(fleet.order(0, "before-1").status, 200);
+    (0..ZONES).for_each(|daemon| fleet.daemons[daemon].kill());
+    for daemon in 0..ZONES {
+        fleet.daemons[daemon] = fleet.start_daemon(daemon);
+    }
+    (0..ZONES).for_each(|daemon| fleet.wait_until_serving(daemon));
+    let mut number = 0;
+    while number < 200 {
+        number += 1;
+        let key = time_stamped_key(number);
+        let answer = fleet.order(0, &key);
+        assert!(runs(&fleet, &key) <= 1);
+        if answer.status == 200 {
+            break;
+        }
+        assert_eq!(runs(&fleet, &key), 0, "{answer:?}");
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert!(number < 200, "a key minted after the start runs");
+    for daemon in 0..ZONES {
+        let again = fleet.order(daemon, "before-1");
+        assert_eq!(again.outcome().as_deref(), Some("unknown"), "{again:?}");
+    }
+    assert_eq!(runs(&fleet, "before-1"), 1);
+}
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -1,10 +1,15 @@
 //! A planned stop of a daemon cuts off nothing.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
-use crate::fleet::{Fleet, Plan, wait_until};
+use crate::caller::Answer;
+use crate::fleet::{Fleet, PATIENCE, Plan, wait_until};
+use crate::link::ZONES;
+use crate::requests::{COMPLETIONS, answer_text, question};
 
 #[test]
 fn a_stream_in_progress_is_finished() {
@@ -32,3 +37,87 @@
     assert!(answer.body.ends_with("data: [DONE]\n\n"));
     assert_eq!(fleet.daemons[0].exit_code(), Some(0));
 }
+
+/// Sends to one daemon after the other until one takes the work.
+fn send_anywhere(first: usize, send: impl Fn(usize) -> Answer) -> Answer {
+    let started = Instant::now();
+    for daemon in first.. {
+        let answer = send(daemon % ZONES);
+        let is_stopping = answer.json()["error"]["code"] == "stopping";
+        if answer.connected && !is_stopping {
+            return answer;
+        }
+        assert!(started.elapsed() < PATIENCE, "no daemon takes the work");
+        thread::sleep(Duration::from_millis(5));
+    }
+    unreachable!("daemons are asked without end")
+}
+
+/// Sends requests until told to stop; each is answered whole.
+fn ask_until(fleet: &Fleet, nth: usize, done: &AtomicBool) -> usize {
+    let mut answered = 0;
+    while !done.load(Ordering::Relaxed) {
+        let body = question(&format!("{nth}-{answered}"), 30, answered % 2 == 0);
+        let answer = send_anywhere(nth + answered, |daemon| {
+            fleet.caller(daemon).post(COMPLETIONS, &body)
+        });
+        assert!(answer.is_complete(), "{answer:?}");
+        assert_eq!(answer.text(), answer_text(&body));
+        answered += 1;
+    }
+    answered
+}
+
+/// Sends orders until told to stop; the keys of all.
+fn order_until(fleet: &Fleet, done: &AtomicBool) -> Vec<String> {
+    let mut keys = Vec::new();
+    while !done.load(Ordering::Relaxed) {
+        let key = format!("rolling-{}", keys.len());
+        let first = keys.len();
+        wait_until("the order is answered", || {
+            let answer = send_anywhere(first, |daemon| fleet.order(daemon, &key));
+            // A fresh voter that learns leaves a moment without a majority.
+            answer.status == 200
+        });
+        keys.push(key);
+    }
+    keys
+}
+
+#[test]
+fn every_daemon_is_replaced_under_load() {
+    let mut plan = Plan::zones(ZONES);
+    plan.apart = false;
+    for engine in &mut plan.engines {
+        engine["time_scale"] = json!(0.2);
+    }
+    let mut fleet = Fleet::start(plan);
+    fleet.wait_until_orders_run();
+    let mut daemons = std::mem::take(&mut fleet.daemons);
+    let done = AtomicBool::new(false);
+    let keys = thread::scope(|scope| {
+        let (fleet, done) = (&fleet, &done);
+        let asking: Vec<_> = (0..6)
+            .map(|nth| scope.spawn(move || ask_until(fleet, nth, done)))
+            .collect();
+        let ordering = scope.spawn(move || order_until(fleet, done));
+        for (index, daemon) in daemons.iter_mut().enumerate() {
+            daemon.signal("TERM");
+            assert_eq!(daemon.exit_code(), Some(0));
+            *daemon = fleet.start_daemon(index);
+            fleet.wait_until_serving(index);
+            fleet.wait_until_order_runs(index);
+        }
+        done.store(true, Ordering::Relaxed);
+        for one in asking {
+            assert!(one.join().expect("requests are answered") > 0);
+        }
+        ordering.join().expect("orders are answered")
+    });
+    fleet.daemons = daemons;
+    let runs = fleet.runs();
+    for (nth, key) in keys.iter().enumerate() {
+        assert_eq!(fleet.order(nth % ZONES, key).status, 200, "{key}");
+        assert_eq!(runs.get(key), Some(&1), "{key}");
+    }
+}
