--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -15,7 +15,7 @@
 use mangofront_telemetry::invariants::{Invariant, check};
 use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
 use mangofront_upstream::reservation::GroupReservation;
-use mangofront_upstream::{SendError, Target};
+use mangofront_upstream::{SendError, Step, Target};
 
 use super::{CompletionRequest, group};
 use crate::context::Entry;
@@ -146,31 +146,32 @@
 
     /// Starts an attempt; `None` when it failed and another may be made.
     async fn begin(&mut self) -> Result<Option<Running>, EntryError> {
-        let placement = &self.entry.parts().placement;
-        let placed = placement
+        let parts = self.entry.parts();
+        parts.platform.refreshed().await;
+        let placed = parts
+            .placement
             .place(&self.request.demand, &self.excluded)
             .map_err(|_none| self.no_engine())?;
         self.made += 1;
         match self.start(placed).await {
-            Ok(running) => {
-                self.may_have_run = true;
-                return Ok(Some(running));
-            }
+            Ok(running) => return Ok(Some(running)),
             Err(error) if group::is_full(&error) => self.wait_for_group().await?,
             Err(error) => self.give_up_or_retry(error).await?,
         }
         Ok(None)
     }
 
-    async fn start(&self, placed: Placed) -> Result<Running, SendError> {
-        let reservation = group::prepare(&self.entry, &self.request, self.made, &placed).await?;
+    async fn start(&mut self, placed: Placed) -> Result<Running, SendError> {
+        let reservation = self.prepare_group(&placed).await?;
         let call = self.call(&placed, reservation.as_ref());
         let target = Target {
             instance: placed.instance.clone(),
             address: placed.address,
         };
         let connections = &self.entry.parts().connections;
-        let stream = engine::generate(connections, &target, call.clone()).await?;
+        let queued_by = self.deadline_within(FIRST_TOKEN_PATIENCE);
+        let stream = engine::generate(connections, &target, call.clone(), queued_by).await?;
+        self.may_have_run = true;
         Ok(Running {
             placed,
             _reservation: reservation,
@@ -182,6 +183,27 @@
         })
     }
 
+    /// Memory and prefill on a group, when the prompt needs one.
+    async fn prepare_group(
+        &mut self,
+        placed: &Placed,
+    ) -> Result<Option<GroupReservation>, SendError> {
+        let Some(members) = &placed.group else {
+            return Ok(None);
+        };
+        let group = group::Preparation {
+            entry: &self.entry,
+            request: &self.request,
+            attempt: self.made,
+            members,
+            priority: placed.priority,
+        };
+        let reservation = group.reserve().await?;
+        self.may_have_run = true;
+        group.compute().await?;
+        Ok(Some(reservation))
+    }
+
     fn call(&self, placed: &Placed, reservation: Option<&GroupReservation>) -> Generate {
         Generate {
             endpoint: self.request.endpoint,
@@ -242,11 +264,7 @@
         };
         self.check_deadline()?;
         running.call.resume_offset = self.next_offset;
-        let until = self
-            .request
-            .caller
-            .deadline
-            .min(Instant::now() + RESUME_PATIENCE);
+        let until = self.deadline_within(RESUME_PATIENCE);
         let connections = &self.entry.parts().connections;
         let call = running.call.clone();
         match engine::resume(connections, &running.target, &stream_id, call, until).await {
@@ -280,13 +298,11 @@
         self.check_deadline()?;
         self.failed += 1;
         let parts = self.entry.parts();
-        parts
-            .placement
-            .outcome(error.peer(), engine_outcome(&error));
+        let outcome = engine_outcome(&error);
+        parts.placement.outcome(error.peer(), outcome);
         parts.metrics.upstream_error(error.step_name());
         self.excluded.push(error.peer().clone());
-        let allowed = self.failed < ATTEMPTS_LIMIT && parts.admission.retry_budget().try_take();
-        if !allowed {
+        if self.failed >= ATTEMPTS_LIMIT || !self.may_retry(outcome) {
             return Err(EntryError::AttemptsFailed {
                 attempts: self.made,
                 last: self.settle(error),
@@ -298,6 +314,16 @@
         Ok(())
     }
 
+    /// Whether the retry budget allows another attempt.
+    ///
+    /// It is not asked where an attempt put no load on anyone, nor for an
+    /// answer that has begun: those are no more than the streams in progress,
+    /// and giving them up would waste what was computed.
+    fn may_retry(&self, outcome: EngineOutcome) -> bool {
+        let is_free = outcome == EngineOutcome::Unreachable || self.next_offset > 0;
+        is_free || self.entry.parts().admission.retry_budget().try_take()
+    }
+
     /// Error of the last attempt, telling also of the earlier ones.
     ///
     /// The request may say not run only if none of its attempts may have run.
@@ -315,6 +341,7 @@
     fn no_engine(&self) -> EntryError {
         EntryError::NoUpstream {
             kind: "engine",
+            outcome: self.outcome(),
             retry_after: RETRY_AFTER_NO_ENGINE,
         }
     }
@@ -323,12 +350,22 @@
         if Instant::now() < self.request.caller.deadline {
             return Ok(());
         }
-        let outcome = if self.may_have_run {
+        let outcome = self.outcome();
+        Err(EntryError::DeadlineExceeded { outcome })
+    }
+
+    /// What is known of the work if the request ends now without its answer.
+    fn outcome(&self) -> Outcome {
+        if self.may_have_run {
             Outcome::Failed
         } else {
             Outcome::NotRun
-        };
-        Err(EntryError::DeadlineExceeded { outcome })
+        }
+    }
+
+    /// The end of `time` from now, within the class's time.
+    fn deadline_within(&self, time: Duration) -> Instant {
+        self.request.caller.deadline.min(Instant::now() + time)
     }
 
     /// Until when the open attempt may stay silent before its engine is probed.
@@ -338,18 +375,21 @@
         } else {
             FIRST_TOKEN_PATIENCE
         };
-        self.request.caller.deadline.min(Instant::now() + patience)
+        self.deadline_within(patience)
     }
 }
 
 fn engine_outcome(error: &SendError) -> EngineOutcome {
     match error {
+        SendError::Broken { step, .. } | SendError::Timeout { step, .. }
+            if *step == Step::Connect =>
+        {
+            EngineOutcome::Unreachable
+        }
         SendError::Timeout { .. } => EngineOutcome::Timeout,
-        SendError::Refused { detail, .. } if detail.code == "leaving" => EngineOutcome::Leaving,
         SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
             match detail.code.as_str() {
                 "loading" => EngineOutcome::Loading,
-                "leaving" => EngineOutcome::Leaving,
                 _ => EngineOutcome::Busy,
             }
         }
--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -1,6 +1,7 @@
 //! The handle that the rest of the process holds.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use compio::runtime::JoinHandle;
 use mangofront_http::ClientError;
@@ -67,6 +68,18 @@
         floor.held().map(|held| Rc::clone(&held.accepted))
     }
 
+    /// Waits until what is in force can be used: at once, unless the process was
+    /// paused; then until the service was read anew, a second at most.
+    pub async fn refreshed(&self) {
+        self.0.shared.pauses.refreshed().await;
+    }
+
+    /// When the process last went on after a pause of more than a second.
+    #[must_use]
+    pub fn woke_at(&self) -> Option<Instant> {
+        self.0.shared.pauses.woke_at()
+    }
+
     /// Revisions in force, to be given to [`Self::changed`].
     #[must_use]
     pub fn seen(&self) -> Seen {
--- a/crates/platform/src/shared.rs
+++ b/crates/platform/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::floor::{Floor, Verdict};
 use crate::health::{Contact, DocumentHealth, PlatformHealth, millis};
 use crate::options::PlatformOptions;
+use crate::pause::Pauses;
 use crate::platform::Seen;
 use crate::service::Answer;
 use crate::waiters::Waiters;
@@ -25,6 +26,7 @@
     pub(crate) options: PlatformOptions,
     pub(crate) client: cyper::Client,
     pub(crate) contact: RefCell<Contact>,
+    pub(crate) pauses: Pauses,
     pub(crate) watching: Cell<bool>,
     pub(crate) watching_changed: Waiters,
     pub(crate) configuration: RefCell<Floor<AcceptedConfiguration>>,
@@ -39,6 +41,7 @@
         Self {
             client,
             contact: RefCell::default(),
+            pauses: Pauses::new(),
             watching: Cell::new(options.watching),
             watching_changed: Waiters::default(),
             configuration: RefCell::new(Floor::new(Kind::Configuration)),
--- a/tests/processes/orders.rs
+++ b/tests/processes/orders.rs
@@ -80,7 +80,7 @@
     let mut published = configuration();
     published["models"]["assist-llm"] = json!({"version": VERSION, "fencing": "checked"});
     let path = "/control/configuration";
-    let answer = fleet.platform_control().put(path, &published);
+    let answer = fleet.platform(0).put(path, &published);
     assert!((200..300).contains(&answer.status), "{}", answer.body);
 }
 
