--- a/crates/daemon/src/feeds.rs
+++ b/crates/daemon/src/feeds.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use mangofront_placement::EngineInfo;
+use mangofront_platform::Seen;
 use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
+use mangofront_telemetry::invariants::{Invariant, check};
 
 use crate::engines::EngineTasks;
 use crate::membership;
@@ -14,13 +16,25 @@
 pub(crate) async fn follow_platform(parts: Parts) {
     let engines = EngineTasks::new(parts.clone());
     let mut seen = parts.platform.seen();
+    let mut in_force = Seen::default();
     loop {
+        check_floor(&mut in_force, &parts);
         pass_on_configuration(&parts);
         pass_on_instances(&parts, &engines);
         seen = parts.platform.changed(seen).await;
     }
 }
 
+/// Checks that nothing in force was replaced by an older revision.
+fn check_floor(in_force: &mut Seen, parts: &Parts) {
+    let now = parts.platform.seen();
+    let holds = now.configuration >= in_force.configuration && now.instances >= in_force.instances;
+    check(Invariant::ConfigurationFloor, holds, || {
+        format!("{in_force:?} was replaced by {now:?}")
+    });
+    *in_force = now;
+}
+
 fn pass_on_configuration(parts: &Parts) {
     if let Some(accepted) = parts.platform.configuration() {
         parts.admission.set_classes(&accepted.configuration.classes);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,9 +6,11 @@
 use compio::net::TcpListener;
 use compio::runtime::{JoinHandle, spawn};
 use futures_util::FutureExt;
+use mangofront_audit::AuditEvent;
 use mangofront_http::{ServeLimits, Shutdown, serve};
 use mangofront_placement::Policy;
 use mangofront_settings::process::DaemonSettings;
+use mangofront_telemetry::invariants::{Invariant, check};
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
@@ -80,18 +82,33 @@
 /// Refuses new work and waits until every request in progress has ended.
 async fn drain(parts: &Parts) {
     let started = Instant::now();
-    log::info!("daemon: draining {} requests", parts.entry.in_progress());
+    parts.audit.record(AuditEvent::DrainStarted {
+        in_flight_requests: parts.entry.in_progress() as u64,
+    });
     parts.entry.stop(RETRY_AFTER_STOP);
-    while parts.entry.in_progress() > 0 {
-        if stop_limit(parts).is_some_and(|limit| started.elapsed() >= limit) {
-            log::warn!(
-                "daemon: stop limit reached with {} requests",
-                parts.entry.in_progress()
-            );
-            return;
-        }
+    let limit = stop_limit(parts);
+    while parts.entry.in_progress() > 0 && limit.is_none_or(|limit| started.elapsed() < limit) {
         compio::time::sleep(DRAIN_PAUSE).await;
     }
+    let cut_requests = parts.entry.in_progress() as u64;
+    check(Invariant::StopCutsNothing, cut_requests == 0, || {
+        format!("the stop limit cut off {cut_requests} requests")
+    });
+    check_memory_returned(parts, cut_requests);
+    parts.audit.record(AuditEvent::DrainFinished {
+        cut_requests,
+        took_ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+    });
+}
+
+/// Checks that no request's place at an engine outlived the request.
+fn check_memory_returned(parts: &Parts, cut_requests: u64) {
+    let engines = parts.placement.status().engines;
+    let held: u32 = engines.iter().map(|engine| engine.outstanding).sum();
+    let holds = u64::from(held) <= cut_requests;
+    check(Invariant::MemoryReturned, holds, || {
+        format!("{held} requests still count at engines")
+    });
 }
 
 /// Longest drain: as set, else the longest time of any class.
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -12,12 +12,11 @@
 use mangofront_http::Outcome;
 use mangofront_placement::{EngineOutcome, Placed};
 use mangofront_settings::ids::InstanceId;
-use mangofront_telemetry::invariants::{Invariant, check};
 use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
 use mangofront_upstream::reservation::GroupReservation;
 use mangofront_upstream::{SendError, Step, Target};
 
-use super::{CompletionRequest, group};
+use super::{CompletionRequest, checks, group};
 use crate::context::Entry;
 use crate::error::EntryError;
 use crate::progress::InProgress;
@@ -122,6 +121,14 @@
     /// # Errors
     /// The class's time is over, or no further attempt is allowed.
     pub(crate) async fn next(&mut self) -> Result<Frame, EntryError> {
+        let next = self.advance().await;
+        if let Err(error) = &next {
+            checks::not_run_is_true(&self.request, error, self.may_have_run);
+        }
+        next
+    }
+
+    async fn advance(&mut self) -> Result<Frame, EntryError> {
         loop {
             self.check_deadline()?;
             let mut running = match self.running.take() {
@@ -162,6 +169,7 @@
     }
 
     async fn start(&mut self, placed: Placed) -> Result<Running, SendError> {
+        checks::not_leaving(&self.entry, &placed.instance);
         let reservation = self.prepare_group(&placed).await?;
         let call = self.call(&placed, reservation.as_ref());
         let target = Target {
@@ -218,11 +226,7 @@
     }
 
     fn accept(&mut self, running: &mut Running, frame: &Frame) {
-        let own = frame.request == self.request.id && frame.offset == self.next_offset;
-        check(Invariant::OwnAnswerOnly, own, || {
-            let (request, offset) = (&frame.request, frame.offset);
-            format!("token {offset} of {request} came for {}", self.request.id)
-        });
+        checks::own_token(&self.request, frame, self.next_offset);
         self.next_offset = frame.offset + 1;
         if running.first_token_seen {
             running.generated_tokens += 1;
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempts;
+mod checks;
 mod group;
 mod relay;
 
--- a/crates/entry/src/service/order.rs
+++ b/crates/entry/src/service/order.rs
@@ -15,6 +15,7 @@
     Answer, Decision, Fingerprint, NotRunReason, Order, OrderError, RunOutcome, RunPermit,
     StoredBody,
 };
+use mangofront_telemetry::invariants::{Invariant, check};
 use mangofront_upstream::Opened;
 use mangofront_upstream::service::{ServiceAnswer, call_once};
 
@@ -64,7 +65,12 @@
     };
     let once = &entry.parts().once;
     let run = |permit| run(entry, service_call, permit);
-    once.execute(order, service_call.caller.deadline, run).await
+    let decision = once.execute(order, service_call.caller.deadline, run).await;
+    let violations = once.counters().violations;
+    check(Invariant::AtMostOnce, violations == 0, || {
+        format!("{violations} claims were used beyond their one run")
+    });
+    decision
 }
 
 /// Digest of what the key stands for: the same key may name no other call.
