--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -89,6 +89,12 @@
         self.child.wait().expect("the process can be waited for");
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait();
+        status.expect("the process can be waited for").is_some()
+    }
+
     /// Waits for the process to end by itself; its exit code.
     pub fn exit_code(&mut self) -> Option<i32> {
         let started = Instant::now();
@@ -518,7 +524,7 @@
 impl Fleet {
     /// Shows what the daemons logged, for a test that failed.
     fn print_logs(&self) {
-        for index in 0..self.daemons.len() {
+        for index in 0..self.plan.daemons {
             let path = self.folder.join(format!("entry-{index}.log"));
             let log = fs::read_to_string(path).unwrap_or_default();
             eprintln!("--- log of entry-{index}\n{log}");
--- a/tests/processes/frozen.rs
+++ b/tests/processes/frozen.rs
@@ -101,6 +101,28 @@
     fleet.wait_until_memory_is_free();
 }
 
+#[test]
+fn engines_become_too_slow_for_the_class() {
+    let limit = Duration::from_secs(4);
+    let fleet = fleet_with_limit(limit, 0.2);
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| ask_at_once(&fleet, 4, 150));
+        wait_until("answers have begun", || {
+            fleet.engines_counter("tokens") > 10
+        });
+        for engine in 0..2 {
+            let slow = json!({"slow_factor": 1000.0});
+            fleet.engine(engine).post("/control", &slow);
+        }
+        let (answers, longest) = asking.join().expect("answers");
+        assert!(longest < limit + SLACK, "{longest:?}");
+        for answer in &answers {
+            let outcome = answer.outcome();
+            assert_eq!(outcome.as_deref(), Some("failed"), "{answer:?}");
+        }
+    });
+}
+
 #[test]
 fn a_caller_that_stops_reading() {
     let fleet = fleet_with_limit(Duration::from_secs(10), 0.0005);
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -17,4 +17,5 @@
 mod orders;
 mod requests;
 mod sessions;
+mod soak;
 mod stop;
