--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -42,8 +42,8 @@
                      [--organisation O] [--json]
       Shows where a prompt of N tokens would go, and why, without running it.
   mangofront standin engine|service|platform|weights --address ADDR
-                     [--settings FILE] [--set NAME=VALUE]...
-      Runs an emulator until SIGTERM or SIGINT. A VALUE is JSON, or else a
+                     [--count N] [--settings FILE] [--set NAME=VALUE]...
+      Runs an emulator until SIGTERM or SIGINT, or N alike on consecutive ports. A VALUE is JSON, or else a
       string; @FILE stands for the JSON in FILE. A NAME with dots goes down
       into sections.
   mangofront load ...
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -5,7 +5,7 @@
 use std::pin::pin;
 
 use compio::net::TcpListener;
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, join_all, select};
 use mangofront_http::Shutdown;
 use mangofront_settings::check::parse_value;
 use mangofront_settings::process::LogSettings;
@@ -25,6 +25,7 @@
 const SIGTERM: i32 = 15;
 
 /// An emulator with its settings.
+#[derive(Clone)]
 enum Standin {
     Engine(engine::EngineSettings),
     Service(service::ServiceSettings),
@@ -35,6 +36,7 @@
 pub(crate) fn run(mut arguments: Arguments) -> Result<(), CliError> {
     let kind = arguments.subcommand()?;
     let address: SocketAddr = arguments.value_from_str("--address")?;
+    let count: u16 = arguments.opt_value_from_str("--count")?.unwrap_or(1);
     let file: Option<PathBuf> = arguments.opt_value_from_os_str("--settings", to_path)?;
     let changes: Vec<String> = arguments.values_from_str("--set")?;
     finish(arguments)?;
@@ -50,20 +52,25 @@
         }
     };
     mangofront_telemetry::logs::init(&LogSettings::default())?;
-    block_on(serve(standin, address))
+    block_on(serve(standin, address, count))
 }
 
-async fn serve(standin: Standin, address: SocketAddr) -> Result<(), CliError> {
-    let listen = |cause| CliError::Listen { address, cause };
-    let listener = TcpListener::bind(address).await.map_err(listen)?;
-    let bound = listener.local_addr().map_err(listen)?;
+/// Serves `count` emulators of the same settings on consecutive ports.
+async fn serve(standin: Standin, address: SocketAddr, count: u16) -> Result<(), CliError> {
+    let listeners = listen(address, count).await?;
     let (trigger, shutdown) = Shutdown::new();
     let mut stop = pin!(stop_signal());
     // The first poll takes the signals over, so that none is missed once the
     // line below tells that the process is up.
     let _ = futures_util::poll!(stop.as_mut());
-    output::print(&format!("listening on {bound}\n"))?;
-    let serving = pin!(standin.run(listener, shutdown));
+    for listener in &listeners {
+        let bound = listener.local_addr();
+        let bound = bound.map_err(|cause| CliError::Listen { address, cause })?;
+        output::print(&format!("listening on {bound}\n"))?;
+    }
+    let each = listeners.into_iter();
+    let serving = join_all(each.map(|listener| standin.clone().run(listener, shutdown.clone())));
+    let serving = pin!(serving);
     if let Either::Left((_, serving)) = select(stop, serving).await {
         trigger.trigger();
         serving.await;
@@ -71,6 +78,20 @@
     Ok(())
 }
 
+async fn listen(first: SocketAddr, count: u16) -> Result<Vec<TcpListener>, CliError> {
+    let mut listeners = Vec::with_capacity(count.into());
+    for offset in 0..count {
+        let mut address = first;
+        // Port 0 asks for any free port, each time.
+        if first.port() != 0 {
+            address.set_port(first.port().saturating_add(offset));
+        }
+        let bound = TcpListener::bind(address).await;
+        listeners.push(bound.map_err(|cause| CliError::Listen { address, cause })?);
+    }
+    Ok(listeners)
+}
+
 /// Ends with the first SIGTERM or SIGINT; a second one then ends the process.
 async fn stop_signal() {
     use compio::signal::unix::signal;
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -2,8 +2,10 @@
 
 use mangofront_admission::AdmissionStatus;
 use mangofront_orders::OrdersStatus;
+use mangofront_peers::Traffic;
 use mangofront_placement::PlacementStatus;
 use mangofront_platform::PlatformHealth;
+use mangofront_upstream::ControlTraffic;
 use serde::Serialize;
 
 use crate::parts::Parts;
@@ -16,6 +18,8 @@
     admission: AdmissionStatus,
     placement: PlacementStatus,
     orders: OrdersStatus,
+    peers: PeersStatus,
+    engine_calls: TrafficStatus,
 }
 
 #[derive(Debug, Serialize)]
@@ -28,6 +32,45 @@
     requests_in_progress: usize,
 }
 
+/// Links to other daemons.
+#[derive(Debug, Serialize)]
+struct PeersStatus {
+    members: usize,
+    alive: usize,
+    gossip: TrafficStatus,
+    calls: TrafficStatus,
+    heartbeats_missed: u64,
+    resyncs: u64,
+}
+
+/// Messages or calls, and their bytes, since the start.
+#[derive(Debug, Serialize)]
+struct TrafficStatus {
+    messages: u64,
+    bytes_sent: u64,
+    bytes_received: u64,
+}
+
+impl From<Traffic> for TrafficStatus {
+    fn from(traffic: Traffic) -> Self {
+        Self {
+            messages: traffic.messages_sent + traffic.messages_received,
+            bytes_sent: traffic.bytes_sent,
+            bytes_received: traffic.bytes_received,
+        }
+    }
+}
+
+impl From<ControlTraffic> for TrafficStatus {
+    fn from(traffic: ControlTraffic) -> Self {
+        Self {
+            messages: traffic.calls,
+            bytes_sent: traffic.bytes_sent,
+            bytes_received: traffic.bytes_received,
+        }
+    }
+}
+
 /// Status of the daemon now.
 pub(crate) fn status(parts: &Parts) -> Status {
     Status {
@@ -43,5 +86,21 @@
         admission: parts.admission.status(),
         placement: parts.placement.status(),
         orders: parts.orders.status(),
+        peers: peers_status(parts),
+        engine_calls: parts.connections.control_traffic().into(),
+    }
+}
+
+fn peers_status(parts: &Parts) -> PeersStatus {
+    let members = parts.peers.members();
+    let alive = members.iter().filter(|member| member.state.answers());
+    let counters = parts.peers.counters();
+    PeersStatus {
+        members: members.len(),
+        alive: alive.count(),
+        gossip: counters.gossip.into(),
+        calls: counters.calls.into(),
+        heartbeats_missed: counters.heartbeats_missed,
+        resyncs: counters.resyncs,
     }
 }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -6,7 +6,7 @@
 //! may not repeat never take a used connection, because a connection closed by
 //! its other end in the same moment would leave it open whether they ran.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +23,7 @@
 
 use crate::Target;
 use crate::error::{SendError, Step};
+use crate::traffic::ControlTraffic;
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -55,6 +56,7 @@
 struct Shared {
     options: ConnectionsOptions,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    control: Cell<ControlTraffic>,
 }
 
 #[derive(Debug)]
@@ -70,6 +72,7 @@
         Self(Rc::new(Shared {
             options,
             idle: RefCell::default(),
+            control: Cell::default(),
         }))
     }
 
@@ -188,6 +191,17 @@
         }
     }
 
+    /// Short calls to engines since the start: reports, orders and cancels.
+    #[must_use]
+    pub fn control_traffic(&self) -> ControlTraffic {
+        self.0.control.get()
+    }
+
+    /// Adds a short call to the counts.
+    pub(crate) fn count_control(&self, call: ControlTraffic) {
+        self.0.control.set(self.0.control.get() + call);
+    }
+
     /// Closes the unused connections to addresses that `keep` does not name.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.0.idle.borrow_mut().retain(|address, _| keep(address));
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -19,6 +19,7 @@
 use crate::Target;
 use crate::connection::{Answer, Connections, within};
 use crate::error::{SendError, Step};
+use crate::traffic::{ControlTraffic, answer_head_bytes, request_bytes};
 
 /// Id of a request, unique in the fleet.
 pub type RequestId = String;
@@ -191,12 +192,23 @@
     body: Option<Bytes>,
     deadline: Instant,
 ) -> Result<Option<T>, SendError> {
-    let request = plain(target, method, path, body.unwrap_or_default())?;
+    let body = body.unwrap_or_default();
+    let body_bytes = body.len();
+    let request = plain(target, method, path, body)?;
+    let bytes_sent = request_bytes(&request, body_bytes);
     let answer = connections.send(target, request, deadline).await?;
+    let mut traffic = ControlTraffic {
+        calls: 1,
+        bytes_sent,
+        bytes_received: answer_head_bytes(answer.status, &answer.headers),
+    };
     if !answer.status.is_success() {
+        connections.count_control(traffic);
         return Err(refusal(target, answer, deadline).await);
     }
     let content = answer.bytes(REPORT_LIMIT_BYTES, deadline).await?;
+    traffic.bytes_received += content.len() as u64;
+    connections.count_control(traffic);
     if content.is_empty() {
         return Ok(None);
     }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,9 +11,11 @@
 mod error;
 pub mod reservation;
 pub mod service;
+mod traffic;
 
 pub use connection::{Answer, Connections, ConnectionsOptions, Opened};
 pub use error::{SendError, Step};
+pub use traffic::ControlTraffic;
 
 use std::net::SocketAddr;
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -380,3 +380,27 @@
     assert_eq!(instances["value"], serde_json::json!({"instances": []}));
     assert_eq!(standin.stop("-INT"), Some(0));
 }
+
+#[test]
+fn one_process_serves_many_standins() {
+    let mut child = Command::new(TOOL)
+        .args(["standin", "engine", "--address", "127.0.0.1:0"])
+        .args(["--count", "3"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the tool runs");
+    let output = BufReader::new(child.stdout.take().expect("piped"));
+    let lines: Vec<String> = output.lines().take(3).map_while(Result::ok).collect();
+    let mut standin = Standin {
+        child,
+        address: String::new(),
+    };
+    for line in &lines {
+        let address = line.strip_prefix("listening on ").expect("the address");
+        address.clone_into(&mut standin.address);
+        let answer = standin.get("/v1/health");
+        assert!(answer.starts_with("HTTP/1.1 204"), "{answer}");
+    }
+    assert_eq!(lines.len(), 3);
+    assert_eq!(standin.stop("-TERM"), Some(0));
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,6 +5,7 @@
 //! asserts a duration.
 
 mod caller;
+mod control;
 mod fleet;
 mod orders;
 mod sessions;
