Let a few daemons of a zone watch the platform; pace the reading of loads

Cause: every daemon held both watches, though set_watching exists and the platform's budget is for the whole fleet; and every daemon read every engine of its region each 500 ms, however many there are.

Change: Peers::is_delegate draws, by rendezvous over the alive members of a zone, who takes on a duty; three watch, the rest learn by relay and by plain reads. Zones of three daemons and fewer, as today's users have, keep all watches. A daemon whose view is not fresh watches by itself. Load reads are held to 100 a second for a daemon up to 3 s between two reads of an engine: nothing changes up to 50 engines.

Weighed: one watcher a zone (a frozen one would delay a change until it is suspected); a longer cap (a leaving engine must be seen within seconds).

--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -1,7 +1,8 @@
 //! One task per engine: its load reports and its cache events.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::runtime::JoinHandle;
@@ -11,9 +12,17 @@
 
 use crate::parts::Parts;
 
-/// Time between two reads of an engine's load.
+/// Time between two reads of an engine's load, in a small region.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time between two reads of an engine's load: one that is leaving
+/// gets no new work after a few seconds, also while the platform's list lags.
+const LOAD_INTERVAL_CAP: Duration = Duration::from_secs(3);
+
+/// Share of time that reads of all engines leave to each: a hundred reads a
+/// second while the cap allows.
+const LOAD_INTERVAL_PER_ENGINE: Duration = Duration::from_millis(10);
+
 /// Time for an engine to answer a read of its load or cache.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -31,6 +40,8 @@
 pub(crate) struct EngineTasks {
     parts: Parts,
     running: RefCell<HashMap<InstanceId, EngineTask>>,
+    /// Number of engines that are followed, for the pace of reads.
+    followed: Rc<Cell<u32>>,
 }
 
 #[derive(Debug)]
@@ -46,11 +57,14 @@
         Self {
             parts,
             running: RefCell::default(),
+            followed: Rc::default(),
         }
     }
 
     /// Starts tasks of new engines and ends those of engines no longer listed.
     pub(crate) fn set(&self, listed: &[EngineInfo]) {
+        let count = u32::try_from(listed.len()).unwrap_or(u32::MAX);
+        self.followed.set(count);
         let mut running = self.running.borrow_mut();
         running.retain(|instance, task| {
             listed
@@ -69,7 +83,11 @@
             instance: engine.instance.clone(),
             address: engine.address,
         };
-        let load = compio::runtime::spawn(follow_load(self.parts.clone(), target.clone()));
+        let load = compio::runtime::spawn(follow_load(
+            self.parts.clone(),
+            target.clone(),
+            Rc::clone(&self.followed),
+        ));
         let cache = compio::runtime::spawn(follow_cache(self.parts.clone(), target.clone()));
         EngineTask {
             target,
@@ -79,7 +97,12 @@
     }
 }
 
-async fn follow_load(parts: Parts, target: Target) {
+/// Pause between two reads of one engine's load among `engines`.
+fn load_interval(engines: u32) -> Duration {
+    (LOAD_INTERVAL_PER_ENGINE * engines).clamp(LOAD_INTERVAL, LOAD_INTERVAL_CAP)
+}
+
+async fn follow_load(parts: Parts, target: Target, followed: Rc<Cell<u32>>) {
     loop {
         match read::<LoadReport>(&parts, &target, "/v1/load", REPORT_TIMEOUT).await {
             Ok(Some(report)) => parts.placement.report(&target.instance, report),
@@ -89,7 +112,7 @@
                 parts.placement.report_failed(&target.instance);
             }
         }
-        compio::time::sleep(LOAD_INTERVAL).await;
+        compio::time::sleep(load_interval(followed.get())).await;
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod status;
 mod views;
+mod watchers;
 
 pub use error::DaemonError;
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, feeds, orders, relay, views};
+use crate::{admin, feeds, orders, relay, views, watchers};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -68,6 +68,11 @@
     let own = parts.settings.instance.clone();
     vec![
         spawn(feeds::follow_platform(parts.clone())),
+        spawn(watchers::follow(
+            platform.clone(),
+            peers.clone(),
+            parts.settings.peers.heartbeat(),
+        )),
         spawn(relay::publish(platform.clone(), peers.clone())),
         spawn(relay::fetch(platform.clone(), peers.clone())),
         spawn(views::publish(placement.clone(), peers.clone())),
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -19,7 +19,9 @@
 use crate::options::PeersOptions;
 use crate::publication::{PUBLICATION_LIMIT_BYTES, PublishError, Subscription, Topic};
 use crate::serve;
+
 use crate::state::{Shared, State};
+use crate::topology;
 use crate::transport::Server;
 use crate::wire::Publication;
 
@@ -147,6 +149,21 @@
         self.shared.state.borrow().view_fresh(Instant::now())
     }
 
+    /// Whether this daemon is one of the `count` of its availability zone that
+    /// take on `duty` for the others, by rendezvous hashing.
+    ///
+    /// Views may differ for a while, so that a few more or fewer than `count`
+    /// can think so at once: it is for work that only costs when done twice. A
+    /// daemon whose view can't be relied upon takes on every duty, since nobody
+    /// may be doing it for it; one that is leaving takes on none.
+    #[must_use]
+    pub fn is_delegate(&self, duty: &str, count: usize) -> bool {
+        if !self.view_fresh() {
+            return true;
+        }
+        topology::is_delegate(&self.shared.options, &self.members(), duty, count)
+    }
+
     /// How many pauses of this process were seen.
     #[must_use]
     pub fn woke(&self) -> u64 {
--- a/crates/peers/src/topology.rs
+++ b/crates/peers/src/topology.rs
@@ -11,6 +11,7 @@
 use mangofront_settings::ids::{AvailabilityZone, InstanceId, Region};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::member::{Member, MemberState};
 use crate::options::PeersOptions;
 
 /// A member that may become a neighbour.
@@ -60,3 +61,32 @@
     others.truncate(count);
     others
 }
+
+/// Whether the own name is among the `count` alive members of the own zone
+/// that hash highest together with `duty`; a leaving one is not.
+pub(crate) fn is_delegate(
+    own: &PeersOptions,
+    members: &[Member],
+    duty: &str,
+    count: usize,
+) -> bool {
+    let seed = xxh3_64(duty.as_bytes());
+    let rank = |instance: &str| {
+        (
+            xxh3_64_with_seed(instance.as_bytes(), seed),
+            instance.to_owned(),
+        )
+    };
+    let own_rank = rank(&own.instance);
+    let zone = members.iter().filter(|member| {
+        member.state == MemberState::Alive
+            && member.region == own.region
+            && member.availability_zone == own.availability_zone
+    });
+    let (own_alive, before) = zone.fold((false, 0), |(own_alive, before), member| {
+        let is_own = member.instance == own.instance;
+        let is_before = rank(&member.instance) > own_rank;
+        (own_alive || is_own, before + usize::from(is_before))
+    });
+    own_alive && before < count
+}
--- a/tests/processes/control.rs
+++ b/tests/processes/control.rs
@@ -8,6 +8,10 @@
         daemons: 2,
         ..Plan::default()
     });
+    let listed = fleet.instances();
+    let entries = listed["instances"].as_array().into_iter().flatten();
+    let daemons = entries.filter(|entry| entry["role"]["kind"] == "entry");
+    let daemons = daemons.count();
     wait_until("links and reports are counted", || {
         let status = fleet.operator(0).get("/status").json();
         let grew = |part: &str| {
@@ -15,7 +19,7 @@
             traffic["bytes_sent"].as_u64() > Some(0) && traffic["bytes_received"].as_u64() > Some(0)
         };
         let reports = &status["engine_calls"];
-        status["peers"]["alive"] == 2
+        status["peers"]["alive"] == daemons
             && grew("gossip")
             && reports["messages"].as_u64() > Some(0)
             && reports["bytes_received"].as_u64() > reports["bytes_sent"].as_u64()
