--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod caller;
 mod configuration;
+mod control;
 mod fleet;
 mod frozen;
 mod leaving;
