Bound the memory of all request bodies together

A body is kept until its request ends, since another attempt sends it again, and only the size of a single one was bounded: by arithmetic, sixty prompts of a million tokens at once take 240 MB. A body now takes its share of bodies_limit_bytes (256 MiB by default) before it is read; beyond it the request is refused at once as not run, with a time to come back. Short requests go on beside it.

--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -139,6 +139,7 @@
     let limits = &settings.limits;
     EntryLimits {
         body_limit_bytes: limits.body_limit_bytes as usize,
+        bodies_limit_bytes: usize::try_from(limits.bodies_limit_bytes).unwrap_or(usize::MAX),
         body_timeout: limits.body_timeout(),
         stall_timeout: limits.stream_stall_timeout(),
         stream_buffer_frames: limits.stream_buffer_frames as usize,
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -215,7 +215,7 @@
     fn call(&self, placed: &Placed, reservation: Option<&GroupReservation>) -> Generate {
         Generate {
             endpoint: self.request.endpoint,
-            body: self.request.body.clone(),
+            body: self.request.body.content.clone(),
             request: self.request.id.clone(),
             attempt: self.made,
             priority: placed.priority,
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -14,14 +14,14 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use mangofront_admission::{AdmissionRequest, RefusalReason};
-use mangofront_http::{Body, collect, json};
+use mangofront_http::{Body, json};
 use mangofront_placement::Demand;
 use mangofront_prompt::{Endpoint, Prompt};
 
+use crate::bodies::{self, HeldBody};
 use crate::caller::{self, Caller};
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
@@ -36,7 +36,7 @@
     /// Endpoint it was sent to.
     pub(crate) endpoint: Endpoint,
     /// Body as it came.
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// What was read of the body; its blocks moved into `demand`.
     pub(crate) prompt: Prompt,
     /// Who sent it and until when.
@@ -96,8 +96,8 @@
     let arrived = Instant::now();
     let (head, incoming) = request.into_parts();
     let caller = identify(entry, &head.headers, arrived)?;
-    let body = read_body(entry, incoming, caller.deadline).await?;
-    let mut prompt = mangofront_prompt::read(endpoint, &body)?;
+    let body = bodies::read(entry, incoming, caller.deadline).await?;
+    let mut prompt = mangofront_prompt::read(endpoint, &body.content)?;
     check_model(entry, &prompt.model)?;
     let demand = Demand {
         model: prompt.model.clone(),
@@ -140,21 +140,6 @@
     })
 }
 
-/// Reads a body within the limits of size and time.
-pub(crate) async fn read_body(
-    entry: &Entry,
-    incoming: Incoming,
-    deadline: Instant,
-) -> Result<Bytes, EntryError> {
-    let limits = &entry.parts().limits;
-    let until = deadline.min(Instant::now() + limits.body_timeout);
-    let reading = collect(incoming, limits.body_limit_bytes);
-    match compio::time::timeout_at(until, reading).await {
-        Ok(body) => Ok(body?),
-        Err(_elapsed) => Err(EntryError::BodyTimeout),
-    }
-}
-
 async fn admit(
     entry: &Entry,
     request: &Rc<CompletionRequest>,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -23,6 +23,8 @@
 pub struct EntryLimits {
     /// Largest body of a request, in bytes.
     pub body_limit_bytes: usize,
+    /// Memory for the bodies of all requests in progress, in bytes.
+    pub bodies_limit_bytes: usize,
     /// Longest time for a request's body to arrive.
     pub body_timeout: Duration,
     /// Longest time for which a reader of a stream may take no token.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             body_limit_bytes: 16 * 1024 * 1024,
+            bodies_limit_bytes: 256 * 1024 * 1024,
             body_timeout: Duration::from_secs(30),
             stall_timeout: Duration::from_secs(30),
             stream_buffer_frames: 16,
@@ -77,6 +80,8 @@
 struct Shared {
     parts: EntryParts,
     in_progress: Cell<usize>,
+    /// Memory taken by bodies, in bytes.
+    bodies_bytes: Cell<usize>,
     /// Set once the daemon stops: the time after which a caller may come back.
     stopping: Cell<Option<Duration>>,
     next_service: Cell<usize>,
@@ -89,6 +94,7 @@
         Self(Rc::new(Shared {
             parts,
             in_progress: Cell::new(0),
+            bodies_bytes: Cell::new(0),
             stopping: Cell::new(None),
             next_service: Cell::new(0),
         }))
@@ -132,6 +138,11 @@
         Rc::new(Active(self.clone()))
     }
 
+    /// Memory taken by bodies, in bytes.
+    pub(crate) fn bodies_bytes(&self) -> &Cell<usize> {
+        &self.0.bodies_bytes
+    }
+
     /// Turn for choosing among equal service instances.
     pub(crate) fn next_service_turn(&self) -> usize {
         let turn = self.0.next_service.get();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! sends. One task serves each connection; a streamed answer gets a second
 //! one, so that its time limit holds also when its reader stands still.
 
+mod bodies;
 mod caller;
 mod completion;
 mod context;
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -21,8 +21,8 @@
 use mangofront_upstream::service::{Call, ServiceAnswer, call};
 use percent_encoding::percent_decode_str;
 
+use crate::bodies::{self, HeldBody};
 use crate::caller::{self, Caller};
-use crate::completion::read_body;
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
 use crate::progress::{InProgress, NO_CLASS};
@@ -46,6 +46,8 @@
     pub(crate) caller: Caller,
     pub(crate) service: ServiceName,
     pub(crate) call: Call,
+    /// Holds the memory of the call's body.
+    _body: HeldBody,
 }
 
 /// Answers a call of a plain service.
@@ -97,7 +99,7 @@
         })?;
     let repeat = repeat(rules, &head.method, &path);
     let caller = identify(entry, configuration, &head, arrived)?;
-    let body = read_body(entry, incoming, caller.deadline).await?;
+    let body = bodies::read(entry, incoming, caller.deadline).await?;
     let mut passed_on = head.headers;
     if let Ok(value) = id.parse() {
         passed_on.insert(headers::REQUEST_ID, value);
@@ -106,16 +108,15 @@
         method: head.method,
         path_and_query: path,
         headers: passed_on,
-        body,
+        body: body.content.clone(),
     };
-    Ok((
-        ServiceCall {
-            caller,
-            service,
-            call,
-        },
-        repeat,
-    ))
+    let service_call = ServiceCall {
+        caller,
+        service,
+        call,
+        _body: body,
+    };
+    Ok((service_call, repeat))
 }
 
 /// Caller of a service; its class is optional.
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -40,6 +40,10 @@
     // hyper takes no smaller buffer for a head.
     Field::defaulted("header_limit_bytes", between(8 * KIB_BYTES, MIB_BYTES)),
     Field::defaulted("body_limit_bytes", between(KIB_BYTES, 256 * MIB_BYTES)),
+    Field::defaulted(
+        "bodies_limit_bytes",
+        between(MIB_BYTES, 64 * 1024 * MIB_BYTES),
+    ),
     Field::defaulted("header_timeout_ms", between(1, HOUR_MS)),
     Field::defaulted("body_timeout_ms", between(1, HOUR_MS)),
     Field::defaulted("stream_buffer_frames", between(1, 65_536)),
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -134,6 +134,8 @@
     pub apart: bool,
     /// Time between two heartbeats of daemons.
     pub heartbeat_ms: u64,
+    /// Limits of each daemon that differ from the defaults.
+    pub limits: Value,
     /// Published configuration.
     pub configuration: Value,
 }
@@ -147,6 +149,7 @@
             daemons: 1,
             apart: false,
             heartbeat_ms: 200,
+            limits: json!({}),
             configuration: configuration(),
         }
     }
@@ -290,6 +293,7 @@
                 "heartbeat_ms": self.plan.heartbeat_ms,
                 "suspect_after_ms": self.plan.heartbeat_ms * 5
             },
+            "limits": self.plan.limits,
             "fatal_invariants": true
         });
         let path = self.folder.join(format!("entry-{index}.jsonc"));
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -188,3 +188,32 @@
     let unknown = json!({"model": "assist-llm", "tokens": 2000, "class": "haste"});
     assert_eq!(fleet.operator(0).post("/explain", &unknown).status, 400);
 }
+
+#[test]
+fn bodies_in_progress_have_a_budget() {
+    let mut plan = Plan {
+        limits: json!({"bodies_limit_bytes": 1 << 20}),
+        ..Plan::default()
+    };
+    for engine in &mut plan.engines {
+        engine["time_scale"] = json!(1.0);
+    }
+    let fleet = Fleet::start(plan);
+    let long = json!({"model": "assist-llm", "prompt": "x ".repeat(300_000),
+        "max_tokens": 400, "stream": true});
+    let caller = fleet.caller(0).with("mangofront-class", "review");
+    let first = caller.clone();
+    let body = long.clone();
+    let reading = std::thread::spawn(move || first.leave_after(1, "/v1/completions", &body));
+    wait_until("a second long prompt is refused", || {
+        let refused = caller.leave_after(1, "/v1/completions", &long);
+        refused.json()["error"]["code"] == "bodies_full"
+            && refused.json()["error"]["outcome"] == "not_run"
+    });
+    let short = question(2, false);
+    assert_eq!(fleet.caller(0).post("/v1/completions", &short).status, 200);
+    reading.join().expect("the first caller ends");
+    wait_until("the memory comes back", || {
+        caller.leave_after(1, "/v1/completions", &long).status == 200
+    });
+}
