Leave a service instance that does not answer for another

Cause: instances of a service were taken in turns whatever became of the last call, and a safe call waited for a frozen instance until its class's time was over. Ruled out: ejecting instances, which can leave a service with none. Change: an instance that failed comes last for 5 s; a safe call gives the first instance half of its time. A call that failed after it may have run no longer ends as not run because a later try could not connect. Before: services::a_frozen_instance_is_left_for_another failed with 502 (a GET to the frozen instance); after: 200 for all four calls.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -17,6 +17,7 @@
 use mangofront_upstream::Connections;
 
 use crate::router;
+use crate::service::ServiceTurns;
 
 /// Limits of what a caller may send and how long its connection may stall.
 #[derive(Debug, Clone, Copy)]
@@ -84,7 +85,7 @@
     bodies_bytes: Cell<usize>,
     /// Set once the daemon stops: the time after which a caller may come back.
     stopping: Cell<Option<Duration>>,
-    next_service: Cell<usize>,
+    service_turns: ServiceTurns,
 }
 
 impl Entry {
@@ -96,7 +97,7 @@
             in_progress: Cell::new(0),
             bodies_bytes: Cell::new(0),
             stopping: Cell::new(None),
-            next_service: Cell::new(0),
+            service_turns: ServiceTurns::default(),
         }))
     }
 
@@ -143,11 +144,9 @@
         &self.0.bodies_bytes
     }
 
-    /// Turn for choosing among equal service instances.
-    pub(crate) fn next_service_turn(&self) -> usize {
-        let turn = self.0.next_service.get();
-        self.0.next_service.set(turn.wrapping_add(1));
-        turn
+    /// What is remembered of the services' instances.
+    pub(crate) fn service_turns(&self) -> &ServiceTurns {
+        &self.0.service_turns
     }
 }
 
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -6,6 +6,7 @@
 //! byte of it was written, or when its method is safe.
 
 mod order;
+mod targets;
 
 use std::rc::Rc;
 use std::time::Instant;
@@ -15,9 +16,7 @@
 use hyper::body::Incoming;
 use mangofront_http::{Body, Outcome, full, headers};
 use mangofront_settings::ids::ServiceName;
-use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
 use mangofront_settings::published::{CallPattern, Configuration, Service};
-use mangofront_upstream::Target;
 use mangofront_upstream::service::{Call, ServiceAnswer, call};
 use percent_encoding::percent_decode_str;
 
@@ -26,6 +25,7 @@
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
 use crate::progress::{InProgress, NO_CLASS};
+pub(crate) use targets::{ServiceTurns, targets};
 
 /// Time after which a caller may come back when no instance of a service is left.
 pub(crate) const RETRY_AFTER_NO_SERVICE: std::time::Duration = std::time::Duration::from_secs(2);
@@ -200,52 +200,12 @@
     }
 }
 
-/// Live instances of a service, those of the daemon's own availability zone first.
-pub(crate) fn targets(entry: &Entry, service: &str) -> Vec<Target> {
-    let Some(accepted) = entry.parts().platform.instances() else {
-        return Vec::new();
-    };
-    let own_zone = &entry.parts().availability_zone;
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    for instance in &accepted.list.instances {
-        if let Some(target) = live_target(instance, service) {
-            let zone = if instance.availability_zone == *own_zone {
-                &mut near
-            } else {
-                &mut far
-            };
-            zone.push(target);
-        }
-    }
-    let turn = entry.next_service_turn();
-    for zone in [&mut near, &mut far] {
-        let count = zone.len();
-        zone.rotate_left(if count == 0 { 0 } else { turn % count });
-    }
-    near.append(&mut far);
-    near
-}
-
-fn live_target(instance: &Instance, wanted: &str) -> Option<Target> {
-    match &instance.role {
-        InstanceRole::Service { address, service }
-            if service == wanted && instance.state == InstanceState::Live =>
-        {
-            Some(Target {
-                instance: instance.instance.clone(),
-                address: *address,
-            })
-        }
-        _ => None,
-    }
-}
-
 /// Sends a call that may be repeated.
 async fn send(entry: &Entry, service_call: &ServiceCall) -> Result<ServiceAnswer, EntryError> {
     let parts = entry.parts();
     let limit_bytes = parts.limits.service_answer_limit_bytes;
     let safe = service_call.call.method.is_safe();
-    let mut last = None;
+    let mut failure = no_service();
     parts.platform.refreshed().await;
     for target in targets(entry, &service_call.service) {
         let sent = call(
@@ -253,24 +213,37 @@
             &target,
             service_call.call.clone(),
             limit_bytes,
-            service_call.caller.deadline,
+            patience(service_call, safe),
         );
-        match sent.await {
+        let error = match sent.await {
             Ok(answer) => return Ok(answer),
-            Err(error) => {
-                parts.metrics.upstream_error(error.step_name());
-                let again = safe || error.outcome() == Outcome::NotRun;
-                last = Some(error);
-                if !again || !parts.admission.retry_budget().try_take() {
-                    break;
-                }
-            }
+            Err(error) => error,
+        };
+        parts.metrics.upstream_error(error.step_name());
+        entry.service_turns().failed(&error);
+        let again = safe || error.outcome() == Outcome::NotRun;
+        // What an earlier try may have done is not undone by a later one that
+        // did nothing.
+        if failure.outcome() == Outcome::NotRun {
+            failure = EntryError::Service(error);
+        }
+        if !again || !parts.admission.retry_budget().try_take() {
+            break;
         }
     }
-    Err(match last {
-        Some(error) => EntryError::Service(error),
-        None => no_service(),
-    })
+    Err(failure)
+}
+
+/// Until when one instance may take to answer.
+///
+/// A safe call leaves half of its time for another instance.
+fn patience(service_call: &ServiceCall, safe: bool) -> Instant {
+    let deadline = service_call.caller.deadline;
+    if !safe {
+        return deadline;
+    }
+    let now = Instant::now();
+    now + deadline.saturating_duration_since(now) / 2
 }
 
 /// Error for a service without a live instance.
--- a/crates/entry/src/service/order.rs
+++ b/crates/entry/src/service/order.rs
@@ -103,6 +103,7 @@
         Ok(answer) => RunOutcome::Answered(stored(answer)),
         Err(error) => {
             parts.metrics.upstream_error(error.step_name());
+            entry.service_turns().failed(&error);
             let reason = error.to_string();
             match error.outcome() {
                 Outcome::NotRun => RunOutcome::NotStarted { reason },
@@ -123,6 +124,7 @@
             Ok(opened) => return Ok(opened),
             Err(error) => {
                 parts.metrics.upstream_error(error.step_name());
+                entry.service_turns().failed(&error);
                 reason = error.to_string();
             }
         }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod once;
 mod orders;
 mod requests;
+mod services;
 mod sessions;
 mod soak;
 mod stop;
