Serve HTTP by one loop, and drop a peer that takes no bytes

Cause: three serve loops stood beside each other, because the emulators need two things that the product's loop refused: to die at once, and to break a connection in place of an answer. And an answer that its caller does not read kept its socket and buffers for as long as the caller liked.

Weighed: an Option for the abort, against a second signal that never fires; the signal needs no second path. For the bound, a timeout around hyper's writes would have to give up the buffer that the driver still owns, and a watchdog with a period wakes each idle connection. So the write half of the socket notes a write without progress and tells the connection's task, which drops the connection whole. A slow reader is never told of: each byte taken counts as progress.

Change: `serve_abortable` with `Ends` and `Aborted` beside the unchanged `serve`; `ServeLimits.write_timeout`, 30 s by default; the emulators use both through limits of their own. `header_timeout` also closes idle connections, since hyper counts from the moment it waits for a head: now documented and tested. One line of `daemon/src/run.rs` takes the new field's default.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -159,5 +159,6 @@
     ServeLimits {
         header_timeout: settings.limits.header_timeout(),
         header_limit_bytes: settings.limits.header_limit_bytes as usize,
+        ..ServeLimits::default()
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,15 +8,20 @@
 
 mod body;
 mod client;
+mod connection;
 mod error;
 mod events;
 mod serve;
+mod shutdown;
+mod stall;
 
 pub use body::{Body, BodyError, collect, empty, full, json, stream};
 pub use client::{ClientError, client};
+pub use connection::Aborted;
 pub use error::{ErrorBody, ErrorDetail, Outcome};
 pub use events::{Event, EventsError, events};
-pub use serve::{ServeLimits, Shutdown, ShutdownTrigger, serve};
+pub use serve::{Ends, ServeLimits, serve, serve_abortable};
+pub use shutdown::{Shutdown, ShutdownTrigger};
 
 /// Names of the headers of the interfaces, see `docs/interfaces.md`.
 pub mod headers {
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -1,22 +1,25 @@
 //! The loop that serves HTTP: one task per connection.
+//!
+//! What ends a connection: its peer; `header_timeout`, while the next head is
+//! awaited; `write_timeout`, while the peer takes no bytes; a planned stop,
+//! after the answer in progress; an abort, at once. A request whose answer is
+//! being computed is bounded by its handler alone.
 
 use std::cell::Cell;
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
-use futures_util::FutureExt;
-use futures_util::future::{Either, Shared, select};
+use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 
 use crate::body::Body;
+use crate::connection::{Aborted, serve_connection};
+use crate::shutdown::Shutdown;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -27,10 +30,18 @@
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServeLimits {
-    /// Longest time for a request's head to arrive.
+    /// Longest time for a request's head to arrive; 10 s by default.
+    ///
+    /// It runs from the moment the server waits for a head, so it closes a
+    /// connection kept open between requests too: there is no other limit on
+    /// idle connections. A client that reuses connections has to give them up
+    /// sooner than this, or be ready to find one closed.
     pub header_timeout: Duration,
     /// Largest head of a request, in bytes; at least 8192.
     pub header_limit_bytes: usize,
+    /// Longest time for which a peer may take no byte of an answer; 30 s by
+    /// default. Then its connection is dropped with all that waits for it.
+    pub write_timeout: Duration,
 }
 
 impl Default for ServeLimits {
@@ -38,45 +49,18 @@
         Self {
             header_timeout: Duration::from_secs(10),
             header_limit_bytes: 64 * 1024,
+            write_timeout: Duration::from_secs(30),
         }
     }
 }
 
-/// Signal that a server should stop.
+/// Two ways in which a server ends.
 #[derive(Debug, Clone)]
-pub struct Shutdown(Shared<futures_channel::oneshot::Receiver<()>>);
-
-/// The other end of a [`Shutdown`]: fires when used or dropped.
-#[derive(Debug)]
-pub struct ShutdownTrigger(futures_channel::oneshot::Sender<()>);
-
-impl Shutdown {
-    /// A signal and its trigger.
-    #[must_use]
-    pub fn new() -> (ShutdownTrigger, Self) {
-        let (sender, receiver) = futures_channel::oneshot::channel();
-        (ShutdownTrigger(sender), Self(receiver.shared()))
-    }
-
-    /// Waits for the signal.
-    pub async fn wait(&self) {
-        // Both a sent signal and a dropped trigger mean the same.
-        let _ = self.0.clone().await;
-    }
-
-    /// Whether the signal was given.
-    #[must_use]
-    pub fn is_triggered(&self) -> bool {
-        self.0.peek().is_some() || self.0.clone().now_or_never().is_some()
-    }
-}
-
-impl ShutdownTrigger {
-    /// Gives the signal.
-    pub fn trigger(self) {
-        // A server that is gone already needs no signal.
-        let _ = self.0.send(());
-    }
+pub struct Ends {
+    /// Planned stop: answers in progress are ended whole.
+    pub shutdown: Shutdown,
+    /// Abort: connections are dropped at once, in the middle of an answer.
+    pub abort: Shutdown,
 }
 
 /// Serves `listener` until `shutdown`, then until its connections are done.
@@ -89,23 +73,40 @@
 where
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Response<Body>> + 'static,
+{
+    let handler = move |request, peer| {
+        let answer = handler(request, peer);
+        async move { Ok(answer.await) }
+    };
+    // Held to the end: a dropped trigger would be an abort.
+    let (never, abort) = Shutdown::new();
+    serve_abortable(listener, limits, handler, Ends { shutdown, abort }).await;
+    drop(never);
+}
+
+/// Like [`serve`], for emulators of processes that die: the server can be
+/// aborted as a whole, and its handler can end a connection unanswered.
+pub async fn serve_abortable<H, A>(
+    listener: TcpListener,
+    limits: ServeLimits,
+    handler: H,
+    ends: Ends,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
+    A: Future<Output = Result<Response<Body>, Aborted>> + 'static,
 {
     let handler = Rc::new(handler);
     let open = Rc::new(Cell::new(0_usize));
-    loop {
-        let accepted = match select(pin!(listener.accept()), pin!(shutdown.wait())).await {
-            Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => break,
-        };
+    while let Some(accepted) = accept(&listener, &ends).await {
         let Ok((stream, peer)) = accepted else {
             compio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let guard = OpenConnection::new(&open);
         let handler = Rc::clone(&handler);
-        let shutdown = shutdown.clone();
+        let ends = ends.clone();
         compio::runtime::spawn(async move {
-            serve_connection(stream, peer, limits, handler, shutdown).await;
+            serve_connection(stream, peer, limits, handler, ends).await;
             drop(guard);
         })
         .detach();
@@ -116,6 +117,19 @@
     }
 }
 
+/// The next connection; none once the server has to end.
+async fn accept(
+    listener: &TcpListener,
+    ends: &Ends,
+) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+    let stopped = pin!(ends.shutdown.wait());
+    let aborted = pin!(ends.abort.wait());
+    match select(pin!(listener.accept()), select(stopped, aborted)).await {
+        Either::Left((accepted, _)) => Some(accepted),
+        Either::Right(_) => None,
+    }
+}
+
 /// Counts one open connection while it lives.
 struct OpenConnection(Rc<Cell<usize>>);
 
@@ -131,38 +145,3 @@
         self.0.set(self.0.get() - 1);
     }
 }
-
-async fn serve_connection<H, A>(
-    stream: TcpStream,
-    peer: SocketAddr,
-    limits: ServeLimits,
-    handler: Rc<H>,
-    shutdown: Shutdown,
-) where
-    H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
-    A: Future<Output = Response<Body>> + 'static,
-{
-    // Small frames go out at once; without the option they would be delayed,
-    // with an error they still arrive.
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.header_limit_bytes)
-        .serve_connection(HyperStream::new_plain(stream), service);
-    let mut connection = pin!(connection);
-    let ended = match select(connection.as_mut(), pin!(shutdown.wait())).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("http: connection of {peer} ended: {error}");
-    }
-}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -8,7 +8,7 @@
 
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use mangofront_http::Shutdown;
+use mangofront_http::{Ends, Shutdown, serve_abortable};
 
 mod batch;
 mod cache_events;
@@ -33,7 +33,7 @@
 
 pub use settings::{EngineRole, EngineSettings, StepSettings};
 
-use crate::connections::{Ends, serve};
+use crate::limits::LIMITS;
 use state::Engine;
 
 /// Serves an emulated engine on `listener`.
@@ -43,8 +43,15 @@
 pub async fn run(listener: TcpListener, settings: EngineSettings, shutdown: Shutdown) {
     let (engine, death) = Engine::new(settings);
     let tasks = Tasks::start(&engine);
-    let handler = move |request| routes::answer(Rc::clone(&engine), request);
-    serve(listener, handler, Ends { shutdown, death }).await;
+    let handler = move |request, _peer| {
+        let answer = routes::answer(Rc::clone(&engine), request);
+        async move { Ok(answer.await) }
+    };
+    let ends = Ends {
+        shutdown,
+        abort: death,
+    };
+    serve_abortable(listener, LIMITS, handler, ends).await;
     drop(tasks);
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,8 +8,8 @@
 
 pub mod answer;
 mod clock;
-mod connections;
 pub mod engine;
+mod limits;
 mod notify;
 pub mod platform;
 pub mod service;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,8 +4,6 @@
 //! A call is executed at one moment, without a wait in between: what stands
 //! before it is undone by a broken connection, what stands after it is not.
 
-mod connection;
-
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::pin::pin;
@@ -15,10 +13,12 @@
 use futures_util::future::select;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mangofront_http::{Body, ErrorBody, Outcome, Shutdown, headers};
+use mangofront_http::{
+    Aborted, Body, Ends, ErrorBody, Outcome, Shutdown, headers, serve_abortable,
+};
 use serde::{Deserialize, Serialize};
 
-use connection::Broken;
+use crate::limits::LIMITS;
 
 /// Largest body of a call, in bytes.
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -96,15 +96,18 @@
         counters: RefCell::default(),
         shutdown: shutdown.clone(),
     });
-    let handler = move |request| {
+    let handler = move |request, _peer| {
         let state = Rc::clone(&state);
         async move { state.answer(request).await }
     };
-    connection::serve(listener, handler, shutdown).await;
+    // Only single connections are cut off: nothing aborts the whole service.
+    let (never, abort) = Shutdown::new();
+    serve_abortable(listener, LIMITS, handler, Ends { shutdown, abort }).await;
+    drop(never);
 }
 
 impl State {
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Aborted> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/control") => Ok(self.control(request).await),
             (&Method::GET, "/control/counters") => {
@@ -116,7 +119,7 @@
     }
 
     /// One call: read whole, executed, answered after the delay.
-    async fn call(&self, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
+    async fn call(&self, request: Request<Incoming>) -> Result<Response<Body>, Aborted> {
         let (head, body) = request.into_parts();
         if let Err(error) = mangofront_http::collect(body, BODY_LIMIT_BYTES).await {
             return Ok(refusal(
@@ -130,12 +133,12 @@
             return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "leaving", message));
         }
         if self.break_before_run.get() {
-            return Err(Broken);
+            return Err(Aborted);
         }
         let key = head.headers.get(headers::IDEMPOTENCY_KEY);
         let executions = self.execute(key.and_then(|key| key.to_str().ok()));
         if self.break_after_run.get() {
-            return Err(Broken);
+            return Err(Aborted);
         }
         self.delay().await;
         if let Some(status) = self.fail_status.get() {
