--- a/crates/once/src/seat.rs
+++ b/crates/once/src/seat.rs
@@ -297,6 +297,13 @@
         }))
     }
 
+    /// What changes when a reading of other voters' records was of use.
+    pub(crate) fn progress(&self) -> (Revision, Option<Revision>, usize, bool) {
+        let established = self.established.as_ref().map(|set| set.revision);
+        let in_force = self.in_force_unix_ms.is_some();
+        (self.revision(), established, self.pending.len(), in_force)
+    }
+
     /// Revision of the newest set, 0 when none is known.
     pub(crate) fn revision(&self) -> Revision {
         self.view.as_ref().map_or(0, |view| view.revision)
--- a/crates/once/src/synchronise.rs
+++ b/crates/once/src/synchronise.rs
@@ -44,6 +44,10 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest pause between two readings of all voters while nothing comes of
+/// them: until the window has passed, say, after a majority lost its memory.
+const READ_INTERVAL_CAP: Duration = Duration::from_secs(1);
+
 /// What one daemon gave.
 struct Dump {
     instance: InstanceId,
@@ -58,6 +62,7 @@
     /// Keeps records fit for voting, for as long as it is polled.
     pub(crate) async fn maintain(self: Rc<Self>) {
         let mut swept_at = Instant::now();
+        let mut read_pause = self.options.poll_interval;
         loop {
             if swept_at.elapsed() >= SWEEP_INTERVAL {
                 self.forget_expired();
@@ -66,14 +71,17 @@
             self.establish_by_rule();
             let wanting = self.state.borrow().seat.wants_records();
             if wanting {
+                let before = self.state.borrow().seat.progress();
                 self.synchronise().await;
+                let is_further = self.state.borrow().seat.progress() != before;
+                read_pause = if is_further {
+                    self.options.poll_interval
+                } else {
+                    (read_pause * 2).min(READ_INTERVAL_CAP)
+                };
             }
             let wanting = self.state.borrow().seat.wants_records();
-            let pause = if wanting {
-                self.options.poll_interval
-            } else {
-                IDLE_INTERVAL
-            };
+            let pause = if wanting { read_pause } else { IDLE_INTERVAL };
             compio::time::sleep(pause).await;
         }
     }
