--- a/examples/capacity/documents.rs
+++ b/examples/capacity/documents.rs
@@ -71,6 +71,9 @@
     Ok(costs.series())
 }
 
+/// One figure of a change.
+type CostOf = fn(&Cost) -> f64;
+
 /// What one change cost a daemon.
 #[derive(Debug, Clone, Copy, Default)]
 struct Cost {
@@ -206,7 +209,7 @@
     }
 
     fn series(&self) -> Vec<Series> {
-        let costs: [(&str, fn(&Cost) -> f64); 5] = [
+        let costs: [(&str, CostOf); 5] = [
             ("bytes of the value", |cost| cost.value_bytes),
             ("processor time of a change, ms", |cost| cost.cpu_ms),
             ("received from other daemons for a change, bytes", |cost| {
