Say each thing of the load tool once

Cause: length buckets stood in both `load` and `telemetry`; how a run was made was told twice, to its requests and to its report; the size of short prompts was set and read alike in two subcommands; a histogram's `expect` could panic; two plans of four settings had public fields.

Weighed: `load` could use telemetry's buckets, but would then pull in the metrics libraries; `prompt`, which owns lengths, is light and both use it. For the histogram, a Result in every signature for bounds that are constants; it is an Option whose absence is logged and shows in the counts, and a test holds both constants to their bounds.

Change: `mangofront_prompt::LengthBucket`, exported as before by the two; `RunFacts::new` takes what it needs from the `Requests`; `PromptSize`; builders for `schedule::Plan` and `IdlePlan`. `audit` already uses the ids of `settings`: nothing to do there.

--- a/crates/load/src/capacity/mod.rs
+++ b/crates/load/src/capacity/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::generator::{Record, generate};
 use crate::process::{Usage, UsageError, UsageReport};
-use crate::report::{Counts, GeneratorReport, RunFacts, build};
+use crate::report::{Counts, GeneratorReport, Report, RunFacts, build};
 use crate::requests::Requests;
 use crate::scenario::{Endpoint, Kind, LengthRange, ModelKind, Scenario};
 use crate::schedule::{Plan, Schedule};
@@ -121,10 +121,10 @@
                 stream: true,
                 share: 1.0,
                 shared_prefix_share: 0.0,
-                max_tokens: [plan.max_tokens; 2],
+                max_tokens: [plan.prompt_size.max_tokens; 2],
                 lengths: vec![LengthRange {
-                    from_tokens: plan.length_tokens,
-                    to_tokens: plan.length_tokens,
+                    from_tokens: plan.prompt_size.length_tokens,
+                    to_tokens: plan.prompt_size.length_tokens,
                     weight: 1.0,
                 }],
                 ..first.clone()
@@ -142,17 +142,13 @@
     rate_per_s: f64,
     step: u64,
 ) -> Result<StepReport, UsageError> {
-    let draws = Plan {
-        // Another seed in each step: a repeated prompt would be found cached.
-        seed: step + 1,
-        rate_per_s,
-        duration: plan.step,
-        without_long: false,
-    };
+    // Another seed in each step: a repeated prompt would be found cached.
+    let draws = Plan::new(rate_per_s, plan.step).seed(step + 1);
     let requests = Requests::builder(scenario, plan.targets.clone())
         .text_salt(fresh_salt())
         .rule(plan.rule)
         .build();
+    let facts = RunFacts::new(scenario, draws, &requests);
     let before = plan.pid.map(Usage::read).transpose()?;
     let arrivals = Schedule::new(scenario, draws);
     let cap = scenario.concurrency_cap;
@@ -161,18 +157,17 @@
     let usage = before
         .zip(after)
         .map(|(before, after)| after.since(&before, record.elapsed));
-    Ok(judge(scenario, plan, &draws, &record, usage))
+    let report = build(&facts, &scenario.configuration, &record);
+    Ok(judge(plan, rate_per_s, report, &record, usage))
 }
 
 fn judge(
-    scenario: &Scenario,
     plan: &CapacityPlan,
-    draws: &Plan,
+    rate_per_s: f64,
+    report: Report,
     record: &Record,
     usage: Option<UsageReport>,
 ) -> StepReport {
-    let facts = RunFacts::new(scenario, *draws).targets(plan.targets.len());
-    let report = build(&facts, &scenario.configuration, record);
     let first_tokens: Times = record
         .samples
         .iter()
@@ -180,7 +175,7 @@
         .collect();
     let totals: Times = record.samples.iter().map(|s| s.total).collect();
     let mut step = StepReport {
-        rate_per_s: draws.rate_per_s,
+        rate_per_s,
         done_per_s: report.counts.done as f64 / record.elapsed.as_secs_f64(),
         counts: report.counts,
         time_to_first_token: first_tokens.quantiles(),
--- a/crates/load/src/capacity/plan.rs
+++ b/crates/load/src/capacity/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::answers::AnswerRule;
+use crate::probe::PromptSize;
 use crate::process::Pid;
 
 /// Rate of the first step, in requests a second.
@@ -21,12 +22,6 @@
 /// Greatest time to first token at p99, in milliseconds: the users' target.
 const DEFAULT_FIRST_TOKEN_LIMIT_MS: f64 = 520.0;
 
-/// Length of the prompts, in tokens.
-const DEFAULT_LENGTH_TOKENS: u64 = 200;
-
-/// Answer limit, in tokens.
-const DEFAULT_MAX_TOKENS: u32 = 16;
-
 /// Most requests under way at once.
 const DEFAULT_CONCURRENCY_CAP: usize = 2000;
 
@@ -41,8 +36,7 @@
     pub(super) step: Duration,
     pub(super) steps_cap: u64,
     pub(super) first_token_limit_ms: f64,
-    pub(super) length_tokens: u64,
-    pub(super) max_tokens: u32,
+    pub(super) prompt_size: PromptSize,
     pub(super) concurrency_cap: usize,
 }
 
@@ -59,8 +53,7 @@
             step: DEFAULT_STEP,
             steps_cap: DEFAULT_STEPS_CAP,
             first_token_limit_ms: DEFAULT_FIRST_TOKEN_LIMIT_MS,
-            length_tokens: DEFAULT_LENGTH_TOKENS,
-            max_tokens: DEFAULT_MAX_TOKENS,
+            prompt_size: PromptSize::SHORT,
             concurrency_cap: DEFAULT_CONCURRENCY_CAP,
         }
     }
@@ -115,17 +108,10 @@
         self
     }
 
-    /// Length of the prompts, in tokens; 200 by default.
-    #[must_use]
-    pub const fn length_tokens(mut self, length_tokens: u64) -> Self {
-        self.length_tokens = length_tokens;
-        self
-    }
-
-    /// Answer limit, in tokens; 16 by default.
+    /// Size of the prompts; [`PromptSize::SHORT`] by default.
     #[must_use]
-    pub const fn max_tokens(mut self, max_tokens: u32) -> Self {
-        self.max_tokens = max_tokens;
+    pub const fn prompt_size(mut self, size: PromptSize) -> Self {
+        self.prompt_size = size;
         self
     }
 
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -6,8 +6,8 @@
 use pico_args::Arguments;
 
 use super::{
-    CommandError, Verdict, addresses, block_on, emit, finish, opt_number, opt_whole, usage_line,
-    write_json,
+    CommandError, Verdict, addresses, block_on, emit, finish, opt_number, opt_whole, prompt_size,
+    usage_line, write_json,
 };
 use crate::capacity::{CapacityPlan, CapacityReport, StepEnd, StepReport, search};
 use crate::scenario::Scenario;
@@ -50,13 +50,7 @@
     if let Some(cap) = opt_whole(args, "--concurrency-cap")? {
         plan = plan.concurrency_cap(cap);
     }
-    if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
-        plan = plan.length_tokens(length_tokens);
-    }
-    if let Some(max_tokens) = opt_whole(args, "--max-tokens")? {
-        plan = plan.max_tokens(max_tokens);
-    }
-    Ok(plan)
+    Ok(plan.prompt_size(prompt_size(args)?))
 }
 
 async fn run(scenario: &Scenario, plan: &CapacityPlan) -> Result<CapacityReport, CommandError> {
--- a/crates/load/src/cli/idle.rs
+++ b/crates/load/src/cli/idle.rs
@@ -13,21 +13,18 @@
 use crate::probe::Destination;
 use crate::scenario::Scenario;
 
-/// Prompts of each length bucket.
-const DEFAULT_PER_BUCKET: usize = 20;
-
-/// Longest time spent on one bucket, in seconds.
-const DEFAULT_BUCKET_LIMIT_S: f64 = 60.0;
-
 pub(super) fn main(mut args: Arguments) -> Result<Verdict, CommandError> {
     let engine: SocketAddr = args.value_from_str("--direct")?;
-    let bucket_limit_s = opt_number(&mut args, "--bucket-limit-s")?;
-    let plan = IdlePlan {
-        engine: Destination::Engine(engine),
-        per_bucket: opt_whole(&mut args, "--per-bucket")?.unwrap_or(DEFAULT_PER_BUCKET),
-        bucket_limit: Duration::from_secs_f64(bucket_limit_s.unwrap_or(DEFAULT_BUCKET_LIMIT_S)),
-        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
-    };
+    let mut plan = IdlePlan::new(Destination::Engine(engine));
+    if let Some(limit_s) = opt_number(&mut args, "--bucket-limit-s")? {
+        plan = plan.bucket_limit(Duration::from_secs_f64(limit_s));
+    }
+    if let Some(per_bucket) = opt_whole(&mut args, "--per-bucket")? {
+        plan = plan.per_bucket(per_bucket);
+    }
+    if let Some(seed) = args.opt_value_from_str("--seed")? {
+        plan = plan.seed(seed);
+    }
     let scenario = super::scenario(&mut args)?;
     let json: Option<String> = args.opt_value_from_str("--json")?;
     finish(args)?;
--- a/crates/load/src/cli/latency.rs
+++ b/crates/load/src/cli/latency.rs
@@ -8,7 +8,8 @@
 use serde::Serialize;
 
 use super::{
-    CommandError, Verdict, block_on, emit, finish, opt_whole, prober, usage_line, write_json,
+    CommandError, Verdict, block_on, emit, finish, opt_whole, prober, prompt_size, usage_line,
+    write_json,
 };
 use crate::latency::{Added, Comparison, LatencyReport, PathReport, compare};
 use crate::probe::Destination;
@@ -65,16 +66,12 @@
     let engine: SocketAddr = args.value_from_str("--direct")?;
     let pairs = opt_whole(args, "--pairs")?.unwrap_or(DEFAULT_PAIRS);
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED);
-    let mut comparison =
-        Comparison::new(Destination::Daemon(daemon), Destination::Engine(engine)).pairs(pairs);
-    if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
-        comparison = comparison.length_tokens(length_tokens);
-    }
-    if let Some(max_tokens) = opt_whole(args, "--max-tokens")? {
-        comparison = comparison.max_tokens(max_tokens);
-    }
+    let comparison = Comparison::new(Destination::Daemon(daemon), Destination::Engine(engine))
+        .pairs(pairs)
+        .prompt_size(prompt_size(args)?)
+        .seed(seed);
     Ok(Options {
-        comparison: comparison.seed(seed),
+        comparison,
         pairs,
         seed,
         workers: opt_whole(args, "--concurrency")?.unwrap_or(DEFAULT_WORKERS),
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::answers::AnswerRule;
 use crate::counted::CountsError;
-use crate::probe::Prober;
+use crate::probe::{Prober, PromptSize};
 use crate::process::{UsageError, UsageReport};
 use crate::scenario::{Scenario, ScenarioError};
 use crate::times::scaled;
@@ -208,6 +208,18 @@
     Ok(value)
 }
 
+/// Size of the prompts that the arguments give.
+fn prompt_size(args: &mut Arguments) -> Result<PromptSize, CommandError> {
+    let mut size = PromptSize::default();
+    if let Some(length_tokens) = opt_whole(args, "--prompt-tokens")? {
+        size.length_tokens = length_tokens;
+    }
+    if let Some(max_tokens) = opt_whole(args, "--max-tokens")? {
+        size.max_tokens = max_tokens;
+    }
+    Ok(size)
+}
+
 /// The scenario that `--scenario` names, or the default one.
 fn scenario(args: &mut Arguments) -> Result<Scenario, CommandError> {
     let name: Option<String> = args.opt_value_from_str("--scenario")?;
--- a/crates/load/src/cli/run.rs
+++ b/crates/load/src/cli/run.rs
@@ -66,12 +66,10 @@
     let scenario = Scenario::load(&args.value_from_str::<_, String>("--scenario")?)?;
     let time_scale = opt_number(args, "--time-scale")?.unwrap_or(1.0);
     let duration_s = opt_number(args, "--duration-s")?.unwrap_or(scenario.duration_s as f64);
-    let plan = Plan {
-        seed: args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED),
-        rate_per_s: rate(args, &scenario)? / time_scale,
-        duration: scaled(Duration::from_secs_f64(duration_s), time_scale),
-        without_long: args.contains("--without-long"),
-    };
+    let duration = scaled(Duration::from_secs_f64(duration_s), time_scale);
+    let plan = Plan::new(rate(args, &scenario)? / time_scale, duration)
+        .seed(args.opt_value_from_str("--seed")?.unwrap_or(DEFAULT_SEED))
+        .without_long(args.contains("--without-long"));
     let services = args.opt_value_from_fn("--service", addresses)?;
     let text_salt = args.opt_value_from_str("--text-salt")?;
     let idle: Option<String> = args.opt_value_from_str("--idle")?;
@@ -125,12 +123,9 @@
         .time_scale(*time_scale)
         .text_salt(*text_salt)
         .build();
+    let facts = RunFacts::new(scenario, *plan, &requests);
     let schedule = Schedule::new(scenario, *plan);
     let record = generate(client.clone(), requests, scenario.concurrency_cap, schedule).await;
-    let facts = RunFacts::new(scenario, *plan)
-        .targets(targets.len())
-        .time_scale(*time_scale)
-        .text_salt(*text_salt);
     let mut report = build(&facts, &scenario.configuration, &record);
     if !services.is_empty() {
         let runs = counted::read(&client, services).await?;
--- a/crates/load/src/figures.rs
+++ b/crates/load/src/figures.rs
@@ -56,7 +56,7 @@
 }
 
 fn short_p95_ms(report: &Report) -> Result<f64, FigureError> {
-    let short = report.by_length.get(&LengthBucket::Short);
+    let short = report.by_length.get(&LengthBucket::UpTo4k);
     let times = short.map(|short| short.time_to_first_token);
     match times {
         Some(times) if times.count > 0 => Ok(times.p95_ms),
--- a/crates/load/src/idle.rs
+++ b/crates/load/src/idle.rs
@@ -24,17 +24,53 @@
 /// Answer limit of the probes, in tokens: only the first one counts.
 const MAX_TOKENS: u32 = 4;
 
+/// Prompts of each length bucket.
+const DEFAULT_PER_BUCKET: usize = 20;
+
+/// Longest time spent on one bucket.
+const DEFAULT_BUCKET_LIMIT: Duration = Duration::from_secs(60);
+
 /// How to measure an idle engine.
 #[derive(Debug, Clone, Copy)]
 pub struct IdlePlan {
-    /// The engine.
-    pub engine: Destination,
-    /// Prompts of each length bucket.
-    pub per_bucket: usize,
-    /// Longest time spent on one bucket.
-    pub bucket_limit: Duration,
-    /// Seed of the prompts.
-    pub seed: u64,
+    engine: Destination,
+    per_bucket: usize,
+    bucket_limit: Duration,
+    seed: u64,
+}
+
+impl IdlePlan {
+    /// Measures `engine`.
+    #[must_use]
+    pub const fn new(engine: Destination) -> Self {
+        Self {
+            engine,
+            per_bucket: DEFAULT_PER_BUCKET,
+            bucket_limit: DEFAULT_BUCKET_LIMIT,
+            seed: 1,
+        }
+    }
+
+    /// Prompts of each length bucket; 20 by default.
+    #[must_use]
+    pub const fn per_bucket(mut self, per_bucket: usize) -> Self {
+        self.per_bucket = per_bucket;
+        self
+    }
+
+    /// Longest time spent on one bucket; 1 min by default.
+    #[must_use]
+    pub const fn bucket_limit(mut self, bucket_limit: Duration) -> Self {
+        self.bucket_limit = bucket_limit;
+        self
+    }
+
+    /// Seed of the prompts; 1 by default.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
 }
 
 /// Figures of an idle engine.
@@ -83,12 +119,7 @@
 fn prompts(scenario: &Scenario, plan: IdlePlan) -> BTreeMap<LengthBucket, Vec<(u64, ModelWork)>> {
     let mut scenario = scenario.clone();
     scenario.request_cap = DRAWN_CAP;
-    let draws = Plan {
-        seed: plan.seed,
-        rate_per_s: 1.0,
-        duration: Duration::MAX,
-        without_long: false,
-    };
+    let draws = Plan::new(1.0, Duration::MAX).seed(plan.seed);
     let mut prompts: BTreeMap<LengthBucket, Vec<(u64, ModelWork)>> = BTreeMap::new();
     for arrival in Schedule::new(&scenario, draws) {
         let Work::Model(mut work) = arrival.work else {
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exchange::{Exchanged, exchange};
-use crate::probe::{Destination, Prober};
+use crate::probe::{Destination, Prober, PromptSize};
 use crate::sample::End;
 use crate::times::{Quantiles, Times};
 
@@ -25,13 +25,6 @@
 /// Pairs before the count begins: connections and caches settle.
 const DEFAULT_WARM_UP_PAIRS: u64 = 20;
 
-/// Length of the prompts, in tokens: below one prefix block, so that none of
-/// them is found cached.
-const DEFAULT_LENGTH_TOKENS: u64 = 200;
-
-/// Answer limit, in tokens.
-const DEFAULT_MAX_TOKENS: u32 = 16;
-
 /// How to compare.
 #[derive(Debug, Clone, Copy)]
 pub struct Comparison {
@@ -40,8 +33,7 @@
     pairs: u64,
     warm_up_pairs: u64,
     workers: u64,
-    length_tokens: u64,
-    max_tokens: u32,
+    prompt_size: PromptSize,
     seed: u64,
 }
 
@@ -55,8 +47,7 @@
             pairs: DEFAULT_PAIRS,
             warm_up_pairs: DEFAULT_WARM_UP_PAIRS,
             workers: 1,
-            length_tokens: DEFAULT_LENGTH_TOKENS,
-            max_tokens: DEFAULT_MAX_TOKENS,
+            prompt_size: PromptSize::SHORT,
             seed: 1,
         }
     }
@@ -82,17 +73,10 @@
         self
     }
 
-    /// Length of the prompts, in tokens; 200 by default.
-    #[must_use]
-    pub const fn length_tokens(mut self, length_tokens: u64) -> Self {
-        self.length_tokens = length_tokens;
-        self
-    }
-
-    /// Answer limit, in tokens; 16 by default.
+    /// Size of the prompts; [`PromptSize::SHORT`] by default.
     #[must_use]
-    pub const fn max_tokens(mut self, max_tokens: u32) -> Self {
-        self.max_tokens = max_tokens;
+    pub const fn prompt_size(mut self, size: PromptSize) -> Self {
+        self.prompt_size = size;
         self
     }
 
@@ -218,7 +202,7 @@
     comparison: Comparison,
     seed: u64,
 ) -> [Exchanged; 2] {
-    let work = prober.work(comparison.length_tokens, comparison.max_tokens);
+    let work = prober.work(comparison.prompt_size);
     let daemon = exchange(client, prober.outgoing(comparison.daemon, &work, seed));
     let engine = exchange(client, prober.outgoing(comparison.engine, &work, seed));
     // The futures are lazy: each request leaves when it is awaited.
--- a/crates/load/src/probe.rs
+++ b/crates/load/src/probe.rs
@@ -19,6 +19,30 @@
 /// Priority of a probe at an engine.
 const PRIORITY: &str = "0";
 
+/// Size of a short prompt and of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptSize {
+    /// Length of the prompt, in tokens; 200 by default: below one prefix block,
+    /// so that none is found cached.
+    pub length_tokens: u64,
+    /// Answer limit, in tokens; 16 by default.
+    pub max_tokens: u32,
+}
+
+impl PromptSize {
+    /// The default, for constants.
+    pub const SHORT: Self = Self {
+        length_tokens: 200,
+        max_tokens: 16,
+    };
+}
+
+impl Default for PromptSize {
+    fn default() -> Self {
+        Self::SHORT
+    }
+}
+
 /// Who a probe is sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Destination {
@@ -58,15 +82,15 @@
         })
     }
 
-    /// Prompt of a length that shares nothing with others.
+    /// Prompt of a size that shares nothing with others.
     #[must_use]
-    pub fn work(&self, length_tokens: u64, max_tokens: u32) -> ModelWork {
+    pub fn work(&self, size: PromptSize) -> ModelWork {
         ModelWork {
             model: self.model.clone(),
             endpoint: Endpoint::Completions,
             stream: true,
-            max_tokens,
-            length_tokens,
+            max_tokens: size.max_tokens,
+            length_tokens: size.length_tokens,
             history: None,
         }
     }
--- a/crates/load/src/report/facts.rs
+++ b/crates/load/src/report/facts.rs
@@ -1,5 +1,6 @@
 //! How a run was made.
 
+use crate::requests::Requests;
 use crate::scenario::Scenario;
 use crate::schedule::Plan;
 use crate::text::TextSalt;
@@ -16,36 +17,15 @@
 
 impl RunFacts {
     /// Facts of a run of `scenario` under `plan`, which is in the wall clock's
-    /// time.
+    /// time, with `requests`.
     #[must_use]
-    pub fn new(scenario: &Scenario, plan: Plan) -> Self {
+    pub fn new(scenario: &Scenario, plan: Plan, requests: &Requests) -> Self {
         Self {
             scenario: scenario.name.clone(),
             plan,
-            targets: 1,
-            time_scale: 1.0,
-            text_salt: 0,
+            targets: requests.targets(),
+            time_scale: requests.time_scale(),
+            text_salt: requests.text_salt(),
         }
     }
-
-    /// Number of target addresses; 1 by default.
-    #[must_use]
-    pub const fn targets(mut self, targets: usize) -> Self {
-        self.targets = targets;
-        self
-    }
-
-    /// Factor on the durations of the scenario; 1 by default.
-    #[must_use]
-    pub const fn time_scale(mut self, time_scale: f64) -> Self {
-        self.time_scale = time_scale;
-        self
-    }
-
-    /// Salt of the texts; 0 by default.
-    #[must_use]
-    pub const fn text_salt(mut self, text_salt: TextSalt) -> Self {
-        self.text_salt = text_salt;
-        self
-    }
 }
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -18,6 +18,7 @@
 pub use build::build;
 pub use chart::{ChartError, write_chart};
 pub use facts::RunFacts;
+pub use mangofront_prompt::LengthBucket;
 pub use table::table;
 
 use crate::counted::CountedServices;
@@ -112,62 +113,6 @@
     pub in_flight_max: usize,
 }
 
-/// Range of prompt lengths.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LengthBucket {
-    /// Up to 4 000 tokens: the short prompts.
-    #[serde(rename = "up_to_4k")]
-    Short,
-    /// Over 4 000, up to 16 000 tokens.
-    #[serde(rename = "up_to_16k")]
-    Medium,
-    /// Over 16 000, up to 100 000 tokens.
-    #[serde(rename = "up_to_100k")]
-    Large,
-    /// Over 100 000, up to 400 000 tokens.
-    #[serde(rename = "up_to_400k")]
-    Long,
-    /// Over 400 000 tokens.
-    #[serde(rename = "over_400k")]
-    Longest,
-}
-
-impl LengthBucket {
-    /// All of them, shortest first.
-    pub const ALL: [Self; 5] = [
-        Self::Short,
-        Self::Medium,
-        Self::Large,
-        Self::Long,
-        Self::Longest,
-    ];
-
-    /// Bucket of a prompt's length.
-    #[must_use]
-    pub const fn of(length_tokens: u64) -> Self {
-        match length_tokens {
-            0..=4_000 => Self::Short,
-            4_001..=16_000 => Self::Medium,
-            16_001..=100_000 => Self::Large,
-            100_001..=400_000 => Self::Long,
-            _ => Self::Longest,
-        }
-    }
-
-    /// Name, as in the JSON form.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Short => "up_to_4k",
-            Self::Medium => "up_to_16k",
-            Self::Large => "up_to_100k",
-            Self::Long => "up_to_400k",
-            Self::Longest => "over_400k",
-        }
-    }
-}
-
 /// Prompts of one length bucket.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct LengthReport {
--- a/crates/load/src/requests.rs
+++ b/crates/load/src/requests.rs
@@ -98,6 +98,24 @@
         }
     }
 
+    /// Number of target addresses.
+    #[must_use]
+    pub fn targets(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Factor on the durations of the scenario.
+    #[must_use]
+    pub fn time_scale(&self) -> f64 {
+        self.time_scale
+    }
+
+    /// Salt of the texts.
+    #[must_use]
+    pub fn text_salt(&self) -> TextSalt {
+        self.slab.salt()
+    }
+
     /// Request of `arrival` for the next target.
     #[must_use]
     pub fn outgoing(&self, arrival: &Arrival) -> Outgoing {
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -85,14 +85,44 @@
 /// How to draw a schedule from a scenario.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
-    /// Seed of all draws.
-    pub seed: u64,
-    /// Mean arrivals a second.
-    pub rate_per_s: f64,
+    pub(crate) seed: u64,
+    pub(crate) rate_per_s: f64,
+    pub(crate) duration: Duration,
+    pub(crate) without_long: bool,
+}
+
+impl Plan {
+    /// Arrivals during `duration`, `rate_per_s` a second in the mean.
+    #[must_use]
+    pub const fn new(rate_per_s: f64, duration: Duration) -> Self {
+        Self {
+            seed: 1,
+            rate_per_s,
+            duration,
+            without_long: false,
+        }
+    }
+
+    /// Seed of all draws; 1 by default.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Time during which requests arrive.
-    pub duration: Duration,
-    /// Whether prompts over [`LONG_TOKENS`] are left out.
-    pub without_long: bool,
+    #[must_use]
+    pub const fn duration(mut self, duration: Duration) -> Self {
+        self.duration = duration;
+        self
+    }
+
+    /// Whether prompts over [`LONG_TOKENS`] are left out; not so by default.
+    #[must_use]
+    pub const fn without_long(mut self, without_long: bool) -> Self {
+        self.without_long = without_long;
+        self
+    }
 }
 
 /// Iterator over the arrivals of a run.
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -71,6 +71,10 @@
         Self { text, salt }
     }
 
+    pub(crate) const fn salt(&self) -> TextSalt {
+        self.salt
+    }
+
     /// Appends `length_bytes` of the text that belongs to `seed`.
     fn push(&self, body: &mut String, seed: u64, length_bytes: usize) {
         let seed = seed ^ self.salt;
--- a/crates/load/src/times.rs
+++ b/crates/load/src/times.rs
@@ -28,8 +28,12 @@
 }
 
 /// Histogram of times.
+///
+/// Invariant: it is there. The library refuses bounds that contradict each
+/// other; those above do not, and a test holds them to it. Were it not there,
+/// no time would be counted, which the reports' counts show.
 #[derive(Debug, Clone)]
-pub struct Times(Histogram<u64>);
+pub struct Times(Option<Histogram<u64>>);
 
 impl Default for Times {
     fn default() -> Self {
@@ -64,26 +68,30 @@
 
     fn bounded(longest_us: u64, digits: u8) -> Self {
         let histogram = Histogram::new_with_bounds(1, longest_us, digits);
-        Self(histogram.expect("the bounds are constants that the library accepts"))
+        let histogram = histogram.inspect_err(|error| log::error!("load: no histogram: {error}"));
+        Self(histogram.ok())
     }
 
     /// Adds one time; longer ones than the longest told apart count as
     /// that.
     pub fn add(&mut self, time: Duration) {
         let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        self.0.saturating_record(time_us);
+        if let Some(histogram) = &mut self.0 {
+            histogram.saturating_record(time_us);
+        }
     }
 
     /// Number of times.
     #[must_use]
     pub fn count(&self) -> u64 {
-        self.0.len()
+        self.0.as_ref().map_or(0, Histogram::len)
     }
 
     /// Time that a share of all do not exceed, in milliseconds; 0 when empty.
     #[must_use]
     pub fn quantile_ms(&self, share: f64) -> f64 {
-        self.0.value_at_quantile(share) as f64 / 1000.0
+        let time_us = self.0.as_ref().map(|times| times.value_at_quantile(share));
+        time_us.unwrap_or_default() as f64 / 1000.0
     }
 
     /// The figures of a report.
@@ -94,7 +102,7 @@
             p50_ms: self.quantile_ms(0.50),
             p95_ms: self.quantile_ms(0.95),
             p99_ms: self.quantile_ms(0.99),
-            max_ms: self.0.max() as f64 / 1000.0,
+            max_ms: self.0.as_ref().map_or(0, Histogram::max) as f64 / 1000.0,
         }
     }
 }
--- a/crates/load/tests/capacity.rs
+++ b/crates/load/tests/capacity.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mangofront_load::capacity::{CapacityPlan, CapacityReport, StepEnd, search};
+use mangofront_load::probe::PromptSize;
 use mangofront_load::scenario::Scenario;
 
 use support::{Fault, rule, server};
@@ -19,7 +20,10 @@
             .step(Duration::from_millis(300))
             .steps_cap(2)
             .first_token_limit_ms(first_token_limit_ms)
-            .max_tokens(4);
+            .prompt_size(PromptSize {
+                max_tokens: 4,
+                ..PromptSize::SHORT
+            });
         let client = mangofront_http::client().expect("a client");
         let scenario = Scenario::load("demo").expect("an embedded scenario");
         search(&client, &scenario, &plan).await.expect("own usage")
--- a/crates/load/tests/emulated.rs
+++ b/crates/load/tests/emulated.rs
@@ -7,7 +7,7 @@
 use mangofront_load::answers::AnswerRule;
 use mangofront_load::idle::{IdlePlan, measure};
 use mangofront_load::latency::{Comparison, LatencyReport, compare};
-use mangofront_load::probe::{Destination, Prober};
+use mangofront_load::probe::{Destination, Prober, PromptSize};
 use mangofront_load::report::LengthBucket;
 use mangofront_load::scenario::Scenario;
 use mangofront_standin::engine::{EngineSettings, run};
@@ -39,24 +39,22 @@
 #[test]
 fn idle_figures_leave_out_what_does_not_fit() {
     let report = beside_engine(async |engine, prober, scenario| {
-        let plan = IdlePlan {
-            engine,
-            per_bucket: 3,
-            bucket_limit: Duration::from_secs(10),
-            seed: 2,
-        };
+        let plan = IdlePlan::new(engine)
+            .per_bucket(3)
+            .bucket_limit(Duration::from_secs(10))
+            .seed(2);
         let client = mangofront_http::client().expect("a client");
         measure(&client, &prober, &scenario, plan).await
     });
     for bucket in [
-        LengthBucket::Short,
-        LengthBucket::Medium,
-        LengthBucket::Large,
+        LengthBucket::UpTo4k,
+        LengthBucket::UpTo16k,
+        LengthBucket::UpTo100k,
     ] {
         let length = &report.by_length[&bucket];
         assert_eq!(length.time_to_first_token.count, 3, "{length:?}");
     }
-    let long = &report.by_length[&LengthBucket::Long];
+    let long = &report.by_length[&LengthBucket::UpTo400k];
     assert_eq!(long.failed, 0, "{long:?}");
     assert!(long.refused > 0, "{long:?}");
     assert_eq!(long.refused + long.time_to_first_token.count, 3);
@@ -69,7 +67,10 @@
             .pairs(5)
             .warm_up_pairs(1)
             .workers(4)
-            .max_tokens(8);
+            .prompt_size(PromptSize {
+                max_tokens: 8,
+                ..PromptSize::SHORT
+            });
         let client = mangofront_http::client().expect("a client");
         compare(&client, &prober, comparison).await
     })
--- a/crates/load/tests/generator.rs
+++ b/crates/load/tests/generator.rs
@@ -19,14 +19,11 @@
 fn run(fault: Fault, concurrency_cap: usize, time_scale: f64) -> Report {
     let mut scenario = Scenario::load("demo").unwrap();
     scenario.request_cap = 60;
-    let plan = Plan {
-        seed: 7,
-        rate_per_s: 400.0,
-        duration: Duration::from_secs(1),
-        without_long: true,
-    };
+    let plan = Plan::new(400.0, Duration::from_secs(1))
+        .seed(7)
+        .without_long(true);
     let runtime = compio::runtime::Runtime::new().unwrap();
-    let record = runtime.block_on(async {
+    let (record, facts) = runtime.block_on(async {
         let targets = vec![server(fault).await, server(fault).await];
         let requests = Requests::builder(&scenario, targets)
             .time_scale(time_scale)
@@ -34,11 +31,10 @@
             .build();
         let client = mangofront_http::client().unwrap();
         let schedule = Schedule::new(&scenario, plan);
-        generate(client, requests, concurrency_cap, schedule).await
+        let facts = RunFacts::new(&scenario, plan, &requests);
+        let record = generate(client, requests, concurrency_cap, schedule).await;
+        (record, facts)
     });
-    let facts = RunFacts::new(&scenario, plan)
-        .targets(2)
-        .time_scale(time_scale);
     build(&facts, &scenario.configuration, &record)
 }
 
--- a/crates/load/tests/report.rs
+++ b/crates/load/tests/report.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a helper of tests fails by panicking")]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use mangofront_http::Outcome;
@@ -10,6 +11,7 @@
 use mangofront_load::generator::Record;
 use mangofront_load::idle::{IdleLength, IdleReport};
 use mangofront_load::report::{LengthBucket, Report, RunFacts, build, table, write_chart};
+use mangofront_load::requests::Requests;
 use mangofront_load::sample::{End, Sample, SampleKind};
 use mangofront_load::scenario::Scenario;
 use mangofront_load::schedule::Plan;
@@ -149,19 +151,16 @@
         in_flight_max: 12,
         elapsed: Duration::from_secs(20),
     };
-    let plan = Plan {
-        seed: 1,
-        rate_per_s: 16.0,
-        duration: Duration::from_secs(12),
-        without_long,
-    };
-    let facts = RunFacts::new(&scenario, plan).targets(2);
+    let plan = Plan::new(16.0, Duration::from_secs(12)).without_long(without_long);
+    let targets = vec![SocketAddr::from(([127, 0, 0, 1], 1)); 2];
+    let requests = Requests::builder(&scenario, targets).build();
+    let facts = RunFacts::new(&scenario, plan, &requests);
     build(&facts, &scenario.configuration, &record)
 }
 
 fn idle() -> IdleReport {
     let mut report = report(1, false);
-    let by_length = report.by_length.remove(&LengthBucket::Short).unwrap();
+    let by_length = report.by_length.remove(&LengthBucket::UpTo4k).unwrap();
     let mut short = by_length.time_to_first_token;
     short.p95_ms = 475.0;
     let mut long = short;
@@ -173,8 +172,8 @@
         first_problem: None,
     };
     let by_length = [
-        (LengthBucket::Short, length(short)),
-        (LengthBucket::Long, length(long)),
+        (LengthBucket::UpTo4k, length(short)),
+        (LengthBucket::UpTo400k, length(long)),
     ];
     IdleReport {
         scenario: "demo".to_owned(),
@@ -261,7 +260,7 @@
     // 951 ms by 475 ms and 8 s by 2 s, to the histogram's three digits.
     insta::assert_json_snapshot!(ratio);
     assert!((ratio.geometric_mean - 8.0_f64.sqrt()).abs() < 0.02);
-    assert_eq!(ratio.left_out, [LengthBucket::Longest]);
+    assert_eq!(ratio.left_out, [LengthBucket::Over400k]);
 }
 
 #[test]
--- a/crates/load/tests/scenarios.rs
+++ b/crates/load/tests/scenarios.rs
@@ -9,12 +9,7 @@
 use mangofront_settings::published::check_published_text;
 use quickcheck::{QuickCheck, TestResult};
 
-const PLAN: Plan = Plan {
-    seed: 1,
-    rate_per_s: 100.0,
-    duration: Duration::from_secs(100),
-    without_long: false,
-};
+const PLAN: Plan = Plan::new(100.0, Duration::from_secs(100));
 
 fn arrivals(scenario: &Scenario, plan: Plan) -> Vec<Arrival> {
     Schedule::new(scenario, plan).collect()
@@ -50,10 +45,7 @@
         let mut scenario = Scenario::load(name).unwrap();
         assert!((scenario.long_share() - 0.02).abs() < 1e-9, "{name}");
         scenario.request_cap = 100_000;
-        let plan = Plan {
-            duration: Duration::from_secs(1000),
-            ..PLAN
-        };
+        let plan = PLAN.duration(Duration::from_secs(1000));
         let lengths = arrivals(&scenario, plan);
         let lengths: Vec<u64> = lengths.iter().filter_map(length_tokens).collect();
         let long = lengths
@@ -93,16 +85,12 @@
 fn a_seed_gives_one_schedule_with_or_without_long_prompts() {
     fn holds(seed: u64) -> TestResult {
         let scenario = Scenario::load("demo").unwrap();
-        let plan = Plan { seed, ..PLAN };
+        let plan = PLAN.seed(seed);
         let all = format!("{:?}", arrivals(&scenario, plan));
         assert_eq!(all, format!("{:?}", arrivals(&scenario, plan)));
         let mut with = arrivals(&scenario, plan);
         with.retain(|arrival| length_tokens(arrival).is_none_or(|tokens| tokens <= LONG_TOKENS));
-        let without = Plan {
-            without_long: true,
-            ..plan
-        };
-        let without = arrivals(&scenario, without);
+        let without = arrivals(&scenario, plan.without_long(true));
         TestResult::from_bool(format!("{with:?}") == format!("{without:?}"))
     }
     QuickCheck::new()
--- /dev/null
+++ b/crates/load/tests/times.rs
@@ -0,0 +1,17 @@
+//! Both histograms of times exist and tell close times apart.
+
+use std::time::Duration;
+
+use mangofront_load::times::Times;
+
+#[test]
+fn both_histograms_count_and_tell_close_times_apart() {
+    for mut times in [Times::new(), Times::fine()] {
+        times.add(Duration::from_micros(1_000));
+        times.add(Duration::from_micros(1_010));
+        let quantiles = times.quantiles();
+        assert_eq!(quantiles.count, 2);
+        assert!(quantiles.p50_ms < quantiles.max_ms, "{quantiles:?}");
+        assert!((quantiles.max_ms - 1.01).abs() < 0.002, "{quantiles:?}");
+    }
+}
--- a/crates/prompt/src/lib.rs
+++ b/crates/prompt/src/lib.rs
@@ -6,6 +6,11 @@
 //! body itself is never changed; it travels on as the bytes that came in.
 //! `entry` reads requests with it, `placement` compares blocks with what
 //! engines report, and the emulated engine in `standin` reports the same.
+//! Metrics and load reports tell lengths apart by its [`LengthBucket`].
+
+mod length;
+
+pub use length::LengthBucket;
 
 use std::borrow::Cow;
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,7 +18,8 @@
 use thiserror::Error;
 
 use instruments::Instruments;
-pub use labels::{LengthBucket, PeerState, RequestOutcome};
+pub use labels::{PeerState, RequestOutcome};
+pub use mangofront_prompt::LengthBucket;
 
 /// Start of every metric's name.
 const NAMESPACE: &str = "mangofront";
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -27,45 +27,6 @@
     }
 }
 
-/// Range of prompt lengths, in tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LengthBucket {
-    /// Up to 4,000.
-    UpTo4k,
-    /// Up to 16,000.
-    UpTo16k,
-    /// Up to 100,000.
-    UpTo100k,
-    /// Up to 400,000.
-    UpTo400k,
-    /// Over 400,000.
-    Over400k,
-}
-
-impl LengthBucket {
-    /// Range that a prompt of `prompt_tokens` is in.
-    #[must_use]
-    pub const fn of(prompt_tokens: u64) -> Self {
-        match prompt_tokens {
-            0..=4_000 => Self::UpTo4k,
-            4_001..=16_000 => Self::UpTo16k,
-            16_001..=100_000 => Self::UpTo100k,
-            100_001..=400_000 => Self::UpTo400k,
-            _ => Self::Over400k,
-        }
-    }
-
-    pub(super) const fn name(self) -> &'static str {
-        match self {
-            Self::UpTo4k => "up_to_4k",
-            Self::UpTo16k => "up_to_16k",
-            Self::UpTo100k => "up_to_100k",
-            Self::UpTo400k => "up_to_400k",
-            Self::Over400k => "over_400k",
-        }
-    }
-}
-
 /// What is known of another daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerState {
