--- a/crates/once/src/core.rs
+++ b/crates/once/src/core.rs
@@ -15,9 +15,10 @@
 use crate::message::{Reply, Request, encode};
 use crate::mint::{Archives, Keep, Mint};
 use crate::options::OnceOptions;
-use crate::seat::{Seat, VotingRules};
+use crate::seat::Seat;
 use crate::status::Counters;
 use crate::view::{VoterSet, VoterView};
+use crate::voting_rules::VotingRules;
 
 const SUSPECT_FOR: Duration = Duration::from_secs(1);
 const SEND_ATTEMPTS: u32 = 5;
--- a/crates/once/src/gather.rs
+++ b/crates/once/src/gather.rs
@@ -13,13 +13,13 @@
 
 use crate::core::Core;
 use crate::exchange::ExchangeError;
+use crate::fence::counted;
 use crate::ids::ClaimId;
 use crate::key::{Fingerprint, OrderKey};
 use crate::message::{ClaimAnswer, Decider, Grant, Holding, Reply, Request};
 use crate::open_claim::OpenClaim;
 use crate::options::Weakness;
 use crate::outcome::{NotRunReason, OrderError, Record, UnknownReason};
-use crate::seat::counted;
 use crate::view::{VoterSet, rendezvous};
 
 /// What gathering came to.
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -38,6 +38,7 @@
 mod core;
 mod exchange;
 mod execute;
+mod fence;
 mod gather;
 mod gather_minted;
 mod hand_over;
@@ -53,6 +54,7 @@
 mod status;
 mod synchronise;
 pub mod view;
+mod voting_rules;
 
 pub use crate::claims::{BeginError, Begun, RunPermit};
 pub use crate::exchange::{Exchange, ExchangeError};
--- a/crates/once/src/seat.rs
+++ b/crates/once/src/seat.rs
@@ -23,28 +23,24 @@
 //! Two majorities of sets that differ in one member need not meet (of {a, b, c}
 //! and {a, b, d}: {a, c} and {b, d}), so each change of members synchronises.
 
-use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use mangofront_settings::ids::{Incarnation, InstanceId, Revision};
+use mangofront_settings::ids::Revision;
 
 use crate::ballots::{Ballots, Vote};
+use crate::fence::Fences;
 use crate::ids::{ClaimId, Process};
-use crate::key::{Fingerprint, OrderKey, mint_time_unix_ms};
+use crate::key::{Fingerprint, OrderKey};
 use crate::message::{Grant, Page, Reply};
-use crate::options::{OnceOptions, Weakness, duration_ms, unix_ms};
+use crate::options::{OnceOptions, Weakness, unix_ms};
 use crate::view::VoterSet;
+use crate::voting_rules::VotingRules;
 
+/// Records in one page.
 const PAGE_ENTRIES: usize = 200;
-const MAX_PENDING: usize = 8;
 
-/// Rules that decide when a voter may vote.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct VotingRules {
-    pub(crate) keep: Duration,
-    pub(crate) clock_margin: Duration,
-    pub(crate) first_start_unix_ms: u64,
-}
+/// Sets that may wait to be synchronised with.
+const MAX_PENDING: usize = 8;
 
 /// A voter's state.
 #[derive(Debug)]
@@ -67,8 +63,7 @@
     is_seated: bool,
     /// Whether this life never had another set, nor was established.
     is_first_set: bool,
-    /// Latest lives of other voters that this one has given its records to.
-    fences: BTreeMap<InstanceId, Incarnation>,
+    fences: Fences,
     pub(crate) ballots: Ballots<OrderKey>,
     voting: bool,
 }
@@ -86,7 +81,7 @@
             in_force_unix_ms: None,
             is_seated: false,
             is_first_set: true,
-            fences: BTreeMap::new(),
+            fences: Fences::default(),
             ballots: Ballots::new(options.max_records, options.max_answers_bytes),
             voting: true,
         }
@@ -202,28 +197,13 @@
             return;
         }
         let outlived = now.duration_since(self.taken_at) > rules.keep;
-        let vouched = self.established.is_none() && self.is_vouched(rules);
+        let vouched = self.established.is_none() && rules.vouch_for(self.taken_unix_ms);
         if outlived || vouched || self.weakness == Weakness::NoSynchronisation {
             self.pending.clear();
             self.establish(&view);
         }
     }
 
-    fn is_vouched(&self, rules: VotingRules) -> bool {
-        let first_start = rules.first_start_unix_ms;
-        let margin_ms = duration_ms(rules.clock_margin);
-        self.taken_unix_ms.saturating_add(margin_ms) < first_start && first_start <= unix_ms()
-    }
-
-    fn is_younger_than_set(&self, key: &str, rules: VotingRules) -> bool {
-        let Some((minted, in_force)) = mint_time_unix_ms(key).zip(self.in_force_unix_ms) else {
-            return false;
-        };
-        let margin_ms = duration_ms(rules.clock_margin);
-        let in_future = minted > unix_ms().saturating_add(margin_ms);
-        !in_future && minted > in_force.saturating_add(margin_ms)
-    }
-
     /// Answers a claim on a plain key.
     pub(crate) fn claim(
         &mut self,
@@ -243,7 +223,7 @@
         }
         let may_vote = self.voting
             && view.has(&self.process.instance)
-            && (self.is_established() || self.is_younger_than_set(&order.key, rules));
+            && (self.is_established() || rules.is_younger(&order.key, self.in_force_unix_ms));
         if !may_vote {
             let holding = self.ballots.holding(order, now);
             return holding.map_or(Reply::NotReady, Reply::Held);
@@ -259,12 +239,9 @@
     }
 
     fn grant(&self) -> Grant {
-        let fences = self.fences.iter();
         Grant {
             voter: self.process.clone(),
-            fences: fences
-                .map(|(instance, incarnation)| (instance.clone(), *incarnation))
-                .collect(),
+            fences: self.fences.told(),
         }
     }
 
@@ -279,8 +256,7 @@
         after: Option<&OrderKey>,
     ) -> Reply {
         self.hear_of(target);
-        let fence = self.fences.entry(reader.instance.clone()).or_default();
-        *fence = reader.incarnation.max(*fence);
+        self.fences.raise(reader);
         let Some(view) = self.view.clone() else {
             return Reply::NotReady;
         };
@@ -302,21 +278,3 @@
         self.view.as_ref().map_or(0, |view| view.revision)
     }
 }
-
-/// Grants that count together: none of an earlier life of a voter that one of
-/// the others has already given its records to.
-pub(crate) fn counted(grants: &[Grant], weakness: Weakness) -> usize {
-    if weakness == Weakness::NoIncarnationFence {
-        return grants.len();
-    }
-    let fenced = |voter: &Process| {
-        grants
-            .iter()
-            .flat_map(|grant| &grant.fences)
-            .any(|(instance, incarnation)| {
-                *instance == voter.instance && *incarnation > voter.incarnation
-            })
-    };
-    let current = grants.iter().filter(|grant| !fenced(&grant.voter));
-    current.count()
-}
--- a/crates/once/src/synchronise.rs
+++ b/crates/once/src/synchronise.rs
@@ -21,7 +21,7 @@
 //! the others, which shares a member with those that were read. That member voted
 //! before the reading, then the reader has the record, or its vote names the
 //! reader's new life and the former vote counts no longer (see
-//! [`crate::seat::counted`]).
+//! [`crate::fence::counted`]).
 //!
 //! So when more voters are new at once than a majority less one, the new ones
 //! wait for the window or for an operator's word: nobody can tell them from
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -15,23 +15,12 @@
 use crate::document::{Digest, Document, Kind, Source, Version};
 use crate::options::VALUE_LIMIT_BYTES;
 use crate::refusals::Refusals;
-
-/// Current answers in a row after which a service that was stale counts as
-/// caught up; fewer would make an episode of every answer when one of its
-/// replicas is stale and another is not.
-const CURRENT_ANSWERS: u32 = 3;
+use crate::staleness::Staleness;
+use crate::verdict::{Tally, Verdict, other_digest, too_large};
 
 /// Typed value of a text, or what is wrong with it.
 pub(crate) type Parse<'a, A> = &'a dyn Fn(Version, &str) -> Result<A, String>;
 
-/// What came of an offer.
-#[derive(Debug)]
-pub(crate) struct Verdict {
-    pub(crate) outcome: OfferOutcome,
-    /// What the audit trail should be told, if it was not told before.
-    pub(crate) change: Option<PlatformChange>,
-}
-
 /// A value in force.
 #[derive(Debug)]
 pub(crate) struct Held<A> {
@@ -41,23 +30,13 @@
     pub(crate) accepted_at: Instant,
 }
 
-/// Offers by what became of them.
-#[derive(Debug, Default)]
-pub(crate) struct Tally {
-    pub(crate) from_peers: u64,
-    pub(crate) refused: u64,
-    pub(crate) stale: u64,
-}
-
 /// One published value as this process holds it.
 #[derive(Debug)]
 pub(crate) struct Floor<A> {
     kind: Kind,
     held: Option<Held<A>>,
     refused: Refusals,
-    /// Current answers that are missing until a service that was stale counts
-    /// as caught up; 0 when it is.
-    behind: u32,
+    staleness: Staleness,
     pub(crate) tally: Tally,
 }
 
@@ -67,7 +46,7 @@
             kind,
             held: None,
             refused: Refusals::default(),
-            behind: 0,
+            staleness: Staleness::default(),
             tally: Tally::default(),
         }
     }
@@ -86,7 +65,7 @@
 
     /// Whether the service serves values below the floor.
     pub(crate) fn is_behind(&self) -> bool {
-        self.behind > 0
+        self.staleness.is_stale()
     }
 
     /// Notes that the service answered that `told` is still its revision.
@@ -113,7 +92,7 @@
         }
         self.service_caught_up(source);
         if self.is_held(revision, &document.body) {
-            return quiet(OfferOutcome::AlreadyHeld);
+            return Verdict::unchanged(OfferOutcome::AlreadyHeld);
         }
         if document.body.len() > VALUE_LIMIT_BYTES {
             return self.refuse(revision, None, source, too_large());
@@ -190,31 +169,30 @@
     ) -> Verdict {
         let is_stale = floor_at_request.is_some_and(|floor| revision < floor);
         let Some(floor) = self.revision() else {
-            return quiet(OfferOutcome::Outdated);
+            return Verdict::unchanged(OfferOutcome::Outdated);
         };
         if *source != Source::Service || !is_stale {
-            return quiet(OfferOutcome::Outdated);
+            return Verdict::unchanged(OfferOutcome::Outdated);
         }
         self.tally.stale += 1;
-        let was_behind = self.is_behind();
-        self.behind = CURRENT_ANSWERS;
+        let is_first = self.staleness.note_stale();
         let reason = Refusal::Lower { floor };
         let change = self.refusal(revision, source, reason.clone());
         Verdict {
             outcome: OfferOutcome::Refused(reason),
-            change: (!was_behind).then_some(change),
+            change: is_first.then_some(change),
         }
     }
 
     fn service_caught_up(&mut self, source: &Source) {
         if *source == Source::Service {
-            self.behind = self.behind.saturating_sub(1);
+            self.staleness.note_current();
         }
     }
 
     fn same_revision(&mut self, met: Version, held: Version, source: &Source) -> Verdict {
         if met.digest == held.digest {
-            return quiet(OfferOutcome::AlreadyHeld);
+            return Verdict::unchanged(OfferOutcome::AlreadyHeld);
         }
         let reason = other_digest(met, held);
         self.refuse(met.revision, Some(met.digest), source, reason)
@@ -222,7 +200,7 @@
 
     fn refused_before(&self, version: Version) -> Option<Verdict> {
         let reason = self.refused.find(version.revision, Some(version.digest))?;
-        Some(quiet(OfferOutcome::Refused(reason.clone())))
+        Some(Verdict::unchanged(OfferOutcome::Refused(reason.clone())))
     }
 
     fn accept(
@@ -289,23 +267,3 @@
     let value = serde_json::from_str(text).map_err(|error| fault(error.to_string()))?;
     Ok((digest::of_value(&value), text))
 }
-
-fn quiet(outcome: OfferOutcome) -> Verdict {
-    Verdict {
-        outcome,
-        change: None,
-    }
-}
-
-fn other_digest(met: Version, held: Version) -> Refusal {
-    Refusal::OtherDigest {
-        held: held.digest,
-        offered: met.digest,
-    }
-}
-
-pub(crate) fn too_large() -> Refusal {
-    Refusal::TooLarge {
-        limit_bytes: VALUE_LIMIT_BYTES,
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -29,6 +29,8 @@
 mod refusals;
 mod service;
 mod shared;
+mod staleness;
+mod verdict;
 mod waiters;
 
 pub use accepted::{AcceptedConfiguration, AcceptedInstances};
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -17,8 +17,8 @@
 use crate::change::Refusal;
 use crate::document::Kind;
 use crate::error::{ReadError, ReadStep};
-use crate::floor::too_large;
 use crate::options::VALUE_LIMIT_BYTES;
+use crate::verdict::too_large;
 
 /// Room for the revision and the punctuation around a value, in bytes.
 const ENVELOPE_LIMIT_BYTES: usize = 4096;
--- a/crates/platform/src/shared.rs
+++ b/crates/platform/src/shared.rs
@@ -12,12 +12,13 @@
 use crate::change::{OfferOutcome, PlatformChange};
 use crate::check::check_instances;
 use crate::document::{Document, Kind, Source, Version};
-use crate::floor::{Floor, Verdict};
+use crate::floor::Floor;
 use crate::health::{Contact, DocumentHealth, PlatformHealth, millis};
 use crate::options::PlatformOptions;
 use crate::pause::Pauses;
 use crate::platform::Seen;
 use crate::service::Answer;
+use crate::verdict::Verdict;
 use crate::waiters::Waiters;
 
 /// State that the handle and the reading tasks share.
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -6,8 +6,9 @@
 //! may not repeat never take a used connection, because a connection closed by
 //! its other end in the same moment would leave it open whether they ran.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+mod answer;
+mod idle;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,15 +16,17 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use futures_util::{Stream, StreamExt};
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http::Request;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 
 use crate::Target;
 use crate::error::{SendError, Step};
 
+pub use answer::Answer;
+
+use idle::IdleConnections;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Settings of [`Connections`].
@@ -53,23 +56,18 @@
 
 #[derive(Debug)]
 struct Shared {
-    options: ConnectionsOptions,
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-}
-
-#[derive(Debug)]
-struct Idle {
-    sender: Sender,
-    since: Instant,
+    connect_timeout: Duration,
+    idle: IdleConnections,
 }
 
 impl Connections {
     /// No connection yet.
     #[must_use]
     pub fn new(options: ConnectionsOptions) -> Self {
+        let idle = IdleConnections::new(options.idle_timeout, options.idle_limit);
         Self(Rc::new(Shared {
-            options,
-            idle: RefCell::default(),
+            connect_timeout: options.connect_timeout,
+            idle,
         }))
     }
 
@@ -83,7 +81,7 @@
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Answer, SendError> {
-        while let Some(mut sender) = self.take_idle(target.address) {
+        while let Some(mut sender) = self.0.idle.take(target.address) {
             let sent = within(
                 deadline,
                 target,
@@ -91,7 +89,7 @@
                 sender.try_send_request(request),
             );
             match sent.await? {
-                Ok(response) => return Ok(self.answer(target, sender, response)),
+                Ok(response) => return Ok(Answer::new(self, target, sender, response)),
                 Err(mut error) => match error.take_message() {
                     // Unwritten: the connection was closed while unused.
                     Some(unwritten) => request = unwritten,
@@ -116,25 +114,8 @@
         })
     }
 
-    fn answer(
-        &self,
-        target: &Target,
-        sender: Sender,
-        response: http::Response<Incoming>,
-    ) -> Answer {
-        let (head, body) = response.into_parts();
-        Answer {
-            status: head.status,
-            headers: head.headers,
-            target: target.clone(),
-            body: Some(body),
-            sender: Some(sender),
-            connections: self.clone(),
-        }
-    }
-
     async fn connect(&self, target: &Target, deadline: Instant) -> Result<Sender, SendError> {
-        let limit = deadline.min(Instant::now() + self.0.options.connect_timeout);
+        let limit = deadline.min(Instant::now() + self.0.connect_timeout);
         let stream = within(
             limit,
             target,
@@ -160,37 +141,9 @@
         Ok(sender)
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let mut idle = self.0.idle.borrow_mut();
-        let kept = idle.get_mut(&address)?;
-        while let Some(entry) = kept.pop() {
-            let fresh = entry.since.elapsed() < self.0.options.idle_timeout;
-            if fresh && entry.sender.is_ready() {
-                return Some(entry.sender);
-            }
-        }
-        None
-    }
-
-    fn put_idle(&self, address: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
-            return;
-        }
-        let mut idle = self.0.idle.borrow_mut();
-        let kept = idle.entry(address).or_default();
-        let timeout = self.0.options.idle_timeout;
-        kept.retain(|entry| entry.since.elapsed() < timeout && !entry.sender.is_closed());
-        if kept.len() < self.0.options.idle_limit {
-            kept.push(Idle {
-                sender,
-                since: Instant::now(),
-            });
-        }
-    }
-
     /// Closes the unused connections to addresses that `keep` does not name.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.0.idle.borrow_mut().retain(|address, _| keep(address));
+        self.0.idle.retain(keep);
     }
 }
 
@@ -215,8 +168,13 @@
         let sending = self.sender.try_send_request(request);
         match within(deadline, &self.target, Step::Head, sending).await? {
             Ok(response) => {
-                let connections = self.connections.clone();
-                Ok(connections.answer(&self.target, self.sender, response))
+                let connections = &self.connections;
+                Ok(Answer::new(
+                    connections,
+                    &self.target,
+                    self.sender,
+                    response,
+                ))
             }
             Err(mut error) => {
                 let step = match error.take_message() {
@@ -235,75 +193,6 @@
     }
 }
 
-/// Head of an answer and the way to its body.
-#[derive(Debug)]
-pub struct Answer {
-    /// Status of the answer.
-    pub status: StatusCode,
-    /// Headers of the answer.
-    pub headers: HeaderMap,
-    target: Target,
-    body: Option<Incoming>,
-    sender: Option<Sender>,
-    connections: Connections,
-}
-
-impl Answer {
-    /// Reads the body whole, up to `limit_bytes`.
-    ///
-    /// # Errors
-    /// [`SendError`] when it breaks, is longer, or is not whole by `deadline`.
-    pub async fn bytes(
-        mut self,
-        limit_bytes: usize,
-        deadline: Instant,
-    ) -> Result<Bytes, SendError> {
-        let Some(body) = self.body.take() else {
-            return Ok(Bytes::new());
-        };
-        let limited = http_body_util::Limited::new(body, limit_bytes);
-        let collected = within(deadline, &self.target, Step::Body, limited.collect()).await?;
-        match collected {
-            Ok(collected) => {
-                self.release();
-                Ok(collected.to_bytes())
-            }
-            Err(error) => Err(SendError::Broken {
-                step: Step::Body,
-                peer: self.target.instance.clone(),
-                cause: error.to_string(),
-            }),
-        }
-    }
-
-    /// Chunks of the body as they come.
-    pub fn chunks(mut self) -> impl Stream<Item = Result<Bytes, SendError>> {
-        let body = self.body.take();
-        let chunks = body.map(|body| body.into_data_stream());
-        futures_util::stream::unfold((self, chunks), |(mut answer, chunks)| async move {
-            let mut chunks = chunks?;
-            match chunks.next().await {
-                Some(Ok(chunk)) => Some((Ok(chunk), (answer, Some(chunks)))),
-                Some(Err(error)) => {
-                    let error = broken(&answer.target, Step::Body, &error);
-                    Some((Err(error), (answer, None)))
-                }
-                None => {
-                    answer.release();
-                    None
-                }
-            }
-        })
-    }
-
-    /// Gives the connection back; only right after the body's end.
-    fn release(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.connections.put_idle(self.target.address, sender);
-        }
-    }
-}
-
 fn broken(target: &Target, step: Step, error: &(impl std::error::Error + ?Sized)) -> SendError {
     let cause = match error.source() {
         Some(source) => format!("{error}: {source}"),
