Test upstream over loopback against a scripted server

Cause: what `upstream` promises of connections and attempts was covered only from afar, by the process tests.

Change: a scripted server that writes raw bytes and records each request with its connection; 7 tests of connections (reuse, early drop, a call of its own, connect failure, closing after the request, a body cut short, nothing sent twice when an unused connection closes) and 7 of the engine's dialect (own frames only, gap, missing end, resume, cancels sent and not sent).

--- /dev/null
+++ b/crates/upstream/tests/connections.rs
@@ -0,0 +1,143 @@
+//! Reuse of connections, and what is known of a call that failed.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::pin::pin;
+
+use compio::net::TcpListener;
+use futures_util::StreamExt;
+use mangofront_http::Outcome;
+use mangofront_upstream::{Connections, SendError, Step, Target};
+
+use support::{Reply, Server, connections, deadline, get, target};
+
+const LIMIT_BYTES: usize = 1024;
+
+async fn call(connections: &Connections, target: &Target, path: &str) -> Result<String, SendError> {
+    let answer = connections.send(target, get(path), deadline()).await?;
+    let body = answer.bytes(LIMIT_BYTES, deadline()).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+#[compio::test]
+async fn answer_read_whole_leaves_its_connection_to_the_next() {
+    let server = Server::start(Reply::whole).await;
+    let connections = connections();
+    for path in ["/first", "/second"] {
+        let answer = call(&connections, &server.target, path).await;
+        assert_eq!(answer.unwrap(), format!("GET {path}"));
+    }
+    assert_eq!(server.connections(), [0, 0]);
+}
+
+#[compio::test]
+async fn answer_dropped_early_closes_its_connection() {
+    let server = Server::start(|call| match call {
+        "GET /first" => Reply::unfinished(&["late".to_owned()]),
+        _ => Reply::whole("second"),
+    })
+    .await;
+    let connections = connections();
+    let first = connections
+        .send(&server.target, get("/first"), deadline())
+        .await;
+    {
+        let mut chunks = pin!(first.unwrap().chunks());
+        chunks.next().await.unwrap().unwrap();
+    }
+    let second = call(&connections, &server.target, "/second").await;
+    assert_eq!(second.unwrap(), "second");
+    assert_eq!(server.connections(), [0, 1]);
+    server.closed(1).await;
+}
+
+#[compio::test]
+async fn call_of_its_own_takes_no_used_connection() {
+    let server = Server::start(Reply::whole).await;
+    let connections = connections();
+    call(&connections, &server.target, "/first").await.unwrap();
+    let opened = connections.open(&server.target, deadline()).await.unwrap();
+    opened.send(get("/once"), deadline()).await.unwrap();
+    assert_eq!(server.connections(), [0, 1]);
+}
+
+#[compio::test]
+async fn failure_to_connect_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = target(listener.local_addr().unwrap());
+    drop(listener);
+    let error = call(&connections(), &nobody, "/call").await.unwrap_err();
+    assert!(
+        matches!(
+            error,
+            SendError::Broken {
+                step: Step::Connect,
+                ..
+            }
+        ),
+        "{error:?}"
+    );
+    assert_eq!(error.outcome(), Outcome::NotRun);
+}
+
+#[compio::test]
+async fn connection_closed_after_the_request_is_unknown() {
+    let server = Server::start(|call| match call {
+        "GET /good" => Reply::whole("good"),
+        _ => Reply::none(),
+    })
+    .await;
+    let connections = connections();
+    // The first on a fresh connection, the second on a used one.
+    for before in [None, Some("/good")] {
+        if let Some(path) = before {
+            call(&connections, &server.target, path).await.unwrap();
+        }
+        let error = call(&connections, &server.target, "/bad").await;
+        let error = error.unwrap_err();
+        assert_eq!(error.outcome(), Outcome::Unknown, "{error:?}");
+    }
+    assert_eq!(server.calls(), ["GET /bad", "GET /good", "GET /bad"]);
+    assert_eq!(server.connections(), [0, 1, 1]);
+}
+
+#[compio::test]
+async fn body_cut_short_is_unknown() {
+    let server = Server::start(|_| {
+        let mut reply = Reply::whole("whole").and_close();
+        reply.raw.pop();
+        reply
+    })
+    .await;
+    let error = call(&connections(), &server.target, "/call").await;
+    let error = error.unwrap_err();
+    assert_eq!(error.outcome(), Outcome::Unknown, "{error:?}");
+    assert_eq!(error.step_name(), Step::Body.name());
+}
+
+#[compio::test]
+async fn nothing_is_sent_twice_when_a_connection_closes_unused() {
+    let server = Server::start(|_| Reply::whole("done").and_close()).await;
+    let connections = connections();
+    let mut outcomes = BTreeMap::new();
+    for number in 0..60 {
+        let path = format!("/{number}");
+        let answer = call(&connections, &server.target, &path).await;
+        outcomes.insert(path, answer.map_err(|error| error.outcome()));
+        // Some calls meet the closing of the connection, others come after it.
+        if number % 3 == 0 {
+            server.closed(server.seen().len()).await;
+        }
+    }
+    for (path, outcome) in &outcomes {
+        let call = format!("GET {path}");
+        let runs = server.calls().iter().filter(|seen| **seen == call).count();
+        match outcome {
+            Ok(_) => assert_eq!(runs, 1, "{path}"),
+            Err(Outcome::NotRun) => assert_eq!(runs, 0, "{path}"),
+            Err(_) => assert!(runs <= 1, "{path} ran {runs} times"),
+        }
+    }
+    assert!(outcomes.values().filter(|outcome| outcome.is_ok()).count() >= 20);
+}
--- /dev/null
+++ b/crates/upstream/tests/engine.rs
@@ -0,0 +1,165 @@
+//! The engine's dialect against a scripted engine.
+
+mod support;
+
+use bytes::Bytes;
+use mangofront_http::{ErrorBody, Outcome};
+use mangofront_prompt::Endpoint;
+use mangofront_upstream::engine::{EngineStream, FinishReason, Generate, generate, resume};
+use mangofront_upstream::{Connections, SendError};
+
+use support::{Reply, Server, connections, deadline, get};
+
+const START: &str = "POST /v1/completions";
+
+const CANCEL: &str = "DELETE /v1/requests/request-1/attempts/2";
+
+const AFTER: &str = "GET /after";
+
+const CALLS_AFTER: usize = 20;
+
+fn attempt(resume_offset: u32) -> Generate {
+    Generate {
+        endpoint: Endpoint::Completions,
+        body: Bytes::from_static(b"{}"),
+        request: "request-1".to_owned(),
+        attempt: 2,
+        priority: 0,
+        resume_offset,
+        reservation: None,
+        deadline: deadline(),
+    }
+}
+
+fn frame(attempt: u32, offset: u32, finish: &str) -> String {
+    format!(
+        r#"{{"request":"request-1","attempt":{attempt},"offset":{offset},"text":"t{offset}"{finish}}}"#
+    )
+}
+
+fn token(offset: u32) -> String {
+    frame(2, offset, "")
+}
+
+fn last(offset: u32) -> String {
+    frame(2, offset, r#","finish_reason":"length""#)
+}
+
+/// Engine whose every stream is `reply`; other calls are confirmed.
+async fn engine(reply: fn() -> Reply) -> Server {
+    Server::start(move |call| match call {
+        START => reply(),
+        call if call.starts_with("GET /v1/streams") => reply(),
+        _ => Reply::status("204 No Content", ""),
+    })
+    .await
+}
+
+async fn start(connections: &Connections, server: &Server) -> Result<EngineStream, SendError> {
+    generate(connections, &server.target, attempt(0), deadline()).await
+}
+
+/// Calls that follow; enough of them that a cancel would have arrived between.
+async fn calls_after(connections: &Connections, server: &Server) {
+    for _ in 0..CALLS_AFTER {
+        let answer = connections.send(&server.target, get("/after"), deadline());
+        let answer = answer.await.expect("an answer");
+        answer.bytes(0, deadline()).await.expect("an empty body");
+    }
+}
+
+fn start_and_calls_after() -> Vec<&'static str> {
+    let mut calls = vec![AFTER; CALLS_AFTER + 1];
+    calls[0] = START;
+    calls
+}
+
+#[compio::test]
+async fn only_the_attempts_own_next_frames_pass() {
+    let server = engine(|| {
+        let other = frame(1, 0, "");
+        let frames = [other, token(0), token(0), token(1), token(0), last(2)];
+        Reply::finished(&frames)
+    })
+    .await;
+    let connections = connections();
+    let mut stream = start(&connections, &server).await.unwrap();
+    for offset in 0..3 {
+        let frame = stream.next(deadline()).await.unwrap();
+        assert_eq!((frame.attempt, frame.offset), (2, offset));
+        let finish = (offset == 2).then_some(FinishReason::Length);
+        assert_eq!(frame.finish_reason, finish);
+    }
+    // A finished attempt is not cancelled, and its connection is used again.
+    drop(stream);
+    calls_after(&connections, &server).await;
+    assert_eq!(server.calls(), start_and_calls_after());
+    assert!(server.seen().iter().all(|seen| seen.connection == 0));
+}
+
+#[compio::test]
+async fn gap_is_an_error_and_cancels() {
+    let server = engine(|| Reply::unfinished(&[token(0), token(2)])).await;
+    let mut stream = start(&connections(), &server).await.unwrap();
+    stream.next(deadline()).await.unwrap();
+    let error = stream.next(deadline()).await.unwrap_err();
+    assert!(matches!(error, SendError::Protocol { .. }), "{error:?}");
+    assert_eq!(error.outcome(), Outcome::Unknown);
+    drop(stream);
+    server.called(CANCEL).await;
+}
+
+#[compio::test]
+async fn stream_without_its_last_token_is_broken() {
+    let server = engine(|| Reply::finished(&[token(0)])).await;
+    let mut stream = start(&connections(), &server).await.unwrap();
+    stream.next(deadline()).await.unwrap();
+    let error = stream.next(deadline()).await.unwrap_err();
+    assert!(matches!(error, SendError::Broken { .. }), "{error:?}");
+}
+
+#[compio::test]
+async fn resumed_stream_begins_at_its_offset() {
+    let server = engine(|| Reply::finished(&[token(3), token(4), last(5)])).await;
+    let connections = connections();
+    let mut stream = resume(&connections, &server.target, "s", attempt(4), deadline())
+        .await
+        .unwrap();
+    assert_eq!(stream.next(deadline()).await.unwrap().offset, 4);
+    assert_eq!(stream.next(deadline()).await.unwrap().offset, 5);
+    assert_eq!(server.calls(), ["GET /v1/streams/s?offset=4"]);
+}
+
+#[compio::test]
+async fn dropped_stream_cancels_its_attempt() {
+    let server = engine(|| Reply::unfinished(&[token(0)])).await;
+    let mut stream = start(&connections(), &server).await.unwrap();
+    stream.next(deadline()).await.unwrap();
+    drop(stream);
+    server.called(CANCEL).await;
+    server.closed(1).await;
+}
+
+#[compio::test]
+async fn start_without_an_answer_cancels() {
+    let server = engine(Reply::none).await;
+    let error = start(&connections(), &server).await.unwrap_err();
+    assert_eq!(error.outcome(), Outcome::Unknown);
+    server.called(CANCEL).await;
+}
+
+#[compio::test]
+async fn refusal_that_did_not_run_cancels_nothing() {
+    let server = engine(|| {
+        let refusal = ErrorBody::new("engine_full", Outcome::NotRun, "queue", "full");
+        let body = serde_json::to_string(&refusal).expect("JSON");
+        Reply::status("503 Service Unavailable", &body)
+    })
+    .await;
+    let connections = connections();
+    let error = start(&connections, &server).await.unwrap_err();
+    assert!(matches!(error, SendError::Refused { .. }), "{error:?}");
+    assert_eq!(error.outcome(), Outcome::NotRun);
+    calls_after(&connections, &server).await;
+    assert_eq!(server.calls(), start_and_calls_after());
+}
