--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,8 @@
 //! Assembly of the daemon: parts, admin listener, shutdown.
 //!
 //! Owns the process: its command line, the order in which the parts start and
-//! stop, and the tasks that carry news from one part to another ([`feeds`],
-//! [`engines`]). It takes no decision on a request.
+//! stop, and the tasks that carry news from one part to another (`feeds`,
+//! `engines`). It takes no decision on a request.
 
 mod admin;
 mod arguments;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,7 +10,7 @@
 //! `platform` feeds the lagging list of instances in through
 //! [`Peers::set_listed`] and relays revisions with [`Topic::Platform`]; `once`
 //! and `placement` answer calls in the responder given to [`Peers::start`].
-//! None of them sees a socket. `examples/member.rs` embeds the crate alone.
+//! None of them sees a socket. `examples/embed.rs` embeds the crate alone.
 //!
 //! Inside, one task for each neighbour (`link`) sends a heartbeat with news
 //! and reads the answer; one task (`keeper`) watches the clock, picks the
--- a/examples/capacity/documents.rs
+++ b/examples/capacity/documents.rs
@@ -184,6 +184,9 @@
     accepted.as_u64().ok_or_else(|| "no revision".into())
 }
 
+/// What a cost is, with its unit, and where it stands.
+type NamedCost = (&'static str, fn(&Cost) -> f64);
+
 /// Points of all costs of a change.
 #[derive(Debug)]
 struct Changes {
@@ -206,7 +209,7 @@
     }
 
     fn series(&self) -> Vec<Series> {
-        let costs: [(&str, fn(&Cost) -> f64); 5] = [
+        let costs: [NamedCost; 5] = [
             ("bytes of the value", |cost| cost.value_bytes),
             ("processor time of a change, ms", |cost| cost.cpu_ms),
             ("received from other daemons for a change, bytes", |cost| {
