Send a view of placements only when it says something new

Now the view stays the same, its sequence included, until its content changes, or until a third of its lifetime has passed when it says anything, since an unchanged view would expire at the peers.

--- a/crates/placement/src/gossip.rs
+++ b/crates/placement/src/gossip.rs
@@ -27,7 +27,7 @@
 const MAX_PEERS: usize = 1_024;
 
 /// Time after which a silent peer's view is dropped.
-const VIEW_LIFETIME: Duration = Duration::from_secs(10);
+pub(crate) const VIEW_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Hash of a name.
 pub(crate) type NameKey = u32;
@@ -70,6 +70,12 @@
 }
 
 impl View {
+    /// Whether there is nothing in it that could expire.
+    pub(crate) fn is_idle(&self) -> bool {
+        let no_demand = |model: &ModelDemand| model.tokens == ClassTokens::default();
+        self.engines.is_empty() && self.models.iter().all(no_demand)
+    }
+
     /// Encodes the view, leaving out idle engines until it is small enough.
     pub(crate) fn encode(mut self) -> Bytes {
         self.engines.sort_by_key(|engine| {
--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -3,17 +3,21 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::{Incarnation, InstanceId, ModelName};
 
 use crate::demand::EngineInfo;
 use crate::engine::Engine;
-use crate::gossip::{ModelDemand, NameKey, PeerView, PeerViews, View, name_key};
+use crate::gossip::{ModelDemand, NameKey, PeerView, PeerViews, VIEW_LIFETIME, View, name_key};
 use crate::health::Health;
 use crate::model::{Model, SharedEngine};
 use crate::peer_work::PeerWork;
 
+/// Time after which a view that says something is sent again unchanged, so that
+/// it does not expire at the peers; two of three may be lost.
+const VIEW_REFRESH: Duration = Duration::from_secs(VIEW_LIFETIME.as_secs() / 3);
+
 /// The view behind a [`Placement`](crate::Placement).
 ///
 /// Invariants: a listed engine stands in `engines` and in its model's order; an
@@ -26,7 +30,8 @@
     pub(crate) models: BTreeMap<ModelName, Model>,
     pub(crate) peers: PeerViews,
     by_key: BTreeMap<NameKey, SharedEngine>,
-    sent_views: u64,
+    /// The last view given out, and when its sequence was new.
+    sent: Option<(View, Instant)>,
 }
 
 impl Views {
@@ -77,15 +82,31 @@
     }
 
     /// This daemon's own outstanding work and demand.
+    ///
+    /// The same view, its sequence included, until something in it changes or
+    /// it must be refreshed; so a daemon without work has nothing to send.
     pub(crate) fn own_view(&mut self, now: Instant) -> View {
-        self.sent_views += 1;
+        let mut view = self.compose_own_view(now);
+        if let Some((sent, since)) = &self.sent {
+            view.sequence = sent.sequence;
+            let stands = view.is_idle() || now.saturating_duration_since(*since) < VIEW_REFRESH;
+            if view == *sent && stands {
+                return view;
+            }
+        }
+        view.sequence += 1;
+        self.sent = Some((view.clone(), now));
+        view
+    }
+
+    fn compose_own_view(&self, now: Instant) -> View {
         let engines = self.engines.values();
         let models = self.models.values().map(|model| ModelDemand {
             model: model.key,
             tokens: model.demand.own_tokens(now),
         });
         View {
-            sequence: self.sent_views,
+            sequence: 0,
             models: models.collect(),
             engines: engines
                 .map(|engine| engine.borrow().own_work())
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -298,3 +298,30 @@
     assert!((250..=350).contains(&short_ms), "{short_ms}");
     assert!((13_500..=16_500).contains(&long_ms), "{long_ms}");
 }
+
+#[test]
+fn a_view_is_new_only_when_it_says_something_new_or_would_expire() {
+    let clock = Clock::manual(Instant::now());
+    let one = daemon("entry-1", 1, clock.clone(), Policy::LengthAware);
+    let other = daemon("entry-2", 1, clock.clone(), Policy::LengthAware);
+    let peer = "entry-1".to_owned();
+    let idle = one.placement.own_view();
+    clock.advance(Duration::from_secs(60));
+    assert_eq!(one.placement.own_view(), idle, "idle");
+    let held = place(&one, 2);
+    let mut views = vec![one.placement.own_view()];
+    assert_ne!(views[0], idle, "busy");
+    // Demand fades all the while, so that only a still clock shows it.
+    assert_eq!(one.placement.own_view(), views[0], "still busy");
+    for _ in 0..30 {
+        clock.advance(Duration::from_secs(1));
+        let view = one.placement.own_view();
+        if views.last() != Some(&view) {
+            views.push(view.clone());
+        }
+        other.placement.peer_view(&peer, 1, view);
+        assert_eq!(other.status("engine-0").peers_outstanding, 2, "kept");
+    }
+    assert!(views.len() >= 10, "refreshed {} times", views.len());
+    drop(held);
+}
