--- a/examples/capacity/documents.rs
+++ b/examples/capacity/documents.rs
@@ -71,9 +71,6 @@
     Ok(costs.series())
 }
 
-/// One figure of a change.
-type CostOf = fn(&Cost) -> f64;
-
 /// What one change cost a daemon.
 #[derive(Debug, Clone, Copy, Default)]
 struct Cost {
@@ -187,6 +184,9 @@
     accepted.as_u64().ok_or_else(|| "no revision".into())
 }
 
+/// What a cost is, with its unit, and where it stands.
+type NamedCost = (&'static str, fn(&Cost) -> f64);
+
 /// Points of all costs of a change.
 #[derive(Debug)]
 struct Changes {
@@ -209,7 +209,7 @@
     }
 
     fn series(&self) -> Vec<Series> {
-        let costs: [(&str, CostOf); 5] = [
+        let costs: [NamedCost; 5] = [
             ("bytes of the value", |cost| cost.value_bytes),
             ("processor time of a change, ms", |cost| cost.cpu_ms),
             ("received from other daemons for a change, bytes", |cost| {
