Free an answer's future once the answer has a head

Cause: 40.6 MB resident at 255 concurrent streams, against an aim of 32 MB at 200. Ruled out: the tokens held for slow readers. Change: the future is boxed.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -75,7 +75,9 @@
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Result<Response<Body>, Aborted>> + 'static,
 {
-    let service = service_fn(move |request| handler(request, peer));
+    // hyper keeps room for one answer's future as long as the connection lives;
+    // boxed, a future of tens of kilobytes is gone once the answer has a head.
+    let service = service_fn(move |request| Box::pin(handler(request, peer)));
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
