Use the field's words in prose and names

Cause: some prose and one type still spoke in the users' words or in words of our own: "must always hold", "planned stop", "plain service", "wish".

Change: invariant, graceful shutdown, service, desired state; `orders::Wish` is `DesiredState` (no other crate named it), its module and its test file follow. `docs/interfaces.md` is untouched.

--- a/crates/audit/src/event.rs
+++ b/crates/audit/src/event.rs
@@ -113,19 +113,19 @@
         /// Step at which sight of it was lost.
         reason: String,
     },
-    /// A planned stop began.
+    /// A graceful shutdown began.
     DrainStarted {
         /// Requests in progress.
         in_flight_requests: u64,
     },
-    /// A planned stop is done.
+    /// A graceful shutdown is done.
     DrainFinished {
         /// Requests cut off; other than 0 only past the stop's time limit.
         cut_requests: u64,
         /// How long it took, in milliseconds.
         took_ms: u64,
     },
-    /// Something that must always hold did not.
+    /// An invariant was broken.
     InvariantBroken {
         /// Name of the invariant.
         invariant: String,
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// Answers requests until the peer closes or the planned stop.
+/// Answers requests until the peer closes or a graceful shutdown.
 async fn exchange<H, A>(
     io: HyperStream<(TcpStream, WatchedWriter)>,
     peer: SocketAddr,
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -1,9 +1,9 @@
 //! The loop that serves HTTP: one task per connection.
 //!
 //! What ends a connection: its peer; `header_timeout`, while the next head is
-//! awaited; `write_timeout`, while the peer takes no bytes; a planned stop,
-//! after the answer in progress; an abort, at once. A request whose answer is
-//! being computed is bounded by its handler alone.
+//! awaited; `write_timeout`, while the peer takes no bytes; a graceful
+//! shutdown, after the answer in progress; an abort, at once. A request whose
+//! answer is being computed is bounded by its handler alone.
 
 use std::cell::Cell;
 use std::io;
@@ -57,7 +57,7 @@
 /// Two ways in which a server ends.
 #[derive(Debug, Clone)]
 pub struct Ends {
-    /// Planned stop: answers in progress are ended whole.
+    /// Graceful shutdown: answers in progress are ended whole.
     pub shutdown: Shutdown,
     /// Abort: connections are dropped at once, in the middle of an answer.
     pub abort: Shutdown,
--- a/crates/http/tests/serve.rs
+++ b/crates/http/tests/serve.rs
@@ -155,7 +155,7 @@
 }
 
 #[compio::test]
-async fn planned_stop_ends_an_answer_whole() {
+async fn graceful_shutdown_ends_an_answer_whole() {
     let (listener, address) = listen().await;
     let (stop, _kill, ends) = ends();
     let (sender, receiver) = futures_channel::mpsc::unbounded();
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -45,7 +45,7 @@
     Stream(Expected),
     /// One JSON object with the whole text.
     Json(Expected),
-    /// The answer of a plain service.
+    /// The answer of a service.
     Service,
 }
 
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -54,7 +54,7 @@
     pub failed_by_cause: BTreeMap<String, u64>,
     /// Shares of the organisations.
     pub fairness: Fairness,
-    /// Calls of plain services.
+    /// Calls of services.
     pub services: ServiceReport,
     /// What the services themselves counted, when they were asked.
     pub counted_services: Option<CountedServices>,
@@ -172,7 +172,7 @@
     pub share: f64,
 }
 
-/// Calls of plain services.
+/// Calls of services.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ServiceReport {
     /// Distinct idempotency keys.
--- a/crates/load/src/report/shares.rs
+++ b/crates/load/src/report/shares.rs
@@ -40,7 +40,7 @@
     rounded(sum * sum / (shares.len() as f64 * squares))
 }
 
-/// Calls of plain services, by what their answers told.
+/// Calls of services, by what their answers told.
 pub(super) fn services(samples: &[Sample]) -> ServiceReport {
     let mut report = ServiceReport::default();
     let mut keys = BTreeSet::new();
--- a/crates/load/src/sample.rs
+++ b/crates/load/src/sample.rs
@@ -38,7 +38,7 @@
         /// Length of the prompt, in tokens.
         length_tokens: u64,
     },
-    /// Call of a plain service.
+    /// Call of a service.
     Service {
         /// Idempotency key it was sent with.
         key: String,
--- a/crates/load/src/scenario/mod.rs
+++ b/crates/load/src/scenario/mod.rs
@@ -70,7 +70,7 @@
 pub enum Kind {
     /// Prompt for a model.
     Model(ModelKind),
-    /// Call of a plain service.
+    /// Call of a service.
     Service(ServiceKind),
 }
 
@@ -149,7 +149,7 @@
     }
 }
 
-/// Calls of a plain service.
+/// Calls of a service.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceKind {
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -41,7 +41,7 @@
 pub enum Work {
     /// Prompt for a model.
     Model(ModelWork),
-    /// Call of a plain service.
+    /// Call of a service.
     Service(ServiceWork),
 }
 
@@ -71,7 +71,7 @@
     pub length_tokens: u64,
 }
 
-/// A call of a plain service.
+/// A call of a service.
 #[derive(Debug, Clone, Serialize)]
 pub struct ServiceWork {
     /// Service called.
--- a/crates/once/examples/refused_share.rs
+++ b/crates/once/examples/refused_share.rs
@@ -32,7 +32,7 @@
 const ATTEMPTS: usize = 3;
 const LONGEST_THOUGHT_MS: u64 = 200;
 
-/// Kind of key, and what a planned stop does.
+/// Kind of key, and what a graceful shutdown does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum Scheme {
--- a/crates/once/src/hand_over.rs
+++ b/crates/once/src/hand_over.rs
@@ -1,4 +1,4 @@
-//! Planned stop: finish, stop deciding, pass the records on.
+//! Graceful shutdown: finish, stop deciding, pass the records on.
 //!
 //! The order of the steps is what makes the successors' answers true. New calls
 //! are refused first; runs in progress end; then this process grants no key of
@@ -18,7 +18,7 @@
 const ATTEMPTS: u32 = 3;
 const WAIT_STEP: Duration = Duration::from_millis(5);
 
-/// What a planned stop left behind.
+/// What a graceful shutdown left behind.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
 pub struct HandOverReport {
     /// Claims that had not ended in time; their keys are *outcome unknown*.
--- a/crates/once/src/options.rs
+++ b/crates/once/src/options.rs
@@ -102,7 +102,7 @@
         self
     }
 
-    /// Longest time that a planned stop waits for runs in progress.
+    /// Longest time that a graceful shutdown waits for runs in progress.
     #[must_use]
     pub fn hand_over_limit(mut self, limit: Duration) -> Self {
         self.hand_over_limit = limit;
--- a/crates/once/tests/lists.rs
+++ b/crates/once/tests/lists.rs
@@ -1,4 +1,4 @@
-//! Changes of the list, which differ between daemons, and planned stops.
+//! Changes of the list, which differ between daemons, and graceful shutdowns.
 
 mod fleet;
 
--- a/crates/orders/examples/embed.rs
+++ b/crates/orders/examples/embed.rs
@@ -53,7 +53,7 @@
         let status = orders.status();
         let engine = status.engines.get("engine-0");
         if engine.is_some_and(|engine| engine.phase == Phase::Settled) {
-            println!("engine-0 has all that is wished");
+            println!("engine-0 is in its desired state");
             return Ok(());
         }
     }
--- a/crates/orders/src/wish.rs
+++ b/crates/orders/src/desired.rs
@@ -1,4 +1,4 @@
-//! What is wished of an engine, and the order that is missing.
+//! The state desired of an engine, and the order that is missing.
 
 use mangofront_settings::ids::ModelName;
 
@@ -7,7 +7,7 @@
 
 /// What an engine should serve.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Wish {
+pub struct DesiredState {
     /// Model, as the platform lists the engine.
     pub model: ModelName,
     /// Version; `None` leaves model and version alone.
@@ -18,8 +18,8 @@
     pub role: Option<EngineRole>,
 }
 
-impl Wish {
-    /// The wish of `view` for `engine`; `None` when its model isn't published.
+impl DesiredState {
+    /// The state that `view` desires of `engine`; `None` when its model isn't published.
     #[must_use]
     pub fn of(view: &OrdersView, engine: &OrdersEngine) -> Option<Self> {
         let model = view.models.get(&engine.model)?;
@@ -44,8 +44,8 @@
 
     /// The order that puts an engine right that loads something else.
     ///
-    /// What it loads is not reported. While it loads away from what is wished
-    /// (after a roll-back, say), what is in force may be the wish, and yet the
+    /// What it loads is not reported. While it loads away from the desired
+    /// state (after a roll-back, say), that state may be in force, and yet the
     /// version has to be stated again.
     #[must_use]
     pub fn order_while_loading(&self, report: &EngineReport) -> Option<Order> {
--- a/crates/orders/src/keeper.rs
+++ b/crates/orders/src/keeper.rs
@@ -11,6 +11,7 @@
 use crate::backoff::Repeats;
 use crate::change::{OrderChange, OrderOutcome};
 use crate::clock::Moment;
+use crate::desired::DesiredState;
 use crate::error::OrderError;
 use crate::exchange;
 use crate::message::{EngineReport, LoadState, Order};
@@ -20,9 +21,8 @@
 use crate::token::FencingToken;
 use crate::turn::may_start;
 use crate::view::{OrdersEngine, OrdersView};
-use crate::wish::Wish;
 
-/// Keeps one engine at what is wished, for as long as the task is held.
+/// Keeps one engine in its desired state, for as long as the task is held.
 pub(crate) async fn keep(shared: Rc<Shared>, engine: InstanceId) {
     let mut keeper = Keeper {
         began: Instant::now(),
@@ -65,10 +65,10 @@
             Err(phase) => return EngineStatus { phase, order: None },
         };
         self.note_report(&sight);
-        let wish = Wish::of(&sight.view, &sight.engine);
-        let order = wish.and_then(|wish| match sight.report.state {
-            LoadState::Loading => wish.order_while_loading(&sight.report),
-            LoadState::Ready => wish.next_order(&sight.report),
+        let desired = DesiredState::of(&sight.view, &sight.engine);
+        let order = desired.and_then(|desired| match sight.report.state {
+            LoadState::Loading => desired.order_while_loading(&sight.report),
+            LoadState::Ready => desired.next_order(&sight.report),
         });
         let phase = match &order {
             Some(order) => self.pursue(&sight, order).await,
@@ -152,7 +152,7 @@
         Some(Phase::WaitingForTurn)
     }
 
-    /// Whether what the engine loads may be the very thing that is wished.
+    /// Whether what the engine loads may be the very thing that is desired.
     ///
     /// An engine doesn't tell what it loads. A load that was ordered under an
     /// older configuration is ordered over at once, one of unknown origin only
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -4,7 +4,7 @@
 //! embedder hands in an [`OrdersView`], plain data: the daemons that are alive,
 //! the engines, and the configuration in force. The crate finds the engines
 //! that fall to this daemon, runs one task for each, compares what the engine
-//! reports with what is wished, and sends the next order that is missing. Each
+//! reports with the desired state, and sends the next order that is missing. Each
 //! order goes to a callback as an [`OrderChange`].
 //!
 //! Neighbours: `upstream` carries the calls; the daemon joins the view from
@@ -19,6 +19,7 @@
 mod backoff;
 mod change;
 mod clock;
+mod desired;
 mod error;
 mod exchange;
 mod keeper;
@@ -32,9 +33,9 @@
 mod token;
 mod turn;
 mod view;
-mod wish;
 
 pub use change::{OrderChange, OrderOutcome};
+pub use desired::DesiredState;
 pub use error::OrderError;
 pub use message::{EngineReport, LoadState, Order, OrderKind};
 pub use options::{OnChange, OrdersOptions, OrdersOptionsBuilder};
@@ -44,4 +45,3 @@
 pub use token::{FencingToken, Outdated};
 pub use turn::{Condition, Standing, TurnLimits, may_start};
 pub use view::{EngineRole, OrdersDaemon, OrdersEngine, OrdersView};
-pub use wish::Wish;
--- a/crates/orders/src/message.rs
+++ b/crates/orders/src/message.rs
@@ -78,7 +78,7 @@
 pub struct Order {
     /// What it is about.
     pub kind: OrderKind,
-    /// What is wished.
+    /// Value desired.
     pub value: String,
 }
 
--- a/crates/orders/src/status.rs
+++ b/crates/orders/src/status.rs
@@ -32,7 +32,7 @@
 pub enum Phase {
     /// Not read yet.
     New,
-    /// The engine has all that is wished.
+    /// The engine is in its desired state.
     Settled,
     /// The engine does not answer.
     Unreachable,
--- a/crates/orders/src/survey.rs
+++ b/crates/orders/src/survey.rs
@@ -9,12 +9,12 @@
 use futures_util::future::join_all;
 use mangofront_settings::ids::ModelName;
 
+use crate::desired::DesiredState;
 use crate::exchange::read_state;
 use crate::message::{EngineReport, LoadState};
 use crate::shared::Shared;
 use crate::turn::{Condition, Standing};
 use crate::view::{OrdersEngine, OrdersView};
-use crate::wish::Wish;
 
 /// Surveys of one view's models.
 pub(crate) type Survey = (Instant, Vec<(OrdersEngine, Option<EngineReport>)>);
@@ -62,7 +62,7 @@
     if report.state == LoadState::Loading {
         return Condition::Loading;
     }
-    let missing = Wish::of(view, engine).and_then(|wish| wish.next_load(report));
+    let missing = DesiredState::of(view, engine).and_then(|desired| desired.next_load(report));
     match missing {
         Some(_) => Condition::Needing,
         None => Condition::Settled,
--- a/crates/orders/src/turn.rs
+++ b/crates/orders/src/turn.rs
@@ -4,7 +4,7 @@
 //! are spread. All daemons walk a model's engines in the same order, over what
 //! the engines themselves report, and so agree whose turn it is without a word.
 //! A place that was given to an engine stays its own until the engine reports
-//! that it has what is wished, so a version that no engine can load stops at
+//! that it is in its desired state, so a version that no engine can load stops at
 //! the first few.
 
 use std::collections::HashMap;
@@ -24,7 +24,7 @@
 /// What an engine is doing, as it was last read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
-    /// Has what is wished.
+    /// Is in its desired state.
     Settled,
     /// Lacks something that has to be loaded.
     Needing,
--- a/crates/orders/tests/wishes.rs
+++ b/crates/orders/tests/desired.rs
@@ -1,4 +1,4 @@
-//! What is wished comes into force, is ordered once, and stays.
+//! The desired state comes into force, is ordered once, and stays.
 
 #![allow(clippy::unwrap_used, reason = "a helper that fails ends its test")]
 
@@ -19,8 +19,8 @@
     for fencing in [Fencing::Checked, Fencing::Ignored] {
         let engine = TestEngine::start(settings(fencing)).await;
         let daemon = TestDaemon::new("entry-0", 1, hasty());
-        let wish = (7, model(fencing, "2"));
-        let view = view(&["entry-0"], &[&engine], &["hall-a"], wish);
+        let desired = (7, model(fencing, "2"));
+        let view = view(&["entry-0"], &[&engine], &["hall-a"], desired);
         let _seeing = daemon.keep_seeing(&view);
         engine.wait_for("version", json!("2")).await;
         pause(SEVERAL_POLLS_MS).await;
@@ -35,9 +35,9 @@
 async fn adapters_follow_the_version_and_come_back_after_a_restart() {
     let engine = TestEngine::start(settings(Fencing::Checked)).await;
     let daemon = TestDaemon::new("entry-0", 1, hasty());
-    let mut wished = model(Fencing::Checked, "2");
-    wished.adapters = vec!["toner".to_owned(), "allergies".to_owned()];
-    let mut view = view(&["entry-0"], &[&engine], &["hall-a"], (7, wished));
+    let mut desired = model(Fencing::Checked, "2");
+    desired.adapters = vec!["toner".to_owned(), "allergies".to_owned()];
+    let mut view = view(&["entry-0"], &[&engine], &["hall-a"], (7, desired));
     let seeing = daemon.keep_seeing(&view);
     let adapters = json!(["toner", "allergies"]);
     engine.wait_for("adapters", adapters.clone()).await;
@@ -68,8 +68,8 @@
         &["hall-a"],
         (7, model(Fencing::Ignored, "1")),
     );
-    let wished = view.models["assist-llm"].clone();
-    view.models.insert("fleet-ops".to_owned(), wished);
+    let desired = view.models["assist-llm"].clone();
+    view.models.insert("fleet-ops".to_owned(), desired);
     view.engines[0].model = "fleet-ops".to_owned();
     view.engines[0].role = Some(EngineRole::Prefill);
     let _seeing = daemon.keep_seeing(&view);
@@ -86,7 +86,7 @@
         stuck.load_time_ms = 100_000_000;
         let engine = TestEngine::start(stuck).await;
         let daemon = TestDaemon::new("entry-0", 1, hasty());
-        let view = |wish| view(&["entry-0"], &[&engine], &["hall-a"], wish);
+        let view = |desired| view(&["entry-0"], &[&engine], &["hall-a"], desired);
         let forward = daemon.keep_seeing(&view((7, model(fencing, "2"))));
         wait_until("the engine loads", async || {
             engine.get("/v1/state").await["state"] == "loading"
@@ -113,7 +113,7 @@
 async fn a_lower_revision_leads_to_no_order() {
     let engine = TestEngine::start(settings(Fencing::Ignored)).await;
     let daemon = TestDaemon::new("entry-0", 1, hasty());
-    let view = |wish| view(&["entry-0"], &[&engine], &["hall-a"], wish);
+    let view = |desired| view(&["entry-0"], &[&engine], &["hall-a"], desired);
     let newer = daemon.keep_seeing(&view((7, model(Fencing::Ignored, "2"))));
     engine.wait_for("version", json!("2")).await;
     drop(newer);
@@ -127,8 +127,13 @@
     assert_eq!(checked.order("version", token, "2").await, 200);
     checked.wait_for("version", json!("2")).await;
     let fresh = TestDaemon::new("entry-0", 9, hasty());
-    let wish = (6, model(Fencing::Checked, "1"));
-    let _seeing = fresh.keep_seeing(&support::view(&["entry-0"], &[&checked], &["hall-a"], wish));
+    let desired = (6, model(Fencing::Checked, "1"));
+    let _seeing = fresh.keep_seeing(&support::view(
+        &["entry-0"],
+        &[&checked],
+        &["hall-a"],
+        desired,
+    ));
     wait_until("the engine is found ahead", async || {
         let status = fresh.orders.status();
         let engine = status.engines.get("engine-0");
@@ -143,8 +148,8 @@
     let engine = TestEngine::start(settings(Fencing::Ignored)).await;
     let lease = Duration::from_millis(200);
     let daemon = TestDaemon::new("entry-0", 1, hasty().view_lease(lease));
-    let wish = (7, model(Fencing::Ignored, "1"));
-    let view = view(&["entry-0"], &[&engine], &["hall-a"], wish);
+    let desired = (7, model(Fencing::Ignored, "1"));
+    let view = view(&["entry-0"], &[&engine], &["hall-a"], desired);
     daemon.see(&view);
     pause(250).await;
     let token = json!({"revision": 6, "term": 1, "incarnation": 1});
--- a/crates/orders/tests/leaders.rs
+++ b/crates/orders/tests/leaders.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    /// The successor wishes version 3 under revision 7.
+    /// The successor desires version 3 under revision 7.
     fn succeed(&self, fencing: Fencing) -> (TestDaemon, JoinHandle<()>) {
         let successor = TestDaemon::new("entry-1", 50, hasty().takeover_wait(SUCCESSOR_WAIT));
         let seen = view_of(&self.engine, "entry-1", 7, fencing, "3");
@@ -69,8 +69,8 @@
     fencing: Fencing,
     version: &str,
 ) -> OrdersView {
-    let wish = (revision, model(fencing, version));
-    view(&[daemon], &[engine], &["hall-a"], wish)
+    let desired = (revision, model(fencing, version));
+    view(&[daemon], &[engine], &["hall-a"], desired)
 }
 
 #[compio::test]
--- a/crates/orders/tests/rollout.rs
+++ b/crates/orders/tests/rollout.rs
@@ -49,8 +49,8 @@
         TestDaemon::new("entry-1", 50, options()),
     ];
     let listed: Vec<&TestEngine> = engines.iter().collect();
-    let wish = (7, model(Fencing::Checked, "2"));
-    let view = view(&["entry-0", "entry-1"], &listed, &ZONES, wish);
+    let desired = (7, model(Fencing::Checked, "2"));
+    let view = view(&["entry-0", "entry-1"], &listed, &ZONES, desired);
     let _seeing = daemons.each_ref().map(|daemon| daemon.keep_seeing(&view));
     let mut seen = watch(&engines).await;
     seen.refused = store.counter("refused").await;
@@ -135,8 +135,8 @@
     }
     let daemon = TestDaemon::new("entry-0", 1, hasty());
     let listed: Vec<&TestEngine> = engines.iter().collect();
-    let wish = (7, model(Fencing::Checked, "2"));
-    let view = view(&["entry-0"], &listed, &ZONES, wish);
+    let desired = (7, model(Fencing::Checked, "2"));
+    let view = view(&["entry-0"], &listed, &ZONES, desired);
     let _seeing = daemon.keep_seeing(&view);
     let orders = async || {
         let mut orders = Vec::new();
--- a/crates/settings/src/ids.rs
+++ b/crates/settings/src/ids.rs
@@ -18,7 +18,7 @@
 /// Name of a model.
 pub type ModelName = String;
 
-/// Name of a plain service.
+/// Name of a service.
 pub type ServiceName = String;
 
 /// Revision of a published value; grows with each change.
--- a/crates/settings/src/instances.rs
+++ b/crates/settings/src/instances.rs
@@ -56,7 +56,7 @@
         /// Model it serves.
         model: ModelName,
     },
-    /// A plain service.
+    /// A service.
     Service {
         /// HTTP address of the service.
         address: SocketAddr,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -50,7 +50,7 @@
     /// Entries that the audit trail holds.
     #[serde(default = "default_audit_capacity_entries")]
     pub audit_capacity_entries: u32,
-    /// Longest planned stop, in milliseconds; unset means the longest time
+    /// Longest graceful shutdown, in milliseconds; unset means the longest time
     /// limit of a class.
     #[serde(default)]
     pub stop_limit_ms: Option<u64>,
--- a/crates/settings/src/process/builder.rs
+++ b/crates/settings/src/process/builder.rs
@@ -103,7 +103,7 @@
         self
     }
 
-    /// Sets the longest planned stop, in milliseconds.
+    /// Sets the longest graceful shutdown, in milliseconds.
     #[must_use]
     pub fn stop_limit_ms(mut self, limit_ms: u64) -> Self {
         self.0.stop_limit_ms = Some(limit_ms);
--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -27,7 +27,7 @@
     /// Models by name.
     #[serde(default)]
     pub models: BTreeMap<ModelName, Model>,
-    /// Plain services by name.
+    /// Services by name.
     #[serde(default)]
     pub services: BTreeMap<ServiceName, Service>,
     /// Rules for orders that may not repeat.
@@ -97,7 +97,7 @@
     Ignored,
 }
 
-/// One plain service.
+/// One service.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -1,8 +1,8 @@
 //! Orders: model, adapter, version and role, with or without fencing.
 //!
-//! An order states a wish, so repeating one changes nothing. A new model or
-//! version waits until what runs is done, is fetched from the weight store
-//! and loaded; meanwhile new requests are refused as `loading`.
+//! An order states a desired state, so repeating one changes nothing. A new
+//! model or version waits until what runs is done, is fetched from the weight
+//! store and loaded; meanwhile new requests are refused as `loading`.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,9 +86,9 @@
     highest_token: Option<FencingToken>,
 }
 
-/// What is in force and what is wished.
+/// What is in force and what is desired.
 ///
-/// Invariant: `wish` is set exactly while a task loads it.
+/// Invariant: `desired` is set exactly while a task loads it.
 #[derive(Debug)]
 pub(crate) struct Orders {
     fencing: Fencing,
@@ -96,7 +96,7 @@
     version: String,
     adapters: Vec<String>,
     role: EngineRole,
-    wish: Option<(ModelName, String)>,
+    desired: Option<(ModelName, String)>,
     loading_adapters: Vec<String>,
     highest_token: Option<FencingToken>,
 }
@@ -109,7 +109,7 @@
             version: settings.version.clone(),
             adapters: Vec::new(),
             role: settings.role,
-            wish: None,
+            desired: None,
             loading_adapters: Vec::new(),
             highest_token: None,
         }
@@ -121,7 +121,7 @@
 
     /// Whether new requests wait for a model.
     pub(crate) fn is_loading(&self) -> bool {
-        self.wish.is_some()
+        self.desired.is_some()
     }
 
     /// Whether requests for `name` are served: the model or an adapter of it.
@@ -160,7 +160,7 @@
     /// Model and version that will be in force.
     fn target(&self) -> (ModelName, String) {
         let in_force = || (self.model.clone(), self.version.clone());
-        self.wish.clone().unwrap_or_else(in_force)
+        self.desired.clone().unwrap_or_else(in_force)
     }
 }
 
@@ -183,11 +183,11 @@
         let state = match kind {
             OrderKind::Model => {
                 let (_, version) = self.state.borrow().orders.target();
-                self.wish_for(order.value.clone(), version)
+                self.set_desired(order.value.clone(), version)
             }
             OrderKind::Version => {
                 let (model, _) = self.state.borrow().orders.target();
-                self.wish_for(model, order.value.clone())
+                self.set_desired(model, order.value.clone())
             }
             OrderKind::Adapter => self.add_adapter(&order.value),
             OrderKind::Role => LoadState::Ready,
@@ -212,16 +212,16 @@
         Ok(())
     }
 
-    fn wish_for(self: &Rc<Self>, model: ModelName, version: String) -> LoadState {
+    fn set_desired(self: &Rc<Self>, model: ModelName, version: String) -> LoadState {
         let orders = &mut self.state.borrow_mut().orders;
-        let wish = (model, version);
-        if orders.target() == wish {
+        let desired = (model, version);
+        if orders.target() == desired {
             return match orders.is_loading() {
                 true => LoadState::Loading,
                 false => LoadState::Ready,
             };
         }
-        let loads_already = orders.wish.replace(wish).is_some();
+        let loads_already = orders.desired.replace(desired).is_some();
         if !loads_already {
             let load = compio::runtime::spawn(Rc::clone(self).load_wish());
             self.loads.borrow_mut().push(load);
@@ -229,10 +229,10 @@
         LoadState::Loading
     }
 
-    /// Loads the wish, and again when it changed meanwhile.
+    /// Loads what is desired, and again when it changed meanwhile.
     async fn load_wish(self: Rc<Self>) {
         loop {
-            let Some((model, version)) = self.state.borrow().orders.wish.clone() else {
+            let Some((model, version)) = self.state.borrow().orders.desired.clone() else {
                 return;
             };
             self.load_weights(&model, &version).await;
@@ -240,20 +240,20 @@
                 compio::time::sleep(DRY_PAUSE).await;
             }
             let mut state = self.state.borrow_mut();
-            let wish = (model, version);
-            if state.orders.wish.as_ref() != Some(&wish) {
+            let desired = (model, version);
+            if state.orders.desired.as_ref() != Some(&desired) {
                 continue;
             }
             log::info!(
                 "standin engine: model {} version {} is loaded",
-                wish.0,
-                wish.1
+                desired.0,
+                desired.1
             );
             // Another model's KV is of no use, nor are its adapters.
             state.batch.memory.clear_cache();
             state.orders.adapters.clear();
-            (state.orders.model, state.orders.version) = wish;
-            state.orders.wish = None;
+            (state.orders.model, state.orders.version) = desired;
+            state.orders.desired = None;
             drop(state);
             self.after_change();
             return;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,4 +1,4 @@
-//! Emulator of a plain service: answers after a delay and counts each call
+//! Emulator of a service: answers after a delay and counts each call
 //! that it executed by idempotency key.
 //!
 //! A call is executed at one moment, without a wait in between: what stands
--- a/crates/telemetry/src/invariants.rs
+++ b/crates/telemetry/src/invariants.rs
@@ -1,4 +1,4 @@
-//! Checks of what must always hold, in every build and at all times.
+//! Invariants, checked in every build and at all times.
 //!
 //! A broken invariant is counted, logged with its detail and exported as a
 //! metric. In tests and long randomised runs it also ends the process, so that
@@ -11,7 +11,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-/// One point that must always hold.
+/// One invariant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Invariant {
     /// An admitted request finishes or fails within its class's time.
@@ -26,9 +26,9 @@
     AtMostOnce,
     /// A leaving upstream gets no new work after a few seconds.
     LeavingGetsNoWork,
-    /// A planned stop cuts off no request in progress.
+    /// A graceful shutdown cuts off no request in progress.
     StopCutsNothing,
-    /// An accepted configuration never reverts.
+    /// The revision of the accepted configuration never falls.
     ConfigurationFloor,
 }
 
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -66,7 +66,7 @@
     // The meter keeps the callback; the handle itself does nothing more.
     let _ = meter
         .u64_observable_counter("invariant_violations")
-        .with_description("Times that something that must always hold did not")
+        .with_description("Times that an invariant was broken")
         .with_callback(|observer| {
             for (invariant, count) in invariants::violations() {
                 observer.observe(count, &[KeyValue::new("invariant", invariant.name())]);
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -1,4 +1,4 @@
-//! Calls of plain services.
+//! Calls of services.
 
 use std::time::Instant;
 
