--- a/crates/load/src/cli/latency.rs
+++ b/crates/load/src/cli/latency.rs
@@ -15,6 +15,7 @@
 use crate::probe::Destination;
 use crate::process::{Pid, Usage, UsageReport};
 use crate::scenario::Scenario;
+use crate::times::Quantiles;
 
 /// Pairs of each comparison.
 const DEFAULT_PAIRS: u64 = 500;
@@ -131,20 +132,17 @@
 }
 
 fn write_path(text: &mut String, name: &str, path: &PathReport) -> std::fmt::Result {
-    let (first, total) = (&path.first_token, &path.total);
+    let quantiles = |times: &Quantiles| [times.p50_ms, times.p95_ms, times.p99_ms];
+    write_times(
+        text,
+        name,
+        quantiles(&path.first_token),
+        quantiles(&path.total),
+    )?;
     writeln!(
         text,
-        "  {name:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}   {} done, {} errors, {} wrong",
-        first.p50_ms,
-        first.p95_ms,
-        first.p99_ms,
-        "",
-        total.p50_ms,
-        total.p95_ms,
-        total.p99_ms,
-        total.count,
-        path.errors,
-        path.wrong_answers,
+        "   {} done, {} errors, {} wrong",
+        path.total.count, path.errors, path.wrong_answers,
     )?;
     if let Some(problem) = &path.first_problem {
         writeln!(text, "    first problem: {problem}")?;
@@ -153,16 +151,25 @@
 }
 
 fn write_added(text: &mut String, first: &Added, total: &Added) -> std::fmt::Result {
-    writeln!(
-        text,
-        "  {:<22}{:>9.3}{:>9.3}{:>9.3}   {:<8}{:>9.3}{:>9.3}{:>9.3}",
-        "added",
-        first.p50_ms,
-        first.p95_ms,
-        first.p99_ms,
-        "",
-        total.p50_ms,
-        total.p95_ms,
-        total.p99_ms,
-    )
+    let differences = |added: &Added| [added.p50_ms, added.p95_ms, added.p99_ms];
+    write_times(text, "added", differences(first), differences(total))?;
+    writeln!(text)
+}
+
+/// Times at p50, p95 and p99 under the headings of [`write`].
+fn write_times(
+    text: &mut String,
+    name: &str,
+    first: [f64; 3],
+    total: [f64; 3],
+) -> std::fmt::Result {
+    write!(text, "  {name:<22}")?;
+    for time_ms in first {
+        write!(text, "{time_ms:>9.3}")?;
+    }
+    write!(text, "   {:<8}", "")?;
+    for time_ms in total {
+        write!(text, "{time_ms:>9.3}")?;
+    }
+    Ok(())
 }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,45 +1,26 @@
 //! Sessions with the platform emulator, and its faults.
 
-use std::net::SocketAddr;
+mod session;
+
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
-use compio::runtime::JoinHandle;
-use mangofront_http::{Shutdown, ShutdownTrigger};
 use mangofront_standin::platform::{self, PlatformSettings};
 
-struct Standin {
-    address: SocketAddr,
-    client: cyper::Client,
-    trigger: ShutdownTrigger,
-    running: JoinHandle<()>,
-}
+use session::Session;
+
+struct Standin(Session);
 
 impl Standin {
     async fn start(settings: &str) -> Self {
         let settings: PlatformSettings = serde_json::from_str(settings).expect("settings");
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        let (trigger, shutdown) = Shutdown::new();
-        let running = compio::runtime::spawn(platform::run(listener, settings, shutdown));
-        let client = mangofront_http::client().expect("client");
-        Self {
-            address,
-            client,
-            trigger,
-            running,
-        }
+        let run = |listener, shutdown| platform::run(listener, settings, shutdown);
+        Self(Session::start(run).await)
     }
 
     /// One exchange, as a line of a session.
     async fn exchange(&self, method: &str, path: &str, body: &str) -> String {
-        let url = format!("http://{}{path}", self.address);
-        let method = http::Method::from_bytes(method.as_bytes()).expect("method");
-        let request = self.client.request(method.clone(), url).expect("URL");
-        let response = request.body(body.to_owned()).send().await.expect("answer");
-        let status = response.status().as_u16();
-        let answer = response.text().await.expect("body");
-        format!("{method} {path} {body}\n  {status} {answer}\n")
+        let answer = self.0.call(method, path, &[], body).await.expect("answer");
+        format!("{method} {path} {body}\n  {answer}\n")
     }
 
     async fn get(&self, path: &str) -> String {
@@ -55,9 +36,7 @@
     }
 
     async fn stop(self) {
-        self.trigger.trigger();
-        drop(self.client);
-        self.running.await.expect("end of the stand-in");
+        self.0.stop().await;
     }
 }
 
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -1,51 +1,28 @@
 //! Sessions with the service emulator, and its faults.
 
-use std::net::SocketAddr;
+mod session;
 
-use compio::net::TcpListener;
-use compio::runtime::JoinHandle;
-use mangofront_http::{Shutdown, ShutdownTrigger, headers};
+use mangofront_http::headers;
 use mangofront_standin::service::{self, ServiceSettings};
 
-struct Standin {
-    address: SocketAddr,
-    client: cyper::Client,
-    trigger: ShutdownTrigger,
-    running: JoinHandle<()>,
-}
+use session::Session;
+
+struct Standin(Session);
 
 impl Standin {
     async fn start() -> Self {
         let settings = r#"{"service": "narudzbe-app", "delay_ms": 1}"#;
         let settings: ServiceSettings = serde_json::from_str(settings).expect("settings");
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        let (trigger, shutdown) = Shutdown::new();
-        let running = compio::runtime::spawn(service::run(listener, settings, shutdown));
-        let client = mangofront_http::client().expect("client");
-        Self {
-            address,
-            client,
-            trigger,
-            running,
-        }
+        let run = |listener, shutdown| service::run(listener, settings, shutdown);
+        Self(Session::start(run).await)
     }
 
     /// One exchange, as a line of a session.
     async fn exchange(&self, method: &str, path: &str, key: &str, body: &str) -> String {
-        let url = format!("http://{}{path}", self.address);
-        let verb = http::Method::from_bytes(method.as_bytes()).expect("method");
-        let request = self.client.request(verb, url).expect("URL");
-        let request = request.header(headers::IDEMPOTENCY_KEY, key).expect("key");
-        let line = format!("{method} {path} {key} {body}");
-        match request.body(body.to_owned()).send().await {
-            Ok(response) => {
-                let status = response.status().as_u16();
-                let answer = response.text().await.expect("body");
-                format!("{line}\n  {status} {answer}\n")
-            }
-            Err(_) => format!("{line}\n  connection broken\n"),
-        }
+        let named = [(headers::IDEMPOTENCY_KEY, key)];
+        let answer = self.0.call(method, path, &named, body).await;
+        let answer = answer.unwrap_or_else(|_| "connection broken".to_owned());
+        format!("{method} {path} {key} {body}\n  {answer}\n")
     }
 
     async fn order(&self, key: &str) -> String {
@@ -61,9 +38,7 @@
     }
 
     async fn stop(self) {
-        self.trigger.trigger();
-        drop(self.client);
-        self.running.await.expect("end of the stand-in");
+        self.0.stop().await;
     }
 }
 
