Bound a daemon's writes by its setting for stalled readers

Cause: with a fixed default the write timeout would cut readers off below a longer `stream_stall_timeout_ms`.

One line of `daemon/src/run.rs`, in place of the default taken there before.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -159,6 +159,6 @@
     ServeLimits {
         header_timeout: settings.limits.header_timeout(),
         header_limit_bytes: settings.limits.header_limit_bytes as usize,
-        ..ServeLimits::default()
+        write_timeout: settings.limits.stream_stall_timeout(),
     }
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -71,13 +71,15 @@
     pub header_limit_bytes: u32,
     /// Largest body of a request, in bytes.
     pub body_limit_bytes: u32,
-    /// Longest time for a request's head to arrive, in milliseconds.
+    /// Longest time for a request's head to arrive, in milliseconds; a
+    /// connection that is idle for so long is closed.
     pub header_timeout_ms: u64,
     /// Longest time for a request's body to arrive, in milliseconds.
     pub body_timeout_ms: u64,
     /// Frames of one answer held for a slow reader.
     pub stream_buffer_frames: u32,
-    /// Longest time that a reader may take no frame, in milliseconds.
+    /// Longest time that a reader may take no frame, and its connection no
+    /// byte, in milliseconds.
     pub stream_stall_timeout_ms: u64,
     /// Longest time for a connection to an upstream, in milliseconds.
     pub connect_timeout_ms: u64,
