--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -50,7 +50,7 @@
     /// Entries that the audit trail holds.
     #[serde(default = "default_audit_capacity_entries")]
     pub audit_capacity_entries: u32,
-    /// Longest planned stop, in milliseconds; unset means the longest time
+    /// Longest graceful shutdown, in milliseconds; unset means the longest time
     /// limit of a class.
     #[serde(default)]
     pub stop_limit_ms: Option<u64>,
@@ -73,13 +73,15 @@
     pub body_limit_bytes: u32,
     /// Memory for the bodies of all requests in progress, in bytes.
     pub bodies_limit_bytes: u64,
-    /// Longest time for a request's head to arrive, in milliseconds.
+    /// Longest time for a request's head to arrive, in milliseconds; a
+    /// connection that is idle for so long is closed.
     pub header_timeout_ms: u64,
     /// Longest time for a request's body to arrive, in milliseconds.
     pub body_timeout_ms: u64,
     /// Frames of one answer held for a slow reader.
     pub stream_buffer_frames: u32,
-    /// Longest time that a reader may take no frame, in milliseconds.
+    /// Longest time that a reader may take no frame, and its connection no
+    /// byte, in milliseconds.
     pub stream_stall_timeout_ms: u64,
     /// Longest time for a connection to an upstream, in milliseconds.
     pub connect_timeout_ms: u64,
