--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -198,9 +198,9 @@
             members,
             priority: placed.priority,
         };
-        let reservation = group.reserve().await?;
+        let mut reservation = group.reserve().await?;
         self.may_have_run = true;
-        group.compute().await?;
+        group.compute(&mut reservation).await?;
         Ok(Some(reservation))
     }
 
--- a/crates/entry/src/completion/group.rs
+++ b/crates/entry/src/completion/group.rs
@@ -5,9 +5,10 @@
 //! prefill. The first member then generates the answer under the same
 //! reservation. Nothing is held while waiting for a group that is not free.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
-use futures_util::future::try_join_all;
+use futures_util::future::{Either, select, try_join_all};
 use mangofront_http::Outcome;
 use mangofront_placement::GroupMember;
 use mangofront_upstream::reservation::{
@@ -50,11 +51,14 @@
         reserve(connections, &self.id(), &shares(self.members), LEASE, until).await
     }
 
-    /// Computes the prompt on the members.
+    /// Computes the prompt on the members, while their leases hold.
     ///
     /// # Errors
-    /// [`SendError`] of the member that failed.
-    pub(crate) async fn compute(&self) -> Result<(), SendError> {
+    /// [`SendError`] of the member that failed or stopped to answer.
+    pub(crate) async fn compute(
+        &self,
+        reservation: &mut GroupReservation,
+    ) -> Result<(), SendError> {
         let connections = &self.entry.parts().connections;
         let deadline = self.request.caller.deadline;
         let max_tokens = self.request.prompt.max_tokens;
@@ -68,8 +72,10 @@
             };
             async move { compute_segment(connections, &target(member), &segment, deadline).await }
         });
-        try_join_all(segments).await?;
-        Ok(())
+        match select(try_join_all(segments), pin!(reservation.lost())).await {
+            Either::Left((computed, _)) => computed.map(drop),
+            Either::Right((error, _)) => Err(error),
+        }
     }
 
     fn id(&self) -> String {
--- a/crates/upstream/src/reservation.rs
+++ b/crates/upstream/src/reservation.rs
@@ -62,7 +62,8 @@
     connections: Connections,
     id: String,
     held: Vec<Target>,
-    _renewal: Option<JoinHandle<()>>,
+    /// Ends with the failure by which a lease is lost.
+    renewal: Option<JoinHandle<SendError>>,
 }
 
 #[derive(Serialize)]
@@ -92,7 +93,7 @@
         connections: connections.clone(),
         id: id.to_owned(),
         held: Vec::with_capacity(shares.len()),
-        _renewal: None,
+        renewal: None,
     };
     for share in shares {
         // Held before the answer: a grant whose answer is lost is released too.
@@ -105,7 +106,7 @@
         group.held.clone(),
         lease,
     );
-    group._renewal = Some(compio::runtime::spawn(renewing));
+    group.renewal = Some(compio::runtime::spawn(renewing));
     Ok(group)
 }
 
@@ -139,6 +140,18 @@
     pub fn id(&self) -> &str {
         &self.id
     }
+
+    /// Resolves once a member's lease is lost, by the failure of its renewal.
+    pub async fn lost(&mut self) -> SendError {
+        if let Some(renewal) = &mut self.renewal {
+            let ended = renewal.await;
+            self.renewal = None;
+            if let Ok(error) = ended {
+                return error;
+            }
+        }
+        std::future::pending().await
+    }
 }
 
 impl Drop for GroupReservation {
@@ -147,9 +160,8 @@
         let id = std::mem::take(&mut self.id);
         let held = std::mem::take(&mut self.held);
         compio::runtime::spawn(async move {
-            for target in &held {
-                release(&connections, target, &id).await;
-            }
+            let releases = held.iter().map(|target| release(&connections, target, &id));
+            join_all(releases).await;
         })
         .detach();
     }
@@ -180,13 +192,21 @@
     Ok(())
 }
 
-async fn renew(connections: Connections, id: String, held: Vec<Target>, lease: Duration) {
+/// Renews the leases until one is lost: refused, or not renewed for its time.
+async fn renew(
+    connections: Connections,
+    id: String,
+    held: Vec<Target>,
+    lease: Duration,
+) -> SendError {
     let path = format!("/v1/reservations/{id}");
     let body = body(&RenewBody {
         lease_ms: milliseconds(lease),
     });
+    let mut renewed_at = vec![Instant::now(); held.len()];
     loop {
         compio::time::sleep(lease / RENEWALS_PER_LEASE).await;
+        let asked = Instant::now();
         // At once: a member that does not answer must not hold up the others.
         let until = Instant::now() + CALL_TIMEOUT;
         let renewals = held.iter().map(|target| {
@@ -194,8 +214,16 @@
             call_json(&connections, target, Method::PUT, &path, body, until)
         });
         let renewed: Vec<Result<Option<serde::de::IgnoredAny>, _>> = join_all(renewals).await;
-        for error in renewed.into_iter().filter_map(Result::err) {
+        for (renewed, renewed_at) in renewed.into_iter().zip(&mut renewed_at) {
+            let Err(error) = renewed else {
+                *renewed_at = asked;
+                continue;
+            };
             log::warn!("upstream: lease of {id} was not renewed: {error}");
+            let is_refused = matches!(error, SendError::Refused { .. });
+            if is_refused || renewed_at.elapsed() >= lease {
+                return error;
+            }
         }
     }
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -532,6 +532,16 @@
     }
 }
 
+/// Ends the load of a test when dropped, also by a panic.
+#[derive(Debug)]
+pub struct EndsLoad<'a>(pub &'a AtomicBool);
+
+impl Drop for EndsLoad<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Waits until `count` more processes may run.
 fn reserve(count: usize) {
     let running = PROCESSES.lock().expect("no holder panics");
--- a/tests/processes/memory.rs
+++ b/tests/processes/memory.rs
@@ -82,6 +82,29 @@
     fleet.wait_until_memory_is_free();
 }
 
+#[test]
+fn a_member_of_a_group_is_frozen() {
+    let mut plan = small_engines();
+    plan.engines.push(plan.engines[0].clone());
+    let fleet = Fleet::start(plan);
+    std::thread::scope(|scope| {
+        let asking = scope.spawn(|| {
+            let caller = fleet.caller(0).with("mangofront-class", "review");
+            caller.post(COMPLETIONS, &archive("frozen"))
+        });
+        let reserved = |engine| fleet.engine_counter(engine, "reserved_tokens") > 0;
+        wait_until("the group is reserved", || {
+            (0..3).filter(|engine| reserved(*engine)).count() == 2
+        });
+        let member = (0..3).find(|engine| reserved(*engine)).expect("a member");
+        fleet.engines[member].signal("STOP");
+        let answer = asking.join().expect("an answer");
+        assert!(answer.is_complete(), "{answer:?}");
+        fleet.engines[member].signal("CONT");
+    });
+    fleet.wait_until_memory_is_free();
+}
+
 #[test]
 fn after_a_caller_left_its_group() {
     let fleet = Fleet::start(small_engines());
