Close callers' connections with the answers of a daemon that stops

Cause: found by reading. A caller that keeps its connection could send its next request just when the stopping daemon closes it, and learn nothing. Answers of a stopping daemon now say connection: close; the stop test asserts it.

--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use mangofront_http::{Body, headers, json};
 use mangofront_prompt::Endpoint;
@@ -56,6 +56,12 @@
     if let Ok(value) = id.parse() {
         response.headers_mut().insert(headers::REQUEST_ID, value);
     }
+    if entry.is_stopping() {
+        // The caller then sends its next request elsewhere, and not on a
+        // connection that is closed in the same moment.
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -12,7 +12,8 @@
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(30);
 
 /// Headers of an answer that are part of a session's record.
-const RECORDED: [&str; 4] = [
+const RECORDED: [&str; 5] = [
+    "connection",
     "content-type",
     "retry-after",
     "mangofront-replayed",
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::caller::Answer;
-use crate::fleet::{Fleet, PATIENCE, Plan, wait_until};
+use crate::fleet::{EndsLoad, Fleet, PATIENCE, Plan, wait_until};
 use crate::link::ZONES;
 use crate::requests::{COMPLETIONS, answer_text, question};
 
@@ -30,7 +30,10 @@
     fleet.daemons[0].signal("TERM");
     wait_until("new work is refused", || {
         let refused = fleet.caller(0).get("/v1/models");
-        refused.status == 503 && refused.json()["error"]["code"] == "stopping"
+        let closes = refused
+            .headers
+            .contains(&("connection".to_owned(), "close".to_owned()));
+        refused.status == 503 && refused.json()["error"]["code"] == "stopping" && closes
     });
     let answer = reading.join().expect("the reader ends");
     assert!(answer.whole);
@@ -38,6 +41,30 @@
     assert_eq!(fleet.daemons[0].exit_code(), Some(0));
 }
 
+#[test]
+fn requests_that_wait_at_the_stop_are_answered() {
+    let mut fleet = Fleet::start(Plan::default());
+    fleet.daemons[0].signal("STOP");
+    let body = question("waits", 5, false);
+    let answers: Vec<Answer> = thread::scope(|scope| {
+        let asking = (0..20).map(|_| scope.spawn(|| fleet.caller(0).post(COMPLETIONS, &body)));
+        let asking: Vec<_> = asking.collect();
+        // The kernel takes the connections and the requests meanwhile.
+        thread::sleep(Duration::from_millis(500));
+        fleet.daemons[0].signal("TERM");
+        fleet.daemons[0].signal("CONT");
+        asking
+            .into_iter()
+            .map(|one| one.join().expect("an answer"))
+            .collect()
+    });
+    for answer in &answers {
+        let refused = answer.json()["error"]["code"] == "stopping";
+        assert!(answer.is_complete() || refused, "{answer:?}");
+    }
+    assert_eq!(fleet.daemons[0].exit_code(), Some(0));
+}
+
 /// Sends to one daemon after the other until one takes the work.
 fn send_anywhere(first: usize, send: impl Fn(usize) -> Answer) -> Answer {
     let started = Instant::now();
@@ -89,7 +116,7 @@
     let mut plan = Plan::zones(ZONES);
     plan.apart = false;
     for engine in &mut plan.engines {
-        engine["time_scale"] = json!(0.2);
+        engine["time_scale"] = json!(2.0);
     }
     let mut fleet = Fleet::start(plan);
     fleet.wait_until_orders_run();
@@ -97,6 +124,7 @@
     let done = AtomicBool::new(false);
     let keys = thread::scope(|scope| {
         let (fleet, done) = (&fleet, &done);
+        let ending = EndsLoad(done);
         let asking: Vec<_> = (0..6)
             .map(|nth| scope.spawn(move || ask_until(fleet, nth, done)))
             .collect();
@@ -108,7 +136,7 @@
             fleet.wait_until_serving(index);
             fleet.wait_until_order_runs(index);
         }
-        done.store(true, Ordering::Relaxed);
+        drop(ending);
         for one in asking {
             assert!(one.join().expect("requests are answered") > 0);
         }
