Tell the caller why a stream ends at its class's time

The last event now has 200 ms of its own, within what the check of the class's time allows a busy process.

--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -1,7 +1,7 @@
 //! Streamed answers.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -15,6 +15,10 @@
 use crate::context::Entry;
 use crate::progress::InProgress;
 
+/// Time for the error that ends a stream, also when the class's time is over:
+/// the caller has to learn why the answer stops.
+const LAST_EVENT_TIME: Duration = Duration::from_millis(200);
+
 /// Relays one answer from its attempts to its caller.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -78,7 +82,7 @@
                 Err(error) => {
                     self.progress.failed(&error);
                     let last = answer::error_event(&error.body(&self.request.id));
-                    return self.send(sender, last).await;
+                    return send_until(sender, last, Instant::now() + LAST_EVENT_TIME).await;
                 }
             };
         }
@@ -87,10 +91,18 @@
     async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
         let stalled = Instant::now() + self.entry.parts().limits.stall_timeout;
         let deadline = stalled.min(self.request.caller.deadline);
-        match compio::time::timeout_at(deadline, sender.send(chunk)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_closed)) => Err(Stopped::CallerGone),
-            Err(_elapsed) => Err(Stopped::CallerStalled),
-        }
+        send_until(sender, chunk, deadline).await
+    }
+}
+
+async fn send_until(
+    sender: &mut mpsc::Sender<Bytes>,
+    chunk: Bytes,
+    deadline: Instant,
+) -> Result<(), Stopped> {
+    match compio::time::timeout_at(deadline, sender.send(chunk)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_closed)) => Err(Stopped::CallerGone),
+        Err(_elapsed) => Err(Stopped::CallerStalled),
     }
 }
