--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -15,9 +15,9 @@
 use crate::context::Entry;
 use crate::progress::InProgress;
 
-/// Time for the error that ends a stream, also when the class's time is over:
-/// the caller has to learn why the answer stops.
-const LAST_EVENT_TIME: Duration = Duration::from_millis(200);
+/// Time for an event to be taken by the caller's buffer after the request's
+/// time is over.
+const LAST_EVENT_GRACE: Duration = Duration::from_millis(50);
 
 /// Relays one answer from its attempts to its caller.
 #[derive(Debug)]
@@ -82,7 +82,7 @@
                 Err(error) => {
                     self.progress.failed(&error);
                     let last = answer::error_event(&error.body(&self.request.id));
-                    return send_until(sender, last, Instant::now() + LAST_EVENT_TIME).await;
+                    return self.send(sender, last).await;
                 }
             };
         }
@@ -90,19 +90,14 @@
 
     async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
         let stalled = Instant::now() + self.entry.parts().limits.stall_timeout;
-        let deadline = stalled.min(self.request.caller.deadline);
-        send_until(sender, chunk, deadline).await
-    }
-}
-
-async fn send_until(
-    sender: &mut mpsc::Sender<Bytes>,
-    chunk: Bytes,
-    deadline: Instant,
-) -> Result<(), Stopped> {
-    match compio::time::timeout_at(deadline, sender.send(chunk)).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_closed)) => Err(Stopped::CallerGone),
-        Err(_elapsed) => Err(Stopped::CallerStalled),
+        // What came at the last moment, and the error that the time is over,
+        // still go out: a stream that just ends would look like a whole one.
+        let grace = Instant::now() + LAST_EVENT_GRACE;
+        let deadline = stalled.min(self.request.caller.deadline.max(grace));
+        match compio::time::timeout_at(deadline, sender.send(chunk)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_closed)) => Err(Stopped::CallerGone),
+            Err(_elapsed) => Err(Stopped::CallerStalled),
+        }
     }
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod caller;
 mod configuration;
+mod control;
 mod fleet;
 mod frozen;
 mod leaving;
@@ -16,6 +17,7 @@
 mod once;
 mod orders;
 mod requests;
+mod services;
 mod sessions;
 mod soak;
 mod stop;
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -140,6 +140,32 @@
     assert_snapshot!(answers[0].record());
 }
 
+#[test]
+fn an_answer_that_runs_out_of_time_ends_with_an_error() {
+    let mut plan = Plan::default();
+    plan.configuration["classes"]["diagnosis"] =
+        json!({"time_to_first_token_ms": 300, "allowed_delay_ms": 200});
+    let fleet = Fleet::start(plan);
+    for engine in 0..2 {
+        fleet
+            .engine(engine)
+            .post("/control", &json!({"slow_factor": 40}));
+    }
+    let answer = fleet
+        .caller(0)
+        .post("/v1/completions", &question(200, true));
+    assert_eq!(answer.status, 200);
+    assert!(answer.whole);
+    let last = answer.body.trim_end().rsplit("\n\n").next();
+    let last = last.and_then(|event| event.strip_prefix("data: "));
+    let last: Value = serde_json::from_str(last.unwrap_or_default()).unwrap_or_default();
+    assert_eq!(
+        last["error"]["code"], "deadline_exceeded",
+        "{}",
+        answer.body
+    );
+}
+
 #[test]
 fn cancelled_request() {
     let fleet = Fleet::start(Plan::default());
@@ -188,3 +214,32 @@
     let unknown = json!({"model": "assist-llm", "tokens": 2000, "class": "haste"});
     assert_eq!(fleet.operator(0).post("/explain", &unknown).status, 400);
 }
+
+#[test]
+fn bodies_in_progress_have_a_budget() {
+    let mut plan = Plan {
+        limits: json!({"bodies_limit_bytes": 1 << 20}),
+        ..Plan::default()
+    };
+    for engine in &mut plan.engines {
+        engine["time_scale"] = json!(1.0);
+    }
+    let fleet = Fleet::start(plan);
+    let long = json!({"model": "assist-llm", "prompt": "x ".repeat(300_000),
+        "max_tokens": 400, "stream": true});
+    let caller = fleet.caller(0).with("mangofront-class", "review");
+    let first = caller.clone();
+    let body = long.clone();
+    let reading = std::thread::spawn(move || first.leave_after(1, "/v1/completions", &body));
+    wait_until("a second long prompt is refused", || {
+        let refused = caller.leave_after(1, "/v1/completions", &long);
+        refused.json()["error"]["code"] == "bodies_full"
+            && refused.json()["error"]["outcome"] == "not_run"
+    });
+    let short = question(2, false);
+    assert_eq!(fleet.caller(0).post("/v1/completions", &short).status, 200);
+    reading.join().expect("the first caller ends");
+    wait_until("the memory comes back", || {
+        caller.leave_after(1, "/v1/completions", &long).status == 200
+    });
+}
