Answer the first request of a connection also at a planned stop

Cause: a stopping server closed a connection whose first request it had not read yet, and reset those that the kernel had accepted; their callers learnt nothing. Now such a connection has 300 ms for its first request, and the listener takes what is in its backlog first.

first_request_of_a_connection_is_answered_at_the_stop fails without the change and passes with it; request_in_the_backlog passed before as well.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,8 +1,10 @@
 //! One served connection, from its accept to its end.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use cyper_core::{CompioTimer, HyperStream};
@@ -17,6 +19,9 @@
 use crate::serve::{Ends, ServeLimits};
 use crate::stall::WatchedWriter;
 
+/// Time that a planned stop leaves a new connection for its first request.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
+
 /// Told by a handler in place of an answer: the connection ends without one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("handler aborted the connection")]
@@ -28,7 +33,7 @@
     #[error("server aborted")]
     Abort,
     #[error("peer took no bytes for {0:?}")]
-    Stalled(std::time::Duration),
+    Stalled(Duration),
     #[error(transparent)]
     Connection(#[from] hyper::Error),
 }
@@ -75,7 +80,12 @@
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Result<Response<Body>, Aborted>> + 'static,
 {
-    let service = service_fn(move |request| handler(request, peer));
+    let began = Rc::new(Cell::new(false));
+    let begins = Rc::clone(&began);
+    let service = service_fn(move |request| {
+        begins.set(true);
+        handler(request, peer)
+    });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
@@ -85,6 +95,13 @@
     match select(connection.as_mut(), pin!(ends.shutdown.wait())).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
+            if !began.get() {
+                // A peer that has just connected may have sent its request.
+                let first = compio::time::timeout(FIRST_REQUEST_GRACE, connection.as_mut());
+                if let Ok(ended) = first.await {
+                    return ended;
+                }
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -10,9 +10,10 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
+use compio::time::timeout_at;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -24,6 +25,9 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time in which a stopping server still takes connections.
+const LAST_ACCEPTS: Duration = Duration::from_millis(50);
+
 /// Pause between looks at the number of open connections while draining.
 const DRAIN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -97,11 +101,7 @@
 {
     let handler = Rc::new(handler);
     let open = Rc::new(Cell::new(0_usize));
-    while let Some(accepted) = accept(&listener, &ends).await {
-        let Ok((stream, peer)) = accepted else {
-            compio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let start = |(stream, peer)| {
         let guard = OpenConnection::new(&open);
         let handler = Rc::clone(&handler);
         let ends = ends.clone();
@@ -110,6 +110,19 @@
             drop(guard);
         })
         .detach();
+    };
+    while let Some(accepted) = accept(&listener, &ends).await {
+        match accepted {
+            Ok(accepted) => start(accepted),
+            Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    if !ends.abort.is_triggered() {
+        // What the kernel has accepted already would be reset with the listener.
+        let until = Instant::now() + LAST_ACCEPTS;
+        while let Ok(Ok(accepted)) = timeout_at(until, listener.accept()).await {
+            start(accepted);
+        }
     }
     drop(listener);
     while open.get() > 0 {
--- a/crates/http/tests/serve.rs
+++ b/crates/http/tests/serve.rs
@@ -179,3 +179,39 @@
     let mut caller = request(address).await;
     assert!(within(read_to_end(&mut caller)).await.is_empty());
 }
+
+/// Answer to a call that meets a server which was told to stop.
+async fn answer_at_the_stop(is_sent_before: bool) -> Vec<u8> {
+    let (listener, address) = listen().await;
+    let (trigger, shutdown) = Shutdown::new();
+    let mut caller = TcpStream::connect(address).await.expect("server listens");
+    let mut trigger = Some(trigger);
+    let mut stop = || trigger.take().map(ShutdownTrigger::trigger);
+    if is_sent_before {
+        caller.write_all(REQUEST).await.expect("request written");
+        stop();
+    }
+    let answer = |_request, _peer| async { Response::new(full("whole")) };
+    let serving = serve(listener, ServeLimits::default(), answer, shutdown);
+    let calling = async {
+        if !is_sent_before {
+            // The server takes the connection first.
+            compio::time::sleep(Duration::from_millis(10)).await;
+            stop();
+            compio::time::sleep(Duration::from_millis(10)).await;
+            caller.write_all(REQUEST).await.expect("request written");
+        }
+        read_to_end(&mut caller).await
+    };
+    within(futures_util::future::join(calling, serving)).await.0
+}
+
+#[compio::test]
+async fn request_in_the_backlog_is_answered_at_the_stop() {
+    assert!(answer_at_the_stop(true).await.ends_with(b"whole"));
+}
+
+#[compio::test]
+async fn first_request_of_a_connection_is_answered_at_the_stop() {
+    assert!(answer_at_the_stop(false).await.ends_with(b"whole"));
+}
--- a/tests/processes/soak/load.rs
+++ b/tests/processes/soak/load.rs
@@ -182,7 +182,7 @@
         let ended = answer.is_complete() || error.is_some() || leaves || !answer.connected;
         assert!(
             ended || killed,
-            "entry-{} broke off: {answer:?}",
+            "entry-{} broke off after {took:?}, calm {calm}: {answer:?}",
             self.daemon
         );
         let end = match error {
