--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,8 +1,10 @@
 //! One served connection, from its accept to its end.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use cyper_core::{CompioTimer, HyperStream};
@@ -17,6 +19,9 @@
 use crate::serve::{Ends, ServeLimits};
 use crate::stall::WatchedWriter;
 
+/// Time that a planned stop leaves a new connection for its first request.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
+
 /// Told by a handler in place of an answer: the connection ends without one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("handler aborted the connection")]
@@ -28,7 +33,7 @@
     #[error("server aborted")]
     Abort,
     #[error("peer took no bytes for {0:?}")]
-    Stalled(std::time::Duration),
+    Stalled(Duration),
     #[error(transparent)]
     Connection(#[from] hyper::Error),
 }
@@ -75,9 +80,14 @@
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Result<Response<Body>, Aborted>> + 'static,
 {
+    let began = Rc::new(Cell::new(false));
+    let begins = Rc::clone(&began);
     // hyper keeps room for one answer's future as long as the connection lives;
     // boxed, a future of tens of kilobytes is gone once the answer has a head.
-    let service = service_fn(move |request| Box::pin(handler(request, peer)));
+    let service = service_fn(move |request| {
+        begins.set(true);
+        Box::pin(handler(request, peer))
+    });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
@@ -87,6 +97,13 @@
     match select(connection.as_mut(), pin!(ends.shutdown.wait())).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
+            if !began.get() {
+                // A peer that has just connected may have sent its request.
+                let first = compio::time::timeout(FIRST_REQUEST_GRACE, connection.as_mut());
+                if let Ok(ended) = first.await {
+                    return ended;
+                }
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
