--- a/examples/capacity/requests.rs
+++ b/examples/capacity/requests.rs
@@ -55,6 +55,66 @@
     )])
 }
 
+/// Streams of each daemon while placements are gossiped.
+const STREAMS_EACH: u64 = 8;
+
+/// Daemons of which each has requests, so that all have placements to tell.
+pub async fn placements(plan: &Plan) -> Result<Vec<Series>, Failure> {
+    let sizes: &[u16] = if plan.quick {
+        &[2, 4, 8, 16]
+    } else {
+        &[2, 4, 8, 16, 32]
+    };
+    let (mut gossip, mut known) = (Vec::new(), Vec::new());
+    for &daemons in sizes {
+        let fleet = Fleet::start(
+            plan,
+            Shape {
+                daemons,
+                ..shape("4")
+            },
+        )
+        .await?;
+        let (events, ended) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let mut tasks: Vec<JoinHandle<()>> = Vec::new();
+        for number in 0..STREAMS_EACH * u64::from(daemons) {
+            let caller = fleet.caller(number as usize % usize::from(daemons))?;
+            let stream = one_stream(caller, number, Rc::clone(&events), Rc::clone(&ended));
+            tasks.push(spawn(stream));
+        }
+        // What daemons saved up of their allowance for news must be spent first.
+        let settle = plan.settle() * if plan.quick { 1 } else { 5 };
+        compio::time::sleep(settle).await;
+        let used = measure(&fleet, plan.window()).await?;
+        if ended.get() > 0 {
+            return Err(format!("{} streams ended early", ended.get()).into());
+        }
+        gossip.push([f64::from(daemons), used.gossip_bytes_per_s]);
+        known.push([f64::from(daemons), views_known(&fleet).await?]);
+    }
+    let x = "daemons with requests";
+    Ok(vec![
+        Series::fit("placements", x, "gossip both ways, bytes/s", gossip),
+        Series::fit(
+            "placements",
+            x,
+            "others whose placements are known, share",
+            known,
+        ),
+    ])
+}
+
+/// Share of the other daemons whose placements a daemon knows, the mean of all.
+async fn views_known(fleet: &Fleet) -> Result<f64, Failure> {
+    let mut views = 0.0;
+    for daemon in 0..fleet.daemon_count() {
+        let status = fleet.operator(daemon)?.get_json("/status").await?;
+        views += status["placement"]["peers"].as_f64().unwrap_or_default();
+    }
+    let daemons = fleet.daemon_count() as f64;
+    Ok(views / daemons / (daemons - 1.0))
+}
+
 /// Tokens a second, by streams at the engine's ordinary pace.
 pub async fn tokens(plan: &Plan) -> Result<Vec<Series>, Failure> {
     let points = stream_points(plan, "1", &[25, 50, 100, 200]).await?;
