Carry the control traffic and the members over to the metrics

The instruments were there and nothing fed them. A task looks once a second and adds what the links and the short calls to engines counted since. The platform's answers are not in it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod arguments;
+mod control;
 mod engines;
 mod error;
 mod explain;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, feeds, orders, relay, views, watchers};
+use crate::{admin, control, feeds, orders, relay, views, watchers};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -79,6 +79,7 @@
         spawn(views::receive(placement.clone(), peers.clone(), own)),
         spawn(parts.once.maintain()),
         spawn(orders::follow(parts.clone())),
+        spawn(control::follow(parts.clone())),
     ]
 }
 
