--- a/tests/processes/soak/faults.rs
+++ b/tests/processes/soak/faults.rs
@@ -125,7 +125,6 @@
         }
         self.away[daemon] = true;
         run.disturbed[daemon].fetch_add(1, Ordering::SeqCst);
-        // Before and after, so that a request sent in between is counted too.
         run.killed[daemon].fetch_add(1, Ordering::SeqCst);
         self.daemons[daemon].kill();
         run.killed[daemon].fetch_add(1, Ordering::SeqCst);
--- a/tests/processes/soak/mod.rs
+++ b/tests/processes/soak/mod.rs
@@ -40,7 +40,8 @@
     pub done: AtomicBool,
     /// Freezes, deaths and restarts of each daemon so far.
     pub disturbed: [AtomicU64; DAEMONS],
-    /// Deaths of each daemon so far; a planned stop is none.
+    /// Begun and ended kills of each daemon so far: odd while one is going on.
+    /// A planned stop is none.
     pub killed: [AtomicU64; DAEMONS],
     pub tally: Mutex<Tally>,
 }
