Lose no connection when a daemon stops, starts or refuses a request

Callers now wait in the kernel's queue until a configuration and a list are in force, for 3 s at most. - A request refused before its body was read lost its answer when the reset for the unread bytes came first. Unwanted bodies are now read, for half a second and up to the body limit.

Ruled out: a longer time of last accepts (50 ms before), which only moves the race.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,6 +9,7 @@
 use mangofront_audit::AuditEvent;
 use mangofront_http::{ServeLimits, Shutdown, serve};
 use mangofront_placement::Policy;
+use mangofront_platform::Platform;
 use mangofront_settings::process::DaemonSettings;
 use mangofront_telemetry::invariants::{Invariant, check};
 
@@ -22,6 +23,10 @@
 /// to leave this one out.
 const RETRY_AFTER_STOP: Duration = Duration::from_secs(1);
 
+/// Longest time for which a daemon that starts lets its callers wait until it
+/// knows a configuration and an instance list.
+const START_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Pause between looks at the requests in progress while draining.
 const DRAIN_PAUSE: Duration = Duration::from_millis(10);
 
@@ -46,7 +51,13 @@
     spawn(serve(operators, limits, answer_operator, admin_stopped)).detach();
     let entry = parts.entry.clone();
     let answer_caller = move |request, peer| entry.clone().handle(request, peer);
-    let serving = spawn(serve(callers, limits, answer_caller, entry_stopped));
+    let platform = parts.platform.clone();
+    let serving = spawn(async move {
+        // Until then the kernel keeps callers waiting, which spares them a
+        // refusal in the first moments of a daemon that replaces another.
+        let _ = compio::time::timeout(START_PATIENCE, wait_for_documents(&platform)).await;
+        serve(callers, limits, answer_caller, entry_stopped).await;
+    });
     let background = start_background(&parts);
     wait_for_stop().await?;
     drain(&parts).await;
@@ -63,6 +74,14 @@
     Ok(())
 }
 
+/// Waits until a configuration and an instance list are in force.
+async fn wait_for_documents(platform: &Platform) {
+    let mut seen = platform.seen();
+    while seen.configuration.is_none() || seen.instances.is_none() {
+        seen = platform.changed(seen).await;
+    }
+}
+
 /// Starts the tasks that carry news between the parts.
 fn start_background(parts: &Parts) -> Vec<JoinHandle<()>> {
     let (platform, peers) = (&parts.platform, &parts.peers);
--- a/crates/entry/src/bodies.rs
+++ b/crates/entry/src/bodies.rs
@@ -8,15 +8,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use mangofront_http::collect;
 
-use crate::context::Entry;
+use crate::context::{Active, Entry};
 use crate::error::EntryError;
 
 /// Time after which a caller may come back when the budget is used up.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest time for which an unwanted body is read.
+const DISCARD_LIMIT: Duration = Duration::from_millis(500);
+
 /// A body that was read, and its share of the budget.
 #[derive(Debug)]
 pub(crate) struct HeldBody {
@@ -25,21 +29,21 @@
     _share: Share,
 }
 
-/// Reads a body within the limits of size, time and memory.
+/// Reads the body of a request within the limits of size, time and memory.
 ///
 /// # Errors
 /// The budget is used up, or the body is too large, too slow or broken off.
-pub(crate) async fn read(
-    entry: &Entry,
-    incoming: Incoming,
-    deadline: Instant,
-) -> Result<HeldBody, EntryError> {
+pub(crate) async fn read(active: &Active, deadline: Instant) -> Result<HeldBody, EntryError> {
+    let entry = active.entry();
     let limits = &entry.parts().limits;
-    let announced_bytes = incoming.size_hint().exact();
-    let mut share = Share::take(
-        entry,
-        wanted_bytes(announced_bytes, limits.body_limit_bytes),
-    )?;
+    let wanted_bytes = wanted_bytes(active.announced_bytes(), limits.body_limit_bytes);
+    let mut share = Share::take(entry, wanted_bytes)?;
+    let Some(incoming) = active.take_body() else {
+        return Ok(HeldBody {
+            content: Bytes::new(),
+            _share: share,
+        });
+    };
     let until = deadline.min(Instant::now() + limits.body_timeout);
     let reading = collect(incoming, limits.body_limit_bytes);
     let content = match compio::time::timeout_at(until, reading).await {
@@ -53,6 +57,25 @@
     })
 }
 
+/// Reads what comes of a body that nobody wants, for a short while.
+///
+/// A connection closed with unread bytes is reset, and the reset may overtake
+/// the answer that says why the request was refused.
+pub(crate) async fn discard(entry: &Entry, mut incoming: Incoming) {
+    let limit_bytes = entry.parts().limits.body_limit_bytes;
+    let mut read_bytes = 0;
+    let reading = async {
+        while let Some(Ok(frame)) = incoming.frame().await {
+            read_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if read_bytes > limit_bytes {
+                break;
+            }
+        }
+    };
+    // What is left after that time is left to the reset.
+    let _ = compio::time::timeout(DISCARD_LIMIT, reading).await;
+}
+
 /// What to set aside for a body: its announced length, or the most it may have.
 ///
 /// A body that is announced too long is refused by the read, which takes no
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -14,8 +14,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::request::Parts;
+use http::{HeaderMap, Response, StatusCode};
 use mangofront_admission::{AdmissionRequest, RefusalReason};
 use mangofront_http::{Body, json};
 use mangofront_placement::Demand;
@@ -54,10 +54,10 @@
     entry: &Entry,
     active: &Rc<Active>,
     endpoint: Endpoint,
-    request: Request<Incoming>,
+    head: &Parts,
     id: &str,
 ) -> Result<Response<Body>, EntryError> {
-    let request = Rc::new(read(entry, endpoint, request, id).await?);
+    let request = Rc::new(read(active, endpoint, head, id).await?);
     let progress = Rc::new(InProgress::begin(active, &request.caller));
     let answered = respond(entry, &request, &progress).await;
     if let Err(error) = &answered {
@@ -88,15 +88,15 @@
 }
 
 async fn read(
-    entry: &Entry,
+    active: &Active,
     endpoint: Endpoint,
-    request: Request<Incoming>,
+    head: &Parts,
     id: &str,
 ) -> Result<CompletionRequest, EntryError> {
     let arrived = Instant::now();
-    let (head, incoming) = request.into_parts();
+    let entry = active.entry();
     let caller = identify(entry, &head.headers, arrived)?;
-    let body = bodies::read(entry, incoming, caller.deadline).await?;
+    let body = bodies::read(active, caller.deadline).await?;
     let mut prompt = mangofront_prompt::read(endpoint, &body.content)?;
     check_model(entry, &prompt.model)?;
     let demand = Demand {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use mangofront_admission::Admission;
 use mangofront_http::Body;
 use mangofront_once::Once;
@@ -134,9 +134,13 @@
     }
 
     /// Counts a request as in progress while the guard lives.
-    pub(crate) fn begin(&self) -> Rc<Active> {
+    pub(crate) fn begin(&self, body: Incoming) -> Rc<Active> {
         self.0.in_progress.set(self.0.in_progress.get() + 1);
-        Rc::new(Active(self.clone()))
+        Rc::new(Active {
+            entry: self.clone(),
+            announced_bytes: body.size_hint().exact(),
+            body: Cell::new(Some(body)),
+        })
     }
 
     /// Memory taken by bodies, in bytes.
@@ -151,19 +155,39 @@
 }
 
 /// Counts one request in progress, from its head to the end of its answer.
-#[derive(Debug)]
-pub(crate) struct Active(Entry);
+pub(crate) struct Active {
+    entry: Entry,
+    /// Body of the request until somebody reads it.
+    body: Cell<Option<Incoming>>,
+    announced_bytes: Option<u64>,
+}
 
 impl Active {
     /// The entry side it belongs to.
     pub(crate) fn entry(&self) -> &Entry {
-        &self.0
+        &self.entry
+    }
+
+    /// Body of the request, for the first who asks.
+    pub(crate) fn take_body(&self) -> Option<Incoming> {
+        self.body.take()
+    }
+
+    /// Length of the body as the request's head tells it, in bytes.
+    pub(crate) fn announced_bytes(&self) -> Option<u64> {
+        self.announced_bytes
+    }
+}
+
+impl std::fmt::Debug for Active {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Active").finish_non_exhaustive()
     }
 }
 
 impl Drop for Active {
     fn drop(&mut self) {
-        let count = &self.0.0.in_progress;
+        let count = &self.entry.0.in_progress;
         count.set(count.get() - 1);
     }
 }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -12,7 +12,7 @@
 use crate::context::Entry;
 use crate::error::EntryError;
 use crate::progress::{NO_CLASS, request_outcome};
-use crate::{completion, models, service};
+use crate::{bodies, completion, models, service};
 
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/v1/services/";
@@ -34,20 +34,21 @@
     peer: SocketAddr,
 ) -> Response<Body> {
     let id = uuid::Uuid::new_v4().simple().to_string();
-    let active = entry.begin();
-    let answered = match (
-        entry.stopping(),
-        find(request.method(), request.uri().path()),
-    ) {
+    let (head, body) = request.into_parts();
+    let active = entry.begin(body);
+    let answered = match (entry.stopping(), find(&head.method, head.uri.path())) {
         (Some(retry_after), _) => Err(EntryError::Stopping { retry_after }),
         (None, Ok(Route::Complete(endpoint))) => {
-            completion::answer(entry, &active, endpoint, request, &id).await
+            completion::answer(entry, &active, endpoint, &head, &id).await
         }
         (None, Ok(Route::Models)) => models::answer(entry),
         (None, Ok(Route::MintKey)) => mint(entry),
-        (None, Ok(Route::Service)) => service::answer(entry, &active, request, &id).await,
+        (None, Ok(Route::Service)) => service::answer(entry, &active, head, &id).await,
         (None, Err(error)) => Err(error),
     };
+    if let Some(unread) = active.take_body() {
+        bodies::discard(entry, unread).await;
+    }
     let mut response = answered.unwrap_or_else(|error| {
         log::debug!("entry: request {id} of {peer} failed: {error}");
         count_failure(entry, &error);
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -12,8 +12,7 @@
 use std::time::Instant;
 
 use http::request::Parts;
-use http::{Method, Request, Response};
-use hyper::body::Incoming;
+use http::{Method, Response};
 use mangofront_http::{Body, Outcome, full, headers};
 use mangofront_settings::ids::ServiceName;
 use mangofront_settings::published::{CallPattern, Configuration, Service};
@@ -57,13 +56,12 @@
 pub(crate) async fn answer(
     entry: &Entry,
     active: &Rc<Active>,
-    request: Request<Incoming>,
+    head: Parts,
     id: &str,
 ) -> Result<Response<Body>, EntryError> {
     let arrived = Instant::now();
-    let (head, incoming) = request.into_parts();
     let key = caller::text(&head.headers, headers::IDEMPOTENCY_KEY)?.map(str::to_owned);
-    let (service_call, repeat) = read(entry, head, incoming, arrived, id).await?;
+    let (service_call, repeat) = read(active, head, arrived, id).await?;
     let progress = InProgress::begin(active, &service_call.caller);
     let answered = match (key, repeat) {
         (Some(key), _) => order::execute(entry, active, service_call, key).await,
@@ -78,12 +76,12 @@
 }
 
 async fn read(
-    entry: &Entry,
+    active: &Active,
     head: Parts,
-    incoming: Incoming,
     arrived: Instant,
     id: &str,
 ) -> Result<(ServiceCall, Repeat), EntryError> {
+    let entry = active.entry();
     let accepted = entry
         .parts()
         .platform
@@ -99,7 +97,7 @@
         })?;
     let repeat = repeat(rules, &head.method, &path);
     let caller = identify(entry, configuration, &head, arrived)?;
-    let body = bodies::read(entry, incoming, caller.deadline).await?;
+    let body = bodies::read(active, caller.deadline).await?;
     let mut passed_on = head.headers;
     if let Ok(value) = id.parse() {
         passed_on.insert(headers::REQUEST_ID, value);
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -8,15 +8,16 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use compio::time::timeout_at;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
+use socket2::SockRef;
 
 use crate::body::Body;
 use crate::connection::{Aborted, serve_connection};
@@ -25,9 +26,6 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Time in which a stopping server still takes connections.
-const LAST_ACCEPTS: Duration = Duration::from_millis(50);
-
 /// Pause between looks at the number of open connections while draining.
 const DRAIN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -118,16 +116,9 @@
         }
     }
     if !ends.abort.is_triggered() {
-        // What the kernel has accepted already would be reset with the listener.
-        let until = Instant::now() + LAST_ACCEPTS;
-        while let Ok(Ok(accepted)) = timeout_at(until, listener.accept()).await {
-            start(accepted);
-        }
+        last_accepts(&listener).into_iter().for_each(start);
     }
-    // Dropped, it would stay open for as long as the last accept is known to
-    // the driver, and take connections that nobody serves. An error of the
-    // close leaves nothing to do.
-    let _ = listener.close().await;
+    drop(listener);
     while open.get() > 0 {
         compio::time::sleep(DRAIN_PAUSE).await;
     }
@@ -146,6 +137,29 @@
     }
 }
 
+/// The connections that the kernel has accepted already; it accepts no more.
+///
+/// A listener that is just closed resets those that nobody has taken up. So
+/// they are all taken, and the listener is shut down right behind the last,
+/// with no wait in between: compio closes it only once its driver lets go.
+fn last_accepts(listener: &TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let mut accepted = Vec::new();
+    let Ok(descriptor) = listener.as_fd().try_clone_to_owned() else {
+        return accepted;
+    };
+    let listener = std::net::TcpListener::from(descriptor);
+    if listener.set_nonblocking(true).is_ok() {
+        while let Ok((stream, peer)) = listener.accept() {
+            if let Ok(stream) = TcpStream::from_std(stream) {
+                accepted.push((stream, peer));
+            }
+        }
+    }
+    // An error means that it was shut down already.
+    let _ = SockRef::from(&listener).shutdown(std::net::Shutdown::Both);
+    accepted
+}
+
 /// Counts one open connection while it lives.
 struct OpenConnection(Rc<Cell<usize>>);
 
--- a/crates/load/tests/support/mod.rs
+++ b/crates/load/tests/support/mod.rs
@@ -77,6 +77,10 @@
         std::future::pending::<()>().await;
     }
     let mut response = if fault == Fault::Refuse {
+        // As the daemon does: a connection closed with unread bytes is reset,
+        // and the reset may overtake the answer.
+        let body = collect(request.into_body(), BODY_LIMIT_BYTES).await;
+        body.expect("the body arrives");
         let error = ErrorBody::new("class_overloaded", Outcome::NotRun, "admission", "full");
         error.into_response(StatusCode::TOO_MANY_REQUESTS)
     } else if request.uri().path() == "/control/counters" {
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -243,3 +243,15 @@
         caller.leave_after(1, "/v1/completions", &long).status == 200
     });
 }
+
+#[test]
+fn a_refusal_reaches_a_caller_that_still_sends() {
+    let fleet = Fleet::start(Plan::default());
+    let caller = fleet.caller(0).without("mangofront-organisation");
+    for _ in 0..10 {
+        let body = vec![b' '; 6 << 20];
+        let refused = caller.send(http::Method::POST, "/v1/completions", body.into());
+        assert_eq!(refused.status, 400, "{}", refused.body);
+        assert_eq!(refused.json()["error"]["code"], "missing_header");
+    }
+}
