--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of a daemon: listen, serve, drain, stop.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
@@ -71,7 +72,7 @@
         spawn(watchers::follow(
             platform.clone(),
             peers.clone(),
-            parts.settings.peers.heartbeat(),
+            Rc::clone(&parts.settings),
         )),
         spawn(relay::publish(platform.clone(), peers.clone())),
         spawn(relay::fetch(platform.clone(), peers.clone())),
--- a/crates/daemon/src/watchers.rs
+++ b/crates/daemon/src/watchers.rs
@@ -5,22 +5,39 @@
 //! learn by [`crate::relay`] and make a rare plain read, which finds what every
 //! watcher and the relay may have missed.
 
-use std::time::Duration;
+use std::rc::Rc;
 
-use mangofront_peers::Peers;
+use mangofront_peers::{MemberState, Peers};
 use mangofront_platform::Platform;
+use mangofront_settings::process::DaemonSettings;
 
-/// Watchers of an availability zone: with one of them frozen and one cut off
+/// Fewest watchers of an availability zone: with one of them frozen and one cut off
 /// from the platform, a change still comes in at once.
-const WATCHERS_PER_ZONE: usize = 3;
+const WATCHERS_LEAST: usize = 3;
+
+/// Members of a zone for each of its watchers. A relayed change moves along the
+/// zone's ring by a heartbeat at a time; with three watchers among 32 it took up
+/// to 8 s, where 5 s are allowed.
+const MEMBERS_PER_WATCHER: usize = 4;
 
 /// Name of the duty, from which the watchers are drawn.
 const DUTY: &str = "watch";
 
 /// Begins and ends the watches as the zone's members come and go, for ever.
-pub(crate) async fn follow(platform: Platform, peers: Peers, heartbeat: Duration) {
+pub(crate) async fn follow(platform: Platform, peers: Peers, settings: Rc<DaemonSettings>) {
     loop {
-        platform.set_watching(peers.is_delegate(DUTY, WATCHERS_PER_ZONE));
-        compio::time::sleep(heartbeat).await;
+        let watchers = WATCHERS_LEAST.max(zone_members(&peers, &settings) / MEMBERS_PER_WATCHER);
+        platform.set_watching(peers.is_delegate(DUTY, watchers));
+        compio::time::sleep(settings.peers.heartbeat()).await;
     }
 }
+
+fn zone_members(peers: &Peers, settings: &DaemonSettings) -> usize {
+    let members = peers.members();
+    let in_zone = members.iter().filter(|member| {
+        member.state == MemberState::Alive
+            && member.region == settings.region
+            && member.availability_zone == settings.availability_zone
+    });
+    in_zone.count()
+}
--- a/examples/capacity/documents.rs
+++ b/examples/capacity/documents.rs
@@ -71,6 +71,50 @@
     Ok(costs.series())
 }
 
+/// Time of a change to all daemons of one region with two zones.
+pub async fn spread(plan: &Plan) -> Result<Vec<Series>, Failure> {
+    let sizes: &[u16] = if plan.quick {
+        &[2, 4, 8, 16]
+    } else {
+        &[8, 16, 32, 64]
+    };
+    let changes = if plan.quick { 2 } else { 8 };
+    let (mut slowest, mut mean) = (Vec::new(), Vec::new());
+    for &daemons in sizes {
+        let shape = Shape {
+            daemons,
+            ..Shape::default()
+        };
+        let fleet = Fleet::start(plan, shape).await?;
+        compio::time::sleep(plan.settle()).await;
+        let mut times = Vec::new();
+        for change in 1..=changes {
+            let value = fleet.configuration(Shape::default().organisations, change);
+            let taken = time_in_force(&fleet, "configuration", &value).await?;
+            times.push(taken.as_secs_f64() * 1000.0);
+            compio::time::sleep(CHANGE_PAUSE).await;
+        }
+        let size = f64::from(daemons);
+        slowest.push([size, times.iter().copied().fold(0.0, f64::max)]);
+        mean.push([size, times.iter().sum::<f64>() / changes as f64]);
+    }
+    let x = "daemons of a region with two zones";
+    Ok(vec![
+        Series::fit(
+            "spread",
+            x,
+            "time until in force everywhere, slowest, ms",
+            slowest,
+        ),
+        Series::fit(
+            "spread",
+            x,
+            "time until in force everywhere, mean, ms",
+            mean,
+        ),
+    ])
+}
+
 /// What one change cost a daemon.
 #[derive(Debug, Clone, Copy, Default)]
 struct Cost {
