Read an engine's load again soon after a failure, at any size

The pace of reads would have made three failed reports take 9 s from 300 engines on; now 4 s. The prose of the peers' budget and of who watches follows what docs/CAPACITY.md measured.

--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -104,15 +104,22 @@
 
 async fn follow_load(parts: Parts, target: Target, followed: Rc<Cell<u32>>) {
     loop {
-        match read::<LoadReport>(&parts, &target, "/v1/load", REPORT_TIMEOUT).await {
-            Ok(Some(report)) => parts.placement.report(&target.instance, report),
-            Ok(None) => {}
+        let read = read::<LoadReport>(&parts, &target, "/v1/load", REPORT_TIMEOUT).await;
+        let pause = match read {
+            Ok(report) => {
+                if let Some(report) = report {
+                    parts.placement.report(&target.instance, report);
+                }
+                load_interval(followed.get())
+            }
             Err(error) => {
                 log::debug!("engines: load of {} not read: {error}", target.instance);
                 parts.placement.report_failed(&target.instance);
+                // Whether it is gone must be known soon, however many there are.
+                LOAD_INTERVAL
             }
-        }
-        compio::time::sleep(load_interval(followed.get())).await;
+        };
+        compio::time::sleep(pause).await;
     }
 }
 
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -17,8 +17,10 @@
 //! a second. A newcomer reads the whole table over each of its links: 1,000
 //! records or 60 KB a link, with 1,210 newcomers a day less than 10 bytes a
 //! second for each daemon. Values of [`crate::Topic::Load`] and `Platform` stay
-//! in the zone: 41 others' values of 75 bytes every 10 s, over the 4 links in
-//! the zone, are at most 1.2 KB a second sent.
+//! in the zone, unless the fleet is small: 41 others' values of 75 bytes every
+//! 10 s, over the 4 links in the zone, are at most 1.2 KB a second sent. Busy
+//! daemons publish more often than that, and then the allowance below bounds the
+//! bytes and the values grow old; `docs/CAPACITY.md` has what was measured.
 //!
 //! Whatever is published, [`Allowance`] bounds the bytes of news that a daemon
 //! sends; a value that has to wait is replaced by its next one, so that nothing
--- a/crates/platform/src/options.rs
+++ b/crates/platform/src/options.rs
@@ -13,7 +13,8 @@
 //! a second; 2,043 in the second in which the service fell, 859 in the one of
 //! its return, and a change everywhere 4.9 s after it. When all start in the
 //! same second they make 2,415, past the budget; those that get 429 pause and
-//! come again. Only a few daemons of a zone are meant to watch.
+//! come again. Who watches is the
+//! embedder's choice, [`Platform::set_watching`](crate::Platform::set_watching).
 
 use std::fmt;
 use std::net::SocketAddr;
