--- a/examples/capacity/fleet.rs
+++ b/examples/capacity/fleet.rs
@@ -79,6 +79,14 @@
     first_start_unix_ms: u64,
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.clear();
+        // What is left behind is a few files in the temporary folder.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl Fleet {
     /// Starts everything and waits until each daemon serves.
     pub async fn start(plan: &Plan, shape: Shape) -> Result<Self, Failure> {
