--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -113,7 +113,7 @@
 }
 
 /// Puts a fixed text in the place of ids, times and addresses.
-fn normalise(text: &str) -> String {
+pub fn normalise(text: &str) -> String {
     let mut normal = text.to_owned();
     for (start, end) in [
         ("\"id\":\"", "\""),
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -4,6 +4,7 @@
 use mangofront_prompt::Endpoint;
 use serde_json::{Value, json};
 
+use crate::caller::normalise;
 use crate::fleet::{Fleet, Plan, wait_until};
 use crate::requests::expected_text;
 
@@ -173,6 +174,9 @@
         .caller(0)
         .leave_after(3, "/v1/completions", &question(2000, true));
     assert_eq!(answer.status, 200);
+    // How many events come with the third one is up to the network.
+    let events: Vec<&str> = answer.body.split_inclusive("\n\n").take(3).collect();
+    assert_snapshot!(normalise(&events.concat()));
     let cancelled = || fleet.engine_counter(0, "cancelled") + fleet.engine_counter(1, "cancelled");
     wait_until("the engine cancels the answer", || cancelled() == 1);
     let used =
