Charge a segment's attention from the prompt's start

The segment now carries offset_tokens (0 when absent, so older senders are understood), the daemon sums the shares before each member's, and the emulator counts it as context.

Weighed: deriving the offset in the emulator from the order of arrivals; the members don't see each other's segments.

--- a/crates/entry/src/completion/group.rs
+++ b/crates/entry/src/completion/group.rs
@@ -47,6 +47,7 @@
     let shares = shares(group);
     let until = deadline.min(Instant::now() + RESERVE_TIMEOUT);
     let reservation = reserve(connections, &id, &shares, LEASE, until).await?;
+    let mut offset_tokens = 0;
     let segments = group.iter().enumerate().map(|(index, member)| {
         let tokens = prompt_tokens(index, member, request.prompt.max_tokens);
         let segment = Segment {
@@ -54,8 +55,10 @@
             request: request.id.clone(),
             attempt,
             tokens,
+            offset_tokens,
             priority: placed.priority,
         };
+        offset_tokens += tokens;
         async move { compute_segment(connections, &target(member), &segment, deadline).await }
     });
     try_join_all(segments).await?;
--- a/crates/standin/src/engine/submit.rs
+++ b/crates/standin/src/engine/submit.rs
@@ -30,6 +30,9 @@
     request: RequestId,
     attempt: Attempt,
     tokens: u64,
+    /// Prompt before the segment, computed on other engines, in tokens.
+    #[serde(default)]
+    offset_tokens: u64,
     priority: u8,
 }
 
@@ -142,6 +145,7 @@
         let output = Rc::new(Output::new(id, request.request, request.attempt, plan));
         let mut sequence = Sequence::new(Kind::Segment, rank, request.tokens, Rc::clone(&output));
         sequence.memory = Memory::Reservation(request.reservation);
+        sequence.context_tokens = request.offset_tokens;
         state.batch.waiting.insert(rank, sequence);
         drop(state);
         self.after_change();
--- a/crates/standin/tests/engine_orders.rs
+++ b/crates/standin/tests/engine_orders.rs
@@ -48,6 +48,29 @@
     engine.wait_until_idle().await;
 }
 
+#[compio::test]
+async fn a_segment_attends_to_what_comes_before_it() {
+    let mut settings = settings();
+    settings.time_scale = 1.0;
+    settings.step.base_us = 0.0;
+    settings.step.prefill_token_us = 0.0;
+    settings.step.prefill_context_us = 50.0;
+    let engine = TestEngine::start(settings).await;
+    let compute = async |reservation: &str, offset_tokens: u64| {
+        assert_eq!(reserve(&engine, reservation, 2_000, 60_000).await.0, 201);
+        let mut body = segment(reservation, 1_000);
+        body["offset_tokens"] = offset_tokens.into();
+        let began = std::time::Instant::now();
+        assert_eq!(engine.call("POST", "/v1/segments", body).await.0, 200);
+        began.elapsed()
+    };
+    // Ten and a half thousand tokens of context on average make 525 ms, half a
+    // thousand 25; steps are never shorter than they should be by more than 50.
+    compute("first", 0).await;
+    let later = compute("later", 10_000).await;
+    assert!(later.as_millis() >= 475, "{later:?}");
+}
+
 #[compio::test]
 async fn lease_that_runs_out_frees_memory_and_ends_its_work() {
     let mut settings = settings();
--- a/crates/upstream/src/reservation.rs
+++ b/crates/upstream/src/reservation.rs
@@ -48,6 +48,8 @@
     pub attempt: Attempt,
     /// Length of the share, in tokens.
     pub tokens: u64,
+    /// Prompt before the share, which it attends to, in tokens.
+    pub offset_tokens: u64,
     /// 0 is the most urgent.
     pub priority: u8,
 }
