End a stream that runs out of time with its error, not in silence

A relay sends nothing after the request's time is over, so the very error that says so was dropped when the time ran out between two tokens; the caller saw a stream that simply ends.

What is sent last now has 50 ms to get into the caller's buffer. Dropping the limit altogether was ruled out: a caller who takes nothing would hold the stream beyond its time.

--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -1,7 +1,7 @@
 //! Streamed answers.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -15,6 +15,10 @@
 use crate::context::Entry;
 use crate::progress::InProgress;
 
+/// Time for an event to be taken by the caller's buffer after the request's
+/// time is over.
+const LAST_EVENT_GRACE: Duration = Duration::from_millis(50);
+
 /// Relays one answer from its attempts to its caller.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -86,7 +90,10 @@
 
     async fn send(&self, sender: &mut mpsc::Sender<Bytes>, chunk: Bytes) -> Result<(), Stopped> {
         let stalled = Instant::now() + self.entry.parts().limits.stall_timeout;
-        let deadline = stalled.min(self.request.caller.deadline);
+        // What came at the last moment, and the error that the time is over,
+        // still go out: a stream that just ends would look like a whole one.
+        let grace = Instant::now() + LAST_EVENT_GRACE;
+        let deadline = stalled.min(self.request.caller.deadline.max(grace));
         match compio::time::timeout_at(deadline, sender.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_closed)) => Err(Stopped::CallerGone),
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -155,6 +155,32 @@
     assert_snapshot!(answers[0].record());
 }
 
+#[test]
+fn an_answer_that_runs_out_of_time_ends_with_an_error() {
+    let mut plan = Plan::default();
+    plan.configuration["classes"]["diagnosis"] =
+        json!({"time_to_first_token_ms": 300, "allowed_delay_ms": 200});
+    let fleet = Fleet::start(plan);
+    for engine in 0..2 {
+        fleet
+            .engine(engine)
+            .post("/control", &json!({"slow_factor": 40}));
+    }
+    let answer = fleet
+        .caller(0)
+        .post("/v1/completions", &question(200, true));
+    assert_eq!(answer.status, 200);
+    assert!(answer.whole);
+    let last = answer.body.trim_end().rsplit("\n\n").next();
+    let last = last.and_then(|event| event.strip_prefix("data: "));
+    let last: Value = serde_json::from_str(last.unwrap_or_default()).unwrap_or_default();
+    assert_eq!(
+        last["error"]["code"], "deadline_exceeded",
+        "{}",
+        answer.body
+    );
+}
+
 #[test]
 fn cancelled_request() {
     let fleet = Fleet::start(Plan::default());
