Compute long prompts on several engines, judge groups as single engines

A prompt of 65,536 tokens or more is now computed in equal parts on two, four or eight engines when that is predicted to pay; those that no engine holds take such a group first.

Also: a member waited for memory for the whole prompt, not its share; the groups' learned stretch is gone, since single engines had none, so a group had to be several times better and admission counted the lateness twice. Estimate and outcome are logged at debug.

--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -101,6 +101,13 @@
         (total > 0).then_some(total)
     }
 
+    /// Memory in use there as far as known, in tokens.
+    pub(crate) fn used_tokens(&self) -> u64 {
+        let reported = self.report.as_ref();
+        let used_tokens = reported.map_or(0, |reported| reported.load.kv_used_tokens);
+        used_tokens.saturating_add(self.own.since_report_kv_tokens())
+    }
+
     /// What the engine itself says of its prefill rate.
     pub(crate) fn reported_line(&self) -> PrefillLine {
         let rate = self
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -32,6 +32,7 @@
 mod priority;
 mod rates;
 mod report;
+mod spread;
 mod view;
 mod work;
 
--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -54,8 +54,6 @@
     pub(crate) answer_share: Smoothed,
     /// Delay of short work by less urgent work in progress, in seconds.
     pub(crate) interference_s: Smoothed,
-    /// Measured over predicted time to first token of groups.
-    pub(crate) group_stretch: Smoothed,
 }
 
 /// View of one model.
--- a/crates/placement/src/placed.rs
+++ b/crates/placement/src/placed.rs
@@ -23,9 +23,6 @@
 /// Interference beyond this many times the undisturbed time counts as that.
 const MAX_INTERFERENCE: f64 = 8.0;
 
-/// Measured over predicted times to first token of groups are held to this.
-const GROUP_STRETCH: std::ops::RangeInclusive<f64> = 0.25..=8.0;
-
 /// A request's place on an engine; dropping it takes it out of the view.
 #[derive(Debug)]
 pub struct Placed {
@@ -81,11 +78,17 @@
 
     fn learn_first_token(&mut self, now: Instant) {
         let measured = now - self.placed_at;
+        let terms = &self.terms;
+        log::debug!(
+            "placement: first token after {measured:?}, {:?} predicted, {:?} of it queue, \
+             {} tokens on {} engines",
+            terms.estimate.time_to_first_token,
+            terms.estimate.queue,
+            terms.uncached_tokens,
+            self.works.len(),
+        );
+        // A group's slowest member decides, and which one that was is not known.
         if self.works.len() > 1 {
-            let predicted = self.terms.estimate.time_to_first_token;
-            let stretch = measured.as_secs_f64() / predicted.as_secs_f64().max(1e-3);
-            let stretch = stretch.clamp(*GROUP_STRETCH.start(), *GROUP_STRETCH.end());
-            self.learned.borrow_mut().group_stretch.observe(stretch);
             return;
         }
         self.learn_interference(measured);
