Weigh the time that memory is held by the memory; groups of up to 16

A run with debug logs showed the slowest one in twenty of the prompts up to 400,000 tokens: those of 280,000 to 390,000 on one engine, 6 s predicted and 35 to 43 s measured. Reading the engines' loads showed 320,000 to 390,000 of 400,000 tokens used on each and such prompts waiting for memory. The wait was predicted from the mean time of a request's hold, which is that of short questions; it now goes by the time for which a token is held, learned for the model from the start of the prefill on. Groups of 16 find room in smaller parts.

--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -39,8 +39,6 @@
     pub(crate) fit: PrefillFit,
     /// Time of a decoding step, in seconds.
     pub(crate) step_s: Smoothed,
-    /// Time for which a request holds its memory, in seconds.
-    pub(crate) hold_s: Smoothed,
     pub(crate) health: Health,
 }
 
@@ -64,7 +62,6 @@
             cache: CacheView::default(),
             fit: PrefillFit::default(),
             step_s: Smoothed::default(),
-            hold_s: Smoothed::default(),
             health,
         }
     }
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Asked<'a> {
     pub(crate) demand: &'a Demand,
     pub(crate) now: Instant,
+    /// Time for which a token of memory is held, in seconds.
+    pub(crate) hold_s: Option<f64>,
     /// Availability zone of this daemon.
     pub(crate) availability_zone: &'a str,
     /// One-way latency between availability zones.
@@ -115,7 +117,7 @@
     let slack_s = (target_s - prefill_s).min(left_s - decode_s - prefill_s);
     let priority = priority(uncached_tokens, seconds(slack_s));
     let backlog = backlog(engine, priority, &line, &asked.ahead_share, asked.now);
-    let queue_s = queue_s(engine, &backlog, &line, needed_tokens);
+    let queue_s = queue_s(engine, &backlog, &line, needed_tokens, asked.hold_s);
     let zone_s = zone_s(engine, asked);
     let interference_s = interference_s(&backlog, &line, asked);
     let first_token_s = prefill_s + queue_s + zone_s + interference_s;
--- a/crates/placement/src/placed.rs
+++ b/crates/placement/src/placed.rs
@@ -120,6 +120,19 @@
         learned.interference_s.observe(delay_s.clamp(0.0, most_s));
     }
 
+    /// Learns for how long memory is held: from the start of the prefill on.
+    ///
+    /// Weighted by the memory, since it is that of the large ones which comes
+    /// back late: a mean of requests would be that of short questions.
+    fn learn_hold(&self, first_token_at: Instant, kv_tokens: u64, now: Instant) {
+        let terms = &self.terms;
+        let prefill_s = terms.line.time_s(terms.uncached_tokens as f64);
+        let waited_s = (first_token_at - self.placed_at).as_secs_f64();
+        let held_s = prefill_s.min(waited_s) + (now - first_token_at).as_secs_f64();
+        let hold_s = &mut self.learned.borrow_mut().hold_s;
+        hold_s.observe(held_s, kv_tokens as f64, now);
+    }
+
     fn learn_answer(&self, first_token_at: Instant, now: Instant) {
         let share = f64::from(self.generated_tokens) / f64::from(self.max_tokens.max(1));
         self.learned
@@ -130,7 +143,6 @@
             return;
         };
         let mut engine = engine.borrow_mut();
-        engine.hold_s.observe((now - self.placed_at).as_secs_f64());
         if self.generated_tokens >= MIN_STEP_TOKENS {
             let steps = f64::from(self.generated_tokens - 1);
             let decode_s = (now - first_token_at).as_secs_f64();
@@ -162,11 +174,14 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
+        let mut kv_tokens = 0;
         for (engine, work) in &self.works {
-            engine.borrow_mut().own.remove(*work);
+            kv_tokens += engine.borrow_mut().own.remove(*work);
         }
         if let Some(first_token_at) = self.first_token_at {
-            self.learn_answer(first_token_at, self.clock.now());
+            let now = self.clock.now();
+            self.learn_hold(first_token_at, kv_tokens, now);
+            self.learn_answer(first_token_at, now);
         }
     }
 }
--- a/crates/placement/src/spread.rs
+++ b/crates/placement/src/spread.rs
@@ -20,7 +20,7 @@
 const MIN_PART_TOKENS: u64 = 16_384;
 
 /// Most members.
-const MAX_MEMBERS: u64 = 8;
+const MAX_MEMBERS: u64 = 16;
 
 /// Share of the prompt from which what one engine has cached is a loss.
 const MAX_CACHED_SHARE: f64 = 0.1;
--- a/crates/placement/tests/spread.rs
+++ b/crates/placement/tests/spread.rs
@@ -8,6 +8,7 @@
 #[test]
 fn a_long_prompt_is_spread_and_starts_sooner() {
     let fleet = fleet(8);
+    let explained = fleet.placement.explain(&fleet.patient(240_000));
     let one = fleet.placement.estimate(&fleet.patient(60_000)).unwrap();
     let placed = fleet.placement.place(&fleet.patient(240_000), &[]).unwrap();
     let group = placed.group.as_ref().unwrap();
@@ -15,6 +16,12 @@
     let tokens: u64 = group.iter().map(|member| member.tokens).sum();
     assert_eq!(tokens, 240_064);
     assert!(placed.estimate.time_to_first_token < one.time_to_first_token);
+    // The decision is told with its members and the time that spoke for it.
+    assert_eq!(explained.group, placed.group);
+    assert_eq!(explained.estimate, Some(placed.estimate));
+    let alone = explained.considered.iter().map(|engine| engine.estimate);
+    let alone = alone.min_by_key(|estimate| estimate.time_to_first_token);
+    assert!(alone.unwrap().time_to_first_token > placed.estimate.time_to_first_token);
     // Members are asked from the long end, for all daemons alike.
     let members: Vec<_> = group.iter().map(|member| &member.instance).collect();
     assert!(members.into_iter().eq(fleet.order().iter().rev()));
