--- a/crates/entry/src/completion/group.rs
+++ b/crates/entry/src/completion/group.rs
@@ -62,14 +62,17 @@
         let connections = &self.entry.parts().connections;
         let deadline = self.request.caller.deadline;
         let max_tokens = self.request.prompt.max_tokens;
+        let mut offset_tokens = 0;
         let segments = self.members.iter().enumerate().map(|(index, member)| {
             let segment = Segment {
                 reservation: self.id(),
                 request: self.request.id.clone(),
                 attempt: self.attempt,
                 tokens: prompt_tokens(index, member, max_tokens),
+                offset_tokens,
                 priority: self.priority,
             };
+            offset_tokens += segment.tokens;
             async move { compute_segment(connections, &target(member), &segment, deadline).await }
         });
         match select(try_join_all(segments), pin!(reservation.lost())).await {
