Revert the spreading of long prompts and what came with it

The median start is halved, but long chunks are then on most engines at once and slow every decoding step there, and prompts that find no group starve for memory behind more urgent parts.

--- a/crates/admission/src/lane.rs
+++ b/crates/admission/src/lane.rs
@@ -21,7 +21,7 @@
 const ERROR_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Deviations that are added to the mean prediction error.
-const ERROR_DEVIATIONS: f64 = 1.0;
+const ERROR_DEVIATIONS: f64 = 2.0;
 
 /// Bounds of the factor by which predictions are stretched.
 const STRETCH: std::ops::RangeInclusive<f64> = 0.5..=4.0;
@@ -194,11 +194,7 @@
     /// Takes in by how much a prediction was wrong.
     pub(crate) fn observe_error(&mut self, measured: Duration, predicted: Duration, now: Instant) {
         let predicted_s = predicted.as_secs_f64().max(0.001);
-        // A prompt that was believed cached and was not is wrong by a hundred
-        // times; beyond the bounds one such would speak for all others.
-        let error = measured.as_secs_f64() / predicted_s;
-        self.error
-            .observe(error.clamp(*STRETCH.start(), *STRETCH.end()));
+        self.error.observe(measured.as_secs_f64() / predicted_s);
         self.error_at = Some(now);
     }
 
--- a/crates/placement/src/backlog.rs
+++ b/crates/placement/src/backlog.rs
@@ -79,10 +79,9 @@
     backlog: &Backlog,
     line: &PrefillLine,
     needed_tokens: u64,
-    hold_s: Option<f64>,
 ) -> f64 {
     let ahead_s = backlog.ahead_tokens * line.token_s;
-    let memory_s = memory_wait_s(engine, needed_tokens, hold_s);
+    let memory_s = memory_wait_s(engine, needed_tokens);
     if memory_s == 0.0 {
         return ahead_s;
     }
@@ -92,7 +91,7 @@
 
 /// Time for which finished prefills go on holding memory that the request
 /// needs, in seconds.
-fn memory_wait_s(engine: &Engine, needed_tokens: u64, hold_s: Option<f64>) -> f64 {
+fn memory_wait_s(engine: &Engine, needed_tokens: u64) -> f64 {
     let Some(reported) = &engine.report else {
         return 0.0;
     };
@@ -108,7 +107,7 @@
     let missing_tokens = used_tokens
         .saturating_add(needed_tokens)
         .saturating_sub(load.kv_total_tokens);
-    let hold_s = hold_s.unwrap_or(INITIAL_HOLD_S);
+    let hold_s = engine.hold_s.mean().unwrap_or(INITIAL_HOLD_S);
     // Memory comes back evenly over the time that requests hold it.
     hold_s * (missing_tokens as f64 / used_tokens.max(1) as f64).min(1.0)
 }
--- a/crates/placement/src/choose.rs
+++ b/crates/placement/src/choose.rs
@@ -8,12 +8,11 @@
 use crate::bars::{barred, held_back, kv_tokens, mean_outstanding, needed_tokens};
 use crate::demand::NoEngine;
 use crate::engine::Engine;
-use crate::estimate::{Asked, Terms, weigh, weigh_share};
+use crate::estimate::{Asked, Terms, seconds, weigh, weigh_share};
 use crate::explain::Verdict;
 use crate::group::{Room, Share, plan};
 use crate::model::{Model, SharedEngine};
 use crate::options::{PlacementOptions, Policy};
-use crate::spread::{best_group, spread};
 
 /// Costs that differ by less than this share are not told apart.
 const TIE_SHARE: f64 = 0.02;
@@ -68,10 +67,6 @@
         }
     }
 
-    pub(crate) fn is_held_back(&self) -> bool {
-        self.held_back
-    }
-
     /// Why it was not taken, though it could have been.
     pub(crate) fn verdict(&self) -> Verdict {
         if let Some(barred) = self.barred {
@@ -115,11 +110,6 @@
     }
     let usable = usable(weighed);
     if let Some(chosen) = pick(model, &usable, options) {
-        if options.policy == Policy::LengthAware
-            && let Some(group) = spread(model, asked, &usable, &chosen)
-        {
-            return Ok(group);
-        }
         return Ok(Choice {
             engine: Rc::clone(&model.order[chosen.index]),
             terms: chosen.terms,
@@ -212,10 +202,6 @@
         let engine = model.order[weighed.index].borrow();
         !engine.health.is_ejected() && !engine.health.is_unreachable()
     });
-    let roomy: Vec<_> = healthy.clone().copied().collect();
-    if let Some(group) = best_group(model, asked, &roomy) {
-        return Ok(group);
-    }
     let needed_tokens = needed_tokens(asked.demand);
     let shares = plan(&rooms(model, asked, healthy), needed_tokens)
         .or_else(|_| plan(&rooms(model, asked, members), needed_tokens))?;
@@ -230,22 +216,25 @@
     members
         .map(|weighed| {
             let engine = model.order[weighed.index].borrow();
+            let reported = engine.report.as_ref();
+            let used_tokens = reported.map_or(0, |reported| reported.load.kv_used_tokens);
             Room {
                 index: weighed.index,
                 total_tokens: kv_tokens(&engine, asked).unwrap_or(0),
-                used_tokens: engine.used_tokens(),
+                used_tokens: used_tokens + engine.own.since_report_kv_tokens(),
             }
         })
         .collect()
 }
 
-/// The group's terms: its slowest member's.
-pub(crate) fn group_choice(model: &Model, asked: &Asked<'_>, shares: &[Share]) -> Choice {
+/// The group's terms: its slowest member's, stretched as groups were seen to be.
+fn group_choice(model: &Model, asked: &Asked<'_>, shares: &[Share]) -> Choice {
+    let stretch = model.learned.borrow().group_stretch.mean().unwrap_or(1.0);
     let mut slowest: Option<Terms> = None;
     let mut group = Vec::with_capacity(shares.len());
     for share in shares {
         let engine = &model.order[share.index];
-        let terms = weigh_share(&engine.borrow(), asked, 0, share.tokens, share.tokens);
+        let terms = weigh_share(&engine.borrow(), asked, 0, share.tokens);
         group.push((Rc::clone(engine), share.tokens));
         let first_token = terms.estimate.time_to_first_token;
         if slowest.is_none_or(|slowest| slowest.estimate.time_to_first_token < first_token) {
@@ -253,7 +242,11 @@
         }
     }
     let leader = &model.order[shares[0].index];
-    let terms = slowest.unwrap_or_else(|| weigh(&leader.borrow(), asked));
+    let mut terms = slowest.unwrap_or_else(|| weigh(&leader.borrow(), asked));
+    let decode = terms.estimate.completion - terms.estimate.time_to_first_token;
+    let first_token_s = terms.estimate.time_to_first_token.as_secs_f64() * stretch;
+    terms.estimate.time_to_first_token = seconds(first_token_s);
+    terms.estimate.completion = seconds(first_token_s) + decode;
     Choice {
         engine: Rc::clone(leader),
         terms,
--- a/crates/placement/src/decayed.rs
+++ b/crates/placement/src/decayed.rs
@@ -44,34 +44,6 @@
     }
 }
 
-/// Mean whose samples count by a weight of their own and fade.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct WeightedMean {
-    sum: DecayedSum,
-    weight: DecayedSum,
-}
-
-impl WeightedMean {
-    /// A mean of nothing.
-    pub(crate) const fn new(half_life: Duration) -> Self {
-        Self {
-            sum: DecayedSum::new(half_life),
-            weight: DecayedSum::new(half_life),
-        }
-    }
-
-    /// Takes in a sample.
-    pub(crate) fn observe(&mut self, sample: f64, weight: f64, now: Instant) {
-        self.sum.add(sample * weight, now);
-        self.weight.add(weight, now);
-    }
-
-    /// The mean, once there is a sample.
-    pub(crate) fn mean(&self) -> Option<f64> {
-        (self.weight.value > 0.0).then(|| self.sum.value / self.weight.value)
-    }
-}
-
 /// Weight of a new sample in the mean.
 const MEAN_GAIN: f64 = 0.125;
 
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -39,6 +39,8 @@
     pub(crate) fit: PrefillFit,
     /// Time of a decoding step, in seconds.
     pub(crate) step_s: Smoothed,
+    /// Time for which a request holds its memory, in seconds.
+    pub(crate) hold_s: Smoothed,
     pub(crate) health: Health,
 }
 
@@ -62,6 +64,7 @@
             cache: CacheView::default(),
             fit: PrefillFit::default(),
             step_s: Smoothed::default(),
+            hold_s: Smoothed::default(),
             health,
         }
     }
@@ -98,13 +101,6 @@
         (total > 0).then_some(total)
     }
 
-    /// Memory in use there as far as known, in tokens.
-    pub(crate) fn used_tokens(&self) -> u64 {
-        let reported = self.report.as_ref();
-        let used_tokens = reported.map_or(0, |reported| reported.load.kv_used_tokens);
-        used_tokens.saturating_add(self.own.since_report_kv_tokens())
-    }
-
     /// What the engine itself says of its prefill rate.
     pub(crate) fn reported_line(&self) -> PrefillLine {
         let rate = self
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use crate::backlog::{Backlog, backlog, queue_s};
-use crate::bars::needed_tokens;
 use crate::border::{Interval, LENGTH_CLASSES, length_class};
 use crate::demand::{Demand, Estimate};
 use crate::engine::Engine;
@@ -37,8 +36,6 @@
 pub(crate) struct Asked<'a> {
     pub(crate) demand: &'a Demand,
     pub(crate) now: Instant,
-    /// Time for which a token of memory is held, in seconds.
-    pub(crate) hold_s: Option<f64>,
     /// Availability zone of this daemon.
     pub(crate) availability_zone: &'a str,
     /// One-way latency between availability zones.
@@ -94,18 +91,15 @@
     let cached_tokens = engine.cache.cached_tokens(&demand.blocks);
     // The last token is always computed: its output starts the answer.
     let uncached_tokens = demand.length_tokens.saturating_sub(cached_tokens).max(1);
-    let needed_tokens = needed_tokens(demand);
-    weigh_share(engine, asked, cached_tokens, uncached_tokens, needed_tokens)
+    weigh_share(engine, asked, cached_tokens, uncached_tokens)
 }
 
-/// Weighs a request of which the engine computes `uncached_tokens` and holds
-/// `needed_tokens` in its memory.
+/// Weighs a request of which the engine computes `uncached_tokens`.
 pub(crate) fn weigh_share(
     engine: &Engine,
     asked: &Asked<'_>,
     cached_tokens: u64,
     uncached_tokens: u64,
-    needed_tokens: u64,
 ) -> Terms {
     let demand = asked.demand;
     let line = line(engine, asked);
@@ -117,7 +111,7 @@
     let slack_s = (target_s - prefill_s).min(left_s - decode_s - prefill_s);
     let priority = priority(uncached_tokens, seconds(slack_s));
     let backlog = backlog(engine, priority, &line, &asked.ahead_share, asked.now);
-    let queue_s = queue_s(engine, &backlog, &line, needed_tokens, asked.hold_s);
+    let queue_s = queue_s(engine, &backlog, &line, demand);
     let zone_s = zone_s(engine, asked);
     let interference_s = interference_s(&backlog, &line, asked);
     let first_token_s = prefill_s + queue_s + zone_s + interference_s;
--- a/crates/placement/src/explain.rs
+++ b/crates/placement/src/explain.rs
@@ -21,8 +21,6 @@
     pub chosen: Option<InstanceId>,
     /// Members, when the prompt takes more than one engine.
     pub group: Option<Vec<GroupMember>>,
-    /// Prediction for the choice: of a group, its slowest member's.
-    pub estimate: Option<Estimate>,
     /// Why none would be taken.
     pub refused: Option<NoEngine>,
     /// Every engine of the model, from the short end of the stable order.
--- a/crates/placement/src/group.rs
+++ b/crates/placement/src/group.rs
@@ -37,7 +37,7 @@
         (self.total_tokens as f64 * USABLE_SHARE) as u64
     }
 
-    pub(crate) fn free_tokens(&self) -> u64 {
+    fn free_tokens(&self) -> u64 {
         self.usable_tokens().saturating_sub(self.used_tokens)
     }
 }
@@ -88,7 +88,7 @@
 }
 
 /// Shares in proportion to the members' memory.
-pub(crate) fn divide(members: &[(usize, u64)], needed_tokens: u64) -> Vec<Share> {
+fn divide(members: &[(usize, u64)], needed_tokens: u64) -> Vec<Share> {
     let mut left_tokens = needed_tokens;
     let mut left_memory: u64 = members.iter().map(|(_, tokens)| *tokens).sum();
     let mut shares = Vec::with_capacity(members.len());
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -32,7 +32,6 @@
 mod priority;
 mod rates;
 mod report;
-mod spread;
 mod view;
 mod work;
 
--- a/crates/placement/src/placed.rs
+++ b/crates/placement/src/placed.rs
@@ -23,6 +23,9 @@
 /// Interference beyond this many times the undisturbed time counts as that.
 const MAX_INTERFERENCE: f64 = 8.0;
 
+/// Measured over predicted times to first token of groups are held to this.
+const GROUP_STRETCH: std::ops::RangeInclusive<f64> = 0.25..=8.0;
+
 /// A request's place on an engine; dropping it takes it out of the view.
 #[derive(Debug)]
 pub struct Placed {
@@ -78,17 +81,11 @@
 
     fn learn_first_token(&mut self, now: Instant) {
         let measured = now - self.placed_at;
-        let terms = &self.terms;
-        log::debug!(
-            "placement: first token after {measured:?}, {:?} predicted, {:?} of it queue, \
-             {} tokens on {} engines",
-            terms.estimate.time_to_first_token,
-            terms.estimate.queue,
-            terms.uncached_tokens,
-            self.works.len(),
-        );
-        // A group's slowest member decides, and which one that was is not known.
         if self.works.len() > 1 {
+            let predicted = self.terms.estimate.time_to_first_token;
+            let stretch = measured.as_secs_f64() / predicted.as_secs_f64().max(1e-3);
+            let stretch = stretch.clamp(*GROUP_STRETCH.start(), *GROUP_STRETCH.end());
+            self.learned.borrow_mut().group_stretch.observe(stretch);
             return;
         }
         self.learn_interference(measured);
@@ -120,19 +117,6 @@
         learned.interference_s.observe(delay_s.clamp(0.0, most_s));
     }
 
-    /// Learns for how long memory is held: from the start of the prefill on.
-    ///
-    /// Weighted by the memory, since it is that of the large ones which comes
-    /// back late: a mean of requests would be that of short questions.
-    fn learn_hold(&self, first_token_at: Instant, kv_tokens: u64, now: Instant) {
-        let terms = &self.terms;
-        let prefill_s = terms.line.time_s(terms.uncached_tokens as f64);
-        let waited_s = (first_token_at - self.placed_at).as_secs_f64();
-        let held_s = prefill_s.min(waited_s) + (now - first_token_at).as_secs_f64();
-        let hold_s = &mut self.learned.borrow_mut().hold_s;
-        hold_s.observe(held_s, kv_tokens as f64, now);
-    }
-
     fn learn_answer(&self, first_token_at: Instant, now: Instant) {
         let share = f64::from(self.generated_tokens) / f64::from(self.max_tokens.max(1));
         self.learned
@@ -143,6 +127,7 @@
             return;
         };
         let mut engine = engine.borrow_mut();
+        engine.hold_s.observe((now - self.placed_at).as_secs_f64());
         if self.generated_tokens >= MIN_STEP_TOKENS {
             let steps = f64::from(self.generated_tokens - 1);
             let decode_s = (now - first_token_at).as_secs_f64();
@@ -174,14 +159,11 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let mut kv_tokens = 0;
         for (engine, work) in &self.works {
-            kv_tokens += engine.borrow_mut().own.remove(*work);
+            engine.borrow_mut().own.remove(*work);
         }
         if let Some(first_token_at) = self.first_token_at {
-            let now = self.clock.now();
-            self.learn_hold(first_token_at, kv_tokens, now);
-            self.learn_answer(first_token_at, now);
+            self.learn_answer(first_token_at, self.clock.now());
         }
     }
 }
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -193,7 +193,6 @@
             model: demand.model.clone(),
             chosen: chosen.map(|choice| choice.engine.borrow().info.instance.clone()),
             group: chosen.and_then(members),
-            estimate: chosen.map(|choice| choice.terms.estimate),
             refused: choice.as_ref().err().copied(),
             considered,
         }
@@ -249,7 +248,6 @@
             typical: model.typical,
             answer_tokens: answer_tokens(model, demand),
             interference_s: model.learned.borrow().interference_s.mean(),
-            hold_s: model.learned.borrow().hold_s.mean(),
         };
         let weighed = weigh_all(model, &asked, excluded);
         let choice = choose(model, &asked, &weighed, &self.options);
--- a/crates/placement/src/work.rs
+++ b/crates/placement/src/work.rs
@@ -137,16 +137,15 @@
         }
     }
 
-    /// Takes a request out; the memory that it took, in tokens.
-    pub(crate) fn remove(&mut self, id: WorkId) -> u64 {
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, id: WorkId) {
         self.started(id);
         let Some(work) = self.all.remove(&id) else {
-            return 0;
+            return;
         };
         if self.is_after_report(&work) {
             self.since_report_kv_tokens -= work.kv_tokens;
         }
-        work.kv_tokens
     }
 
     /// Notes when the engine's last report was measured.
