--- a/crates/placement/src/backlog.rs
+++ b/crates/placement/src/backlog.rs
@@ -11,6 +11,7 @@
 
 use std::time::Instant;
 
+use crate::demand::Demand;
 use crate::engine::Engine;
 use crate::rates::PrefillLine;
 use crate::work::{BANDS, band};
@@ -72,16 +73,15 @@
     }
 }
 
-/// Time until the engine turns to work that takes `needed_tokens` of its
-/// memory, in seconds.
+/// Time until the engine turns to the request, in seconds.
 pub(crate) fn queue_s(
     engine: &Engine,
     backlog: &Backlog,
     line: &PrefillLine,
-    needed_tokens: u64,
+    demand: &Demand,
 ) -> f64 {
     let ahead_s = backlog.ahead_tokens * line.token_s;
-    let memory_s = memory_wait_s(engine, needed_tokens);
+    let memory_s = memory_wait_s(engine, demand);
     if memory_s == 0.0 {
         return ahead_s;
     }
@@ -91,7 +91,7 @@
 
 /// Time for which finished prefills go on holding memory that the request
 /// needs, in seconds.
-fn memory_wait_s(engine: &Engine, needed_tokens: u64) -> f64 {
+fn memory_wait_s(engine: &Engine, demand: &Demand) -> f64 {
     let Some(reported) = &engine.report else {
         return 0.0;
     };
@@ -104,6 +104,9 @@
         .kv_used_tokens
         .saturating_add(engine.own.since_report_kv_tokens())
         .saturating_add(engine.peers.since_report_tokens);
+    let needed_tokens = demand
+        .length_tokens
+        .saturating_add(u64::from(demand.max_tokens));
     let missing_tokens = used_tokens
         .saturating_add(needed_tokens)
         .saturating_sub(load.kv_total_tokens);
