--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -12,7 +12,7 @@
 /// How an engine is chosen.
 ///
 /// Only [`Policy::LengthAware`] is meant for service; the others are baselines
-/// for experiments.
+/// for experiments, and send all requests with one priority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Policy {
     /// Short and long prompts from opposite ends of a stable order.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -14,8 +14,9 @@
 use crate::estimate::Asked;
 use crate::explain::{Considered, EngineStatus, Explanation, PlacementStatus};
 use crate::model::{Model, SharedEngine};
-use crate::options::PlacementOptions;
+use crate::options::{PlacementOptions, Policy};
 use crate::placed::{Guard, Placed};
+use crate::priority::BASELINE_PRIORITY;
 use crate::report::{CacheEvents, CacheSnapshot, CacheSync, LoadReport};
 use crate::view::Views;
 use crate::work::band;
@@ -152,7 +153,7 @@
         Ok(Placed {
             instance: info.instance.clone(),
             address: info.address,
-            priority: choice.terms.priority,
+            priority: sent_priority(self.options.policy, choice.terms.priority),
             estimate: choice.terms.estimate,
             group: members(&choice),
             guard,
@@ -293,3 +294,11 @@
     });
     Some(members.collect())
 }
+
+/// Priority that goes to the engine: the baselines know none.
+fn sent_priority(policy: Policy, priority: u8) -> u8 {
+    match policy {
+        Policy::LengthAware => priority,
+        Policy::LeastOutstanding | Policy::RoundRobin => BASELINE_PRIORITY,
+    }
+}
--- a/crates/placement/src/priority.rs
+++ b/crates/placement/src/priority.rs
@@ -11,6 +11,9 @@
 
 use std::time::Duration;
 
+/// Priority of all requests under the baseline policies.
+pub(crate) const BASELINE_PRIORITY: u8 = 128;
+
 /// Work below which prompts are taken as equally short, in tokens.
 const SHORTEST_TOKENS: u64 = 1_024;
 
