Ask engines again that failed a request when no others are left

Cause: an engine that failed a request once was left out for its whole life; with few engines (found by reading) a blip at each ended the request though all were back.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -8,22 +8,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use mangofront_admission::{Backoff, Permit};
-use mangofront_http::Outcome;
+use mangofront_admission::Permit;
 use mangofront_placement::{EngineOutcome, Placed};
-use mangofront_settings::ids::InstanceId;
 use mangofront_upstream::engine::{self, EngineStream, Frame, Generate};
 use mangofront_upstream::reservation::GroupReservation;
-use mangofront_upstream::{SendError, Step, Target};
+use mangofront_upstream::{SendError, Target};
 
+use super::retries::{Retries, engine_outcome};
 use super::{CompletionRequest, checks, group};
 use crate::context::Entry;
 use crate::error::EntryError;
 use crate::progress::InProgress;
 
-/// Most failed attempts at one request.
-const ATTEMPTS_LIMIT: u32 = 5;
-
 /// Longest silence before the first token until the engine is probed.
 const FIRST_TOKEN_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -33,18 +29,6 @@
 /// Time for an engine to take a stream up again.
 const RESUME_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Longest pause before the second attempt.
-const FIRST_PAUSE: Duration = Duration::from_millis(5);
-
-/// Longest pause before any attempt.
-const LONGEST_PAUSE: Duration = Duration::from_millis(200);
-
-/// Longest first pause before a full group is asked again.
-const FIRST_GROUP_PAUSE: Duration = Duration::from_millis(40);
-
-/// Longest pause before a full group is asked again.
-const LONGEST_GROUP_PAUSE: Duration = Duration::from_millis(500);
-
 /// Time after which a caller may come back when its attempts failed.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
 
@@ -58,16 +42,10 @@
     request: Rc<CompletionRequest>,
     progress: Rc<InProgress>,
     permit: Permit,
-    backoff: Backoff,
-    group_backoff: Backoff,
+    retries: Retries,
     /// Attempts made; the number of the last one.
     made: u32,
-    /// Attempts that failed otherwise than by a full group.
-    failed: u32,
-    /// Whether any attempt may have run.
-    may_have_run: bool,
     next_offset: u32,
-    excluded: Vec<InstanceId>,
     running: Option<Running>,
     finished: bool,
 }
@@ -99,13 +77,9 @@
             request,
             progress,
             permit,
-            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, rand::random()),
-            group_backoff: Backoff::new(FIRST_GROUP_PAUSE, LONGEST_GROUP_PAUSE, rand::random()),
+            retries: Retries::new(),
             made: 0,
-            failed: 0,
-            may_have_run: false,
             next_offset: 0,
-            excluded: Vec::new(),
             running: None,
             finished: false,
         }
@@ -123,7 +97,7 @@
     pub(crate) async fn next(&mut self) -> Result<Frame, EntryError> {
         let next = self.advance().await;
         if let Err(error) = &next {
-            checks::not_run_is_true(&self.request, error, self.may_have_run);
+            checks::not_run_is_true(&self.request, error, self.retries.may_have_run);
         }
         next
     }
@@ -155,10 +129,15 @@
     async fn begin(&mut self) -> Result<Option<Running>, EntryError> {
         let parts = self.entry.parts();
         parts.platform.refreshed().await;
-        let placed = parts
-            .placement
-            .place(&self.request.demand, &self.excluded)
-            .map_err(|_none| self.no_engine())?;
+        let demand = &self.request.demand;
+        let Ok(placed) = parts.placement.place(demand, self.retries.excluded()) else {
+            // With few engines all of them may have failed once.
+            if !self.retries.forgive() {
+                return Err(self.no_engine());
+            }
+            self.retries.pause().await;
+            return Ok(None);
+        };
         self.made += 1;
         match self.start(placed).await {
             Ok(running) => return Ok(Some(running)),
@@ -179,7 +158,7 @@
         let connections = &self.entry.parts().connections;
         let queued_by = self.deadline_within(FIRST_TOKEN_PATIENCE);
         let stream = engine::generate(connections, &target, call.clone(), queued_by).await?;
-        self.may_have_run = true;
+        self.retries.may_have_run = true;
         Ok(Running {
             placed,
             _reservation: reservation,
@@ -207,7 +186,7 @@
             priority: placed.priority,
         };
         let mut reservation = group.reserve().await?;
-        self.may_have_run = true;
+        self.retries.may_have_run = true;
         group.compute(&mut reservation).await?;
         Ok(Some(reservation))
     }
@@ -287,65 +266,37 @@
     /// Waits a little for memory that other groups hold; holds none itself.
     async fn wait_for_group(&mut self) -> Result<(), EntryError> {
         self.entry.parts().metrics.retried();
-        compio::time::sleep(self.group_backoff.next_wait()).await;
+        self.retries.pause_for_group().await;
         self.check_deadline()
     }
 
     /// Notes a failed attempt; an error when no other may be made.
     async fn give_up_or_retry(&mut self, error: SendError) -> Result<(), EntryError> {
-        log::debug!(
-            "entry: attempt {} of {} failed: {error}",
-            self.made,
-            self.request.id
-        );
-        self.may_have_run |= error.outcome() != Outcome::NotRun;
+        let (number, request) = (self.made, &self.request.id);
+        log::debug!("entry: attempt {number} of {request} failed: {error}");
+        self.retries.note(&error);
         self.check_deadline()?;
-        self.failed += 1;
         let parts = self.entry.parts();
         let outcome = engine_outcome(&error);
         parts.placement.outcome(error.peer(), outcome);
         parts.metrics.upstream_error(error.step_name());
-        self.excluded.push(error.peer().clone());
-        if self.failed >= ATTEMPTS_LIMIT || !self.may_retry(outcome) {
+        let has_begun = self.next_offset > 0;
+        if !self.retries.allowed(outcome, has_begun, &parts.admission) {
             return Err(EntryError::AttemptsFailed {
                 attempts: self.made,
-                last: self.settle(error),
+                last: self.retries.settle(error),
                 retry_after: RETRY_AFTER_FAILURE,
             });
         }
-        self.entry.parts().metrics.retried();
-        compio::time::sleep(self.backoff.next_wait()).await;
+        parts.metrics.retried();
+        self.retries.pause().await;
         Ok(())
     }
 
-    /// Whether the retry budget allows another attempt.
-    ///
-    /// It is not asked where an attempt put no load on anyone, nor for an
-    /// answer that has begun: those are no more than the streams in progress,
-    /// and giving them up would waste what was computed.
-    fn may_retry(&self, outcome: EngineOutcome) -> bool {
-        let is_free = outcome == EngineOutcome::Unreachable || self.next_offset > 0;
-        is_free || self.entry.parts().admission.retry_budget().try_take()
-    }
-
-    /// Error of the last attempt, telling also of the earlier ones.
-    ///
-    /// The request may say not run only if none of its attempts may have run.
-    fn settle(&self, error: SendError) -> SendError {
-        if self.may_have_run && error.outcome() == Outcome::NotRun {
-            let cause = format!("{error}, after earlier attempts that may have run");
-            return SendError::Protocol {
-                peer: error.peer().clone(),
-                cause,
-            };
-        }
-        error
-    }
-
     fn no_engine(&self) -> EntryError {
         EntryError::NoUpstream {
             kind: "engine",
-            outcome: self.outcome(),
+            outcome: self.retries.outcome(),
             retry_after: RETRY_AFTER_NO_ENGINE,
         }
     }
@@ -354,19 +305,10 @@
         if Instant::now() < self.request.caller.deadline {
             return Ok(());
         }
-        let outcome = self.outcome();
+        let outcome = self.retries.outcome();
         Err(EntryError::DeadlineExceeded { outcome })
     }
 
-    /// What is known of the work if the request ends now without its answer.
-    fn outcome(&self) -> Outcome {
-        if self.may_have_run {
-            Outcome::Failed
-        } else {
-            Outcome::NotRun
-        }
-    }
-
     /// The end of `time` from now, within the class's time.
     fn deadline_within(&self, time: Duration) -> Instant {
         self.request.caller.deadline.min(Instant::now() + time)
@@ -382,21 +324,3 @@
         self.deadline_within(patience)
     }
 }
-
-fn engine_outcome(error: &SendError) -> EngineOutcome {
-    match error {
-        SendError::Broken { step, .. } | SendError::Timeout { step, .. }
-            if *step == Step::Connect =>
-        {
-            EngineOutcome::Unreachable
-        }
-        SendError::Timeout { .. } => EngineOutcome::Timeout,
-        SendError::Refused { detail, .. } if detail.outcome == Outcome::NotRun => {
-            match detail.code.as_str() {
-                "loading" => EngineOutcome::Loading,
-                _ => EngineOutcome::Busy,
-            }
-        }
-        _ => EngineOutcome::Error,
-    }
-}
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -10,6 +10,7 @@
 mod checks;
 mod group;
 mod relay;
+mod retries;
 
 use std::rc::Rc;
 use std::time::Instant;
--- a/tests/processes/answers.rs
+++ b/tests/processes/answers.rs
@@ -6,7 +6,7 @@
 
 use serde_json::json;
 
-use crate::fleet::{EndsLoad, Fleet, Plan};
+use crate::fleet::{EndsLoad, Fleet, Plan, wait_until};
 use crate::requests::{COMPLETIONS, answer_text, question};
 
 const CALLERS: usize = 8;
@@ -82,3 +82,23 @@
     let stayed = CALLERS * REQUESTS * 4 / 5;
     assert!(complete * 10 >= stayed * 8, "{complete} of {stayed}");
 }
+
+#[test]
+fn the_only_engine_dies_in_mid_stream_and_comes_back() {
+    let mut fleet = Fleet::start(Plan {
+        engines: vec![json!({"time_scale": 0.5, "load_lag_ms": 20})],
+        ..Plan::default()
+    });
+    let body = question("alone", 100, true);
+    let caller = fleet.caller(0);
+    let sent = body.clone();
+    let reading = thread::spawn(move || caller.post(COMPLETIONS, &sent));
+    wait_until("the answer has begun", || {
+        fleet.engines_counter("tokens") > 10
+    });
+    fleet.engines[0].kill();
+    fleet.engines[0] = fleet.start_engine(0);
+    let answer = reading.join().expect("the reader ends");
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(answer.text(), answer_text(&body));
+}
