Show lists within a status section as tables; let the demo's voters wake first

A person saw a daemon's engines as one line of JSON. And two of the demo's orders ended as outcome unknown, because its voters had started less than two seconds before: the script now vouches after that time.

--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -2,7 +2,8 @@
 //!
 //! Plain values at the top come first; every other key becomes a section:
 //! aligned pairs for an object, a table for a list of objects or for an object
-//! whose values are objects. What is nested deeper is shown with its keys joined
+//! whose values are objects. A list of objects within a section becomes one of
+//! its own. What is nested deeper is shown with its keys joined
 //! by dots, or as JSON in a table. No field is known by name, so a newer
 //! daemon's status is shown whole.
 
@@ -21,15 +22,35 @@
     let (sections, plain_values): (Vec<_>, Vec<_>) =
         object.iter().partition(|(_, value)| is_section(value));
     let mut text = lines(&pairs(plain_values), "");
-    for (key, value) in sections {
+    let sections = sections.into_iter();
+    for (name, value) in sections.flat_map(|(key, value)| with_lists_apart(key, value)) {
         if !text.is_empty() {
             text.push('\n');
         }
-        text.push_str(&format!("{}\n{}", plain(key), lines(&section(value), GAP)));
+        text.push_str(&format!("{name}\n{}", lines(&section(&value), GAP)));
     }
     text
 }
 
+/// A section, and one of its own for each list of objects in it.
+fn with_lists_apart(key: &str, value: &Value) -> Vec<(String, Value)> {
+    let name = plain(key);
+    let Value::Object(object) = value else {
+        return vec![(name, value.clone())];
+    };
+    let (lists, rest): (Map<_, _>, Map<_, _>) = object
+        .clone()
+        .into_iter()
+        .partition(|(_, entry)| entry.is_array() && is_section(entry));
+    let mut sections = Vec::new();
+    if !rest.is_empty() || lists.is_empty() {
+        sections.push((name.clone(), Value::Object(rest)));
+    }
+    let lists = lists.into_iter();
+    sections.extend(lists.map(|(list, rows)| (format!("{name}.{}", plain(&list)), rows)));
+    sections
+}
+
 type Row = Vec<String>;
 
 fn is_section(value: &Value) -> bool {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -136,8 +136,10 @@
 }
 
 # fleet_vouch CONFIGURATION_FILE: publishes that no idempotency key was sent
-# before now, which is true of a fleet that has just started.
+# before now, which is true of a fleet that has just started. Voters take the
+# word from 2 s after they got the instance list on.
 fleet_vouch() {
+    sleep 3
     sed "s/\"first_start_unix_ms\": 0/\"first_start_unix_ms\": $(date +%s%3N)/" "$1" >"$1.vouched"
     fleet_publish configuration "$1.vouched"
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -174,6 +174,10 @@
         "contract-review": {"admitted": 3, "refused": 1}
     },
     "upstreams": [],
+    "placement": {
+        "peers": 2,
+        "engines": [{"instance": "engine-0", "outstanding": 3}, {"instance": "engine-1"}]
+    },
     "zones": ["hall-a", "hall-b"],
     "orders": {},
     "border": {"short": ["e1", "e2"], "long": {"first": 4}},
