--- a/crates/placement/src/view.rs
+++ b/crates/placement/src/view.rs
@@ -66,9 +66,15 @@
         let peer = name_key(daemon);
         if let Some((former, view)) = self.peers.accept(daemon, incarnation, encoded, now) {
             if let Some(former) = former {
-                remove_view(&self.by_key, &mut self.models, peer, &former);
+                count_view(
+                    Change::Remove,
+                    &self.by_key,
+                    &mut self.models,
+                    peer,
+                    &former,
+                );
             }
-            add_view(&self.by_key, &mut self.models, peer, view);
+            count_view(Change::Add, &self.by_key, &mut self.models, peer, view);
         }
         self.expire_peers(now);
     }
@@ -77,7 +83,13 @@
     pub(crate) fn expire_peers(&mut self, now: Instant) {
         for (daemon, view) in self.peers.expire(now) {
             log::info!("placement: view of {daemon} has expired");
-            remove_view(&self.by_key, &mut self.models, name_key(&daemon), &view);
+            count_view(
+                Change::Remove,
+                &self.by_key,
+                &mut self.models,
+                name_key(&daemon),
+                &view,
+            );
         }
     }
 
@@ -160,36 +172,26 @@
             model.demand.clear_peers();
         }
         for (daemon, view) in self.peers.iter() {
-            add_view(&self.by_key, &mut self.models, name_key(daemon), view);
+            count_view(
+                Change::Add,
+                &self.by_key,
+                &mut self.models,
+                name_key(daemon),
+                view,
+            );
         }
     }
 }
 
-fn add_view(
-    engines: &BTreeMap<NameKey, SharedEngine>,
-    models: &mut BTreeMap<ModelName, Model>,
-    peer: NameKey,
-    peer_view: &PeerView,
-) {
-    let PeerView {
-        view, received_at, ..
-    } = peer_view;
-    for work in &view.engines {
-        if let Some(engine) = engines.get(&work.engine) {
-            engine.borrow_mut().peers.add(peer, work, *received_at);
-        }
-    }
-    for demand in &view.models {
-        for model in models
-            .values_mut()
-            .filter(|model| model.key == demand.model)
-        {
-            model.demand.add_peer(&demand.tokens);
-        }
-    }
+/// Whether a peer's view comes into the counts or leaves them.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    Add,
+    Remove,
 }
 
-fn remove_view(
+fn count_view(
+    change: Change,
     engines: &BTreeMap<NameKey, SharedEngine>,
     models: &mut BTreeMap<ModelName, Model>,
     peer: NameKey,
@@ -199,16 +201,22 @@
         view, received_at, ..
     } = peer_view;
     for work in &view.engines {
-        if let Some(engine) = engines.get(&work.engine) {
-            engine.borrow_mut().peers.remove(peer, work, *received_at);
+        let Some(engine) = engines.get(&work.engine) else {
+            continue;
+        };
+        let peers = &mut engine.borrow_mut().peers;
+        match change {
+            Change::Add => peers.add(peer, work, *received_at),
+            Change::Remove => peers.remove(peer, work, *received_at),
         }
     }
     for demand in &view.models {
-        for model in models
-            .values_mut()
-            .filter(|model| model.key == demand.model)
-        {
-            model.demand.remove_peer(&demand.tokens);
+        let models = models.values_mut();
+        for model in models.filter(|model| model.key == demand.model) {
+            match change {
+                Change::Add => model.demand.add_peer(&demand.tokens),
+                Change::Remove => model.demand.remove_peer(&demand.tokens),
+            }
         }
     }
 }
