Limit the requests in progress at a daemon

Cause: under a rate that it could not hold (6,834 short streams a second) a daemon went to 216.9 MiB, all of it requests that waited; nothing bounded their number. Change: beyond in_progress_limit_requests (1,024 by default) a request is refused at once as not run with a time to come back. Ruled out: not accepting connections, which leaves callers without an answer. sessions::requests_in_progress_have_a_limit is new.

--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -138,6 +138,7 @@
 fn entry_limits(settings: &DaemonSettings) -> EntryLimits {
     let limits = &settings.limits;
     EntryLimits {
+        in_progress_limit_requests: limits.in_progress_limit_requests as usize,
         body_limit_bytes: limits.body_limit_bytes as usize,
         bodies_limit_bytes: usize::try_from(limits.bodies_limit_bytes).unwrap_or(usize::MAX),
         body_timeout: limits.body_timeout(),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -22,6 +22,8 @@
 /// Limits of what a caller may send and how long its connection may stall.
 #[derive(Debug, Clone, Copy)]
 pub struct EntryLimits {
+    /// Most requests in progress at once; one more is refused at once.
+    pub in_progress_limit_requests: usize,
     /// Largest body of a request, in bytes.
     pub body_limit_bytes: usize,
     /// Memory for the bodies of all requests in progress, in bytes.
@@ -41,6 +43,7 @@
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
+            in_progress_limit_requests: 1024,
             body_limit_bytes: 16 * 1024 * 1024,
             bodies_limit_bytes: 256 * 1024 * 1024,
             body_timeout: Duration::from_secs(30),
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -17,6 +17,9 @@
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/v1/services/";
 
+/// Time after which a caller may come back to a daemon that is full.
+const RETRY_AFTER_FULL: Duration = Duration::from_secs(1);
+
 /// Time after which a caller may ask another daemon for a key.
 const RETRY_AFTER_MINT: Duration = Duration::from_secs(1);
 
@@ -38,6 +41,7 @@
     let active = entry.begin(body);
     let answered = match (entry.stopping(), find(&head.method, head.uri.path())) {
         (Some(retry_after), _) => Err(EntryError::Stopping { retry_after }),
+        (None, Ok(_)) if is_full(entry) => Err(too_many()),
         (None, Ok(Route::Complete(endpoint))) => {
             completion::answer(entry, &active, endpoint, &head, &id).await
         }
@@ -86,6 +90,19 @@
     }
 }
 
+/// Whether more requests are in progress than this daemon has memory for.
+fn is_full(entry: &Entry) -> bool {
+    entry.in_progress() > entry.parts().limits.in_progress_limit_requests
+}
+
+fn too_many() -> EntryError {
+    EntryError::Refused {
+        code: "too_many_requests",
+        reason: "too many requests are in progress at this daemon".to_owned(),
+        retry_after: RETRY_AFTER_FULL,
+    }
+}
+
 #[derive(Serialize)]
 struct MintedKey {
     key: String,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -71,6 +71,8 @@
     pub header_limit_bytes: u32,
     /// Largest body of a request, in bytes.
     pub body_limit_bytes: u32,
+    /// Most requests in progress at once.
+    pub in_progress_limit_requests: u32,
     /// Memory for the bodies of all requests in progress, in bytes.
     pub bodies_limit_bytes: u64,
     /// Longest time for a request's head to arrive, in milliseconds; a
@@ -92,6 +94,7 @@
         Self {
             header_limit_bytes: 64 * 1024,
             body_limit_bytes: 16 * 1024 * 1024,
+            in_progress_limit_requests: 1024,
             bodies_limit_bytes: 256 * 1024 * 1024,
             header_timeout_ms: 10_000,
             body_timeout_ms: 60_000,
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -40,6 +40,7 @@
     // hyper takes no smaller buffer for a head.
     Field::defaulted("header_limit_bytes", between(8 * KIB_BYTES, MIB_BYTES)),
     Field::defaulted("body_limit_bytes", between(KIB_BYTES, 256 * MIB_BYTES)),
+    Field::defaulted("in_progress_limit_requests", between(1, 1_000_000)),
     Field::defaulted(
         "bodies_limit_bytes",
         between(MIB_BYTES, 64 * 1024 * MIB_BYTES),
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -259,3 +259,29 @@
         assert_eq!(refused.json()["error"]["code"], "missing_header");
     }
 }
+
+#[test]
+fn requests_in_progress_have_a_limit() {
+    let fleet = Fleet::start(Plan {
+        limits: json!({"in_progress_limit_requests": 2}),
+        engines: vec![json!({"time_scale": 0.5})],
+        ..Plan::default()
+    });
+    let caller = fleet.caller(0);
+    let readers: Vec<_> = (0..2)
+        .map(|_| {
+            let caller = caller.clone();
+            std::thread::spawn(move || caller.post("/v1/completions", &question(150, true)))
+        })
+        .collect();
+    wait_until("both answers have begun", || {
+        fleet.operator(0).get("/status").json()["daemon"]["requests_in_progress"] == 2
+    });
+    let refused = caller.get("/v1/models");
+    assert_eq!(refused.status, 429, "{}", refused.body);
+    assert_eq!(refused.json()["error"]["code"], "too_many_requests");
+    for reader in readers {
+        assert!(reader.join().expect("the reader ends").is_complete());
+    }
+    assert_eq!(caller.get("/v1/models").status, 200);
+}
