--- a/crates/load/src/cli/latency.rs
+++ b/crates/load/src/cli/latency.rs
@@ -156,7 +156,7 @@
     writeln!(text)
 }
 
-/// Times at p50, p95 and p99 under the headings of [`write`].
+/// Times at p50, p95 and p99 under the headings of `write`.
 fn write_times(
     text: &mut String,
     name: &str,
