--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -66,11 +67,11 @@
         let count = u32::try_from(listed.len()).unwrap_or(u32::MAX);
         self.followed.set(count);
         let mut running = self.running.borrow_mut();
-        running.retain(|instance, task| {
-            listed
-                .iter()
-                .any(|engine| engine.instance == *instance && engine.address == task.target.address)
-        });
+        let addresses: HashMap<&InstanceId, SocketAddr> = listed
+            .iter()
+            .map(|engine| (&engine.instance, engine.address))
+            .collect();
+        running.retain(|instance, task| addresses.get(instance) == Some(&task.target.address));
         for engine in listed {
             if !running.contains_key(&engine.instance) {
                 running.insert(engine.instance.clone(), self.start(engine));
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -119,20 +119,12 @@
 }
 
 fn identify(entry: &Entry, headers: &HeaderMap, arrived: Instant) -> Result<Caller, EntryError> {
-    let accepted = entry
-        .parts()
-        .platform
-        .configuration()
-        .ok_or(EntryError::NoConfiguration)?;
+    let accepted = entry.configuration()?;
     caller::identify(&accepted.configuration, headers, arrived)
 }
 
 fn check_model(entry: &Entry, model: &str) -> Result<(), EntryError> {
-    let accepted = entry
-        .parts()
-        .platform
-        .configuration()
-        .ok_or(EntryError::NoConfiguration)?;
+    let accepted = entry.configuration()?;
     if accepted.configuration.models.contains_key(model) {
         return Ok(());
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,11 +11,12 @@
 use mangofront_http::Body;
 use mangofront_once::Once;
 use mangofront_placement::Placement;
-use mangofront_platform::Platform;
+use mangofront_platform::{AcceptedConfiguration, Platform};
 use mangofront_settings::ids::AvailabilityZone;
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::Connections;
 
+use crate::error::EntryError;
 use crate::router;
 use crate::service::ServiceTurns;
 
@@ -132,6 +133,15 @@
         self.0.stopping.get()
     }
 
+    /// The configuration in force.
+    ///
+    /// # Errors
+    /// [`EntryError::NoConfiguration`] while none is known.
+    pub(crate) fn configuration(&self) -> Result<Rc<AcceptedConfiguration>, EntryError> {
+        let accepted = self.parts().platform.configuration();
+        accepted.ok_or(EntryError::NoConfiguration)
+    }
+
     pub(crate) fn parts(&self) -> &EntryParts {
         &self.0.parts
     }
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -22,11 +22,7 @@
 
 /// Answers with the models of the configuration in force.
 pub(crate) fn answer(entry: &Entry) -> Result<Response<Body>, EntryError> {
-    let accepted = entry
-        .parts()
-        .platform
-        .configuration()
-        .ok_or(EntryError::NoConfiguration)?;
+    let accepted = entry.configuration()?;
     let data = accepted
         .configuration
         .models
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -82,11 +82,7 @@
     id: &str,
 ) -> Result<(ServiceCall, Repeat), EntryError> {
     let entry = active.entry();
-    let accepted = entry
-        .parts()
-        .platform
-        .configuration()
-        .ok_or(EntryError::NoConfiguration)?;
+    let accepted = entry.configuration()?;
     let configuration = &accepted.configuration;
     let (service, path) = split_path(&head)?;
     let rules = configuration
