Name the crate of the accepted documents after what it keeps

crates/platform keeps the accepted configuration and instance list; the word platform is needed for the folder that speaks the users' platform.

--- a/crates/platform/examples/embed.rs
+++ b/crates/configuration/examples/embed.rs
@@ -7,7 +7,7 @@
 use std::error::Error;
 
 use bytes::Bytes;
-use mangofront_platform::{Document, Kind, OfferOutcome, Platform, PlatformOptions, Source};
+use mangofront_configuration::{Document, Kind, OfferOutcome, Platform, PlatformOptions, Source};
 
 fn reader() -> Result<Platform, Box<dyn Error>> {
     let service = "127.0.0.1:9".parse()?;
--- a/crates/platform/examples/fleet.rs
+++ b/crates/configuration/examples/fleet.rs
@@ -1,7 +1,7 @@
 //! Counts the calls that many readers make to one service: while nothing
 //! changes, while it is down, and when it is back.
 //!
-//! `cargo run --release -p mangofront-platform --example fleet -- 200 30` runs
+//! `cargo run --release -p mangofront-configuration --example fleet -- 200 30` runs
 //! 200 readers in one process against the emulator, each phase for 30 s. With
 //! `relayed` as third argument no reader holds a watch.
 
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use compio::net::TcpListener;
+use mangofront_configuration::{Platform, PlatformOptions};
 use mangofront_http::Shutdown;
-use mangofront_platform::{Platform, PlatformOptions};
 use mangofront_standin::platform::{self, PlatformSettings};
 use serde::Deserialize;
 
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/configuration/tests/common/mod.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
+use mangofront_configuration::{Document, Kind, Platform, PlatformChange, PlatformOptions};
+use mangofront_configuration::{PlatformOptionsBuilder, Source};
 use mangofront_http::{Shutdown, ShutdownTrigger};
-use mangofront_platform::{Document, Kind, Platform, PlatformChange, PlatformOptions};
-use mangofront_platform::{PlatformOptionsBuilder, Source};
 use mangofront_standin::platform::{self, PlatformSettings};
 
 /// Time after which a state that should come is given up on.
--- a/crates/platform/tests/relay.rs
+++ b/crates/configuration/tests/relay.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Standin, configuration, document, options, peer, revision, start, target_ms, until};
-use mangofront_platform::{Kind, OfferOutcome, Platform, PlatformChange, Refusal, Source};
+use mangofront_configuration::{Kind, OfferOutcome, Platform, PlatformChange, Refusal, Source};
 
 /// One round of gossip: `to` learns what `from` has newer.
 fn gossip(from: &Platform, to: &Platform) -> Vec<OfferOutcome> {
--- a/crates/platform/tests/sequences.rs
+++ b/crates/configuration/tests/sequences.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::{configuration, document, options, peer, start};
-use mangofront_platform::{Platform, Source};
+use mangofront_configuration::{Platform, Source};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const SEED: u64 = 20_261_202;
--- a/crates/platform/tests/service.rs
+++ b/crates/configuration/tests/service.rs
@@ -6,7 +6,7 @@
 
 use common::{BACKOFF_CAP, Standin, WAIT};
 use common::{configuration, document, options, peer, revision, start, story, target_ms, until};
-use mangofront_platform::{OfferOutcome, VALUE_LIMIT_BYTES};
+use mangofront_configuration::{OfferOutcome, VALUE_LIMIT_BYTES};
 
 #[compio::test]
 async fn published_value_comes_into_force_and_wakes_every_waiter() {
--- a/crates/daemon/src/feeds.rs
+++ b/crates/daemon/src/feeds.rs
@@ -3,8 +3,8 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use mangofront_configuration::Seen;
 use mangofront_placement::EngineInfo;
-use mangofront_platform::Seen;
 use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
 use mangofront_telemetry::invariants::{Invariant, check};
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,11 +7,11 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use mangofront_audit::{AuditEvent, AuditLog};
+use mangofront_configuration::{AcceptedInstances, Platform};
 use mangofront_once::{Exchange, ExchangeError, Once, Voter, VoterView};
 use mangofront_peers::{
     CallError, ListedPeer, MemberChange, MemberState, Peers, PeersOptions, Responder, Service,
 };
-use mangofront_platform::{AcceptedInstances, Platform};
 use mangofront_settings::ids::InstanceId;
 use mangofront_settings::instances::{Instance, InstanceRole, InstanceState};
 use mangofront_settings::process::DaemonSettings;
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -5,12 +5,12 @@
 
 use mangofront_admission::{Admission, AdmissionOptions};
 use mangofront_audit::{AuditEvent, AuditLog};
+use mangofront_configuration::{Kind, Platform, PlatformChange, PlatformOptions};
 use mangofront_entry::{Entry, EntryLimits, EntryParts};
 use mangofront_once::{Once, OnceOptions};
 use mangofront_orders::Orders;
 use mangofront_peers::Peers;
 use mangofront_placement::{Placement, PlacementOptions, Policy};
-use mangofront_platform::{Kind, Platform, PlatformChange, PlatformOptions};
 use mangofront_settings::ids::Revision;
 use mangofront_settings::process::DaemonSettings;
 use mangofront_settings::published::check_published_text;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use mangofront_configuration::{Document, Kind, Platform, Source, Summary};
 use mangofront_peers::{Peers, Service, Topic};
-use mangofront_platform::{Document, Kind, Platform, Source, Summary};
 use mangofront_settings::ids::InstanceId;
 
 /// Time for a peer to hand over a document.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -8,9 +8,9 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_util::FutureExt;
 use mangofront_audit::AuditEvent;
+use mangofront_configuration::Platform;
 use mangofront_http::{ServeLimits, Shutdown, serve};
 use mangofront_placement::Policy;
-use mangofront_platform::Platform;
 use mangofront_settings::process::DaemonSettings;
 use mangofront_telemetry::invariants::{Invariant, check};
 
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,10 +1,10 @@
 //! What a daemon tells of itself to an operator.
 
 use mangofront_admission::AdmissionStatus;
+use mangofront_configuration::PlatformHealth;
 use mangofront_orders::OrdersStatus;
 use mangofront_peers::Traffic;
 use mangofront_placement::PlacementStatus;
-use mangofront_platform::PlatformHealth;
 use mangofront_upstream::ControlTraffic;
 use serde::Serialize;
 
--- a/crates/daemon/src/watchers.rs
+++ b/crates/daemon/src/watchers.rs
@@ -9,8 +9,8 @@
 
 use std::rc::Rc;
 
+use mangofront_configuration::Platform;
 use mangofront_peers::{Member, MemberState, Peers};
-use mangofront_platform::Platform;
 use mangofront_settings::process::DaemonSettings;
 
 /// Watchers of the whole fleet at most: with 42 calls a minute each, 700 of the
