--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use mangofront_gateway::SharingError;
 use mangofront_http::ClientError;
 use mangofront_peers::PeersError;
 use mangofront_settings::check::SettingsError;
@@ -33,6 +34,9 @@
     /// Links to other daemons could not be started.
     #[error(transparent)]
     Peers(#[from] PeersError),
+    /// News between daemons could not be listened for.
+    #[error(transparent)]
+    Sharing(#[from] SharingError),
     /// Metrics could not be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,249 @@
+//! A daemon that serves published routes.
+//!
+//! The same process as [`crate::run`]'s, with the gateway in the place of the
+//! own interface. All that the platform speaks comes from the adapter.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::runtime::{JoinHandle, spawn};
+use futures_channel::mpsc;
+use futures_util::FutureExt;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use mangofront_adapter::{HeaderDialect, StoreClient};
+use mangofront_engines::{ChoiceOptions, Upstreams};
+use mangofront_gateway::{
+    Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
+};
+use mangofront_http::{Body, ServeLimits, Shutdown, empty, full, serve};
+use mangofront_peers::{ListedPeer, MemberChange, Peers, PeersOptions};
+use mangofront_settings::process::{DaemonSettings, GatewaySettings, read_daemon_settings};
+use mangofront_telemetry::metrics::Metrics;
+use mangofront_upstream::{Connections, ConnectionsOptions};
+
+use crate::error::DaemonError;
+use crate::run::{listen, signal, wait_for_stop};
+
+/// Number of the signal that says that the settings file has changed.
+const SIGHUP: i32 = 1;
+
+/// Longest time for which a caller may keep a connection open unused.
+///
+/// Callers rely on a published limit and stay below it; this only bounds what
+/// connections that nobody uses can hold.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Time kept free before the process is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Pause between looks at the requests in progress while stopping.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for connections to close after the last answer.
+const CLOSING_TIME: Duration = Duration::from_millis(300);
+
+/// Unused connections kept for each upstream: what one daemon may need at once
+/// of the slots of an upstream.
+const IDLE_CONNECTIONS: usize = 24;
+
+/// Runs a daemon that serves published routes until it is told to stop.
+///
+/// # Errors
+/// [`DaemonError`] when it can't start.
+pub(crate) async fn run(
+    settings: DaemonSettings,
+    path: PathBuf,
+    own: GatewaySettings,
+) -> Result<(), DaemonError> {
+    let callers = listen(settings.caller_address).await?;
+    let balancer = listen(own.ready_address).await?;
+    let operators = listen(settings.admin_address).await?;
+    let metrics = Metrics::new()?;
+    let (gateway, peers, background) = assemble(&settings, &own).await?;
+    log::info!(
+        instance = settings.instance.as_str(),
+        availability_zone = settings.availability_zone.as_str(),
+        callers = settings.caller_address.to_string().as_str();
+        "daemon: started"
+    );
+    let limits = ServeLimits {
+        header_timeout: IDLE_TIMEOUT,
+        header_limit_bytes: settings.limits.header_limit_bytes as usize,
+        write_timeout: settings.limits.stream_stall_timeout(),
+    };
+    let (stop_callers, callers_stopped) = Shutdown::new();
+    let (_serve_on, never) = Shutdown::new();
+    let asked = gateway.clone();
+    let readiness = move |_request, _peer| ready_answer(asked.is_ready());
+    spawn(serve(balancer, limits, readiness, never.clone())).detach();
+    let operator = move |request, _peer| operator_answer(metrics.clone(), request);
+    spawn(serve(operators, limits, operator, never)).detach();
+    let answering = gateway.clone();
+    let answer = move |request, peer| answering.clone().handle(request, peer);
+    let serving = spawn(serve(callers, limits, answer, callers_stopped));
+    let reloading = spawn(reload(path));
+    wait_for_stop().await?;
+    drain(&gateway, own.stop_grace()).await;
+    peers.leave();
+    stop_callers.trigger();
+    // A caller that reads nothing must not hold the process.
+    let _ = compio::time::timeout(CLOSING_TIME, serving).await;
+    drop((background, reloading));
+    log::info!(in_progress = gateway.in_progress(); "daemon: stopped");
+    Ok(())
+}
+
+/// Starts the parts and the tasks that carry news between them.
+async fn assemble(
+    settings: &DaemonSettings,
+    own: &GatewaySettings,
+) -> Result<(Gateway, Peers, Vec<JoinHandle<()>>), DaemonError> {
+    let (tell, told) = mpsc::unbounded();
+    let zone = settings.availability_zone.clone();
+    let upstreams = Upstreams::new(ChoiceOptions::default(), zone.clone(), tell);
+    let published = Published::new(PublishedOptions::default(), upstreams.clone());
+    let connections = connections(settings);
+    let store = StoreClient::new(connections.clone(), settings.platform_address);
+    let sharing_cell: Rc<std::cell::OnceCell<Rc<Sharing>>> = Rc::default();
+    let peers = start_peers(settings, own, &sharing_cell)?;
+    let sharing = Sharing::start(
+        own.news_address,
+        &settings.instance,
+        peers.clone(),
+        upstreams.clone(),
+    )
+    .await?;
+    // Set once, right here.
+    let _ = sharing_cell.set(Rc::clone(&sharing));
+    let options = GatewayOptions::builder(settings.instance.clone(), zone)
+        .key_lease(own.key_lease())
+        .second_sends(SecondSendLimit {
+            ratio: own.second_send_ratio,
+            slack: own.second_send_slack_requests,
+            window: own.second_send_window(),
+        })
+        .stall_timeout(own.engine_stall())
+        .build();
+    let gateway = Gateway::new(GatewayParts {
+        options,
+        dialect: Rc::new(HeaderDialect),
+        connections,
+        upstreams,
+        published: published.clone(),
+        peers: peers.clone(),
+    });
+    let background = vec![
+        spawn(published.follow(Rc::new(store))),
+        spawn(Rc::clone(&sharing).tell(told)),
+        spawn(sharing.hear()),
+    ];
+    Ok((gateway, peers, background))
+}
+
+fn connections(settings: &DaemonSettings) -> Connections {
+    Connections::new(ConnectionsOptions {
+        connect_timeout: settings.limits.connect_timeout(),
+        idle_limit: IDLE_CONNECTIONS,
+        ..ConnectionsOptions::default()
+    })
+}
+
+fn start_peers(
+    settings: &DaemonSettings,
+    own: &GatewaySettings,
+    sharing: &Rc<std::cell::OnceCell<Rc<Sharing>>>,
+) -> Result<Peers, DaemonError> {
+    let options = PeersOptions::builder(
+        settings.instance.clone(),
+        settings.region.clone(),
+        settings.availability_zone.clone(),
+        settings.peer_address,
+    )
+    .heartbeat_period(settings.peers.heartbeat())
+    .suspect_after(settings.peers.suspect_after())
+    .build();
+    let sharing = Rc::clone(sharing);
+    let on_change = Rc::new(move |change: MemberChange| {
+        let member = &change.member;
+        log::info!(
+            member = member.instance.as_str(),
+            incarnation = member.incarnation,
+            state = format!("{:?}", member.state).as_str();
+            "daemon: member changed"
+        );
+        if let Some(sharing) = sharing.get() {
+            sharing.member(&member.instance, member.incarnation, member.state.answers());
+        }
+    });
+    let no_calls: mangofront_peers::Responder =
+        Rc::new(|_, _, _| async { bytes::Bytes::new() }.boxed_local());
+    let peers = Peers::start(options, on_change, no_calls)?;
+    let seeds = own.seeds.iter().filter(|seed| **seed != settings.peer_address);
+    let listed: Vec<ListedPeer> = seeds.map(|seed| seed_peer(settings, *seed)).collect();
+    peers.set_listed(&listed);
+    Ok(peers)
+}
+
+/// A daemon of which only the address is known; what it says of itself replaces this.
+fn seed_peer(settings: &DaemonSettings, address: SocketAddr) -> ListedPeer {
+    ListedPeer {
+        instance: address.ip().to_string(),
+        region: settings.region.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        address,
+        leaving: false,
+    }
+}
+
+async fn ready_answer(is_ready: bool) -> Response<Body> {
+    let mut response = Response::new(empty());
+    if !is_ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+async fn operator_answer(metrics: Metrics, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        "/metrics" => Response::new(full(metrics.render())),
+        _ => {
+            let mut response = Response::new(empty());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
+
+/// Serves on for a while, and then waits until all that is in progress has ended.
+async fn drain(gateway: &Gateway, grace: Duration) {
+    let started = Instant::now();
+    log::info!(in_progress = gateway.in_progress(); "daemon: stopping");
+    gateway.stop();
+    let limit = grace.saturating_sub(STOP_MARGIN + CLOSING_TIME);
+    while started.elapsed() < limit {
+        if gateway.is_refusing() && gateway.in_progress() == 0 {
+            return;
+        }
+        compio::time::sleep(DRAIN_PAUSE).await;
+    }
+}
+
+/// Reads the settings file again at each SIGHUP.
+///
+/// What a running process can't change (its addresses) stays until a restart;
+/// a file that can't be read is told and changes nothing.
+async fn reload(path: PathBuf) {
+    loop {
+        if let Err(error) = signal(SIGHUP).await {
+            log::warn!("daemon: no more reloads: {error}");
+            return;
+        }
+        match read_daemon_settings(&path) {
+            Ok(_) => log::info!("daemon: settings read again; nothing in them changes at run time"),
+            Err(error) => log::error!("daemon: settings not taken: {error}"),
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod explain;
 mod feeds;
+mod gateway;
 mod membership;
 mod orders;
 mod parts;
@@ -50,5 +51,8 @@
         step: "start runtime",
         cause,
     })?;
-    runtime.block_on(run::run(settings, arguments.policy))
+    match settings.gateway.clone() {
+        Some(own) => runtime.block_on(gateway::run(settings, arguments.settings, own)),
+        None => runtime.block_on(run::run(settings, arguments.policy)),
+    }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -151,7 +151,7 @@
         .max()
 }
 
-async fn wait_for_stop() -> Result<(), DaemonError> {
+pub(crate) async fn wait_for_stop() -> Result<(), DaemonError> {
     let mut terminate = std::pin::pin!(signal(SIGTERM).fuse());
     let mut interrupt = std::pin::pin!(signal(SIGINT).fuse());
     futures_util::select! {
@@ -166,7 +166,7 @@
 /// Number of the signal of an interrupt key.
 const SIGINT: i32 = 2;
 
-async fn signal(number: i32) -> Result<(), DaemonError> {
+pub(crate) async fn signal(number: i32) -> Result<(), DaemonError> {
     compio::signal::unix::signal(number)
         .await
         .map_err(|cause| DaemonError::Io {
@@ -175,7 +175,7 @@
         })
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
         .map_err(|cause| DaemonError::Listen { address, cause })
--- /dev/null
+++ b/crates/engines/src/lib.rs
@@ -0,0 +1,31 @@
+//! Model of the upstreams' time and memory, and the choice among them.
+//!
+//! Owns what a daemon thinks each upstream is doing: its own requests, those
+//! that other daemons told of, and which upstreams failed lately. From the
+//! published speed of the engines it predicts when a prompt's first event would
+//! come, and chooses the engine that answers together with those that read
+//! parts of the prompt ([`Upstreams::place`]).
+//!
+//! Long prompts are read by many engines at once, because the whole work stays
+//! the same while each engine, and every short request on it, is held up for a
+//! fraction of the time. Short prompts fill the engines from one end of an
+//! order that all daemons share, long ones from the other, so that under mixed
+//! load some engines stay free of long parts.
+//!
+//! Nothing in here does input or output. What other daemons should hear comes
+//! out of a channel as [`News`], and goes in by [`Upstreams::hear`].
+
+mod choose;
+mod health;
+mod news;
+mod options;
+mod upstream;
+mod upstreams;
+mod work;
+
+pub use choose::{Demand, NoUpstream, Reader};
+pub use health::Failure;
+pub use news::{News, Origin};
+pub use options::ChoiceOptions;
+pub use upstreams::{Placed, UpstreamStatus, Upstreams};
+pub use work::{UpstreamKey, WorkId, key_of};
--- /dev/null
+++ b/crates/engines/src/upstream.rs
@@ -0,0 +1,123 @@
+//! What is known of one upstream.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use mangofront_routes::{EngineFigures, Upstream};
+
+use crate::health::Health;
+use crate::work::{Part, UpstreamKey, Work, key_of};
+
+/// Lateness of a first event from which an upstream counts as held up.
+const LATE_AFTER: Duration = Duration::from_millis(150);
+
+/// One upstream and the work on it.
+#[derive(Debug)]
+pub(crate) struct Known {
+    pub(crate) key: UpstreamKey,
+    pub(crate) info: Upstream,
+    pub(crate) figures: Option<Rc<EngineFigures>>,
+    pub(crate) health: Health,
+    /// When it has read all that was placed on it, by the published speed.
+    busy_until: Instant,
+}
+
+/// The work on one upstream, added up.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Load {
+    /// Time until all that was placed is read, in milliseconds.
+    pub(crate) backlog_ms: f64,
+    /// Requests that it answers, reading or writing.
+    pub(crate) answering: u32,
+    /// Requests of others of which it reads a part.
+    pub(crate) helping: u32,
+    /// Requests that write.
+    pub(crate) writers: u32,
+    /// Context of the requests that write, in tokens.
+    pub(crate) context_tokens: u64,
+    /// Memory set aside, in tokens.
+    pub(crate) memory_tokens: u64,
+    /// Shortest pause that an answer being written allows, in milliseconds.
+    pub(crate) least_gap_ms: Option<f64>,
+}
+
+impl Known {
+    pub(crate) fn new(info: Upstream, figures: Option<Rc<EngineFigures>>, now: Instant) -> Self {
+        Self {
+            key: key_of(&info.id),
+            info,
+            figures,
+            health: Health::default(),
+            busy_until: now,
+        }
+    }
+
+    /// The same upstream as it is published now.
+    pub(crate) fn renewed(self, info: Upstream, figures: Option<Rc<EngineFigures>>) -> Self {
+        Self {
+            info,
+            figures,
+            ..self
+        }
+    }
+
+    /// Requests that run at once.
+    pub(crate) fn slots(&self) -> u32 {
+        self.figures
+            .as_ref()
+            .map_or(self.info.slots, |figures| figures.slots)
+    }
+
+    /// Puts a part's reading behind what is to be read already.
+    pub(crate) fn add_reading(&mut self, read_ms: f64, now: Instant) {
+        let starts = self.busy_until.max(now);
+        self.busy_until = starts + Duration::from_secs_f64(read_ms.max(0.0) / 1_000.0);
+    }
+
+    /// Adds up the work on this upstream.
+    pub(crate) fn load<'a>(&self, works: impl Iterator<Item = &'a Work>, now: Instant) -> Load {
+        let mut load = Load::default();
+        let mut is_reading = false;
+        let mut late_ms = 0.0_f64;
+        for work in works {
+            for (place, part) in work.parts.iter().enumerate() {
+                if part.upstream != self.key {
+                    continue;
+                }
+                load.add(work, part, place == 0);
+                if work.is_reading {
+                    is_reading = true;
+                    late_ms = late_ms.max(lateness_ms(work, now));
+                }
+            }
+        }
+        if is_reading {
+            let planned = self.busy_until.saturating_duration_since(now);
+            load.backlog_ms = planned.as_secs_f64() * 1_000.0 + late_ms;
+        }
+        load
+    }
+}
+
+impl Load {
+    fn add(&mut self, work: &Work, part: &Part, answers: bool) {
+        if answers {
+            self.answering += 1;
+        } else if work.is_reading {
+            self.helping += 1;
+        }
+        self.memory_tokens += part.memory_tokens;
+        if !work.is_reading && part.context_tokens > 0 {
+            self.writers += 1;
+            self.context_tokens += part.context_tokens;
+            let least = self.least_gap_ms.unwrap_or(f64::INFINITY);
+            self.least_gap_ms = Some(least.min(work.gap_ms));
+        }
+    }
+}
+
+/// How much later than expected a first event is, in milliseconds.
+fn lateness_ms(work: &Work, now: Instant) -> f64 {
+    let late = now.saturating_duration_since(work.expected_at + LATE_AFTER);
+    late.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/engines/src/upstreams.rs
@@ -0,0 +1,388 @@
+//! The handle that holds all upstreams and the work on them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc::UnboundedSender;
+use mangofront_routes::{EngineFigures, Upstream};
+use mangofront_settings::ids::{AvailabilityZone, ServiceName};
+
+use crate::choose::{
+    Candidate, Choice, Demand, NoUpstream, Reader, choose_engines, choose_plain, expiry,
+};
+use crate::health::Failure;
+use crate::news::{News, Origin, PartNews};
+use crate::options::ChoiceOptions;
+use crate::upstream::Known;
+use crate::work::{Part, UpstreamKey, Work, WorkId, key_of};
+
+/// Who placed a request: this daemon or another.
+type WorkKey = (Origin, WorkId);
+
+/// Origin of this daemon's own work.
+const OWN: Origin = 0;
+
+/// All upstreams in this daemon's view; clones share it.
+#[derive(Debug, Clone)]
+pub struct Upstreams(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    options: ChoiceOptions,
+    availability_zone: AvailabilityZone,
+    news: UnboundedSender<News>,
+    state: RefCell<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sorted by key, which is the order that all daemons share.
+    known: Vec<Known>,
+    works: HashMap<WorkKey, Work>,
+    next_work: WorkId,
+}
+
+/// What is known of one upstream, for a status page.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamStatus {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Requests that it answers, of all daemons.
+    pub answering: u32,
+    /// Time until all that was placed is read, in milliseconds.
+    pub backlog_ms: f64,
+    /// Memory set aside, in tokens.
+    pub memory_tokens: u64,
+    /// Whether it is left out after a failure.
+    pub is_ejected: bool,
+}
+
+impl Upstreams {
+    /// No upstream yet; what other daemons should hear goes to `news`.
+    #[must_use]
+    pub fn new(
+        options: ChoiceOptions,
+        availability_zone: AvailabilityZone,
+        news: UnboundedSender<News>,
+    ) -> Self {
+        Self(Rc::new(Shared {
+            options,
+            availability_zone,
+            news,
+            state: RefCell::default(),
+        }))
+    }
+
+    /// Takes over the published upstreams, with the speed of each service's engines.
+    pub fn set_known(
+        &self,
+        upstreams: impl IntoIterator<Item = Upstream>,
+        figures: &HashMap<ServiceName, Rc<EngineFigures>>,
+    ) {
+        let now = Instant::now();
+        let mut state = self.0.state.borrow_mut();
+        let mut before: HashMap<UpstreamKey, Known> =
+            state.known.drain(..).map(|known| (known.key, known)).collect();
+        for info in upstreams {
+            let service = figures.get(&info.service).cloned();
+            let known = match before.remove(&key_of(&info.id)) {
+                Some(known) => known.renewed(info, service),
+                None => Known::new(info, service, now),
+            };
+            state.known.push(known);
+        }
+        state.known.sort_by_key(|known| known.key);
+    }
+
+    /// Chooses the upstreams for a request, passing over those in `tried`.
+    ///
+    /// # Errors
+    /// [`NoUpstream`] when none can take it.
+    pub fn place(
+        &self,
+        service: &str,
+        demand: &Demand,
+        tried: &[UpstreamKey],
+    ) -> Result<Placed, NoUpstream> {
+        let now = Instant::now();
+        let mut state = self.0.state.borrow_mut();
+        state.works.retain(|_, work| now < work.expires_at);
+        let choice = self.choose(&state, service, demand, tried, now)?;
+        let id = state.next_work;
+        state.next_work += 1;
+        let expected = Duration::from_secs_f64(choice.first_event_ms / 1_000.0);
+        let work = Work {
+            parts: choice.parts,
+            is_reading: demand.prompt_tokens > 0,
+            expected_at: now + expected,
+            gap_ms: demand.gap.as_secs_f64() * 1_000.0,
+            expires_at: expiry(demand, now),
+        };
+        self.tell(placed_news(id, &work, expected, demand.time_left));
+        state.add((OWN, id), work, now);
+        Ok(Placed {
+            readers: choice.readers,
+            expected_first_event: expected,
+            id,
+            is_read: false,
+            upstreams: self.clone(),
+        })
+    }
+
+    fn choose(
+        &self,
+        state: &State,
+        service: &str,
+        demand: &Demand,
+        tried: &[UpstreamKey],
+        now: Instant,
+    ) -> Result<Choice, NoUpstream> {
+        let of_service = || {
+            let known = state.known.iter();
+            known.filter(|known| known.info.service == service && !known.info.leaving)
+        };
+        if of_service().next().is_none() {
+            return Err(NoUpstream::NoneKnown);
+        }
+        let untried = || of_service().filter(|known| !tried.contains(&known.key));
+        let mut open: Vec<&Known> = untried()
+            .filter(|known| !known.health.is_ejected(now))
+            .collect();
+        if open.is_empty() {
+            // One that failed lately may be back; nothing else is left.
+            open = untried().collect();
+        }
+        let candidates: Vec<Candidate<'_>> = open
+            .into_iter()
+            .enumerate()
+            .map(|(rank, known)| Candidate {
+                load: known.load(state.works.values(), now),
+                known,
+                rank,
+            })
+            .collect();
+        let figures = candidates
+            .first()
+            .ok_or(NoUpstream::AllTried)?
+            .known
+            .figures
+            .clone();
+        let (options, zone) = (&self.0.options, &self.0.availability_zone);
+        match figures {
+            Some(figures) if demand.prompt_tokens > 0 => {
+                choose_engines(&candidates, &figures, demand, options, zone)
+            }
+            _ => choose_plain(&candidates, options, zone, state.next_work)
+                .ok_or(NoUpstream::AllTried),
+        }
+    }
+
+    /// Notes that an upstream answered.
+    pub fn answered(&self, upstream: UpstreamKey) {
+        let mut state = self.0.state.borrow_mut();
+        if let Some(known) = state.known_mut(upstream) {
+            known.health.answered();
+        }
+    }
+
+    /// Notes that an upstream failed; it is left out for a while.
+    pub fn failed(&self, upstream: UpstreamKey, failure: Failure) {
+        let now = Instant::now();
+        let mut state = self.0.state.borrow_mut();
+        let Some(known) = state.known_mut(upstream) else {
+            return;
+        };
+        let ejected = known.health.failed(failure, now, &self.0.options);
+        self.tell(News::Failed {
+            upstream,
+            ejected_ms: milliseconds(ejected),
+        });
+    }
+
+    /// The upstream that listens at `address`.
+    #[must_use]
+    pub fn at_address(&self, address: std::net::SocketAddr) -> Option<UpstreamKey> {
+        let state = self.0.state.borrow();
+        let mut known = state.known.iter();
+        known
+            .find(|known| known.info.address == address)
+            .map(|known| known.key)
+    }
+
+    /// Whether an upstream may get new work: it is published and not leaving.
+    #[must_use]
+    pub fn may_get_work(&self, upstream: UpstreamKey) -> bool {
+        let state = self.0.state.borrow();
+        let mut known = state.known.iter();
+        known.any(|known| known.key == upstream && !known.info.leaving)
+    }
+
+    /// Takes in news of another daemon.
+    pub fn hear(&self, origin: Origin, news: News) {
+        let now = Instant::now();
+        let mut state = self.0.state.borrow_mut();
+        match news {
+            News::Placed {
+                work,
+                parts,
+                gap_ms,
+                expected_in_ms,
+                expires_in_ms,
+            } => {
+                let work_key = (origin, work);
+                let heard = Work {
+                    is_reading: parts.iter().any(|part| part.read_us > 0),
+                    parts: parts.iter().map(part_of).collect(),
+                    expected_at: now + Duration::from_millis(u64::from(expected_in_ms)),
+                    gap_ms: f64::from(gap_ms),
+                    expires_at: now + Duration::from_millis(u64::from(expires_in_ms)),
+                };
+                state.add(work_key, heard, now);
+            }
+            News::Read { work } => state.mark_read(&(origin, work)),
+            News::Ended { work } => {
+                state.works.remove(&(origin, work));
+            }
+            News::Failed {
+                upstream,
+                ejected_ms,
+            } => {
+                let time = Duration::from_millis(u64::from(ejected_ms));
+                let time = time.min(self.0.options.first_ejection);
+                if let Some(known) = state.known_mut(upstream) {
+                    known.health.leave_out(time, now);
+                }
+            }
+        }
+    }
+
+    /// Forgets the work of a daemon that is gone.
+    pub fn forget(&self, origin: Origin) {
+        let mut state = self.0.state.borrow_mut();
+        state.works.retain(|key, _| key.0 != origin);
+    }
+
+    /// The view, for a status page.
+    #[must_use]
+    pub fn status(&self) -> Vec<UpstreamStatus> {
+        let now = Instant::now();
+        let state = self.0.state.borrow();
+        let status = |known: &Known| {
+            let load = known.load(state.works.values(), now);
+            UpstreamStatus {
+                upstream: known.info.clone(),
+                answering: load.answering,
+                backlog_ms: load.backlog_ms,
+                memory_tokens: load.memory_tokens,
+                is_ejected: known.health.is_ejected(now),
+            }
+        };
+        state.known.iter().map(status).collect()
+    }
+
+    fn tell(&self, news: News) {
+        // Without a listener there are no other daemons to hear it.
+        let _ = self.0.news.unbounded_send(news);
+    }
+}
+
+impl State {
+    fn add(&mut self, key: WorkKey, work: Work, now: Instant) {
+        for part in &work.parts {
+            if let Some(known) = self.known_mut(part.upstream) {
+                known.add_reading(part.read_ms, now);
+            }
+        }
+        self.works.insert(key, work);
+    }
+
+    fn mark_read(&mut self, key: &WorkKey) {
+        if let Some(work) = self.works.get_mut(key) {
+            work.is_reading = false;
+        }
+    }
+
+    fn known_mut(&mut self, key: UpstreamKey) -> Option<&mut Known> {
+        let place = self.known.binary_search_by_key(&key, |known| known.key);
+        self.known.get_mut(place.ok()?)
+    }
+}
+
+/// A request's place at its upstreams; ends when dropped.
+#[derive(Debug)]
+#[must_use = "the request counts as ended once this is dropped"]
+pub struct Placed {
+    /// Upstreams; the first answers, the others read parts of the prompt.
+    pub readers: Vec<Reader>,
+    /// Time to the first event, as predicted.
+    pub expected_first_event: Duration,
+    id: WorkId,
+    is_read: bool,
+    upstreams: Upstreams,
+}
+
+impl Placed {
+    /// The upstream that answers.
+    #[must_use]
+    pub fn answering(&self) -> &Upstream {
+        &self.readers[0].upstream
+    }
+
+    /// Number of the request within this daemon.
+    #[must_use]
+    pub fn work_id(&self) -> WorkId {
+        self.id
+    }
+
+    /// Notes that the first event came.
+    pub fn first_event(&mut self) {
+        if std::mem::replace(&mut self.is_read, true) {
+            return;
+        }
+        let mut state = self.upstreams.0.state.borrow_mut();
+        state.mark_read(&(OWN, self.id));
+        self.upstreams.tell(News::Read { work: self.id });
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let mut state = self.upstreams.0.state.borrow_mut();
+        state.works.remove(&(OWN, self.id));
+        self.upstreams.tell(News::Ended { work: self.id });
+    }
+}
+
+fn placed_news(id: WorkId, work: &Work, expected: Duration, time_left: Duration) -> News {
+    News::Placed {
+        work: id,
+        parts: work.parts.iter().map(part_news).collect(),
+        gap_ms: work.gap_ms as u32,
+        expected_in_ms: milliseconds(expected),
+        expires_in_ms: milliseconds(time_left),
+    }
+}
+
+fn part_news(part: &Part) -> PartNews {
+    PartNews {
+        upstream: part.upstream,
+        read_us: (part.read_ms * 1_000.0) as u32,
+        memory_tokens: u32::try_from(part.memory_tokens).unwrap_or(u32::MAX),
+        context_tokens: u32::try_from(part.context_tokens).unwrap_or(u32::MAX),
+    }
+}
+
+fn part_of(news: &PartNews) -> Part {
+    Part {
+        upstream: news.upstream,
+        read_ms: f64::from(news.read_us) / 1_000.0,
+        memory_tokens: u64::from(news.memory_tokens),
+        context_tokens: u64::from(news.context_tokens),
+    }
+}
+
+fn milliseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,173 @@
+//! The answer of a request that is served.
+//!
+//! An answer of one piece is read whole before any of it goes out, so that one
+//! that breaks off can still be a proper error or be asked for again. Of a
+//! stream, the first event is awaited for the same reason; then `relay` passes
+//! it on as it comes.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, Response, StatusCode};
+use mangofront_http::{Body, full, stream_until_abort};
+
+use crate::attempts::{Answering, Failed, History, attempt};
+use crate::call::Call;
+use crate::gateway::Gateway;
+use crate::refusal::Refusal;
+use crate::relay::{Opening, Relay};
+use crate::trace::Ended;
+
+/// An answer of one piece.
+struct Whole {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: bytes::Bytes,
+    upstream: String,
+    readers: usize,
+    expected: Duration,
+}
+
+/// Answers `call`.
+pub(crate) async fn answer(gateway: &Gateway, call: Rc<Call>) -> Response<Body> {
+    gateway.budget().request(&call.service, Instant::now());
+    let mut history = History::default();
+    // The last answer that tells of a fault of the upstream itself.
+    let mut fault: Option<Whole> = None;
+    loop {
+        let attempted = attempt(gateway, &call, &mut history, call.last_event_id).await;
+        let failed = match attempted {
+            Ok(answering) if is_stream(&call, &answering) => {
+                match Opening::read(gateway, &call, answering, &history).await {
+                    Ok(opening) => return stream(gateway, &call, opening, history),
+                    Err(failed) => failed,
+                }
+            }
+            Ok(answering) => match whole(gateway, &call, answering).await {
+                Ok(whole) if is_fault(&call, whole.status) => {
+                    let reason = format!("answered {}", whole.status);
+                    fault = Some(whole);
+                    Failed::MayHaveRun(reason)
+                }
+                Ok(whole) => return respond(gateway, &call, whole, &history),
+                Err(failed) => failed,
+            },
+            Err(failed) => failed,
+        };
+        if history.may_go_on(gateway, &call, &failed) {
+            continue;
+        }
+        if let Some(whole) = fault {
+            return respond(gateway, &call, whole, &history);
+        }
+        if let Failed::MayHaveRun(_) | Failed::OutOfTime = failed {
+            history.may_have_run = true;
+        }
+        let refusal = history.refusal(failed);
+        log_refused(&call, &refusal, &history);
+        return refusal.into_response(&call.id);
+    }
+}
+
+/// Whether the answer is a stream that is passed on as it comes.
+fn is_stream(call: &Call, answering: &Answering) -> bool {
+    call.route.safety.is_stream() && answering.answer.status.is_success()
+}
+
+/// Whether a repeated request may fare better elsewhere.
+fn is_fault(call: &Call, status: StatusCode) -> bool {
+    call.route.safety.may_repeat() && status.is_server_error()
+}
+
+/// Reads an answer of one piece.
+async fn whole(gateway: &Gateway, call: &Call, answering: Answering) -> Result<Whole, Failed> {
+    let Answering {
+        answer,
+        mut placed,
+        upstream,
+        reservations,
+    } = answering;
+    let status = answer.status;
+    let headers = gateway.parts().dialect.answer_headers(&answer.headers);
+    let limit_bytes = gateway.options().answer_limit_bytes;
+    let read = answer.bytes(limit_bytes, call.deadline).await;
+    placed.first_event();
+    drop(reservations);
+    match read {
+        Ok(body) => Ok(Whole {
+            status,
+            headers,
+            body,
+            upstream: upstream.id,
+            readers: placed.readers.len(),
+            expected: placed.expected_first_event,
+        }),
+        Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
+        Err(error) => Err(Failed::MayHaveRun(error.to_string())),
+    }
+}
+
+fn respond(gateway: &Gateway, call: &Call, whole: Whole, history: &History) -> Response<Body> {
+    let ended = Ended {
+        outcome: "answered",
+        reason: "",
+        status: whole.status.as_u16(),
+        upstream: &whole.upstream,
+        readers: whole.readers,
+        expected: whole.expected,
+        first_event: None,
+        ..ended(call, history)
+    };
+    ended.write();
+    log::debug!("gateway: {} in progress", gateway.in_progress());
+    let mut response = Response::new(full(whole.body));
+    *response.status_mut() = whole.status;
+    *response.headers_mut() = whole.headers;
+    response
+}
+
+fn stream(
+    gateway: &Gateway,
+    call: &Rc<Call>,
+    opening: Opening,
+    history: History,
+) -> Response<Body> {
+    let status = opening.status;
+    let headers = opening.headers.clone();
+    let relay = Relay::new(gateway.clone(), Rc::clone(call), opening, history);
+    let mut response = Response::new(stream_until_abort(relay.chunks()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn log_refused(call: &Call, refusal: &Refusal, history: &History) {
+    let ended = Ended {
+        outcome: "refused",
+        reason: refusal.reason(),
+        status: refusal.status().as_u16(),
+        ..ended(call, history)
+    };
+    ended.write();
+}
+
+/// What is the same in the log line of every request.
+pub(crate) fn ended<'a>(call: &'a Call, history: &History) -> Ended<'a> {
+    let organisation = call.organisation.as_ref();
+    Ended {
+        request: &call.id,
+        route: &call.route.name,
+        organisation: organisation.map_or("", |organisation| &organisation.id),
+        outcome: "",
+        reason: "",
+        status: 0,
+        upstream: "",
+        attempts: history.sent,
+        readers: 0,
+        expected: Duration::ZERO,
+        first_event: None,
+        took: call.arrived.elapsed(),
+        version: call.version,
+        lease_age: call.lease_age,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,368 @@
+//! Attempts of one request at upstreams, one after the other.
+//!
+//! What may follow a failed attempt depends on what is known of it. One that
+//! was not run may be sent elsewhere; one that may have run is sent again only
+//! if the request may repeat. Both are bounded by the attempts of the route and
+//! by the budget of second sends of the whole fleet.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use mangofront_engines::{Demand, Failure, NoUpstream, Placed, Reader, UpstreamKey, key_of};
+use mangofront_http::Outcome;
+use mangofront_routes::{Safety, Upstream};
+use mangofront_upstream::{Answer, SendError, Target};
+
+use crate::call::Call;
+use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
+use crate::gateway::Gateway;
+use crate::refusal::Refusal;
+use crate::reservations::Reservations;
+use crate::trace;
+
+/// Upstreams that may be found unreachable for one request. Nothing was sent to
+/// them, so they count neither as attempts nor as second sends.
+const UNREACHABLE_LIMIT: u32 = 4;
+
+/// Least time left in which another attempt is of use.
+const LEAST_TIME: Duration = Duration::from_millis(40);
+
+/// How many times the predicted time a first event may take before the attempt
+/// is given up, if another one may follow.
+const PATIENCE_FACTOR: u32 = 3;
+
+/// Time for a plain service's answer before another upstream is tried: well
+/// over the slowest usual answer, in a share of the time that is left.
+const PLAIN_PATIENCE_SHARE: u32 = 2;
+
+/// When a caller may come back after all upstreams were full or none was known.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
+
+/// Urgency at the engine of the most urgent rank; it grows by one with each.
+const FIRST_URGENCY: u8 = 2;
+
+/// Least urgent rank that engines know.
+const LAST_URGENCY: u8 = 9;
+
+/// An upstream that answers.
+#[derive(Debug)]
+pub(crate) struct Answering {
+    pub(crate) answer: Answer,
+    pub(crate) placed: Placed,
+    pub(crate) upstream: Upstream,
+    /// Held as long as the request uses them.
+    pub(crate) reservations: Reservations,
+}
+
+/// How an attempt ended without an answer.
+#[derive(Debug)]
+pub(crate) enum Failed {
+    /// No upstream was chosen.
+    NoUpstream(NoUpstream),
+    /// Nothing was sent.
+    Unreachable(String),
+    /// The upstream says that it has not run the request.
+    NotRun(String),
+    /// The request may have run.
+    MayHaveRun(String),
+    /// Time is up; the request may have run.
+    OutOfTime,
+}
+
+/// What has been tried for one request.
+#[derive(Debug, Default)]
+pub(crate) struct History {
+    pub(crate) tried: Vec<UpstreamKey>,
+    /// Upstreams that the request was sent to.
+    pub(crate) sent: u32,
+    pub(crate) unreachable: u32,
+    pub(crate) may_have_run: bool,
+}
+
+impl History {
+    /// Whether another attempt may follow one that ended as `failed`.
+    ///
+    /// Takes from the budget of second sends when it says so.
+    pub(crate) fn may_go_on(&mut self, gateway: &Gateway, call: &Call, failed: &Failed) -> bool {
+        match failed {
+            Failed::NoUpstream(_) | Failed::OutOfTime => return false,
+            Failed::Unreachable(_) => self.unreachable += 1,
+            Failed::NotRun(_) => {}
+            Failed::MayHaveRun(_) => self.may_have_run = true,
+        }
+        if self.may_have_run && !call.route.safety.may_repeat() {
+            return false;
+        }
+        if call.time_left() < LEAST_TIME || self.unreachable >= UNREACHABLE_LIMIT {
+            return false;
+        }
+        if self.sent == 0 {
+            return true;
+        }
+        self.may_send_again(call)
+            && gateway
+                .budget()
+                .take(&call.service, gateway.daemons(), Instant::now())
+    }
+
+    /// Whether the route allows one more upstream.
+    pub(crate) fn may_send_again(&self, call: &Call) -> bool {
+        self.sent < call.route.attempts
+    }
+
+    /// The answer for a request whose last attempt ended as `failed`.
+    pub(crate) fn refusal(&self, failed: Failed) -> Refusal {
+        let not_run = |reason| Refusal::NotRun {
+            reason,
+            retry_after: RETRY_AFTER_FULL,
+        };
+        if self.may_have_run {
+            return match failed {
+                Failed::OutOfTime => Refusal::TimedOut,
+                Failed::MayHaveRun(reason)
+                | Failed::NotRun(reason)
+                | Failed::Unreachable(reason) => Refusal::Unknown { reason },
+                Failed::NoUpstream(reason) => Refusal::Unknown {
+                    reason: reason.to_string(),
+                },
+            };
+        }
+        match failed {
+            Failed::NoUpstream(NoUpstream::NoneKnown) => not_run("no_upstream_known"),
+            Failed::NoUpstream(NoUpstream::AllTried) => not_run("all_upstreams_tried"),
+            Failed::NoUpstream(NoUpstream::TooLarge) => not_run("no_memory_for_prompt"),
+            Failed::Unreachable(_) => not_run("upstreams_unreachable"),
+            Failed::NotRun(_) => not_run("upstream_did_not_run_it"),
+            Failed::MayHaveRun(reason) => Refusal::Unknown { reason },
+            Failed::OutOfTime => Refusal::TimedOut,
+        }
+    }
+}
+
+/// Sends the request to one more upstream and waits for its answer's head.
+pub(crate) async fn attempt(
+    gateway: &Gateway,
+    call: &Call,
+    history: &mut History,
+    last_event_id: Option<EventId>,
+) -> Result<Answering, Failed> {
+    let placed = gateway
+        .parts()
+        .upstreams
+        .place(&call.service, &demand(call), &history.tried)
+        .map_err(Failed::NoUpstream)?;
+    let upstream = placed.answering().clone();
+    let key = key_of(&upstream.id);
+    history.tried.push(key);
+    let name = format!(
+        "{}-{}-{}",
+        gateway.options().instance,
+        call.id,
+        placed.work_id()
+    );
+    let reservations = Reservations::make(gateway.orders(), &placed.readers, &name)
+        .await
+        .map_err(|upstream| no_memory(gateway, &upstream))?;
+    let request = request(gateway, call, &placed, &reservations, last_event_id)?;
+    let patience = patience(gateway, call, history, &placed);
+    let sent = send(gateway, call, &upstream, request, patience, history).await;
+    let result = match sent {
+        Ok(answer) => check_head(gateway, call, &upstream, answer, history),
+        Err(error) => Err(send_failed(gateway, call, key, &error)),
+    };
+    if let Err(failed) = &result {
+        log_failure(call, &upstream, failed);
+    }
+    Ok(Answering {
+        answer: result?,
+        placed,
+        upstream,
+        reservations,
+    })
+}
+
+/// What placement has to know of a request.
+fn demand(call: &Call) -> Demand {
+    let gap = match call.route.safety {
+        Safety::Stream { gap, .. } => gap,
+        Safety::Idempotent | Safety::AtMostOnce => Duration::ZERO,
+    };
+    let tokens = call.tokens;
+    Demand {
+        prompt_tokens: tokens.map_or(0, |tokens| tokens.prompt_tokens),
+        answer_limit_tokens: tokens.map_or(0, |tokens| tokens.answer_limit_tokens),
+        gap,
+        time_left: call.time_left(),
+    }
+}
+
+fn no_memory(gateway: &Gateway, upstream: &Upstream) -> Failed {
+    let key = key_of(&upstream.id);
+    gateway.parts().upstreams.failed(key, Failure::Full);
+    Failed::Unreachable(format!("{} reserved no memory", upstream.id))
+}
+
+fn request(
+    gateway: &Gateway,
+    call: &Call,
+    placed: &Placed,
+    reservations: &Reservations,
+    last_event_id: Option<EventId>,
+) -> Result<Request<Full<Bytes>>, Failed> {
+    let helper = |reader: &Reader| Helper {
+        address: reader.upstream.address,
+        reservation: reservations.at(&reader.upstream),
+    };
+    let helpers: Vec<Helper> = placed.readers.iter().skip(1).map(helper).collect();
+    let organisation = call.organisation.as_ref();
+    let attempt = AttemptHead {
+        upstream: &placed.answering().id,
+        organisation: organisation.map(|organisation| organisation.id.as_str()),
+        time_left: call.time_left(),
+        urgency: call.tokens.map(|_| urgency(call)),
+        last_event_id,
+        helpers: &helpers,
+    };
+    let headers = gateway.parts().dialect.attempt_headers(&call.headers, &attempt);
+    let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(path)
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| Failed::Unreachable(error.to_string()))?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// Rank at the engine: the organisation's before the route's, and then the
+/// shorter objective first.
+fn urgency(call: &Call) -> u8 {
+    let organisation = call.organisation.as_ref();
+    let rank = organisation
+        .and_then(|organisation| organisation.priority)
+        .unwrap_or(call.route.priority);
+    let by_target = match call.route.target.as_millis() {
+        0..=500 => 0,
+        501..=2_000 => 1,
+        _ => 2,
+    };
+    (FIRST_URGENCY + rank.min(LAST_URGENCY - FIRST_URGENCY) + by_target).min(LAST_URGENCY)
+}
+
+/// How long to wait for the head of the answer.
+///
+/// Silence is no reason to give up a request that may not be sent again.
+fn patience(gateway: &Gateway, call: &Call, history: &History, placed: &Placed) -> Duration {
+    let left = call.time_left();
+    let may_repeat = call.route.safety.may_repeat();
+    if !may_repeat || history.sent + 1 >= call.route.attempts {
+        return left;
+    }
+    match call.route.safety {
+        Safety::Stream { .. } => {
+            let predicted = placed.expected_first_event * PATIENCE_FACTOR;
+            left.min(predicted + gateway.stall_timeout())
+        }
+        Safety::Idempotent | Safety::AtMostOnce => left / PLAIN_PATIENCE_SHARE,
+    }
+}
+
+async fn send(
+    gateway: &Gateway,
+    call: &Call,
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+    patience: Duration,
+    history: &mut History,
+) -> Result<Answer, SendError> {
+    let connections = &gateway.parts().connections;
+    let target = Target {
+        instance: upstream.id.clone(),
+        address: upstream.address,
+    };
+    let deadline = Instant::now() + patience;
+    let sent = if call.route.safety.may_repeat() {
+        connections.send(&target, request, deadline).await
+    } else {
+        // A used connection that breaks would leave open whether it ran.
+        let opened = connections.open(&target, deadline).await?;
+        opened.send(request, deadline).await
+    };
+    let reached = match &sent {
+        Ok(_) => true,
+        Err(error) => error.outcome() != Outcome::NotRun,
+    };
+    if reached {
+        history.sent += 1;
+    }
+    sent
+}
+
+/// Checks that the head is an answer to this request by the upstream that was meant.
+fn check_head(
+    gateway: &Gateway,
+    call: &Call,
+    upstream: &Upstream,
+    answer: Answer,
+    history: &mut History,
+) -> Result<Answer, Failed> {
+    let head = gateway
+        .parts()
+        .dialect
+        .read_answer(answer.status, &answer.headers);
+    let key = key_of(&upstream.id);
+    if head.not_run {
+        return Err(not_run(gateway, key, &head, answer.status));
+    }
+    match &head.request_id {
+        Some(id) if *id == call.id => {}
+        // A late answer to an earlier request, or none at all: what became of
+        // this request is not known. The connection is closed with the answer.
+        other => {
+            history.may_have_run = true;
+            let other = other.as_deref().unwrap_or("no request");
+            return Err(Failed::MayHaveRun(format!("an answer to {other}")));
+        }
+    }
+    gateway.parts().upstreams.answered(key);
+    Ok(answer)
+}
+
+fn not_run(gateway: &Gateway, key: UpstreamKey, head: &AnswerHead, status: StatusCode) -> Failed {
+    let upstreams = &gateway.parts().upstreams;
+    let at_fault = head.at_fault.and_then(|address| upstreams.at_address(address));
+    match at_fault {
+        Some(other) if other != key => upstreams.failed(other, Failure::Unreachable),
+        _ if head.wrong_upstream => upstreams.failed(key, Failure::Unreachable),
+        _ => upstreams.failed(key, Failure::Full),
+    }
+    Failed::NotRun(format!("refused with {status}"))
+}
+
+fn send_failed(gateway: &Gateway, call: &Call, key: UpstreamKey, error: &SendError) -> Failed {
+    let upstreams = &gateway.parts().upstreams;
+    match error {
+        SendError::Timeout { .. } => upstreams.failed(key, Failure::Silent),
+        _ => upstreams.failed(key, Failure::Unreachable),
+    }
+    if error.outcome() == Outcome::NotRun {
+        return Failed::Unreachable(error.to_string());
+    }
+    if call.time_left().is_zero() {
+        return Failed::OutOfTime;
+    }
+    Failed::MayHaveRun(error.to_string())
+}
+
+fn log_failure(call: &Call, upstream: &Upstream, failed: &Failed) {
+    let (outcome, reason) = match failed {
+        Failed::NoUpstream(reason) => ("no_upstream", reason.to_string()),
+        Failed::Unreachable(reason) => ("unreachable", reason.clone()),
+        Failed::NotRun(reason) => ("not_run", reason.clone()),
+        Failed::MayHaveRun(reason) => ("may_have_run", reason.clone()),
+        Failed::OutOfTime => ("out_of_time", String::new()),
+    };
+    trace::attempt_failed(&call.id, &upstream.id, outcome, &reason);
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,228 @@
+//! One request from its head to the decision that it is served.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use hyper::body::Incoming;
+use mangofront_http::{Body, BodyError, collect};
+use mangofront_routes::{ConfigurationVersion, Organisation, Route, RouteTable};
+use mangofront_settings::ids::ServiceName;
+
+use crate::answer;
+use crate::dialect::{CallHead, EventId, TokenCounts};
+use crate::drain::Stage;
+use crate::gateway::{Gateway, InProgress};
+use crate::refusal::Refusal;
+use crate::trace::Ended;
+
+/// When a caller may come back to a daemon that can't serve it for now; by then
+/// the balancer has seen that it is not ready.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(300);
+
+/// Largest body while no configuration says otherwise, in bytes.
+const FIRST_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// A request that is served.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: String,
+    pub(crate) arrived: Instant,
+    /// When an answer is of no more use to the caller, or its route's time is up.
+    pub(crate) deadline: Instant,
+    pub(crate) route: Route,
+    pub(crate) service: ServiceName,
+    pub(crate) organisation: Option<Organisation>,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) last_event_id: Option<EventId>,
+    pub(crate) tokens: Option<TokenCounts>,
+    pub(crate) version: ConfigurationVersion,
+    pub(crate) lease_age: Option<Duration>,
+    /// Held until the answer is whole.
+    pub(crate) in_progress: InProgress,
+}
+
+impl Call {
+    /// Time until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer(
+    gateway: Gateway,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<Body> {
+    let arrived = Instant::now();
+    let in_progress = gateway.begin();
+    let (head, body) = request.into_parts();
+    let table = gateway.parts().published.table();
+    let body_limit_bytes = table.as_ref().map_or(FIRST_BODY_LIMIT_BYTES, |table| {
+        table.limits().body_limit_bytes
+    });
+    let read = gateway.parts().dialect.read_call(&head);
+    let (path, version) = (
+        head.uri.path().to_owned(),
+        table.as_ref().map_or(0, |table| table.version()),
+    );
+    let id = match &read {
+        Ok(call) => call.request_id.clone(),
+        Err(_) => String::new(),
+    };
+    let admitted = match read {
+        Ok(call_head) => admit(&gateway, table.as_deref(), &call_head, &path),
+        Err(fault) => Err(Refusal::BadHead(fault.to_string())),
+    };
+    // Read also when it is refused, so that the connection stays usable.
+    let body = collect(body, body_limit_bytes).await;
+    let served = match (admitted, body) {
+        (Err(refusal), _) => Err(refusal),
+        (Ok(_), Err(BodyError::TooLarge { .. })) => Err(Refusal::BodyTooLarge),
+        (Ok(_), Err(BodyError::Broken(_))) => Err(Refusal::BodyBroken),
+        (Ok(admitted), Ok(body)) => Ok((admitted, body)),
+    };
+    let mut response = match served {
+        Ok((admitted, body)) => {
+            let patience = admitted.head.patience.unwrap_or(admitted.route.timeout);
+            let call = Call {
+                id: admitted.head.request_id,
+                arrived,
+                deadline: arrived + patience.min(admitted.route.timeout),
+                route: admitted.route,
+                service: admitted.service,
+                organisation: admitted.organisation,
+                method: head.method,
+                uri: head.uri,
+                headers: head.headers,
+                body,
+                last_event_id: admitted.head.last_event_id,
+                tokens: admitted.head.tokens,
+                version,
+                lease_age: gateway.parts().published.lease().age(),
+                in_progress,
+            };
+            answer::answer(&gateway, Rc::new(call)).await
+        }
+        Err(refusal) => {
+            log_refusal(&gateway, &id, &path, peer, &refusal, arrived, version);
+            refusal.into_response(&id)
+        }
+    };
+    if gateway.stage() != Stage::Serving {
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// A request whose route and organisation are known.
+struct Admitted {
+    head: CallHead,
+    route: Route,
+    service: ServiceName,
+    organisation: Option<Organisation>,
+}
+
+fn admit(
+    gateway: &Gateway,
+    table: Option<&RouteTable>,
+    head: &CallHead,
+    path: &str,
+) -> Result<Admitted, Refusal> {
+    if gateway.stage() == Stage::Refusing {
+        return Err(not_here("stopping"));
+    }
+    let table = table.ok_or_else(|| not_here("no_configuration"))?;
+    let lease = gateway.parts().published.lease();
+    let may_be_old = !lease.is_younger_than(gateway.options().ready_lease);
+    let Some(route) = table.find(&head.host, path) else {
+        // A route that was just added may only be unknown here.
+        let unknown = if may_be_old {
+            not_here("route_not_known_yet")
+        } else {
+            Refusal::NoRoute
+        };
+        return Err(unknown);
+    };
+    let organisation = organisation(gateway, table, route, head, may_be_old)?;
+    let service = route.service_for(gateway.next_turn());
+    let service = service.ok_or_else(|| not_here("no_service"))?.clone();
+    Ok(Admitted {
+        head: head.clone(),
+        route: route.clone(),
+        service,
+        organisation,
+    })
+}
+
+/// The organisation of a request, if its key may still be relied upon.
+fn organisation(
+    gateway: &Gateway,
+    table: &RouteTable,
+    route: &Route,
+    head: &CallHead,
+    may_be_old: bool,
+) -> Result<Option<Organisation>, Refusal> {
+    if !table.needs_keys() {
+        return Ok(None);
+    }
+    let key = head.key.as_deref();
+    let Some(organisation) = key.and_then(|key| table.organisation(key)) else {
+        return match (route.allow_anonymous, may_be_old) {
+            (true, _) => Ok(None),
+            (false, true) => Err(not_here("key_not_known_yet")),
+            (false, false) => Err(Refusal::UnknownKey),
+        };
+    };
+    let lease = gateway.parts().published.lease();
+    if !lease.is_younger_than(gateway.options().key_lease) {
+        if route.allow_anonymous {
+            return Ok(None);
+        }
+        return Err(not_here("keys_not_confirmed"));
+    }
+    Ok(Some(organisation.clone()))
+}
+
+fn not_here(reason: &'static str) -> Refusal {
+    Refusal::NotRun {
+        reason,
+        retry_after: RETRY_ELSEWHERE,
+    }
+}
+
+fn log_refusal(
+    gateway: &Gateway,
+    id: &str,
+    path: &str,
+    peer: SocketAddr,
+    refusal: &Refusal,
+    arrived: Instant,
+    version: ConfigurationVersion,
+) {
+    let peer = peer.to_string();
+    let ended = Ended {
+        request: id,
+        route: path,
+        organisation: &peer,
+        outcome: "refused",
+        reason: refusal.reason(),
+        status: refusal.status().as_u16(),
+        upstream: "",
+        attempts: 0,
+        readers: 0,
+        expected: Duration::ZERO,
+        first_event: None,
+        took: arrived.elapsed(),
+        version,
+        lease_age: gateway.parts().published.lease().age(),
+    };
+    ended.write();
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,171 @@
+//! The handle that a daemon holds.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use mangofront_engines::Upstreams;
+use mangofront_http::Body;
+use mangofront_peers::Peers;
+use mangofront_upstream::Connections;
+
+use crate::budget::SecondSendBudget;
+use crate::call;
+use crate::dialect::Dialect;
+use crate::drain::{Drain, Stage};
+use crate::options::GatewayOptions;
+use crate::published::Published;
+use crate::reservations::Orders;
+
+/// The neighbours that a [`Gateway`] asks.
+pub struct GatewayParts {
+    /// Settings.
+    pub options: GatewayOptions,
+    /// What callers and upstreams speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// Connections to upstreams.
+    pub connections: Connections,
+    /// The upstreams and what they are doing.
+    pub upstreams: Upstreams,
+    /// What is in force.
+    pub published: Published,
+    /// The other daemons.
+    pub peers: Peers,
+}
+
+impl std::fmt::Debug for GatewayParts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("GatewayParts").finish_non_exhaustive()
+    }
+}
+
+/// Serves routed requests; clones share their state.
+#[derive(Debug, Clone)]
+pub struct Gateway(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    parts: GatewayParts,
+    budget: SecondSendBudget,
+    orders: Orders,
+    drain: Drain,
+    in_progress: Cell<usize>,
+    turn: Cell<u64>,
+    most_daemons: Cell<usize>,
+}
+
+impl Gateway {
+    /// Gateway over its neighbours.
+    #[must_use]
+    pub fn new(parts: GatewayParts) -> Self {
+        let budget = SecondSendBudget::new(parts.options.second_sends);
+        let orders = Orders {
+            connections: parts.connections.clone(),
+            dialect: Rc::clone(&parts.dialect),
+            hold: parts.options.reservation_hold,
+        };
+        Self(Rc::new(Shared {
+            parts,
+            budget,
+            orders,
+            drain: Drain::default(),
+            in_progress: Cell::new(0),
+            turn: Cell::new(0),
+            most_daemons: Cell::new(1),
+        }))
+    }
+
+    /// Answers one request of the caller at `peer`.
+    pub async fn handle(self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        call::answer(self, request, peer).await
+    }
+
+    /// Whether new callers should come here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let published = &self.0.parts.published;
+        self.stage() == Stage::Serving
+            && published.table().is_some()
+            && published.has_upstreams()
+            && published.lease().is_younger_than(self.options().ready_lease)
+    }
+
+    /// Begins the planned stop.
+    pub fn stop(&self) {
+        self.0.drain.begin();
+    }
+
+    /// Whether what comes in is refused by now.
+    #[must_use]
+    pub fn is_refusing(&self) -> bool {
+        self.stage() == Stage::Refusing
+    }
+
+    /// Requests that are not yet answered whole.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.0.in_progress.get()
+    }
+
+    pub(crate) fn stage(&self) -> Stage {
+        self.0.drain.stage()
+    }
+
+    pub(crate) fn options(&self) -> &GatewayOptions {
+        &self.0.parts.options
+    }
+
+    pub(crate) fn parts(&self) -> &GatewayParts {
+        &self.0.parts
+    }
+
+    pub(crate) fn budget(&self) -> &SecondSendBudget {
+        &self.0.budget
+    }
+
+    pub(crate) fn orders(&self) -> &Orders {
+        &self.0.orders
+    }
+
+    /// A number that differs from request to request.
+    pub(crate) fn next_turn(&self) -> u64 {
+        let turn = self.0.turn.get();
+        self.0.turn.set(turn.wrapping_add(1));
+        turn
+    }
+
+    /// Daemons that may be sending, this one included.
+    ///
+    /// Those that were there once may be so still, behind a partition.
+    pub(crate) fn daemons(&self) -> usize {
+        let members = self.0.parts.peers.members().len();
+        let most = self.0.most_daemons.get().max(members);
+        self.0.most_daemons.set(most);
+        most
+    }
+
+    /// Counts a request as in progress while the guard lives.
+    pub(crate) fn begin(&self) -> InProgress {
+        self.0.in_progress.set(self.0.in_progress.get() + 1);
+        InProgress(self.clone())
+    }
+
+    /// Longest time for an upstream to show that it works on a request.
+    pub(crate) fn stall_timeout(&self) -> Duration {
+        self.options().stall_timeout
+    }
+}
+
+/// One request in progress.
+#[derive(Debug)]
+pub(crate) struct InProgress(Gateway);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        let count = &self.0.0.in_progress;
+        count.set(count.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,40 @@
+//! Routed requests from callers to upstreams.
+//!
+//! Owns a routed request from its head to the last byte of its answer: which
+//! route and organisation it is of (`call`), whether this daemon may serve it
+//! now (`published`, `lease`), where it is sent and what follows a failed
+//! attempt (`attempts`, `budget`), and the relay of its answer (`answer`,
+//! `relay`). Bodies pass through unread. What callers, upstreams and the
+//! publishing platform speak is translated by the edges in [`Dialect`] and
+//! [`Source`]; the choice of upstreams is `mangofront-engines`', and other
+//! daemons hear of it by `sharing`.
+
+mod answer;
+mod attempts;
+mod boot_clock;
+mod budget;
+mod call;
+mod dialect;
+mod drain;
+mod events;
+mod gateway;
+mod lease;
+mod options;
+mod published;
+mod refusal;
+mod relay;
+mod reservations;
+mod sharing;
+mod trace;
+
+pub use budget::{SecondSendBudget, SecondSendLimit};
+pub use dialect::{
+    AnswerHead, AttemptHead, CallFault, CallHead, Change, Changes, Dialect, Entry, EventId, Helper,
+    Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
+};
+pub use events::{EventFramer, FramedEvents};
+pub use gateway::{Gateway, GatewayParts};
+pub use lease::Lease;
+pub use options::{GatewayOptions, GatewayOptionsBuilder};
+pub use published::{Published, PublishedOptions};
+pub use sharing::{Sharing, SharingError};
--- /dev/null
+++ b/crates/gateway/src/published.rs
@@ -0,0 +1,281 @@
+//! What is published, as this daemon has it in force.
+//!
+//! One task reads everything and then watches for changes, for ever. A
+//! configuration comes into force only if its version is higher than the one
+//! before it, so that a source that serves old values can't bring one back.
+//! An upstream that is no longer published is kept for a moment after the
+//! source was out of reach, since its registration may only have lapsed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compio::runtime::spawn;
+use mangofront_engines::Upstreams;
+use mangofront_routes::{EngineFigures, RouteTable, Upstream, UpstreamId};
+use mangofront_settings::ids::ServiceName;
+
+use crate::boot_clock::BootInstant;
+use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
+use crate::lease::Lease;
+use crate::trace;
+
+/// Times of the reading of published values.
+#[derive(Debug, Clone)]
+pub struct PublishedOptions {
+    /// Longest wait for a change in one call.
+    ///
+    /// Each call costs the platform, and each answer renews the lease on the
+    /// keys: three calls fit into the lease, so that one may be lost.
+    pub watch_wait: Duration,
+    /// Time for an answer beyond that wait: many times the usual few
+    /// milliseconds, for a source that is slow but there.
+    pub answer_timeout: Duration,
+    /// Time for reading everything.
+    pub read_timeout: Duration,
+    /// Pause after a failed call; doubled up to `longest_pause`.
+    pub first_pause: Duration,
+    /// Longest pause after a failed call; within the second or two in which a
+    /// source's return should be noticed.
+    pub longest_pause: Duration,
+    /// Least time between two calls after changes, so that a burst of changes
+    /// is read at once; well below the seconds in which one must be in force.
+    pub change_pause: Duration,
+    /// Time for which an upstream is kept whose registration is missing after
+    /// the source was out of reach; live ones are back within two seconds.
+    pub lapse_grace: Duration,
+    /// Time after a failed call within which a missing registration may have
+    /// lapsed.
+    pub lapse_window: Duration,
+}
+
+impl Default for PublishedOptions {
+    fn default() -> Self {
+        Self {
+            watch_wait: Duration::from_millis(1_200),
+            answer_timeout: Duration::from_millis(700),
+            read_timeout: Duration::from_millis(2_000),
+            first_pause: Duration::from_millis(80),
+            longest_pause: Duration::from_millis(600),
+            change_pause: Duration::from_millis(250),
+            lapse_grace: Duration::from_millis(1_700),
+            lapse_window: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// The published values in force; clones share them.
+#[derive(Debug, Clone)]
+pub struct Published(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    options: PublishedOptions,
+    upstreams: Upstreams,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    registered: RefCell<HashMap<UpstreamId, Upstream>>,
+    /// Upstreams kept although their registration is missing, with the end of it.
+    lapsed: RefCell<HashMap<UpstreamId, Instant>>,
+    last_failure: Cell<Option<Instant>>,
+    lease: Lease,
+}
+
+impl Published {
+    /// Nothing is in force yet; changes of upstreams go to `upstreams`.
+    #[must_use]
+    pub fn new(options: PublishedOptions, upstreams: Upstreams) -> Self {
+        Self(Rc::new(Shared {
+            options,
+            upstreams,
+            table: RefCell::default(),
+            registered: RefCell::default(),
+            lapsed: RefCell::default(),
+            last_failure: Cell::default(),
+            lease: Lease::default(),
+        }))
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.0.table.borrow().clone()
+    }
+
+    /// Lease on what is in force.
+    #[must_use]
+    pub fn lease(&self) -> &Lease {
+        &self.0.lease
+    }
+
+    /// Whether any upstream is known.
+    #[must_use]
+    pub fn has_upstreams(&self) -> bool {
+        !self.0.registered.borrow().is_empty()
+    }
+
+    /// Reads and watches `source`, for ever.
+    pub async fn follow(self, source: Rc<dyn Source>) {
+        let options = self.0.options.clone();
+        let mut position: Option<Position> = None;
+        let mut pause = options.first_pause;
+        loop {
+            let asked = BootInstant::now();
+            let answered = match position {
+                None => self.read(source.as_ref(), asked).await,
+                Some(after) => self.watch(source.as_ref(), after, asked).await,
+            };
+            match answered {
+                Ok((next, has_changes)) => {
+                    if self.0.last_failure.get().is_some() && pause > options.first_pause {
+                        trace::dependency_regained("platform");
+                    }
+                    position = Some(next);
+                    pause = options.first_pause;
+                    if has_changes {
+                        compio::time::sleep(options.change_pause).await;
+                    }
+                }
+                Err(error) => {
+                    if pause == options.first_pause {
+                        trace::dependency_lost("platform", &error.to_string());
+                    }
+                    self.0.last_failure.set(Some(Instant::now()));
+                    if error == SourceError::HistoryGone {
+                        position = None;
+                    }
+                    compio::time::sleep(pause).await;
+                    pause = (pause * 2).min(options.longest_pause);
+                }
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        source: &dyn Source,
+        asked: BootInstant,
+    ) -> Result<(Position, bool), SourceError> {
+        let Snapshot { position, entries } = source.read(self.0.options.read_timeout).await?;
+        let mut missing: Vec<UpstreamId> = self.0.registered.borrow().keys().cloned().collect();
+        for entry in entries {
+            if let Entry::Upstream(upstream) = &entry {
+                missing.retain(|id| *id != upstream.id);
+            }
+            self.take_entry(entry);
+        }
+        for id in missing {
+            self.take_missing(id);
+        }
+        self.pass_on_upstreams();
+        self.0.lease.confirm(asked);
+        Ok((position, false))
+    }
+
+    async fn watch(
+        &self,
+        source: &dyn Source,
+        after: Position,
+        asked: BootInstant,
+    ) -> Result<(Position, bool), SourceError> {
+        let (wait, timeout) = (self.0.options.watch_wait, self.0.options.answer_timeout);
+        let Changes { position, changes } = source.watch(after, wait, timeout).await?;
+        let has_changes = !changes.is_empty();
+        for change in changes {
+            match change {
+                Change::Written(entry) => self.take_entry(entry),
+                Change::UpstreamGone(id) => self.take_missing(id),
+            }
+        }
+        if has_changes {
+            self.pass_on_upstreams();
+            self.0.lease.confirm(asked);
+        } else {
+            // It waited the whole time and nothing had changed by its end.
+            self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
+        }
+        Ok((position, has_changes))
+    }
+
+    fn take_entry(&self, entry: Entry) {
+        match entry {
+            Entry::Configuration(table) => self.take_table(*table),
+            Entry::Upstream(upstream) => {
+                self.0.lapsed.borrow_mut().remove(&upstream.id);
+                let mut registered = self.0.registered.borrow_mut();
+                let before = registered.insert(upstream.id.clone(), upstream.clone());
+                if before.as_ref() != Some(&upstream) {
+                    trace::upstream_published(&upstream);
+                }
+            }
+            Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
+            Entry::Other => {}
+        }
+    }
+
+    fn take_table(&self, table: RouteTable) {
+        let mut in_force = self.0.table.borrow_mut();
+        let before = in_force.as_ref().map(|table| table.version());
+        if before.is_some_and(|before| table.version() <= before) {
+            return;
+        }
+        trace::configuration_accepted(&table, before);
+        *in_force = Some(Rc::new(table));
+        drop(in_force);
+        self.pass_on_upstreams();
+    }
+
+    /// Removes an upstream, at once or after the time in which it may come back.
+    fn take_missing(&self, id: UpstreamId) {
+        let options = &self.0.options;
+        let failed = self.0.last_failure.get();
+        let may_have_lapsed = failed.is_some_and(|at| at.elapsed() < options.lapse_window);
+        let is_leaving = {
+            let registered = self.0.registered.borrow();
+            registered.get(&id).is_some_and(|upstream| upstream.leaving)
+        };
+        if !may_have_lapsed || is_leaving {
+            self.remove(&id);
+            return;
+        }
+        let until = Instant::now() + options.lapse_grace;
+        let mut lapsed = self.0.lapsed.borrow_mut();
+        if lapsed.contains_key(&id) {
+            return;
+        }
+        lapsed.insert(id.clone(), until);
+        drop(lapsed);
+        let published = self.clone();
+        spawn(async move {
+            compio::time::sleep_until(until).await;
+            let was_lapsed = published.0.lapsed.borrow_mut().remove(&id).is_some();
+            if was_lapsed {
+                published.remove(&id);
+                published.pass_on_upstreams();
+            }
+        })
+        .detach();
+    }
+
+    fn remove(&self, id: &UpstreamId) {
+        self.0.lapsed.borrow_mut().remove(id);
+        if self.0.registered.borrow_mut().remove(id).is_some() {
+            trace::upstream_gone(id);
+        }
+    }
+
+    fn pass_on_upstreams(&self) {
+        let figures: HashMap<ServiceName, Rc<EngineFigures>> = match self.table() {
+            Some(table) => table
+                .services()
+                .filter_map(|service| {
+                    let figures = service.engine.clone()?;
+                    Some((service.name.clone(), Rc::new(figures)))
+                })
+                .collect(),
+            None => HashMap::new(),
+        };
+        let registered = self.0.registered.borrow();
+        self.0.upstreams.set_known(registered.values().cloned(), &figures);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,311 @@
+//! A stream of events on its way to its caller.
+//!
+//! Only whole events are passed on. When the upstream breaks off, or says
+//! nothing for much longer than its pauses, another one goes on after the last
+//! event, if the route allows it; the caller sees one answer. Where that is not
+//! possible the caller's connection is broken off, so that it can tell that the
+//! answer is not whole. Dropping the relay, as happens when the caller leaves,
+//! drops the connection to the upstream with it.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use http::{HeaderMap, StatusCode};
+use mangofront_engines::{Failure, Placed, key_of};
+use mangofront_http::Aborted;
+use mangofront_routes::{Safety, Upstream};
+use mangofront_upstream::SendError;
+
+use crate::answer::ended;
+use crate::attempts::{Answering, Failed, History, attempt};
+use crate::call::Call;
+use crate::events::EventFramer;
+use crate::gateway::Gateway;
+use crate::reservations::Reservations;
+use crate::trace::{self, Ended};
+
+/// Silence, in usual pauses, after which an upstream is given up.
+const SILENT_PAUSES: u32 = 4;
+
+/// Least silence after which an upstream is given up: the time in which engines
+/// notice that one that holds a part of the prompt is gone.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_300);
+
+type Chunks = Pin<Box<dyn Stream<Item = Result<Bytes, SendError>>>>;
+
+/// An upstream's stream.
+struct Running {
+    chunks: Chunks,
+    placed: Placed,
+    upstream: Upstream,
+    /// Held until the stream ends.
+    _reservations: Reservations,
+}
+
+impl Running {
+    fn new(answering: Answering) -> Self {
+        Self {
+            chunks: Box::pin(answering.answer.chunks()),
+            placed: answering.placed,
+            upstream: answering.upstream,
+            _reservations: answering.reservations,
+        }
+    }
+}
+
+/// A stream whose first event has come.
+pub(crate) struct Opening {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    running: Running,
+    framer: EventFramer,
+    first: Bytes,
+    is_over: bool,
+}
+
+impl Opening {
+    /// Waits for the first event.
+    pub(crate) async fn read(
+        gateway: &Gateway,
+        call: &Call,
+        answering: Answering,
+        history: &History,
+    ) -> Result<Self, Failed> {
+        let status = answering.answer.status;
+        let headers = gateway
+            .parts()
+            .dialect
+            .answer_headers(&answering.answer.headers);
+        let mut opening = Self {
+            status,
+            headers,
+            running: Running::new(answering),
+            framer: EventFramer::after(call.last_event_id),
+            first: Bytes::new(),
+            is_over: false,
+        };
+        let patience = first_patience(gateway, call, history, &opening.running.placed);
+        let deadline = Instant::now() + patience;
+        while opening.first.is_empty() && !opening.is_over {
+            opening.read_chunk(gateway, call, deadline).await?;
+        }
+        opening.running.placed.first_event();
+        Ok(opening)
+    }
+
+    async fn read_chunk(
+        &mut self,
+        gateway: &Gateway,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<(), Failed> {
+        let key = key_of(&self.running.upstream.id);
+        let next = compio::time::timeout_at(deadline, self.running.chunks.next()).await;
+        match next {
+            Ok(Some(Ok(chunk))) => {
+                let framed = self.framer.push(&chunk);
+                let framed =
+                    framed.ok_or_else(|| Failed::MayHaveRun("an endless event".to_owned()))?;
+                self.first = framed.bytes;
+                Ok(())
+            }
+            Ok(None) if !self.framer.is_mid_event() => {
+                self.is_over = true;
+                Ok(())
+            }
+            Ok(None) => Err(Failed::MayHaveRun("ended within an event".to_owned())),
+            Ok(Some(Err(error))) => {
+                gateway.parts().upstreams.failed(key, Failure::Unreachable);
+                Err(Failed::MayHaveRun(error.to_string()))
+            }
+            Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
+            Err(_) => {
+                gateway.parts().upstreams.failed(key, Failure::Silent);
+                Err(Failed::MayHaveRun("no first event".to_owned()))
+            }
+        }
+    }
+}
+
+/// How long to wait for the first event.
+fn first_patience(gateway: &Gateway, call: &Call, history: &History, placed: &Placed) -> Duration {
+    let left = call.time_left();
+    if !call.route.safety.may_repeat() || !history.may_send_again(call) {
+        return left;
+    }
+    let predicted = placed.expected_first_event * 3 + gateway.stall_timeout();
+    left.min(predicted + Duration::from_millis(500))
+}
+
+/// A stream that is passed on.
+pub(crate) struct Relay {
+    gateway: Gateway,
+    call: Rc<Call>,
+    history: History,
+    running: Option<Running>,
+    framer: EventFramer,
+    /// Events that were read and not yet passed on.
+    ready: Option<Bytes>,
+    is_over: bool,
+    first_event: Duration,
+    outcome: &'static str,
+    reason: String,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        gateway: Gateway,
+        call: Rc<Call>,
+        opening: Opening,
+        history: History,
+    ) -> Self {
+        let ready = Some(opening.first).filter(|first| !first.is_empty());
+        Self {
+            first_event: call.arrived.elapsed(),
+            gateway,
+            call,
+            history,
+            running: Some(opening.running),
+            framer: opening.framer,
+            ready,
+            is_over: opening.is_over,
+            outcome: "cancelled",
+            reason: String::new(),
+        }
+    }
+
+    /// The events as they come.
+    pub(crate) fn chunks(self) -> impl Stream<Item = Result<Bytes, Aborted>> {
+        futures_util::stream::unfold(self, |mut relay| async move {
+            let next = relay.next().await?;
+            Some((next, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Aborted>> {
+        loop {
+            if let Some(ready) = self.ready.take() {
+                return Some(Ok(ready));
+            }
+            if self.is_over {
+                if self.outcome == "cancelled" {
+                    self.outcome = "answered";
+                }
+                return None;
+            }
+            let Err(failed) = self.read().await else {
+                continue;
+            };
+            if let Err(failed) = self.resume(failed).await {
+                return Some(Err(self.abort(&failed)));
+            }
+        }
+    }
+
+    /// Reads one chunk of the upstream.
+    async fn read(&mut self) -> Result<(), Failed> {
+        let Some(running) = self.running.as_mut() else {
+            return Err(Failed::OutOfTime);
+        };
+        let silence = silence(&self.call, &self.history);
+        let deadline = self.call.deadline.min(Instant::now() + silence);
+        let next = compio::time::timeout_at(deadline, running.chunks.next()).await;
+        match next {
+            Ok(Some(Ok(chunk))) => {
+                let framed = self.framer.push(&chunk);
+                let framed =
+                    framed.ok_or_else(|| Failed::MayHaveRun("an endless event".to_owned()))?;
+                self.ready = Some(framed.bytes).filter(|bytes| !bytes.is_empty());
+                Ok(())
+            }
+            Ok(None) if !self.framer.is_mid_event() => {
+                self.is_over = true;
+                Ok(())
+            }
+            Ok(None) => Err(Failed::MayHaveRun("ended within an event".to_owned())),
+            Ok(Some(Err(error))) => Err(Failed::MayHaveRun(error.to_string())),
+            Err(_) if self.call.time_left().is_zero() => Err(Failed::OutOfTime),
+            Err(_) => Err(Failed::MayHaveRun("silent".to_owned())),
+        }
+    }
+
+    /// Has another upstream go on after the last event.
+    async fn resume(&mut self, failed: Failed) -> Result<(), Failed> {
+        let mut failed = failed;
+        if let Some(broken) = self.running.take() {
+            let key = key_of(&broken.upstream.id);
+            let upstreams = &self.gateway.parts().upstreams;
+            upstreams.failed(key, Failure::Unreachable);
+            trace::attempt_failed(
+                &self.call.id,
+                &broken.upstream.id,
+                "broken_off",
+                &format!("{failed:?}"),
+            );
+        }
+        let last_id = self.framer.last_id();
+        while last_id.is_some() && self.history.may_go_on(&self.gateway, &self.call, &failed) {
+            let resumed = attempt(&self.gateway, &self.call, &mut self.history, last_id).await;
+            match resumed {
+                Ok(answering) if answering.answer.status.is_success() => {
+                    let mut running = Running::new(answering);
+                    running.placed.first_event();
+                    self.running = Some(running);
+                    self.framer = EventFramer::after(last_id);
+                    return Ok(());
+                }
+                Ok(answering) => {
+                    failed = Failed::MayHaveRun(format!("answered {}", answering.answer.status));
+                }
+                Err(next) => failed = next,
+            }
+        }
+        Err(failed)
+    }
+
+    fn abort(&mut self, failed: &Failed) -> Aborted {
+        self.outcome = "broken_off";
+        self.reason = format!("{failed:?}");
+        self.is_over = true;
+        self.running = None;
+        Aborted
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let (upstream, readers, expected) = match &self.running {
+            Some(running) => (
+                running.upstream.id.as_str(),
+                running.placed.readers.len(),
+                running.placed.expected_first_event,
+            ),
+            None => ("", 0, Duration::ZERO),
+        };
+        let ended = Ended {
+            outcome: self.outcome,
+            reason: &self.reason,
+            status: 200,
+            upstream,
+            readers,
+            expected,
+            first_event: Some(self.first_event),
+            ..ended(&self.call, &self.history)
+        };
+        ended.write();
+    }
+}
+
+/// Silence after which the upstream is given up, if another one may go on.
+fn silence(call: &Call, history: &History) -> Duration {
+    let Safety::Stream { resumable, gap } = call.route.safety else {
+        return call.time_left();
+    };
+    if !resumable || !history.may_send_again(call) {
+        return call.time_left();
+    }
+    (gap * SILENT_PAUSES).max(LEAST_SILENCE)
+}
--- /dev/null
+++ b/crates/gateway/src/sharing.rs
@@ -0,0 +1,189 @@
+//! Daemons tell each other where they have just placed requests.
+//!
+//! Engines report their load late, so two daemons that each look for an idle
+//! engine would meet at the same one. Each placement, first event and end is
+//! told to every other daemon at once, in one datagram for what came up in the
+//! same moment. Datagrams may be lost: a request that is heard of expires by
+//! itself. Membership comes from `mangofront-peers`, whose links would cost a
+//! round trip and several thread switches for each of these messages.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::UdpSocket;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use mangofront_engines::{News, Origin, Upstreams};
+use mangofront_peers::{Member, Peers};
+use mangofront_settings::ids::{Incarnation, InstanceId};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Version of the datagrams; a daemon drops any other.
+const VERSION: u8 = 1;
+
+/// Largest datagram that is sent, in bytes; below the usual limit of a link.
+const DATAGRAM_LIMIT_BYTES: usize = 1_400;
+
+/// Largest datagram that is read, in bytes.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Pause after a failed reading, so that a lasting fault does not spin.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sharing that could not be started.
+#[derive(Debug, Error)]
+#[error("listen for news on {address} failed: {cause}")]
+pub struct SharingError {
+    address: SocketAddr,
+    cause: io::Error,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    origin: Origin,
+    news: Vec<News>,
+}
+
+/// News from and to the other daemons.
+#[derive(Debug)]
+pub struct Sharing {
+    socket: UdpSocket,
+    port: u16,
+    peers: Peers,
+    own: Origin,
+    upstreams: Upstreams,
+    /// Lives of daemons whose work is known, by their instance.
+    lives: RefCell<HashMap<InstanceId, Origin>>,
+}
+
+impl Sharing {
+    /// Listens on `address`; the other daemons listen on the same port.
+    ///
+    /// # Errors
+    /// [`SharingError`] when the address can't be had.
+    pub async fn start(
+        address: SocketAddr,
+        instance: &InstanceId,
+        peers: Peers,
+        upstreams: Upstreams,
+    ) -> Result<Rc<Self>, SharingError> {
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|cause| SharingError { address, cause })?;
+        let own = origin(instance, peers.incarnation());
+        Ok(Rc::new(Self {
+            socket,
+            port: address.port(),
+            peers,
+            own,
+            upstreams,
+            lives: RefCell::default(),
+        }))
+    }
+
+    /// Tells the others what comes out of `news`, for ever.
+    pub async fn tell(self: Rc<Self>, mut news: UnboundedReceiver<News>) {
+        while let Some(first) = news.next().await {
+            let mut batch = vec![first];
+            while let Ok(next) = news.try_recv() {
+                batch.push(next);
+            }
+            let addresses = self.addresses();
+            for datagram in self.datagrams(batch) {
+                for address in &addresses {
+                    let sent = self.socket.send_to(datagram.clone(), address).await;
+                    if let Err(error) = sent.0 {
+                        log::debug!("gateway: news to {address} failed: {error}");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Hears what the others tell, for ever.
+    pub async fn hear(self: Rc<Self>) {
+        let mut buffer = Vec::with_capacity(BUFFER_BYTES);
+        loop {
+            buffer.clear();
+            let received = self.socket.recv_from(buffer).await;
+            buffer = received.1;
+            match received.0 {
+                Ok((length, _from)) => self.take(buffer.get(..length).unwrap_or_default()),
+                Err(error) => {
+                    log::debug!("gateway: news could not be read: {error}");
+                    compio::time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Takes note of a daemon's life; work of an earlier one is forgotten.
+    pub fn member(&self, instance: &InstanceId, incarnation: Incarnation, answers: bool) {
+        let life = origin(instance, incarnation);
+        let mut lives = self.lives.borrow_mut();
+        let before = if answers {
+            lives.insert(instance.clone(), life)
+        } else {
+            lives.remove(instance)
+        };
+        if let Some(before) = before.filter(|before| !answers || *before != life) {
+            self.upstreams.forget(before);
+        }
+    }
+
+    fn take(&self, bytes: &[u8]) {
+        let datagram = match bytes.split_first() {
+            Some((&VERSION, rest)) => postcard::from_bytes::<Datagram>(rest).ok(),
+            _ => None,
+        };
+        let Some(datagram) = datagram else {
+            log::debug!("gateway: news of {} bytes can't be read", bytes.len());
+            return;
+        };
+        if datagram.origin == self.own {
+            return;
+        }
+        for news in datagram.news {
+            self.upstreams.hear(datagram.origin, news);
+        }
+    }
+
+    /// Addresses of the daemons that answer.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let own = self.peers.address();
+        let others = self.peers.members().into_iter();
+        others
+            .filter(|member| member.state.answers() && member.address != own)
+            .map(|member: Member| SocketAddr::new(member.address.ip(), self.port))
+            .collect()
+    }
+
+    /// The news in as few datagrams as hold it.
+    fn datagrams(&self, news: Vec<News>) -> Vec<Vec<u8>> {
+        let datagram = Datagram {
+            origin: self.own,
+            news,
+        };
+        // Numbers and lists of numbers only, so writing can't fail.
+        let bytes = postcard::to_extend(&datagram, vec![VERSION]).unwrap_or_default();
+        if bytes.len() <= DATAGRAM_LIMIT_BYTES || datagram.news.len() < 2 {
+            return vec![bytes];
+        }
+        let mut news = datagram.news;
+        let rest = news.split_off(news.len() / 2);
+        let mut datagrams = self.datagrams(news);
+        datagrams.extend(self.datagrams(rest));
+        datagrams
+    }
+}
+
+/// Short name of one life of a daemon; never that of the own work.
+fn origin(instance: &InstanceId, incarnation: Incarnation) -> Origin {
+    (xxh3_64(instance.as_bytes()) ^ incarnation) | 1
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -12,7 +12,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
-type LocalStream = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Infallible>>>>;
+use crate::connection::Aborted;
+
+type LocalStream = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Aborted>>>>;
 
 /// Body of a response: nothing, one buffer, or a stream of chunks.
 #[derive(Debug)]
@@ -33,7 +35,7 @@
 }
 
 impl Stream for DebugStream {
-    type Item = Result<Frame<Bytes>, Infallible>;
+    type Item = Result<Frame<Bytes>, Aborted>;
 
     fn poll_next(
         mut self: Pin<&mut Self>,
@@ -45,14 +47,16 @@
 
 impl hyper::body::Body for Body {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Aborted;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut self.get_mut().0 {
-            Kind::Buffer(body) => Pin::new(body).poll_frame(cx),
+            Kind::Buffer(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
             Kind::Stream(body) => Pin::new(body).poll_frame(cx),
         }
     }
@@ -102,7 +106,15 @@
 /// Dropped when the reader goes away, so a drop guard inside the stream sees
 /// the end of its connection.
 pub fn stream(chunks: impl Stream<Item = Bytes> + 'static) -> Body {
-    let frames = chunks.map(|chunk| Ok(Frame::data(chunk)));
+    stream_until_abort(chunks.map(Ok))
+}
+
+/// Like [`stream`], for chunks that may end in an abort.
+///
+/// After an [`Aborted`] the connection is closed without the body's proper end,
+/// so that its reader can tell that the answer is not whole.
+pub fn stream_until_abort(chunks: impl Stream<Item = Result<Bytes, Aborted>> + 'static) -> Body {
+    let frames = chunks.map(|chunk| chunk.map(Frame::data));
     Body(Kind::Stream(StreamBody::new(DebugStream(Box::pin(frames)))))
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
 mod shutdown;
 mod stall;
 
-pub use body::{Body, BodyError, collect, empty, full, json, stream};
+pub use body::{Body, BodyError, collect, empty, full, json, stream, stream_until_abort};
 pub use client::{ClientError, client};
 pub use connection::Aborted;
 pub use error::{ErrorBody, ErrorDetail, Outcome};
--- a/crates/settings/src/check/shape.rs
+++ b/crates/settings/src/check/shape.rs
@@ -49,6 +49,13 @@
         /// Greatest value.
         max: u64,
     },
+    /// Number with or without a fraction, within a range, both ends included.
+    Number {
+        /// Least value.
+        min: f64,
+        /// Greatest value.
+        max: f64,
+    },
     /// `true` or `false`.
     Boolean,
     /// String of a closed set.
@@ -115,6 +122,7 @@
             Self::Text(form) => format!("a string, {}", form.describe()),
             Self::Address => "a string, IP address and port".to_owned(),
             Self::Integer { .. } => "a whole number".to_owned(),
+            Self::Number { .. } => "a number".to_owned(),
             Self::Boolean => "true or false".to_owned(),
             Self::Choice(known) => format!("a string, one of: {}", known.join(", ")),
             Self::Object(_) | Self::Map { .. } => "an object".to_owned(),
--- a/crates/settings/src/check/walk.rs
+++ b/crates/settings/src/check/walk.rs
@@ -47,6 +47,7 @@
             Shape::Text(form) => self.text(value, shape, *form),
             Shape::Address => self.address(value, shape),
             Shape::Integer { min, max } => self.integer(value, shape, *min, *max),
+            Shape::Number { min, max } => self.number(value, shape, *min, *max),
             Shape::Boolean => {
                 if value.as_boolean_lit().is_none() {
                     self.wrong_type(value, shape);
@@ -124,6 +125,22 @@
         }
     }
 
+    fn number(&mut self, value: &Value<'_>, shape: &Shape, min: f64, max: f64) {
+        let Some(number) = value.as_number_lit() else {
+            return self.wrong_type(value, shape);
+        };
+        let parsed = number.value.parse::<f64>();
+        if !parsed.is_ok_and(|parsed| (min..=max).contains(&parsed)) {
+            let problem = Problem::OutOfRange {
+                found: quote(number.value),
+                min: min as u64,
+                max: max as u64,
+                unit: self.path.last().map_or("", |key| hint::unit_of(key)),
+            };
+            self.find(number.range, problem);
+        }
+    }
+
     fn choice(&mut self, value: &Value<'_>, shape: &Shape, known: &'static [&'static str]) {
         let Some(text) = value.as_string_lit() else {
             return self.wrong_type(value, shape);
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -7,6 +7,7 @@
 
 mod builder;
 mod fields;
+mod gateway;
 mod read;
 
 use std::net::SocketAddr;
@@ -16,12 +17,13 @@
 
 pub use crate::check::SettingsError;
 pub use builder::DaemonSettingsBuilder;
+pub use gateway::GatewaySettings;
 pub use read::{check_daemon_settings, read_daemon_settings};
 
 use crate::ids::{AvailabilityZone, InstanceId, Region};
 
 /// Settings of one daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// Name of the instance, as the platform's list gives it.
@@ -57,6 +59,10 @@
     /// Whether a broken invariant ends the process; for tests.
     #[serde(default)]
     pub fatal_invariants: bool,
+    /// Serving of published routes in place of the own interface; unset means
+    /// the own interface.
+    #[serde(default)]
+    pub gateway: Option<GatewaySettings>,
 }
 
 const fn default_audit_capacity_entries() -> u32 {
--- a/crates/settings/src/process/builder.rs
+++ b/crates/settings/src/process/builder.rs
@@ -30,6 +30,7 @@
             audit_capacity_entries: default_audit_capacity_entries(),
             stop_limit_ms: None,
             fatal_invariants: false,
+            gateway: None,
         })
     }
 }
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -34,6 +34,19 @@
     Field::defaulted("audit_capacity_entries", between(1, 1_000_000)),
     Field::optional("stop_limit_ms", between(1, 24 * HOUR_MS)),
     Field::defaulted("fatal_invariants", Shape::Boolean),
+    Field::optional("gateway", Shape::Object(GATEWAY)),
+];
+
+const GATEWAY: &[Field] = &[
+    Field::required("ready_address", Shape::Address),
+    Field::required("news_address", Shape::Address),
+    Field::defaulted("seeds", Shape::List(&Shape::Address)),
+    Field::defaulted("key_lease_ms", between(100, HOUR_MS)),
+    Field::defaulted("second_send_ratio", number(0.0, 10.0)),
+    Field::defaulted("second_send_slack_requests", number(0.0, 1e6)),
+    Field::defaulted("second_send_window_s", number(0.1, 3_600.0)),
+    Field::defaulted("engine_stall_ms", number(1.0, 3.6e6)),
+    Field::defaulted("stop_grace_s", number(0.1, 3_600.0)),
 ];
 
 const LIMITS: &[Field] = &[
@@ -69,6 +82,10 @@
     Shape::Integer { min, max }
 }
 
+const fn number(min: f64, max: f64) -> Shape {
+    Shape::Number { min, max }
+}
+
 /// The addresses that the process itself listens on.
 const OWN_ADDRESSES: [&str; 3] = ["caller_address", "peer_address", "admin_address"];
 
--- a/crates/upstream/src/connection/answer.rs
+++ b/crates/upstream/src/connection/answer.rs
@@ -1,6 +1,6 @@
 //! An answer, and its connection's way back among the unused ones.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
@@ -12,6 +12,9 @@
 use crate::Target;
 use crate::error::{SendError, Step};
 
+/// Header in which the other end announces how long it keeps a connection.
+const KEEP_ALIVE: &str = "keep-alive";
+
 /// Head of an answer and the way to its body.
 ///
 /// Invariant: `sender` goes back only once the body was read to its end;
@@ -96,7 +99,19 @@
     /// Gives the connection back; only right after the body's end.
     fn release(&mut self) {
         if let Some(sender) = self.sender.take() {
-            self.connections.0.idle.put(self.target.address, sender);
+            let announced = idle_timeout(&self.headers);
+            self.connections
+                .0
+                .idle
+                .put(self.target.address, sender, announced);
         }
     }
 }
+
+/// Time after which the other end closes an unused connection, if it says so.
+fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parts = value.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- a/crates/upstream/src/connection/idle.rs
+++ b/crates/upstream/src/connection/idle.rs
@@ -7,6 +7,10 @@
 
 use super::Sender;
 
+/// Time before the announced end of an unused connection at which it is given up:
+/// a call sent later could meet the end on its way.
+const CLOSING_MARGIN: Duration = Duration::from_millis(500);
+
 /// Unused connections by address.
 ///
 /// Invariant: on each of them every answer was read to its end.
@@ -20,7 +24,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
-    since: Instant,
+    until: Instant,
 }
 
 impl IdleConnections {
@@ -38,25 +42,29 @@
         let mut by_address = self.by_address.borrow_mut();
         let kept = by_address.get_mut(&address)?;
         while let Some(entry) = kept.pop() {
-            let fresh = entry.since.elapsed() < self.timeout;
-            if fresh && entry.sender.is_ready() {
+            if Instant::now() < entry.until && entry.sender.is_ready() {
                 return Some(entry.sender);
             }
         }
         None
     }
 
-    pub(super) fn put(&self, address: SocketAddr, sender: Sender) {
+    /// Keeps a connection whose other end closes it after `announced`.
+    pub(super) fn put(&self, address: SocketAddr, sender: Sender, announced: Option<Duration>) {
         if sender.is_closed() {
             return;
         }
         let mut by_address = self.by_address.borrow_mut();
         let kept = by_address.entry(address).or_default();
-        kept.retain(|entry| entry.since.elapsed() < self.timeout && !entry.sender.is_closed());
-        if kept.len() < self.limit {
+        let now = Instant::now();
+        kept.retain(|entry| now < entry.until && !entry.sender.is_closed());
+        let usable = announced.map_or(self.timeout, |announced| {
+            self.timeout.min(announced.saturating_sub(CLOSING_MARGIN))
+        });
+        if kept.len() < self.limit && !usable.is_zero() {
             kept.push(Idle {
                 sender,
-                since: Instant::now(),
+                until: now + usable,
             });
         }
     }
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -20,6 +20,7 @@
 use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::Target;
 use crate::error::{SendError, Step};
@@ -31,6 +32,12 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Silence after which a connection is probed; the least that the kernel takes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+
 /// Settings of [`Connections`].
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionsOptions {
@@ -131,6 +138,7 @@
         // Without it a call of two writes waits for an acknowledgement; with
         // an error it still goes out.
         let _ = stream.set_nodelay(true);
+        watch_for_silence(&stream);
         let handshake = http1::handshake(HyperStream::new_plain(stream));
         let (sender, connection) = within(limit, target, Step::Connect, handshake)
             .await?
@@ -208,6 +216,24 @@
     }
 }
 
+/// Has the kernel probe a connection whose other end says nothing.
+///
+/// A peer behind a partition or without power resets nothing; without probes
+/// an answer would be awaited up to its deadline.
+fn watch_for_silence(stream: &TcpStream) {
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(PROBES);
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_keepalive(&probes)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(PROBE_PERIOD * PROBES)));
+    if let Err(error) = set {
+        log::debug!("upstream: connection without probes: {error}");
+    }
+}
+
 fn broken(target: &Target, step: Step, error: &(impl std::error::Error + ?Sized)) -> SendError {
     let cause = match error.source() {
         Some(source) => format!("{error}: {source}"),
