Keep long parts away from answers whose pauses they would break

Long parts came to engines with short answers (a prompt without room in one engine was spread as parts over all engines), and every engine that only read long parts also wrote for one long answer, which costs it a pass of 45 to 65 ms beside 110 ms of reading. Change: predicted passes are weighed against the pauses of the answers there; short answers share engines; memory is looked for at any engine before it is reserved at as few as hold it; answers to long prompts go to engines that write already. Conclusion: engines that only read are what long prompts need.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -68,7 +68,10 @@
     options: &'a ChoiceOptions,
     availability_zone: &'a str,
     count: usize,
-    is_long: bool,
+    /// Whether the answer allows only pauses about as short as any.
+    is_brisk: bool,
+    /// Longest pause that the request's own answer allows, in milliseconds.
+    gap_ms: f64,
 }
 
 /// Chooses among the upstreams of a plain service: the least loaded one.
@@ -109,15 +112,21 @@
     demand: &Demand,
     options: &ChoiceOptions,
     availability_zone: &str,
+    shortest_gap: Duration,
 ) -> Result<Choice, NoUpstream> {
     let read_ms = figures.read_ms(demand.prompt_tokens);
     let weighing = Weighing {
         options,
         availability_zone,
         count: candidates.len(),
-        is_long: read_ms > options.long_read_ms,
+        is_brisk: demand.gap <= shortest_gap.mul_f64(options.brisk_factor),
+        gap_ms: demand.gap.as_secs_f64() * 1_000.0,
+    };
+    let most = if read_ms <= options.unsplit_read_ms {
+        1
+    } else {
+        candidates.len().min(options.helpers_limit + 1)
     };
-    let most = candidates.len().min(options.helpers_limit + 1);
     let mut best: Option<(f64, Vec<usize>)> = None;
     for count in 1..=most {
         let part_ms = read_ms / count as f64;
@@ -135,7 +144,13 @@
         }
     }
     let (_, chosen) = best.ok_or(NoUpstream::AllTried)?;
-    lay_out(candidates, &chosen, figures, demand, options)
+    let part_ms = read_ms / chosen.len().max(1) as f64;
+    let by_cost = |index: &usize| weighing.cost_ms(&candidates[*index], part_ms);
+    let mut others: Vec<usize> = (0..candidates.len())
+        .filter(|index| !chosen.contains(index))
+        .collect();
+    others.sort_by(|one, other| by_cost(one).total_cmp(&by_cost(other)));
+    lay_out(candidates, &chosen, &others, figures, demand, options)
 }
 
 impl Weighing<'_> {
@@ -146,14 +161,16 @@
         let mut cost_ms = pass_ms / 2.0 + load.backlog_ms + part_ms;
         if let Some(gap_ms) = load.least_gap_ms {
             let pause_ms = pass_ms + load.backlog_ms + part_ms;
-            if pause_ms > gap_ms * self.options.gap_share {
-                cost_ms += self.options.broken_gap_cost_ms * f64::from(load.writers);
-            }
+            let broken = self.broken_share(pause_ms / gap_ms.max(1.0));
+            cost_ms += self.options.broken_gap_cost_ms * broken * f64::from(load.answering);
         }
-        let place = if self.is_long {
-            self.count - 1 - candidate.rank
-        } else {
+        if self.is_brisk && load.least_gap_ms.is_none_or(|gap_ms| gap_ms > self.gap_ms) {
+            cost_ms += self.options.opening_cost_ms;
+        }
+        let place = if self.is_brisk {
             candidate.rank
+        } else {
+            self.count - 1 - candidate.rank
         };
         cost_ms += self.options.rank_cost_ms * place as f64;
         if candidate.known.info.availability_zone != self.availability_zone {
@@ -167,92 +184,126 @@
     }
 }
 
+impl Weighing<'_> {
+    /// Share of the answers whose pause gets too long, when the next pass is
+    /// predicted to take this share of the pause.
+    ///
+    /// Grows with the square from the one bound to the other, as more parts may
+    /// come into the same pass.
+    fn broken_share(&self, pause_share: f64) -> f64 {
+        let (safe, broken) = (self.options.safe_gap_share, self.options.broken_gap_share);
+        let share = (pause_share - safe) / (broken - safe);
+        share.clamp(0.0, 1.0).powi(2)
+    }
+}
+
 fn pass_ms(candidate: &Candidate<'_>, writers: u32, context_tokens: u64) -> f64 {
     let figures = candidate.known.figures.as_ref();
     figures.map_or(0.0, |figures| figures.pass_ms(writers, context_tokens))
 }
 
+/// Memory of a candidate that is planned with, in tokens.
+fn planned_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
+    let figures = candidate.known.figures.as_ref();
+    let total = figures.map_or(0, |figures| figures.memory_tokens);
+    (total as f64 * options.memory_share) as u64
+}
+
 /// Memory of a candidate that is not set aside, in tokens.
 fn free_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
-    let total = candidate
-        .known
-        .figures
-        .as_ref()
-        .map_or(0, |figures| figures.memory_tokens);
-    let planned = (total as f64 * options.memory_share) as u64;
-    planned.saturating_sub(candidate.load.memory_tokens)
+    planned_tokens(candidate, options).saturating_sub(candidate.load.memory_tokens)
 }
 
-/// Decides who of the chosen answers, and where the prompt's memory lies.
+/// Decides who answers, and where the prompt's memory lies.
+///
+/// Best is one of the chosen engines with room for the whole prompt, then any
+/// other with room, as a reservation costs a round trip before the prompt is
+/// read. A prompt that would fit into one engine, but for what runs there now,
+/// waits in the queue of the one with most room.
 fn lay_out(
     candidates: &[Candidate<'_>],
     chosen: &[usize],
+    others: &[usize],
     figures: &Rc<EngineFigures>,
     demand: &Demand,
     options: &ChoiceOptions,
 ) -> Result<Choice, NoUpstream> {
     let needed_tokens = demand.prompt_tokens + demand.answer_limit_tokens;
-    let mut order = chosen.to_vec();
+    let free = |index: usize| free_tokens(&candidates[index], options);
+    let fits = |index: &usize| free(*index) >= needed_tokens;
+    // An engine that writes for one spends half of its time on that, so those
+    // that write already take the next one too and the others only read.
     let answering = |index: &usize| {
         let candidate = &candidates[*index];
-        let fits = free_tokens(candidate, options) >= needed_tokens;
         let is_full = candidate.load.answering >= candidate.known.slots();
-        (!fits, is_full, candidate.load.answering)
+        (is_full, std::cmp::Reverse(candidate.load.writers))
     };
-    if let Some(first) = order.iter().copied().min_by_key(answering) {
-        order.retain(|index| *index != first);
-        order.insert(0, first);
+    let mut order = chosen.to_vec();
+    let with_room = chosen.iter().copied().filter(fits).min_by_key(answering);
+    let with_room = with_room.or_else(|| others.iter().copied().find(fits));
+    if let Some(first) = with_room {
+        put_first(&mut order, first, options);
+        let unreserved = vec![None; order.len()];
+        return Ok(choice(candidates, &order, &unreserved, figures, demand));
     }
-    let fits = free_tokens(&candidates[order[0]], options) >= needed_tokens;
-    let mut reserved: Vec<Option<u64>> = vec![None; order.len()];
-    if !fits {
-        (order, reserved) = spread(candidates, order, needed_tokens, demand, options)?;
+    match spread(candidates, chosen, others, demand, options) {
+        Some((order, reserved)) => Ok(choice(candidates, &order, &reserved, figures, demand)),
+        None if needed_tokens <= planned_tokens(&candidates[order[0]], options) => {
+            let roomiest = (0..candidates.len()).max_by_key(|index| free(*index));
+            let first = roomiest.unwrap_or(order[0]);
+            put_first(&mut order, first, options);
+            let unreserved = vec![None; order.len()];
+            Ok(choice(candidates, &order, &unreserved, figures, demand))
+        }
+        None => Err(NoUpstream::TooLarge),
+    }
+}
+
+/// Moves an engine to the front; one that is not there yet takes the last one's place.
+fn put_first(order: &mut Vec<usize>, first: usize, options: &ChoiceOptions) {
+    let before = order.len();
+    order.retain(|index| *index != first);
+    if order.len() == before && before > options.helpers_limit {
+        order.pop();
     }
-    Ok(choice(candidates, &order, &reserved, figures, demand))
+    order.insert(0, first);
 }
 
-/// Spreads a prompt's memory over reservations at further engines.
+/// An order of engines with the memory reserved at each.
+type Spread = (Vec<usize>, Vec<Option<u64>>);
+
+/// Spreads a prompt's memory over reservations at as few engines as hold it.
 ///
 /// The engine that answers keeps the rest, which has room for the answer. Engines
-/// that were not chosen to read join when the chosen ones have too little.
+/// that were not chosen to read join only when the chosen ones have too little.
 fn spread(
     candidates: &[Candidate<'_>],
-    chosen: Vec<usize>,
-    needed_tokens: u64,
+    chosen: &[usize],
+    others: &[usize],
     demand: &Demand,
     options: &ChoiceOptions,
-) -> Result<(Vec<usize>, Vec<Option<u64>>), NoUpstream> {
+) -> Option<Spread> {
     let free = |index: usize| free_tokens(&candidates[index], options);
-    let by_room = |indices: &mut Vec<usize>| {
-        indices.sort_by_key(|index| std::cmp::Reverse(free(*index)));
-    };
-    let mut order = chosen;
-    by_room(&mut order);
-    let mut others: Vec<usize> = (0..candidates.len())
-        .filter(|index| !order.contains(index))
-        .collect();
-    by_room(&mut others);
-    order.extend(others);
-    order.truncate(options.helpers_limit + 1);
-    let first_tokens = free(order[0]).saturating_sub(demand.answer_limit_tokens);
-    let mut left = needed_tokens
-        .saturating_sub(demand.answer_limit_tokens)
-        .saturating_sub(first_tokens);
-    let mut reserved = vec![None; order.len()];
-    for (place, index) in order.iter().enumerate().skip(1) {
-        if left == 0 {
-            break;
-        }
-        let taken = free(*index).min(left);
-        if taken > 0 {
-            reserved[place] = Some(taken);
-            left -= taken;
+    let mut order = chosen.to_vec();
+    order.sort_by_key(|index| std::cmp::Reverse(free(*index)));
+    let mut joining = others.iter();
+    let room = |order: &[usize]| order.iter().map(|index| free(*index)).sum::<u64>();
+    while room(&order) < demand.prompt_tokens + demand.answer_limit_tokens {
+        if order.len() > options.helpers_limit {
+            return None;
         }
+        order.push(*joining.next()?);
+        order.sort_by_key(|index| std::cmp::Reverse(free(*index)));
     }
-    if left > 0 {
-        return Err(NoUpstream::TooLarge);
+    let kept_tokens = free(*order.first()?).saturating_sub(demand.answer_limit_tokens);
+    let mut left_tokens = demand.prompt_tokens.saturating_sub(kept_tokens);
+    let mut reserved = vec![None];
+    for index in order.iter().skip(1) {
+        let taken_tokens = free(*index).min(left_tokens);
+        reserved.push(Some(taken_tokens).filter(|tokens| *tokens > 0));
+        left_tokens -= taken_tokens;
     }
-    Ok((order, reserved))
+    (left_tokens == 0).then_some((order, reserved))
 }
 
 fn choice(
--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -17,15 +17,25 @@
     /// About the time by which one more short answer lengthens a pass, so that
     /// an engine gets the next request when the one before it has one or two more.
     pub rank_cost_ms: f64,
-    /// Prompts that take longer to read fill the engines from the far end, in
-    /// milliseconds; 100 by default, between the short class and the next one.
-    pub long_read_ms: f64,
-    /// Share of an answer's longest pause that a pass may take; 0.75 by default.
+    /// Cost of putting a short request on an engine that answers none with as
+    /// short a pause, in milliseconds; 50 by default.
     ///
-    /// The rest is for what the prediction leaves out: other daemons' latest
-    /// placements and the way to the caller.
-    pub gap_share: f64,
-    /// Cost of each answer whose pause would get too long, in milliseconds; 120 by default.
+    /// From then on long parts have to stay away from that engine. An engine that
+    /// answers nobody begins at once, which saves up to half a pass of some 60 ms:
+    /// without this cost short requests would take each engine that falls idle.
+    pub opening_cost_ms: f64,
+    /// Prompts that one engine reads within this time are not split, in
+    /// milliseconds; 100 by default, a third of the shortest usual target.
+    pub unsplit_read_ms: f64,
+    /// Answers with pauses of up to this many times the shortest fill the engines
+    /// from the near end, all others from the far end; 1.5 by default.
+    pub brisk_factor: f64,
+    /// Share of an answer's longest pause up to which a predicted pass is safe;
+    /// 0.4 by default, as short prompts that come later read in the same pass.
+    pub safe_gap_share: f64,
+    /// Share from which a predicted pass breaks the pause for certain; 0.8 by default.
+    pub broken_gap_share: f64,
+    /// Cost of each answer whose pause would get too long, in milliseconds; 600 by default.
     pub broken_gap_cost_ms: f64,
     /// Cost of an engine in another availability zone, in milliseconds; 3 by
     /// default, about a round trip.
@@ -51,9 +61,12 @@
         Self {
             helper_cost_ms: 12.0,
             rank_cost_ms: 1.5,
-            long_read_ms: 100.0,
-            gap_share: 0.75,
-            broken_gap_cost_ms: 120.0,
+            opening_cost_ms: 50.0,
+            unsplit_read_ms: 100.0,
+            brisk_factor: 1.5,
+            safe_gap_share: 0.4,
+            broken_gap_share: 0.8,
+            broken_gap_cost_ms: 600.0,
             other_zone_cost_ms: 3.0,
             full_cost_ms: 400.0,
             memory_share: 0.96,
--- a/crates/engines/src/upstream.rs
+++ b/crates/engines/src/upstream.rs
@@ -37,7 +37,7 @@
     pub(crate) context_tokens: u64,
     /// Memory set aside, in tokens.
     pub(crate) memory_tokens: u64,
-    /// Shortest pause that an answer being written allows, in milliseconds.
+    /// Shortest pause that an answer of this upstream allows, in milliseconds.
     pub(crate) least_gap_ms: Option<f64>,
 }
 
@@ -77,7 +77,7 @@
     /// Adds up the work on this upstream.
     pub(crate) fn load<'a>(&self, works: impl Iterator<Item = &'a Work>, now: Instant) -> Load {
         let mut load = Load::default();
-        let mut is_reading = false;
+        let mut unread_ms = 0.0_f64;
         let mut late_ms = 0.0_f64;
         for work in works {
             for (place, part) in work.parts.iter().enumerate() {
@@ -86,14 +86,17 @@
                 }
                 load.add(work, part, place == 0);
                 if work.is_reading {
-                    is_reading = true;
+                    unread_ms += part.read_ms;
                     late_ms = late_ms.max(lateness_ms(work, now));
                 }
             }
         }
-        if is_reading {
+        if unread_ms > 0.0 {
+            // Work that was refused, cancelled or read sooner than planned is
+            // still in the plan, but no more among what is unread.
             let planned = self.busy_until.saturating_duration_since(now);
-            load.backlog_ms = planned.as_secs_f64() * 1_000.0 + late_ms;
+            let planned_ms = planned.as_secs_f64() * 1_000.0;
+            load.backlog_ms = planned_ms.min(unread_ms) + late_ms;
         }
         load
     }
@@ -103,6 +106,8 @@
     fn add(&mut self, work: &Work, part: &Part, answers: bool) {
         if answers {
             self.answering += 1;
+            let least = self.least_gap_ms.unwrap_or(f64::INFINITY);
+            self.least_gap_ms = Some(least.min(work.gap_ms));
         } else if work.is_reading {
             self.helping += 1;
         }
@@ -110,8 +115,6 @@
         if !work.is_reading && part.context_tokens > 0 {
             self.writers += 1;
             self.context_tokens += part.context_tokens;
-            let least = self.least_gap_ms.unwrap_or(f64::INFINITY);
-            self.least_gap_ms = Some(least.min(work.gap_ms));
         }
     }
 }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -42,6 +42,8 @@
     known: Vec<Known>,
     works: HashMap<WorkKey, Work>,
     next_work: WorkId,
+    /// Shortest pause that any request so far allowed.
+    shortest_gap: Option<Duration>,
 }
 
 /// What is known of one upstream, for a status page.
@@ -109,6 +111,10 @@
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
         state.works.retain(|_, work| now < work.expires_at);
+        if demand.prompt_tokens > 0 {
+            let shortest = state.shortest_gap.unwrap_or(demand.gap).min(demand.gap);
+            state.shortest_gap = Some(shortest);
+        }
         let choice = self.choose(&state, service, demand, tried, now)?;
         let id = state.next_work;
         state.next_work += 1;
@@ -172,7 +178,8 @@
         let (options, zone) = (&self.0.options, &self.0.availability_zone);
         match figures {
             Some(figures) if demand.prompt_tokens > 0 => {
-                choose_engines(&candidates, &figures, demand, options, zone)
+                let shortest_gap = state.shortest_gap.unwrap_or(demand.gap);
+                choose_engines(&candidates, &figures, demand, options, zone, shortest_gap)
             }
             _ => choose_plain(&candidates, options, zone, state.next_work)
                 .ok_or(NoUpstream::AllTried),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -166,6 +166,7 @@
         readers: 0,
         expected: Duration::ZERO,
         first_event: None,
+        longest_pause: Duration::ZERO,
         took: call.arrived.elapsed(),
         version: call.version,
         lease_age: call.lease_age,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -220,6 +220,7 @@
         readers: 0,
         expected: Duration::ZERO,
         first_event: None,
+        longest_pause: Duration::ZERO,
         took: arrived.elapsed(),
         version,
         lease_age: gateway.parts().published.lease().age(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -151,6 +151,8 @@
     ready: Option<Bytes>,
     is_over: bool,
     first_event: Duration,
+    last_event_at: Instant,
+    longest_pause: Duration,
     outcome: &'static str,
     reason: String,
 }
@@ -172,6 +174,8 @@
             framer: opening.framer,
             ready,
             is_over: opening.is_over,
+            last_event_at: Instant::now(),
+            longest_pause: Duration::ZERO,
             outcome: "cancelled",
             reason: String::new(),
         }
@@ -219,6 +223,12 @@
                 let framed =
                     framed.ok_or_else(|| Failed::MayHaveRun("an endless event".to_owned()))?;
                 self.ready = Some(framed.bytes).filter(|bytes| !bytes.is_empty());
+                if self.ready.is_some() {
+                    let now = Instant::now();
+                    let pause = now.saturating_duration_since(self.last_event_at);
+                    self.longest_pause = self.longest_pause.max(pause);
+                    self.last_event_at = now;
+                }
                 Ok(())
             }
             Ok(None) if !self.framer.is_mid_event() => {
@@ -293,6 +303,7 @@
             readers,
             expected,
             first_event: Some(self.first_event),
+            longest_pause: self.longest_pause,
             ..ended(&self.call, &self.history)
         };
         ended.write();
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -69,6 +69,7 @@
     pub(crate) readers: usize,
     pub(crate) expected: Duration,
     pub(crate) first_event: Option<Duration>,
+    pub(crate) longest_pause: Duration,
     pub(crate) took: Duration,
     pub(crate) version: ConfigurationVersion,
     pub(crate) lease_age: Option<Duration>,
@@ -88,6 +89,7 @@
             readers = self.readers,
             expected_ms = milliseconds(self.expected),
             first_event_ms = self.first_event.map_or(0, milliseconds),
+            longest_pause_ms = milliseconds(self.longest_pause),
             took_ms = milliseconds(self.took),
             configuration_version = self.version,
             lease_age_ms = self.lease_age.map_or(0, milliseconds);
