--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -138,6 +138,7 @@
     let background = vec![
         spawn(published.follow(Rc::new(store))),
         spawn(Rc::clone(&sharing).tell(told)),
+        spawn(Rc::clone(&sharing).repeat()),
         spawn(sharing.hear()),
     ];
     Ok((gateway, peers, background))
@@ -174,8 +175,8 @@
             state = format!("{:?}", member.state).as_str();
             "daemon: member changed"
         );
-        if let Some(sharing) = sharing.get() {
-            sharing.member(&member.instance, member.incarnation, member.state.answers());
+        if let Some(sharing) = sharing.get().filter(|_| !member.state.answers()) {
+            sharing.gone(&member.instance);
         }
     });
     let no_calls: mangofront_peers::Responder =
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -19,6 +19,10 @@
     pub answer_limit_tokens: u64,
     /// Longest pause between events of an answer in time.
     pub gap: Duration,
+    /// Time to the first event that is aimed at.
+    pub target: Duration,
+    /// Time for which the request has waited for engines with less to do.
+    pub waited: Duration,
     /// Time after which the request has ended for certain.
     pub time_left: Duration,
 }
@@ -32,6 +36,12 @@
     /// Every one was tried or has failed lately.
     #[error("every upstream of the service was tried already")]
     AllTried,
+    /// Engines have too much to do for a prompt of this length; ask again soon.
+    #[error("the engines are busy")]
+    Busy,
+    /// No engine can take one more request for now.
+    #[error("every slot of the engines is taken")]
+    Full,
     /// The prompt does not fit into the memory of all engines.
     #[error("the prompt is larger than the engines' memory")]
     TooLarge,
@@ -114,6 +124,12 @@
     availability_zone: &str,
     shortest_gap: Duration,
 ) -> Result<Choice, NoUpstream> {
+    let has_slot = |candidate: &Candidate<'_>| {
+        candidate.load.answering < candidate.known.slots() + options.queued_requests
+    };
+    if !candidates.iter().any(has_slot) {
+        return Err(NoUpstream::Full);
+    }
     let read_ms = figures.read_ms(demand.prompt_tokens);
     let weighing = Weighing {
         options,
@@ -150,7 +166,32 @@
         .filter(|index| !chosen.contains(index))
         .collect();
     others.sort_by(|one, other| by_cost(one).total_cmp(&by_cost(other)));
-    lay_out(candidates, &chosen, &others, figures, demand, options)
+    let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
+    if !has_waited && queue_ms(candidates, &chosen) > queue_limit_ms(read_ms, options) {
+        return Err(NoUpstream::Busy);
+    }
+    match lay_out(candidates, &chosen, &others, figures, demand, options, has_waited) {
+        Err(NoUpstream::TooLarge) if !has_waited => Err(NoUpstream::Busy),
+        laid_out => laid_out,
+    }
+}
+
+/// Time before the last of the chosen engines begins with its part, in milliseconds.
+fn queue_ms(candidates: &[Candidate<'_>], chosen: &[usize]) -> f64 {
+    let backlogs = chosen.iter().map(|index| candidates[*index].load.backlog_ms);
+    backlogs.fold(0.0, f64::max)
+}
+
+/// Longest queue before engines in which a prompt is put, in milliseconds.
+///
+/// Engines read in the order of arrival. Prompts that take long are held back
+/// until engines have little else to do, so that shorter ones, of which more are
+/// in time for the same work, come first.
+fn queue_limit_ms(read_ms: f64, options: &ChoiceOptions) -> f64 {
+    if read_ms <= options.unsplit_read_ms {
+        return f64::INFINITY;
+    }
+    options.queue_read_ms2 / read_ms
 }
 
 impl Weighing<'_> {
@@ -218,8 +259,8 @@
 ///
 /// Best is one of the chosen engines with room for the whole prompt, then any
 /// other with room, as a reservation costs a round trip before the prompt is
-/// read. A prompt that would fit into one engine, but for what runs there now,
-/// waits in the queue of the one with most room.
+/// read. A prompt that has waited long enough, and would fit into one engine but
+/// for what runs there now, goes into the queue of the one with most room.
 fn lay_out(
     candidates: &[Candidate<'_>],
     chosen: &[usize],
@@ -227,6 +268,7 @@
     figures: &Rc<EngineFigures>,
     demand: &Demand,
     options: &ChoiceOptions,
+    has_waited: bool,
 ) -> Result<Choice, NoUpstream> {
     let needed_tokens = demand.prompt_tokens + demand.answer_limit_tokens;
     let free = |index: usize| free_tokens(&candidates[index], options);
@@ -242,16 +284,17 @@
     let with_room = chosen.iter().copied().filter(fits).min_by_key(answering);
     let with_room = with_room.or_else(|| others.iter().copied().find(fits));
     if let Some(first) = with_room {
-        put_first(&mut order, first, options);
+        put_first(&mut order, first);
         let unreserved = vec![None; order.len()];
         return Ok(choice(candidates, &order, &unreserved, figures, demand));
     }
     match spread(candidates, chosen, others, demand, options) {
         Some((order, reserved)) => Ok(choice(candidates, &order, &reserved, figures, demand)),
-        None if needed_tokens <= planned_tokens(&candidates[order[0]], options) => {
-            let roomiest = (0..candidates.len()).max_by_key(|index| free(*index));
+        None if has_waited && needed_tokens <= planned_tokens(&candidates[order[0]], options) => {
+            let taken = |index: &usize| candidates[*index].load.memory_tokens;
+            let roomiest = (0..candidates.len()).min_by_key(taken);
             let first = roomiest.unwrap_or(order[0]);
-            put_first(&mut order, first, options);
+            put_first(&mut order, first);
             let unreserved = vec![None; order.len()];
             Ok(choice(candidates, &order, &unreserved, figures, demand))
         }
@@ -260,10 +303,10 @@
 }
 
 /// Moves an engine to the front; one that is not there yet takes the last one's place.
-fn put_first(order: &mut Vec<usize>, first: usize, options: &ChoiceOptions) {
+fn put_first(order: &mut Vec<usize>, first: usize) {
     let before = order.len();
     order.retain(|index| *index != first);
-    if order.len() == before && before > options.helpers_limit {
+    if order.len() == before {
         order.pop();
     }
     order.insert(0, first);
--- a/crates/engines/src/news.rs
+++ b/crates/engines/src/news.rs
@@ -36,6 +36,15 @@
         /// Number of the request.
         work: WorkId,
     },
+    /// All requests of the teller that have not ended, told each second.
+    ///
+    /// Whoever missed an end, or a first event, is set right by it.
+    Running {
+        /// Requests whose first event is awaited.
+        reading: Vec<WorkId>,
+        /// Requests that write.
+        writing: Vec<WorkId>,
+    },
     /// An upstream failed.
     Failed {
         /// The upstream.
--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -27,6 +27,15 @@
     /// Prompts that one engine reads within this time are not split, in
     /// milliseconds; 100 by default, a third of the shortest usual target.
     pub unsplit_read_ms: f64,
+    /// Longest queue before engines, times the time that a prompt takes to read, in
+    /// square milliseconds; 500,000 by default.
+    ///
+    /// A prompt of 45,000 tokens (0.36 s) is put behind up to 1.4 s of others, one
+    /// of 133,000 (1.9 s) behind 0.26 s, one of 300,000 (7.7 s) behind 65 ms.
+    pub queue_read_ms2: f64,
+    /// Targets for which a prompt waits for a shorter queue before it is put in
+    /// whatever there is; 2 by default, half of the time after which callers leave.
+    pub wait_targets: f64,
     /// Answers with pauses of up to this many times the shortest fill the engines
     /// from the near end, all others from the far end; 1.5 by default.
     pub brisk_factor: f64,
@@ -43,6 +52,11 @@
     /// Cost of a request that has to wait for a slot, in milliseconds; 400 by
     /// default, a third of a short answer's time.
     pub full_cost_ms: f64,
+    /// Requests that may wait for a slot of an engine; 1 by default.
+    ///
+    /// When every engine has as many, a further request would be late and make
+    /// others late: a slot is held for seconds, a first event is due in tenths.
+    pub queued_requests: u32,
     /// Share of an engine's memory that is planned with; 0.96 by default, as
     /// memory comes in blocks and answers grow.
     pub memory_share: f64,
@@ -63,12 +77,15 @@
             rank_cost_ms: 1.5,
             opening_cost_ms: 50.0,
             unsplit_read_ms: 100.0,
+            queue_read_ms2: 1_500_000.0,
+            wait_targets: 0.5,
             brisk_factor: 1.5,
             safe_gap_share: 0.4,
             broken_gap_share: 0.8,
             broken_gap_cost_ms: 600.0,
             other_zone_cost_ms: 3.0,
             full_cost_ms: 400.0,
+            queued_requests: 1,
             memory_share: 0.96,
             helpers_limit: 16,
             first_ejection: Duration::from_millis(500),
--- a/crates/engines/src/upstream.rs
+++ b/crates/engines/src/upstream.rs
@@ -11,6 +11,10 @@
 /// Lateness of a first event from which an upstream counts as held up.
 const LATE_AFTER: Duration = Duration::from_millis(150);
 
+/// Most that a late first event counts for, in milliseconds: enough to prefer
+/// another upstream, little enough for one that is only slow to stay in use.
+const LATE_LIMIT_MS: f64 = 500.0;
+
 /// One upstream and the work on it.
 #[derive(Debug)]
 pub(crate) struct Known {
@@ -122,5 +126,5 @@
 /// How much later than expected a first event is, in milliseconds.
 fn lateness_ms(work: &Work, now: Instant) -> f64 {
     let late = now.saturating_duration_since(work.expected_at + LATE_AFTER);
-    late.as_secs_f64() * 1_000.0
+    (late.as_secs_f64() * 1_000.0).min(LATE_LIMIT_MS)
 }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -21,6 +21,13 @@
 /// Who placed a request: this daemon or another.
 type WorkKey = (Origin, WorkId);
 
+/// Silence after which a daemon's requests are forgotten: it tells of them each
+/// second, and a datagram or two may be lost.
+const SILENT_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Age up to which a request may be missing in a list that was on its way.
+const LATEST_NEWS: Duration = Duration::from_millis(300);
+
 /// Origin of this daemon's own work.
 const OWN: Origin = 0;
 
@@ -42,6 +49,8 @@
     known: Vec<Known>,
     works: HashMap<WorkKey, Work>,
     next_work: WorkId,
+    /// When each other daemon was last heard.
+    heard: HashMap<Origin, Instant>,
     /// Shortest pause that any request so far allowed.
     shortest_gap: Option<Duration>,
 }
@@ -110,7 +119,7 @@
     ) -> Result<Placed, NoUpstream> {
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
-        state.works.retain(|_, work| now < work.expires_at);
+        state.forget_old(now);
         if demand.prompt_tokens > 0 {
             let shortest = state.shortest_gap.unwrap_or(demand.gap).min(demand.gap);
             state.shortest_gap = Some(shortest);
@@ -124,6 +133,7 @@
             is_reading: demand.prompt_tokens > 0,
             expected_at: now + expected,
             gap_ms: demand.gap.as_secs_f64() * 1_000.0,
+            known_since: now,
             expires_at: expiry(demand, now),
         };
         self.tell(placed_news(id, &work, expected, demand.time_left));
@@ -230,6 +240,7 @@
     pub fn hear(&self, origin: Origin, news: News) {
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
+        state.heard.insert(origin, now);
         match news {
             News::Placed {
                 work,
@@ -244,6 +255,7 @@
                     parts: parts.iter().map(part_of).collect(),
                     expected_at: now + Duration::from_millis(u64::from(expected_in_ms)),
                     gap_ms: f64::from(gap_ms),
+                    known_since: now,
                     expires_at: now + Duration::from_millis(u64::from(expires_in_ms)),
                 };
                 state.add(work_key, heard, now);
@@ -252,6 +264,9 @@
             News::Ended { work } => {
                 state.works.remove(&(origin, work));
             }
+            News::Running { reading, writing } => {
+                state.set_running(origin, &reading, &writing, now);
+            }
             News::Failed {
                 upstream,
                 ejected_ms,
@@ -269,6 +284,23 @@
     pub fn forget(&self, origin: Origin) {
         let mut state = self.0.state.borrow_mut();
         state.works.retain(|key, _| key.0 != origin);
+        state.heard.remove(&origin);
+    }
+
+    /// Tells the other daemons of all requests that have not ended.
+    pub fn tell_running(&self) {
+        let state = self.0.state.borrow();
+        let own = || state.works.iter().filter(|(key, _)| key.0 == OWN);
+        let of = |is_reading| {
+            own()
+                .filter(move |(_, work)| work.is_reading == is_reading)
+                .map(|(key, _)| key.1)
+                .collect()
+        };
+        self.tell(News::Running {
+            reading: of(true),
+            writing: of(false),
+        });
     }
 
     /// The view, for a status page.
@@ -305,6 +337,34 @@
         self.works.insert(key, work);
     }
 
+    /// Drops requests that have ended for certain, and those of daemons that
+    /// are not heard any more: they are dead, and their requests with them, or
+    /// cut off, and then nothing is known.
+    fn forget_old(&mut self, now: Instant) {
+        let is_silent = |at: &Instant| now.saturating_duration_since(*at) > SILENT_AFTER;
+        let silent: Vec<Origin> = self
+            .heard
+            .iter()
+            .filter(|(_, at)| is_silent(at))
+            .map(|(origin, _)| *origin)
+            .collect();
+        self.heard.retain(|_, at| !is_silent(at));
+        self.works
+            .retain(|key, work| now < work.expires_at && !silent.contains(&key.0));
+    }
+
+    /// Sets the requests of another daemon right by its own list.
+    fn set_running(&mut self, origin: Origin, reading: &[WorkId], writing: &[WorkId], now: Instant) {
+        self.works.retain(|key, work| {
+            let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
+            let is_running = reading.contains(&key.1) || writing.contains(&key.1);
+            key.0 != origin || is_new || is_running
+        });
+        for work in writing {
+            self.mark_read(&(origin, *work));
+        }
+    }
+
     fn mark_read(&mut self, key: &WorkKey) {
         if let Some(work) = self.works.get_mut(key) {
             work.is_reading = false;
--- a/crates/engines/src/work.rs
+++ b/crates/engines/src/work.rs
@@ -39,6 +39,8 @@
     pub(crate) expected_at: Instant,
     /// Longest pause between events of an answer in time, in milliseconds.
     pub(crate) gap_ms: f64,
+    /// When it was placed, or heard of.
+    pub(crate) known_since: Instant,
     /// When it is forgotten, should its end never be heard of.
     pub(crate) expires_at: Instant,
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -29,6 +29,10 @@
 /// Least time left in which another attempt is of use.
 const LEAST_TIME: Duration = Duration::from_millis(40);
 
+/// Pause between looks at engines that have too much to do: short against the
+/// parts that they read, long against the cost of a look.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+
 /// How many times the predicted time a first event may take before the attempt
 /// is given up, if another one may follow.
 const PATIENCE_FACTOR: u32 = 3;
@@ -40,6 +44,10 @@
 /// When a caller may come back after all upstreams were full or none was known.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
 
+/// When a caller may come back after every slot was taken: about the time for
+/// which a short answer holds one.
+const RETRY_AFTER_SLOTS: Duration = Duration::from_millis(2_000);
+
 /// Urgency at the engine of the most urgent rank; it grows by one with each.
 const FIRST_URGENCY: u8 = 2;
 
@@ -132,6 +140,11 @@
         match failed {
             Failed::NoUpstream(NoUpstream::NoneKnown) => not_run("no_upstream_known"),
             Failed::NoUpstream(NoUpstream::AllTried) => not_run("all_upstreams_tried"),
+            Failed::NoUpstream(NoUpstream::Busy) => not_run("upstreams_busy"),
+            Failed::NoUpstream(NoUpstream::Full) => Refusal::NotRun {
+                reason: "all_slots_taken",
+                retry_after: RETRY_AFTER_SLOTS,
+            },
             Failed::NoUpstream(NoUpstream::TooLarge) => not_run("no_memory_for_prompt"),
             Failed::Unreachable(_) => not_run("upstreams_unreachable"),
             Failed::NotRun(_) => not_run("upstream_did_not_run_it"),
@@ -148,11 +161,7 @@
     history: &mut History,
     last_event_id: Option<EventId>,
 ) -> Result<Answering, Failed> {
-    let placed = gateway
-        .parts()
-        .upstreams
-        .place(&call.service, &demand(call), &history.tried)
-        .map_err(Failed::NoUpstream)?;
+    let placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
     let key = key_of(&upstream.id);
     history.tried.push(key);
@@ -183,8 +192,23 @@
     })
 }
 
+/// Chooses the upstreams; waits while they have too much to do.
+async fn place(gateway: &Gateway, call: &Call, history: &History) -> Result<Placed, Failed> {
+    let asked = Instant::now();
+    loop {
+        let demand = demand(call, asked.elapsed());
+        let upstreams = &gateway.parts().upstreams;
+        match upstreams.place(&call.service, &demand, &history.tried) {
+            Err(NoUpstream::Busy) if call.time_left() > LEAST_TIME => {
+                compio::time::sleep(BUSY_PAUSE).await;
+            }
+            placed => return placed.map_err(Failed::NoUpstream),
+        }
+    }
+}
+
 /// What placement has to know of a request.
-fn demand(call: &Call) -> Demand {
+fn demand(call: &Call, waited: Duration) -> Demand {
     let gap = match call.route.safety {
         Safety::Stream { gap, .. } => gap,
         Safety::Idempotent | Safety::AtMostOnce => Duration::ZERO,
@@ -194,6 +218,8 @@
         prompt_tokens: tokens.map_or(0, |tokens| tokens.prompt_tokens),
         answer_limit_tokens: tokens.map_or(0, |tokens| tokens.answer_limit_tokens),
         gap,
+        target: call.route.target,
+        waited,
         time_left: call.time_left(),
     }
 }
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -33,6 +33,9 @@
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Time between two lists of all that has not ended.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Pause after a failed reading, so that a lasting fault does not spin.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -46,7 +49,10 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram {
-    origin: Origin,
+    /// Short name of the daemon that tells.
+    daemon: u64,
+    /// Its life.
+    incarnation: Incarnation,
     news: Vec<News>,
 }
 
@@ -56,10 +62,10 @@
     socket: UdpSocket,
     port: u16,
     peers: Peers,
-    own: Origin,
+    daemon: u64,
     upstreams: Upstreams,
-    /// Lives of daemons whose work is known, by their instance.
-    lives: RefCell<HashMap<InstanceId, Origin>>,
+    /// Lives of the other daemons, by their short names.
+    lives: RefCell<HashMap<u64, Incarnation>>,
 }
 
 impl Sharing {
@@ -76,12 +82,11 @@
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|cause| SharingError { address, cause })?;
-        let own = origin(instance, peers.incarnation());
         Ok(Rc::new(Self {
             socket,
             port: address.port(),
             peers,
-            own,
+            daemon: xxh3_64(instance.as_bytes()),
             upstreams,
             lives: RefCell::default(),
         }))
@@ -123,17 +128,19 @@
         }
     }
 
-    /// Takes note of a daemon's life; work of an earlier one is forgotten.
-    pub fn member(&self, instance: &InstanceId, incarnation: Incarnation, answers: bool) {
-        let life = origin(instance, incarnation);
-        let mut lives = self.lives.borrow_mut();
-        let before = if answers {
-            lives.insert(instance.clone(), life)
-        } else {
-            lives.remove(instance)
-        };
-        if let Some(before) = before.filter(|before| !answers || *before != life) {
-            self.upstreams.forget(before);
+    /// Tells the others each second of all that has not ended, for ever.
+    pub async fn repeat(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(REPEAT_PERIOD).await;
+            self.upstreams.tell_running();
+        }
+    }
+
+    /// Forgets the work of a daemon that is gone.
+    pub fn gone(&self, instance: &InstanceId) {
+        let daemon = xxh3_64(instance.as_bytes());
+        if let Some(life) = self.lives.borrow_mut().remove(&daemon) {
+            self.upstreams.forget(origin(daemon, life));
         }
     }
 
@@ -146,11 +153,30 @@
             log::debug!("gateway: news of {} bytes can't be read", bytes.len());
             return;
         };
-        if datagram.origin == self.own {
+        if datagram.daemon == self.daemon || !self.is_latest_life(&datagram) {
             return;
         }
+        let origin = origin(datagram.daemon, datagram.incarnation);
         for news in datagram.news {
-            self.upstreams.hear(datagram.origin, news);
+            self.upstreams.hear(origin, news);
+        }
+    }
+
+    /// Whether a datagram is of its daemon's latest life; work of an earlier one
+    /// ended with it and is forgotten.
+    fn is_latest_life(&self, datagram: &Datagram) -> bool {
+        let mut lives = self.lives.borrow_mut();
+        let before = lives.insert(datagram.daemon, datagram.incarnation);
+        match before {
+            Some(before) if before > datagram.incarnation => {
+                lives.insert(datagram.daemon, before);
+                false
+            }
+            Some(before) if before < datagram.incarnation => {
+                self.upstreams.forget(origin(datagram.daemon, before));
+                true
+            }
+            _ => true,
         }
     }
 
@@ -167,7 +193,8 @@
     /// The news in as few datagrams as hold it.
     fn datagrams(&self, news: Vec<News>) -> Vec<Vec<u8>> {
         let datagram = Datagram {
-            origin: self.own,
+            daemon: self.daemon,
+            incarnation: self.peers.incarnation(),
             news,
         };
         // Numbers and lists of numbers only, so writing can't fail.
@@ -184,6 +211,6 @@
 }
 
 /// Short name of one life of a daemon; never that of the own work.
-fn origin(instance: &InstanceId, incarnation: Incarnation) -> Origin {
-    (xxh3_64(instance.as_bytes()) ^ incarnation) | 1
+fn origin(daemon: u64, incarnation: Incarnation) -> Origin {
+    (daemon ^ incarnation) | 1
 }
