--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -74,6 +74,7 @@
 }
 
 /// What is the same for all candidates.
+#[derive(Clone, Copy)]
 struct Weighing<'a> {
     options: &'a ChoiceOptions,
     availability_zone: &'a str,
@@ -82,6 +83,8 @@
     is_brisk: bool,
     /// Longest pause that the request's own answer allows, in milliseconds.
     gap_ms: f64,
+    /// Cost of each answer whose pause would get too long, in milliseconds.
+    broken_gap_cost_ms: f64,
 }
 
 /// Chooses among the upstreams of a plain service: the least loaded one.
@@ -131,45 +134,34 @@
         return Err(NoUpstream::Full);
     }
     let read_ms = figures.read_ms(demand.prompt_tokens);
-    let weighing = Weighing {
+    let careful = Weighing {
         options,
         availability_zone,
         count: candidates.len(),
         is_brisk: demand.gap <= shortest_gap.mul_f64(options.brisk_factor),
         gap_ms: demand.gap.as_secs_f64() * 1_000.0,
+        broken_gap_cost_ms: options.broken_gap_cost_ms,
     };
-    let most = if read_ms <= options.unsplit_read_ms {
-        1
-    } else {
-        candidates.len().min(options.helpers_limit + 1)
+    let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
+    let mut weighing = &careful;
+    let mut chosen = careful.cheapest(candidates, read_ms);
+    let bold = Weighing {
+        broken_gap_cost_ms: options.broken_gap_cost_ms * options.bold_share,
+        ..careful
     };
-    let mut best: Option<(f64, Vec<usize>)> = None;
-    for count in 1..=most {
-        let part_ms = read_ms / count as f64;
-        let mut costs: Vec<(f64, usize)> = candidates
-            .iter()
-            .enumerate()
-            .map(|(index, candidate)| (weighing.cost_ms(candidate, part_ms), index))
-            .collect();
-        costs.sort_by(|one, other| one.0.total_cmp(&other.0));
-        costs.truncate(count);
-        let slowest_ms = costs.last().map_or(0.0, |(cost_ms, _)| *cost_ms);
-        let total_ms = slowest_ms + options.helper_cost_ms * count as f64;
-        if best.as_ref().is_none_or(|(least_ms, _)| total_ms < *least_ms) {
-            best = Some((total_ms, costs.into_iter().map(|(_, index)| index).collect()));
+    if queue_ms(candidates, &chosen) > queue_limit_ms(read_ms, options) {
+        if !has_waited {
+            return Err(NoUpstream::Busy);
         }
+        weighing = &bold;
+        chosen = bold.cheapest(candidates, read_ms);
     }
-    let (_, chosen) = best.ok_or(NoUpstream::AllTried)?;
     let part_ms = read_ms / chosen.len().max(1) as f64;
     let by_cost = |index: &usize| weighing.cost_ms(&candidates[*index], part_ms);
     let mut others: Vec<usize> = (0..candidates.len())
         .filter(|index| !chosen.contains(index))
         .collect();
     others.sort_by(|one, other| by_cost(one).total_cmp(&by_cost(other)));
-    let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
-    if !has_waited && queue_ms(candidates, &chosen) > queue_limit_ms(read_ms, options) {
-        return Err(NoUpstream::Busy);
-    }
     match lay_out(candidates, &chosen, &others, figures, demand, options, has_waited) {
         Err(NoUpstream::TooLarge) if !has_waited => Err(NoUpstream::Busy),
         laid_out => laid_out,
@@ -195,6 +187,34 @@
 }
 
 impl Weighing<'_> {
+    /// The engines that together have read a prompt first, at least cost.
+    ///
+    /// There is always one: `candidates` is not empty.
+    fn cheapest(&self, candidates: &[Candidate<'_>], read_ms: f64) -> Vec<usize> {
+        let most = if read_ms <= self.options.unsplit_read_ms {
+            1
+        } else {
+            candidates.len().min(self.options.helpers_limit + 1)
+        };
+        let mut best = (f64::INFINITY, Vec::new());
+        for count in 1..=most {
+            let part_ms = read_ms / count as f64;
+            let mut costs: Vec<(f64, usize)> = candidates
+                .iter()
+                .enumerate()
+                .map(|(index, candidate)| (self.cost_ms(candidate, part_ms), index))
+                .collect();
+            costs.sort_by(|one, other| one.0.total_cmp(&other.0));
+            costs.truncate(count);
+            let slowest_ms = costs.last().map_or(0.0, |(cost_ms, _)| *cost_ms);
+            let total_ms = slowest_ms + self.options.helper_cost_ms * count as f64;
+            if total_ms < best.0 {
+                best = (total_ms, costs.into_iter().map(|(_, index)| index).collect());
+            }
+        }
+        best.1
+    }
+
     /// Time until a part is read here, with what it does to others, in milliseconds.
     fn cost_ms(&self, candidate: &Candidate<'_>, part_ms: f64) -> f64 {
         let load = &candidate.load;
@@ -203,7 +223,7 @@
         if let Some(gap_ms) = load.least_gap_ms {
             let pause_ms = pass_ms + load.backlog_ms + part_ms;
             let broken = self.broken_share(pause_ms / gap_ms.max(1.0));
-            cost_ms += self.options.broken_gap_cost_ms * broken * f64::from(load.answering);
+            cost_ms += self.broken_gap_cost_ms * broken * f64::from(load.answering);
         }
         if self.is_brisk && load.least_gap_ms.is_none_or(|gap_ms| gap_ms > self.gap_ms) {
             cost_ms += self.options.opening_cost_ms;
--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -46,6 +46,11 @@
     pub broken_gap_share: f64,
     /// Cost of each answer whose pause would get too long, in milliseconds; 600 by default.
     pub broken_gap_cost_ms: f64,
+    /// Share of that cost that counts for a prompt which has waited; 0.1 by default.
+    ///
+    /// When the engines that answer no short requests are overrun, reading on the
+    /// others too is worth more than the pauses that it breaks.
+    pub bold_share: f64,
     /// Cost of an engine in another availability zone, in milliseconds; 3 by
     /// default, about a round trip.
     pub other_zone_cost_ms: f64,
@@ -83,6 +88,7 @@
             safe_gap_share: 0.4,
             broken_gap_share: 0.8,
             broken_gap_cost_ms: 600.0,
+            bold_share: 0.1,
             other_zone_cost_ms: 3.0,
             full_cost_ms: 400.0,
             queued_requests: 1,
