Leave out zones that fall silent; tell a daemon that starts what runs

Ruled out: engines' own health (back-off of 0.5 s learns too slowly for eight engines). Change: a zone shows by every byte that it can be reached, a quiet one is tried by a connection, a silent one left out; each second a daemon lists what runs, and tells all of it to a daemon that starts.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -112,6 +112,7 @@
     let sharing = Sharing::start(
         own.news_address,
         &settings.instance,
+        zone.clone(),
         peers.clone(),
         upstreams.clone(),
     )
@@ -140,6 +141,7 @@
         spawn(Rc::clone(&sharing).tell(told)),
         spawn(Rc::clone(&sharing).repeat()),
         spawn(sharing.hear()),
+        spawn(gateway.clone().watch_zones()),
     ];
     Ok((gateway, peers, background))
 }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -25,6 +25,10 @@
 /// second, and a datagram or two may be lost.
 const SILENT_AFTER: Duration = Duration::from_millis(3_500);
 
+/// Silence after which a zone is left out. A quiet zone is tried before that, see
+/// [`Upstreams::quiet_zones`], so this is about one connection attempt longer.
+const ZONE_SILENT_AFTER: Duration = Duration::from_millis(1_100);
+
 /// Age up to which a request may be missing in a list that was on its way.
 const LATEST_NEWS: Duration = Duration::from_millis(300);
 
@@ -51,6 +55,8 @@
     next_work: WorkId,
     /// When each other daemon was last heard.
     heard: HashMap<Origin, Instant>,
+    /// When each other zone last showed that it can be reached.
+    zones: HashMap<AvailabilityZone, Instant>,
     /// Shortest pause that any request so far allowed.
     shortest_gap: Option<Duration>,
 }
@@ -163,8 +169,9 @@
             return Err(NoUpstream::NoneKnown);
         }
         let untried = || of_service().filter(|known| !tried.contains(&known.key));
+        let is_reachable = |known: &Known| !state.is_zone_silent(&known.info.availability_zone, now);
         let mut open: Vec<&Known> = untried()
-            .filter(|known| !known.health.is_ejected(now))
+            .filter(|known| !known.health.is_ejected(now) && is_reachable(known))
             .collect();
         if open.is_empty() {
             // One that failed lately may be back; nothing else is left.
@@ -202,6 +209,49 @@
         if let Some(known) = state.known_mut(upstream) {
             known.health.answered();
         }
+        self.hear_upstream(&mut state, upstream);
+    }
+
+    /// Notes that bytes of an upstream came, so that its zone can be reached.
+    pub fn heard_from(&self, upstream: UpstreamKey) {
+        let mut state = self.0.state.borrow_mut();
+        self.hear_upstream(&mut state, upstream);
+    }
+
+    /// Notes that a zone can be reached.
+    pub fn heard_zone(&self, zone: &str) {
+        self.0.state.borrow_mut().hear_zone(zone, &self.0.availability_zone);
+    }
+
+    /// Other zones that have shown nothing of themselves for `silence`, each with
+    /// one of its upstreams, by which it can be tried.
+    #[must_use]
+    pub fn quiet_zones(&self, silence: Duration) -> Vec<Upstream> {
+        let now = Instant::now();
+        let state = self.0.state.borrow();
+        let is_quiet = |at: &Instant| now.saturating_duration_since(*at) >= silence;
+        let quiet = state.zones.iter().filter(|(_, at)| is_quiet(at));
+        let of_zone = |zone: &AvailabilityZone| {
+            let upstreams: Vec<&Known> = state
+                .known
+                .iter()
+                .filter(|known| known.info.availability_zone == *zone && !known.info.leaving)
+                .collect();
+            let turn = state.next_work as usize;
+            upstreams
+                .get(turn % upstreams.len().max(1))
+                .map(|known| known.info.clone())
+        };
+        quiet.filter_map(|(zone, _)| of_zone(zone)).collect()
+    }
+
+    fn hear_upstream(&self, state: &mut State, upstream: UpstreamKey) {
+        let zone = state
+            .known_mut(upstream)
+            .map(|known| known.info.availability_zone.clone());
+        if let Some(zone) = zone {
+            state.hear_zone(&zone, &self.0.availability_zone);
+        }
     }
 
     /// Notes that an upstream failed; it is left out for a while.
@@ -287,6 +337,25 @@
         state.heard.remove(&origin);
     }
 
+    /// All requests of this daemon that have not ended, as a daemon that has just
+    /// started has to hear of them.
+    #[must_use]
+    pub fn introduction(&self) -> Vec<News> {
+        let now = Instant::now();
+        let state = self.0.state.borrow();
+        let own = state.works.iter().filter(|(key, _)| key.0 == OWN);
+        let mut news = Vec::new();
+        for ((_, id), work) in own {
+            let expected = work.expected_at.saturating_duration_since(now);
+            let left = work.expires_at.saturating_duration_since(now);
+            news.push(placed_news(*id, work, expected, left));
+            if !work.is_reading {
+                news.push(News::Read { work: *id });
+            }
+        }
+        news
+    }
+
     /// Tells the other daemons of all requests that have not ended.
     pub fn tell_running(&self) {
         let state = self.0.state.borrow();
@@ -337,6 +406,25 @@
         self.works.insert(key, work);
     }
 
+    fn hear_zone(&mut self, zone: &str, own_zone: &str) {
+        if zone == own_zone {
+            return;
+        }
+        match self.zones.get_mut(zone) {
+            Some(at) => *at = Instant::now(),
+            None => {
+                self.zones.insert(zone.to_owned(), Instant::now());
+            }
+        }
+    }
+
+    /// Whether a zone seems to be cut off: nothing came from its daemons or its
+    /// upstreams lately, and trying it by a connection failed too.
+    fn is_zone_silent(&self, zone: &str, now: Instant) -> bool {
+        let heard = self.zones.get(zone);
+        heard.is_some_and(|at| now.saturating_duration_since(*at) > ZONE_SILENT_AFTER)
+    }
+
     /// Drops requests that have ended for certain, and those of daemons that
     /// are not heard any more: they are dead, and their requests with them, or
     /// cut off, and then nothing is known.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::options::GatewayOptions;
 use crate::published::Published;
 use crate::reservations::Orders;
+use crate::zones;
 
 /// The neighbours that a [`Gateway`] asks.
 pub struct GatewayParts {
@@ -78,6 +79,12 @@
         }))
     }
 
+    /// Watches over the reachability of the other zones, for ever.
+    pub async fn watch_zones(self) {
+        let parts = self.parts();
+        zones::watch(parts.upstreams.clone(), parts.connections.clone()).await;
+    }
+
     /// Answers one request of the caller at `peer`.
     pub async fn handle(self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         call::answer(self, request, peer).await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod reservations;
 mod sharing;
 mod trace;
+mod zones;
 
 pub use budget::{SecondSendBudget, SecondSendLimit};
 pub use dialect::{
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -219,6 +219,8 @@
         let next = compio::time::timeout_at(deadline, running.chunks.next()).await;
         match next {
             Ok(Some(Ok(chunk))) => {
+                let key = key_of(&running.upstream.id);
+                self.gateway.parts().upstreams.heard_from(key);
                 let framed = self.framer.push(&chunk);
                 let framed =
                     framed.ok_or_else(|| Failed::MayHaveRun("an endless event".to_owned()))?;
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -19,7 +19,7 @@
 use futures_util::StreamExt;
 use mangofront_engines::{News, Origin, Upstreams};
 use mangofront_peers::{Member, Peers};
-use mangofront_settings::ids::{Incarnation, InstanceId};
+use mangofront_settings::ids::{AvailabilityZone, Incarnation, InstanceId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
@@ -53,9 +53,19 @@
     daemon: u64,
     /// Its life.
     incarnation: Incarnation,
+    /// Its availability zone.
+    zone: AvailabilityZone,
     news: Vec<News>,
 }
 
+/// Which life of a daemon something is of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Life {
+    New,
+    Known,
+    Ended,
+}
+
 /// News from and to the other daemons.
 #[derive(Debug)]
 pub struct Sharing {
@@ -63,6 +73,7 @@
     port: u16,
     peers: Peers,
     daemon: u64,
+    zone: AvailabilityZone,
     upstreams: Upstreams,
     /// Lives of the other daemons, by their short names.
     lives: RefCell<HashMap<u64, Incarnation>>,
@@ -76,6 +87,7 @@
     pub async fn start(
         address: SocketAddr,
         instance: &InstanceId,
+        zone: AvailabilityZone,
         peers: Peers,
         upstreams: Upstreams,
     ) -> Result<Rc<Self>, SharingError> {
@@ -87,6 +99,7 @@
             port: address.port(),
             peers,
             daemon: xxh3_64(instance.as_bytes()),
+            zone,
             upstreams,
             lives: RefCell::default(),
         }))
@@ -119,7 +132,12 @@
             let received = self.socket.recv_from(buffer).await;
             buffer = received.1;
             match received.0 {
-                Ok((length, _from)) => self.take(buffer.get(..length).unwrap_or_default()),
+                Ok((length, from)) => {
+                    let is_new = self.take(buffer.get(..length).unwrap_or_default());
+                    if is_new {
+                        self.introduce(from).await;
+                    }
+                }
                 Err(error) => {
                     log::debug!("gateway: news could not be read: {error}");
                     compio::time::sleep(FAILURE_PAUSE).await;
@@ -144,40 +162,58 @@
         }
     }
 
-    fn take(&self, bytes: &[u8]) {
+    /// Tells a daemon that has just started of all that has not ended.
+    async fn introduce(&self, to: SocketAddr) {
+        let to = SocketAddr::new(to.ip(), self.port);
+        for datagram in self.datagrams(self.upstreams.introduction()) {
+            let sent = self.socket.send_to(datagram, to).await;
+            if let Err(error) = sent.0 {
+                log::debug!("gateway: introduction to {to} failed: {error}");
+            }
+        }
+    }
+
+    /// Takes in a datagram; returns whether it is the first of its daemon's life.
+    fn take(&self, bytes: &[u8]) -> bool {
         let datagram = match bytes.split_first() {
             Some((&VERSION, rest)) => postcard::from_bytes::<Datagram>(rest).ok(),
             _ => None,
         };
         let Some(datagram) = datagram else {
             log::debug!("gateway: news of {} bytes can't be read", bytes.len());
-            return;
+            return false;
         };
-        if datagram.daemon == self.daemon || !self.is_latest_life(&datagram) {
-            return;
+        if datagram.daemon == self.daemon {
+            return false;
+        }
+        let life = self.life(&datagram);
+        if life == Life::Ended {
+            return false;
         }
+        self.upstreams.heard_zone(&datagram.zone);
         let origin = origin(datagram.daemon, datagram.incarnation);
         for news in datagram.news {
             self.upstreams.hear(origin, news);
         }
+        life == Life::New
     }
 
-    /// Whether a datagram is of its daemon's latest life; work of an earlier one
-    /// ended with it and is forgotten.
-    fn is_latest_life(&self, datagram: &Datagram) -> bool {
+    /// Which life of its daemon a datagram is of; work of an earlier one ended
+    /// with it and is forgotten.
+    fn life(&self, datagram: &Datagram) -> Life {
         let mut lives = self.lives.borrow_mut();
-        let before = lives.insert(datagram.daemon, datagram.incarnation);
-        match before {
-            Some(before) if before > datagram.incarnation => {
-                lives.insert(datagram.daemon, before);
-                false
-            }
-            Some(before) if before < datagram.incarnation => {
-                self.upstreams.forget(origin(datagram.daemon, before));
-                true
-            }
-            _ => true,
+        let before = lives.get(&datagram.daemon).copied();
+        if before.is_some_and(|before| before > datagram.incarnation) {
+            return Life::Ended;
+        }
+        if before == Some(datagram.incarnation) {
+            return Life::Known;
+        }
+        lives.insert(datagram.daemon, datagram.incarnation);
+        if let Some(before) = before {
+            self.upstreams.forget(origin(datagram.daemon, before));
         }
+        Life::New
     }
 
     /// Addresses of the daemons that answer.
@@ -195,6 +231,7 @@
         let datagram = Datagram {
             daemon: self.daemon,
             incarnation: self.peers.incarnation(),
+            zone: self.zone.clone(),
             news,
         };
         // Numbers and lists of numbers only, so writing can't fail.
--- /dev/null
+++ b/crates/gateway/src/zones.rs
@@ -0,0 +1,49 @@
+//! Tries zones of which nothing has come for a while.
+//!
+//! A zone that is cut off costs each request that is sent there, or reads a part
+//! of its prompt there, a timeout. While requests run and daemons talk, each zone
+//! shows all the time that it can be reached; one that falls quiet is tried by
+//! opening a connection to one of its upstreams.
+
+use std::time::{Duration, Instant};
+
+use compio::runtime::spawn;
+use mangofront_engines::{Upstreams, key_of};
+use mangofront_routes::Upstream;
+use mangofront_upstream::{Connections, Target};
+
+/// Silence after which a zone is tried.
+const QUIET_AFTER: Duration = Duration::from_millis(500);
+
+/// Time between two looks for quiet zones.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time for a connection to another zone: many round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Tries quiet zones, for ever.
+pub(crate) async fn watch(upstreams: Upstreams, connections: Connections) {
+    loop {
+        compio::time::sleep(LOOK_PERIOD).await;
+        for upstream in upstreams.quiet_zones(QUIET_AFTER) {
+            spawn(try_one(upstream, upstreams.clone(), connections.clone())).detach();
+        }
+    }
+}
+
+async fn try_one(upstream: Upstream, upstreams: Upstreams, connections: Connections) {
+    let target = Target {
+        instance: upstream.id.clone(),
+        address: upstream.address,
+    };
+    let opened = connections
+        .open(&target, Instant::now() + CONNECT_TIMEOUT)
+        .await;
+    match opened {
+        Ok(_opened) => upstreams.heard_from(key_of(&upstream.id)),
+        Err(error) => log::debug!(
+            "gateway: zone {} can't be reached: {error}",
+            upstream.availability_zone
+        ),
+    }
+}
