Refuse the longest prompts at once while engines are overrun

Change: a prompt that one engine could not read within its target is refused at once, with a time to come back, when the queue before the engines is over 0.3 of that target; six in ten of these, drawn by id. Conclusion: a peak is better served by choosing than by holding.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -25,6 +25,8 @@
     pub waited: Duration,
     /// Time after which the request has ended for certain.
     pub time_left: Duration,
+    /// Whether it is among those to be refused when the engines are overrun.
+    pub is_sheddable: bool,
 }
 
 /// Why no upstream was chosen.
@@ -39,6 +41,9 @@
     /// Engines have too much to do for a prompt of this length; ask again soon.
     #[error("the engines are busy")]
     Busy,
+    /// Engines are overrun, and a prompt of this length would hold up many others.
+    #[error("the engines are overrun")]
+    Overrun,
     /// No engine can take one more request for now.
     #[error("every slot of the engines is taken")]
     Full,
@@ -149,7 +154,13 @@
         broken_gap_cost_ms: options.broken_gap_cost_ms * options.bold_share,
         ..careful
     };
-    if queue_ms(candidates, &chosen) > queue_limit_ms(read_ms, options) {
+    let queue_ms = queue_ms(candidates, &chosen);
+    let target_ms = demand.target.as_secs_f64() * 1_000.0;
+    let is_overrun = queue_ms > target_ms * options.overrun_share;
+    if demand.is_sheddable && demand.waited.is_zero() && is_overrun && read_ms > target_ms {
+        return Err(NoUpstream::Overrun);
+    }
+    if queue_ms > queue_limit_ms(read_ms, options) {
         if !has_waited {
             return Err(NoUpstream::Busy);
         }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -14,6 +14,7 @@
 use mangofront_http::Outcome;
 use mangofront_routes::{Safety, Upstream};
 use mangofront_upstream::{Answer, SendError, Target};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
@@ -48,6 +49,12 @@
 /// which a short answer holds one.
 const RETRY_AFTER_SLOTS: Duration = Duration::from_millis(2_000);
 
+/// When a caller may come back with a prompt for which engines were overrun.
+const RETRY_AFTER_OVERRUN: Duration = Duration::from_millis(3_500);
+
+/// Share of the longest prompts that may be refused, in percent.
+const SHED_PERCENT: u64 = 60;
+
 /// Urgency at the engine of the most urgent rank; it grows by one with each.
 const FIRST_URGENCY: u8 = 2;
 
@@ -141,6 +148,10 @@
             Failed::NoUpstream(NoUpstream::NoneKnown) => not_run("no_upstream_known"),
             Failed::NoUpstream(NoUpstream::AllTried) => not_run("all_upstreams_tried"),
             Failed::NoUpstream(NoUpstream::Busy) => not_run("upstreams_busy"),
+            Failed::NoUpstream(NoUpstream::Overrun) => Refusal::NotRun {
+                reason: "engines_overrun",
+                retry_after: RETRY_AFTER_OVERRUN,
+            },
             Failed::NoUpstream(NoUpstream::Full) => Refusal::NotRun {
                 reason: "all_slots_taken",
                 retry_after: RETRY_AFTER_SLOTS,
@@ -195,12 +206,14 @@
 /// Chooses the upstreams; waits while they have too much to do.
 async fn place(gateway: &Gateway, call: &Call, history: &History) -> Result<Placed, Failed> {
     let asked = Instant::now();
+    let mut waited = Duration::ZERO;
     loop {
-        let demand = demand(call, asked.elapsed());
+        let demand = demand(call, waited);
         let upstreams = &gateway.parts().upstreams;
         match upstreams.place(&call.service, &demand, &history.tried) {
             Err(NoUpstream::Busy) if call.time_left() > LEAST_TIME => {
                 compio::time::sleep(BUSY_PAUSE).await;
+                waited = asked.elapsed();
             }
             placed => return placed.map_err(Failed::NoUpstream),
         }
@@ -220,10 +233,20 @@
         gap,
         target: call.route.target,
         waited,
+        is_sheddable: is_sheddable(call),
         time_left: call.time_left(),
     }
 }
 
+/// Whether the request is among those that are refused when engines are overrun.
+///
+/// A share of them, so that also under lasting overload the longest prompts are
+/// served more than half as often as all others; drawn from the id, so that a
+/// request which comes back is drawn anew.
+fn is_sheddable(call: &Call) -> bool {
+    xxh3_64(call.id.as_bytes()) % 100 < SHED_PERCENT
+}
+
 fn no_memory(gateway: &Gateway, upstream: &Upstream) -> Failed {
     let key = key_of(&upstream.id);
     gateway.parts().upstreams.failed(key, Failure::Full);
