--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -33,7 +33,7 @@
     /// A prompt of 45,000 tokens (0.36 s) is put behind up to 1.4 s of others, one
     /// of 133,000 (1.9 s) behind 0.26 s, one of 300,000 (7.7 s) behind 65 ms.
     pub queue_read_ms2: f64,
-    /// Share of a prompt's target from which a queue counts as overrun; 0.3 by default.
+    /// Share of a prompt's target from which a queue counts as overrun; 0.15 by default.
     ///
     /// Prompts that one engine could not read within their target, and that are
     /// marked as sheddable, are then refused at once: they are about a quarter of
@@ -89,7 +89,7 @@
             opening_cost_ms: 50.0,
             unsplit_read_ms: 100.0,
             queue_read_ms2: 1_500_000.0,
-            overrun_share: 0.3,
+            overrun_share: 0.15,
             wait_targets: 0.5,
             brisk_factor: 1.5,
             safe_gap_share: 0.4,
