Count the parts an engine reads for others as holding slots

Cause (engines' own reports): 13 requests answered and 11 parts read, 16 running and 8 waiting, where the view saw three free slots. Change: both count against the slots. Kept: it is what the engines do.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -133,7 +133,7 @@
     shortest_gap: Duration,
 ) -> Result<Choice, NoUpstream> {
     let has_slot = |candidate: &Candidate<'_>| {
-        candidate.load.answering < candidate.known.slots() + options.queued_requests
+        candidate.load.running() < candidate.known.slots() + options.queued_requests
     };
     if !candidates.iter().any(has_slot) {
         return Err(NoUpstream::Full);
@@ -249,7 +249,7 @@
             cost_ms += self.options.other_zone_cost_ms;
         }
         let slots = candidate.known.slots();
-        if load.answering >= slots || load.helping >= slots {
+        if load.running() >= slots {
             cost_ms += self.options.full_cost_ms;
         }
         cost_ms
@@ -308,7 +308,7 @@
     // that write already take the next one too and the others only read.
     let answering = |index: &usize| {
         let candidate = &candidates[*index];
-        let is_full = candidate.load.answering >= candidate.known.slots();
+        let is_full = candidate.load.running() >= candidate.known.slots();
         (is_full, std::cmp::Reverse(candidate.load.writers))
     };
     let mut order = chosen.to_vec();
--- a/crates/engines/src/upstream.rs
+++ b/crates/engines/src/upstream.rs
@@ -107,6 +107,12 @@
 }
 
 impl Load {
+    /// Requests that hold a slot: a part that is read for another upstream holds
+    /// one like a request of its own.
+    pub(crate) fn running(&self) -> u32 {
+        self.answering + self.helping
+    }
+
     fn add(&mut self, work: &Work, part: &Part, answers: bool) {
         if answers {
             self.answering += 1;
