--- a/tests/processes/gateway/fleet.rs
+++ b/tests/processes/gateway/fleet.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mangofront_adapter_standin::{Call, Runner, RunnerOptions, Store, probe};
+use mangofront_adapter_standin::{Call, Proxy, Runner, RunnerOptions, Store, probe};
 use serde_json::{Value, json};
 
 /// How long a condition may take to come about before a test fails.
@@ -147,6 +147,8 @@
     pub engines: Vec<Runner>,
     pub services: Vec<Runner>,
     pub daemons: Vec<Daemon>,
+    /// Between the daemons and the store.
+    pub store_link: Proxy,
     pub version: u64,
     folder: PathBuf,
     base: String,
@@ -156,13 +158,24 @@
 impl Fleet {
     /// Starts everything and waits until each daemon is ready.
     pub fn start(plan: Plan) -> Self {
+        let fleet = Self::start_unready(plan);
+        fleet.wait("every daemon is ready", |fleet| {
+            fleet.daemons.iter().all(Daemon::is_ready)
+        });
+        fleet
+    }
+
+    /// Starts everything; daemons without upstreams are never ready.
+    pub fn start_unready(plan: Plan) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let base = format!("127.{}.{number}", 40 + std::process::id() % 150);
         let folder = std::env::temp_dir().join(format!("mangofront-gateway-{base}"));
         fs::create_dir_all(&folder).expect("the folder can be made");
         let store = Store::start(&format!("{base}.1")).expect("the store starts");
+        let store_link = Proxy::start(&format!("{base}.2"), store.address());
         let mut fleet = Self {
             store,
+            store_link: store_link.expect("the proxy starts"),
             engines: Vec::new(),
             services: Vec::new(),
             daemons: Vec::new(),
@@ -184,12 +197,14 @@
             let daemon = fleet.daemon(place);
             fleet.daemons.push(daemon);
         }
-        fleet.wait("every daemon is ready", |fleet| {
-            fleet.daemons.iter().all(Daemon::is_ready)
-        });
         fleet
     }
 
+    /// Folder of the logs, which stays when the test fails.
+    pub fn keep_logs(&self) -> String {
+        self.folder.display().to_string()
+    }
+
     /// Publishes the next version of the configuration, changed by `change`.
     pub fn configure(&mut self, change: impl FnOnce(&mut Value)) {
         let mut configuration = configuration(self.version);
@@ -207,6 +222,11 @@
         runner
     }
 
+    /// An address at which an upstream can listen.
+    pub fn free_address(&self, place: usize) -> SocketAddr {
+        at(&format!("{}.{}", self.base, 100 + place), 0)
+    }
+
     /// Starts an upstream at an address, and registers nothing.
     pub fn runner_at(&self, service: &str, id: &str, listen: SocketAddr) -> Runner {
         let options = RunnerOptions {
@@ -232,7 +252,7 @@
         let settings = json!({
             "instance": ip, "region": "local", "availability_zone": "hall-a",
             "caller_address": at(&ip, CALLER_PORT), "peer_address": at(&ip, PEER_PORT),
-            "admin_address": at(&ip, ADMIN_PORT), "platform_address": self.store.address(),
+            "admin_address": at(&ip, ADMIN_PORT), "platform_address": self.store_link.address(),
             "logs": {"format": "json"}, "limits": {"connect_timeout_ms": 400},
             "peers": {"heartbeat_ms": 200, "suspect_after_ms": 1000},
             "gateway": {
@@ -258,6 +278,11 @@
         mangofront_adapter_standin::send_raw(address, request).text()
     }
 
+    /// Starts a proxy on an address of the fleet.
+    pub fn proxy(&self, place: usize, target: SocketAddr) -> Proxy {
+        Proxy::start(&format!("{}.{}", self.base, 100 + place), target).expect("the proxy starts")
+    }
+
     /// Requests that all upstreams ran with this id.
     pub fn runs_of(&self, id: &str) -> usize {
         let runners = self.engines.iter().chain(&self.services);
@@ -287,7 +312,7 @@
     }
 }
 
-fn at(ip: &str, port: u16) -> SocketAddr {
+pub fn at(ip: &str, port: u16) -> SocketAddr {
     SocketAddr::new(ip.parse().expect("an address"), port)
 }
 
--- a/tests/processes/gateway/soak.rs
+++ b/tests/processes/gateway/soak.rs
@@ -1,1 +1,557 @@
-//! Soak.
+//! Randomised run of real daemons under faults, over stand-ins of the platform.
+//!
+//! Callers keep sending while a seed decides which links are delayed, silenced,
+//! cut one way or reset, which processes are stopped, frozen, killed and started
+//! again, how the store fails, and which upstreams misbehave, drain and are
+//! replaced. What must hold is checked from what callers got and upstreams ran.
+//! Daemons use no time of day, so no clock is set; a frozen process stands for
+//! one whose clock stood still.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mangofront_adapter_standin::{
+    Call, Fault, Link, Proxy, Received, Run, Runner, StoreMode, call, call_on, stream_events,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+
+use super::fleet::{Fleet, HOST, KEY, KEY_LEASE, Plan, ask, order, reading};
+
+/// Seeds that once failed, each with what it showed.
+const REGRESSIONS: [(u64, &str); 0] = [];
+
+/// Seed of the run in CI.
+const DEFAULT_SEED: u64 = 1;
+
+/// Length of the run in CI, in seconds.
+const DEFAULT_SECONDS: u64 = 12;
+
+const CALLERS: usize = 8;
+const DAEMONS: usize = 3;
+const ENGINES: usize = 4;
+const SERVICES: usize = 3;
+const EVENTS: u64 = 12;
+
+/// Time that a message may take on its way, and a thread to be scheduled.
+const SLACK: Duration = Duration::from_millis(1_000);
+
+/// Time in which an upstream's leaving must be known.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Time in which everything is served again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// One request as its caller saw it.
+#[derive(Debug)]
+struct Seen {
+    call: Call,
+    sent: Instant,
+    received: Received,
+}
+
+/// An upstream behind a proxy.
+struct Upstream {
+    runner: Runner,
+    proxy: Proxy,
+    place: usize,
+    service: &'static str,
+    /// When its leaving was published.
+    draining: Option<Instant>,
+}
+
+/// All that a run keeps.
+struct Soak {
+    fleet: Fleet,
+    random: StdRng,
+    upstreams: Vec<Upstream>,
+    /// Upstreams that are gone, for what they ran.
+    gone: Vec<Upstream>,
+    next_upstream: usize,
+    /// When the store was last at fault.
+    store_fault: Instant,
+    /// Key in use, and when each key was taken back.
+    key: Arc<Mutex<String>>,
+    revoked: Vec<(String, Instant)>,
+    next_key: usize,
+    trail: Vec<String>,
+}
+
+fn environment(name: &str, default: u64) -> u64 {
+    let set = std::env::var(name).ok();
+    set.and_then(|value| value.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn soak() {
+    let seconds = environment("MANGOFRONT_SOAK_SECONDS", DEFAULT_SECONDS);
+    let seed = environment("MANGOFRONT_SOAK_SEED", DEFAULT_SEED);
+    run(seed, Duration::from_secs(seconds));
+}
+
+#[test]
+fn seeds_that_failed_once() {
+    for (seed, what) in REGRESSIONS {
+        println!("seed {seed}: {what}");
+        run(seed, Duration::from_secs(DEFAULT_SECONDS));
+    }
+}
+
+fn run(seed: u64, length: Duration) {
+    println!("soak: seed {seed}, {length:?}");
+    let mut soak = Soak::start(seed);
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| soak.caller(number, seed, &seen, &stop))
+        .collect();
+    let started = Instant::now();
+    while started.elapsed() < length {
+        soak.fault();
+        let pause_ms = soak.random.random_range(50..500);
+        thread::sleep(Duration::from_millis(pause_ms));
+    }
+    soak.heal();
+    let healed = Instant::now();
+    thread::sleep(RECOVERY);
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().expect("a caller ends");
+    }
+    let seen = std::mem::take(&mut *seen.lock().expect("no holder panics"));
+    let faults = soak.check(&seen, healed);
+    println!(
+        "soak: seed {seed}: {} requests, {} faults injected",
+        seen.len(),
+        soak.trail.len()
+    );
+    assert!(
+        faults.is_empty(),
+        "seed {seed}: {faults:#?}\ninjected: {:#?}\nlogs: {}",
+        soak.trail,
+        soak.fleet.keep_logs()
+    );
+}
+
+impl Soak {
+    fn start(seed: u64) -> Self {
+        let plan = Plan {
+            daemons: DAEMONS,
+            engines: 0,
+            services: 0,
+            events: EVENTS,
+            pause: Duration::from_millis(20),
+            ..Plan::default()
+        };
+        let fleet = Fleet::start_unready(plan);
+        let mut soak = Self {
+            fleet,
+            random: StdRng::seed_from_u64(seed),
+            upstreams: Vec::new(),
+            gone: Vec::new(),
+            next_upstream: 0,
+            store_fault: Instant::now(),
+            key: Arc::new(Mutex::new(KEY.to_owned())),
+            revoked: Vec::new(),
+            next_key: 0,
+            trail: Vec::new(),
+        };
+        for place in 0..ENGINES {
+            soak.add_upstream("assist-llm", place);
+        }
+        for place in 0..SERVICES {
+            soak.add_upstream("fleet-ops", ENGINES + place);
+        }
+        let daemons = &soak.fleet.daemons;
+        super::fleet::wait("every daemon is ready", || {
+            daemons.iter().all(super::fleet::Daemon::is_ready)
+        });
+        soak
+    }
+
+    fn add_upstream(&mut self, service: &'static str, place: usize) {
+        let id = format!("i-{}", self.next_upstream);
+        self.next_upstream += 1;
+        let runner = self
+            .fleet
+            .runner_at(service, &id, self.fleet.free_address(place));
+        let proxy = self.fleet.proxy(place, runner.address());
+        let registration = runner.registration(proxy.address(), false);
+        self.fleet.store.register(&id, registration);
+        self.upstreams.push(Upstream {
+            runner,
+            proxy,
+            place,
+            service,
+            draining: None,
+        });
+    }
+
+    fn caller(
+        &self,
+        number: usize,
+        seed: u64,
+        seen: &Arc<Mutex<Vec<Seen>>>,
+        stop: &Arc<AtomicBool>,
+    ) -> thread::JoinHandle<()> {
+        let mut random = StdRng::seed_from_u64(seed ^ (number as u64 + 1).wrapping_mul(7_919));
+        let daemons: Vec<SocketAddr> = self.fleet.daemons.iter().map(|one| one.address()).collect();
+        let (seen, stop, key) = (Arc::clone(seen), Arc::clone(stop), Arc::clone(&self.key));
+        thread::spawn(move || {
+            let mut kept: Option<TcpStream> = None;
+            let mut count = 0;
+            while !stop.load(Ordering::Relaxed) {
+                count += 1;
+                let key = key.lock().expect("no holder panics").clone();
+                let sent_call = request(&mut random, &format!("{number}-{count}"), &key);
+                let address = daemons[random.random_range(0..daemons.len())];
+                let sent = Instant::now();
+                let received = match &mut kept {
+                    Some(stream) if random.random_bool(0.7) => call_on(stream, &sent_call),
+                    _ if random.random_bool(0.5) => {
+                        kept = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok();
+                        match &mut kept {
+                            Some(stream) => {
+                                // Without it a silent daemon would hold the caller for ever.
+                                let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
+                                call_on(stream, &sent_call)
+                            }
+                            None => Received::default(),
+                        }
+                    }
+                    _ => call(address, &sent_call),
+                };
+                if received.status == 0 || received.header("Connection") == Some("close") {
+                    kept = None;
+                }
+                let one = Seen {
+                    call: sent_call,
+                    sent,
+                    received,
+                };
+                seen.lock().expect("no holder panics").push(one);
+                thread::sleep(Duration::from_millis(random.random_range(0..40)));
+            }
+        })
+    }
+
+    /// Brings about one fault, or ends some.
+    fn fault(&mut self) {
+        let what = match self.random.random_range(0..100) {
+            0..25 => self.link_fault(),
+            25..40 => self.store_fault(),
+            40..60 => self.process_fault(),
+            60..75 => self.upstream_fault(),
+            75..82 => self.replace_upstream(),
+            82..88 => self.drain_upstream(),
+            88..93 => self.revoke_key(),
+            _ => self.heal_links(),
+        };
+        self.trail.push(what);
+    }
+
+    fn link(&mut self) -> Link {
+        match self.random.random_range(0..6) {
+            0 => Link::Delay(Duration::from_millis(self.random.random_range(5..150))),
+            1 => Link::Silent,
+            2 => Link::SilentThere,
+            3 => Link::SilentBack,
+            4 => Link::Reset,
+            _ => Link::Pass,
+        }
+    }
+
+    fn link_fault(&mut self) -> String {
+        let link = self.link();
+        let place = self.random.random_range(0..self.upstreams.len());
+        self.upstreams[place].proxy.set(link);
+        format!("link to {}: {link:?}", self.upstreams[place].runner.id())
+    }
+
+    fn store_fault(&mut self) -> String {
+        self.store_fault = Instant::now();
+        match self.random.random_range(0..7) {
+            0 => {
+                let link = self.link();
+                self.fleet.store_link.set(link);
+                format!("link to the store: {link:?}")
+            }
+            1 => {
+                self.fleet.store.forget_history();
+                "the store forgets its history".to_owned()
+            }
+            2..5 => {
+                self.fleet.store.set_mode(StoreMode::Serving);
+                self.fleet.store_link.set(Link::Pass);
+                "the store serves".to_owned()
+            }
+            number => {
+                let mode = match number {
+                    5 => StoreMode::Busy,
+                    _ => StoreMode::Slow(Duration::from_millis(300)),
+                };
+                self.fleet.store.set_mode(mode);
+                format!("the store: {mode:?}")
+            }
+        }
+    }
+
+    fn process_fault(&mut self) -> String {
+        let place = self.random.random_range(0..DAEMONS);
+        let pause = Duration::from_millis(self.random.random_range(50..1_500));
+        let daemon = &mut self.fleet.daemons[place];
+        if daemon.has_ended() {
+            daemon.restart();
+            return format!("daemon {place} starts again");
+        }
+        match self.random.random_range(0..5) {
+            0 => {
+                daemon.kill_and_restart();
+                format!("daemon {place} is killed")
+            }
+            1 => {
+                daemon.signal("STOP");
+                thread::sleep(pause);
+                daemon.signal("CONT");
+                format!("daemon {place} was frozen for {pause:?}")
+            }
+            2 => {
+                daemon.signal("TERM");
+                format!("daemon {place} is stopped")
+            }
+            3 => {
+                daemon.signal("HUP");
+                format!("daemon {place} is to read its settings")
+            }
+            _ => {
+                (0..DAEMONS).for_each(|one| self.fleet.daemons[one].kill_and_restart());
+                "all daemons are killed".to_owned()
+            }
+        }
+    }
+
+    fn upstream_fault(&mut self) -> String {
+        let fault = match self.random.random_range(0..12) {
+            0 => Fault::Full,
+            1 => Fault::LoseAnswer,
+            2 => Fault::BreakAfter(self.random.random_range(0..EVENTS)),
+            3 => Fault::Extra,
+            4 => Fault::Unframed,
+            5 => Fault::UnframedReset,
+            6 => Fault::Garbage,
+            7 => Fault::Error,
+            _ => Fault::None,
+        };
+        let place = self.random.random_range(0..self.upstreams.len());
+        self.upstreams[place].runner.set_fault(fault);
+        format!("{}: {fault:?}", self.upstreams[place].runner.id())
+    }
+
+    /// One crashes; another takes its place.
+    fn replace_upstream(&mut self) -> String {
+        let place = self.random.random_range(0..self.upstreams.len());
+        let crashed = self.upstreams.swap_remove(place);
+        crashed.runner.crash();
+        crashed.proxy.set(Link::Reset);
+        self.fleet.store.unregister(crashed.runner.id());
+        let what = format!("{} crashes", crashed.runner.id());
+        self.add_upstream(crashed.service, crashed.place);
+        self.gone.push(crashed);
+        what
+    }
+
+    /// One announces that it leaves; another takes its place.
+    fn drain_upstream(&mut self) -> String {
+        let place = self.random.random_range(0..self.upstreams.len());
+        let mut leaving = self.upstreams.swap_remove(place);
+        let registration = leaving.runner.registration(leaving.proxy.address(), true);
+        self.fleet.store.register(leaving.runner.id(), registration);
+        leaving.draining = Some(Instant::now());
+        let what = format!("{} leaves", leaving.runner.id());
+        self.add_upstream(leaving.service, leaving.place);
+        self.gone.push(leaving);
+        what
+    }
+
+    fn revoke_key(&mut self) -> String {
+        let old = self.key.lock().expect("no holder panics").clone();
+        let new = format!("key-{}", self.next_key);
+        self.next_key += 1;
+        let both = [old.clone(), new.clone()];
+        self.fleet
+            .configure(|document| document["tenants"][0]["api_keys"] = json!(both));
+        thread::sleep(Duration::from_millis(300));
+        *self.key.lock().expect("no holder panics") = new.clone();
+        self.fleet
+            .configure(|document| document["tenants"][0]["api_keys"] = json!([new]));
+        self.revoked.push((old, Instant::now()));
+        "a key is taken back".to_owned()
+    }
+
+    fn heal_links(&mut self) -> String {
+        for upstream in &self.upstreams {
+            upstream.proxy.set(Link::Pass);
+            upstream.runner.set_fault(Fault::None);
+        }
+        "links and upstreams heal".to_owned()
+    }
+
+    /// Ends every fault.
+    fn heal(&mut self) {
+        self.fleet.store.set_mode(StoreMode::Serving);
+        self.fleet.store_link.set(Link::Pass);
+        self.heal_links();
+        for daemon in &mut self.fleet.daemons {
+            daemon.restart();
+        }
+    }
+
+    fn all_upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.iter().chain(&self.gone)
+    }
+
+    /// What did not hold.
+    fn check(&self, seen: &[Seen], healed: Instant) -> Vec<String> {
+        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+        for upstream in self.all_upstreams() {
+            for run in upstream.runner.runs() {
+                runs.entry(run.id.clone()).or_default().push(run);
+            }
+        }
+        let mut faults = Vec::new();
+        for one in seen {
+            faults.extend(check_one(one, runs.get(&one.call.id)));
+        }
+        faults.extend(self.check_drains());
+        faults.extend(self.check_keys(&runs, seen));
+        faults.extend(check_recovery(seen, healed));
+        let held: usize = self
+            .upstreams
+            .iter()
+            .map(|one| one.runner.reservations().0)
+            .sum();
+        if held > 0 {
+            faults.push(format!("{held} reservations are still held"));
+        }
+        faults
+    }
+
+    /// An upstream that leaves gets nothing once that must be known.
+    ///
+    /// The bound holds while the store is in order, which it must have been for a
+    /// while before.
+    fn check_drains(&self) -> Vec<String> {
+        let late = |upstream: &Upstream| {
+            let left = upstream.draining?;
+            let bound = left.max(self.store_fault + Duration::from_secs(3)) + DRAIN_BOUND + SLACK;
+            let runs = upstream.runner.runs();
+            let late = runs.iter().find(|run| run.at > bound)?;
+            Some(format!(
+                "{} ran {} after it left",
+                upstream.runner.id(),
+                late.id
+            ))
+        };
+        self.gone.iter().filter_map(late).collect()
+    }
+
+    /// A key that was taken back is served no more, whatever the store did.
+    fn check_keys(&self, runs: &HashMap<String, Vec<Run>>, seen: &[Seen]) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (key, revoked) in &self.revoked {
+            let late = seen.iter().filter(|one| {
+                one.call.key.as_deref() == Some(key) && one.sent > *revoked + KEY_LEASE
+            });
+            for one in late.filter(|one| runs.contains_key(&one.call.id)) {
+                faults.push(format!("{} ran with a key taken back", one.call.id));
+            }
+        }
+        faults
+    }
+}
+
+/// A random request.
+fn request(random: &mut StdRng, id: &str, key: &str) -> Call {
+    let mut call = match random.random_range(0..10) {
+        0..4 => ask(&format!("ask-{id}")),
+        4 => Call::new("POST", HOST, "/ask/review", &format!("review-{id}"))
+            .tokens(random.random_range(50_000..400_000), 200),
+        5..8 => order(&format!("order-{id}")),
+        _ => reading(&format!("reading-{id}")),
+    };
+    call.body = vec![b'b'; random.random_range(0..3_000)];
+    call.key(key)
+}
+
+/// What did not hold for one request.
+fn check_one(one: &Seen, runs: Option<&Vec<Run>>) -> Vec<String> {
+    let (id, received) = (&one.call.id, &one.received);
+    let runs = runs.map_or(&[][..], Vec::as_slice);
+    let mut faults = Vec::new();
+    let mut fault = |what: &str| faults.push(format!("{id}: {what} ({})", received.status));
+    if id.starts_with("order-") && runs.len() > 1 {
+        fault("ran more than once");
+    }
+    if matches!(received.status, 503 | 429 | 408 | 421)
+        && id.starts_with("order-")
+        && !runs.is_empty()
+    {
+        fault("was said not to have run");
+    }
+    if runs
+        .iter()
+        .any(|run| run.body != one.call.body || !run.target.ends_with(&one.call.path))
+    {
+        fault("ran changed");
+    }
+    if received.status != 200 {
+        return faults;
+    }
+    let seal = received
+        .header("X-Mangofront-Response-Seal")
+        .unwrap_or_default();
+    if !seal.ends_with(&format!(".{id}")) {
+        fault("has another answer's seal");
+    }
+    if one.call.tokens.is_none() {
+        if received.is_whole && !received.text().starts_with(&format!("answer to {id} ")) {
+            fault("got another answer");
+        }
+        return faults;
+    }
+    let events = stream_events(&received.text());
+    let is_own = events.iter().all(|event| event.request == *id);
+    let is_in_order = events
+        .iter()
+        .enumerate()
+        .all(|(place, event)| event.id == place as u64 + 1);
+    if !is_own || !is_in_order {
+        fault("has events missing, doubled or of another request");
+    }
+    if received.is_whole && events.len() as u64 != EVENTS {
+        fault("looks whole and is not");
+    }
+    faults
+}
+
+/// Most requests are served again in the end.
+fn check_recovery(seen: &[Seen], healed: Instant) -> Vec<String> {
+    let last = healed + RECOVERY - Duration::from_secs(4);
+    let late: Vec<&Seen> = seen.iter().filter(|one| one.sent > last).collect();
+    let served = late
+        .iter()
+        .filter(|one| one.received.status == 200 && one.received.is_whole);
+    let served = served.count();
+    if late.is_empty() || served * 10 < late.len() * 9 {
+        return vec![format!(
+            "{served} of {} requests are served after the last fault",
+            late.len()
+        )];
+    }
+    Vec::new()
+}
