Let a few daemons of a zone watch what is published for all

Change: two daemons of a zone watch; the others ask one of them by datagram how far it knows and how long ago, counted from the question, and call the store only to fetch a change.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -107,7 +107,10 @@
     let (tell, told) = mpsc::unbounded();
     let zone = settings.availability_zone.clone();
     let upstreams = Upstreams::new(ChoiceOptions::default(), zone.clone(), tell);
-    let published = Published::new(PublishedOptions::default(), upstreams.clone());
+    let published = Published::new(
+        PublishedOptions::for_lease(own.key_lease()),
+        upstreams.clone(),
+    );
     let connections = connections(settings);
     let store = StoreClient::new(connections.clone(), settings.platform_address);
     let sharing_cell: Rc<std::cell::OnceCell<Rc<Sharing>>> = Rc::default();
@@ -118,6 +121,7 @@
         zone,
         peers.clone(),
         upstreams.clone(),
+        published.clone(),
     )
     .await?;
     // Set once, right here.
@@ -141,7 +145,7 @@
         metrics: metrics.clone(),
     });
     let background = vec![
-        spawn(published.follow(Rc::new(store))),
+        spawn(published.follow(Rc::new(store), Rc::clone(&sharing))),
         spawn(Rc::clone(&sharing).tell(told)),
         spawn(Rc::clone(&sharing).repeat()),
         spawn(sharing.hear()),
--- a/crates/gateway/src/boot_clock.rs
+++ b/crates/gateway/src/boot_clock.rs
@@ -25,6 +25,11 @@
         Self(self.0 + time)
     }
 
+    /// The moment `time` earlier.
+    pub(crate) fn before(self, time: Duration) -> Self {
+        Self(self.0.saturating_sub(time))
+    }
+
     /// Time since then; zero for a moment to come.
     pub(crate) fn elapsed(self) -> Duration {
         Self::now().0.saturating_sub(self.0)
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -3,6 +3,9 @@
 //! One task reads everything and then watches for changes, for ever. A
 //! configuration comes into force only if its version is higher than the one
 //! before it, so that a source that serves old values can't bring one back.
+//! In a large zone only a few daemons watch. The others ask one of these by
+//! datagram how far it knows, which renews their lease too, and call the source
+//! themselves only to fetch a change.
 //! An upstream that is no longer published is kept for a moment after the
 //! source was out of reach, since its registration may only have lapsed.
 
@@ -12,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use compio::runtime::spawn;
+use futures_channel::oneshot;
 use mangofront_engines::Upstreams;
 use mangofront_routes::{EngineFigures, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::ServiceName;
@@ -19,6 +23,7 @@
 use crate::boot_clock::BootInstant;
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
 use crate::lease::Lease;
+use crate::sharing::{Confirmation, Sharing};
 use crate::trace;
 
 /// Times of the reading of published values.
@@ -27,11 +32,16 @@
     /// Longest wait for a change in one call.
     ///
     /// Each call costs the platform, and each answer renews the lease on the
-    /// keys: three calls fit into the lease, so that one may be lost.
+    /// keys: four calls fit into the lease, so that one may be lost.
     pub watch_wait: Duration,
     /// Time for an answer beyond that wait: many times the usual few
     /// milliseconds, for a source that is slow but there.
     pub answer_timeout: Duration,
+    /// Time between two questions to a neighbour that watches.
+    pub ask_period: Duration,
+    /// Age up to which what a neighbour knows is taken; older, it is out of touch
+    /// itself.
+    pub relayed_age_limit: Duration,
     /// Time for reading everything.
     pub read_timeout: Duration,
     /// Pause after a failed call; doubled up to `longest_pause`.
@@ -50,11 +60,19 @@
     pub lapse_window: Duration,
 }
 
-impl Default for PublishedOptions {
-    fn default() -> Self {
+impl PublishedOptions {
+    /// Times that renew a lease of `key_lease` well before it ends.
+    ///
+    /// What a neighbour relays may be as old as one wait and one lost answer, and
+    /// the next question comes a period later: together half of the lease, so
+    /// that a single loss never makes a daemon refuse requests.
+    #[must_use]
+    pub fn for_lease(key_lease: Duration) -> Self {
         Self {
-            watch_wait: Duration::from_millis(1_200),
+            watch_wait: key_lease.mul_f64(0.24),
             answer_timeout: Duration::from_millis(700),
+            ask_period: key_lease.mul_f64(0.1),
+            relayed_age_limit: key_lease.mul_f64(0.4),
             read_timeout: Duration::from_millis(2_000),
             first_pause: Duration::from_millis(80),
             longest_pause: Duration::from_millis(600),
@@ -79,6 +97,11 @@
     lapsed: RefCell<HashMap<UpstreamId, Instant>>,
     last_failure: Cell<Option<Instant>>,
     lease: Lease,
+    position: Cell<Option<Position>>,
+    /// Position of the last change that was read.
+    last_change: Cell<Position>,
+    /// Wakes the task that follows the source, when it waits between two questions.
+    nudge: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl Published {
@@ -93,6 +116,9 @@
             lapsed: RefCell::default(),
             last_failure: Cell::default(),
             lease: Lease::default(),
+            position: Cell::default(),
+            last_change: Cell::default(),
+            nudge: RefCell::default(),
         }))
     }
 
@@ -114,27 +140,36 @@
         !self.0.registered.borrow().is_empty()
     }
 
-    /// Reads and watches `source`, for ever.
-    pub async fn follow(self, source: Rc<dyn Source>) {
-        let options = self.0.options.clone();
-        let mut position: Option<Position> = None;
+    /// How far this daemon knows what is published.
+    pub(crate) fn confirmation(&self) -> Option<Confirmation> {
+        let age = self.0.lease.age()?;
+        Some(Confirmation {
+            position: self.0.position.get()?,
+            last_change: self.0.last_change.get(),
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Notes that something changed, up to `position`.
+    pub(crate) fn nudge(&self, position: Position) {
+        let is_news = self.0.position.get().is_none_or(|known| known < position);
+        if let Some(waiting) = self.0.nudge.take().filter(|_| is_news) {
+            // The task may have gone on by itself.
+            let _ = waiting.send(());
+        }
+    }
+
+    /// Follows `source`, for ever; neighbours confirm by `sharing`.
+    pub async fn follow(self, source: Rc<dyn Source>, sharing: Rc<Sharing>) {
+        let options = &self.0.options;
         let mut pause = options.first_pause;
         loop {
-            let asked = BootInstant::now();
-            let answered = match position {
-                None => self.read(source.as_ref(), asked).await,
-                Some(after) => self.watch(source.as_ref(), after, asked).await,
-            };
-            match answered {
-                Ok((next, has_changes)) => {
-                    if self.0.last_failure.get().is_some() && pause > options.first_pause {
+            match self.follow_once(source.as_ref(), &sharing).await {
+                Ok(()) => {
+                    if pause > options.first_pause {
                         trace::dependency_regained("platform");
                     }
-                    position = Some(next);
                     pause = options.first_pause;
-                    if has_changes {
-                        compio::time::sleep(options.change_pause).await;
-                    }
                 }
                 Err(error) => {
                     if pause == options.first_pause {
@@ -142,7 +177,7 @@
                     }
                     self.0.last_failure.set(Some(Instant::now()));
                     if error == SourceError::HistoryGone {
-                        position = None;
+                        self.0.position.set(None);
                     }
                     compio::time::sleep(pause).await;
                     pause = (pause * 2).min(options.longest_pause);
@@ -151,11 +186,42 @@
         }
     }
 
-    async fn read(
-        &self,
-        source: &dyn Source,
-        asked: BootInstant,
-    ) -> Result<(Position, bool), SourceError> {
+    async fn follow_once(&self, source: &dyn Source, sharing: &Sharing) -> Result<(), SourceError> {
+        let Some(after) = self.0.position.get() else {
+            return self.read(source).await;
+        };
+        let wait = self.0.options.watch_wait;
+        if sharing.is_watcher() {
+            return self.watch(source, after, wait, sharing).await;
+        }
+        let asked = BootInstant::now();
+        let known = sharing.ask().await;
+        let age = |known: &Confirmation| Duration::from_millis(u64::from(known.age_ms));
+        match known.filter(|known| age(known) < self.0.options.relayed_age_limit) {
+            // Nobody answers who knows: look for oneself.
+            None => self.watch(source, after, wait, sharing).await,
+            Some(known) if known.last_change > after => {
+                self.watch(source, after, Duration::ZERO, sharing).await
+            }
+            Some(known) => {
+                self.0.position.set(Some(after.max(known.position)));
+                self.0.lease.confirm(asked.before(age(&known)));
+                self.wait_for_nudge().await;
+                Ok(())
+            }
+        }
+    }
+
+    /// Waits until it is time to ask again, or something has changed.
+    async fn wait_for_nudge(&self) {
+        let (nudge, nudged) = oneshot::channel();
+        self.0.nudge.replace(Some(nudge));
+        // Both the time and a nudge lead to the next question.
+        let _ = compio::time::timeout(self.0.options.ask_period, nudged).await;
+    }
+
+    async fn read(&self, source: &dyn Source) -> Result<(), SourceError> {
+        let asked = BootInstant::now();
         let Snapshot { position, entries } = source.read(self.0.options.read_timeout).await?;
         let mut missing: Vec<UpstreamId> = self.0.registered.borrow().keys().cloned().collect();
         for entry in entries {
@@ -169,32 +235,41 @@
         }
         self.pass_on_upstreams();
         self.0.lease.confirm(asked);
-        Ok((position, false))
+        self.0.position.set(Some(position));
+        self.0.last_change.set(position);
+        Ok(())
     }
 
     async fn watch(
         &self,
         source: &dyn Source,
         after: Position,
-        asked: BootInstant,
-    ) -> Result<(Position, bool), SourceError> {
-        let (wait, timeout) = (self.0.options.watch_wait, self.0.options.answer_timeout);
+        wait: Duration,
+        sharing: &Sharing,
+    ) -> Result<(), SourceError> {
+        let asked = BootInstant::now();
+        let timeout = self.0.options.answer_timeout;
         let Changes { position, changes } = source.watch(after, wait, timeout).await?;
-        let has_changes = !changes.is_empty();
+        self.0.position.set(Some(position));
+        if changes.is_empty() {
+            // It waited the whole time and nothing had changed by its end.
+            self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
+            return Ok(());
+        }
         for change in changes {
             match change {
                 Change::Written(entry) => self.take_entry(entry),
                 Change::UpstreamGone(id) => self.take_missing(id),
             }
         }
-        if has_changes {
-            self.pass_on_upstreams();
-            self.0.lease.confirm(asked);
-        } else {
-            // It waited the whole time and nothing had changed by its end.
-            self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
+        self.pass_on_upstreams();
+        self.0.lease.confirm(asked);
+        self.0.last_change.set(position);
+        if !wait.is_zero() {
+            sharing.tell_changed(position).await;
         }
-        Ok((position, has_changes))
+        compio::time::sleep(self.0.options.change_pause).await;
+        Ok(())
     }
 
     fn take_entry(&self, entry: Entry) {
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -1,4 +1,5 @@
-//! Daemons tell each other where they have just placed requests.
+//! What daemons tell each other by datagram: where they have just placed
+//! requests, and how far they know what is published.
 //!
 //! Engines report their load late, so two daemons that each look for an idle
 //! engine would meet at the same one. Each placement, first event and end is
@@ -7,7 +8,7 @@
 //! itself. Membership comes from `mangofront-peers`, whose links would cost a
 //! round trip and several thread switches for each of these messages.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 
 use compio::net::UdpSocket;
 use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::oneshot;
 use futures_util::StreamExt;
 use mangofront_engines::{News, Origin, Upstreams};
 use mangofront_peers::{Member, Peers};
@@ -24,6 +26,9 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dialect::Position;
+use crate::published::Published;
+
 /// Version of the datagrams; a daemon drops any other.
 const VERSION: u8 = 1;
 
@@ -33,6 +38,15 @@
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Duty of watching what is published for a zone.
+const WATCH_DUTY: &str = "watch-published";
+
+/// Daemons of a zone that watch; two, so that one may fail.
+const WATCHERS: usize = 2;
+
+/// Time for a daemon of the same zone to answer a datagram.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time between two lists of all that has not ended.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -55,7 +69,33 @@
     incarnation: Incarnation,
     /// Its availability zone.
     zone: AvailabilityZone,
-    news: Vec<News>,
+    message: Message,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Message {
+    /// What became of requests and upstreams.
+    News(Vec<News>),
+    /// Asks how far the receiver knows what is published.
+    Ask(Nonce),
+    /// Answer to [`Message::Ask`].
+    Confirmed(Nonce, Confirmation),
+    /// Something that is published has changed, up to this position.
+    Changed(Position),
+}
+
+/// Number of a question, unique within its asker's life.
+type Nonce = u64;
+
+/// How far a daemon knows what is published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Confirmation {
+    /// Position up to which it knows all changes.
+    pub(crate) position: Position,
+    /// Position of the last change.
+    pub(crate) last_change: Position,
+    /// Time since that was known to be current, in milliseconds.
+    pub(crate) age_ms: u32,
 }
 
 /// Which life of a daemon something is of.
@@ -77,6 +117,9 @@
     upstreams: Upstreams,
     /// Lives of the other daemons, by their short names.
     lives: RefCell<HashMap<u64, Incarnation>>,
+    published: Published,
+    asked: RefCell<HashMap<Nonce, oneshot::Sender<Confirmation>>>,
+    next_nonce: Cell<Nonce>,
 }
 
 impl Sharing {
@@ -90,6 +133,7 @@
         zone: AvailabilityZone,
         peers: Peers,
         upstreams: Upstreams,
+        published: Published,
     ) -> Result<Rc<Self>, SharingError> {
         let socket = UdpSocket::bind(address)
             .await
@@ -102,6 +146,9 @@
             zone,
             upstreams,
             lives: RefCell::default(),
+            published,
+            asked: RefCell::default(),
+            next_nonce: Cell::new(0),
         }))
     }
 
@@ -112,18 +159,56 @@
             while let Ok(next) = news.try_recv() {
                 batch.push(next);
             }
-            let addresses = self.addresses();
+            let addresses = self.addresses(|_| true);
             for datagram in self.datagrams(batch) {
                 for address in &addresses {
-                    let sent = self.socket.send_to(datagram.clone(), address).await;
-                    if let Err(error) = sent.0 {
-                        log::debug!("gateway: news to {address} failed: {error}");
-                    }
+                    self.send(datagram.clone(), *address).await;
                 }
             }
         }
     }
 
+    async fn send(&self, datagram: Vec<u8>, to: SocketAddr) {
+        let sent = self.socket.send_to(datagram, to).await;
+        if let Err(error) = sent.0 {
+            log::debug!("gateway: datagram to {to} failed: {error}");
+        }
+    }
+
+    /// Whether this daemon is one of those that watch what is published for
+    /// their zone.
+    pub(crate) fn is_watcher(&self) -> bool {
+        self.peers.is_delegate(WATCH_DUTY, WATCHERS)
+    }
+
+    /// Asks a watcher of the zone how far it knows what is published.
+    pub(crate) async fn ask(&self) -> Option<Confirmation> {
+        let nonce = self.next_nonce.get();
+        self.next_nonce.set(nonce + 1);
+        let watchers = self.peers.delegates(WATCH_DUTY, WATCHERS);
+        let others: Vec<&Member> = watchers
+            .iter()
+            .filter(|member| member.address != self.peers.address())
+            .collect();
+        let watcher = others.get(nonce as usize % others.len().max(1))?;
+        let to = SocketAddr::new(watcher.address.ip(), self.port);
+        let (answer, answered) = oneshot::channel();
+        self.asked.borrow_mut().insert(nonce, answer);
+        self.send(self.datagram(Message::Ask(nonce)), to).await;
+        let answered = compio::time::timeout(ASK_TIMEOUT, answered).await;
+        self.asked.borrow_mut().remove(&nonce);
+        answered.ok()?.ok()
+    }
+
+    /// Tells the daemons of the zone that something published has changed.
+    pub(crate) async fn tell_changed(&self, position: Position) {
+        let datagram = self.datagram(Message::Changed(position));
+        let is_near = |member: &Member| member.availability_zone == self.zone;
+        for address in self.addresses(is_near) {
+            self.send(datagram.clone(), address).await;
+        }
+    }
+
     /// Hears what the others tell, for ever.
     pub async fn hear(self: Rc<Self>) {
         let mut buffer = Vec::with_capacity(BUFFER_BYTES);
@@ -133,10 +218,9 @@
             buffer = received.1;
             match received.0 {
                 Ok((length, from)) => {
-                    let is_new = self.take(buffer.get(..length).unwrap_or_default());
-                    if is_new {
-                        self.introduce(from).await;
-                    }
+                    let bytes = buffer.get(..length).unwrap_or_default();
+                    let from = SocketAddr::new(from.ip(), self.port);
+                    self.take(bytes, from).await;
                 }
                 Err(error) => {
                     log::debug!("gateway: news could not be read: {error}");
@@ -164,38 +248,53 @@
 
     /// Tells a daemon that has just started of all that has not ended.
     async fn introduce(&self, to: SocketAddr) {
-        let to = SocketAddr::new(to.ip(), self.port);
         for datagram in self.datagrams(self.upstreams.introduction()) {
-            let sent = self.socket.send_to(datagram, to).await;
-            if let Err(error) = sent.0 {
-                log::debug!("gateway: introduction to {to} failed: {error}");
-            }
+            self.send(datagram, to).await;
         }
     }
 
-    /// Takes in a datagram; returns whether it is the first of its daemon's life.
-    fn take(&self, bytes: &[u8]) -> bool {
+    /// Takes in a datagram.
+    async fn take(&self, bytes: &[u8], from: SocketAddr) {
         let datagram = match bytes.split_first() {
             Some((&VERSION, rest)) => postcard::from_bytes::<Datagram>(rest).ok(),
             _ => None,
         };
         let Some(datagram) = datagram else {
-            log::debug!("gateway: news of {} bytes can't be read", bytes.len());
-            return false;
+            log::debug!("gateway: a datagram of {} bytes can't be read", bytes.len());
+            return;
         };
         if datagram.daemon == self.daemon {
-            return false;
+            return;
         }
         let life = self.life(&datagram);
         if life == Life::Ended {
-            return false;
+            return;
         }
         self.upstreams.heard_zone(&datagram.zone);
+        if life == Life::New {
+            self.introduce(from).await;
+        }
         let origin = origin(datagram.daemon, datagram.incarnation);
-        for news in datagram.news {
-            self.upstreams.hear(origin, news);
+        match datagram.message {
+            Message::News(news) => {
+                for one in news {
+                    self.upstreams.hear(origin, one);
+                }
+            }
+            Message::Ask(nonce) => {
+                if let Some(known) = self.published.confirmation() {
+                    let answer = self.datagram(Message::Confirmed(nonce, known));
+                    self.send(answer, from).await;
+                }
+            }
+            Message::Confirmed(nonce, known) => {
+                if let Some(answer) = self.asked.borrow_mut().remove(&nonce) {
+                    // Whoever asked may have given up waiting.
+                    let _ = answer.send(known);
+                }
+            }
+            Message::Changed(position) => self.published.nudge(position),
         }
-        life == Life::New
     }
 
     /// Which life of its daemon a datagram is of; work of an earlier one ended
@@ -216,30 +315,33 @@
         Life::New
     }
 
-    /// Addresses of the daemons that answer.
-    fn addresses(&self) -> Vec<SocketAddr> {
+    /// Addresses of the other daemons that answer and that `wanted` names.
+    fn addresses(&self, wanted: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
         let own = self.peers.address();
         let others = self.peers.members().into_iter();
         others
-            .filter(|member| member.state.answers() && member.address != own)
-            .map(|member: Member| SocketAddr::new(member.address.ip(), self.port))
+            .filter(|member| member.state.answers() && member.address != own && wanted(member))
+            .map(|member| SocketAddr::new(member.address.ip(), self.port))
             .collect()
     }
 
-    /// The news in as few datagrams as hold it.
-    fn datagrams(&self, news: Vec<News>) -> Vec<Vec<u8>> {
+    fn datagram(&self, message: Message) -> Vec<u8> {
         let datagram = Datagram {
             daemon: self.daemon,
             incarnation: self.peers.incarnation(),
             zone: self.zone.clone(),
-            news,
+            message,
         };
-        // Numbers and lists of numbers only, so writing can't fail.
-        let bytes = postcard::to_extend(&datagram, vec![VERSION]).unwrap_or_default();
-        if bytes.len() <= DATAGRAM_LIMIT_BYTES || datagram.news.len() < 2 {
+        // Numbers, names and lists only, so writing can't fail.
+        postcard::to_extend(&datagram, vec![VERSION]).unwrap_or_default()
+    }
+
+    /// The news in as few datagrams as hold it.
+    fn datagrams(&self, mut news: Vec<News>) -> Vec<Vec<u8>> {
+        let bytes = self.datagram(Message::News(news.clone()));
+        if bytes.len() <= DATAGRAM_LIMIT_BYTES || news.len() < 2 {
             return vec![bytes];
         }
-        let mut news = datagram.news;
         let rest = news.split_off(news.len() / 2);
         let mut datagrams = self.datagrams(news);
         datagrams.extend(self.datagrams(rest));
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -164,6 +164,13 @@
         topology::is_delegate(&self.shared.options, &self.members(), duty, count)
     }
 
+    /// The members of the own availability zone that take on `duty`, as
+    /// [`Peers::is_delegate`] sees them; this daemon may be among them.
+    #[must_use]
+    pub fn delegates(&self, duty: &str, count: usize) -> Vec<Member> {
+        topology::delegates(&self.shared.options, &self.members(), duty, count)
+    }
+
     /// How many pauses of this process were seen.
     #[must_use]
     pub fn woke(&self) -> u64 {
--- a/crates/peers/src/topology.rs
+++ b/crates/peers/src/topology.rs
@@ -70,23 +70,30 @@
     duty: &str,
     count: usize,
 ) -> bool {
+    let chosen = delegates(own, members, duty, count);
+    chosen.iter().any(|member| member.instance == own.instance)
+}
+
+/// The `count` members of the own availability zone that take on `duty`, by
+/// rendezvous hashing.
+pub(crate) fn delegates(
+    own: &PeersOptions,
+    members: &[Member],
+    duty: &str,
+    count: usize,
+) -> Vec<Member> {
     let seed = xxh3_64(duty.as_bytes());
-    let rank = |instance: &str| {
-        (
-            xxh3_64_with_seed(instance.as_bytes(), seed),
-            instance.to_owned(),
-        )
+    let rank = |member: &Member| {
+        let hash = xxh3_64_with_seed(member.instance.as_bytes(), seed);
+        (hash, member.instance.clone())
     };
-    let own_rank = rank(&own.instance);
-    let zone = members.iter().filter(|member| {
+    let of_zone = members.iter().filter(|member| {
         member.state == MemberState::Alive
             && member.region == own.region
             && member.availability_zone == own.availability_zone
     });
-    let (own_alive, before) = zone.fold((false, 0), |(own_alive, before), member| {
-        let is_own = member.instance == own.instance;
-        let is_before = rank(&member.instance) > own_rank;
-        (own_alive || is_own, before + usize::from(is_before))
-    });
-    own_alive && before < count
+    let mut chosen: Vec<Member> = of_zone.cloned().collect();
+    chosen.sort_by_cached_key(|member| std::cmp::Reverse(rank(member)));
+    chosen.truncate(count);
+    chosen
 }
