--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -57,6 +57,9 @@
         address: SocketAddr,
         cause: serde_json::Error,
     },
+    #[error("trace: none of {lines} lines names request {request}")]
+    #[diagnostic(help("was it served by these daemons, and do the logs reach back so far?"))]
+    NoSuchRequest { request: String, lines: usize },
     #[error("stand-in: `{0}` is not NAME=VALUE")]
     BadSetting(String),
     #[error("stand-in: its settings don't fit: {0}")]
@@ -88,7 +91,9 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Output(cause) if is_closed(cause) => ExitCode::SUCCESS,
-            Self::Faulty(_) | Self::Refused { .. } => ExitCode::from(EXIT_FAULT),
+            Self::Faulty(_) | Self::Refused { .. } | Self::NoSuchRequest { .. } => {
+                ExitCode::from(EXIT_FAULT)
+            }
             _ => ExitCode::from(EXIT_UNASKED),
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,6 +18,7 @@
 mod standin;
 mod status;
 mod table;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -41,6 +42,10 @@
   mangofront explain --admin ADDR --model M --tokens N [--class C]
                      [--organisation O] [--json]
       Shows where a prompt of N tokens would go, and why, without running it.
+  mangofront trace ID [FILE]...
+      Shows a request's story out of the structured logs of any number of
+      daemons, read from the files or from standard input. Exit 1 when no line
+      names the request.
   mangofront standin engine|service|platform|weights --address ADDR
                      [--count N] [--settings FILE] [--set NAME=VALUE]...
       Runs an emulator until SIGTERM or SIGINT, or N alike on consecutive ports. A VALUE is JSON, or else a
@@ -80,6 +85,7 @@
         Some("status") => status::run(arguments)?,
         Some("audit") => audit::run(arguments)?,
         Some("explain") => explain::run(arguments)?,
+        Some("trace") => return trace::run(arguments),
         Some("standin") => standin::run(arguments)?,
         Some(other) => return Err(CliError::UnknownCommand(other.to_owned())),
         None => version_or_nothing(arguments)?,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use mangofront_adapter::{HeaderDialect, StoreClient};
-use mangofront_engines::{ChoiceOptions, Upstreams};
+use mangofront_engines::{ChoiceOptions, Upstreams, key_of};
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
 };
@@ -106,7 +106,8 @@
 ) -> Result<(Gateway, Peers, Vec<JoinHandle<()>>), DaemonError> {
     let (tell, told) = mpsc::unbounded();
     let zone = settings.availability_zone.clone();
-    let upstreams = Upstreams::new(ChoiceOptions::default(), zone.clone(), tell);
+    let salt = key_of(&settings.instance);
+    let upstreams = Upstreams::new(ChoiceOptions::default(), zone.clone(), salt, tell);
     let published = Published::new(
         PublishedOptions::for_lease(own.key_lease()),
         upstreams.clone(),
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -78,6 +78,15 @@
     pub(crate) first_event_ms: f64,
 }
 
+/// The other daemons that choose at the same time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Crowd {
+    /// How many there are.
+    pub(crate) daemons: usize,
+    /// A number that differs from request to request and between daemons.
+    pub(crate) draw: u64,
+}
+
 /// What is the same for all candidates.
 #[derive(Clone, Copy)]
 struct Weighing<'a> {
@@ -90,6 +99,8 @@
     gap_ms: f64,
     /// Cost of each answer whose pause would get too long, in milliseconds.
     broken_gap_cost_ms: f64,
+    /// Share in which other daemons' unknown requests count.
+    crowd_share: f64,
 }
 
 /// Chooses among the upstreams of a plain service: the least loaded one.
@@ -131,6 +142,7 @@
     options: &ChoiceOptions,
     availability_zone: &str,
     shortest_gap: Duration,
+    crowd: Crowd,
 ) -> Result<Choice, NoUpstream> {
     let has_slot = |candidate: &Candidate<'_>| {
         candidate.load.running() < candidate.known.slots() + options.queued_requests
@@ -146,10 +158,11 @@
         is_brisk: demand.gap <= shortest_gap.mul_f64(options.brisk_factor),
         gap_ms: demand.gap.as_secs_f64() * 1_000.0,
         broken_gap_cost_ms: options.broken_gap_cost_ms,
+        crowd_share: options.crowd_share(crowd.daemons),
     };
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
     let mut weighing = &careful;
-    let mut chosen = careful.cheapest(candidates, read_ms);
+    let mut chosen = careful.cheapest(candidates, read_ms, crowd.draw);
     let bold = Weighing {
         broken_gap_cost_ms: options.broken_gap_cost_ms * options.bold_share,
         ..careful
@@ -165,7 +178,7 @@
             return Err(NoUpstream::Busy);
         }
         weighing = &bold;
-        chosen = bold.cheapest(candidates, read_ms);
+        chosen = bold.cheapest(candidates, read_ms, crowd.draw);
     }
     let part_ms = read_ms / chosen.len().max(1) as f64;
     let by_cost = |index: &usize| weighing.cost_ms(&candidates[*index], part_ms);
@@ -205,12 +218,11 @@
     /// The engines that together have read a prompt first, at least cost.
     ///
     /// There is always one: `candidates` is not empty.
-    fn cheapest(&self, candidates: &[Candidate<'_>], read_ms: f64) -> Vec<usize> {
-        let most = if read_ms <= self.options.unsplit_read_ms {
-            1
-        } else {
-            candidates.len().min(self.options.helpers_limit + 1)
-        };
+    fn cheapest(&self, candidates: &[Candidate<'_>], read_ms: f64, draw: u64) -> Vec<usize> {
+        if read_ms <= self.options.unsplit_read_ms {
+            return self.any_of_cheapest(candidates, read_ms, draw);
+        }
+        let most = candidates.len().min(self.options.helpers_limit + 1);
         let mut best = (f64::INFINITY, Vec::new());
         for count in 1..=most {
             let part_ms = read_ms / count as f64;
@@ -233,6 +245,24 @@
         best.1
     }
 
+    /// One of the engines that cost about as little as the cheapest.
+    ///
+    /// Daemons hear of each other's requests only after some milliseconds; if all
+    /// took the cheapest, several would meet there.
+    fn any_of_cheapest(&self, candidates: &[Candidate<'_>], read_ms: f64, draw: u64) -> Vec<usize> {
+        let costs: Vec<f64> = candidates
+            .iter()
+            .map(|candidate| self.cost_ms(candidate, read_ms))
+            .collect();
+        let least_ms = costs.iter().copied().fold(f64::INFINITY, f64::min);
+        let is_cheap = |cost_ms: f64| cost_ms <= least_ms + self.options.tie_ms * self.crowd_share;
+        let cheap: Vec<usize> = (0..costs.len())
+            .filter(|index| is_cheap(costs[*index]))
+            .collect();
+        let chosen = draw as usize % cheap.len().max(1);
+        cheap.get(chosen).copied().into_iter().collect()
+    }
+
     /// Time until a part is read here, with what it does to others, in milliseconds.
     fn cost_ms(&self, candidate: &Candidate<'_>, part_ms: f64) -> f64 {
         let load = &candidate.load;
@@ -259,6 +289,11 @@
         if load.running() >= slots {
             cost_ms += self.options.full_cost_ms;
         }
+        if self.is_brisk {
+            let roomy = f64::from(slots) * self.options.roomy_share;
+            let crowding = (f64::from(load.running() + 1) - roomy).max(0.0);
+            cost_ms += self.options.crowding_cost_ms * self.crowd_share * crowding;
+        }
         cost_ms
     }
 }
--- a/crates/engines/src/health.rs
+++ b/crates/engines/src/health.rs
@@ -18,6 +18,18 @@
     Full,
 }
 
+impl Failure {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Full => "full",
+        }
+    }
+}
+
 /// How long a full upstream is left out: a short answer's pass or two.
 const FULL_EJECTION: Duration = Duration::from_millis(150);
 
--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -63,6 +63,20 @@
     /// Cost of a request that has to wait for a slot, in milliseconds; 400 by
     /// default, a third of a short answer's time.
     pub full_cost_ms: f64,
+    /// Share of an engine's slots up to which it counts as roomy; 0.75 by default.
+    pub roomy_share: f64,
+    /// Cost of each request beyond that, in milliseconds; 15 by default.
+    ///
+    /// Other daemons' latest requests are not known yet; a request that finds the
+    /// last slot taken waits for a second. It counts in full from `crowd_daemons`
+    /// on: with six daemons, filled engines leave more of them to long prompts.
+    pub crowding_cost_ms: f64,
+    /// Difference in cost up to which engines count as equal, in milliseconds; 12
+    /// by default, less than half of the time that a short prompt takes to read. It
+    /// counts in full from `crowd_daemons` on.
+    pub tie_ms: f64,
+    /// Daemons from which on many choose at the same moment; 40 by default.
+    pub crowd_daemons: usize,
     /// Requests that may wait for a slot of an engine; 1 by default.
     ///
     /// When every engine has as many, a further request would be late and make
@@ -81,6 +95,13 @@
     pub longest_ejection: Duration,
 }
 
+impl ChoiceOptions {
+    /// Share in which costs count that stand for other daemons' unknown requests.
+    pub(crate) fn crowd_share(&self, daemons: usize) -> f64 {
+        (daemons as f64 / self.crowd_daemons.max(1) as f64).min(1.0)
+    }
+}
+
 impl Default for ChoiceOptions {
     fn default() -> Self {
         Self {
@@ -98,6 +119,10 @@
             bold_share: 0.1,
             other_zone_cost_ms: 3.0,
             full_cost_ms: 400.0,
+            roomy_share: 0.75,
+            crowding_cost_ms: 15.0,
+            tie_ms: 12.0,
+            crowd_daemons: 40,
             queued_requests: 1,
             memory_share: 0.96,
             helpers_limit: 16,
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::UnboundedSender;
-use mangofront_routes::{EngineFigures, Upstream};
+use mangofront_routes::{EngineFigures, Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 
 use crate::choose::{
-    Candidate, Choice, Demand, NoUpstream, Reader, choose_engines, choose_plain, expiry,
+    Candidate, Choice, Crowd, Demand, NoUpstream, Reader, choose_engines, choose_plain, expiry,
 };
 use crate::health::Failure;
 use crate::news::{News, Origin, PartNews};
@@ -44,6 +44,8 @@
     options: ChoiceOptions,
     availability_zone: AvailabilityZone,
     news: UnboundedSender<News>,
+    /// Differs between daemons, so that they don't all take the same of equals.
+    salt: u64,
     state: RefCell<State>,
 }
 
@@ -77,17 +79,20 @@
 }
 
 impl Upstreams {
-    /// No upstream yet; what other daemons should hear goes to `news`.
+    /// No upstream yet; what other daemons should hear goes to `news`. `salt` is
+    /// any number that differs between daemons.
     #[must_use]
     pub fn new(
         options: ChoiceOptions,
         availability_zone: AvailabilityZone,
+        salt: u64,
         news: UnboundedSender<News>,
     ) -> Self {
         Self(Rc::new(Shared {
             options,
             availability_zone,
             news,
+            salt: salt | 1,
             state: RefCell::default(),
         }))
     }
@@ -199,8 +204,20 @@
         let (options, zone) = (&self.0.options, &self.0.availability_zone);
         match figures {
             Some(figures) if demand.prompt_tokens > 0 => {
+                let crowd = Crowd {
+                    daemons: state.heard.len(),
+                    draw: self.0.salt.wrapping_mul(state.next_work | 1) >> 17,
+                };
                 let shortest_gap = state.shortest_gap.unwrap_or(demand.gap);
-                choose_engines(&candidates, &figures, demand, options, zone, shortest_gap)
+                choose_engines(
+                    &candidates,
+                    &figures,
+                    demand,
+                    options,
+                    zone,
+                    shortest_gap,
+                    crowd,
+                )
             }
             _ => choose_plain(&candidates, options, zone, state.next_work)
                 .ok_or(NoUpstream::AllTried),
@@ -230,6 +247,18 @@
             .hear_zone(zone, &self.0.availability_zone);
     }
 
+    /// Zones that are left out, as nothing can be heard of them.
+    #[must_use]
+    pub fn silent_zones(&self) -> Vec<AvailabilityZone> {
+        let now = Instant::now();
+        let state = self.0.state.borrow();
+        let zones = state.zones.keys();
+        zones
+            .filter(|zone| state.is_zone_silent(zone, now))
+            .cloned()
+            .collect()
+    }
+
     /// Other zones that have shown nothing of themselves for `silence`, each with
     /// one of its upstreams, by which it can be tried.
     #[must_use]
@@ -261,18 +290,25 @@
         }
     }
 
-    /// Notes that an upstream failed; it is left out for a while.
-    pub fn failed(&self, upstream: UpstreamKey, failure: Failure) {
+    /// Notes that an upstream failed; returns for how long it is left out, if it
+    /// is known.
+    pub fn failed(&self, upstream: UpstreamKey, failure: Failure) -> Option<Duration> {
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
-        let Some(known) = state.known_mut(upstream) else {
-            return;
-        };
+        let known = state.known_mut(upstream)?;
         let ejected = known.health.failed(failure, now, &self.0.options);
         self.tell(News::Failed {
             upstream,
             ejected_ms: milliseconds(ejected),
         });
+        Some(ejected)
+    }
+
+    /// Id of an upstream.
+    #[must_use]
+    pub fn id_of(&self, upstream: UpstreamKey) -> Option<UpstreamId> {
+        let mut state = self.0.state.borrow_mut();
+        state.known_mut(upstream).map(|known| known.info.id.clone())
     }
 
     /// The upstream that listens at `address`.
--- a/crates/engines/tests/choice.rs
+++ b/crates/engines/tests/choice.rs
@@ -55,7 +55,12 @@
 
     fn of(listed: Vec<Upstream>) -> Self {
         let (tell, news) = unbounded();
-        let upstreams = Upstreams::new(ChoiceOptions::default(), "hall-a".to_owned(), tell);
+        let upstreams = Upstreams::new(
+            ChoiceOptions::default(),
+            "hall-a".to_owned(),
+            0x9E37_79B9_7F4A_7C15,
+            tell,
+        );
         let fleet = Self {
             upstreams,
             news,
@@ -404,7 +409,7 @@
         let mut running = Vec::new();
         for (tokens, ends) in steps {
             if ends && !running.is_empty() {
-                running.remove(usize::from(tokens) % running.len());
+                drop(running.remove(usize::from(tokens) % running.len()));
             } else if let Ok(placed) = fleet.place(&review(u64::from(tokens) * 10)) {
                 running.push(placed);
             }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -137,12 +137,16 @@
         if self.sent == 0 {
             return true;
         }
-        let is_allowed = self.may_send_again(call)
-            && gateway
-                .budget()
-                .take(&call.service, gateway.daemons(), Instant::now());
+        if !self.may_send_again(call) {
+            return false;
+        }
+        let daemons = gateway.daemons();
+        let budget = gateway.budget();
+        let is_allowed = budget.take(&call.service, daemons, Instant::now());
         if is_allowed {
             gateway.parts().metrics.retried();
+        } else {
+            trace::second_send_refused(&call.id, &call.service, daemons);
         }
         is_allowed
     }
@@ -209,7 +213,7 @@
     );
     let reservations = Reservations::make(gateway.orders(), &placed.readers, &name)
         .await
-        .map_err(|upstream| no_memory(gateway, &upstream))?;
+        .map_err(|upstream| no_memory(gateway, call, &upstream))?;
     let request = request(gateway, call, &placed, &reservations, last_event_id)?;
     let patience = patience(gateway, call, history, &placed);
     let sent = send(gateway, call, &upstream, request, patience, history).await;
@@ -281,9 +285,8 @@
     xxh3_64(call.id.as_bytes()) % 100 < SHED_PERCENT
 }
 
-fn no_memory(gateway: &Gateway, upstream: &Upstream) -> Failed {
-    let key = key_of(&upstream.id);
-    gateway.parts().upstreams.failed(key, Failure::Full);
+fn no_memory(gateway: &Gateway, call: &Call, upstream: &Upstream) -> Failed {
+    gateway.leave_out(key_of(&upstream.id), Failure::Full, &call.id);
     Failed::Unreachable(format!("{} reserved no memory", upstream.id))
 }
 
@@ -400,7 +403,7 @@
         .read_answer(answer.status, &answer.headers);
     let key = key_of(&upstream.id);
     if head.not_run {
-        return Err(not_run(gateway, key, &head, answer.status));
+        return Err(not_run(gateway, call, key, &head, answer.status));
     }
     match &head.request_id {
         Some(id) if *id == call.id => {}
@@ -416,25 +419,31 @@
     Ok(answer)
 }
 
-fn not_run(gateway: &Gateway, key: UpstreamKey, head: &AnswerHead, status: StatusCode) -> Failed {
+fn not_run(
+    gateway: &Gateway,
+    call: &Call,
+    key: UpstreamKey,
+    head: &AnswerHead,
+    status: StatusCode,
+) -> Failed {
     let upstreams = &gateway.parts().upstreams;
     let at_fault = head
         .at_fault
         .and_then(|address| upstreams.at_address(address));
     match at_fault {
-        Some(other) if other != key => upstreams.failed(other, Failure::Unreachable),
-        _ if head.wrong_upstream => upstreams.failed(key, Failure::Unreachable),
-        _ => upstreams.failed(key, Failure::Full),
+        Some(other) if other != key => gateway.leave_out(other, Failure::Unreachable, &call.id),
+        _ if head.wrong_upstream => gateway.leave_out(key, Failure::Unreachable, &call.id),
+        _ => gateway.leave_out(key, Failure::Full, &call.id),
     }
     Failed::NotRun(format!("refused with {status}"))
 }
 
 fn send_failed(gateway: &Gateway, call: &Call, key: UpstreamKey, error: &SendError) -> Failed {
-    let upstreams = &gateway.parts().upstreams;
-    match error {
-        SendError::Timeout { .. } => upstreams.failed(key, Failure::Silent),
-        _ => upstreams.failed(key, Failure::Unreachable),
-    }
+    let failure = match error {
+        SendError::Timeout { .. } => Failure::Silent,
+        _ => Failure::Unreachable,
+    };
+    gateway.leave_out(key, failure, &call.id);
     if error.outcome() == Outcome::NotRun {
         return Failed::Unreachable(error.to_string());
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use mangofront_engines::Upstreams;
+use mangofront_engines::{Failure, UpstreamKey, Upstreams};
 use mangofront_http::Body;
 use mangofront_peers::Peers;
 use mangofront_telemetry::metrics::{Metrics, PeerState};
@@ -20,7 +20,7 @@
 use crate::options::GatewayOptions;
 use crate::published::Published;
 use crate::reservations::Orders;
-use crate::zones;
+use crate::{trace, zones};
 
 /// The neighbours that a [`Gateway`] asks.
 pub struct GatewayParts {
@@ -172,6 +172,15 @@
         most
     }
 
+    /// Leaves an upstream out for a while after a failure of a request there.
+    pub(crate) fn leave_out(&self, upstream: UpstreamKey, failure: Failure, request: &str) {
+        let upstreams = &self.0.parts.upstreams;
+        if let Some(time) = upstreams.failed(upstream, failure) {
+            let id = upstreams.id_of(upstream).unwrap_or_default();
+            trace::upstream_left_out(&id, failure, time, request);
+        }
+    }
+
     /// Counts a request as in progress while the guard lives.
     pub(crate) fn begin(&self) -> InProgress {
         self.0.in_progress.set(self.0.in_progress.get() + 1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -119,12 +119,12 @@
             }
             Ok(None) => Err(Failed::MayHaveRun("ended within an event".to_owned())),
             Ok(Some(Err(error))) => {
-                gateway.parts().upstreams.failed(key, Failure::Unreachable);
+                gateway.leave_out(key, Failure::Unreachable, &call.id);
                 Err(Failed::MayHaveRun(error.to_string()))
             }
             Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
             Err(_) => {
-                gateway.parts().upstreams.failed(key, Failure::Silent);
+                gateway.leave_out(key, Failure::Silent, &call.id);
                 Err(Failed::MayHaveRun("no first event".to_owned()))
             }
         }
@@ -250,8 +250,8 @@
         let mut failed = failed;
         if let Some(broken) = self.running.take() {
             let key = key_of(&broken.upstream.id);
-            let upstreams = &self.gateway.parts().upstreams;
-            upstreams.failed(key, Failure::Unreachable);
+            self.gateway
+                .leave_out(key, Failure::Unreachable, &self.call.id);
             trace::attempt_failed(
                 &self.call.id,
                 &broken.upstream.id,
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use mangofront_engines::Failure;
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
 use mangofront_telemetry::metrics::{LengthBucket, Metrics, RequestOutcome};
 
@@ -59,6 +60,28 @@
         "gateway: attempt failed");
 }
 
+/// An upstream gets no requests for a while.
+pub(crate) fn upstream_left_out(upstream: &str, failure: Failure, time: Duration, cause: &str) {
+    log::info!(
+        upstream = upstream,
+        failure = failure.name(),
+        left_out_ms = milliseconds(time),
+        cause_request = cause;
+        "gateway: upstream left out"
+    );
+}
+
+/// Another zone can be reached no more, or again.
+pub(crate) fn zone_changed(zone: &str, is_reachable: bool) {
+    log::info!(dependency = zone, reachable = is_reachable; "gateway: zone reachability changed");
+}
+
+/// A second send that the budget of the fleet did not allow.
+pub(crate) fn second_send_refused(request: &str, service: &str, daemons: usize) {
+    log::info!(request = request, service = service, daemons = daemons;
+        "gateway: second send not allowed by the budget");
+}
+
 /// A request that was refused before its route was known.
 pub(crate) fn refused(request: &str, path: &str, peer: &str, refusal: &Refusal, lease: &Lease) {
     log::info!(
--- a/crates/gateway/src/zones.rs
+++ b/crates/gateway/src/zones.rs
@@ -5,13 +5,17 @@
 //! shows all the time that it can be reached; one that falls quiet is tried by
 //! opening a connection to one of its upstreams.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use compio::runtime::spawn;
 use mangofront_engines::{Upstreams, key_of};
 use mangofront_routes::Upstream;
+use mangofront_settings::ids::AvailabilityZone;
 use mangofront_upstream::{Connections, Target};
 
+use crate::trace;
+
 /// Silence after which a zone is tried.
 const QUIET_AFTER: Duration = Duration::from_millis(500);
 
@@ -23,8 +27,14 @@
 
 /// Tries quiet zones, for ever.
 pub(crate) async fn watch(upstreams: Upstreams, connections: Connections) {
+    let mut silent = BTreeSet::new();
     loop {
         compio::time::sleep(LOOK_PERIOD).await;
+        let now_silent: BTreeSet<AvailabilityZone> = upstreams.silent_zones().into_iter().collect();
+        for zone in now_silent.symmetric_difference(&silent) {
+            trace::zone_changed(zone, silent.contains(zone));
+        }
+        silent = now_silent;
         for upstream in upstreams.quiet_zones(QUIET_AFTER) {
             spawn(try_one(upstream, upstreams.clone(), connections.clone())).detach();
         }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -408,3 +408,24 @@
     assert_eq!(lines.len(), 3);
     assert_eq!(standin.stop("-TERM"), Some(0));
 }
+
+#[test]
+fn trace_tells_a_requests_story_in_order() {
+    let logs = TemporaryFile::new(
+        "trace.log",
+        "front-b {\"time\":\"2026-03-03T01:01:09.500Z\",\"level\":\"INFO\",\"message\":\"gateway: request ended\",\"request\":\"r-1\",\"outcome\":\"answered\",\"upstream\":\"i-2\",\"took_ms\":2000}\n\
+         front-b {\"time\":\"2026-03-03T01:01:08.100Z\",\"level\":\"INFO\",\"message\":\"gateway: attempt failed\",\"request\":\"r-1\",\"outcome\":\"broken_off\",\"upstream\":\"i-1\"}\n\
+         front-a {\"time\":\"2026-03-03T01:01:08.000Z\",\"level\":\"INFO\",\"message\":\"gateway: upstream gone\",\"upstream\":\"i-1\"}\n\
+         front-a {\"time\":\"2026-03-03T01:01:08.050Z\",\"level\":\"INFO\",\"message\":\"gateway: upstream gone\",\"upstream\":\"i-9\"}\n\
+         front-a {\"time\":\"2026-03-03T01:00:00.000Z\",\"level\":\"INFO\",\"message\":\"gateway: upstream gone\",\"upstream\":\"i-1\"}\n\
+         not a line of ours\n\
+         front-a {\"time\":\"2026-03-03T01:01:10",
+    );
+    let found = tool(&["trace", "r-1", logs.name()]);
+    let missing = tool(&["trace", "r-2", logs.name()]);
+    let unreadable = tool(&["trace", "r-1", "/nonexistent/log"]);
+    let none = tool(&["trace"]);
+    insta::assert_snapshot!(
+        [seen(&found), seen(&missing), seen(&unreadable), seen(&none)].join("\n===\n")
+    );
+}
