Confirm what is published at once when the platform is back

Cause (an incident's logs): after an outage of the store two of six daemons took two seconds longer to serve keys again, as their first watch waited its whole time. Change: after a failed call the next one waits for nothing.

--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -96,6 +96,8 @@
     /// Upstreams kept although their registration is missing, with the end of it.
     lapsed: RefCell<HashMap<UpstreamId, Instant>>,
     last_failure: Cell<Option<Instant>>,
+    /// Whether the last call failed.
+    is_out_of_touch: Cell<bool>,
     lease: Lease,
     position: Cell<Option<Position>>,
     /// Position of the last change that was read.
@@ -115,6 +117,7 @@
             registered: RefCell::default(),
             lapsed: RefCell::default(),
             last_failure: Cell::default(),
+            is_out_of_touch: Cell::default(),
             lease: Lease::default(),
             position: Cell::default(),
             last_change: Cell::default(),
@@ -170,12 +173,14 @@
                         trace::dependency_regained("platform");
                     }
                     pause = options.first_pause;
+                    self.0.is_out_of_touch.set(false);
                 }
                 Err(error) => {
                     if pause == options.first_pause {
                         trace::dependency_lost("platform", &error.to_string());
                     }
                     self.0.last_failure.set(Some(Instant::now()));
+                    self.0.is_out_of_touch.set(true);
                     if error == SourceError::HistoryGone {
                         self.0.position.set(None);
                     }
@@ -190,7 +195,11 @@
         let Some(after) = self.0.position.get() else {
             return self.read(source).await;
         };
-        let wait = self.0.options.watch_wait;
+        // After a failure, what is in force is confirmed before anything is waited for.
+        let wait = match self.0.is_out_of_touch.get() {
+            true => Duration::ZERO,
+            false => self.0.options.watch_wait,
+        };
         if sharing.is_watcher() {
             return self.watch(source, after, wait, sharing).await;
         }
@@ -265,7 +274,7 @@
         self.pass_on_upstreams();
         self.0.lease.confirm(asked);
         self.0.last_change.set(position);
-        if !wait.is_zero() {
+        if sharing.is_watcher() {
             sharing.tell_changed(position).await;
         }
         compio::time::sleep(self.0.options.change_pause).await;
