--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -19,12 +19,13 @@
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
 };
 use mangofront_http::{Body, ServeLimits, Shutdown, empty, full, serve};
-use mangofront_peers::{ListedPeer, MemberChange, Peers, PeersOptions};
+use mangofront_peers::{ListedPeer, MemberChange, Peers};
 use mangofront_settings::process::{DaemonSettings, GatewaySettings, read_daemon_settings};
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
 use crate::error::DaemonError;
+use crate::membership;
 use crate::run::{listen, signal, wait_for_stop};
 
 /// Number of the signal that says that the settings file has changed.
@@ -168,15 +169,7 @@
     own: &GatewaySettings,
     sharing: &Rc<std::cell::OnceCell<Rc<Sharing>>>,
 ) -> Result<Peers, DaemonError> {
-    let options = PeersOptions::builder(
-        settings.instance.clone(),
-        settings.region.clone(),
-        settings.availability_zone.clone(),
-        settings.peer_address,
-    )
-    .heartbeat_period(settings.peers.heartbeat())
-    .suspect_after(settings.peers.suspect_after())
-    .build();
+    let options = membership::options(settings);
     let sharing = Rc::clone(sharing);
     let on_change = Rc::new(move |change: MemberChange| {
         let member = &change.member;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -46,7 +46,18 @@
     platform: &Platform,
     responders: &Rc<Responders>,
 ) -> Result<Peers, DaemonError> {
-    let options = PeersOptions::builder(
+    let options = options(settings);
+    let audit = audit.clone();
+    let on_change = Rc::new(move |change: MemberChange| {
+        audit.record(audit_event(change));
+    });
+    let peers = Peers::start(options, on_change, responder(platform, responders))?;
+    Ok(peers)
+}
+
+/// Settings of the links.
+pub(crate) fn options(settings: &DaemonSettings) -> PeersOptions {
+    PeersOptions::builder(
         settings.instance.clone(),
         settings.region.clone(),
         settings.availability_zone.clone(),
@@ -54,13 +65,7 @@
     )
     .heartbeat_period(settings.peers.heartbeat())
     .suspect_after(settings.peers.suspect_after())
-    .build();
-    let audit = audit.clone();
-    let on_change = Rc::new(move |change: MemberChange| {
-        audit.record(audit_event(change));
-    });
-    let peers = Peers::start(options, on_change, responder(platform, responders))?;
-    Ok(peers)
+    .build()
 }
 
 fn responder(platform: &Platform, responders: &Rc<Responders>) -> Responder {
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -1,7 +1,7 @@
 //! The choice of the upstreams for one request.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use mangofront_routes::{EngineFigures, Upstream};
 use thiserror::Error;
@@ -465,8 +465,3 @@
         first_event_ms,
     }
 }
-
-/// Latest moment at which a request can still be known of.
-pub(crate) fn expiry(demand: &Demand, now: Instant) -> Instant {
-    now + demand.time_left
-}
--- a/crates/engines/src/news.rs
+++ b/crates/engines/src/news.rs
@@ -3,9 +3,11 @@
 //! News may be lost, doubled or late: work that is heard of expires by itself,
 //! and an end that comes before its beginning is harmless.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
-use crate::work::{UpstreamKey, WorkId};
+use crate::work::{Part, UpstreamKey, Work, WorkId};
 
 /// One life of a daemon that tells news.
 pub type Origin = u64;
@@ -66,3 +68,40 @@
     /// Context that each step costs there, in tokens.
     pub context_tokens: u32,
 }
+
+pub(crate) fn placed_news(
+    id: WorkId,
+    work: &Work,
+    expected: Duration,
+    time_left: Duration,
+) -> News {
+    News::Placed {
+        work: id,
+        parts: work.parts.iter().map(part_news).collect(),
+        gap_ms: work.gap_ms as u32,
+        expected_in_ms: milliseconds(expected),
+        expires_in_ms: milliseconds(time_left),
+    }
+}
+
+fn part_news(part: &Part) -> PartNews {
+    PartNews {
+        upstream: part.upstream,
+        read_us: (part.read_ms * 1_000.0) as u32,
+        memory_tokens: u32::try_from(part.memory_tokens).unwrap_or(u32::MAX),
+        context_tokens: u32::try_from(part.context_tokens).unwrap_or(u32::MAX),
+    }
+}
+
+pub(crate) fn part_of(news: &PartNews) -> Part {
+    Part {
+        upstream: news.upstream,
+        read_ms: f64::from(news.read_us) / 1_000.0,
+        memory_tokens: u64::from(news.memory_tokens),
+        context_tokens: u64::from(news.context_tokens),
+    }
+}
+
+pub(crate) fn milliseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/engines/src/state.rs
@@ -0,0 +1,116 @@
+//! What a daemon believes of the upstreams and of the other daemons.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use mangofront_settings::ids::AvailabilityZone;
+
+use crate::news::Origin;
+use crate::upstream::Known;
+use crate::work::{UpstreamKey, Work, WorkId};
+
+/// Who placed a request: this daemon or another.
+pub(crate) type WorkKey = (Origin, WorkId);
+
+/// Origin of this daemon's own work.
+pub(crate) const OWN: Origin = 0;
+
+/// Silence after which a daemon's requests are forgotten: it tells of them each
+/// second, and a datagram or two may be lost.
+const SILENT_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Silence after which a zone is left out. A quiet zone is tried before that, see
+/// [`Upstreams::quiet_zones`], so this is about one connection attempt longer.
+const ZONE_SILENT_AFTER: Duration = Duration::from_millis(1_100);
+
+/// Age up to which a request may be missing in a list that was on its way.
+const LATEST_NEWS: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Sorted by key, which is the order that all daemons share.
+    pub(crate) known: Vec<Known>,
+    pub(crate) works: HashMap<WorkKey, Work>,
+    pub(crate) next_work: WorkId,
+    /// When each other daemon was last heard.
+    pub(crate) heard: HashMap<Origin, Instant>,
+    /// When each other zone last showed that it can be reached.
+    pub(crate) zones: HashMap<AvailabilityZone, Instant>,
+    /// Shortest pause that any request so far allowed.
+    pub(crate) shortest_gap: Option<Duration>,
+}
+
+impl State {
+    pub(crate) fn add(&mut self, key: WorkKey, work: Work, now: Instant) {
+        for part in &work.parts {
+            if let Some(known) = self.known_mut(part.upstream) {
+                known.add_reading(part.read_ms, now);
+            }
+        }
+        self.works.insert(key, work);
+    }
+
+    pub(crate) fn hear_zone(&mut self, zone: &str, own_zone: &str) {
+        if zone == own_zone {
+            return;
+        }
+        match self.zones.get_mut(zone) {
+            Some(at) => *at = Instant::now(),
+            None => {
+                self.zones.insert(zone.to_owned(), Instant::now());
+            }
+        }
+    }
+
+    /// Whether a zone seems to be cut off: nothing came from its daemons or its
+    /// upstreams lately, and trying it by a connection failed too.
+    pub(crate) fn is_zone_silent(&self, zone: &str, now: Instant) -> bool {
+        let heard = self.zones.get(zone);
+        heard.is_some_and(|at| now.saturating_duration_since(*at) > ZONE_SILENT_AFTER)
+    }
+
+    /// Drops requests that have ended for certain, and those of daemons that
+    /// are not heard any more: they are dead, and their requests with them, or
+    /// cut off, and then nothing is known.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        let is_silent = |at: &Instant| now.saturating_duration_since(*at) > SILENT_AFTER;
+        let silent: Vec<Origin> = self
+            .heard
+            .iter()
+            .filter(|(_, at)| is_silent(at))
+            .map(|(origin, _)| *origin)
+            .collect();
+        self.heard.retain(|_, at| !is_silent(at));
+        self.works
+            .retain(|key, work| now < work.expires_at && !silent.contains(&key.0));
+    }
+
+    /// Sets the requests of another daemon right by its own list.
+    pub(crate) fn set_running(
+        &mut self,
+        origin: Origin,
+        reading: &[WorkId],
+        writing: &[WorkId],
+        now: Instant,
+    ) {
+        self.works.retain(|key, work| {
+            let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
+            let is_running = reading.contains(&key.1) || writing.contains(&key.1);
+            key.0 != origin || is_new || is_running
+        });
+        for work in writing {
+            self.mark_read(&(origin, *work));
+        }
+    }
+
+    pub(crate) fn mark_read(&mut self, key: &WorkKey) {
+        if let Some(work) = self.works.get_mut(key) {
+            work.is_reading = false;
+        }
+    }
+
+    pub(crate) fn known_mut(&mut self, key: UpstreamKey) -> Option<&mut Known> {
+        let place = self.known.binary_search_by_key(&key, |known| known.key);
+        self.known.get_mut(place.ok()?)
+    }
+}
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -10,30 +10,14 @@
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 
 use crate::choose::{
-    Candidate, Choice, Crowd, Demand, NoUpstream, Reader, choose_engines, choose_plain, expiry,
+    Candidate, Choice, Crowd, Demand, NoUpstream, Reader, choose_engines, choose_plain,
 };
 use crate::health::Failure;
-use crate::news::{News, Origin, PartNews};
+use crate::news::{News, Origin, milliseconds, part_of, placed_news};
 use crate::options::ChoiceOptions;
+use crate::state::{OWN, State};
 use crate::upstream::Known;
-use crate::work::{Part, UpstreamKey, Work, WorkId, key_of};
-
-/// Who placed a request: this daemon or another.
-type WorkKey = (Origin, WorkId);
-
-/// Silence after which a daemon's requests are forgotten: it tells of them each
-/// second, and a datagram or two may be lost.
-const SILENT_AFTER: Duration = Duration::from_millis(3_500);
-
-/// Silence after which a zone is left out. A quiet zone is tried before that, see
-/// [`Upstreams::quiet_zones`], so this is about one connection attempt longer.
-const ZONE_SILENT_AFTER: Duration = Duration::from_millis(1_100);
-
-/// Age up to which a request may be missing in a list that was on its way.
-const LATEST_NEWS: Duration = Duration::from_millis(300);
-
-/// Origin of this daemon's own work.
-const OWN: Origin = 0;
+use crate::work::{UpstreamKey, Work, WorkId, key_of};
 
 /// All upstreams in this daemon's view; clones share it.
 #[derive(Debug, Clone)]
@@ -49,20 +33,6 @@
     state: RefCell<State>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    /// Sorted by key, which is the order that all daemons share.
-    known: Vec<Known>,
-    works: HashMap<WorkKey, Work>,
-    next_work: WorkId,
-    /// When each other daemon was last heard.
-    heard: HashMap<Origin, Instant>,
-    /// When each other zone last showed that it can be reached.
-    zones: HashMap<AvailabilityZone, Instant>,
-    /// Shortest pause that any request so far allowed.
-    shortest_gap: Option<Duration>,
-}
-
 /// What is known of one upstream, for a status page.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamStatus {
@@ -148,7 +118,7 @@
             expected_at: now + expected,
             gap_ms: demand.gap.as_secs_f64() * 1_000.0,
             known_since: now,
-            expires_at: expiry(demand, now),
+            expires_at: now + demand.time_left,
         };
         self.tell(placed_news(id, &work, expected, demand.time_left));
         state.add((OWN, id), work, now);
@@ -439,81 +409,6 @@
     }
 }
 
-impl State {
-    fn add(&mut self, key: WorkKey, work: Work, now: Instant) {
-        for part in &work.parts {
-            if let Some(known) = self.known_mut(part.upstream) {
-                known.add_reading(part.read_ms, now);
-            }
-        }
-        self.works.insert(key, work);
-    }
-
-    fn hear_zone(&mut self, zone: &str, own_zone: &str) {
-        if zone == own_zone {
-            return;
-        }
-        match self.zones.get_mut(zone) {
-            Some(at) => *at = Instant::now(),
-            None => {
-                self.zones.insert(zone.to_owned(), Instant::now());
-            }
-        }
-    }
-
-    /// Whether a zone seems to be cut off: nothing came from its daemons or its
-    /// upstreams lately, and trying it by a connection failed too.
-    fn is_zone_silent(&self, zone: &str, now: Instant) -> bool {
-        let heard = self.zones.get(zone);
-        heard.is_some_and(|at| now.saturating_duration_since(*at) > ZONE_SILENT_AFTER)
-    }
-
-    /// Drops requests that have ended for certain, and those of daemons that
-    /// are not heard any more: they are dead, and their requests with them, or
-    /// cut off, and then nothing is known.
-    fn forget_old(&mut self, now: Instant) {
-        let is_silent = |at: &Instant| now.saturating_duration_since(*at) > SILENT_AFTER;
-        let silent: Vec<Origin> = self
-            .heard
-            .iter()
-            .filter(|(_, at)| is_silent(at))
-            .map(|(origin, _)| *origin)
-            .collect();
-        self.heard.retain(|_, at| !is_silent(at));
-        self.works
-            .retain(|key, work| now < work.expires_at && !silent.contains(&key.0));
-    }
-
-    /// Sets the requests of another daemon right by its own list.
-    fn set_running(
-        &mut self,
-        origin: Origin,
-        reading: &[WorkId],
-        writing: &[WorkId],
-        now: Instant,
-    ) {
-        self.works.retain(|key, work| {
-            let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
-            let is_running = reading.contains(&key.1) || writing.contains(&key.1);
-            key.0 != origin || is_new || is_running
-        });
-        for work in writing {
-            self.mark_read(&(origin, *work));
-        }
-    }
-
-    fn mark_read(&mut self, key: &WorkKey) {
-        if let Some(work) = self.works.get_mut(key) {
-            work.is_reading = false;
-        }
-    }
-
-    fn known_mut(&mut self, key: UpstreamKey) -> Option<&mut Known> {
-        let place = self.known.binary_search_by_key(&key, |known| known.key);
-        self.known.get_mut(place.ok()?)
-    }
-}
-
 /// A request's place at its upstreams; ends when dropped.
 #[derive(Debug)]
 #[must_use = "the request counts as ended once this is dropped"]
@@ -558,35 +453,3 @@
         self.upstreams.tell(News::Ended { work: self.id });
     }
 }
-
-fn placed_news(id: WorkId, work: &Work, expected: Duration, time_left: Duration) -> News {
-    News::Placed {
-        work: id,
-        parts: work.parts.iter().map(part_news).collect(),
-        gap_ms: work.gap_ms as u32,
-        expected_in_ms: milliseconds(expected),
-        expires_in_ms: milliseconds(time_left),
-    }
-}
-
-fn part_news(part: &Part) -> PartNews {
-    PartNews {
-        upstream: part.upstream,
-        read_us: (part.read_ms * 1_000.0) as u32,
-        memory_tokens: u32::try_from(part.memory_tokens).unwrap_or(u32::MAX),
-        context_tokens: u32::try_from(part.context_tokens).unwrap_or(u32::MAX),
-    }
-}
-
-fn part_of(news: &PartNews) -> Part {
-    Part {
-        upstream: news.upstream,
-        read_ms: f64::from(news.read_us) / 1_000.0,
-        memory_tokens: u64::from(news.memory_tokens),
-        context_tokens: u64::from(news.context_tokens),
-    }
-}
-
-fn milliseconds(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::thread;
@@ -14,6 +14,7 @@
 
 use crate::caller::{Answer, Caller};
 use crate::link::{Links, Route, ZONES};
+use crate::process::Process;
 
 /// An order that must not repeat.
 pub const ORDER: &str = "/v1/services/fleet-ops/orders/toner";
@@ -38,86 +39,25 @@
 static PROCESSES: Mutex<usize> = Mutex::new(0);
 static PROCESSES_ENDED: Condvar = Condvar::new();
 
-/// A process that ends with its owner.
-#[derive(Debug)]
-pub struct Process {
-    child: Child,
-}
-
-impl Process {
-    fn start(command: &mut Command) -> Self {
-        let child = command.spawn().expect("the process starts");
-        Self { child }
-    }
-
-    /// Starts a stand-in and waits until it listens.
-    fn standin(kind: &str, address: &str, settings: &Value) -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mangofront"));
-        command.args(["standin", kind, "--address", address]);
-        for (name, value) in settings.as_object().into_iter().flatten() {
-            command.args(["--set", &format!("{name}={value}")]);
-        }
-        command.stdout(Stdio::piped()).stderr(Stdio::null());
-        let mut process = Self::start(&mut command);
-        let output = process.child.stdout.take().expect("the output is piped");
-        let mut line = String::new();
-        BufReader::new(output)
-            .read_line(&mut line)
-            .expect("the stand-in tells its address");
-        assert!(
-            line.starts_with("listening on"),
-            "the stand-in said {line:?}"
-        );
-        process
-    }
-
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        assert!(
-            sent.expect("kill runs").success(),
-            "signal {name} reaches {id}"
-        );
-    }
-
-    /// Ends the process at once, as a fault.
-    pub fn kill(&mut self) {
-        self.child.kill().expect("the process can be killed");
-        self.child.wait().expect("the process can be waited for");
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        let status = self.child.try_wait();
-        status.expect("the process can be waited for").is_some()
-    }
-
-    /// Waits for the process to end by itself; its exit code.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        let started = Instant::now();
-        while started.elapsed() < PATIENCE {
-            if let Some(status) = self
-                .child
-                .try_wait()
-                .expect("the process can be waited for")
-            {
-                return status.code();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        panic!("the process did not end in time");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Ending a process that has ended already fails, and that is fine.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// Starts a stand-in and waits until it listens.
+fn start_standin(kind: &str, address: &str, settings: &Value) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mangofront"));
+    command.args(["standin", kind, "--address", address]);
+    for (name, value) in settings.as_object().into_iter().flatten() {
+        command.args(["--set", &format!("{name}={value}")]);
+    }
+    command.stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut process = Process::start(&mut command);
+    let output = process.child.stdout.take().expect("the output is piped");
+    let mut line = String::new();
+    BufReader::new(output)
+        .read_line(&mut line)
+        .expect("the stand-in tells its address");
+    assert!(
+        line.starts_with("listening on"),
+        "the stand-in said {line:?}"
+    );
+    process
 }
 
 /// What a fleet is made of.
@@ -259,19 +199,19 @@
     pub fn start_platform(&self, index: usize) -> Process {
         let configuration = &self.plan.configuration;
         let settings = json!({"configuration": configuration, "instances": self.instances});
-        Process::standin("platform", &self.address(PLATFORM_PORT, index), &settings)
+        start_standin("platform", &self.address(PLATFORM_PORT, index), &settings)
     }
 
     /// Starts the engine of `index`, also again after its end.
     pub fn start_engine(&self, index: usize) -> Process {
         let address = self.address(ENGINE_PORT, index);
-        Process::standin("engine", &address, &self.plan.engines[index])
+        start_standin("engine", &address, &self.plan.engines[index])
     }
 
     /// Starts the service instance of `index`, also again after its end.
     pub fn start_service(&self, index: usize) -> Process {
         let address = self.address(SERVICE_PORT, index);
-        Process::standin("service", &address, &self.plan.services[index])
+        start_standin("service", &address, &self.plan.services[index])
     }
 
     /// The links between availability zones.
--- a/tests/processes/soak/faults.rs
+++ b/tests/processes/soak/faults.rs
@@ -13,8 +13,9 @@
 use serde_json::json;
 
 use super::{DAEMONS, ENGINES, Run, SERVICES, next_configuration};
-use crate::fleet::{Fleet, Process};
+use crate::fleet::Fleet;
 use crate::link::{Mode, ZONES};
+use crate::process::Process;
 
 /// Longest pause between two faults.
 const LONGEST_PAUSE_MS: u64 = 1500;
