--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -161,25 +161,17 @@
         crowd_share: options.crowd_share(crowd.daemons),
     };
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
-    let mut weighing = &careful;
-    let mut chosen = careful.cheapest(candidates, read_ms, crowd.draw);
     let bold = Weighing {
         broken_gap_cost_ms: options.broken_gap_cost_ms * options.bold_share,
         ..careful
     };
-    let queue_ms = queue_ms(candidates, &chosen);
-    let target_ms = demand.target.as_secs_f64() * 1_000.0;
-    let is_overrun = queue_ms > target_ms * options.overrun_share;
-    if demand.is_sheddable && demand.waited.is_zero() && is_overrun && read_ms > target_ms {
-        return Err(NoUpstream::Overrun);
-    }
-    if queue_ms > queue_limit_ms(read_ms, options) {
-        if !has_waited {
-            return Err(NoUpstream::Busy);
-        }
-        weighing = &bold;
-        chosen = bold.cheapest(candidates, read_ms, crowd.draw);
-    }
+    let chosen = careful.cheapest(candidates, read_ms, crowd.draw);
+    let (weighing, chosen) = match queue(candidates, &chosen, read_ms, demand, options) {
+        Queue::Short => (&careful, chosen),
+        Queue::Long if !has_waited => return Err(NoUpstream::Busy),
+        Queue::Long => (&bold, bold.cheapest(candidates, read_ms, crowd.draw)),
+        Queue::Overrun => return Err(NoUpstream::Overrun),
+    };
     let part_ms = read_ms / chosen.len().max(1) as f64;
     let by_cost = |index: &usize| weighing.cost_ms(&candidates[*index], part_ms);
     let mut others: Vec<usize> = (0..candidates.len())
@@ -194,24 +186,43 @@
     }
 }
 
-/// Time before the last of the chosen engines begins with its part, in milliseconds.
-fn queue_ms(candidates: &[Candidate<'_>], chosen: &[usize]) -> f64 {
-    let backlogs = chosen
-        .iter()
-        .map(|index| candidates[*index].load.backlog_ms);
-    backlogs.fold(0.0, f64::max)
+/// The queue before the engines that were chosen for a prompt.
+enum Queue {
+    /// The prompt may join it.
+    Short,
+    /// The prompt has to wait for a shorter one.
+    Long,
+    /// The prompt is to be refused.
+    Overrun,
 }
 
-/// Longest queue before engines in which a prompt is put, in milliseconds.
+/// Judges the queue before the chosen engines.
 ///
 /// Engines read in the order of arrival. Prompts that take long are held back
 /// until engines have little else to do, so that shorter ones, of which more are
 /// in time for the same work, come first.
-fn queue_limit_ms(read_ms: f64, options: &ChoiceOptions) -> f64 {
-    if read_ms <= options.unsplit_read_ms {
-        return f64::INFINITY;
+fn queue(
+    candidates: &[Candidate<'_>],
+    chosen: &[usize],
+    read_ms: f64,
+    demand: &Demand,
+    options: &ChoiceOptions,
+) -> Queue {
+    let backlogs = chosen
+        .iter()
+        .map(|index| candidates[*index].load.backlog_ms);
+    let queue_ms = backlogs.fold(0.0, f64::max);
+    let target_ms = demand.target.as_secs_f64() * 1_000.0;
+    let is_overrun = queue_ms > target_ms * options.overrun_share;
+    let may_shed = demand.is_sheddable && demand.waited.is_zero();
+    if may_shed && is_overrun && read_ms > target_ms {
+        return Queue::Overrun;
+    }
+    let is_split = read_ms > options.unsplit_read_ms;
+    if is_split && queue_ms > options.queue_read_ms2 / read_ms {
+        return Queue::Long;
     }
-    options.queue_read_ms2 / read_ms
+    Queue::Short
 }
 
 impl Weighing<'_> {
@@ -296,9 +307,7 @@
         }
         cost_ms
     }
-}
 
-impl Weighing<'_> {
     /// Share of the answers whose pause gets too long, when the next pass is
     /// predicted to take this share of the pause.
     ///
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -291,14 +291,6 @@
             .map(|known| known.key)
     }
 
-    /// Whether an upstream may get new work: it is published and not leaving.
-    #[must_use]
-    pub fn may_get_work(&self, upstream: UpstreamKey) -> bool {
-        let state = self.0.state.borrow();
-        let mut known = state.known.iter();
-        known.any(|known| known.key == upstream && !known.info.leaving)
-    }
-
     /// Takes in news of another daemon.
     pub fn hear(&self, origin: Origin, news: News) {
         let now = Instant::now();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -243,7 +243,9 @@
     let asked = Instant::now();
     let mut waited = Duration::ZERO;
     loop {
-        let demand = demand(call, waited);
+        // One that was sent before has cost engines already.
+        let is_sheddable = history.sent == 0 && is_sheddable(call);
+        let demand = demand(call, waited, is_sheddable);
         let upstreams = &gateway.parts().upstreams;
         match upstreams.place(&call.service, &demand, &history.tried) {
             Err(NoUpstream::Busy) if call.time_left() > LEAST_TIME => {
@@ -259,7 +261,7 @@
 }
 
 /// What placement has to know of a request.
-fn demand(call: &Call, waited: Duration) -> Demand {
+fn demand(call: &Call, waited: Duration, is_sheddable: bool) -> Demand {
     let gap = match call.route.safety {
         Safety::Stream { gap, .. } => gap,
         Safety::Idempotent | Safety::AtMostOnce => Duration::ZERO,
@@ -271,7 +273,7 @@
         gap,
         target: call.route.target,
         waited,
-        is_sheddable: is_sheddable(call),
+        is_sheddable,
         time_left: call.time_left(),
     }
 }
