--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -20,7 +20,7 @@
 const SILENT_AFTER: Duration = Duration::from_millis(3_500);
 
 /// Silence after which a zone is left out. A quiet zone is tried before that, see
-/// [`Upstreams::quiet_zones`], so this is about one connection attempt longer.
+/// [`crate::Upstreams::quiet_zones`], so this is about one connection attempt longer.
 const ZONE_SILENT_AFTER: Duration = Duration::from_millis(1_100);
 
 /// Age up to which a request may be missing in a list that was on its way.
