--- /dev/null
+++ b/crates/engines/examples/embed.rs
@@ -0,0 +1,97 @@
+//! Choosing engines, embedding nothing but this crate and its types.
+//!
+//! Two daemons in one process: what one places, the other hears of and avoids.
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_channel::mpsc::unbounded;
+use mangofront_engines::{ChoiceOptions, Demand, Upstreams};
+use mangofront_routes::{EngineFigures, Upstream};
+
+const SERVICE: &str = "assist-llm";
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let (tell, mut news) = unbounded();
+    let (tell_nobody, _) = unbounded();
+    let one = Upstreams::new(ChoiceOptions::default(), "hall-a".to_owned(), 1, tell);
+    let other = Upstreams::new(
+        ChoiceOptions::default(),
+        "hall-b".to_owned(),
+        2,
+        tell_nobody,
+    );
+    let speed = HashMap::from([(SERVICE.to_owned(), Rc::new(figures()))]);
+    for daemon in [&one, &other] {
+        daemon.set_known((0..8).map(engine), &speed);
+    }
+    let question = one.place(SERVICE, &demand(5_000, 300), &[])?;
+    let review = one.place(SERVICE, &demand(150_000, 2_500), &[])?;
+    println!(
+        "a question goes to {}, a review to {} engines, first event in {:?}",
+        question.answering().id,
+        review.readers.len(),
+        review.expected_first_event
+    );
+    while let Ok(told) = news.try_recv() {
+        other.hear(1, told);
+    }
+    let busy = other
+        .status()
+        .iter()
+        .filter(|one| one.backlog_ms > 0.0)
+        .count();
+    println!("the other daemon knows of {busy} busy engines");
+    drop((question, review));
+    while let Ok(told) = news.try_recv() {
+        other.hear(1, told);
+    }
+    let busy = other
+        .status()
+        .iter()
+        .filter(|one| one.answering > 0)
+        .count();
+    println!("and of {busy} once all has ended");
+    Ok(())
+}
+
+fn engine(number: u16) -> Upstream {
+    Upstream {
+        id: format!("engine-{number}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8_000 + number)),
+        availability_zone: "hall-a".to_owned(),
+        slots: 16,
+        leaving: false,
+    }
+}
+
+fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 16,
+        memory_tokens: 232_000,
+        steps_per_pass: 43,
+        step: Duration::from_micros(1_020),
+        step_per_request_ms: 0.002,
+        step_per_context_k_ms: 0.004,
+        read_tokens_per_s: 206_000.0,
+        read_per_pairs_m_ms: 0.138,
+        read_chunk_tokens: 2_048,
+        step_per_spread_prompt_ms: 0.075,
+    }
+}
+
+fn demand(prompt_tokens: u64, target_ms: u64) -> Demand {
+    Demand {
+        prompt_tokens,
+        answer_limit_tokens: 1_000,
+        gap: Duration::from_millis(target_ms),
+        target: Duration::from_millis(target_ms),
+        waited: Duration::ZERO,
+        time_left: Duration::from_secs(10),
+        is_sheddable: false,
+    }
+}
