Take the latest upstream of those that share an address

An engine had crashed, another had its address two seconds later, and the first one's registration had not lapsed yet. Change: of two registrations at one address the later one counts; the other's life has ended. Test: a prompt over eight engines, two at one address, names seven.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -80,7 +81,7 @@
             .drain(..)
             .map(|known| (known.key, known))
             .collect();
-        for info in upstreams {
+        for info in latest_at_address(upstreams) {
             let service = figures.get(&info.service).cloned();
             let known = match before.remove(&key_of(&info.id)) {
                 Some(known) => known.renewed(info, service),
@@ -283,7 +284,7 @@
 
     /// The upstream that listens at `address`.
     #[must_use]
-    pub fn at_address(&self, address: std::net::SocketAddr) -> Option<UpstreamKey> {
+    pub fn at_address(&self, address: SocketAddr) -> Option<UpstreamKey> {
         let state = self.0.state.borrow();
         let mut known = state.known.iter();
         known
@@ -445,3 +446,15 @@
         self.upstreams.tell(News::Ended { work: self.id });
     }
 }
+
+/// The upstreams without those whose address a later one has.
+fn latest_at_address(upstreams: impl IntoIterator<Item = Upstream>) -> Vec<Upstream> {
+    let mut latest: HashMap<SocketAddr, Upstream> = HashMap::new();
+    for upstream in upstreams {
+        let before = latest.get(&upstream.address);
+        if before.is_none_or(|before| before.registered_at <= upstream.registered_at) {
+            latest.insert(upstream.address, upstream);
+        }
+    }
+    latest.into_values().collect()
+}
--- a/crates/engines/tests/choice.rs
+++ b/crates/engines/tests/choice.rs
@@ -37,6 +37,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
         availability_zone: zone.to_owned(),
         slots: 6,
+        registered_at: number as u64,
         leaving: false,
     }
 }
@@ -266,6 +267,25 @@
     assert!(!is_ejected());
 }
 
+/// The registration of a dead upstream may outlast it, while a new one listens at
+/// its address; engines refuse a request that names one address twice.
+#[test]
+fn an_address_used_again_belongs_to_the_latest_upstream() {
+    let mut listed: Vec<_> = (0..8)
+        .map(|number| upstream(number, SERVICE, "hall-a"))
+        .collect();
+    listed[5].address = listed[2].address;
+    let fleet = Fleet::of(listed);
+    let placed = fleet.place(&review(200_000)).unwrap();
+    let ids: Vec<_> = placed
+        .readers
+        .iter()
+        .map(|one| one.upstream.id.as_str())
+        .collect();
+    assert_eq!(ids.len(), 7, "{ids:?}");
+    assert!(!ids.contains(&"i-2"), "{ids:?}");
+}
+
 #[test]
 fn plain_services_take_the_least_loaded() {
     let listed: Vec<_> = (0..3)
--- a/crates/routes/src/upstream.rs
+++ b/crates/routes/src/upstream.rs
@@ -20,6 +20,9 @@
     pub availability_zone: AvailabilityZone,
     /// Requests that run at once.
     pub slots: u32,
+    /// When it was registered, as a number that grows; of two at one address the
+    /// earlier one is gone.
+    pub registered_at: u64,
     /// Whether it has announced that it is going.
     pub leaving: bool,
 }
