Refuse nothing by a speed that is only assumed

Cause: a daemon that has just started has no report of its engines yet and assumed 30 ms a token, so a question with a long answer was refused (429, class time can't be met) although its engines were idle. On a loaded machine the first report comes after a test's first question, which made sessions::cancelled_request, frozen::a_caller_that_stops_reading and frozen::engines_become_too_slow_for_the_class fail now and then.

Ruled out: engines slowed by the load (the emulator makes up for late timers, and the refusal comes before any token was made).

Change: an estimate says whether it rests on assumed speeds only; admission then refuses nothing by it.

--- a/crates/admission/examples/embed.rs
+++ b/crates/admission/examples/embed.rs
@@ -29,6 +29,7 @@
             time_to_first_token: Duration::from_millis(150),
             completion: Duration::from_secs(2),
             queue: Duration::ZERO,
+            is_assumed: false,
         })
     };
     let mut permit = admission.admit(request, estimate).await?;
--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -186,6 +186,11 @@
         ahead: usize,
         now: Instant,
     ) -> Result<f64, Refusal> {
+        // A daemon that has just started would refuse long answers by the speed
+        // that it assumes of engines, though they are idle and fast.
+        if estimate.is_assumed {
+            return Ok(0.0);
+        }
         let left = last_end(request, class).saturating_duration_since(now);
         let jitter = self.jitter.draw();
         let lane = self.lane(request);
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -89,6 +89,7 @@
         time_to_first_token: Duration::from_millis(first_token_ms),
         completion: Duration::from_millis(completion_ms),
         queue: Duration::from_millis(queue_ms),
+        is_assumed: false,
     })
 }
 
@@ -131,6 +132,17 @@
     assert_eq!(desk.admission.status().outstanding, 0);
 }
 
+#[compio::test]
+async fn assumed_speeds_refuse_nothing() {
+    let desk = desk(10);
+    let assumed = estimate(100, 60_000, 0).map(|estimate| Estimate {
+        is_assumed: true,
+        ..estimate
+    });
+    let mut long = desk.admit(desk.request("diagnosis", "tuul", 1_000), assumed);
+    assert!(now_or_never(&mut long).await.expect("at once").is_ok());
+}
+
 #[compio::test]
 async fn time_to_come_back_follows_the_drain_rate() {
     let desk = desk(1_000);
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -49,6 +49,9 @@
     pub completion: Duration,
     /// Part of the time that is spent behind other work.
     pub queue: Duration,
+    /// Whether no engine of the model has said or shown yet how fast it is, so
+    /// that the times follow from assumed speeds.
+    pub is_assumed: bool,
 }
 
 /// Share of a long prompt that one engine of a group computes.
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -131,6 +131,7 @@
             time_to_first_token: seconds(first_token_s),
             completion: seconds(first_token_s + decode_s),
             queue: seconds(queue_s),
+            is_assumed: is_assumed(engine, &asked.typical),
         },
         border_distance,
         cost_s: first_token_s + border_s,
@@ -153,6 +154,12 @@
     engine.fit.line(prior, asked.now)
 }
 
+/// Whether neither the engine's own word nor anything observed tells its speed.
+fn is_assumed(engine: &Engine, typical: &Typical) -> bool {
+    let is_observed = typical.line.is_some() || typical.step_s.is_some();
+    engine.report.is_none() && engine.fit.samples() == 0 && !is_observed
+}
+
 /// Expected time of a decoding step, in seconds.
 fn step_s(engine: &Engine, typical: &Typical) -> f64 {
     if let Some(observed_s) = engine.step_s.mean().or(typical.step_s) {
--- a/tests/processes/frozen.rs
+++ b/tests/processes/frozen.rs
@@ -66,6 +66,27 @@
     }
 }
 
+#[test]
+fn no_engine_has_reported_yet() {
+    let mut fleet = Fleet::start(Plan::default());
+    for engine in &fleet.engines {
+        engine.signal("STOP");
+    }
+    fleet.replace_daemon(0);
+    fleet.wait_until_serving(0);
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| ask_at_once(&fleet, 1, 2000));
+        wait_until("the question is decided on", || {
+            asking.is_finished() || fleet.status(0)["daemon"]["requests_in_progress"] == 1
+        });
+        for engine in &fleet.engines {
+            engine.signal("CONT");
+        }
+        let (answers, _) = asking.join().expect("answers");
+        assert!(answers.iter().all(Answer::is_complete), "{answers:?}");
+    });
+}
+
 #[test]
 fn one_engine_frozen_in_mid_stream() {
     let fleet = fleet_with_limit(Duration::from_secs(25), 0.4);
