Show in a request's story that its daemon was killed

The tool looked for the daemon's next start by the whole prefix of a line, which holds a time, and never found it.

Change: the daemon is the last word of the prefix.

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -33,11 +33,19 @@
 #[derive(Debug)]
 struct Line {
     time_ms: i64,
-    /// What stood before the object: usually the daemon's name.
+    /// What stood before the object: usually the daemon's name, at times behind a
+    /// time of its own.
     source: String,
     fields: Map<String, Value>,
 }
 
+impl Line {
+    /// Name of the daemon: the last word before the object.
+    fn daemon(&self) -> Option<&str> {
+        self.source.split_whitespace().last()
+    }
+}
+
 /// What was read, and what of it was no line of a daemon.
 #[derive(Debug, Default)]
 struct Lines {
@@ -150,7 +158,7 @@
         .iter()
         .any(|line| line.fields.contains_key("took_ms") || line.fields.contains_key("status"));
     let lost_with = lines.iter().find(|line| {
-        let is_same_daemon = own.iter().any(|own| own.source == line.source);
+        let is_same_daemon = own.iter().any(|own| own.daemon() == line.daemon());
         let is_later = (first.time_ms..=last.time_ms + RESTART_MS).contains(&line.time_ms);
         !has_ended
             && is_same_daemon
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -421,11 +421,25 @@
          not a line of ours\n\
          front-a {\"time\":\"2026-03-03T01:01:10",
     );
+    let killed = TemporaryFile::new(
+        "killed.log",
+        "8.100 front-b {\"time\":\"2026-03-03T01:01:08.100Z\",\"level\":\"INFO\",\"message\":\"gateway: request placed\",\"request\":\"r-3\",\"upstream\":\"i-1\"}\n\
+         8.200 front-a {\"time\":\"2026-03-03T01:01:08.200Z\",\"level\":\"INFO\",\"message\":\"daemon: started\"}\n\
+         9.500 front-b {\"time\":\"2026-03-03T01:01:09.500Z\",\"level\":\"INFO\",\"message\":\"daemon: started\"}\n",
+    );
     let found = tool(&["trace", "r-1", logs.name()]);
+    let lost = tool(&["trace", "r-3", killed.name()]);
     let missing = tool(&["trace", "r-2", logs.name()]);
     let unreadable = tool(&["trace", "r-1", "/nonexistent/log"]);
     let none = tool(&["trace"]);
     insta::assert_snapshot!(
-        [seen(&found), seen(&missing), seen(&unreadable), seen(&none)].join("\n===\n")
+        [
+            seen(&found),
+            seen(&lost),
+            seen(&missing),
+            seen(&unreadable),
+            seen(&none)
+        ]
+        .join("\n===\n")
     );
 }
