Relay changes of upstreams within a zone

Change: a watcher sends the changes that it read to its zone in one datagram, with the positions from and up to which they are complete. A daemon takes them if it knows all before them, and reads at the store otherwise; configurations are always read there. The lease is not renewed by it, as a datagram may have lain unread.

--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -23,7 +23,7 @@
 use crate::boot_clock::BootInstant;
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
 use crate::lease::Lease;
-use crate::sharing::{Confirmation, Sharing};
+use crate::sharing::{Confirmation, Relayed, Sharing, UpstreamChange};
 use crate::trace;
 
 /// Times of the reading of published values.
@@ -153,10 +153,35 @@
         })
     }
 
-    /// Notes that something changed, up to `position`.
-    pub(crate) fn nudge(&self, position: Position) {
-        let is_news = self.0.position.get().is_none_or(|known| known < position);
-        if let Some(waiting) = self.0.nudge.take().filter(|_| is_news) {
+    /// Takes in changes that a watcher of the zone read, or has them read if they
+    /// don't follow on what is known.
+    ///
+    /// They say nothing of how current that is: a datagram may have lain unread
+    /// while this daemon stood still.
+    pub(crate) fn take_relayed(&self, relayed: Relayed) {
+        let known = self.0.position.get();
+        if known.is_some_and(|known| known >= relayed.position) {
+            return;
+        }
+        let follows = known.is_some_and(|known| known >= relayed.after);
+        let Some(upstreams) = relayed.upstreams.filter(|_| follows) else {
+            self.nudge();
+            return;
+        };
+        for change in upstreams {
+            match change {
+                UpstreamChange::Registered(upstream) => self.take_entry(Entry::Upstream(upstream)),
+                UpstreamChange::Gone(id) => self.take_missing(id),
+            }
+        }
+        self.pass_on_upstreams();
+        self.0.position.set(Some(relayed.position));
+        self.0.last_change.set(relayed.position);
+    }
+
+    /// Has the source asked at once.
+    fn nudge(&self) {
+        if let Some(waiting) = self.0.nudge.take() {
             // The task may have gone on by itself.
             let _ = waiting.send(());
         }
@@ -205,6 +230,8 @@
         }
         let asked = BootInstant::now();
         let known = sharing.ask().await;
+        // Changes may have been relayed meanwhile.
+        let after = self.0.position.get().unwrap_or(after);
         let age = |known: &Confirmation| Duration::from_millis(u64::from(known.age_ms));
         match known.filter(|known| age(known) < self.0.options.relayed_age_limit) {
             // Nobody answers who knows: look for oneself.
@@ -259,12 +286,17 @@
         let asked = BootInstant::now();
         let timeout = self.0.options.answer_timeout;
         let Changes { position, changes } = source.watch(after, wait, timeout).await?;
+        if self.0.position.get().is_some_and(|known| known > position) {
+            // Later changes were relayed meanwhile; these would undo them.
+            return Ok(());
+        }
         self.0.position.set(Some(position));
         if changes.is_empty() {
             // It waited the whole time and nothing had changed by its end.
             self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
             return Ok(());
         }
+        let upstreams = upstream_changes(&changes);
         for change in changes {
             match change {
                 Change::Written(entry) => self.take_entry(entry),
@@ -275,7 +307,12 @@
         self.0.lease.confirm(asked);
         self.0.last_change.set(position);
         if sharing.is_watcher() {
-            sharing.tell_changed(position).await;
+            let relayed = Relayed {
+                after,
+                position,
+                upstreams,
+            };
+            sharing.tell_changed(relayed).await;
         }
         compio::time::sleep(self.0.options.change_pause).await;
         Ok(())
@@ -365,3 +402,19 @@
             .set_known(registered.values().cloned(), &figures);
     }
 }
+
+/// The changes, if all of them that matter are of upstreams.
+fn upstream_changes(changes: &[Change]) -> Option<Vec<UpstreamChange>> {
+    let mut of_upstreams = Vec::with_capacity(changes.len());
+    for change in changes {
+        match change {
+            Change::Written(Entry::Upstream(upstream)) => {
+                of_upstreams.push(UpstreamChange::Registered(upstream.clone()));
+            }
+            Change::UpstreamGone(id) => of_upstreams.push(UpstreamChange::Gone(id.clone())),
+            Change::Written(Entry::Other) => {}
+            Change::Written(Entry::Configuration(_) | Entry::Malformed { .. }) => return None,
+        }
+    }
+    Some(of_upstreams)
+}
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other by datagram: where they have just placed
-//! requests, and how far they know what is published.
+//! requests, what has changed among the upstreams, and how far they know what is
+//! published.
 //!
 //! Engines report their load late, so two daemons that each look for an idle
 //! engine would meet at the same one. Each placement, first event and end is
@@ -21,6 +22,7 @@
 use futures_util::StreamExt;
 use mangofront_engines::{News, Origin, Upstreams};
 use mangofront_peers::{Member, Peers};
+use mangofront_routes::{Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, Incarnation, InstanceId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -30,7 +32,7 @@
 use crate::published::Published;
 
 /// Version of the datagrams; a daemon drops any other.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Largest datagram that is sent, in bytes; below the usual limit of a link.
 const DATAGRAM_LIMIT_BYTES: usize = 1_400;
@@ -80,8 +82,31 @@
     Ask(Nonce),
     /// Answer to [`Message::Ask`].
     Confirmed(Nonce, Confirmation),
-    /// Something that is published has changed, up to this position.
-    Changed(Position),
+    /// Something that is published has changed.
+    Changed(Relayed),
+}
+
+/// Changes that a watcher read, for the other daemons of its zone.
+///
+/// A call to the source costs the whole fleet; of the changes of a day nine in ten
+/// are upstreams that come and go, and fit into a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Relayed {
+    /// Position from which on these are all changes.
+    pub(crate) after: Position,
+    /// Position up to which they are.
+    pub(crate) position: Position,
+    /// The changes in order; none when they have to be read at the source.
+    pub(crate) upstreams: Option<Vec<UpstreamChange>>,
+}
+
+/// A change of a registration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum UpstreamChange {
+    /// It was registered, or its registration changed.
+    Registered(Upstream),
+    /// It is no longer registered.
+    Gone(UpstreamId),
 }
 
 /// Number of a question, unique within its asker's life.
@@ -200,9 +225,16 @@
         answered.ok()?.ok()
     }
 
-    /// Tells the daemons of the zone that something published has changed.
-    pub(crate) async fn tell_changed(&self, position: Position) {
-        let datagram = self.datagram(Message::Changed(position));
+    /// Tells the daemons of the zone what has changed.
+    pub(crate) async fn tell_changed(&self, relayed: Relayed) {
+        let unread = Relayed {
+            upstreams: None,
+            ..relayed
+        };
+        let mut datagram = self.datagram(Message::Changed(relayed));
+        if datagram.len() > DATAGRAM_LIMIT_BYTES {
+            datagram = self.datagram(Message::Changed(unread));
+        }
         let is_near = |member: &Member| member.availability_zone == self.zone;
         for address in self.addresses(is_near) {
             self.send(datagram.clone(), address).await;
@@ -293,7 +325,12 @@
                     let _ = answer.send(known);
                 }
             }
-            Message::Changed(position) => self.published.nudge(position),
+            Message::Changed(relayed) => {
+                // A watcher reads for itself, and would take the same twice.
+                if !self.is_watcher() {
+                    self.published.take_relayed(relayed);
+                }
+            }
         }
     }
 
--- a/crates/routes/src/upstream.rs
+++ b/crates/routes/src/upstream.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
+use serde::{Deserialize, Serialize};
 
 /// Id of one life of an upstream: a restart brings a new one.
 pub type UpstreamId = String;
 
 /// One upstream as it registered itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
     /// Id of this life.
     pub id: UpstreamId,
