Spread short prompts widely just after a start

Ruled out: engines that were gone (those that refused had answered a moment before); the crowding costs, which count the daemons that were heard, of which there are none yet.

Change: for 3 s from its start a daemon takes any engine that costs up to 100 ms more than the cheapest, drawn anew each time. The draw repeated itself for two requests in a row; it is a hash now.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -93,6 +93,8 @@
     pub(crate) daemons: usize,
     /// A number that differs from request to request and between daemons.
     pub(crate) draw: u64,
+    /// Whether this daemon has just started and may not know of the others' requests.
+    pub(crate) is_settling: bool,
     /// Whether the request may be refused when engines are overrun.
     pub(crate) may_refuse: bool,
 }
@@ -111,6 +113,8 @@
     broken_gap_cost_ms: f64,
     /// Share in which other daemons' unknown requests count.
     crowd_share: f64,
+    /// Difference in cost up to which engines count as equal, in milliseconds.
+    tie_ms: f64,
 }
 
 /// Chooses among the upstreams of a plain service: the least loaded one.
@@ -160,6 +164,7 @@
         return Err(NoUpstream::Full);
     }
     let read_ms = figures.read_ms(demand.prompt_tokens);
+    let crowd_share = options.crowd_share(circumstances.daemons);
     let careful = Weighing {
         options,
         availability_zone: circumstances.availability_zone,
@@ -167,7 +172,11 @@
         is_brisk: demand.gap <= circumstances.shortest_gap.mul_f64(options.brisk_factor),
         gap_ms: demand.gap.as_secs_f64() * 1_000.0,
         broken_gap_cost_ms: options.broken_gap_cost_ms,
-        crowd_share: options.crowd_share(circumstances.daemons),
+        crowd_share,
+        tie_ms: match circumstances.is_settling {
+            true => options.settling_tie_ms,
+            false => options.tie_ms * crowd_share,
+        },
     };
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
     let bold = Weighing {
@@ -290,7 +299,7 @@
             .map(|candidate| self.cost_ms(candidate, read_ms))
             .collect();
         let least_ms = costs.iter().copied().fold(f64::INFINITY, f64::min);
-        let is_cheap = |cost_ms: f64| cost_ms <= least_ms + self.options.tie_ms * self.crowd_share;
+        let is_cheap = |cost_ms: f64| cost_ms <= least_ms + self.tie_ms;
         let cheap: Vec<usize> = (0..costs.len())
             .filter(|index| is_cheap(costs[*index]))
             .collect();
--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -88,6 +88,16 @@
     pub tie_ms: f64,
     /// Daemons from which on many choose at the same moment; 40 by default.
     pub crowd_daemons: usize,
+    /// Time from its start in which a daemon spreads short prompts widely; 3 s by
+    /// default, in which daemons that start together have found each other.
+    pub settling_time: Duration,
+    /// The difference in cost that counts as equal during that time, in
+    /// milliseconds; 100 by default, so that any idle engine will do.
+    ///
+    /// After a loss of power all daemons start at once, their callers come back in
+    /// the same moment, and none knows yet of the others' requests: all would fill
+    /// the same few engines.
+    pub settling_tie_ms: f64,
     /// Requests that may wait for a slot of an engine; 1 by default.
     ///
     /// When every engine has as many, a further request would be late and make
@@ -136,6 +146,8 @@
             crowding_cost_ms: 15.0,
             tie_ms: 12.0,
             crowd_daemons: 40,
+            settling_time: Duration::from_secs(3),
+            settling_tie_ms: 100.0,
             queued_requests: 1,
             memory_share: 0.96,
             helpers_limit: 16,
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -9,6 +9,7 @@
 use futures_channel::mpsc::UnboundedSender;
 use mangofront_routes::{EngineFigures, Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::choose::{
     Candidate, Choice, Circumstances, Demand, NoUpstream, Reader, choose_engines, choose_plain,
@@ -32,6 +33,7 @@
     news: UnboundedSender<News>,
     /// Differs between daemons, so that they don't all take the same of equals.
     salt: u64,
+    started: Instant,
     state: RefCell<State>,
 }
 
@@ -64,7 +66,8 @@
             options,
             availability_zone,
             news,
-            salt: salt | 1,
+            salt,
+            started: Instant::now(),
             state: RefCell::default(),
         }))
     }
@@ -192,7 +195,8 @@
                     availability_zone: zone,
                     shortest_gap,
                     daemons: state.heard.len(),
-                    draw: self.0.salt.wrapping_mul(state.next_work | 1) >> 17,
+                    draw: xxh3_64_with_seed(&state.next_work.to_le_bytes(), self.0.salt),
+                    is_settling: self.0.started.elapsed() < options.settling_time,
                     may_refuse: demand.is_sheddable
                         && size.is_some_and(|size| state.shedding.may_refuse(size)),
                 };
--- a/crates/engines/tests/choice.rs
+++ b/crates/engines/tests/choice.rs
@@ -54,14 +54,18 @@
         Self::of(listed.collect())
     }
 
+    /// A daemon that has run for a while.
     fn of(listed: Vec<Upstream>) -> Self {
+        let options = ChoiceOptions {
+            settling_time: Duration::ZERO,
+            ..ChoiceOptions::default()
+        };
+        Self::with_options(listed, options)
+    }
+
+    fn with_options(listed: Vec<Upstream>, options: ChoiceOptions) -> Self {
         let (tell, news) = unbounded();
-        let upstreams = Upstreams::new(
-            ChoiceOptions::default(),
-            "hall-a".to_owned(),
-            0x9E37_79B9_7F4A_7C15,
-            tell,
-        );
+        let upstreams = Upstreams::new(options, "hall-a".to_owned(), 0x9E37_79B9_7F4A_7C15, tell);
         let fleet = Self {
             upstreams,
             news,
@@ -521,3 +525,19 @@
         .tests(200)
         .quickcheck(property as fn(Vec<(u16, bool)>) -> bool);
 }
+
+#[test]
+fn a_daemon_that_has_just_started_spreads_short_prompts() {
+    let engines = |settling_time: Duration| {
+        let options = ChoiceOptions {
+            settling_time,
+            ..ChoiceOptions::default()
+        };
+        let listed = (0..12).map(|number| upstream(number, SERVICE, "hall-a"));
+        let fleet = Fleet::with_options(listed.collect(), options);
+        let placed: Vec<Placed> = (0..12).map(|_| fleet.place(&question()).unwrap()).collect();
+        let ids = placed.iter().map(|one| one.answering().id.clone());
+        ids.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    insta::assert_debug_snapshot!([engines(Duration::from_secs(60)), engines(Duration::ZERO)]);
+}
