--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -28,10 +28,10 @@
     /// milliseconds; 100 by default, a third of the shortest usual target.
     pub unsplit_read_ms: f64,
     /// Longest queue before engines, times the time that a prompt takes to read, in
-    /// square milliseconds; 500,000 by default.
+    /// square milliseconds; 1,500,000 by default.
     ///
-    /// A prompt of 45,000 tokens (0.36 s) is put behind up to 1.4 s of others, one
-    /// of 133,000 (1.9 s) behind 0.26 s, one of 300,000 (7.7 s) behind 65 ms.
+    /// A prompt of 45,000 tokens (0.36 s) is put behind up to 4.2 s of others, one
+    /// of 133,000 (1.9 s) behind 0.8 s, one of 300,000 (7.7 s) behind 0.2 s.
     pub queue_read_ms2: f64,
     /// The same for prompts that one engine could not read within their target, in
     /// square milliseconds; 1,000,000 by default.
@@ -40,8 +40,8 @@
     /// size are refused than placed: one of 160,000 tokens (2.7 s) behind 0.37 s of
     /// others, one of 300,000 (7.7 s) behind 0.13 s.
     pub overrun_ms2: f64,
-    /// Targets for which a prompt waits for a shorter queue before it is put in
-    /// whatever there is; 2 by default, half of the time after which callers leave.
+    /// Targets for which a prompt waits for a shorter queue before it is put where it
+    /// may still be in time; 0.5 by default, as the other half is for reading it.
     pub wait_targets: f64,
     /// Targets for which a prompt waits that would be late wherever it is put; 1.5 by
     /// default, less than half of the time after which callers leave.
