--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod choose;
 mod health;
+mod layout;
 mod news;
 mod options;
 mod shedding;
--- /dev/null
+++ b/crates/engines/tests/engines/choice.rs
@@ -0,0 +1,242 @@
+//! Which engines are chosen.
+
+use std::time::Duration;
+
+use mangofront_engines::{ChoiceOptions, Demand, NoUpstream, Placed};
+
+use crate::support::{Fleet, SERVICE, demand, question, review, upstream};
+
+#[test]
+fn readers_grow_with_the_prompt() {
+    let readers = |tokens| {
+        let fleet = Fleet::new(23);
+        let placed = fleet.place(&review(tokens)).unwrap();
+        let reserved = placed
+            .readers
+            .iter()
+            .filter(|one| one.reserve_tokens.is_some());
+        (tokens, placed.readers.len(), reserved.count())
+    };
+    insta::assert_debug_snapshot!([
+        readers(1_000),
+        readers(15_000),
+        readers(45_000),
+        readers(133_000),
+        readers(230_000),
+        readers(300_000),
+        readers(600_000),
+    ]);
+}
+
+#[test]
+fn reservations_hold_what_the_first_engine_can_not() {
+    let fleet = Fleet::new(23);
+    let placed = fleet.place(&review(600_000)).unwrap();
+    let reserved: u64 = placed
+        .readers
+        .iter()
+        .filter_map(|one| one.reserve_tokens)
+        .sum();
+    let kept = 600_000 - reserved;
+    assert!(
+        kept + 1_000 <= 232_000,
+        "{kept} tokens stay at the engine that answers"
+    );
+    assert_eq!(placed.readers[0].reserve_tokens, None);
+    assert!(
+        placed
+            .readers
+            .iter()
+            .all(|one| one.reserve_tokens.is_none_or(|t| t <= 232_000))
+    );
+}
+
+#[test]
+fn long_prompts_leave_engines_to_short_ones() {
+    let fleet = Fleet::new(12);
+    let mut short = Vec::new();
+    for _ in 0..20 {
+        let mut placed = fleet.place(&question()).unwrap();
+        placed.first_event();
+        short.push(placed);
+    }
+    let engines = |placed: &[Placed]| {
+        let ids = placed
+            .iter()
+            .flat_map(|one| one.readers.iter().map(|r| r.upstream.id.clone()));
+        ids.collect::<std::collections::BTreeSet<_>>()
+    };
+    let long = [fleet.place(&review(133_000)).unwrap()];
+    assert!(
+        engines(&short).len() <= 4,
+        "short ones share: {:?}",
+        engines(&short)
+    );
+    assert!(engines(&short).is_disjoint(&engines(&long)));
+}
+
+#[test]
+fn a_long_prompt_waits_while_engines_are_busy_and_is_then_put_in() {
+    let fleet = Fleet::new(4);
+    let _running: Vec<Placed> = (0..2)
+        .map(|_| fleet.place(&review(130_000)).unwrap())
+        .collect();
+    let mut waiting = review(130_000);
+    assert_eq!(fleet.place(&waiting).unwrap_err(), NoUpstream::Busy);
+    assert!(fleet.place(&question()).is_ok(), "short ones do not wait");
+    let after = |demand: &Demand, time_ms| Demand {
+        elapsed: Duration::from_millis(time_ms),
+        waited: Duration::from_millis(time_ms),
+        ..demand.clone()
+    };
+    // Half of its target: it would be late, and breaks nothing by waiting on.
+    let refused = fleet.place(&after(&waiting, 1_300)).unwrap_err();
+    assert_eq!(refused, NoUpstream::Busy);
+    waiting = after(&waiting, 3_800);
+    assert!(fleet.place(&waiting).is_ok());
+}
+
+#[test]
+fn a_prompt_breaks_only_as_many_pauses_as_being_in_time_is_worth() {
+    let answers = |count: usize, tokens: u64| {
+        let fleet = Fleet::new(6);
+        let short: Vec<Placed> = (0..count)
+            .map(|_| {
+                let mut placed = fleet.place(&question()).unwrap();
+                placed.first_event();
+                placed
+            })
+            .collect();
+        let _running = [fleet.place(&review(130_000)).unwrap()];
+        let mut long = review(tokens);
+        long.elapsed = Duration::from_millis(1_300);
+        long.waited = long.elapsed;
+        let of_short: Vec<String> = short.iter().map(|one| one.answering().id.clone()).collect();
+        match fleet.place(&long) {
+            Ok(placed) => {
+                let hit = |id: &String| placed.readers.iter().any(|r| r.upstream.id == *id);
+                (
+                    count,
+                    tokens,
+                    placed.readers.len(),
+                    of_short.iter().filter(|id| hit(id)).count(),
+                )
+            }
+            Err(refused) => {
+                assert_eq!(refused, NoUpstream::Busy);
+                (count, tokens, 0, 0)
+            }
+        }
+    };
+    insta::assert_debug_snapshot!([
+        answers(2, 60_000),
+        answers(2, 130_000),
+        answers(20, 130_000),
+        answers(20, 200_000),
+    ]);
+}
+
+#[test]
+fn of_the_longest_prompts_some_are_placed_at_any_peak() {
+    let fleet = Fleet::new(4);
+    let mut running: Vec<Placed> = (0..2)
+        .map(|_| fleet.place(&review(130_000)).unwrap())
+        .collect();
+    let mut longest = review(220_000);
+    longest.is_sheddable = true;
+    let waited = Demand {
+        elapsed: Duration::from_secs(5),
+        waited: Duration::from_secs(5),
+        ..longest.clone()
+    };
+    let mut outcomes = String::new();
+    for _ in 0..12 {
+        match fleet.place(&longest) {
+            Err(NoUpstream::Overrun) => outcomes.push('r'),
+            Err(refused) => {
+                assert_eq!(refused, NoUpstream::Busy);
+                running.push(fleet.place(&waited).unwrap());
+                outcomes.push('p');
+            }
+            Ok(_) => panic!("the engines are overrun"),
+        }
+    }
+    assert_eq!(outcomes, "rrprrprrprrp");
+}
+
+#[test]
+fn the_longest_prompts_are_refused_when_engines_are_overrun() {
+    let fleet = Fleet::new(4);
+    let _running: Vec<Placed> = (0..2)
+        .map(|_| fleet.place(&review(130_000)).unwrap())
+        .collect();
+    let mut longest = review(220_000);
+    longest.is_sheddable = true;
+    assert_eq!(fleet.place(&longest).unwrap_err(), NoUpstream::Overrun);
+    let mut shorter = review(60_000);
+    shorter.is_sheddable = true;
+    assert_ne!(fleet.place(&shorter).err(), Some(NoUpstream::Overrun));
+}
+
+#[test]
+fn a_request_is_refused_once_every_slot_is_taken() {
+    let fleet = Fleet::new(2);
+    let mut placed = Vec::new();
+    let refused = loop {
+        match fleet.place(&question()) {
+            Ok(one) => placed.push(one),
+            Err(refused) => break refused,
+        }
+    };
+    assert_eq!((refused, placed.len()), (NoUpstream::Full, 34));
+    placed.pop();
+    assert!(fleet.place(&question()).is_ok());
+}
+
+#[test]
+fn a_prompt_larger_than_all_memory_is_refused_after_waiting() {
+    let fleet = Fleet::new(2);
+    let mut huge = review(600_000);
+    assert_eq!(fleet.place(&huge).unwrap_err(), NoUpstream::Busy);
+    huge.waited = Duration::from_secs(2);
+    assert_eq!(fleet.place(&huge).unwrap_err(), NoUpstream::TooLarge);
+}
+
+#[test]
+fn plain_services_take_the_least_loaded() {
+    let listed: Vec<_> = (0..3)
+        .map(|number| upstream(number, "fleet-ops", "hall-a"))
+        .collect();
+    let fleet = Fleet::of(listed);
+    let plain = demand(0, 0, 300);
+    let placed: Vec<_> = (0..9)
+        .map(|_| fleet.upstreams.place("fleet-ops", &plain, &[]).unwrap())
+        .collect();
+    for status in fleet.upstreams.status() {
+        assert_eq!(status.answering, 3);
+    }
+    drop(placed);
+    assert!(
+        fleet
+            .upstreams
+            .status()
+            .iter()
+            .all(|status| status.answering == 0)
+    );
+}
+
+#[test]
+fn a_daemon_that_has_just_started_spreads_short_prompts() {
+    let engines = |settling_time: Duration| {
+        let options = ChoiceOptions {
+            settling_time,
+            ..ChoiceOptions::default()
+        };
+        let listed = (0..12).map(|number| upstream(number, SERVICE, "hall-a"));
+        let fleet = Fleet::with_options(listed.collect(), options);
+        let placed: Vec<Placed> = (0..12).map(|_| fleet.place(&question()).unwrap()).collect();
+        let ids = placed.iter().map(|one| one.answering().id.clone());
+        ids.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    insta::assert_debug_snapshot!([engines(Duration::from_secs(60)), engines(Duration::ZERO)]);
+}
--- /dev/null
+++ b/crates/engines/tests/engines/support.rs
@@ -0,0 +1,111 @@
+//! Upstreams in one daemon's view, and requests for them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use mangofront_engines::{ChoiceOptions, Demand, News, NoUpstream, Placed, Upstreams};
+use mangofront_routes::{EngineFigures, Upstream};
+
+pub const SERVICE: &str = "assist-llm";
+
+pub fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 16,
+        memory_tokens: 232_000,
+        steps_per_pass: 43,
+        step: Duration::from_micros(1_020),
+        step_per_request_ms: 0.002_26,
+        step_per_context_k_ms: 0.004_31,
+        read_tokens_per_s: 206_000.0,
+        read_per_pairs_m_ms: 0.138,
+        read_chunk_tokens: 2_048,
+        step_per_spread_prompt_ms: 0.075,
+    }
+}
+
+pub fn upstream(number: usize, service: &str, zone: &str) -> Upstream {
+    Upstream {
+        id: format!("i-{number}"),
+        service: service.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
+        availability_zone: zone.to_owned(),
+        slots: 6,
+        registered_at: number as u64,
+        leaving: false,
+    }
+}
+
+pub struct Fleet {
+    pub upstreams: Upstreams,
+    pub news: UnboundedReceiver<News>,
+    pub listed: Vec<Upstream>,
+}
+
+impl Fleet {
+    pub fn new(count: usize) -> Self {
+        let listed = (0..count).map(|number| upstream(number, SERVICE, "hall-a"));
+        Self::of(listed.collect())
+    }
+
+    /// A daemon that has run for a while.
+    pub fn of(listed: Vec<Upstream>) -> Self {
+        let options = ChoiceOptions {
+            settling_time: Duration::ZERO,
+            ..ChoiceOptions::default()
+        };
+        Self::with_options(listed, options)
+    }
+
+    pub fn with_options(listed: Vec<Upstream>, options: ChoiceOptions) -> Self {
+        let (tell, news) = unbounded();
+        let upstreams = Upstreams::new(options, "hall-a".to_owned(), 0x9E37_79B9_7F4A_7C15, tell);
+        let fleet = Self {
+            upstreams,
+            news,
+            listed,
+        };
+        fleet.list(&fleet.listed);
+        fleet
+    }
+
+    pub fn list(&self, listed: &[Upstream]) {
+        let engine = HashMap::from([(SERVICE.to_owned(), Rc::new(figures()))]);
+        self.upstreams.set_known(listed.iter().cloned(), &engine);
+    }
+
+    pub fn place(&self, demand: &Demand) -> Result<Placed, NoUpstream> {
+        self.upstreams.place(SERVICE, demand, &[])
+    }
+
+    pub fn told(&mut self) -> Vec<News> {
+        let mut told = Vec::new();
+        while let Ok(news) = self.news.try_recv() {
+            told.push(news);
+        }
+        told
+    }
+}
+
+pub fn demand(prompt_tokens: u64, gap_ms: u64, target_ms: u64) -> Demand {
+    Demand {
+        prompt_tokens,
+        answer_limit_tokens: 1_000,
+        gap: Duration::from_millis(gap_ms),
+        target: Duration::from_millis(target_ms),
+        elapsed: Duration::ZERO,
+        waited: Duration::ZERO,
+        time_left: Duration::from_secs(10),
+        is_sheddable: false,
+    }
+}
+
+pub fn question() -> Demand {
+    demand(5_000, 250, 300)
+}
+
+pub fn review(prompt_tokens: u64) -> Demand {
+    demand(prompt_tokens, 1_000, 2_500)
+}
--- /dev/null
+++ b/crates/engines/tests/engines/view.rs
@@ -0,0 +1,202 @@
+//! What a daemon learns of upstreams and of the other daemons.
+
+use std::thread;
+use std::time::Duration;
+
+use mangofront_engines::{Failure, NoUpstream, key_of};
+use quickcheck::QuickCheck;
+
+use crate::support::{Fleet, SERVICE, question, review, upstream};
+
+#[test]
+fn failed_left_and_tried_upstreams_are_passed_over() {
+    let fleet = Fleet::new(3);
+    let keys: Vec<_> = fleet.listed.iter().map(|one| key_of(&one.id)).collect();
+    fleet.upstreams.failed(keys[0], Failure::Unreachable);
+    let chosen = |tried: &[u64]| {
+        let placed = fleet.upstreams.place(SERVICE, &question(), tried);
+        placed.map(|placed| placed.answering().id.clone())
+    };
+    for _ in 0..5 {
+        assert_ne!(chosen(&[]).unwrap(), "i-0");
+    }
+    assert_eq!(chosen(&[keys[1]]).unwrap(), "i-2");
+    assert_eq!(chosen(&keys).unwrap_err(), NoUpstream::AllTried);
+    // One that failed is better than none.
+    assert_eq!(chosen(&[keys[1], keys[2]]).unwrap(), "i-0");
+    let mut leaving = fleet.listed.clone();
+    leaving.iter_mut().for_each(|one| one.leaving = true);
+    fleet.list(&leaving);
+    assert_eq!(chosen(&[]).unwrap_err(), NoUpstream::NoneKnown);
+}
+
+#[test]
+fn a_failed_upstream_comes_back_by_itself_and_later_each_time() {
+    let fleet = Fleet::new(1);
+    let key = key_of("i-0");
+    let is_ejected = || fleet.upstreams.status()[0].is_ejected;
+    fleet.upstreams.failed(key, Failure::Unreachable);
+    assert!(is_ejected());
+    thread::sleep(Duration::from_millis(520));
+    assert!(!is_ejected());
+    fleet.upstreams.failed(key, Failure::Silent);
+    thread::sleep(Duration::from_millis(520));
+    assert!(is_ejected());
+    fleet.upstreams.answered(key);
+    assert!(!is_ejected());
+}
+
+/// The registration of a dead upstream may outlast it, while a new one listens at
+/// its address; engines refuse a request that names one address twice.
+#[test]
+fn an_address_used_again_belongs_to_the_latest_upstream() {
+    let mut listed: Vec<_> = (0..8)
+        .map(|number| upstream(number, SERVICE, "hall-a"))
+        .collect();
+    listed[5].address = listed[2].address;
+    let fleet = Fleet::of(listed);
+    let placed = fleet.place(&review(200_000)).unwrap();
+    let ids: Vec<_> = placed
+        .readers
+        .iter()
+        .map(|one| one.upstream.id.as_str())
+        .collect();
+    assert_eq!(ids.len(), 7, "{ids:?}");
+    assert!(!ids.contains(&"i-2"), "{ids:?}");
+}
+
+#[test]
+fn another_daemon_sees_what_was_placed_and_what_ended() {
+    let mut one = Fleet::new(3);
+    let other = Fleet::new(3);
+    let mut placed = one.place(&review(100_000)).unwrap();
+    let tell = |one: &mut Fleet| {
+        one.told()
+            .into_iter()
+            .for_each(|news| other.upstreams.hear(7, news))
+    };
+    tell(&mut one);
+    let memory = |fleet: &Fleet| {
+        fleet
+            .upstreams
+            .status()
+            .iter()
+            .map(|s| s.memory_tokens)
+            .sum::<u64>()
+    };
+    assert_eq!(memory(&one), memory(&other));
+    assert!(
+        other
+            .upstreams
+            .status()
+            .iter()
+            .any(|status| status.backlog_ms > 0.0)
+    );
+    placed.first_event();
+    tell(&mut one);
+    assert!(
+        other
+            .upstreams
+            .status()
+            .iter()
+            .all(|status| status.backlog_ms == 0.0)
+    );
+    drop(placed);
+    tell(&mut one);
+    assert_eq!(memory(&other), 0);
+}
+
+#[test]
+fn a_missed_end_is_set_right_by_the_list_of_what_runs() {
+    let mut one = Fleet::new(3);
+    let other = Fleet::new(3);
+    let ended = one.place(&review(100_000)).unwrap();
+    let running = one.place(&question()).unwrap();
+    one.told()
+        .into_iter()
+        .for_each(|news| other.upstreams.hear(7, news));
+    drop(ended);
+    one.told();
+    thread::sleep(Duration::from_millis(350));
+    one.upstreams.tell_running();
+    one.told()
+        .into_iter()
+        .for_each(|news| other.upstreams.hear(7, news));
+    let answering: u32 = other
+        .upstreams
+        .status()
+        .iter()
+        .map(|status| status.answering)
+        .sum();
+    assert_eq!(answering, 1);
+    drop(running);
+}
+
+#[test]
+fn a_daemon_that_starts_is_told_of_what_runs() {
+    let one = Fleet::new(3);
+    let other = Fleet::new(3);
+    let _reading = one.place(&review(100_000)).unwrap();
+    let mut writing = one.place(&question()).unwrap();
+    writing.first_event();
+    one.upstreams
+        .introduction()
+        .into_iter()
+        .for_each(|news| other.upstreams.hear(7, news));
+    let view = |fleet: &Fleet| {
+        let status = fleet.upstreams.status();
+        status
+            .iter()
+            .map(|one| (one.answering, one.memory_tokens))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(view(&one), view(&other));
+    other.upstreams.forget(7);
+    assert!(view(&other).iter().all(|one| *one == (0, 0)));
+}
+
+#[test]
+fn a_zone_that_falls_silent_is_left_out_until_it_is_heard() {
+    let listed = vec![
+        upstream(0, SERVICE, "hall-a"),
+        upstream(1, SERVICE, "hall-b"),
+    ];
+    let fleet = Fleet::of(listed);
+    fleet.upstreams.heard_zone("hall-b");
+    fleet.upstreams.heard_zone("hall-a");
+    thread::sleep(Duration::from_millis(1_200));
+    let quiet = fleet.upstreams.quiet_zones(Duration::from_millis(500));
+    assert_eq!(
+        quiet.iter().map(|one| one.id.as_str()).collect::<Vec<_>>(),
+        ["i-1"]
+    );
+    let placed: Vec<_> = (0..10).map(|_| fleet.place(&question()).unwrap()).collect();
+    assert!(placed.iter().all(|one| one.answering().id == "i-0"));
+    fleet.upstreams.heard_from(key_of("i-1"));
+    let next: Vec<_> = (0..10).map(|_| fleet.place(&question()).unwrap()).collect();
+    assert!(next.iter().any(|one| one.answering().id == "i-1"));
+}
+
+/// Whatever is placed and ended in any order, nothing is left once all has ended.
+#[test]
+fn nothing_is_left_once_all_has_ended() {
+    fn property(steps: Vec<(u16, bool)>) -> bool {
+        let fleet = Fleet::new(5);
+        let mut running = Vec::new();
+        for (tokens, ends) in steps {
+            if ends && !running.is_empty() {
+                drop(running.remove(usize::from(tokens) % running.len()));
+            } else if let Ok(placed) = fleet.place(&review(u64::from(tokens) * 10)) {
+                running.push(placed);
+            }
+        }
+        running.clear();
+        let status = fleet.upstreams.status();
+        status
+            .iter()
+            .all(|one| one.answering == 0 && one.memory_tokens == 0 && one.backlog_ms == 0.0)
+    }
+    QuickCheck::new()
+        .tests(200)
+        .quickcheck(property as fn(Vec<(u16, bool)>) -> bool);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -178,7 +178,7 @@
     }
     let key = head.key.as_deref();
     let Some(organisation) = key.and_then(|key| table.organisation(key)) else {
-        return match (route.allow_anonymous, may_be_old) {
+        return match (route.needs_no_key, may_be_old) {
             (true, _) => Ok(None),
             (false, true) => Err(not_here("key_not_known_yet")),
             (false, false) => Err(Refusal::UnknownKey),
@@ -186,7 +186,7 @@
     };
     let lease = gateway.parts().published.lease();
     if !lease.is_younger_than(gateway.options().key_lease) {
-        if route.allow_anonymous {
+        if route.needs_no_key {
             return Ok(None);
         }
         return Err(not_here("keys_not_confirmed"));
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -69,7 +69,7 @@
     /// Most upstreams that one request may be sent to.
     pub attempts: u32,
     /// Whether a request without a known key is served.
-    pub allow_anonymous: bool,
+    pub needs_no_key: bool,
 }
 
 impl Route {
