Correct comments that said more than was measured

Found on reading the change again: a share of changes that nobody had counted, a gain rounded up, a wait described too narrowly, an estimate and a chosen time not called so. Comments only.

--- a/crates/engines/src/options.rs
+++ b/crates/engines/src/options.rs
@@ -43,7 +43,7 @@
     /// Targets for which a prompt waits for a shorter queue before it is put where it
     /// may still be in time; 0.5 by default, as the other half is for reading it.
     pub wait_targets: f64,
-    /// Targets for which a prompt waits that would be late wherever it is put; 1.5 by
+    /// Targets for which a prompt waits when breaking pauses is not worth it; 1.5 by
     /// default, less than half of the time after which callers leave.
     pub late_targets: f64,
     /// Answers with pauses of up to this many times the shortest fill the engines
@@ -64,9 +64,9 @@
     /// Tokens of a prompt in time that count as much as one answer whose pause
     /// gets too long; 9,000 by default.
     ///
-    /// Answers are worth more the longer their prompts are, and a short one breaks
-    /// off no less often than a long one. A prompt of 130,000 tokens that has waited
-    /// may break up to fourteen pauses to be in time.
+    /// An estimate: what an answer is worth grows about in step with its prompt, and
+    /// short prompts have some 5,000 tokens. A prompt of 130,000 tokens that has
+    /// waited may break up to fourteen pauses to be in time.
     pub broken_gap_worth_tokens: f64,
     /// Cost of an engine in another availability zone, in milliseconds; 3 by
     /// default, about a round trip.
@@ -89,7 +89,8 @@
     /// Daemons from which on many choose at the same moment; 40 by default.
     pub crowd_daemons: usize,
     /// Time from its start in which a daemon spreads short prompts widely; 3 s by
-    /// default, in which daemons that start together have found each other.
+    /// default. Chosen, not measured: well over a few heartbeats, by which daemons
+    /// that start together find each other.
     pub settling_time: Duration,
     /// The difference in cost that counts as equal during that time, in
     /// milliseconds; 100 by default, so that any idle engine will do.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -57,8 +57,8 @@
 /// percent, as far as placement allows it.
 ///
 /// More leaves the engines' time to prompts that are worth more for it, fewer
-/// have to come back. Refusing 75 of 100 rather than 60 bought 0.02 of the worth
-/// of days with overload; 90 bought no more.
+/// have to come back. Refusing 75 of 100 rather than 60 bought 0.012 and 0.016 of
+/// the worth of days with faults at two deployments; 90 bought no more.
 const SHED_PERCENT: u64 = 75;
 
 /// Urgency at the engine of the most urgent rank; it grows by one with each.
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -88,8 +88,9 @@
 
 /// Changes that a watcher read, for the other daemons of its zone.
 ///
-/// A call to the source costs the whole fleet; of the changes of a day nine in ten
-/// are upstreams that come and go, and fit into a datagram.
+/// A call to the source counts against the whole fleet's budget. Upstreams that
+/// come and go fit into a datagram, configurations do not: relaying them took calls
+/// on two days of some seventy daemons from 4,644 to 2,552 and from 5,413 to 3,816.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Relayed {
     /// Position from which on these are all changes.
