Tell the lives of an upstream apart; take no upstream from what others write; weights as settings

Cause: a registration may name an id that was there before with a new start, and may be written by someone else. The daemon knew an upstream by its id alone, so requests, ejections and peers' news of the earlier life counted against the later one, and a request that the earlier life had taken behind a cut was awaited to its deadline. A registration with an unknown state counted as ready, one that could not be read left the one before it in use, and one of a service that is not published could displace, by its address, one that is.

Change: the start is decoded in the adapter and is part of an upstream's short name. A later start ends the requests of the life before (an order as unknown, a reading and a stream elsewhere), closes unused connections to it, and an earlier start that is written late is passed over. Of two at one address the one that was written last holds: a life that begins again keeps its first registration, so the revision of the creation said too little.

Also: the weights of the choice are settings of a daemon, checked like all others, so that a mechanism can be switched off without a build. Values unchanged.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use mangofront_adapter::{HeaderDialect, StoreClient};
-use mangofront_engines::{ChoiceOptions, Upstreams, key_of};
+use mangofront_engines::Upstreams;
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
 };
@@ -23,6 +23,7 @@
 use mangofront_settings::process::{DaemonSettings, GatewaySettings, read_daemon_settings};
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{Connections, ConnectionsOptions};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::DaemonError;
 use crate::membership;
@@ -107,13 +108,14 @@
 ) -> Result<(Gateway, Peers, Vec<JoinHandle<()>>), DaemonError> {
     let (tell, told) = mpsc::unbounded();
     let zone = settings.availability_zone.clone();
-    let salt = key_of(&settings.instance);
-    let upstreams = Upstreams::new(ChoiceOptions::default(), zone.clone(), salt, tell);
+    let salt = xxh3_64(settings.instance.as_bytes());
+    let upstreams = Upstreams::new(own.choice.clone(), zone.clone(), salt, tell);
+    let connections = connections(settings);
     let published = Published::new(
         PublishedOptions::for_lease(own.key_lease()),
         upstreams.clone(),
+        connections.clone(),
     );
-    let connections = connections(settings);
     let store = StoreClient::new(connections.clone(), settings.platform_address);
     let sharing_cell: Rc<std::cell::OnceCell<Rc<Sharing>>> = Rc::default();
     let peers = start_peers(settings, own, &sharing_cell)?;
--- a/crates/engines/examples/embed.rs
+++ b/crates/engines/examples/embed.rs
@@ -65,6 +65,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 8_000 + number)),
         availability_zone: "hall-a".to_owned(),
         slots: 16,
+        started_at_ms: 0,
         registered_at: u64::from(number),
         leaving: false,
     }
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -7,9 +7,9 @@
 use thiserror::Error;
 
 use crate::layout::lay_out;
-use crate::options::ChoiceOptions;
 use crate::upstream::{Known, Load};
 use crate::work::Part;
+use mangofront_settings::process::ChoiceOptions;
 
 /// What a request needs.
 #[derive(Debug, Clone)]
--- a/crates/engines/src/health.rs
+++ b/crates/engines/src/health.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::options::ChoiceOptions;
+use mangofront_settings::process::ChoiceOptions;
 
 /// Failures in a row after which the time left out grows no more.
 const GROWTH_LIMIT: u32 = 5;
@@ -63,7 +63,7 @@
             Failure::Unreachable | Failure::Silent => {
                 let doublings = self.in_a_row.min(GROWTH_LIMIT);
                 self.in_a_row += 1;
-                (options.first_ejection * 2_u32.pow(doublings)).min(options.longest_ejection)
+                (options.first_ejection() * 2_u32.pow(doublings)).min(options.longest_ejection())
             }
         };
         self.leave_out(time, now);
--- a/crates/engines/src/layout.rs
+++ b/crates/engines/src/layout.rs
@@ -5,8 +5,8 @@
 use mangofront_routes::EngineFigures;
 
 use crate::choose::{Candidate, Choice, Demand, NoUpstream, Reader, pass_ms};
-use crate::options::ChoiceOptions;
 use crate::work::Part;
+use mangofront_settings::process::ChoiceOptions;
 
 /// Memory of a candidate that is planned with, in tokens.
 fn planned_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -18,8 +18,8 @@
 mod choose;
 mod health;
 mod layout;
+mod lives;
 mod news;
-mod options;
 mod shedding;
 mod state;
 mod upstream;
@@ -28,7 +28,7 @@
 
 pub use choose::{Demand, NoUpstream, Reader};
 pub use health::Failure;
+pub use mangofront_settings::process::ChoiceOptions;
 pub use news::{News, Origin};
-pub use options::ChoiceOptions;
 pub use upstreams::{Placed, UpstreamStatus, Upstreams};
 pub use work::{UpstreamKey, WorkId, key_of};
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -6,6 +6,7 @@
 use mangofront_settings::ids::AvailabilityZone;
 
 use crate::choose::Demand;
+use crate::lives::Lives;
 use crate::news::Origin;
 use crate::shedding::{Shedding, Size};
 use crate::upstream::Known;
@@ -38,6 +39,8 @@
     pub(crate) heard: HashMap<Origin, Instant>,
     /// When each other zone last showed that it can be reached.
     pub(crate) zones: HashMap<AvailabilityZone, Instant>,
+    /// The life that each upstream is in.
+    pub(crate) lives: Lives,
     pub(crate) shedding: Shedding,
     /// Shortest pause that any request so far allowed.
     pub(crate) shortest_gap: Option<Duration>,
--- a/crates/engines/src/upstream.rs
+++ b/crates/engines/src/upstream.rs
@@ -48,7 +48,7 @@
 impl Known {
     pub(crate) fn new(info: Upstream, figures: Option<Rc<EngineFigures>>, now: Instant) -> Self {
         Self {
-            key: key_of(&info.id),
+            key: key_of(&info),
             info,
             figures,
             health: Health::default(),
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -15,12 +15,13 @@
     Candidate, Choice, Circumstances, Demand, NoUpstream, Reader, choose_engines, choose_plain,
 };
 use crate::health::Failure;
+use crate::lives::LifeEnd;
 use crate::news::{News, Origin, milliseconds, part_of, placed_news};
-use crate::options::ChoiceOptions;
 use crate::shedding::Size;
 use crate::state::{OWN, State};
 use crate::upstream::Known;
 use crate::work::{UpstreamKey, Work, WorkId, key_of};
+use mangofront_settings::process::ChoiceOptions;
 
 /// All upstreams in this daemon's view; clones share it.
 #[derive(Debug, Clone)]
@@ -73,11 +74,13 @@
     }
 
     /// Takes over the published upstreams, with the speed of each service's engines.
+    ///
+    /// Returns those that have started again under their id.
     pub fn set_known(
         &self,
         upstreams: impl IntoIterator<Item = Upstream>,
         figures: &HashMap<ServiceName, Rc<EngineFigures>>,
-    ) {
+    ) -> Vec<Upstream> {
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
         let mut before: HashMap<UpstreamKey, Known> = state
@@ -85,15 +88,22 @@
             .drain(..)
             .map(|known| (known.key, known))
             .collect();
+        let mut restarted = Vec::new();
         for info in latest_at_address(upstreams) {
+            if state.lives.see(&info) {
+                restarted.push(info.clone());
+            }
             let service = figures.get(&info.service).cloned();
-            let known = match before.remove(&key_of(&info.id)) {
+            let known = match before.remove(&key_of(&info)) {
                 Some(known) => known.renewed(info, service),
                 None => Known::new(info, service, now),
             };
             state.known.push(known);
         }
         state.known.sort_by_key(|known| known.key);
+        let State { known, lives, .. } = &mut *state;
+        lives.retain(|id| known.iter().any(|known| known.info.id == *id));
+        restarted
     }
 
     /// Chooses the upstreams for a request, passing over those in `tried`.
@@ -134,6 +144,7 @@
         };
         self.tell(placed_news(id, &work, expected, demand.time_left));
         state.add((OWN, id), work, now);
+        let life_end = state.lives.end_of(&choice.readers[0].upstream);
         Ok(Placed {
             readers: choice.readers,
             expected_first_event: expected,
@@ -142,6 +153,7 @@
             oldest_news: state.oldest_news(now),
             id,
             is_read: false,
+            life_end,
             upstreams: self.clone(),
         })
     }
@@ -196,7 +208,7 @@
                     shortest_gap,
                     daemons: state.heard.len(),
                     draw: xxh3_64_with_seed(&state.next_work.to_le_bytes(), self.0.salt),
-                    is_settling: self.0.started.elapsed() < options.settling_time,
+                    is_settling: self.0.started.elapsed() < options.settling_time(),
                     may_refuse: demand.is_sheddable
                         && size.is_some_and(|size| state.shedding.may_refuse(size)),
                 };
@@ -340,7 +352,7 @@
                 ejected_ms,
             } => {
                 let time = Duration::from_millis(u64::from(ejected_ms));
-                let time = time.min(self.0.options.first_ejection);
+                let time = time.min(self.0.options.first_ejection());
                 if let Some(known) = state.known_mut(upstream) {
                     known.health.leave_out(time, now);
                 }
@@ -430,6 +442,7 @@
     pub oldest_news: Duration,
     id: WorkId,
     is_read: bool,
+    life_end: LifeEnd,
     upstreams: Upstreams,
 }
 
@@ -440,6 +453,15 @@
         &self.readers[0].upstream
     }
 
+    /// Waits until the upstream that answers is known to have started again, which
+    /// ends what it was doing; never returns as long as it has not.
+    pub async fn restarted(&mut self) {
+        if (&mut self.life_end).await.is_err() {
+            // Nobody looks after this upstream any more, so nobody will tell.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Number of the request within this daemon.
     #[must_use]
     pub fn work_id(&self) -> WorkId {
--- a/crates/engines/src/work.rs
+++ b/crates/engines/src/work.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use xxhash_rust::xxh3::xxh3_64;
+use mangofront_routes::Upstream;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Short name of an upstream's life, the same at all daemons.
 pub type UpstreamKey = u64;
@@ -10,10 +11,13 @@
 /// Number of a request, unique within the daemon that placed it.
 pub type WorkId = u64;
 
-/// Short name of the upstream with `id`.
+/// Short name of this life of an upstream.
+///
+/// Another life under the same id has another name, so whatever was believed of
+/// the one before, and whatever peers still tell of it, does not touch it.
 #[must_use]
-pub fn key_of(id: &str) -> UpstreamKey {
-    xxh3_64(id.as_bytes())
+pub fn key_of(upstream: &Upstream) -> UpstreamKey {
+    xxh3_64_with_seed(upstream.id.as_bytes(), upstream.started_at_ms)
 }
 
 /// A part of a prompt that an upstream reads, and the memory it sets aside.
--- a/crates/engines/tests/engines/choice.rs
+++ b/crates/engines/tests/engines/choice.rs
@@ -227,9 +227,9 @@
 
 #[test]
 fn a_daemon_that_has_just_started_spreads_short_prompts() {
-    let engines = |settling_time: Duration| {
+    let engines = |settling_time_ms: u64| {
         let options = ChoiceOptions {
-            settling_time,
+            settling_time_ms,
             ..ChoiceOptions::default()
         };
         let listed = (0..12).map(|number| upstream(number, SERVICE, "hall-a"));
@@ -238,5 +238,5 @@
         let ids = placed.iter().map(|one| one.answering().id.clone());
         ids.collect::<std::collections::BTreeSet<_>>().len()
     };
-    insta::assert_debug_snapshot!([engines(Duration::from_secs(60)), engines(Duration::ZERO)]);
+    insta::assert_debug_snapshot!([engines(60_000), engines(0)]);
 }
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -29,6 +29,7 @@
 pub fn upstream(number: usize, service: &str, zone: &str) -> Upstream {
     Upstream {
         id: format!("i-{number}"),
+        started_at_ms: 1_000,
         service: service.to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
         availability_zone: zone.to_owned(),
@@ -53,7 +54,7 @@
     /// A daemon that has run for a while.
     pub fn of(listed: Vec<Upstream>) -> Self {
         let options = ChoiceOptions {
-            settling_time: Duration::ZERO,
+            settling_time_ms: 0,
             ..ChoiceOptions::default()
         };
         Self::with_options(listed, options)
--- a/crates/engines/tests/engines/view.rs
+++ b/crates/engines/tests/engines/view.rs
@@ -3,7 +3,9 @@
 use std::thread;
 use std::time::Duration;
 
-use mangofront_engines::{Failure, NoUpstream, key_of};
+use futures_util::FutureExt;
+use mangofront_engines::{Failure, News, NoUpstream, Placed, key_of};
+use mangofront_routes::Upstream;
 use quickcheck::QuickCheck;
 
 use crate::support::{Fleet, SERVICE, question, review, upstream};
@@ -11,7 +13,7 @@
 #[test]
 fn failed_left_and_tried_upstreams_are_passed_over() {
     let fleet = Fleet::new(3);
-    let keys: Vec<_> = fleet.listed.iter().map(|one| key_of(&one.id)).collect();
+    let keys: Vec<_> = fleet.listed.iter().map(key_of).collect();
     fleet.upstreams.failed(keys[0], Failure::Unreachable);
     let chosen = |tried: &[u64]| {
         let placed = fleet.upstreams.place(SERVICE, &question(), tried);
@@ -33,7 +35,7 @@
 #[test]
 fn a_failed_upstream_comes_back_by_itself_and_later_each_time() {
     let fleet = Fleet::new(1);
-    let key = key_of("i-0");
+    let key = key_of(&fleet.listed[0]);
     let is_ejected = || fleet.upstreams.status()[0].is_ejected;
     fleet.upstreams.failed(key, Failure::Unreachable);
     assert!(is_ejected());
@@ -172,7 +174,7 @@
     );
     let placed: Vec<_> = (0..10).map(|_| fleet.place(&question()).unwrap()).collect();
     assert!(placed.iter().all(|one| one.answering().id == "i-0"));
-    fleet.upstreams.heard_from(key_of("i-1"));
+    fleet.upstreams.heard_from(key_of(&fleet.listed[1]));
     let next: Vec<_> = (0..10).map(|_| fleet.place(&question()).unwrap()).collect();
     assert!(next.iter().any(|one| one.answering().id == "i-1"));
 }
@@ -200,3 +202,58 @@
         .tests(200)
         .quickcheck(property as fn(Vec<(u16, bool)>) -> bool);
 }
+
+/// The listed upstreams, of which the first has started again.
+fn first_started_again(fleet: &Fleet) -> Vec<Upstream> {
+    let mut listed = fleet.listed.clone();
+    listed[0].started_at_ms += 5_000;
+    listed
+}
+
+#[test]
+fn nothing_of_an_earlier_life_is_held_against_a_later_one() {
+    let mut fleet = Fleet::new(1);
+    let placed: Vec<_> = (0..4).map(|_| fleet.place(&question()).unwrap()).collect();
+    let earlier_news = fleet.told();
+    fleet
+        .upstreams
+        .failed(key_of(&fleet.listed[0]), Failure::Unreachable);
+    let listed = first_started_again(&fleet);
+    fleet.list(&listed);
+    let load = |fleet: &Fleet| {
+        let status = &fleet.upstreams.status()[0];
+        (status.answering, status.memory_tokens, status.is_ejected)
+    };
+    assert_eq!(load(&fleet), (0, 0, false));
+    // A peer that has not heard of the later life still tells of the earlier one.
+    earlier_news
+        .into_iter()
+        .for_each(|news| fleet.upstreams.hear(7, news));
+    fleet.upstreams.hear(
+        7,
+        News::Failed {
+            upstream: key_of(&fleet.listed[0]),
+            ejected_ms: 5_000,
+        },
+    );
+    assert_eq!(load(&fleet), (0, 0, false));
+    drop(placed);
+    assert_eq!(load(&fleet), (0, 0, false));
+}
+
+#[test]
+fn whoever_waits_for_an_earlier_life_is_told() {
+    let fleet = Fleet::new(2);
+    let mut placed: Vec<_> = (0..8).map(|_| fleet.place(&question()).unwrap()).collect();
+    let is_told = |one: &mut Placed| one.restarted().now_or_never().is_some();
+    assert!(!placed.iter_mut().any(is_told));
+    let listed = first_started_again(&fleet);
+    // Its registration may lapse before the next one comes.
+    fleet.list(&listed[1..]);
+    assert!(!placed.iter_mut().any(is_told));
+    fleet.list(&listed);
+    for one in &mut placed {
+        let is_first = one.answering().id == listed[0].id;
+        assert_eq!(is_told(one), is_first);
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -5,6 +5,7 @@
 //! stream, the first event is awaited for the same reason; then `relay` passes
 //! it on as it comes.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use mangofront_http::{Body, full, stream_until_abort};
 use mangofront_telemetry::metrics::RequestOutcome;
 
-use crate::attempts::{Answering, Failed, History, attempt};
+use crate::attempts::{Answering, Failed, History, attempt, restarted, until_restart};
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
@@ -91,10 +92,11 @@
     let status = answer.status;
     let headers = gateway.parts().dialect.answer_headers(&answer.headers);
     let limit_bytes = gateway.options().answer_limit_bytes;
-    let read = answer.bytes(limit_bytes, call.deadline).await;
+    let reading = pin!(answer.bytes(limit_bytes, call.deadline));
+    let read = until_restart(&mut placed, reading).await;
     placed.first_event();
     drop(reservations);
-    match read {
+    match read.ok_or_else(restarted)? {
         Ok(body) => Ok(Whole {
             status,
             headers,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,9 +5,11 @@
 //! if the request may repeat. Both are bounded by the attempts of the route and
 //! by the budget of second sends of the whole fleet.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use mangofront_engines::{Demand, Failure, NoUpstream, Placed, Reader, UpstreamKey, key_of};
@@ -206,9 +208,9 @@
     history: &mut History,
     last_event_id: Option<EventId>,
 ) -> Result<Answering, Failed> {
-    let placed = place(gateway, call, history).await?;
+    let mut placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
-    let key = key_of(&upstream.id);
+    let key = key_of(&upstream);
     trace::placed(call, history, &placed);
     history.tried.push(key);
     let name = format!(
@@ -222,10 +224,17 @@
         .map_err(|upstream| no_memory(gateway, call, &upstream))?;
     let request = request(gateway, call, &placed, &reservations, last_event_id)?;
     let patience = patience(gateway, call, history, &placed);
-    let sent = send(gateway, call, &upstream, request, patience, history).await;
+    let sent = {
+        let sending = pin!(send(gateway, call, &upstream, request, patience, history));
+        until_restart(&mut placed, sending).await
+    };
     let result = match sent {
-        Ok(answer) => check_head(gateway, call, &upstream, answer, history),
-        Err(error) => Err(send_failed(gateway, call, key, &error)),
+        Some(Ok(answer)) => check_head(gateway, call, &upstream, answer, history),
+        Some(Err(error)) => Err(send_failed(gateway, call, key, &error)),
+        None => {
+            history.sent += 1;
+            Err(restarted())
+        }
     };
     let metrics = &gateway.parts().metrics;
     let zone = &upstream.availability_zone;
@@ -293,7 +302,7 @@
 }
 
 fn no_memory(gateway: &Gateway, call: &Call, upstream: &Upstream) -> Failed {
-    gateway.leave_out(key_of(&upstream.id), Failure::Full, &call.id);
+    gateway.leave_out(key_of(upstream), Failure::Full, &call.id);
     Failed::Unreachable(format!("{} reserved no memory", upstream.id))
 }
 
@@ -365,6 +374,22 @@
     }
 }
 
+/// Waits for an upstream, but no longer than it lives; none when it has started again.
+pub(crate) async fn until_restart<F: Future + Unpin>(
+    placed: &mut Placed,
+    future: F,
+) -> Option<F::Output> {
+    match select(future, pin!(placed.restarted())).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(_) => None,
+    }
+}
+
+/// How an attempt ended whose upstream has started again: what it did is lost.
+pub(crate) fn restarted() -> Failed {
+    Failed::MayHaveRun("the upstream has started again".to_owned())
+}
+
 async fn send(
     gateway: &Gateway,
     call: &Call,
@@ -408,7 +433,7 @@
         .parts()
         .dialect
         .read_answer(answer.status, &answer.headers);
-    let key = key_of(&upstream.id);
+    let key = key_of(upstream);
     if head.not_run {
         return Err(not_run(gateway, call, key, &head, answer.status));
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -132,7 +132,15 @@
     Configuration(Box<RouteTable>),
     /// An upstream.
     Upstream(Upstream),
-    /// A value that can't be read; the one before it stays in force.
+    /// A registration that can't be read or says what no upstream says; it names
+    /// none.
+    UnusableUpstream {
+        /// Id under which it is published.
+        id: UpstreamId,
+        /// What is wrong with it, in a short sentence.
+        reason: String,
+    },
+    /// Another value that can't be read; the one before it stays in force.
     Malformed {
         /// Name under which it is published.
         name: String,
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -19,6 +19,7 @@
 use mangofront_engines::Upstreams;
 use mangofront_routes::{EngineFigures, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::ServiceName;
+use mangofront_upstream::Connections;
 
 use crate::boot_clock::BootInstant;
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
@@ -91,6 +92,7 @@
 struct Shared {
     options: PublishedOptions,
     upstreams: Upstreams,
+    connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
     registered: RefCell<HashMap<UpstreamId, Upstream>>,
     /// Upstreams kept although their registration is missing, with the end of it.
@@ -107,12 +109,14 @@
 }
 
 impl Published {
-    /// Nothing is in force yet; changes of upstreams go to `upstreams`.
+    /// Nothing is in force yet; changes of upstreams go to `upstreams`, and unused
+    /// `connections` to an earlier life of one are closed.
     #[must_use]
-    pub fn new(options: PublishedOptions, upstreams: Upstreams) -> Self {
+    pub fn new(options: PublishedOptions, upstreams: Upstreams, connections: Connections) -> Self {
         Self(Rc::new(Shared {
             options,
             upstreams,
+            connections,
             table: RefCell::default(),
             registered: RefCell::default(),
             lapsed: RefCell::default(),
@@ -172,6 +176,7 @@
             match change {
                 UpstreamChange::Registered(upstream) => self.take_entry(Entry::Upstream(upstream)),
                 UpstreamChange::Gone(id) => self.take_missing(id),
+                UpstreamChange::Unusable(id, reason) => self.take_unusable(&id, &reason),
             }
         }
         self.pass_on_upstreams();
@@ -261,8 +266,10 @@
         let Snapshot { position, entries } = source.read(self.0.options.read_timeout).await?;
         let mut missing: Vec<UpstreamId> = self.0.registered.borrow().keys().cloned().collect();
         for entry in entries {
-            if let Entry::Upstream(upstream) = &entry {
-                missing.retain(|id| *id != upstream.id);
+            match &entry {
+                Entry::Upstream(upstream) => missing.retain(|id| *id != upstream.id),
+                Entry::UnusableUpstream { id, .. } => missing.retain(|missing| missing != id),
+                Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other => {}
             }
             self.take_entry(entry);
         }
@@ -321,19 +328,36 @@
     fn take_entry(&self, entry: Entry) {
         match entry {
             Entry::Configuration(table) => self.take_table(*table),
-            Entry::Upstream(upstream) => {
-                self.0.lapsed.borrow_mut().remove(&upstream.id);
-                let mut registered = self.0.registered.borrow_mut();
-                let before = registered.insert(upstream.id.clone(), upstream.clone());
-                if before.as_ref() != Some(&upstream) {
-                    trace::upstream_published(&upstream);
-                }
-            }
+            Entry::Upstream(upstream) => self.take_upstream(upstream),
+            Entry::UnusableUpstream { id, reason } => self.take_unusable(&id, &reason),
             Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
             Entry::Other => {}
         }
     }
 
+    fn take_upstream(&self, upstream: Upstream) {
+        let mut registered = self.0.registered.borrow_mut();
+        let before = registered.get(&upstream.id);
+        if before.is_some_and(|before| before.started_at_ms > upstream.started_at_ms) {
+            // Written by the earlier life and applied late.
+            trace::earlier_life(&upstream);
+            return;
+        }
+        self.0.lapsed.borrow_mut().remove(&upstream.id);
+        if !before.is_some_and(|before| before.says_the_same(&upstream)) {
+            trace::upstream_published(&upstream);
+        }
+        registered.insert(upstream.id.clone(), upstream);
+    }
+
+    /// A registration that can't be used names no upstream, also where one that
+    /// could be used stood before: it may be of another upstream by now. Requests
+    /// that run there go on.
+    fn take_unusable(&self, id: &UpstreamId, reason: &str) {
+        trace::unusable_registration(id, reason);
+        self.remove(id);
+    }
+
     fn take_table(&self, table: RouteTable) {
         let mut in_force = self.0.table.borrow_mut();
         let before = in_force.as_ref().map(|table| table.version());
@@ -397,9 +421,19 @@
             None => HashMap::new(),
         };
         let registered = self.0.registered.borrow();
-        self.0
-            .upstreams
-            .set_known(registered.values().cloned(), &figures);
+        // One of a service that is not in force must not displace, by its address,
+        // one that is.
+        let is_in_force = |upstream: &&Upstream| {
+            let table = self.0.table.borrow();
+            let table = table.as_ref();
+            table.is_none_or(|table| table.service(&upstream.service).is_some())
+        };
+        let usable = registered.values().filter(is_in_force).cloned();
+        for restarted in self.0.upstreams.set_known(usable, &figures) {
+            trace::upstream_restarted(&restarted);
+            let address = restarted.address;
+            self.0.connections.retain(|other| *other != address);
+        }
     }
 }
 
@@ -412,6 +446,9 @@
                 of_upstreams.push(UpstreamChange::Registered(upstream.clone()));
             }
             Change::UpstreamGone(id) => of_upstreams.push(UpstreamChange::Gone(id.clone())),
+            Change::Written(Entry::UnusableUpstream { id, reason }) => {
+                of_upstreams.push(UpstreamChange::Unusable(id.clone(), reason.clone()));
+            }
             Change::Written(Entry::Other) => {}
             Change::Written(Entry::Configuration(_) | Entry::Malformed { .. }) => return None,
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,11 +7,12 @@
 //! answer is not whole. Dropping the relay, as happens when the caller leaves,
 //! drops the connection to the upstream with it.
 
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use compio::time::Elapsed;
 use futures_util::{Stream, StreamExt};
 use http::{HeaderMap, StatusCode};
 use mangofront_engines::{Failure, Placed, key_of};
@@ -21,7 +22,7 @@
 use mangofront_upstream::SendError;
 
 use crate::answer::ended;
-use crate::attempts::{Answering, Failed, History, attempt};
+use crate::attempts::{Answering, Failed, History, attempt, restarted, until_restart};
 use crate::call::Call;
 use crate::events::EventFramer;
 use crate::gateway::Gateway;
@@ -37,6 +38,9 @@
 
 type Chunks = Pin<Box<dyn Stream<Item = Result<Bytes, SendError>>>>;
 
+/// A chunk, the end of the stream, or the end of the time for it.
+type NextChunk = Result<Option<Result<Bytes, SendError>>, Elapsed>;
+
 /// An upstream's stream.
 struct Running {
     chunks: Chunks,
@@ -55,6 +59,13 @@
             _reservations: answering.reservations,
         }
     }
+
+    /// The next chunk, until `deadline` at the latest.
+    async fn next(&mut self, deadline: Instant) -> Result<NextChunk, Failed> {
+        let chunk = pin!(compio::time::timeout_at(deadline, self.chunks.next()));
+        let next = until_restart(&mut self.placed, chunk).await;
+        next.ok_or_else(restarted)
+    }
 }
 
 /// A stream whose first event has come.
@@ -103,8 +114,8 @@
         call: &Call,
         deadline: Instant,
     ) -> Result<(), Failed> {
-        let key = key_of(&self.running.upstream.id);
-        let next = compio::time::timeout_at(deadline, self.running.chunks.next()).await;
+        let key = key_of(&self.running.upstream);
+        let next = self.running.next(deadline).await?;
         match next {
             Ok(Some(Ok(chunk))) => {
                 let framed = self.framer.push(&chunk);
@@ -217,10 +228,10 @@
         };
         let silence = silence(&self.call, &self.history);
         let deadline = self.call.deadline.min(Instant::now() + silence);
-        let next = compio::time::timeout_at(deadline, running.chunks.next()).await;
+        let next = running.next(deadline).await?;
         match next {
             Ok(Some(Ok(chunk))) => {
-                let key = key_of(&running.upstream.id);
+                let key = key_of(&running.upstream);
                 self.gateway.parts().upstreams.heard_from(key);
                 let framed = self.framer.push(&chunk);
                 let framed =
@@ -259,7 +270,7 @@
     async fn resume(&mut self, failed: Failed) -> Result<(), Failed> {
         let mut failed = failed;
         if let Some(broken) = self.running.take() {
-            let key = key_of(&broken.upstream.id);
+            let key = key_of(&broken.upstream);
             self.gateway
                 .leave_out(key, Failure::Unreachable, &self.call.id);
             trace::attempt_failed(
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -32,7 +32,7 @@
 use crate::published::Published;
 
 /// Version of the datagrams; a daemon drops any other.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Largest datagram that is sent, in bytes; below the usual limit of a link.
 const DATAGRAM_LIMIT_BYTES: usize = 1_400;
@@ -108,6 +108,8 @@
     Registered(Upstream),
     /// It is no longer registered.
     Gone(UpstreamId),
+    /// Its registration can't be used, and why.
+    Unusable(UpstreamId, String),
 }
 
 /// Number of a question, unique within its asker's life.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -47,6 +47,30 @@
     );
 }
 
+/// An upstream has started again under its id; what it did before is lost.
+pub(crate) fn upstream_restarted(upstream: &Upstream) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        address = upstream.address.to_string().as_str(),
+        started_at_ms = upstream.started_at_ms;
+        "gateway: upstream started again"
+    );
+}
+
+/// A registration was written by an earlier life than the one that is known.
+pub(crate) fn earlier_life(upstream: &Upstream) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        started_at_ms = upstream.started_at_ms;
+        "gateway: registration of an earlier life passed over"
+    );
+}
+
+/// A registration that names no upstream to use.
+pub(crate) fn unusable_registration(id: &str, reason: &str) {
+    log::warn!(upstream = id, reason = reason; "gateway: registration can't be used");
+}
+
 /// An upstream is no longer registered.
 pub(crate) fn upstream_gone(id: &UpstreamId) {
     log::info!(upstream = id.as_str(); "gateway: upstream gone");
--- a/crates/gateway/src/zones.rs
+++ b/crates/gateway/src/zones.rs
@@ -50,7 +50,7 @@
         .open(&target, Instant::now() + CONNECT_TIMEOUT)
         .await;
     match opened {
-        Ok(_opened) => upstreams.heard_from(key_of(&upstream.id)),
+        Ok(_opened) => upstreams.heard_from(key_of(&upstream)),
         Err(error) => log::debug!(
             "gateway: zone {} can't be reached: {error}",
             upstream.availability_zone
--- a/crates/routes/src/upstream.rs
+++ b/crates/routes/src/upstream.rs
@@ -5,14 +5,17 @@
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 use serde::{Deserialize, Serialize};
 
-/// Id of one life of an upstream: a restart brings a new one.
+/// Id of an upstream; after a restart it may have the same one or another.
 pub type UpstreamId = String;
 
 /// One upstream as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Id of this life.
+    /// Its id.
     pub id: UpstreamId,
+    /// When this life started, in Unix milliseconds of the upstream's own clock; the
+    /// same id with another start is another life, which knows nothing of before.
+    pub started_at_ms: u64,
     /// Service that it runs.
     pub service: ServiceName,
     /// Address; a later upstream, also of another service, may get the same.
@@ -27,3 +30,15 @@
     /// Whether it has announced that it is going.
     pub leaving: bool,
 }
+
+impl Upstream {
+    /// Whether `other` differs in nothing but when it was registered.
+    #[must_use]
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let other = Self {
+            registered_at: self.registered_at,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -6,6 +6,7 @@
 //! with unit and default.
 
 mod builder;
+mod choice;
 mod fields;
 mod gateway;
 mod read;
@@ -17,6 +18,7 @@
 
 pub use crate::check::SettingsError;
 pub use builder::DaemonSettingsBuilder;
+pub use choice::ChoiceOptions;
 pub use gateway::GatewaySettings;
 pub use read::{check_daemon_settings, read_daemon_settings};
 
--- /dev/null
+++ b/crates/settings/src/process/choice.rs
@@ -0,0 +1,181 @@
+//! Weights of the choice among engines.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Weights of the choice among engines; each mechanism can be switched off by its own.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ChoiceOptions {
+    /// Cost of each further engine that reads a part, in milliseconds; 12 by default.
+    ///
+    /// A prompt that takes `r` ms on one engine is read by about `sqrt(r / 12)`:
+    /// five engines for 45,000 tokens, twelve for 133,000, seventeen for
+    /// 300,000. Less would split short prompts too, for which the risk that one
+    /// more engine fails outweighs the few milliseconds.
+    pub helper_cost_ms: f64,
+    /// Cost of each place in the shared order, in milliseconds; 1.5 by default.
+    ///
+    /// About the time by which one more short answer lengthens a pass, so that
+    /// an engine gets the next request when the one before it has one or two more.
+    pub rank_cost_ms: f64,
+    /// Cost of putting a short request on an engine that answers none with as
+    /// short a pause, in milliseconds; 50 by default.
+    ///
+    /// From then on long parts have to stay away from that engine. An engine that
+    /// answers nobody begins at once, which saves up to half a pass of some 60 ms:
+    /// without this cost short requests would take each engine that falls idle.
+    pub opening_cost_ms: f64,
+    /// Prompts that one engine reads within this time are not split, in
+    /// milliseconds; 100 by default, a third of the shortest usual target.
+    pub unsplit_read_ms: f64,
+    /// Longest queue before engines, times the time that a prompt takes to read, in
+    /// square milliseconds; 1,500,000 by default.
+    ///
+    /// A prompt of 45,000 tokens (0.36 s) is put behind up to 4.2 s of others, one
+    /// of 133,000 (1.9 s) behind 0.8 s, one of 300,000 (7.7 s) behind 0.2 s.
+    pub queue_read_ms2: f64,
+    /// The same for prompts that one engine could not read within their target, in
+    /// square milliseconds; 1,000,000 by default.
+    ///
+    /// Behind a longer queue they are refused at once, as far as no more of their
+    /// size are refused than placed: one of 160,000 tokens (2.7 s) behind 0.37 s of
+    /// others, one of 300,000 (7.7 s) behind 0.13 s.
+    pub overrun_ms2: f64,
+    /// Targets for which a prompt waits for a shorter queue before it is put where it
+    /// may still be in time; 0.5 by default, as the other half is for reading it.
+    pub wait_targets: f64,
+    /// Targets for which a prompt waits when breaking pauses is not worth it; 1.5 by
+    /// default, less than half of the time after which callers leave.
+    pub late_targets: f64,
+    /// Answers with pauses of up to this many times the shortest fill the engines
+    /// from the near end, all others from the far end; 1.5 by default.
+    pub brisk_factor: f64,
+    /// Share of an answer's longest pause up to which a predicted pass is safe;
+    /// 0.4 by default, as short prompts that come later read in the same pass.
+    pub safe_gap_share: f64,
+    /// Share from which a predicted pass breaks the pause for certain; 0.8 by default.
+    pub broken_gap_share: f64,
+    /// Cost of each answer whose pause would get too long, in milliseconds; 600 by default.
+    pub broken_gap_cost_ms: f64,
+    /// Share of that cost that counts for a prompt which has waited; 0.1 by default.
+    ///
+    /// When the engines that answer no short requests are overrun, reading on the
+    /// others too is worth more than the pauses that it breaks.
+    pub bold_share: f64,
+    /// Tokens of a prompt in time that count as much as one answer whose pause
+    /// gets too long; 9,000 by default.
+    ///
+    /// An estimate: what an answer is worth grows about in step with its prompt, and
+    /// short prompts have some 5,000 tokens. A prompt of 130,000 tokens that has
+    /// waited may break up to fourteen pauses to be in time.
+    pub broken_gap_worth_tokens: f64,
+    /// Cost of an engine in another availability zone, in milliseconds; 3 by
+    /// default, about a round trip.
+    pub other_zone_cost_ms: f64,
+    /// Cost of a request that has to wait for a slot, in milliseconds; 400 by
+    /// default, a third of a short answer's time.
+    pub full_cost_ms: f64,
+    /// Share of an engine's slots up to which it counts as roomy; 0.75 by default.
+    pub roomy_share: f64,
+    /// Cost of each request beyond that, in milliseconds; 15 by default.
+    ///
+    /// Other daemons' latest requests are not known yet; a request that finds the
+    /// last slot taken waits for a second. It counts in full from `crowd_daemons`
+    /// on: with six daemons, filled engines leave more of them to long prompts.
+    pub crowding_cost_ms: f64,
+    /// Difference in cost up to which engines count as equal, in milliseconds; 12
+    /// by default, less than half of the time that a short prompt takes to read. It
+    /// counts in full from `crowd_daemons` on.
+    pub tie_ms: f64,
+    /// Daemons from which on many choose at the same moment; 40 by default.
+    pub crowd_daemons: usize,
+    /// Time from its start in which a daemon spreads short prompts widely, in
+    /// milliseconds; 3,000 by default. Chosen, not measured: well over a few heartbeats, by which daemons
+    /// that start together find each other.
+    pub settling_time_ms: u64,
+    /// The difference in cost that counts as equal during that time, in
+    /// milliseconds; 100 by default, so that any idle engine will do.
+    ///
+    /// After a loss of power all daemons start at once, their callers come back in
+    /// the same moment, and none knows yet of the others' requests: all would fill
+    /// the same few engines.
+    pub settling_tie_ms: f64,
+    /// Requests that may wait for a slot of an engine; 1 by default.
+    ///
+    /// When every engine has as many, a further request would be late and make
+    /// others late: a slot is held for seconds, a first event is due in tenths.
+    pub queued_requests: u32,
+    /// Share of an engine's memory that is planned with; 0.96 by default, as
+    /// memory comes in blocks and answers grow.
+    pub memory_share: f64,
+    /// Most engines that read one prompt with the one that answers; 16 by
+    /// default, the most that engines take.
+    pub helpers_limit: usize,
+    /// How long a failed upstream is left out at first, in milliseconds; 500 by
+    /// default, and twice as long with each failure in a row.
+    pub first_ejection_ms: u64,
+    /// Longest time for which it is left out, in milliseconds; 6,000 by default.
+    pub longest_ejection_ms: u64,
+}
+
+impl ChoiceOptions {
+    /// Time from its start in which a daemon spreads short prompts widely.
+    #[must_use]
+    pub fn settling_time(&self) -> Duration {
+        Duration::from_millis(self.settling_time_ms)
+    }
+
+    /// How long a failed upstream is left out at first.
+    #[must_use]
+    pub fn first_ejection(&self) -> Duration {
+        Duration::from_millis(self.first_ejection_ms)
+    }
+
+    /// Longest time for which it is left out.
+    #[must_use]
+    pub fn longest_ejection(&self) -> Duration {
+        Duration::from_millis(self.longest_ejection_ms)
+    }
+
+    /// Share in which costs count that stand for other daemons' unknown requests.
+    #[must_use]
+    pub fn crowd_share(&self, daemons: usize) -> f64 {
+        (daemons as f64 / self.crowd_daemons.max(1) as f64).min(1.0)
+    }
+}
+
+impl Default for ChoiceOptions {
+    fn default() -> Self {
+        Self {
+            helper_cost_ms: 12.0,
+            rank_cost_ms: 1.5,
+            opening_cost_ms: 50.0,
+            unsplit_read_ms: 100.0,
+            queue_read_ms2: 1_500_000.0,
+            overrun_ms2: 1_000_000.0,
+            wait_targets: 0.5,
+            late_targets: 1.5,
+            brisk_factor: 1.5,
+            safe_gap_share: 0.4,
+            broken_gap_share: 0.8,
+            broken_gap_cost_ms: 600.0,
+            bold_share: 0.1,
+            broken_gap_worth_tokens: 9_000.0,
+            other_zone_cost_ms: 3.0,
+            full_cost_ms: 400.0,
+            roomy_share: 0.75,
+            crowding_cost_ms: 15.0,
+            tie_ms: 12.0,
+            crowd_daemons: 40,
+            settling_time_ms: 3_000,
+            settling_tie_ms: 100.0,
+            queued_requests: 1,
+            memory_share: 0.96,
+            helpers_limit: 16,
+            first_ejection_ms: 500,
+            longest_ejection_ms: 6_000,
+        }
+    }
+}
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -47,6 +47,37 @@
     Field::defaulted("second_send_window_s", number(0.1, 3_600.0)),
     Field::defaulted("engine_stall_ms", number(1.0, 3.6e6)),
     Field::defaulted("stop_grace_s", number(0.1, 3_600.0)),
+    Field::defaulted("choice", Shape::Object(CHOICE)),
+];
+
+const CHOICE: &[Field] = &[
+    Field::defaulted("helper_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("rank_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("opening_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("unsplit_read_ms", number(0.0, 1e6)),
+    Field::defaulted("queue_read_ms2", number(0.0, 1e9)),
+    Field::defaulted("overrun_ms2", number(0.0, 1e9)),
+    Field::defaulted("wait_targets", number(0.0, 100.0)),
+    Field::defaulted("late_targets", number(0.0, 100.0)),
+    Field::defaulted("brisk_factor", number(0.0, 100.0)),
+    Field::defaulted("safe_gap_share", number(0.0, 100.0)),
+    Field::defaulted("broken_gap_share", number(0.0, 100.0)),
+    Field::defaulted("broken_gap_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("bold_share", number(0.0, 1.0)),
+    Field::defaulted("broken_gap_worth_tokens", number(0.0, 1e9)),
+    Field::defaulted("other_zone_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("full_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("roomy_share", number(0.0, 1.0)),
+    Field::defaulted("crowding_cost_ms", number(0.0, 1e6)),
+    Field::defaulted("tie_ms", number(0.0, 1e6)),
+    Field::defaulted("crowd_daemons", between(1, 1_000_000)),
+    Field::defaulted("settling_time_ms", between(0, HOUR_MS)),
+    Field::defaulted("settling_tie_ms", number(0.0, 1e6)),
+    Field::defaulted("queued_requests", between(0, 1_000)),
+    Field::defaulted("memory_share", number(0.01, 1.0)),
+    Field::defaulted("helpers_limit", between(0, 64)),
+    Field::defaulted("first_ejection_ms", between(0, HOUR_MS)),
+    Field::defaulted("longest_ejection_ms", between(0, HOUR_MS)),
 ];
 
 const LIMITS: &[Field] = &[
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::choice::ChoiceOptions;
+
 /// Serving of published routes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,6 +37,9 @@
     /// Time between the request to stop and the process being killed, in seconds.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: f64,
+    /// Weights of the choice among engines.
+    #[serde(default)]
+    pub choice: ChoiceOptions,
 }
 
 const fn default_key_lease_ms() -> u64 {
