Have daemons introduce themselves again where requests are missing after a gap

Ruled out: forgotten news of killed daemons, ejections (none in the log). Change: whoever lists requests that are not known here is asked to tell them again.

--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -105,14 +105,15 @@
             .retain(|key, work| now < work.expires_at && !silent.contains(&key.0));
     }
 
-    /// Sets the requests of another daemon right by its own list.
+    /// Sets the requests of another daemon right by its own list; whether it has
+    /// some that are not known here.
     pub(crate) fn set_running(
         &mut self,
         origin: Origin,
         reading: &[WorkId],
         writing: &[WorkId],
         now: Instant,
-    ) {
+    ) -> bool {
         self.works.retain(|key, work| {
             let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
             let is_running = reading.contains(&key.1) || writing.contains(&key.1);
@@ -121,6 +122,8 @@
         for work in writing {
             self.mark_read(&(origin, *work));
         }
+        let mut listed = reading.iter().chain(writing);
+        listed.any(|work| !self.works.contains_key(&(origin, *work)))
     }
 
     pub(crate) fn mark_read(&mut self, key: &WorkKey) {
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -316,8 +316,12 @@
             .map(|known| known.key)
     }
 
-    /// Takes in news of another daemon.
-    pub fn hear(&self, origin: Origin, news: News) {
+    /// Takes in news of another daemon; whether it has requests that are not known
+    /// here, so that it should introduce itself again.
+    ///
+    /// News are lost while a zone is cut off. Without those of the requests that
+    /// were placed meanwhile, engines full of them would look idle afterwards.
+    pub fn hear(&self, origin: Origin, news: News) -> bool {
         let now = Instant::now();
         let mut state = self.0.state.borrow_mut();
         state.heard.insert(origin, now);
@@ -345,7 +349,7 @@
                 state.works.remove(&(origin, work));
             }
             News::Running { reading, writing } => {
-                state.set_running(origin, &reading, &writing, now);
+                return state.set_running(origin, &reading, &writing, now);
             }
             News::Failed {
                 upstream,
@@ -358,6 +362,7 @@
                 }
             }
         }
+        false
     }
 
     /// Forgets the work of a daemon that is gone.
@@ -368,7 +373,7 @@
     }
 
     /// All requests of this daemon that have not ended, as a daemon that has just
-    /// started has to hear of them.
+    /// started, or was out of reach, has to hear of them.
     #[must_use]
     pub fn introduction(&self) -> Vec<News> {
         let now = Instant::now();
--- a/crates/engines/tests/engines/view.rs
+++ b/crates/engines/tests/engines/view.rs
@@ -73,9 +73,9 @@
     let other = Fleet::new(3);
     let mut placed = one.place(&review(100_000)).unwrap();
     let tell = |one: &mut Fleet| {
-        one.told()
-            .into_iter()
-            .for_each(|news| other.upstreams.hear(7, news))
+        one.told().into_iter().for_each(|news| {
+            other.upstreams.hear(7, news);
+        })
     };
     tell(&mut one);
     let memory = |fleet: &Fleet| {
@@ -114,16 +114,16 @@
     let other = Fleet::new(3);
     let ended = one.place(&review(100_000)).unwrap();
     let running = one.place(&question()).unwrap();
-    one.told()
-        .into_iter()
-        .for_each(|news| other.upstreams.hear(7, news));
+    one.told().into_iter().for_each(|news| {
+        other.upstreams.hear(7, news);
+    });
     drop(ended);
     one.told();
     thread::sleep(Duration::from_millis(350));
     one.upstreams.tell_running();
-    one.told()
-        .into_iter()
-        .for_each(|news| other.upstreams.hear(7, news));
+    one.told().into_iter().for_each(|news| {
+        other.upstreams.hear(7, news);
+    });
     let answering: u32 = other
         .upstreams
         .status()
@@ -141,10 +141,9 @@
     let _reading = one.place(&review(100_000)).unwrap();
     let mut writing = one.place(&question()).unwrap();
     writing.first_event();
-    one.upstreams
-        .introduction()
-        .into_iter()
-        .for_each(|news| other.upstreams.hear(7, news));
+    one.upstreams.introduction().into_iter().for_each(|news| {
+        other.upstreams.hear(7, news);
+    });
     let view = |fleet: &Fleet| {
         let status = fleet.upstreams.status();
         status
@@ -226,9 +225,9 @@
     };
     assert_eq!(load(&fleet), (0, 0, false));
     // A peer that has not heard of the later life still tells of the earlier one.
-    earlier_news
-        .into_iter()
-        .for_each(|news| fleet.upstreams.hear(7, news));
+    earlier_news.into_iter().for_each(|news| {
+        fleet.upstreams.hear(7, news);
+    });
     fleet.upstreams.hear(
         7,
         News::Failed {
@@ -257,3 +256,31 @@
         assert_eq!(is_told(one), is_first);
     }
 }
+
+/// What is told while two daemons can't reach each other is lost. Once they can, the
+/// one must not take engines that the other has filled for idle.
+#[test]
+fn requests_whose_placing_was_not_heard_are_asked_for() {
+    let mut one = Fleet::new(3);
+    let other = Fleet::new(3);
+    let tell = |news: Vec<News>| {
+        let asked = news.into_iter().map(|one| other.upstreams.hear(7, one));
+        asked.filter(|asked| *asked).count()
+    };
+    let known = one.place(&question()).unwrap();
+    assert_eq!(tell(one.told()), 0);
+    let mut lost: Vec<_> = (0..5).map(|_| one.place(&question()).unwrap()).collect();
+    lost[0].first_event();
+    drop(one.told());
+    one.upstreams.tell_running();
+    assert_eq!(tell(one.told()), 1, "it should introduce itself");
+    assert_eq!(tell(one.upstreams.introduction()), 0);
+    let answering = |fleet: &Fleet| {
+        let status = fleet.upstreams.status().into_iter();
+        status.map(|one| one.answering).collect::<Vec<_>>()
+    };
+    assert_eq!(answering(&other), answering(&one));
+    one.upstreams.tell_running();
+    assert_eq!(tell(one.told()), 0, "nothing is missing any more");
+    drop((known, lost));
+}
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -84,6 +84,8 @@
     Confirmed(Nonce, Confirmation),
     /// Something that is published has changed.
     Changed(Relayed),
+    /// Asks for all requests that have not ended.
+    Introduce,
 }
 
 /// Changes that a watcher read, for the other daemons of its zone.
@@ -281,7 +283,8 @@
         }
     }
 
-    /// Tells a daemon that has just started of all that has not ended.
+    /// Tells a daemon that has just started, or was out of reach, of all that has
+    /// not ended.
     async fn introduce(&self, to: SocketAddr) {
         for datagram in self.datagrams(self.upstreams.introduction()) {
             self.send(datagram, to).await;
@@ -312,10 +315,15 @@
         let origin = origin(datagram.daemon, datagram.incarnation);
         match datagram.message {
             Message::News(news) => {
+                let mut has_unknown = false;
                 for one in news {
-                    self.upstreams.hear(origin, one);
+                    has_unknown |= self.upstreams.hear(origin, one);
+                }
+                if has_unknown {
+                    self.send(self.datagram(Message::Introduce), from).await;
                 }
             }
+            Message::Introduce => self.introduce(from).await,
             Message::Ask(nonce) => {
                 if let Some(known) = self.published.confirmation() {
                     let answer = self.datagram(Message::Confirmed(nonce, known));
