Do not take an answer that may be cut for all that has changed

Cause: an answer to a watch holds about a megabyte and does not say that it was cut. After a cut of their path, daemons got four of ten large configurations, took the lease for renewed as of that question, and were sure of what they did not know. The same would serve a key that a later configuration took back. Ruled out: a slow path alone (without the renewed lease the answer is 503, not 404).

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -176,6 +176,8 @@
     pub position: Position,
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// Whether there may be later ones that found no room in the answer.
+    pub may_be_cut: bool,
 }
 
 /// Why a source gave no answer.
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -292,7 +292,11 @@
     ) -> Result<(), SourceError> {
         let asked = BootInstant::now();
         let timeout = self.0.options.answer_timeout;
-        let Changes { position, changes } = source.watch(after, wait, timeout).await?;
+        let Changes {
+            position,
+            changes,
+            may_be_cut,
+        } = source.watch(after, wait, timeout).await?;
         if self.0.position.get().is_some_and(|known| known > position) {
             // Later changes were relayed meanwhile; these would undo them.
             return Ok(());
@@ -311,8 +315,15 @@
             }
         }
         self.pass_on_upstreams();
-        self.0.lease.confirm(asked);
         self.0.last_change.set(position);
+        if may_be_cut {
+            // What followed is not known, so nothing is confirmed; and reading
+            // what is published now is sooner done than the rest of its history.
+            trace::changes_may_be_cut(position);
+            self.0.position.set(None);
+        } else {
+            self.0.lease.confirm(asked);
+        }
         if sharing.is_watcher() {
             let relayed = Relayed {
                 after,
@@ -321,7 +332,9 @@
             };
             sharing.tell_changed(relayed).await;
         }
-        compio::time::sleep(self.0.options.change_pause).await;
+        if !may_be_cut {
+            compio::time::sleep(self.0.options.change_pause).await;
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -13,6 +13,7 @@
 
 use crate::attempts::History;
 use crate::call::Call;
+use crate::dialect::Position;
 use crate::lease::Lease;
 use crate::refusal::Refusal;
 
@@ -76,6 +77,11 @@
     log::info!(upstream = id.as_str(); "gateway: upstream gone");
 }
 
+/// An answer with changes is so large that it may lack later ones.
+pub(crate) fn changes_may_be_cut(position: Position) {
+    log::info!(position = position; "gateway: changes may be cut, everything is read");
+}
+
 /// A published value can't be read; the one before it stays in force.
 pub(crate) fn malformed(name: &str, reason: &str) {
     log::warn!(name = name, reason = reason; "gateway: published value refused");
