Count only the pauses that a part itself breaks; put no short prompt where no slot is left

Change: an answer that is lost already by what its engine has to read is not counted again; an engine that has no place left is passed over while another one has.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -73,6 +73,13 @@
     pub(crate) rank: usize,
 }
 
+impl Candidate<'_> {
+    /// Whether a further request would find a slot, or one of the few places to wait.
+    fn has_slot(&self, options: &ChoiceOptions) -> bool {
+        self.load.running() < self.known.slots() + options.queued_requests
+    }
+}
+
 /// The choice for one request.
 #[derive(Debug)]
 pub(crate) struct Choice {
@@ -158,10 +165,7 @@
     options: &ChoiceOptions,
     circumstances: Circumstances<'_>,
 ) -> Result<Choice, NoUpstream> {
-    let has_slot = |candidate: &Candidate<'_>| {
-        candidate.load.running() < candidate.known.slots() + options.queued_requests
-    };
-    if !candidates.iter().any(has_slot) {
+    if !candidates.iter().any(|one| one.has_slot(options)) {
         return Err(NoUpstream::Full);
     }
     let read_ms = figures.read_ms(demand.prompt_tokens);
@@ -295,10 +299,11 @@
     /// Daemons hear of each other's requests only after some milliseconds; if all
     /// took the cheapest, several would meet there.
     fn any_of_cheapest(&self, candidates: &[Candidate<'_>], read_ms: f64, draw: u64) -> Vec<usize> {
-        let costs: Vec<f64> = candidates
-            .iter()
-            .map(|candidate| self.cost_ms(candidate, read_ms))
-            .collect();
+        let cost_ms = |candidate: &Candidate<'_>| match candidate.has_slot(self.options) {
+            true => self.cost_ms(candidate, read_ms),
+            false => f64::INFINITY,
+        };
+        let costs: Vec<f64> = candidates.iter().map(cost_ms).collect();
         let least_ms = costs.iter().copied().fold(f64::INFINITY, f64::min);
         let is_cheap = |cost_ms: f64| cost_ms <= least_ms + self.tie_ms;
         let cheap: Vec<usize> = (0..costs.len())
@@ -338,15 +343,20 @@
         broken * self.options.broken_gap_worth_tokens < demand.prompt_tokens as f64
     }
 
-    /// Answers of a candidate whose pause gets too long when it reads a part.
+    /// Answers of a candidate whose pause gets too long because it reads a part.
+    ///
+    /// Those that are lost already, by what it has to read without the part, don't
+    /// count: passing such an engine over sent short prompts to others that had no
+    /// slot left.
     fn broken_answers(&self, candidate: &Candidate<'_>, part_ms: f64) -> f64 {
         let load = &candidate.load;
         let Some(gap_ms) = load.least_gap_ms else {
             return 0.0;
         };
         let pass_ms = pass_ms(candidate, load.writers, load.context_tokens);
-        let pause_ms = pass_ms + load.backlog_ms + part_ms;
-        self.broken_share(pause_ms / gap_ms.max(1.0)) * f64::from(load.answering)
+        let without_ms = pass_ms + load.backlog_ms;
+        let share = |pause_ms: f64| self.broken_share(pause_ms / gap_ms.max(1.0));
+        (share(without_ms + part_ms) - share(without_ms)) * f64::from(load.answering)
     }
 
     /// Time until a part is read here, with what it does to others, in milliseconds.
