--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -100,6 +100,7 @@
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
         is_sheddable: false,
+        unreachable_zones: Vec::new(),
     }
 }
 
@@ -110,3 +111,12 @@
 pub fn review(prompt_tokens: u64) -> Demand {
     demand(prompt_tokens, 1_000, 2_500)
 }
+
+/// The same request once it has waited for engines with less to do.
+pub fn after(demand: &Demand, time_ms: u64) -> Demand {
+    Demand {
+        elapsed: Duration::from_millis(time_ms),
+        waited: Duration::from_millis(time_ms),
+        ..demand.clone()
+    }
+}
