--- a/crates/engines/tests/engines/choice.rs
+++ b/crates/engines/tests/engines/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mangofront_engines::{ChoiceOptions, Demand, NoUpstream, Placed};
+use mangofront_engines::{ChoiceOptions, NoUpstream, Placed};
 
 use crate::support::{Fleet, SERVICE, after, demand, question, review, upstream};
 
