--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -271,7 +271,7 @@
             elapsed: waited,
             waited,
             time_left: Duration::from_secs(15),
-            is_sheddable: id % 4 != 0,
+            is_sheddable: !id.is_multiple_of(4),
         };
         let daemon = request.daemon;
         match self.daemons[daemon].0.place(SERVICE, &demand, &[]) {
