Give the weighing of engines a file of its own

choose.rs decided, weighed and held what a request needs; now weigh.rs says what it costs to have an engine read a part, and choose.rs whether a prompt is placed, waits or is refused.

--- a/crates/engines/src/layout.rs
+++ b/crates/engines/src/layout.rs
@@ -4,7 +4,8 @@
 
 use mangofront_routes::EngineFigures;
 
-use crate::choose::{Candidate, Choice, Demand, NoUpstream, Reader, pass_ms};
+use crate::choose::{Candidate, Choice, Demand, NoUpstream, Reader};
+use crate::weigh::pass_ms;
 use crate::work::Part;
 use mangofront_settings::process::ChoiceOptions;
 
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -24,6 +24,7 @@
 mod state;
 mod upstream;
 mod upstreams;
+mod weigh;
 mod work;
 
 pub use choose::{Demand, NoUpstream, Reader};
