--- /dev/null
+++ b/crates/engines/src/placed.rs
@@ -0,0 +1,67 @@
+//! A request's place at its upstreams.
+
+use std::time::Duration;
+
+use mangofront_routes::Upstream;
+
+use crate::choose::Reader;
+use crate::lives::LifeEnd;
+use crate::upstreams::Upstreams;
+use crate::work::WorkId;
+
+/// A request's place at its upstreams; ends when dropped.
+#[derive(Debug)]
+#[must_use = "the request counts as ended once this is dropped"]
+pub struct Placed {
+    /// Upstreams; the first answers, the others read parts of the prompt.
+    pub readers: Vec<Reader>,
+    /// Time to the first event, as predicted.
+    pub expected_first_event: Duration,
+    /// Longest queue before the upstreams, as far as known.
+    pub queue: Duration,
+    /// Other daemons whose requests were known.
+    pub daemons_heard: usize,
+    /// Time since the one of them that was heard least lately.
+    pub oldest_news: Duration,
+    pub(crate) id: WorkId,
+    pub(crate) is_read: bool,
+    pub(crate) life_end: LifeEnd,
+    pub(crate) upstreams: Upstreams,
+}
+
+impl Placed {
+    /// The upstream that answers.
+    #[must_use]
+    pub fn answering(&self) -> &Upstream {
+        &self.readers[0].upstream
+    }
+
+    /// Waits until the upstream that answers is known to have started again, which
+    /// ends what it was doing; never returns as long as it has not.
+    pub async fn restarted(&mut self) {
+        if (&mut self.life_end).await.is_err() {
+            // Nobody looks after this upstream any more, so nobody will tell.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Number of the request within this daemon.
+    #[must_use]
+    pub fn work_id(&self) -> WorkId {
+        self.id
+    }
+
+    /// Notes that the first event came.
+    pub fn first_event(&mut self) {
+        if std::mem::replace(&mut self.is_read, true) {
+            return;
+        }
+        self.upstreams.note_read(self.id);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.upstreams.note_ended(self.id);
+    }
+}
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -12,11 +12,11 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::choose::{
-    Candidate, Choice, Circumstances, Demand, NoUpstream, Reader, choose_engines, choose_plain,
+    Candidate, Choice, Circumstances, Demand, NoUpstream, choose_engines, choose_plain,
 };
 use crate::health::Failure;
-use crate::lives::LifeEnd;
 use crate::news::{News, Origin, milliseconds, part_of, placed_news};
+use crate::placed::Placed;
 use crate::shedding::Size;
 use crate::state::{OWN, State};
 use crate::upstream::{Known, Load, loads};
@@ -446,70 +446,21 @@
         state.known.iter().zip(&loads).map(status).collect()
     }
 
-    fn tell(&self, news: News) {
-        // Without a listener there are no other daemons to hear it.
-        let _ = self.0.news.unbounded_send(news);
+    /// Notes that the first event of an own request came.
+    pub(crate) fn note_read(&self, id: WorkId) {
+        self.0.state.borrow_mut().mark_read(&(OWN, id));
+        self.tell(News::Read { work: id });
     }
-}
 
-/// A request's place at its upstreams; ends when dropped.
-#[derive(Debug)]
-#[must_use = "the request counts as ended once this is dropped"]
-pub struct Placed {
-    /// Upstreams; the first answers, the others read parts of the prompt.
-    pub readers: Vec<Reader>,
-    /// Time to the first event, as predicted.
-    pub expected_first_event: Duration,
-    /// Longest queue before the upstreams, as far as known.
-    pub queue: Duration,
-    /// Other daemons whose requests were known.
-    pub daemons_heard: usize,
-    /// Time since the one of them that was heard least lately.
-    pub oldest_news: Duration,
-    id: WorkId,
-    is_read: bool,
-    life_end: LifeEnd,
-    upstreams: Upstreams,
-}
-
-impl Placed {
-    /// The upstream that answers.
-    #[must_use]
-    pub fn answering(&self) -> &Upstream {
-        &self.readers[0].upstream
-    }
-
-    /// Waits until the upstream that answers is known to have started again, which
-    /// ends what it was doing; never returns as long as it has not.
-    pub async fn restarted(&mut self) {
-        if (&mut self.life_end).await.is_err() {
-            // Nobody looks after this upstream any more, so nobody will tell.
-            std::future::pending::<()>().await;
-        }
+    /// Notes that an own request ended.
+    pub(crate) fn note_ended(&self, id: WorkId) {
+        self.0.state.borrow_mut().works.remove(&(OWN, id));
+        self.tell(News::Ended { work: id });
     }
 
-    /// Number of the request within this daemon.
-    #[must_use]
-    pub fn work_id(&self) -> WorkId {
-        self.id
-    }
-
-    /// Notes that the first event came.
-    pub fn first_event(&mut self) {
-        if std::mem::replace(&mut self.is_read, true) {
-            return;
-        }
-        let mut state = self.upstreams.0.state.borrow_mut();
-        state.mark_read(&(OWN, self.id));
-        self.upstreams.tell(News::Read { work: self.id });
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        let mut state = self.upstreams.0.state.borrow_mut();
-        state.works.remove(&(OWN, self.id));
-        self.upstreams.tell(News::Ended { work: self.id });
+    fn tell(&self, news: News) {
+        // Without a listener there are no other daemons to hear it.
+        let _ = self.0.news.unbounded_send(news);
     }
 }
 
