--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -153,15 +153,8 @@
     }
     let read_ms = figures.read_ms(demand.prompt_tokens);
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
-    let careful = Weighing::new(candidates.len(), demand, options, circumstances);
-    let (weighing, chosen) = choose_readers(
-        candidates,
-        careful,
-        read_ms,
-        demand,
-        circumstances,
-        has_waited,
-    )?;
+    let weighing = Weighing::new(candidates.len(), demand, options, circumstances);
+    let chosen = choose_readers(candidates, &weighing, read_ms, demand, circumstances)?;
     let part_ms = read_ms / chosen.len().max(1) as f64;
     let by_cost = |index: &usize| weighing.cost_ms(&candidates[*index], part_ms);
     let mut others: Vec<usize> = (0..candidates.len())
@@ -176,34 +169,24 @@
     }
 }
 
-/// Chooses the engines that read a prompt, or has it wait or refused; with what
-/// weighed for them.
-fn choose_readers<'a>(
+/// Chooses the engines that read a prompt, or has it wait or refused.
+///
+/// One that has waited as long as is of use joins the queue that there is.
+fn choose_readers(
     candidates: &[Candidate<'_>],
-    careful: Weighing<'a>,
+    weighing: &Weighing<'_>,
     read_ms: f64,
     demand: &Demand,
     circumstances: Circumstances<'_>,
-    has_waited: bool,
-) -> Result<(Weighing<'a>, Vec<usize>), NoUpstream> {
-    let options = careful.options();
-    let draw = circumstances.draw;
-    let chosen = careful.cheapest(candidates, read_ms, draw);
+) -> Result<Vec<usize>, NoUpstream> {
+    let options = weighing.options();
+    let chosen = weighing.cheapest(candidates, read_ms, circumstances.draw);
     let may_refuse = circumstances.may_refuse && demand.waited.is_zero();
+    let may_wait = demand.elapsed < demand.target.mul_f64(options.late_targets);
     match queue(candidates, &chosen, read_ms, options, may_refuse) {
-        Queue::Short => return Ok((careful, chosen)),
-        Queue::Overrun => return Err(NoUpstream::Overrun),
-        Queue::Long if !has_waited => return Err(NoUpstream::Busy),
-        Queue::Long => {}
-    }
-    let bold = careful.boldly();
-    let boldly = bold.cheapest(candidates, read_ms, draw);
-    if careful.is_worth_it(candidates, &chosen, &boldly, read_ms, demand) {
-        return Ok((bold, boldly));
-    }
-    match demand.elapsed < demand.target.mul_f64(options.late_targets) {
-        true => Err(NoUpstream::Busy),
-        false => Ok((careful, chosen)),
+        Queue::Overrun => Err(NoUpstream::Overrun),
+        Queue::Long if may_wait => Err(NoUpstream::Busy),
+        Queue::Long | Queue::Short => Ok(chosen),
     }
 }
 
--- a/crates/engines/src/weigh.rs
+++ b/crates/engines/src/weigh.rs
@@ -17,8 +17,6 @@
     is_brisk: bool,
     /// Longest pause that the request's own answer allows, in milliseconds.
     gap_ms: f64,
-    /// Cost of each answer whose pause would get too long, in milliseconds.
-    broken_gap_cost_ms: f64,
     /// Share in which other daemons' unknown requests count.
     crowd_share: f64,
     /// Difference in cost up to which engines count as equal, in milliseconds.
@@ -40,7 +38,6 @@
             count,
             is_brisk: demand.gap <= circumstances.shortest_gap.mul_f64(options.brisk_factor),
             gap_ms: demand.gap.as_secs_f64() * 1_000.0,
-            broken_gap_cost_ms: options.broken_gap_cost_ms,
             crowd_share,
             tie_ms: match circumstances.is_settling {
                 true => options.settling_tie_ms,
@@ -49,14 +46,6 @@
         }
     }
 
-    /// The same for a request that may break pauses rather than be late.
-    pub(crate) fn boldly(self) -> Self {
-        Self {
-            broken_gap_cost_ms: self.options.broken_gap_cost_ms * self.options.bold_share,
-            ..self
-        }
-    }
-
     pub(crate) fn options(&self) -> &'a ChoiceOptions {
         self.options
     }
@@ -115,36 +104,6 @@
         cheap.get(chosen).copied().into_iter().collect()
     }
 
-    /// Whether a prompt that would be late where it does no harm is in time, and
-    /// worth the pauses that it breaks, where it is read `boldly`.
-    pub(crate) fn is_worth_it(
-        &self,
-        candidates: &[Candidate<'_>],
-        chosen: &[usize],
-        boldly: &[usize],
-        read_ms: f64,
-        demand: &Demand,
-    ) -> bool {
-        let is_in_time = |order: &[usize]| {
-            let part_ms = read_ms / order.len().max(1) as f64;
-            let read = order
-                .iter()
-                .map(|index| read_after_ms(&candidates[*index], part_ms));
-            let first_event_ms = read.fold(0.0, f64::max);
-            let left = demand.target.saturating_sub(demand.elapsed);
-            first_event_ms <= left.as_secs_f64() * 1_000.0
-        };
-        if is_in_time(chosen) || !is_in_time(boldly) {
-            return false;
-        }
-        let part_ms = read_ms / boldly.len().max(1) as f64;
-        let broken: f64 = boldly
-            .iter()
-            .map(|index| self.broken_answers(&candidates[*index], part_ms))
-            .sum();
-        broken * self.options.broken_gap_worth_tokens < demand.prompt_tokens as f64
-    }
-
     /// Answers of a candidate whose pause gets too long because it reads a part.
     ///
     /// Those that are lost already, by what it has to read without the part, don't
@@ -165,7 +124,7 @@
     pub(crate) fn cost_ms(&self, candidate: &Candidate<'_>, part_ms: f64) -> f64 {
         let load = &candidate.load;
         let mut cost_ms = read_after_ms(candidate, part_ms);
-        cost_ms += self.broken_gap_cost_ms * self.broken_answers(candidate, part_ms);
+        cost_ms += self.options.broken_gap_cost_ms * self.broken_answers(candidate, part_ms);
         if self.is_brisk && load.least_gap_ms.is_none_or(|gap_ms| gap_ms > self.gap_ms) {
             cost_ms += self.options.opening_cost_ms;
         }
--- a/crates/settings/src/process/choice.rs
+++ b/crates/settings/src/process/choice.rs
@@ -45,11 +45,11 @@
     /// size are refused than placed: one of 160,000 tokens (2.7 s) behind 0.37 s of
     /// others, one of 300,000 (7.7 s) behind 0.13 s.
     pub overrun_ms2: f64,
-    /// Targets for which a prompt waits for a shorter queue before it is put where it
-    /// may still be in time; 0.5 by default, as the other half is for reading it.
+    /// Targets for which a prompt that finds no room in memory waits before it is put
+    /// into an engine's own queue; 0.5 by default, as the other half is for reading it.
     pub wait_targets: f64,
-    /// Targets for which a prompt waits when breaking pauses is not worth it; 1.5 by
-    /// default, less than half of the time after which callers leave.
+    /// Targets for which a prompt waits for a shorter queue; 1.5 by default, less than
+    /// half of the time after which callers leave.
     pub late_targets: f64,
     /// Answers with pauses of up to this many times the shortest fill the engines
     /// from the near end, all others from the far end; 1.5 by default.
@@ -65,18 +65,6 @@
     pub broken_gap_share: f64,
     /// Cost of each answer whose pause would get too long, in milliseconds; 600 by default.
     pub broken_gap_cost_ms: f64,
-    /// Share of that cost that counts for a prompt which has waited; 0.1 by default.
-    ///
-    /// When the engines that answer no short requests are overrun, reading on the
-    /// others too is worth more than the pauses that it breaks.
-    pub bold_share: f64,
-    /// Tokens of a prompt in time that count as much as one answer whose pause
-    /// gets too long; 9,000 by default.
-    ///
-    /// An estimate: what an answer is worth grows about in step with its prompt, and
-    /// short prompts have some 5,000 tokens. A prompt of 130,000 tokens that has
-    /// waited may break up to fourteen pauses to be in time.
-    pub broken_gap_worth_tokens: f64,
     /// Cost of an engine in another availability zone, in milliseconds; 15 by default.
     ///
     /// A round trip is a tenth of that. The rest is for what a request there risks: a
@@ -170,8 +158,6 @@
             safe_gap_share: 0.6,
             broken_gap_share: 1.0,
             broken_gap_cost_ms: 600.0,
-            bold_share: 0.1,
-            broken_gap_worth_tokens: 9_000.0,
             other_zone_cost_ms: 15.0,
             full_cost_ms: 400.0,
             roomy_share: 0.75,
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -63,8 +63,6 @@
     Field::defaulted("safe_gap_share", number(0.0, 100.0)),
     Field::defaulted("broken_gap_share", number(0.0, 100.0)),
     Field::defaulted("broken_gap_cost_ms", number(0.0, 1e6)),
-    Field::defaulted("bold_share", number(0.0, 1.0)),
-    Field::defaulted("broken_gap_worth_tokens", number(0.0, 1e9)),
     Field::defaulted("other_zone_cost_ms", number(0.0, 1e6)),
     Field::defaulted("full_cost_ms", number(0.0, 1e6)),
     Field::defaulted("roomy_share", number(0.0, 1.0)),
