--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -1,5 +1,6 @@
 //! The view of the engines and the choice among them.
 
 mod choice;
+mod figures;
 mod support;
 mod view;
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -7,24 +7,11 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{ChoiceOptions, Demand, News, NoUpstream, Placed, Upstreams};
-use mangofront_routes::{EngineFigures, Upstream};
+use mangofront_routes::Upstream;
 
-pub const SERVICE: &str = "assist-llm";
+use crate::figures::figures;
 
-pub fn figures() -> EngineFigures {
-    EngineFigures {
-        slots: 16,
-        memory_tokens: 232_000,
-        steps_per_pass: 43,
-        step: Duration::from_micros(1_020),
-        step_per_request_ms: 0.002_26,
-        step_per_context_k_ms: 0.004_31,
-        read_tokens_per_s: 206_000.0,
-        read_per_pairs_m_ms: 0.138,
-        read_chunk_tokens: 2_048,
-        step_per_spread_prompt_ms: 0.075,
-    }
-}
+pub const SERVICE: &str = "assist-llm";
 
 pub fn upstream(number: usize, service: &str, zone: &str) -> Upstream {
     Upstream {
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -10,9 +10,10 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{ChoiceOptions, Demand, News, NoUpstream, Placed, Upstreams};
-use mangofront_routes::{EngineFigures, Upstream};
+use mangofront_routes::Upstream;
 
 use crate::engine::{Engine, Id, Job};
+use crate::figures::figures;
 
 const SERVICE: &str = "model";
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
@@ -34,22 +35,6 @@
     base + Duration::from_secs_f64(VIRTUAL_MS.get() / 1_000.0)
 }
 
-/// Figures that operators publish of an engine.
-pub fn figures() -> EngineFigures {
-    EngineFigures {
-        slots: 16,
-        memory_tokens: 232_000,
-        steps_per_pass: 43,
-        step: Duration::from_micros(1_020),
-        step_per_request_ms: 0.002_26,
-        step_per_context_k_ms: 0.004_31,
-        read_tokens_per_s: 206_000.0,
-        read_per_pairs_m_ms: 0.138,
-        read_chunk_tokens: 2_048,
-        step_per_spread_prompt_ms: 0.075,
-    }
-}
-
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
 pub struct Kind {
--- a/crates/engines/tests/load/main.rs
+++ b/crates/engines/tests/load/main.rs
@@ -5,5 +5,7 @@
 //! 133,000 in 1.9 s, a pass takes 44 ms and more) and the targets of the routes.
 
 mod engine;
+#[path = "../engines/figures.rs"]
+mod figures;
 mod fleet;
 mod patterns;
