Refuse shares of pauses that leave nothing between them; forget lives by a set of ids

With a safe share at or above the broken one each cost is no number, and no engine is the cheapest. The lives of upstreams were compared with each listed one, which grows with the square of their number.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use mangofront_routes::{EngineFigures, Upstream};
+use mangofront_settings::process::ChoiceOptions;
 use thiserror::Error;
 
 use crate::layout::lay_out;
 use crate::upstream::{Known, Load};
 use crate::weigh::Weighing;
 use crate::work::Part;
-use mangofront_settings::process::ChoiceOptions;
 
 /// What a request needs.
 #[derive(Debug, Clone)]
--- a/crates/engines/src/layout.rs
+++ b/crates/engines/src/layout.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use mangofront_routes::EngineFigures;
+use mangofront_settings::process::ChoiceOptions;
 
 use crate::choose::{Candidate, Choice, Demand, NoUpstream, Reader};
 use crate::weigh::pass_ms;
 use crate::work::Part;
-use mangofront_settings::process::ChoiceOptions;
 
 /// Memory of a candidate that is planned with, in tokens.
 fn planned_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,7 +1,7 @@
 //! The handle that holds all upstreams and the work on them.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -124,7 +124,8 @@
         }
         state.known.sort_by_key(|known| known.key);
         let State { known, lives, .. } = &mut *state;
-        lives.retain(|id| known.iter().any(|known| known.info.id == *id));
+        let listed: HashSet<&UpstreamId> = known.iter().map(|known| &known.info.id).collect();
+        lives.retain(|id| listed.contains(id));
         restarted
     }
 
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -17,7 +17,11 @@
 pub(super) static SCHEMA: Schema = Schema {
     fields: FIELDS,
     guard_steering: false,
-    rules: &[addresses_differ, suspicion_outlasts_heartbeats],
+    rules: &[
+        addresses_differ,
+        suspicion_outlasts_heartbeats,
+        pauses_are_safe_before_they_break,
+    ],
 };
 
 const FIELDS: &[Field] = &[
@@ -167,3 +171,32 @@
         problem: Problem::Conflict { what, help },
     });
 }
+
+fn pauses_are_safe_before_they_break(root: &Object<'_>, findings: &mut Vec<Finding>) {
+    let defaults = super::ChoiceOptions::default();
+    let gateway = root.get_object("gateway");
+    let Some(choice) = gateway.and_then(|gateway| gateway.get_object("choice")) else {
+        return;
+    };
+    let number = |key, default| {
+        let found = choice.get_number(key);
+        found
+            .and_then(|number| number.value.parse::<f64>().ok())
+            .unwrap_or(default)
+    };
+    let safe = number("safe_gap_share", defaults.safe_gap_share);
+    let broken = number("broken_gap_share", defaults.broken_gap_share);
+    if safe < broken {
+        return;
+    }
+    let what = format!("a pass is safe up to {safe} of a pause and breaks it from {broken} on");
+    let help = "let `safe_gap_share` be less than `broken_gap_share`";
+    let at_fault = choice
+        .get_number("safe_gap_share")
+        .or(choice.get_number("broken_gap_share"));
+    findings.push(Finding {
+        path: "gateway.choice".to_owned(),
+        range: at_fault.map_or(choice.range, |number| number.range),
+        problem: Problem::Conflict { what, help },
+    });
+}
--- a/crates/settings/tests/reports.rs
+++ b/crates/settings/tests/reports.rs
@@ -108,6 +108,14 @@
     insta::assert_snapshot!(settings_with("4000", "1900"));
 }
 
+/// Shares that leave nothing between them would weigh every engine the same.
+#[test]
+fn pauses_that_break_before_they_are_safe() {
+    let gateway = r#""gateway": { "ready_address": "10.0.0.1:81", "news_address": "10.0.0.1:82",
+    "choice": { "safe_gap_share": 1.0 } }"#;
+    insta::assert_snapshot!(settings_with("\"gateway\": null", gateway));
+}
+
 #[test]
 fn configuration_with_weight_instance_and_address() {
     insta::assert_snapshot!(configuration_with(
