Relay the news of large fleets; try quiet zones only while in use

Cause: each request made three datagrams to each of the other daemons; at 195 daemons some 200,000 a second in the fleet. And while no request came, all daemons told their lists at the same moment of a second, so every zone was quiet for half of it and was tried by connections: 15,048 before the first second of traffic had passed.

Ruled out: the load added up for each choice (two requests a second at a daemon).

Change: from 100 other daemons on, three ranked relays of each zone collect news for 20 ms and pass it on; a relay that is gone is replaced by the next without detection. The decision is a crate without network, tested in virtual time at 195 and 1,008 daemons. Lists are told at moments of each daemon's own, and a zone is tried only within 2 s of a request.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -17,6 +17,7 @@
 use mangofront_engines::Upstreams;
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
+    SharingOptions,
 };
 use mangofront_http::{Body, ServeLimits, Shutdown, empty, full, serve};
 use mangofront_peers::{ListedPeer, MemberChange, Peers};
@@ -119,10 +120,14 @@
     let store = StoreClient::new(connections.clone(), settings.platform_address);
     let sharing_cell: Rc<std::cell::OnceCell<Rc<Sharing>>> = Rc::default();
     let peers = start_peers(settings, own, &sharing_cell)?;
-    let sharing = Sharing::start(
-        own.news_address,
-        &settings.instance,
+    let sharing_options = SharingOptions {
+        address: own.news_address,
+        instance: settings.instance.clone(),
         zone,
+        relay_from_daemons: own.relay_from_daemons as usize,
+    };
+    let sharing = Sharing::start(
+        sharing_options,
         peers.clone(),
         upstreams.clone(),
         published.clone(),
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -36,6 +36,8 @@
     /// Sorted, so that what is added up does not depend on a random order.
     pub(crate) works: BTreeMap<WorkKey, Work>,
     pub(crate) next_work: WorkId,
+    /// When this daemon last placed a request.
+    pub(crate) placed_at: Option<Instant>,
     /// When each other daemon was last heard.
     pub(crate) heard: HashMap<Origin, Instant>,
     /// When each other zone last showed that it can be reached.
@@ -48,7 +50,11 @@
 }
 
 impl State {
+    /// Adds a request; one that is told of twice is added once.
     pub(crate) fn add(&mut self, key: WorkKey, work: Work, now: Instant) {
+        if self.works.contains_key(&key) {
+            return;
+        }
         for part in &work.parts {
             if let Some(known) = self.known_mut(part.upstream) {
                 known.add_reading(part.read_ms, now);
@@ -115,11 +121,20 @@
         writing: &[WorkId],
         now: Instant,
     ) -> bool {
-        self.works.retain(|key, work| {
-            let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
-            let is_running = reading.contains(&key.1) || writing.contains(&key.1);
-            key.0 != origin || is_new || is_running
-        });
+        let of_origin = self
+            .works
+            .range((origin, WorkId::MIN)..=(origin, WorkId::MAX));
+        let ended: Vec<WorkKey> = of_origin
+            .filter(|(key, work)| {
+                let is_new = now.saturating_duration_since(work.known_since) < LATEST_NEWS;
+                let is_running = reading.contains(&key.1) || writing.contains(&key.1);
+                !is_new && !is_running
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in ended {
+            self.works.remove(&key);
+        }
         for work in writing {
             self.mark_read(&(origin, *work));
         }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -156,6 +156,7 @@
         let choice = choice?;
         let id = state.next_work;
         state.next_work += 1;
+        state.placed_at = Some(now);
         let expected = Duration::from_secs_f64(choice.first_event_ms / 1_000.0);
         let work = Work {
             parts: choice.parts,
@@ -278,6 +279,13 @@
             .collect()
     }
 
+    /// Whether this daemon placed a request within the last `time`.
+    #[must_use]
+    pub fn placed_within(&self, time: Duration) -> bool {
+        let placed_at = self.0.state.borrow().placed_at;
+        placed_at.is_some_and(|at| self.now().saturating_duration_since(at) < time)
+    }
+
     /// Other zones that have shown nothing of themselves for `silence`, each with
     /// one of its upstreams, by which it can be tried.
     #[must_use]
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -22,9 +22,10 @@
 use mangofront_upstream::Connections;
 
 use crate::boot_clock::BootInstant;
+use crate::datagram::{Confirmation, Relayed, UpstreamChange};
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
 use crate::lease::Lease;
-use crate::sharing::{Confirmation, Relayed, Sharing, UpstreamChange};
+use crate::sharing::Sharing;
 use crate::trace;
 
 /// Times of the reading of published values.
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -4,39 +4,39 @@
 //!
 //! Engines report their load late, so two daemons that each look for an idle
 //! engine would meet at the same one. Each placement, first event and end is
-//! told to every other daemon at once, in one datagram for what came up in the
-//! same moment. Datagrams may be lost: a request that is heard of expires by
-//! itself. Membership comes from `mangofront-peers`, whose links would cost a
-//! round trip and several thread switches for each of these messages.
+//! told to every other daemon: at once by the teller itself in a small fleet, by
+//! relays in a large one ([`mangofront_dissemination`]). Datagrams may be lost: a
+//! request that is heard of expires by itself. Membership comes from
+//! `mangofront-peers`, whose links would cost a round trip and several thread
+//! switches for each of these messages.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::UdpSocket;
+use compio::runtime::spawn;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_channel::oneshot;
 use futures_util::StreamExt;
-use mangofront_engines::{News, Origin, Upstreams};
+use mangofront_dissemination::{
+    Held, Life, Neighbour, Paths, RELAY_SILENCE, RELAYS, Scope, Sequence, Sequences, Teller,
+    Telling, life_of,
+};
+use mangofront_engines::{News, Upstreams};
 use mangofront_peers::{Member, Peers};
-use mangofront_routes::{Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, Incarnation, InstanceId};
-use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::dialect::Position;
+use crate::datagram::{
+    Confirmation, DATAGRAM_LIMIT_BYTES, Datagram, Message, Nonce, Relayed, parts,
+};
 use crate::published::Published;
 
-/// Version of the datagrams; a daemon drops any other.
-const VERSION: u8 = 3;
-
-/// Largest datagram that is sent, in bytes; below the usual limit of a link.
-const DATAGRAM_LIMIT_BYTES: usize = 1_400;
-
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -46,6 +46,13 @@
 /// Daemons of a zone that watch; two, so that one may fail.
 const WATCHERS: usize = 2;
 
+/// Duty of passing news on in a zone.
+const RELAY_DUTY: &str = "relay-news";
+
+/// Age up to which it is taken for known who relays: membership changes more slowly,
+/// and looking through hundreds of members for each telling would cost more than it.
+const PATHS_AGE: Duration = Duration::from_millis(250);
+
 /// Time for a daemon of the same zone to answer a datagram.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -63,76 +70,24 @@
     cause: io::Error,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
-    /// Short name of the daemon that tells.
-    daemon: u64,
-    /// Its life.
-    incarnation: Incarnation,
+/// Settings of [`Sharing`].
+#[derive(Debug, Clone)]
+pub struct SharingOptions {
+    /// Address to listen on; the other daemons listen on the same port.
+    pub address: SocketAddr,
+    /// Name of this daemon.
+    pub instance: InstanceId,
     /// Its availability zone.
-    zone: AvailabilityZone,
-    message: Message,
-}
-
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum Message {
-    /// What became of requests and upstreams.
-    News(Vec<News>),
-    /// Asks how far the receiver knows what is published.
-    Ask(Nonce),
-    /// Answer to [`Message::Ask`].
-    Confirmed(Nonce, Confirmation),
-    /// Something that is published has changed.
-    Changed(Relayed),
-    /// Asks for all requests that have not ended.
-    Introduce,
-}
-
-/// Changes that a watcher read, for the other daemons of its zone.
-///
-/// A call to the source counts against the whole fleet's budget. Upstreams that
-/// come and go fit into a datagram, configurations do not: relaying them took calls
-/// on two days of some seventy daemons from 4,644 to 2,552 and from 5,413 to 3,816.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Relayed {
-    /// Position from which on these are all changes.
-    pub(crate) after: Position,
-    /// Position up to which they are.
-    pub(crate) position: Position,
-    /// The changes in order; none when they have to be read at the source.
-    pub(crate) upstreams: Option<Vec<UpstreamChange>>,
-}
-
-/// A change of a registration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum UpstreamChange {
-    /// It was registered, or its registration changed.
-    Registered(Upstream),
-    /// It is no longer registered.
-    Gone(UpstreamId),
-    /// Its registration can't be used, and why.
-    Unusable(UpstreamId, String),
-}
-
-/// Number of a question, unique within its asker's life.
-type Nonce = u64;
-
-/// How far a daemon knows what is published.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Confirmation {
-    /// Position up to which it knows all changes.
-    pub(crate) position: Position,
-    /// Position of the last change.
-    pub(crate) last_change: Position,
-    /// Time since that was known to be current, in milliseconds.
-    pub(crate) age_ms: u32,
+    pub zone: AvailabilityZone,
+    /// Other daemons from which on news is relayed.
+    pub relay_from_daemons: usize,
 }
 
 /// Which life of a daemon something is of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Life {
+enum Known {
     New,
-    Known,
+    Before,
     Ended,
 }
 
@@ -140,7 +95,8 @@
 #[derive(Debug)]
 pub struct Sharing {
     socket: UdpSocket,
-    port: u16,
+    own: SocketAddr,
+    relay_from_daemons: usize,
     peers: Peers,
     daemon: u64,
     zone: AvailabilityZone,
@@ -150,35 +106,50 @@
     published: Published,
     asked: RefCell<HashMap<Nonce, oneshot::Sender<Confirmation>>>,
     next_nonce: Cell<Nonce>,
+    next_sequence: Cell<Sequence>,
+    sequences: RefCell<Sequences>,
+    paths: RefCell<Option<(Instant, Rc<Paths>)>>,
+    /// What this daemon has to pass on.
+    held: RefCell<Held<News>>,
+    /// Whether a task waits to pass on what is held.
+    is_passing_on: Cell<bool>,
+    /// When a relay of the zone last passed something on to this daemon.
+    relay_heard: Cell<Option<Instant>>,
 }
 
 impl Sharing {
-    /// Listens on `address`; the other daemons listen on the same port.
+    /// Listens for the other daemons.
     ///
     /// # Errors
     /// [`SharingError`] when the address can't be had.
     pub async fn start(
-        address: SocketAddr,
-        instance: &InstanceId,
-        zone: AvailabilityZone,
+        options: SharingOptions,
         peers: Peers,
         upstreams: Upstreams,
         published: Published,
     ) -> Result<Rc<Self>, SharingError> {
+        let address = options.address;
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|cause| SharingError { address, cause })?;
         Ok(Rc::new(Self {
             socket,
-            port: address.port(),
+            own: address,
+            relay_from_daemons: options.relay_from_daemons,
             peers,
-            daemon: xxh3_64(instance.as_bytes()),
-            zone,
+            daemon: xxh3_64(options.instance.as_bytes()),
+            zone: options.zone,
             upstreams,
             lives: RefCell::default(),
             published,
             asked: RefCell::default(),
             next_nonce: Cell::new(0),
+            next_sequence: Cell::new(1),
+            sequences: RefCell::default(),
+            paths: RefCell::default(),
+            held: RefCell::default(),
+            is_passing_on: Cell::default(),
+            relay_heard: Cell::default(),
         }))
     }
 
@@ -189,15 +160,128 @@
             while let Ok(next) = news.try_recv() {
                 batch.push(next);
             }
-            let addresses = self.addresses(|_| true);
-            for datagram in self.datagrams(batch) {
-                for address in &addresses {
-                    self.send(datagram.clone(), *address).await;
-                }
+            let paths = self.paths();
+            if paths.is_relayed(self.relay_from_daemons) {
+                self.tell_by_relays(batch, &paths).await;
+            } else {
+                self.tell_all(batch, &paths).await;
+            }
+        }
+    }
+
+    async fn tell_all(&self, news: Vec<News>, paths: &Paths) {
+        for part in parts(news) {
+            let message = Message::News(self.next_sequence(), part);
+            self.send_all(message, &paths.others).await;
+        }
+    }
+
+    /// Has the relays of the zone tell the others; does so itself while nothing is
+    /// heard of them.
+    async fn tell_by_relays(self: &Rc<Self>, news: Vec<News>, paths: &Paths) {
+        let is_heard = |at: Instant| at.elapsed() < RELAY_SILENCE;
+        if paths.rank.is_none() && !self.relay_heard.get().is_some_and(is_heard) {
+            self.tell_all(news.clone(), paths).await;
+        }
+        for part in parts(news) {
+            let telling = Telling {
+                teller: self.teller(),
+                sequence: self.next_sequence(),
+                news: part,
+            };
+            if let Some(rank) = paths.rank {
+                self.hold(telling.clone(), Scope::Fleet, rank);
+            }
+            let message = Message::PassOn(Scope::Fleet, vec![telling]);
+            self.send_all(message, &paths.relays).await;
+        }
+    }
+
+    /// Holds a telling until it is to be passed on.
+    fn hold(self: &Rc<Self>, telling: Telling<News>, scope: Scope, rank: usize) {
+        let now = Instant::now();
+        self.held.borrow_mut().hold(telling, scope, rank, now);
+        if !self.is_passing_on.replace(true) {
+            spawn(Rc::clone(self).pass_on()).detach();
+        }
+    }
+
+    /// Passes on what is held, until nothing is left.
+    async fn pass_on(self: Rc<Self>) {
+        loop {
+            let Some(due) = self.held.borrow().next_due() else {
+                self.is_passing_on.set(false);
+                return;
+            };
+            compio::time::sleep_until(due).await;
+            let due = self.held.borrow_mut().take_due(Instant::now());
+            let paths = self.paths();
+            let far = due.iter().filter(|(scope, _)| *scope == Scope::Fleet);
+            let far: Vec<Telling<News>> = far.map(|(_, telling)| telling.clone()).collect();
+            for part in parts(far) {
+                let message = Message::PassOn(Scope::Zone, part);
+                self.send_all(message, &paths.far_relays).await;
+            }
+            let all = due.into_iter().map(|(_, telling)| telling).collect();
+            for part in parts(all) {
+                self.send_all(Message::PassedOn(part), &paths.zone).await;
             }
         }
     }
 
+    async fn send_all(&self, message: Message, to: &[SocketAddr]) {
+        let datagram = Datagram::write(self.teller(), message);
+        for address in to {
+            self.send(datagram.clone(), *address).await;
+        }
+    }
+
+    fn next_sequence(&self) -> Sequence {
+        let sequence = self.next_sequence.get();
+        self.next_sequence.set(sequence + 1);
+        sequence
+    }
+
+    /// Whom to tell, as of a moment ago.
+    fn paths(&self) -> Rc<Paths> {
+        let mut paths = self.paths.borrow_mut();
+        match paths.as_ref() {
+            Some((at, paths)) if at.elapsed() < PATHS_AGE => Rc::clone(paths),
+            _ => {
+                let looked_up = Rc::new(self.look_up_paths());
+                *paths = Some((Instant::now(), Rc::clone(&looked_up)));
+                looked_up
+            }
+        }
+    }
+
+    fn look_up_paths(&self) -> Paths {
+        let members = self.peers.members().into_iter();
+        let own = self.peers.address();
+        let neighbours: Vec<Neighbour> = members
+            .filter(|member| member.state.answers() && member.address != own)
+            .map(|member| Neighbour {
+                address: self.news_address(&member),
+                zone: member.availability_zone,
+            })
+            .collect();
+        let relays = self.peers.delegates_by_zone(RELAY_DUTY, RELAYS);
+        let addresses = |members: Vec<Member>| {
+            let addresses = members.iter().map(|member| self.news_address(member));
+            addresses.collect()
+        };
+        let relays = relays
+            .into_iter()
+            .map(|(zone, members)| (zone, addresses(members)))
+            .collect();
+        Paths::new(self.own, &self.zone, &neighbours, &relays)
+    }
+
+    /// Where a member listens for news.
+    fn news_address(&self, member: &Member) -> SocketAddr {
+        SocketAddr::new(member.address.ip(), self.own.port())
+    }
+
     async fn send(&self, datagram: Vec<u8>, to: SocketAddr) {
         let sent = self.socket.send_to(datagram, to).await;
         if let Err(error) = sent.0 {
@@ -221,7 +305,7 @@
             .filter(|member| member.address != self.peers.address())
             .collect();
         let watcher = others.get(nonce as usize % others.len().max(1))?;
-        let to = SocketAddr::new(watcher.address.ip(), self.port);
+        let to = self.news_address(watcher);
         let (answer, answered) = oneshot::channel();
         self.asked.borrow_mut().insert(nonce, answer);
         self.send(self.datagram(Message::Ask(nonce)), to).await;
@@ -240,9 +324,8 @@
         if datagram.len() > DATAGRAM_LIMIT_BYTES {
             datagram = self.datagram(Message::Changed(unread));
         }
-        let is_near = |member: &Member| member.availability_zone == self.zone;
-        for address in self.addresses(is_near) {
-            self.send(datagram.clone(), address).await;
+        for address in &self.paths().zone {
+            self.send(datagram.clone(), *address).await;
         }
     }
 
@@ -256,7 +339,7 @@
             match received.0 {
                 Ok((length, from)) => {
                     let bytes = buffer.get(..length).unwrap_or_default();
-                    let from = SocketAddr::new(from.ip(), self.port);
+                    let from = SocketAddr::new(from.ip(), self.own.port());
                     self.take(bytes, from).await;
                 }
                 Err(error) => {
@@ -268,7 +351,12 @@
     }
 
     /// Tells the others each second of all that has not ended, for ever.
+    ///
+    /// Each daemon at a moment of its own: daemons that started together would all
+    /// tell at once, and be silent for the rest of the second.
     pub async fn repeat(self: Rc<Self>) {
+        let share = self.daemon as f64 / u64::MAX as f64;
+        compio::time::sleep(REPEAT_PERIOD.mul_f64(share)).await;
         loop {
             compio::time::sleep(REPEAT_PERIOD).await;
             self.upstreams.tell_running();
@@ -278,51 +366,63 @@
     /// Forgets the work of a daemon that is gone.
     pub fn gone(&self, instance: &InstanceId) {
         let daemon = xxh3_64(instance.as_bytes());
-        if let Some(life) = self.lives.borrow_mut().remove(&daemon) {
-            self.upstreams.forget(origin(daemon, life));
+        if let Some(incarnation) = self.lives.borrow_mut().remove(&daemon) {
+            self.forget(daemon, incarnation);
         }
     }
 
+    /// Forgets a life that has ended, and its work.
+    fn forget(&self, daemon: u64, incarnation: Incarnation) {
+        let life = life_of(daemon, incarnation);
+        self.upstreams.forget(life);
+        self.sequences.borrow_mut().forget(life);
+    }
+
     /// Tells a daemon that has just started, or was out of reach, of all that has
     /// not ended.
     async fn introduce(&self, to: SocketAddr) {
-        for datagram in self.datagrams(self.upstreams.introduction()) {
-            self.send(datagram, to).await;
+        for part in parts(self.upstreams.introduction()) {
+            self.send(self.datagram(Message::Introduction(part)), to)
+                .await;
         }
     }
 
     /// Takes in a datagram.
-    async fn take(&self, bytes: &[u8], from: SocketAddr) {
-        let datagram = match bytes.split_first() {
-            Some((&VERSION, rest)) => postcard::from_bytes::<Datagram>(rest).ok(),
-            _ => None,
-        };
-        let Some(datagram) = datagram else {
+    async fn take(self: &Rc<Self>, bytes: &[u8], from: SocketAddr) {
+        let Some(Datagram { sender, message }) = Datagram::read(bytes) else {
             log::debug!("gateway: a datagram of {} bytes can't be read", bytes.len());
             return;
         };
-        if datagram.daemon == self.daemon {
+        if !self.meet(&sender, from).await {
             return;
         }
-        let life = self.life(&datagram);
-        if life == Life::Ended {
-            return;
-        }
-        self.upstreams.heard_zone(&datagram.zone);
-        if life == Life::New {
-            self.introduce(from).await;
-        }
-        let origin = origin(datagram.daemon, datagram.incarnation);
-        match datagram.message {
-            Message::News(news) => {
-                let mut has_unknown = false;
-                for one in news {
-                    has_unknown |= self.upstreams.hear(origin, one);
+        match message {
+            Message::News(sequence, news) => {
+                let telling = Telling {
+                    teller: sender,
+                    sequence,
+                    news,
+                };
+                self.take_telling(&telling).await;
+            }
+            Message::PassOn(scope, tellings) => {
+                let rank = self.paths().rank_or_last();
+                for telling in tellings {
+                    if self.take_telling(&telling).await {
+                        self.hold(telling, scope, rank);
+                    }
                 }
-                if has_unknown {
-                    self.send(self.datagram(Message::Introduce), from).await;
+            }
+            Message::PassedOn(tellings) => {
+                self.relay_heard.set(Some(Instant::now()));
+                let names = tellings.iter();
+                let names = names.map(|telling| (telling.teller.life(), telling.sequence));
+                self.held.borrow_mut().passed_on(names);
+                for telling in &tellings {
+                    self.take_telling(telling).await;
                 }
             }
+            Message::Introduction(news) => self.take_news(sender.life(), news, from).await,
             Message::Introduce => self.introduce(from).await,
             Message::Ask(nonce) => {
                 if let Some(known) = self.published.confirmation() {
@@ -345,59 +445,77 @@
         }
     }
 
-    /// Which life of its daemon a datagram is of; work of an earlier one ended
-    /// with it and is forgotten.
-    fn life(&self, datagram: &Datagram) -> Life {
-        let mut lives = self.lives.borrow_mut();
-        let before = lives.get(&datagram.daemon).copied();
-        if before.is_some_and(|before| before > datagram.incarnation) {
-            return Life::Ended;
+    /// Takes in what a daemon told; whether it was new.
+    async fn take_telling(&self, telling: &Telling<News>) -> bool {
+        let teller = &telling.teller;
+        let from = SocketAddr::new(teller.address, self.own.port());
+        if !self.meet(teller, from).await {
+            return false;
         }
-        if before == Some(datagram.incarnation) {
-            return Life::Known;
+        let life = teller.life();
+        let is_new = self.sequences.borrow_mut().is_new(life, telling.sequence);
+        if is_new {
+            self.take_news(life, telling.news.clone(), from).await;
         }
-        lives.insert(datagram.daemon, datagram.incarnation);
-        if let Some(before) = before {
-            self.upstreams.forget(origin(datagram.daemon, before));
+        is_new
+    }
+
+    async fn take_news(&self, life: Life, news: Vec<News>, from: SocketAddr) {
+        let mut has_unknown = false;
+        for one in news {
+            has_unknown |= self.upstreams.hear(life, one);
+        }
+        if has_unknown {
+            self.send(self.datagram(Message::Introduce), from).await;
         }
-        Life::New
     }
 
-    /// Addresses of the other daemons that answer and that `wanted` names.
-    fn addresses(&self, wanted: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
-        let own = self.peers.address();
-        let others = self.peers.members().into_iter();
-        others
-            .filter(|member| member.state.answers() && member.address != own && wanted(member))
-            .map(|member| SocketAddr::new(member.address.ip(), self.port))
-            .collect()
+    /// Notes that a daemon at `from` lives; false if this life of it has ended, or it
+    /// is this one.
+    async fn meet(&self, other: &Teller, from: SocketAddr) -> bool {
+        if other.daemon == self.daemon {
+            return false;
+        }
+        let known = self.know(other);
+        if known == Known::Ended {
+            return false;
+        }
+        self.upstreams.heard_zone(&other.zone);
+        if known == Known::New {
+            self.introduce(from).await;
+        }
+        true
     }
 
-    fn datagram(&self, message: Message) -> Vec<u8> {
-        let datagram = Datagram {
+    /// Whether this life of a daemon is known; work of an earlier one ended with it
+    /// and is forgotten.
+    fn know(&self, other: &Teller) -> Known {
+        let mut lives = self.lives.borrow_mut();
+        let before = lives.get(&other.daemon).copied();
+        if before.is_some_and(|before| before > other.incarnation) {
+            return Known::Ended;
+        }
+        if before == Some(other.incarnation) {
+            return Known::Before;
+        }
+        lives.insert(other.daemon, other.incarnation);
+        if let Some(before) = before {
+            self.forget(other.daemon, before);
+        }
+        Known::New
+    }
+
+    /// This daemon, as it names itself.
+    fn teller(&self) -> Teller {
+        Teller {
             daemon: self.daemon,
             incarnation: self.peers.incarnation(),
+            address: self.own.ip(),
             zone: self.zone.clone(),
-            message,
-        };
-        // Numbers, names and lists only, so writing can't fail.
-        postcard::to_extend(&datagram, vec![VERSION]).unwrap_or_default()
-    }
-
-    /// The news in as few datagrams as hold it.
-    fn datagrams(&self, mut news: Vec<News>) -> Vec<Vec<u8>> {
-        let bytes = self.datagram(Message::News(news.clone()));
-        if bytes.len() <= DATAGRAM_LIMIT_BYTES || news.len() < 2 {
-            return vec![bytes];
         }
-        let rest = news.split_off(news.len() / 2);
-        let mut datagrams = self.datagrams(news);
-        datagrams.extend(self.datagrams(rest));
-        datagrams
     }
-}
 
-/// Short name of one life of a daemon; never that of the own work.
-fn origin(daemon: u64, incarnation: Incarnation) -> Origin {
-    (daemon ^ incarnation) | 1
+    fn datagram(&self, message: Message) -> Vec<u8> {
+        Datagram::write(self.teller(), message)
+    }
 }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,6 +1,7 @@
 //! The handle that embedders hold.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use bytes::Bytes;
 use compio::runtime::{JoinHandle, spawn};
 use futures_util::future::LocalBoxFuture;
-use mangofront_settings::ids::{Incarnation, InstanceId};
+use mangofront_settings::ids::{AvailabilityZone, Incarnation, InstanceId};
 
 use crate::call::{self, CallError, CallLinks, Service};
 use crate::counters::{Counters, LiveCounters};
@@ -171,6 +172,17 @@
         topology::delegates(&self.shared.options, &self.members(), duty, count)
     }
 
+    /// The same for every availability zone that has a member, this daemon's own zone
+    /// among them.
+    #[must_use]
+    pub fn delegates_by_zone(
+        &self,
+        duty: &str,
+        count: usize,
+    ) -> BTreeMap<AvailabilityZone, Vec<Member>> {
+        topology::delegates_by_zone(&self.members(), duty, count)
+    }
+
     /// How many pauses of this process were seen.
     #[must_use]
     pub fn woke(&self) -> u64 {
--- a/crates/peers/src/topology.rs
+++ b/crates/peers/src/topology.rs
@@ -6,6 +6,7 @@
 //! hashing so that they stay put while others come and go. Every member is thus
 //! watched by those before it on its ring, and any two are a few hops apart.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use mangofront_settings::ids::{AvailabilityZone, InstanceId, Region};
@@ -82,17 +83,42 @@
     duty: &str,
     count: usize,
 ) -> Vec<Member> {
+    let of_zone = members.iter().filter(|member| {
+        member.region == own.region && member.availability_zone == own.availability_zone
+    });
+    highest(of_zone, duty, count)
+}
+
+/// The same for each availability zone that has a member.
+pub(crate) fn delegates_by_zone(
+    members: &[Member],
+    duty: &str,
+    count: usize,
+) -> BTreeMap<AvailabilityZone, Vec<Member>> {
+    let zones: BTreeSet<&AvailabilityZone> = members
+        .iter()
+        .map(|member| &member.availability_zone)
+        .collect();
+    let of_zone = |zone: &AvailabilityZone| {
+        let of_zone = members
+            .iter()
+            .filter(|member| member.availability_zone == *zone);
+        (zone.clone(), highest(of_zone, duty, count))
+    };
+    zones.into_iter().map(of_zone).collect()
+}
+
+/// The `count` alive ones that hash highest together with `duty`, the highest first.
+fn highest<'a>(members: impl Iterator<Item = &'a Member>, duty: &str, count: usize) -> Vec<Member> {
     let seed = xxh3_64(duty.as_bytes());
     let rank = |member: &Member| {
         let hash = xxh3_64_with_seed(member.instance.as_bytes(), seed);
         (hash, member.instance.clone())
     };
-    let of_zone = members.iter().filter(|member| {
-        member.state == MemberState::Alive
-            && member.region == own.region
-            && member.availability_zone == own.availability_zone
-    });
-    let mut chosen: Vec<Member> = of_zone.cloned().collect();
+    let mut chosen: Vec<Member> = members
+        .filter(|member| member.state == MemberState::Alive)
+        .cloned()
+        .collect();
     chosen.sort_by_cached_key(|member| std::cmp::Reverse(rank(member)));
     chosen.truncate(count);
     chosen
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -37,6 +37,10 @@
     /// Time between the request to stop and the process being killed, in seconds.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: f64,
+    /// Other daemons from which on a few of each availability zone relay the news of
+    /// all.
+    #[serde(default = "default_relay_from_daemons")]
+    pub relay_from_daemons: u32,
     /// Weights of the choice among engines.
     #[serde(default)]
     pub choice: ChoiceOptions,
@@ -62,6 +66,11 @@
     1_500.0
 }
 
+/// With some eighty daemons, news of all requests took 0.019 cores of each.
+const fn default_relay_from_daemons() -> u32 {
+    100
+}
+
 const fn default_stop_grace_s() -> f64 {
     8.0
 }
