--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -173,7 +173,6 @@
         connect_timeout: settings.limits.connect_timeout(),
         idle_limit: IDLE_CONNECTIONS,
         idle_timeout: IDLE_CONNECTION_TIMEOUT,
-        ..ConnectionsOptions::default()
     })
 }
 
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -123,6 +123,7 @@
     outcomes: HashMap<&'static str, Outcome>,
     order: u64,
     random: u64,
+    news_delay_ms: f64,
 }
 
 impl Fleet {
@@ -146,11 +147,21 @@
             outcomes: HashMap::new(),
             order: 0,
             random: 0x2545_F491_4F6C_DD1D,
+            news_delay_ms: NEWS_DELAY_MS,
         };
         fleet.list(|_| true);
         fleet
     }
 
+    /// Has news of other daemons come by relays, which hold them for `delay_ms`.
+    pub fn relay_news(&mut self, delay_ms: f64) {
+        self.news_delay_ms = delay_ms;
+        let delay = Duration::from_secs_f64(delay_ms / 1_000.0);
+        for (upstreams, _) in &self.daemons {
+            upstreams.set_news_delay(delay);
+        }
+    }
+
     /// Has the daemons know only some engines.
     pub fn list(&self, is_there: impl Fn(usize) -> bool) {
         let engine = HashMap::from([(SERVICE.to_owned(), Rc::new(figures()))]);
@@ -370,7 +381,7 @@
                 continue;
             }
             for to in (0..self.daemons.len()).filter(|to| *to != from) {
-                let at_ms = VIRTUAL_MS.get() + NEWS_DELAY_MS;
+                let at_ms = VIRTUAL_MS.get() + self.news_delay_ms;
                 self.schedule(at_ms, What::NewsComes(from, to, news.clone()));
             }
         }
--- a/crates/engines/tests/load/patterns.rs
+++ b/crates/engines/tests/load/patterns.rs
@@ -146,3 +146,21 @@
     fleet.send_all(MEAN_DAY, 0.2, 6.0);
     assert!(in_time_percent(&fleet.play(&KINDS)) > 94.0);
 }
+
+/// A hundred daemons that hear of each other 24 ms late, by relays, before as many
+/// engines: the loads of eighteen engines in peaks of long and of short prompts, times
+/// 100 / 18.
+///
+/// All daemons choose by the same costs, so those of the short peak, ten within the
+/// delay, would meet at the same few engines: 70 of 100 were in time while each took
+/// one of the cheapest and a place in the order cost 1.5 ms, 73 with the bounded order
+/// alone, 82 with the spreading alone, 88 with both.
+#[test]
+fn peaks_before_a_hundred_engines_with_late_news() {
+    let mut fleet = fleet(100, 100);
+    fleet.relay_news(24.0);
+    let share = 100.0 / 18.0;
+    fleet.send_all(LONG_PEAK.map(|per_s| per_s * share), 0.0, 2.0);
+    fleet.send_all(SHORT_PEAK.map(|per_s| per_s * share), 2.0, 4.0);
+    assert!(in_time_percent(&fleet.play(&KINDS)) > 85.0);
+}
