Log from whom a change of an upstream was learned, and how old it was

Requests went to engines that had left five seconds before. The lines could not tell whether the daemon that sent them was told something wrong, by whom, or when it was to know: registrations came and went without a source, and a removal that is put off left no line at all.

Each change of an upstream now carries how and from whom it was learned, the position up to which that was complete and its age; a removal put off has a line; the placing of a request names the position that its choice saw. No change of logic; one more line for each removal put off.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -209,7 +209,7 @@
     let mut placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
     let key = key_of(&upstream);
-    trace::placed(call, history, &placed);
+    trace::placed(call, history, &placed, &gateway.parts().published);
     history.tried.push(key);
     let name = format!(
         "{}-{}-{}",
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::copies::CopyRequest;
 use crate::datagram::{Confirmation, Relayed};
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
+use crate::provenance::Provenance;
 use crate::published::{Published, upstream_changes};
 use crate::sharing::{Sharing, Watcher};
 use crate::trace;
@@ -131,7 +132,7 @@
             return false;
         };
         let age = copy.known.age();
-        if copy.known.position < known.last_change || !self.take_copy(copy) {
+        if copy.known.position < known.last_change || !self.take_copy(copy, watcher) {
             return false;
         }
         self.0.lease.confirm(asked.before(age));
@@ -166,7 +167,7 @@
         let asked = BootInstant::now();
         let timeout = self.options().read_timeout;
         let Snapshot { position, entries } = source.read(timeout).await?;
-        self.take_all(entries);
+        self.take_all(entries, &Provenance::read(position, asked.elapsed()));
         self.0.lease.confirm(asked);
         self.0.position.set(Some(position));
         self.0.last_change.set(position);
@@ -199,7 +200,7 @@
             return Ok(());
         }
         let upstreams = upstream_changes(&changes);
-        self.take_changes(changes);
+        self.take_changes(changes, &Provenance::watched(position, asked.elapsed()));
         self.0.last_change.set(position);
         if may_be_cut {
             // What followed is not known, so nothing is confirmed; and reading
@@ -224,7 +225,7 @@
     }
 
     /// Takes in changes in the order in which they were written.
-    fn take_changes(&self, changes: Vec<Change>) {
+    fn take_changes(&self, changes: Vec<Change>, provenance: &Provenance) {
         let is_of_upstream = |change: &Change| {
             !matches!(
                 change,
@@ -237,8 +238,8 @@
         }
         for change in changes {
             match change {
-                Change::Written(entry) => self.take_entry(entry),
-                Change::UpstreamGone(id) => self.take_missing(id),
+                Change::Written(entry) => self.take_entry(entry, provenance),
+                Change::UpstreamGone(id) => self.take_missing(id, provenance),
             }
         }
         self.pass_on_upstreams();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod gateway;
 mod lease;
 mod options;
+mod provenance;
 mod published;
 mod refusal;
 mod relay;
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -8,6 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
 use crate::datagram::{Confirmation, Relayed, UpstreamChange};
 use crate::dialect::{Change, Entry, Position};
 use crate::lease::Lease;
+use crate::provenance::Provenance;
+use crate::sharing::Watcher;
 use crate::trace;
 
 /// Times of the reading of published values.
@@ -163,7 +166,7 @@
     ///
     /// They say nothing of how current that is: a datagram may have lain unread
     /// while this daemon stood still.
-    pub(crate) fn take_relayed(&self, relayed: Relayed) {
+    pub(crate) fn take_relayed(&self, relayed: Relayed, from: IpAddr) {
         let known = self.0.position.get();
         if known.is_some_and(|known| known >= relayed.position) {
             return;
@@ -173,11 +176,14 @@
             self.nudge();
             return;
         };
+        let provenance = Provenance::relayed(from, relayed.position);
         for change in upstreams {
             match change {
-                UpstreamChange::Registered(upstream) => self.take_entry(Entry::Upstream(upstream)),
-                UpstreamChange::Gone(id) => self.take_missing(id),
-                UpstreamChange::Unusable(id, reason) => self.take_unusable(&id, &reason),
+                UpstreamChange::Registered(upstream) => self.take_upstream(upstream, &provenance),
+                UpstreamChange::Gone(id) => self.take_missing(id, &provenance),
+                UpstreamChange::Unusable(id, reason) => {
+                    self.take_unusable(&id, &reason, &provenance);
+                }
             }
         }
         self.pass_on_upstreams();
@@ -213,14 +219,15 @@
     /// this one.
     ///
     /// It says nothing of how current that is here.
-    pub(crate) fn take_copy(&self, copy: PublishedCopy) -> bool {
+    pub(crate) fn take_copy(&self, copy: PublishedCopy, from: &Watcher) -> bool {
         let known = copy.known;
+        let provenance = Provenance::copied(from, &known);
         let before = self.0.position.get();
         if before.is_some_and(|before| before > known.position) {
             return false;
         }
         if let Some(upstreams) = copy.upstreams {
-            self.take_all(upstreams.into_iter().map(Entry::Upstream));
+            self.take_all(upstreams.into_iter().map(Entry::Upstream), &provenance);
             self.0.last_upstream_change.set(known.last_change);
         }
         if let Some(table) = copy.table {
@@ -232,7 +239,11 @@
     }
 
     /// Takes over everything that is published; what is not among it is missing.
-    pub(crate) fn take_all(&self, entries: impl IntoIterator<Item = Entry>) {
+    pub(crate) fn take_all(
+        &self,
+        entries: impl IntoIterator<Item = Entry>,
+        provenance: &Provenance,
+    ) {
         let mut missing: HashSet<UpstreamId> = self.0.registered.borrow().keys().cloned().collect();
         for entry in entries {
             match &entry {
@@ -244,10 +255,10 @@
                 }
                 Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other => {}
             }
-            self.take_entry(entry);
+            self.take_entry(entry, provenance);
         }
         for id in missing {
-            self.take_missing(id);
+            self.take_missing(id, provenance);
         }
         self.pass_on_upstreams();
     }
@@ -272,17 +283,19 @@
         }
     }
 
-    pub(crate) fn take_entry(&self, entry: Entry) {
+    pub(crate) fn take_entry(&self, entry: Entry, provenance: &Provenance) {
         match entry {
             Entry::Configuration(table) => self.take_table(*table),
-            Entry::Upstream(upstream) => self.take_upstream(upstream),
-            Entry::UnusableUpstream { id, reason } => self.take_unusable(&id, &reason),
+            Entry::Upstream(upstream) => self.take_upstream(upstream, provenance),
+            Entry::UnusableUpstream { id, reason } => {
+                self.take_unusable(&id, &reason, provenance);
+            }
             Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
             Entry::Other => {}
         }
     }
 
-    fn take_upstream(&self, upstream: Upstream) {
+    fn take_upstream(&self, upstream: Upstream, provenance: &Provenance) {
         let mut registered = self.0.registered.borrow_mut();
         let before = registered.get(&upstream.id);
         if before.is_some_and(|before| before.started_at_ms > upstream.started_at_ms) {
@@ -292,7 +305,7 @@
         }
         self.0.lapsed.borrow_mut().remove(&upstream.id);
         if !before.is_some_and(|before| before.says_the_same(&upstream)) {
-            trace::upstream_published(&upstream);
+            trace::upstream_published(&upstream, provenance);
         }
         registered.insert(upstream.id.clone(), upstream);
     }
@@ -300,9 +313,9 @@
     /// A registration that can't be used names no upstream, also where one that
     /// could be used stood before: it may be of another upstream by now. Requests
     /// that run there go on.
-    fn take_unusable(&self, id: &UpstreamId, reason: &str) {
-        trace::unusable_registration(id, reason);
-        self.remove(id);
+    fn take_unusable(&self, id: &UpstreamId, reason: &str, provenance: &Provenance) {
+        trace::unusable_registration(id, reason, provenance);
+        self.remove(id, provenance);
     }
 
     fn take_table(&self, table: RouteTable) {
@@ -318,7 +331,7 @@
     }
 
     /// Removes an upstream, at once or after the time in which it may come back.
-    pub(crate) fn take_missing(&self, id: UpstreamId) {
+    pub(crate) fn take_missing(&self, id: UpstreamId, provenance: &Provenance) {
         let options = &self.0.options;
         let failed = self.0.last_failure.get();
         let may_have_lapsed = failed.is_some_and(|at| at.elapsed() < options.lapse_window);
@@ -327,7 +340,7 @@
             registered.get(&id).is_some_and(|upstream| upstream.leaving)
         };
         if !may_have_lapsed || is_leaving {
-            self.remove(&id);
+            self.remove(&id, provenance);
             return;
         }
         let until = Instant::now() + options.lapse_grace;
@@ -337,22 +350,24 @@
         }
         lapsed.insert(id.clone(), until);
         drop(lapsed);
+        trace::removal_put_off(&id, options.lapse_grace, provenance);
         let published = self.clone();
+        let provenance = provenance.clone();
         spawn(async move {
             compio::time::sleep_until(until).await;
             let was_lapsed = published.0.lapsed.borrow_mut().remove(&id).is_some();
             if was_lapsed {
-                published.remove(&id);
+                published.remove(&id, &provenance);
                 published.pass_on_upstreams();
             }
         })
         .detach();
     }
 
-    fn remove(&self, id: &UpstreamId) {
+    fn remove(&self, id: &UpstreamId, provenance: &Provenance) {
         self.0.lapsed.borrow_mut().remove(id);
         if self.0.registered.borrow_mut().remove(id).is_some() {
-            trace::upstream_gone(id);
+            trace::upstream_gone(id, provenance);
         }
     }
 
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -505,7 +505,7 @@
             Message::Changed(relayed) => {
                 // A watcher reads for itself, and would take the same twice.
                 if !self.is_watcher() {
-                    self.published.take_relayed(relayed);
+                    self.published.take_relayed(relayed, sender.address);
                 }
             }
         }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -15,6 +15,8 @@
 use crate::call::Call;
 use crate::dialect::Position;
 use crate::lease::Lease;
+use crate::provenance::Provenance;
+use crate::published::Published;
 use crate::refusal::Refusal;
 
 /// A dependency answers no more.
@@ -38,12 +40,16 @@
 }
 
 /// An upstream was registered or changed.
-pub(crate) fn upstream_published(upstream: &Upstream) {
+pub(crate) fn upstream_published(upstream: &Upstream, provenance: &Provenance) {
     log::info!(
         upstream = upstream.id.as_str(),
         address = upstream.address.to_string().as_str(),
         service = upstream.service.as_str(),
-        leaving = upstream.leaving;
+        leaving = upstream.leaving,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position,
+        age_ms = provenance.age.map(milliseconds);
         "gateway: upstream registered"
     );
 }
@@ -68,13 +74,40 @@
 }
 
 /// A registration that names no upstream to use.
-pub(crate) fn unusable_registration(id: &str, reason: &str) {
-    log::warn!(upstream = id, reason = reason; "gateway: registration can't be used");
+pub(crate) fn unusable_registration(id: &str, reason: &str, provenance: &Provenance) {
+    log::warn!(
+        upstream = id,
+        reason = reason,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position;
+        "gateway: registration can't be used"
+    );
 }
 
-/// An upstream is no longer registered.
-pub(crate) fn upstream_gone(id: &UpstreamId) {
-    log::info!(upstream = id.as_str(); "gateway: upstream gone");
+/// An upstream is no longer used, as its registration is gone.
+pub(crate) fn upstream_gone(id: &UpstreamId, provenance: &Provenance) {
+    log::info!(
+        upstream = id.as_str(),
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position,
+        age_ms = provenance.age.map(milliseconds);
+        "gateway: upstream gone"
+    );
+}
+
+/// A registration is missing that may only have lapsed; its upstream stays in use.
+pub(crate) fn removal_put_off(id: &UpstreamId, time: Duration, provenance: &Provenance) {
+    log::info!(
+        upstream = id.as_str(),
+        kept_ms = milliseconds(time),
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position,
+        age_ms = provenance.age.map(milliseconds);
+        "gateway: registration missing, upstream kept for now"
+    );
 }
 
 /// An answer with changes is so large that it may lack later ones.
@@ -88,7 +121,8 @@
 }
 
 /// A request goes to the upstreams that were chosen for it.
-pub(crate) fn placed(call: &Call, history: &History, placed: &Placed) {
+pub(crate) fn placed(call: &Call, history: &History, placed: &Placed, published: &Published) {
+    let known = published.confirmation();
     let ids: Vec<&str> = placed
         .readers
         .iter()
@@ -106,7 +140,9 @@
         queue_ms = milliseconds(placed.queue),
         daemons_heard = placed.daemons_heard,
         oldest_news_ms = milliseconds(placed.oldest_news),
-        configuration_version = call.version;
+        configuration_version = call.version,
+        position = known.map(|known| known.position),
+        position_age_ms = known.map(|known| known.age_ms);
         "gateway: request placed"
     );
 }
