Hand on only the upstreams that are published, not those kept by a guess

Callers' requests went to upstreams that had left up to five seconds before, at daemons that had known it; where such an upstream had stopped serving by then, they would have been broken off or refused.

Cause: a daemon that has just lost the source keeps an upstream for 1.7 s whose registration is missing, as it may only have lapsed. It kept it in the same table as what is published, so a copy for another daemon held it as registered. The copy's taker puts it in force with a later position than that of the removal, so no later change removes it. Its class: a guess of one daemon, bounded there, that is handed on as a fact without its bound.

Ruled out by the lines: a belief that is too old (the lease was 264 ms old), a choice long before the sending (3 and 7 ms), an answer that lacked changes (the daemon had logged the removal as read from the source).

Now what is published and what is kept are two tables, and a copy is made of the first: it can't hold a guess. A daemon that needs the guess makes its own, from when it lost the source itself.

--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -3,11 +3,10 @@
 //! A configuration comes into force only if its version is higher than the one
 //! before it, so that a source that serves old values can't bring one back. Where
 //! the values come from is decided in `follow`.
-//! An upstream that is no longer published is kept for a moment after the
-//! source was out of reach, since its registration may only have lapsed.
+//! Which upstreams are used, see `registrations`.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,6 +24,7 @@
 use crate::dialect::{Change, Entry, Position};
 use crate::lease::Lease;
 use crate::provenance::Provenance;
+use crate::registrations::{Missing, Registered, Registrations};
 use crate::sharing::Watcher;
 use crate::trace;
 
@@ -95,9 +95,7 @@
     upstreams: Upstreams,
     connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
-    registered: RefCell<HashMap<UpstreamId, Upstream>>,
-    /// Upstreams kept although their registration is missing, with the end of it.
-    lapsed: RefCell<HashMap<UpstreamId, Instant>>,
+    registrations: RefCell<Registrations>,
     pub(crate) last_failure: Cell<Option<Instant>>,
     /// Whether the last call failed.
     pub(crate) is_out_of_touch: Cell<bool>,
@@ -121,8 +119,7 @@
             upstreams,
             connections,
             table: RefCell::default(),
-            registered: RefCell::default(),
-            lapsed: RefCell::default(),
+            registrations: RefCell::default(),
             last_failure: Cell::default(),
             is_out_of_touch: Cell::default(),
             lease: Lease::default(),
@@ -148,7 +145,7 @@
     /// Whether any upstream is known.
     #[must_use]
     pub fn has_upstreams(&self) -> bool {
-        !self.0.registered.borrow().is_empty()
+        self.0.registrations.borrow().used().next().is_some()
     }
 
     /// How far this daemon knows what is published.
@@ -209,7 +206,8 @@
             table: table.map(|table| (*table).clone()),
             upstreams: match request.after.is_some_and(knows_upstreams) {
                 true => None,
-                false => Some(self.0.registered.borrow().values().cloned().collect()),
+                // Of what this daemon only keeps, the asker would never hear the end.
+                false => Some(self.0.registrations.borrow().published().cloned().collect()),
             },
         };
         copy.write()
@@ -244,7 +242,7 @@
         entries: impl IntoIterator<Item = Entry>,
         provenance: &Provenance,
     ) {
-        let mut missing: HashSet<UpstreamId> = self.0.registered.borrow().keys().cloned().collect();
+        let mut missing = self.0.registrations.borrow().ids();
         for entry in entries {
             match &entry {
                 Entry::Upstream(upstream) => {
@@ -296,18 +294,12 @@
     }
 
     fn take_upstream(&self, upstream: Upstream, provenance: &Provenance) {
-        let mut registered = self.0.registered.borrow_mut();
-        let before = registered.get(&upstream.id);
-        if before.is_some_and(|before| before.started_at_ms > upstream.started_at_ms) {
-            // Written by the earlier life and applied late.
-            trace::earlier_life(&upstream);
-            return;
-        }
-        self.0.lapsed.borrow_mut().remove(&upstream.id);
-        if !before.is_some_and(|before| before.says_the_same(&upstream)) {
-            trace::upstream_published(&upstream, provenance);
+        let registered = self.0.registrations.borrow_mut().register(upstream.clone());
+        match registered {
+            Registered::Changed => trace::upstream_published(&upstream, provenance),
+            Registered::Unchanged => {}
+            Registered::EarlierLife => trace::earlier_life(&upstream),
         }
-        registered.insert(upstream.id.clone(), upstream);
     }
 
     /// A registration that can't be used names no upstream, also where one that
@@ -315,7 +307,9 @@
     /// that run there go on.
     fn take_unusable(&self, id: &UpstreamId, reason: &str, provenance: &Provenance) {
         trace::unusable_registration(id, reason, provenance);
-        self.remove(id, provenance);
+        if self.0.registrations.borrow_mut().remove(id) {
+            trace::upstream_gone(id, provenance);
+        }
     }
 
     fn take_table(&self, table: RouteTable) {
@@ -335,39 +329,29 @@
         let options = &self.0.options;
         let failed = self.0.last_failure.get();
         let may_have_lapsed = failed.is_some_and(|at| at.elapsed() < options.lapse_window);
-        let is_leaving = {
-            let registered = self.0.registered.borrow();
-            registered.get(&id).is_some_and(|upstream| upstream.leaving)
-        };
-        if !may_have_lapsed || is_leaving {
-            self.remove(&id, provenance);
-            return;
-        }
-        let until = Instant::now() + options.lapse_grace;
-        let mut lapsed = self.0.lapsed.borrow_mut();
-        if lapsed.contains_key(&id) {
-            return;
-        }
-        lapsed.insert(id.clone(), until);
-        drop(lapsed);
-        trace::removal_put_off(&id, options.lapse_grace, provenance);
-        let published = self.clone();
-        let provenance = provenance.clone();
-        spawn(async move {
-            compio::time::sleep_until(until).await;
-            let was_lapsed = published.0.lapsed.borrow_mut().remove(&id).is_some();
-            if was_lapsed {
-                published.remove(&id, &provenance);
-                published.pass_on_upstreams();
+        let keep_until = may_have_lapsed.then(|| Instant::now() + options.lapse_grace);
+        let missing = self.0.registrations.borrow_mut().miss(&id, keep_until);
+        match missing {
+            Missing::Unchanged => {}
+            Missing::Removed => trace::upstream_gone(&id, provenance),
+            Missing::Kept(until) => {
+                trace::removal_put_off(&id, options.lapse_grace, provenance);
+                spawn(self.clone().end_keeping(id, until, provenance.clone())).detach();
             }
-        })
-        .detach();
+        }
     }
 
-    fn remove(&self, id: &UpstreamId, provenance: &Provenance) {
-        self.0.lapsed.borrow_mut().remove(id);
-        if self.0.registered.borrow_mut().remove(id).is_some() {
-            trace::upstream_gone(id, provenance);
+    /// Removes an upstream at `until`, unless it is registered again before.
+    async fn end_keeping(self, id: UpstreamId, until: Instant, provenance: Provenance) {
+        compio::time::sleep_until(until).await;
+        let is_over = self
+            .0
+            .registrations
+            .borrow_mut()
+            .end_keeping(&id, Instant::now());
+        if is_over {
+            trace::upstream_gone(&id, &provenance);
+            self.pass_on_upstreams();
         }
     }
 
@@ -382,7 +366,7 @@
                 .collect(),
             None => HashMap::new(),
         };
-        let registered = self.0.registered.borrow();
+        let registrations = self.0.registrations.borrow();
         // One of a service that is not in force must not displace, by its address,
         // one that is.
         let is_in_force = |upstream: &&Upstream| {
@@ -390,7 +374,7 @@
             let table = table.as_ref();
             table.is_none_or(|table| table.service(&upstream.service).is_some())
         };
-        let usable = registered.values().filter(is_in_force).cloned();
+        let usable = registrations.used().filter(is_in_force).cloned();
         for restarted in self.0.upstreams.set_known(usable, &figures) {
             trace::upstream_restarted(&restarted);
             let address = restarted.address;
