Take nobody's older word for what is published, also once the history is gone

A daemon that knew an upstream to be leaving could send it work again: when the source had dropped its history, or an answer may have been cut, the daemon forgot its position, and then took over any neighbour's copy, also one made before the change. Found while looking for the class of the copies that held what was only kept: something believed is replaced by something older.

The position is now what has been seen, and whether all changes up to it are known is a second matter; a copy, a watch's answer or a reading from before it is refused.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::copies::CopyRequest;
 use crate::datagram::{Confirmation, Relayed};
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
+use crate::horizon::Horizon;
 use crate::provenance::Provenance;
 use crate::published::{Published, upstream_changes};
 use crate::sharing::{Sharing, Watcher};
@@ -60,7 +61,7 @@
                     self.0.last_failure.set(Some(Instant::now()));
                     self.0.is_out_of_touch.set(true);
                     if error == SourceError::HistoryGone {
-                        self.0.position.set(None);
+                        self.change_horizon(Horizon::lose);
                     }
                     self.wait_after_failure(pause, &sharing).await;
                     pause = (pause * 2).min(options.longest_pause);
@@ -70,7 +71,7 @@
     }
 
     async fn follow_once(&self, source: &dyn Source, sharing: &Sharing) -> Result<(), SourceError> {
-        let Some(after) = self.0.position.get() else {
+        let Some(after) = self.horizon().position() else {
             return self.read(source).await;
         };
         // After a failure, what is in force is confirmed before anything is waited for.
@@ -88,7 +89,7 @@
             }
             heard => {
                 // Changes may have been relayed meanwhile.
-                let after = self.0.position.get().unwrap_or(after);
+                let after = self.horizon().position().unwrap_or(after);
                 let wait = match heard {
                     Heard::Behind => Duration::ZERO,
                     _ => wait,
@@ -108,9 +109,9 @@
         if age >= self.options().relayed_age_limit {
             return Heard::Nothing;
         }
-        let after = self.0.position.get();
-        if after.is_some_and(|after| known.last_change <= after) {
-            self.0.position.set(after.max(Some(known.position)));
+        let position = self.horizon().position();
+        if position.is_some_and(|position| known.last_change <= position) {
+            self.change_horizon(|horizon| horizon.confirm(known.position));
             self.0.lease.confirm(asked.before(age));
             return Heard::Current;
         }
@@ -126,7 +127,7 @@
         let asked = BootInstant::now();
         let request = CopyRequest {
             version: self.table().map(|table| table.version()),
-            after: self.0.position.get(),
+            after: self.horizon().position(),
         };
         let Some(copy) = sharing.fetch(watcher, &request).await else {
             return false;
@@ -167,11 +168,14 @@
         let asked = BootInstant::now();
         let timeout = self.options().read_timeout;
         let Snapshot { position, entries } = source.read(timeout).await?;
+        if !self.horizon().accepts(position) {
+            let reason =
+                format!("what was read is of position {position}, older than what is known");
+            return Err(SourceError::Failed(reason));
+        }
         self.take_all(entries, &Provenance::read(position, asked.elapsed()));
         self.0.lease.confirm(asked);
-        self.0.position.set(Some(position));
-        self.0.last_change.set(position);
-        self.0.last_upstream_change.set(position);
+        self.change_horizon(|horizon| horizon.advance(position, true));
         Ok(())
     }
 
@@ -189,24 +193,25 @@
             changes,
             may_be_cut,
         } = source.watch(after, wait, timeout).await?;
-        if self.0.position.get().is_some_and(|known| known > position) {
+        if !self.horizon().accepts(position) {
             // Later changes were relayed meanwhile; these would undo them.
             return Ok(());
         }
-        self.0.position.set(Some(position));
         if changes.is_empty() {
             // It waited the whole time and nothing had changed by its end.
+            self.change_horizon(|horizon| horizon.confirm(position));
             self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
             return Ok(());
         }
         let upstreams = upstream_changes(&changes);
+        let of_upstreams = changes.iter().any(is_of_upstream);
         self.take_changes(changes, &Provenance::watched(position, asked.elapsed()));
-        self.0.last_change.set(position);
+        self.change_horizon(|horizon| horizon.advance(position, of_upstreams));
         if may_be_cut {
             // What followed is not known, so nothing is confirmed; and reading
             // what is published now is sooner done than the rest of its history.
             trace::changes_may_be_cut(position);
-            self.0.position.set(None);
+            self.change_horizon(Horizon::lose);
         } else {
             self.0.lease.confirm(asked);
         }
@@ -226,16 +231,6 @@
 
     /// Takes in changes in the order in which they were written.
     fn take_changes(&self, changes: Vec<Change>, provenance: &Provenance) {
-        let is_of_upstream = |change: &Change| {
-            !matches!(
-                change,
-                Change::Written(Entry::Configuration(_) | Entry::Other)
-            )
-        };
-        if changes.iter().any(is_of_upstream) {
-            let position = self.0.position.get().unwrap_or_default();
-            self.0.last_upstream_change.set(position);
-        }
         for change in changes {
             match change {
                 Change::Written(entry) => self.take_entry(entry, provenance),
@@ -246,6 +241,13 @@
     }
 }
 
+fn is_of_upstream(change: &Change) -> bool {
+    !matches!(
+        change,
+        Change::Written(Entry::Configuration(_) | Entry::Other)
+    )
+}
+
 /// Time until it is this daemon's turn again to call a source that fails.
 ///
 /// Drawn anew each time from half to one and a half times the mean, so that the
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod events;
 mod follow;
 mod gateway;
+mod horizon;
 mod lease;
 mod options;
 mod provenance;
@@ -40,6 +41,7 @@
 };
 pub use events::{EventFramer, FramedEvents};
 pub use gateway::{Gateway, GatewayParts};
+pub use horizon::{Continuation, Horizon};
 pub use lease::Lease;
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
 pub use published::{Published, PublishedOptions};
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -22,6 +22,7 @@
 use crate::copies::{CopyRequest, PublishedCopy};
 use crate::datagram::{Confirmation, Relayed, UpstreamChange};
 use crate::dialect::{Change, Entry, Position};
+use crate::horizon::{Continuation, Horizon};
 use crate::lease::Lease;
 use crate::provenance::Provenance;
 use crate::registrations::{Missing, Registered, Registrations};
@@ -100,11 +101,7 @@
     /// Whether the last call failed.
     pub(crate) is_out_of_touch: Cell<bool>,
     pub(crate) lease: Lease,
-    pub(crate) position: Cell<Option<Position>>,
-    /// Position of the last change that was read.
-    pub(crate) last_change: Cell<Position>,
-    /// Position of the last change of upstreams that was read.
-    pub(crate) last_upstream_change: Cell<Position>,
+    horizon: Cell<Horizon>,
     /// Wakes the task that follows the source, when it waits between two questions.
     nudge: RefCell<Option<oneshot::Sender<()>>>,
 }
@@ -123,9 +120,7 @@
             last_failure: Cell::default(),
             is_out_of_touch: Cell::default(),
             lease: Lease::default(),
-            position: Cell::default(),
-            last_change: Cell::default(),
-            last_upstream_change: Cell::default(),
+            horizon: Cell::default(),
             nudge: RefCell::default(),
         }))
     }
@@ -148,12 +143,25 @@
         self.0.registrations.borrow().used().next().is_some()
     }
 
+    /// How far changes are known here.
+    pub(crate) fn horizon(&self) -> Horizon {
+        self.0.horizon.get()
+    }
+
+    /// Notes how far changes are known now.
+    pub(crate) fn change_horizon(&self, change: impl FnOnce(&mut Horizon)) {
+        let mut horizon = self.horizon();
+        change(&mut horizon);
+        self.0.horizon.set(horizon);
+    }
+
     /// How far this daemon knows what is published.
     pub(crate) fn confirmation(&self) -> Option<Confirmation> {
         let age = self.0.lease.age()?;
+        let horizon = self.horizon();
         Some(Confirmation {
-            position: self.0.position.get()?,
-            last_change: self.0.last_change.get(),
+            position: horizon.position()?,
+            last_change: horizon.last_change(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         })
     }
@@ -164,12 +172,13 @@
     /// They say nothing of how current that is: a datagram may have lain unread
     /// while this daemon stood still.
     pub(crate) fn take_relayed(&self, relayed: Relayed, from: IpAddr) {
-        let known = self.0.position.get();
-        if known.is_some_and(|known| known >= relayed.position) {
-            return;
-        }
-        let follows = known.is_some_and(|known| known >= relayed.after);
-        let Some(upstreams) = relayed.upstreams.filter(|_| follows) else {
+        let horizon = self.horizon();
+        let upstreams = match horizon.continuation(relayed.after, relayed.position) {
+            Continuation::Known => return,
+            Continuation::Next => relayed.upstreams,
+            Continuation::Gap => None,
+        };
+        let Some(upstreams) = upstreams else {
             self.nudge();
             return;
         };
@@ -184,9 +193,7 @@
             }
         }
         self.pass_on_upstreams();
-        self.0.position.set(Some(relayed.position));
-        self.0.last_change.set(relayed.position);
-        self.0.last_upstream_change.set(relayed.position);
+        self.change_horizon(|horizon| horizon.advance(relayed.position, true));
     }
 
     /// Answers a daemon that asks for what is in force here.
@@ -199,8 +206,8 @@
         };
         let is_new = |table: &Rc<RouteTable>| Some(table.version()) != request.version;
         let table = self.table().filter(is_new);
-        let last_upstream_change = self.0.last_upstream_change.get();
-        let knows_upstreams = |after: Position| after >= last_upstream_change;
+        let horizon = self.horizon();
+        let knows_upstreams = |after: Position| horizon.has_upstreams_of(after);
         let copy = PublishedCopy {
             known,
             table: table.map(|table| (*table).clone()),
@@ -220,19 +227,17 @@
     pub(crate) fn take_copy(&self, copy: PublishedCopy, from: &Watcher) -> bool {
         let known = copy.known;
         let provenance = Provenance::copied(from, &known);
-        let before = self.0.position.get();
-        if before.is_some_and(|before| before > known.position) {
+        if !self.horizon().accepts(known.position) {
             return false;
         }
         if let Some(upstreams) = copy.upstreams {
             self.take_all(upstreams.into_iter().map(Entry::Upstream), &provenance);
-            self.0.last_upstream_change.set(known.last_change);
+            self.change_horizon(|horizon| horizon.replace_upstreams(known.last_change));
         }
         if let Some(table) = copy.table {
             self.take_table(table);
         }
-        self.0.position.set(Some(known.position));
-        self.0.last_change.set(known.last_change);
+        self.change_horizon(|horizon| horizon.replace(known.position, known.last_change));
         true
     }
 
