Make the age of what a daemon believes from the bound on acting on a change

The bound on a change is now a setting, filled in from the platform's own figures, and the parts are made from it: the age of a neighbour's word, the time between questions, its answer, one's own call and the sending follow each other and add up to less, whatever an operator sets (property test). At a bound of 2 s a neighbour's word is taken for 1.1 s in place of 2.0, watchers wait 0.7 s in place of 1.2, and others ask each 0.3 s in place of 0.5; at 4 s nothing changes but the rule.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -118,7 +118,7 @@
     let upstreams = Upstreams::new(own.choice.clone(), zone.clone(), salt, tell);
     let connections = connections(settings);
     let published = Published::new(
-        PublishedOptions::for_lease(own.key_lease()),
+        PublishedOptions::for_bounds(own.key_lease(), own.change_bound()),
         upstreams.clone(),
         connections.clone(),
     );
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use compio::runtime::spawn;
@@ -25,67 +25,11 @@
 use crate::horizon::{Continuation, Horizon};
 use crate::lease::Lease;
 use crate::provenance::Provenance;
+use crate::published_options::PublishedOptions;
 use crate::registrations::{Missing, Registered, Registrations};
 use crate::sharing::Watcher;
 use crate::trace;
 
-/// Times of the reading of published values.
-#[derive(Debug, Clone)]
-pub struct PublishedOptions {
-    /// Longest wait for a change in one call.
-    ///
-    /// Each call costs the platform, and each answer renews the lease on the
-    /// keys: four calls fit into the lease, so that one may be lost.
-    pub watch_wait: Duration,
-    /// Time for an answer beyond that wait: many times the usual few
-    /// milliseconds, for a source that is slow but there.
-    pub answer_timeout: Duration,
-    /// Time between two questions to a neighbour that watches.
-    pub ask_period: Duration,
-    /// Age up to which what a neighbour knows is taken; older, it is out of touch
-    /// itself.
-    pub relayed_age_limit: Duration,
-    /// Time for reading everything.
-    pub read_timeout: Duration,
-    /// Pause after a failed call; doubled up to `longest_pause`.
-    pub first_pause: Duration,
-    /// Longest pause after a failed call; within the second or two in which a
-    /// source's return should be noticed.
-    pub longest_pause: Duration,
-    /// Least time between two calls after changes, so that a burst of changes
-    /// is read at once; well below the seconds in which one must be in force.
-    pub change_pause: Duration,
-    /// Time for which an upstream is kept whose registration is missing after
-    /// the source was out of reach; live ones are back within two seconds.
-    pub lapse_grace: Duration,
-    /// Time after a failed call within which a missing registration may have
-    /// lapsed.
-    pub lapse_window: Duration,
-}
-
-impl PublishedOptions {
-    /// Times that renew a lease of `key_lease` well before it ends.
-    ///
-    /// What a neighbour relays may be as old as one wait and one lost answer, and
-    /// the next question comes a period later: together half of the lease, so
-    /// that a single loss never makes a daemon refuse requests.
-    #[must_use]
-    pub fn for_lease(key_lease: Duration) -> Self {
-        Self {
-            watch_wait: key_lease.mul_f64(0.24),
-            answer_timeout: Duration::from_millis(700),
-            ask_period: key_lease.mul_f64(0.1),
-            relayed_age_limit: key_lease.mul_f64(0.4),
-            read_timeout: Duration::from_millis(2_000),
-            first_pause: Duration::from_millis(80),
-            longest_pause: Duration::from_millis(600),
-            change_pause: Duration::from_millis(250),
-            lapse_grace: Duration::from_millis(1_700),
-            lapse_window: Duration::from_millis(2_500),
-        }
-    }
-}
-
 /// The published values in force; clones share them.
 #[derive(Debug, Clone)]
 pub struct Published(pub(crate) Rc<Shared>);
--- /dev/null
+++ b/crates/gateway/src/published_options.rs
@@ -0,0 +1,97 @@
+//! Times by which a daemon keeps up with what is published.
+//!
+//! What a daemon holds for current may be older than it knows: a neighbour's word has an
+//! age, the next question comes after a while, and both it and a call of one's own take
+//! time. These parts follow each other, so they are made from the bound on their sum, the
+//! time within which a change has to be acted on everywhere:
+//!
+//! ```text
+//! change .. neighbour too old .. asked .. no answer .. own call .. request sent
+//!         relayed_age_limit   ask_period  ASK_TIMEOUT  CALL_TIME   SEND_TIME
+//! ```
+
+use std::time::Duration;
+
+/// Time for a daemon of the same zone to answer a datagram.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time for the source to answer a call that has not to wait: many times the usual.
+const CALL_TIME: Duration = Duration::from_millis(100);
+
+/// Time from the choice of an upstream until a request has reached it.
+const SEND_TIME: Duration = Duration::from_millis(150);
+
+/// Longest time for which an upstream is kept whose registration may have lapsed: live
+/// ones are back within two seconds of the source's return.
+const LONGEST_LAPSE_GRACE: Duration = Duration::from_millis(1_700);
+
+/// Times of the reading of published values.
+#[derive(Debug, Clone)]
+pub struct PublishedOptions {
+    /// Longest wait for a change in one call.
+    ///
+    /// Each call costs the platform, and each answer renews the lease on the
+    /// keys: four calls fit into the lease, so that one may be lost.
+    pub watch_wait: Duration,
+    /// Time for an answer beyond that wait: many times the usual few
+    /// milliseconds, for a source that is slow but there.
+    pub answer_timeout: Duration,
+    /// Time between two questions to a neighbour that watches.
+    pub ask_period: Duration,
+    /// Age up to which what a neighbour knows is taken; older, it is out of touch
+    /// itself.
+    pub relayed_age_limit: Duration,
+    /// Time for reading everything.
+    pub read_timeout: Duration,
+    /// Pause after a failed call; doubled up to `longest_pause`.
+    pub first_pause: Duration,
+    /// Longest pause after a failed call; within the second or two in which a
+    /// source's return should be noticed.
+    pub longest_pause: Duration,
+    /// Least time between two calls after changes, so that a burst of changes
+    /// is read at once; well below the seconds in which one must be in force.
+    pub change_pause: Duration,
+    /// Time for which an upstream is kept whose registration is missing after
+    /// the source was out of reach.
+    pub lapse_grace: Duration,
+    /// Time after a failed call within which a missing registration may have
+    /// lapsed.
+    pub lapse_window: Duration,
+}
+
+impl PublishedOptions {
+    /// Times that renew a lease of `key_lease` well before it ends, and have a change
+    /// acted on within `change_bound`,
+    /// [`LEAST_CHANGE_BOUND`](mangofront_settings::process::LEAST_CHANGE_BOUND) at least.
+    ///
+    /// What a neighbour relays may be as old as one wait and one late answer, and
+    /// the next question comes a period later: together half of the lease, so
+    /// that a single loss never makes a daemon refuse requests.
+    #[must_use]
+    pub fn for_bounds(key_lease: Duration, change_bound: Duration) -> Self {
+        let share = |of_lease: f64, of_bound: f64| {
+            let by_lease = key_lease.mul_f64(of_lease);
+            by_lease.min(change_bound.mul_f64(of_bound))
+        };
+        Self {
+            watch_wait: share(0.24, 0.35),
+            answer_timeout: Duration::from_millis(700),
+            ask_period: share(0.1, 0.15),
+            relayed_age_limit: share(0.4, 0.55),
+            read_timeout: Duration::from_millis(2_000),
+            first_pause: Duration::from_millis(80),
+            longest_pause: Duration::from_millis(600),
+            change_pause: Duration::from_millis(250),
+            lapse_grace: LONGEST_LAPSE_GRACE.min(change_bound.mul_f64(0.85)),
+            lapse_window: Duration::from_millis(2_500),
+        }
+    }
+
+    /// Longest time from a change until no request is sent any more by what was before
+    /// it, at a daemon that reaches the source while its neighbours do not.
+    #[must_use]
+    pub fn acted_on_within(&self) -> Duration {
+        let asked_after = self.relayed_age_limit + self.ask_period;
+        asked_after + ASK_TIMEOUT + CALL_TIME + SEND_TIME
+    }
+}
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -37,6 +37,7 @@
     Confirmation, DATAGRAM_LIMIT_BYTES, Datagram, Message, Nonce, Relayed, parts,
 };
 use crate::published::Published;
+use crate::published_options::ASK_TIMEOUT;
 
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -58,9 +59,6 @@
 /// two turns of busy processors. Relays hold it for half a window twice.
 const TELLING_DELAY: Duration = Duration::from_millis(4);
 
-/// Time for a daemon of the same zone to answer a datagram.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Time for a watcher to hand over what it has in force: some packets in its zone, and
 /// a turn of a busy processor for each of the others that ask at the same moment.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use mangofront_gateway::{EventFramer, PublishedOptions, SecondSendBudget, SecondSendLimit};
+use mangofront_settings::process::LEAST_CHANGE_BOUND;
 use quickcheck::QuickCheck;
 
 /// Events `1..=count` as an upstream sends them.
@@ -128,8 +129,25 @@
 /// neighbour was too old, and the source was asked a period later.
 #[test]
 fn a_neighbour_out_of_touch_is_not_believed_for_long() {
-    let options = PublishedOptions::for_lease(Duration::from_secs(5));
+    let options = PublishedOptions::for_bounds(Duration::from_secs(5), Duration::from_secs(2));
     let asked_after = options.relayed_age_limit + options.ask_period;
     assert!(options.relayed_age_limit > options.watch_wait);
     assert!(asked_after < Duration::from_secs(2), "{asked_after:?}");
 }
+
+/// The parts of the time in which a change is acted on follow each other. Whatever an
+/// operator sets, they add up to less than the bound, and a watcher that is in touch is
+/// believed between two answers of the source.
+#[test]
+fn a_change_is_acted_on_within_its_bound_whatever_is_set() {
+    fn property(lease_ms: u16, bound_ms: u16) -> bool {
+        let lease = Duration::from_millis(100 + u64::from(lease_ms));
+        let bound = LEAST_CHANGE_BOUND + Duration::from_millis(u64::from(bound_ms));
+        let options = PublishedOptions::for_bounds(lease, bound);
+        let is_believed = options.relayed_age_limit > options.watch_wait;
+        is_believed && options.acted_on_within() <= bound && options.lapse_grace < bound
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(property as fn(u16, u16) -> bool);
+}
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -6,6 +6,7 @@
 
 use crate::check::shape::{Field, Schema, Shape, TextForm};
 use crate::check::{Finding, Problem};
+use crate::process::LEAST_CHANGE_BOUND;
 
 const SECOND_MS: u64 = 1_000;
 const MINUTE_MS: u64 = 60 * SECOND_MS;
@@ -46,6 +47,14 @@
     Field::required("news_address", Shape::Address),
     Field::defaulted("seeds", Shape::List(&Shape::Address)),
     Field::defaulted("key_lease_ms", between(100, HOUR_MS)),
+    Field::defaulted(
+        "configuration_bound_ms",
+        between(LEAST_CHANGE_BOUND.as_millis() as u64, HOUR_MS),
+    ),
+    Field::defaulted(
+        "leaving_bound_ms",
+        between(LEAST_CHANGE_BOUND.as_millis() as u64, HOUR_MS),
+    ),
     Field::defaulted("second_send_ratio", number(0.0, 10.0)),
     Field::defaulted("second_send_slack_requests", number(0.0, 1e6)),
     Field::defaulted("second_send_window_s", number(0.1, 3_600.0)),
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -22,6 +22,13 @@
     /// milliseconds.
     #[serde(default = "default_key_lease_ms")]
     pub key_lease_ms: u64,
+    /// Time within which a change of the configuration has to be in force, in
+    /// milliseconds.
+    #[serde(default = "default_change_bound_ms")]
+    pub configuration_bound_ms: u64,
+    /// Time after which an upstream that leaves gets no new work, in milliseconds.
+    #[serde(default = "default_change_bound_ms")]
+    pub leaving_bound_ms: u64,
     /// Second sends for each request of a service, of all daemons together.
     #[serde(default = "default_second_send_ratio")]
     pub second_send_ratio: f64,
@@ -50,10 +57,17 @@
     pub choice: ChoiceOptions,
 }
 
+/// Shortest bound on a change within which daemons can ask each other and the platform.
+pub const LEAST_CHANGE_BOUND: Duration = Duration::from_millis(1_500);
+
 const fn default_key_lease_ms() -> u64 {
     5_000
 }
 
+const fn default_change_bound_ms() -> u64 {
+    2_000
+}
+
 const fn default_second_send_ratio() -> f64 {
     0.2
 }
@@ -90,6 +104,12 @@
         Duration::from_millis(self.key_lease_ms)
     }
 
+    /// Time within which any change of what is published has to be acted on.
+    #[must_use]
+    pub fn change_bound(&self) -> Duration {
+        Duration::from_millis(self.configuration_bound_ms.min(self.leaving_bound_ms))
+    }
+
     /// Processor time that this daemon may use, in percent of a core.
     #[must_use]
     pub fn processor_percent(&self) -> u32 {
