Count the time for which a missing upstream is kept from the source's return

An upstream that left without a word could be given work for 1.7 s after the daemon had noticed it, if a call had failed within 2.5 s before: up to 4.2 s after a single failure, where the bound may be 2 s. And a store that drops its history counted as out of reach, so one that left in such a gap was kept as well.

Live upstreams are back within two seconds of the source's return, so that is what the time is counted from; a registration found missing later has left. A dropped history is no loss of contact.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -53,15 +53,19 @@
                     }
                     pause = options.first_pause;
                     self.0.is_out_of_touch.set(false);
+                    self.note_contact(true);
                 }
                 Err(error) => {
                     if pause == options.first_pause {
                         trace::dependency_lost("platform", &error.to_string());
                     }
-                    self.0.last_failure.set(Some(Instant::now()));
                     self.0.is_out_of_touch.set(true);
-                    if error == SourceError::HistoryGone {
-                        self.change_horizon(Horizon::lose);
+                    match error {
+                        // It was there all the while, so nothing has lapsed.
+                        SourceError::HistoryGone => self.change_horizon(Horizon::lose),
+                        SourceError::Failed(_) | SourceError::Refused(_) => {
+                            self.note_contact(false);
+                        }
                     }
                     self.wait_after_failure(pause, &sharing).await;
                     pause = (pause * 2).min(options.longest_pause);
@@ -70,6 +74,12 @@
         }
     }
 
+    fn note_contact(&self, has_answered: bool) {
+        let mut contact = self.0.contact.get();
+        contact.note(has_answered, Instant::now());
+        self.0.contact.set(contact);
+    }
+
     async fn follow_once(&self, source: &dyn Source, sharing: &Sharing) -> Result<(), SourceError> {
         let Some(after) = self.horizon().position() else {
             return self.read(source).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod boot_clock;
 mod budget;
 mod call;
+mod contact;
 mod copies;
 mod datagram;
 mod dialect;
@@ -36,6 +37,7 @@
 mod zones;
 
 pub use budget::{SecondSendBudget, SecondSendLimit};
+pub use contact::Contact;
 pub use dialect::{
     AnswerHead, AttemptHead, CallFault, CallHead, Change, Changes, Dialect, Entry, EventId, Helper,
     Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -19,6 +19,7 @@
 use mangofront_settings::ids::ServiceName;
 use mangofront_upstream::Connections;
 
+use crate::contact::Contact;
 use crate::copies::{CopyRequest, PublishedCopy};
 use crate::datagram::{Confirmation, Relayed, UpstreamChange};
 use crate::dialect::{Change, Entry, Position};
@@ -41,7 +42,7 @@
     connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
     registrations: RefCell<Registrations>,
-    pub(crate) last_failure: Cell<Option<Instant>>,
+    pub(crate) contact: Cell<Contact>,
     /// Whether the last call failed.
     pub(crate) is_out_of_touch: Cell<bool>,
     pub(crate) lease: Lease,
@@ -61,7 +62,7 @@
             connections,
             table: RefCell::default(),
             registrations: RefCell::default(),
-            last_failure: Cell::default(),
+            contact: Cell::default(),
             is_out_of_touch: Cell::default(),
             lease: Lease::default(),
             horizon: Cell::default(),
@@ -275,16 +276,15 @@
 
     /// Removes an upstream, at once or after the time in which it may come back.
     pub(crate) fn take_missing(&self, id: UpstreamId, provenance: &Provenance) {
-        let options = &self.0.options;
-        let failed = self.0.last_failure.get();
-        let may_have_lapsed = failed.is_some_and(|at| at.elapsed() < options.lapse_window);
-        let keep_until = may_have_lapsed.then(|| Instant::now() + options.lapse_grace);
+        let now = Instant::now();
+        let contact = self.0.contact.get();
+        let keep_until = contact.keep_until(now, self.0.options.lapse_grace);
         let missing = self.0.registrations.borrow_mut().miss(&id, keep_until);
         match missing {
             Missing::Unchanged => {}
             Missing::Removed => trace::upstream_gone(&id, provenance),
             Missing::Kept(until) => {
-                trace::removal_put_off(&id, options.lapse_grace, provenance);
+                trace::removal_put_off(&id, until.duration_since(now), provenance);
                 spawn(self.clone().end_keeping(id, until, provenance.clone())).detach();
             }
         }
--- a/crates/gateway/src/published_options.rs
+++ b/crates/gateway/src/published_options.rs
@@ -51,12 +51,9 @@
     /// Least time between two calls after changes, so that a burst of changes
     /// is read at once; well below the seconds in which one must be in force.
     pub change_pause: Duration,
-    /// Time for which an upstream is kept whose registration is missing after
-    /// the source was out of reach.
+    /// Time after the source's return for which an upstream is kept whose
+    /// registration is missing.
     pub lapse_grace: Duration,
-    /// Time after a failed call within which a missing registration may have
-    /// lapsed.
-    pub lapse_window: Duration,
 }
 
 impl PublishedOptions {
@@ -83,7 +80,6 @@
             longest_pause: Duration::from_millis(600),
             change_pause: Duration::from_millis(250),
             lapse_grace: LONGEST_LAPSE_GRACE.min(change_bound.mul_f64(0.85)),
-            lapse_window: Duration::from_millis(2_500),
         }
     }
 
--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use mangofront_gateway::{Missing, Registered, Registrations};
+use mangofront_gateway::{Contact, Missing, Registered, Registrations};
 use mangofront_routes::Upstream;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -126,3 +126,18 @@
         .tests(2_000)
         .quickcheck(property as fn(Vec<Step>) -> bool);
 }
+
+/// What is missing is kept for a moment after the source is back, not after it is noticed.
+#[test]
+fn keeping_ends_a_moment_after_the_contact_is_regained() {
+    let now = Instant::now();
+    let mut contact = Contact::default();
+    assert_eq!(contact.keep_until(now, KEPT), None, "never out of touch");
+    contact.note(false, now);
+    assert_eq!(contact.keep_until(now, KEPT), Some(now + KEPT));
+    contact.note(true, now);
+    let later = now + KEPT / 2;
+    contact.note(true, later);
+    assert_eq!(contact.keep_until(later, KEPT), Some(now + KEPT));
+    assert_eq!(contact.keep_until(now + KEPT, KEPT), None);
+}
