Ask once more right before sending whether an upstream still takes work

Between the choice of an upstream and the first byte memory is reserved, up to 0.4 s, and a connection opened, up to 0.4 s: a request could reach an upstream that had said meanwhile that it leaves, beyond the time that the bound on a change leaves for sending.

The question is asked between the opened connection and the writing, so nothing lies between the answer and the request. One that is withdrawn was not run and is placed anew; its upstream is not left out for it. Held prompts are chosen anew at each look and need nothing.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -350,6 +350,14 @@
         state.known_mut(upstream).map(|known| known.info.id.clone())
     }
 
+    /// Whether an upstream that was chosen may still be given work.
+    #[must_use]
+    pub fn takes_work(&self, upstream: UpstreamKey) -> bool {
+        let mut state = self.0.state.borrow_mut();
+        let known = state.known_mut(upstream);
+        known.is_some_and(|known| !known.info.leaving)
+    }
+
     /// The upstream that listens at `address`.
     #[must_use]
     pub fn at_address(&self, address: SocketAddr) -> Option<UpstreamKey> {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -411,12 +411,18 @@
         address: upstream.address,
     };
     let deadline = Instant::now() + patience;
+    // Memory was reserved and a connection opened since the choice; the upstream may have
+    // said meanwhile that it leaves.
+    let key = key_of(upstream);
+    let is_wanted = || gateway.parts().upstreams.takes_work(key);
     let sent = if call.route.safety.may_repeat() {
-        connections.send(&target, request, deadline).await
+        connections
+            .send_if(&target, request, deadline, is_wanted)
+            .await
     } else {
         // A used connection that breaks would leave open whether it ran.
         let opened = connections.open(&target, deadline).await?;
-        opened.send(request, deadline).await
+        opened.send_if(request, deadline, is_wanted).await
     };
     let reached = match &sent {
         Ok(_) => true,
@@ -478,11 +484,13 @@
 }
 
 fn send_failed(gateway: &Gateway, call: &Call, key: UpstreamKey, error: &SendError) -> Failed {
-    let failure = match error {
-        SendError::Timeout { .. } => Failure::Silent,
-        _ => Failure::Unreachable,
-    };
-    gateway.leave_out(key, failure, &call.id);
+    match error {
+        SendError::Withdrawn { .. } => {}
+        SendError::Timeout { .. } => gateway.leave_out(key, Failure::Silent, &call.id),
+        SendError::Broken { .. } | SendError::Refused { .. } | SendError::Protocol { .. } => {
+            gateway.leave_out(key, Failure::Unreachable, &call.id);
+        }
+    }
     if error.outcome() == Outcome::NotRun {
         return Failed::Unreachable(error.to_string());
     }
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -88,12 +88,31 @@
     /// # Errors
     /// [`SendError`] when no head arrived by `deadline`.
     pub async fn send(
+        &self,
+        target: &Target,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Answer, SendError> {
+        self.send_if(target, request, deadline, || true).await
+    }
+
+    /// Sends a call that may be repeated, unless it is not wanted any more by the time
+    /// that a connection is there for it.
+    ///
+    /// # Errors
+    /// [`SendError::Withdrawn`] if `is_wanted` said no right before the writing, any other
+    /// when no head arrived by `deadline`.
+    pub async fn send_if(
         &self,
         target: &Target,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<Answer, SendError> {
         while let Some(mut sender) = self.0.idle.take(target.address) {
+            if !is_wanted() {
+                return Err(withdrawn(target));
+            }
             let sent = within(
                 deadline,
                 target,
@@ -110,7 +129,7 @@
             }
         }
         let opened = self.open(target, deadline).await?;
-        opened.send(request, deadline).await
+        opened.send_if(request, deadline, is_wanted).await
     }
 
     /// Opens a connection for one call of its own.
@@ -191,10 +210,27 @@
     /// # Errors
     /// [`SendError`] when no head arrived by `deadline`.
     pub async fn send(
+        self,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Answer, SendError> {
+        self.send_if(request, deadline, || true).await
+    }
+
+    /// Sends a call, unless it is not wanted any more; the only one that this value can send.
+    ///
+    /// # Errors
+    /// [`SendError::Withdrawn`] if `is_wanted` says no, any other when no head arrived by
+    /// `deadline`.
+    pub async fn send_if(
         mut self,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<Answer, SendError> {
+        if !is_wanted() {
+            return Err(withdrawn(&self.target));
+        }
         let sending = self.sender.try_send_request(request);
         match within(deadline, &self.target, Step::Head, sending).await? {
             Ok(response) => {
@@ -241,6 +277,12 @@
     }
 }
 
+fn withdrawn(target: &Target) -> SendError {
+    SendError::Withdrawn {
+        peer: target.instance.clone(),
+    }
+}
+
 fn broken(target: &Target, step: Step, error: &(impl std::error::Error + ?Sized)) -> SendError {
     let cause = match error.source() {
         Some(source) => format!("{error}: {source}"),
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -62,6 +62,12 @@
         /// Error it gave.
         detail: Box<ErrorDetail>,
     },
+    /// The caller wanted it no more by the time that it could be written.
+    #[error("the call to {peer} was withdrawn before it was written")]
+    Withdrawn {
+        /// Instance that it was meant for.
+        peer: InstanceId,
+    },
     /// The upstream broke the protocol.
     #[error("{peer} broke the protocol: {cause}")]
     Protocol {
@@ -87,7 +93,8 @@
             | Self::Timeout {
                 step: Step::Connect,
                 ..
-            } => Outcome::NotRun,
+            }
+            | Self::Withdrawn { .. } => Outcome::NotRun,
             Self::Refused { detail, .. } => detail.outcome,
             Self::Broken { .. } | Self::Timeout { .. } | Self::Protocol { .. } => Outcome::Unknown,
         }
@@ -100,6 +107,7 @@
             Self::Broken { peer, .. }
             | Self::Timeout { peer, .. }
             | Self::Refused { peer, .. }
+            | Self::Withdrawn { peer }
             | Self::Protocol { peer, .. } => peer,
         }
     }
@@ -110,6 +118,7 @@
         match self {
             Self::Broken { step, .. } | Self::Timeout { step, .. } => step.name(),
             Self::Refused { .. } => "refused",
+            Self::Withdrawn { .. } => "withdrawn",
             Self::Protocol { .. } => "protocol",
         }
     }
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -141,3 +141,22 @@
     }
     assert!(outcomes.values().filter(|outcome| outcome.is_ok()).count() >= 20);
 }
+
+/// A call may become unwanted while its connection is opened, or waits unused: its upstream
+/// has said that it leaves.
+#[compio::test]
+async fn call_that_is_not_wanted_any_more_is_not_written() {
+    let server = Server::start(Reply::whole).await;
+    let connections = connections();
+    let withdrawn = connections.send_if(&server.target, get("/new"), deadline(), || false);
+    let error = withdrawn.await.unwrap_err();
+    assert!(matches!(error, SendError::Withdrawn { .. }), "{error}");
+    assert_eq!(error.outcome(), Outcome::NotRun);
+    call(&connections, &server.target, "/first").await.unwrap();
+    let withdrawn = connections.send_if(&server.target, get("/used"), deadline(), || false);
+    assert!(withdrawn.await.is_err());
+    let opened = connections.open(&server.target, deadline()).await.unwrap();
+    let withdrawn = opened.send_if(get("/own"), deadline(), || false).await;
+    assert!(withdrawn.is_err());
+    assert_eq!(server.connections().len(), 1, "one call was written");
+}
