Make the share of the largest prompts that may be refused a setting

A constant that is a policy, found under other load, stood apart from the other weights of the choice.

--- a/crates/engines/src/shedding.rs
+++ b/crates/engines/src/shedding.rs
@@ -18,20 +18,12 @@
 /// served in the end.
 const REFUSED_FOR_PLACED: f64 = 2.0;
 
-/// Share of the largest prompts that may be refused at all, in percent.
-///
-/// Callers come back once, so that of two thirds five in nine are served in the end: more
-/// than half as many as of all others, also where each of hundreds of daemons meets too
-/// few of them for the count of those placed to bind. At 75, 41 of 100 were served there
-/// of the largest tenth, of all 84.
-const DRAWN_PERCENT: u64 = 66;
-
 /// Most that may be refused in a row.
 const ROW_LIMIT: f64 = 8.0;
 
-/// Whether the request that drew `lot` is among those that may be refused.
-pub(crate) fn is_drawn(lot: u64) -> bool {
-    lot % 100 < DRAWN_PERCENT
+/// Whether the request that drew `lot` is among the `percent` that may be refused.
+pub(crate) fn is_drawn(lot: u64, percent: u64) -> bool {
+    lot % 100 < percent
 }
 
 /// How many of each size may be refused.
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::AvailabilityZone;
+use mangofront_settings::process::ChoiceOptions;
 
 use crate::arrivals::Arrivals;
 use crate::choose::Demand;
@@ -102,7 +103,13 @@
     }
 
     /// Whether a prompt may be refused, as enough of its size are served.
-    pub(crate) fn may_refuse(&self, demand: &Demand, size: Option<Size>) -> bool {
+    pub(crate) fn may_refuse(
+        &self,
+        demand: &Demand,
+        size: Option<Size>,
+        options: &ChoiceOptions,
+    ) -> bool {
+        let is_drawn = |lot| is_drawn(lot, options.refusable_percent);
         match (demand.lot, size) {
             (Some(lot), Some(size)) => is_drawn(lot) && self.shedding.may_refuse(size),
             _ => false,
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -237,7 +237,7 @@
                     draw: xxh3_64_with_seed(&state.next_work.to_le_bytes(), self.0.salt),
                     is_settling: now.saturating_duration_since(self.0.started)
                         < options.settling_time(),
-                    may_refuse: state.may_refuse(demand, size),
+                    may_refuse: state.may_refuse(demand, size, options),
                 };
                 choose_engines(&candidates, &figures, demand, options, circumstances)
             }
--- a/crates/settings/src/process/choice.rs
+++ b/crates/settings/src/process/choice.rs
@@ -66,6 +66,13 @@
     /// 1.5 put late prompts into queues that made others late too: 3 bought 0.003 and 0.006
     /// of the worth in time of twelve simulated loads, eight seeds each.
     pub late_targets: f64,
+    /// Share of the largest prompts that may be refused when they can't be in time, in
+    /// percent; 66 by default.
+    ///
+    /// The largest have to be served at least half as often as all others. Which may be
+    /// refused is drawn, as each of hundreds of daemons meets too few of them for the count
+    /// of those that it placed to bind.
+    pub refusable_percent: u64,
     /// Answers with pauses of up to this many times the shortest fill the engines
     /// from the near end, all others from the far end; 1.5 by default.
     pub brisk_factor: f64,
@@ -202,6 +209,7 @@
             wait_targets: 0.5,
             in_time_targets: 0.9,
             late_targets: 3.0,
+            refusable_percent: 66,
             brisk_factor: 1.5,
             safe_gap_share: 0.6,
             broken_gap_share: 1.0,
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -76,6 +76,7 @@
     Field::defaulted("wait_targets", number(0.0, 100.0)),
     Field::defaulted("in_time_targets", number(0.0, 100.0)),
     Field::defaulted("late_targets", number(0.0, 100.0)),
+    Field::defaulted("refusable_percent", between(0, 100)),
     Field::defaulted("brisk_factor", number(0.0, 100.0)),
     Field::defaulted("safe_gap_share", number(0.0, 100.0)),
     Field::defaulted("broken_gap_share", number(0.0, 100.0)),
