Tell how each exchange failed, and how late a daemon notices what happens

Sight for two of the known failures, before any change of logic.

A caller's connection that ended without an answer (no_engine_has_reported_yet): the tests' caller made the same empty answer of a refused connection, a reset, a broken body and of 30 s without an end. It now keeps the error and the time, in every test. Daemons write a line for each request that is dropped before its answer, by id, and one when connections can't be accepted, which was swallowed.

Engines that work on for callers that have left: nothing told a daemon that was late from one that did not act.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -28,8 +28,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::DaemonError;
-use crate::membership;
 use crate::run::{listen, signal, wait_for_stop};
+use crate::{lag, membership};
 
 /// Number of the signal that says that the settings file has changed.
 const SIGHUP: i32 = 1;
@@ -164,6 +164,7 @@
         spawn(Rc::clone(&sharing).repeat()),
         spawn(sharing.hear()),
         spawn(gateway.clone().watch_zones()),
+        spawn(lag::watch(metrics.clone())),
     ];
     Ok((gateway, peers, background))
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,7 +16,7 @@
 
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
-use crate::{admin, control, feeds, orders, relay, views, watchers};
+use crate::{admin, control, feeds, lag, orders, relay, views, watchers};
 
 /// Time after which a caller may come back to a daemon that stops.
 ///
@@ -102,6 +102,7 @@
         spawn(parts.once.maintain()),
         spawn(orders::follow(parts.clone())),
         spawn(control::follow(parts.clone())),
+        spawn(lag::watch(parts.metrics.clone())),
     ]
 }
 
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,7 +1,7 @@
 //! Which handler answers which path.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -37,6 +37,7 @@
     peer: SocketAddr,
 ) -> Response<Body> {
     let id = uuid::Uuid::new_v4().simple().to_string();
+    let unanswered = Unanswered::new(&id, peer);
     let (head, body) = request.into_parts();
     let active = entry.begin(body);
     let answered = match (entry.stopping(), find(&head.method, head.uri.path())) {
@@ -67,9 +68,41 @@
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    unanswered.answered();
     response
 }
 
+/// A request whose answer has no head yet; one that is dropped leaves a line.
+struct Unanswered {
+    id: String,
+    peer: SocketAddr,
+    since: Option<Instant>,
+}
+
+impl Unanswered {
+    fn new(id: &str, peer: SocketAddr) -> Self {
+        Self {
+            id: id.to_owned(),
+            peer,
+            since: Some(Instant::now()),
+        }
+    }
+
+    fn answered(mut self) {
+        self.since = None;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let Some(since) = self.since else {
+            return;
+        };
+        let (id, peer, waited) = (&self.id, self.peer, since.elapsed());
+        log::info!("entry: request {id} of {peer} dropped after {waited:?}, its caller is gone");
+    }
+}
+
 fn find(method: &Method, path: &str) -> Result<Route, EntryError> {
     let (wanted, route) = match path {
         "/v1/completions" => (Method::POST, Route::Complete(Endpoint::Completions)),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,44 +33,85 @@
 /// Answers `call`.
 pub(crate) async fn answer(gateway: &Gateway, call: Rc<Call>) -> Response<Body> {
     gateway.budget().request(&call.service, Instant::now());
-    let mut history = History::default();
+    let mut unanswered = Unanswered::new(gateway, &call);
+    let response = try_upstreams(gateway, &call, &mut unanswered.history).await;
+    unanswered.is_answered = true;
+    response
+}
+
+async fn try_upstreams(
+    gateway: &Gateway,
+    call: &Rc<Call>,
+    history: &mut History,
+) -> Response<Body> {
     // The last answer that tells of a fault of the upstream itself.
     let mut fault: Option<Whole> = None;
     loop {
-        let attempted = attempt(gateway, &call, &mut history, call.last_event_id).await;
+        let attempted = attempt(gateway, call, history, call.last_event_id).await;
         let failed = match attempted {
-            Ok(answering) if is_stream(&call, &answering) => {
-                match Opening::read(gateway, &call, answering, &history).await {
-                    Ok(opening) => return stream(gateway, &call, opening, history),
+            Ok(answering) if is_stream(call, &answering) => {
+                match Opening::read(gateway, call, answering, history).await {
+                    Ok(opening) => return stream(gateway, call, opening, std::mem::take(history)),
                     Err(failed) => failed,
                 }
             }
-            Ok(answering) => match whole(gateway, &call, answering).await {
-                Ok(whole) if is_fault(&call, whole.status) => {
+            Ok(answering) => match whole(gateway, call, answering).await {
+                Ok(whole) if is_fault(call, whole.status) => {
                     let reason = format!("answered {}", whole.status);
                     fault = Some(whole);
                     Failed::MayHaveRun(reason)
                 }
-                Ok(whole) => return respond(gateway, &call, whole, &history),
+                Ok(whole) => return respond(gateway, call, whole, history),
                 Err(failed) => failed,
             },
             Err(failed) => failed,
         };
-        if history.may_go_on(gateway, &call, &failed) {
+        if history.may_go_on(gateway, call, &failed) {
             continue;
         }
         if let Some(whole) = fault {
-            return respond(gateway, &call, whole, &history);
+            return respond(gateway, call, whole, history);
         }
         if let Failed::MayHaveRun(_) | Failed::OutOfTime = failed {
             history.may_have_run = true;
         }
         let refusal = history.refusal(failed);
-        log_refused(gateway, &call, &refusal, &history);
+        log_refused(gateway, call, &refusal, history);
         return refusal.into_response(&call.id);
     }
 }
 
+/// A request without an answer; one whose caller leaves before leaves a line.
+struct Unanswered<'a> {
+    gateway: &'a Gateway,
+    call: Rc<Call>,
+    history: History,
+    is_answered: bool,
+}
+
+impl<'a> Unanswered<'a> {
+    fn new(gateway: &'a Gateway, call: &Rc<Call>) -> Self {
+        Self {
+            gateway,
+            call: Rc::clone(call),
+            history: History::default(),
+            is_answered: false,
+        }
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let ended = Ended {
+                reason: "caller_gone",
+                ..ended(&self.call, &self.history)
+            };
+            ended.write(&self.gateway.parts().metrics);
+        }
+    }
+}
+
 /// Whether the answer is a stream that is passed on as it comes.
 fn is_stream(call: &Call, answering: &Answering) -> bool {
     call.route.safety.is_stream() && answering.answer.status.is_success()
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -49,6 +49,7 @@
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Result<Response<Body>, Aborted>> + 'static,
 {
+    log::debug!("http: connection of {peer} accepted");
     // Small frames go out at once; without the option they would be delayed,
     // with an error they still arrive.
     let _ = stream.set_nodelay(true);
@@ -63,8 +64,9 @@
         Either::Right((Either::Left(_), _)) => Err(Dropped::Abort),
         Either::Right((Either::Right(_), _)) => Err(Dropped::Stalled(limits.write_timeout)),
     };
-    if let Err(error) = ended {
-        log::debug!("http: connection of {peer} ended: {error}");
+    match ended {
+        Ok(()) => log::debug!("http: connection of {peer} closed"),
+        Err(error) => log::debug!("http: connection of {peer} ended: {error}"),
     }
 }
 
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -109,10 +109,20 @@
         })
         .detach();
     };
+    let mut is_failing = false;
     while let Some(accepted) = accept(&listener, &ends).await {
         match accepted {
-            Ok(accepted) => start(accepted),
-            Err(_) => compio::time::sleep(ACCEPT_PAUSE).await,
+            Ok(accepted) => {
+                is_failing = false;
+                start(accepted);
+            }
+            Err(error) => {
+                // One line for a fault that lasts.
+                if !std::mem::replace(&mut is_failing, true) {
+                    log::warn!("http: connections can't be accepted: {error}");
+                }
+                compio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
     if !ends.abort.is_triggered() {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -121,6 +121,12 @@
         gauge.record(age.as_secs_f64(), &[]);
     }
 
+    /// Records by how much a timer of the event loop came late.
+    pub fn event_loop_late(&self, late: Duration) {
+        let histogram = &self.0.instruments.event_loop_lateness;
+        histogram.record(late.as_secs_f64(), &[]);
+    }
+
     /// Records the time from a request's arrival to its first token.
     pub fn first_token(&self, class: &str, length: LengthBucket, after: Duration) {
         let labels = [label("class", class), label("length", length.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -11,6 +11,10 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.52, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 180.0, 600.0,
 ];
 
+/// Upper bounds of the event loop's lateness, in seconds: from a calm process up to one
+/// that callers take for dead.
+const LATENESS_BOUNDS_S: [f64; 9] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0];
+
 #[derive(Debug)]
 pub(super) struct Instruments {
     pub(super) requests: Counter<u64>,
@@ -24,6 +28,7 @@
     pub(super) organisation_requests: Counter<u64>,
     pub(super) upstream_attempts: Counter<u64>,
     pub(super) lease_age: Gauge<f64>,
+    pub(super) event_loop_lateness: Histogram<f64>,
     pub(super) peers: Gauge<u64>,
     pub(super) control_sent: Counter<u64>,
     pub(super) control_received: Counter<u64>,
@@ -74,6 +79,12 @@
                 .with_description("Time since what is published was known to be in force")
                 .with_unit("s")
                 .build(),
+            event_loop_lateness: meter
+                .f64_histogram("event_loop_lateness")
+                .with_description("Time by which a timer of the event loop came late")
+                .with_unit("s")
+                .with_boundaries(LATENESS_BOUNDS_S.to_vec())
+                .build(),
             peers: meter
                 .u64_gauge("peers")
                 .with_description("Other daemons, by state")
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -1,7 +1,8 @@
 //! A caller that speaks HTTP and writes its session down.
 
 use std::cell::RefCell;
-use std::time::Duration;
+use std::error::Error;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -39,16 +40,40 @@
     pub whole: bool,
     /// Whether a connection was made at all.
     pub connected: bool,
+    /// What kept the answer from being whole, if anything did.
+    #[expect(dead_code, reason = "read in the message of a test that fails")]
+    pub failure: Option<ExchangeFailure>,
+    /// Time from the request until the answer was whole or the exchange failed.
+    #[expect(dead_code, reason = "read in the message of a test that fails")]
+    pub took: Duration,
+}
+
+/// How an exchange failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ExchangeFailure {
+    /// The request could not be made.
+    Request(String),
+    /// No connection was made.
+    Connect(String),
+    /// The connection ended before the answer's head.
+    Head(String),
+    /// The connection ended within the answer's body.
+    Body(String),
+    /// Nothing had ended after [`EXCHANGE_LIMIT`].
+    Unanswered,
 }
 
 impl Answer {
-    fn broken() -> Self {
+    /// An exchange that came to no head of an answer.
+    fn failed(failure: ExchangeFailure) -> Self {
         Self {
             status: 0,
             headers: Vec::new(),
             body: String::new(),
             whole: false,
-            connected: true,
+            connected: !matches!(failure, ExchangeFailure::Connect(_)),
+            failure: Some(failure),
+            took: Duration::ZERO,
         }
     }
 
@@ -195,11 +220,19 @@
     }
 
     async fn exchange(&self, method: Method, path: &str, body: Bytes, events: usize) -> Answer {
+        let started = Instant::now();
         let limited = compio::time::timeout(
             EXCHANGE_LIMIT,
             self.try_exchange(method, path, body, events),
         );
-        limited.await.ok().flatten().unwrap_or_else(Answer::broken)
+        let answer = match limited.await {
+            Ok(exchanged) => exchanged.unwrap_or_else(Answer::failed),
+            Err(_elapsed) => Answer::failed(ExchangeFailure::Unanswered),
+        };
+        Answer {
+            took: started.elapsed(),
+            ..answer
+        }
     }
 
     async fn try_exchange(
@@ -208,26 +241,16 @@
         path: &str,
         body: Bytes,
         events: usize,
-    ) -> Option<Answer> {
+    ) -> Result<Answer, ExchangeFailure> {
         // A client of its own for each exchange: no pooled connection of one
         // exchange may hide what happens to another.
-        let client = mangofront_http::client().ok()?;
+        let client = mangofront_http::client().map_err(unsendable)?;
         let url = format!("http://{}{path}", self.address);
-        let mut request = client.request(method, url).ok()?;
+        let mut request = client.request(method, url).map_err(unsendable)?;
         for (name, value) in &self.headers {
-            request = request.header(*name, value.as_str()).ok()?;
+            request = request.header(*name, value.as_str()).map_err(unsendable)?;
         }
-        let response = match request.body(body).send().await {
-            Ok(response) => response,
-            Err(cyper::Error::HyperClient(error)) if error.is_connect() => {
-                let connected = false;
-                return Some(Answer {
-                    connected,
-                    ..Answer::broken()
-                });
-            }
-            Err(_) => return None,
-        };
+        let response = request.body(body).send().await.map_err(no_head)?;
         let status = response.status().as_u16();
         let headers = RECORDED.iter().filter_map(|name| {
             let value = response.headers().get(*name)?.to_str().ok()?;
@@ -237,11 +260,13 @@
         let mut chunks = response.bytes_stream();
         let mut content = Vec::new();
         let mut whole = true;
+        let mut failure = None;
         while let Some(chunk) = chunks.next().await {
             match chunk {
                 Ok(chunk) => content.extend_from_slice(&chunk),
-                Err(_) => {
+                Err(error) => {
                     whole = false;
+                    failure = Some(ExchangeFailure::Body(chain(&error)));
                     break;
                 }
             }
@@ -252,12 +277,38 @@
             }
         }
         let body = String::from_utf8_lossy(&content).into_owned();
-        Some(Answer {
+        Ok(Answer {
             status,
             headers,
             body,
             whole,
             connected: true,
+            failure,
+            took: Duration::ZERO,
         })
     }
 }
+
+fn unsendable(error: impl Error) -> ExchangeFailure {
+    ExchangeFailure::Request(chain(&error))
+}
+
+fn no_head(error: cyper::Error) -> ExchangeFailure {
+    match &error {
+        cyper::Error::HyperClient(cause) if cause.is_connect() => {
+            ExchangeFailure::Connect(chain(&error))
+        }
+        _ => ExchangeFailure::Head(chain(&error)),
+    }
+}
+
+/// An error and all its causes.
+fn chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -234,6 +234,7 @@
                 "suspect_after_ms": self.plan.heartbeat_ms * 5
             },
             "limits": self.plan.limits,
+            "logs": {"level": "debug"},
             "fatal_invariants": true
         });
         let path = self.folder.join(format!("entry-{index}.jsonc"));
