Try an upstream that failed before one behind a known cut

What callers saw: 502 after 1.4 s, once, while a third upstream of the service was reachable moments later.

Cause: with no upstream both sound and reachable, the choice took all untried ones as equal, so one of the two attempts could go behind a cut that was known, and wait there.

Whether the call of the incident met just this can't be told from what is kept of it.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -200,13 +200,19 @@
             return Err(NoUpstream::NoneKnown);
         }
         let untried = || of_service().filter(|(known, _)| !tried.contains(&known.key));
-        let is_reachable =
-            |known: &Known| !state.is_zone_silent(&known.info.availability_zone, now);
+        let is_reachable = |(known, _): &(&Known, &Load)| {
+            !state.is_zone_silent(&known.info.availability_zone, now)
+        };
+        let is_sound = |(known, _): &(&Known, &Load)| !known.health.is_ejected(now);
         let mut open: Vec<(&Known, &Load)> = untried()
-            .filter(|(known, _)| !known.health.is_ejected(now) && is_reachable(known))
+            .filter(|one| is_sound(one) && is_reachable(one))
             .collect();
+        // One that failed lately may be back, and costs less to try than one that can't
+        // even be reached: that takes a timeout.
+        if open.is_empty() {
+            open = untried().filter(is_reachable).collect();
+        }
         if open.is_empty() {
-            // One that failed lately may be back; nothing else is left.
             open = untried().collect();
         }
         let candidates: Vec<Candidate<'_>> = open
--- a/crates/engines/tests/engines/view.rs
+++ b/crates/engines/tests/engines/view.rs
@@ -8,7 +8,7 @@
 use mangofront_routes::Upstream;
 use quickcheck::QuickCheck;
 
-use crate::support::{Fleet, SERVICE, question, review, upstream};
+use crate::support::{Fleet, SERVICE, demand, question, review, upstream};
 
 #[test]
 fn failed_left_and_tried_upstreams_are_passed_over() {
@@ -178,6 +178,33 @@
     assert!(next.iter().any(|one| one.answering().id == "i-1"));
 }
 
+/// A call was answered with an error, as its second attempt went to an upstream behind a
+/// cut that was known, while a third upstream, which had only failed lately, could be reached.
+#[test]
+fn an_upstream_that_failed_is_tried_before_one_behind_a_known_cut() {
+    let listed = vec![
+        upstream(0, SERVICE, "hall-a"),
+        upstream(1, SERVICE, "hall-b"),
+        upstream(2, SERVICE, "hall-c"),
+    ];
+    let fleet = Fleet::of(listed);
+    let keys: Vec<_> = fleet.listed.iter().map(key_of).collect();
+    fleet.upstreams.heard_zone("hall-b");
+    thread::sleep(Duration::from_millis(1_200));
+    fleet.upstreams.heard_zone("hall-c");
+    fleet.upstreams.failed(keys[2], Failure::Unreachable);
+    let plain = demand(0, 0, 300);
+    let chosen = |tried: &[u64]| {
+        let placed = fleet.upstreams.place(SERVICE, &plain, tried);
+        placed.expect("one is left").answering().id.clone()
+    };
+    for _ in 0..6 {
+        assert_eq!(chosen(&keys[..1]), "i-2");
+    }
+    // One behind a cut is better than none.
+    assert_eq!(chosen(&[keys[0], keys[2]]), "i-1");
+}
+
 /// Whatever is placed and ended in any order, nothing is left once all has ended.
 #[test]
 fn nothing_is_left_once_all_has_ended() {
