Bound each page of a long list, not the reading of all of it

What callers would see: after an outage a daemon that never serves. Found while looking for why a fleet of 302 daemons takes 30 s to serve after all were started at once.

Cause: a reading of everything had 2 s in all and began anew when they were over. While hundreds of daemons read at once, or the store is slow, the list is long enough that no reading ends, and each try adds to the load that makes the next one fail.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -196,7 +196,10 @@
 
 /// Reads what is published.
 pub trait Source {
-    /// Reads all values.
+    /// Reads all values; fails when a part of them takes longer than `timeout`.
+    ///
+    /// A whole list takes as long as it is long: were it bounded, one that many daemons read
+    /// at once would be begun again and again, and never end.
     fn read(&self, timeout: Duration) -> LocalBoxFuture<'_, Result<Snapshot, SourceError>>;
 
     /// Waits for changes after a position, up to `wait` and `timeout` on top.
--- a/crates/gateway/src/published_options.rs
+++ b/crates/gateway/src/published_options.rs
@@ -41,7 +41,7 @@
     /// Age up to which what a neighbour knows is taken; older, it is out of touch
     /// itself.
     pub relayed_age_limit: Duration,
-    /// Time for reading everything.
+    /// Time for each part of a reading of everything.
     pub read_timeout: Duration,
     /// Pause after a failed call; doubled up to `longest_pause`.
     pub first_pause: Duration,
