--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -10,44 +10,34 @@
 //! `mangofront-peers`, whose links would cost a round trip and several thread
 //! switches for each of these messages.
 
+mod asking;
+mod lives;
+mod relaying;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::net::UdpSocket;
-use compio::runtime::spawn;
-use futures_channel::mpsc::UnboundedReceiver;
 use futures_channel::oneshot;
-use futures_util::StreamExt;
 use mangofront_dissemination::{
-    Held, Life, Neighbour, Paths, RELAY_SILENCE, RELAYS, Scope, Sequence, Sequences, Teller,
-    Telling, WINDOW, life_of,
+    Held, Life, Neighbour, Paths, RELAYS, Sequence, Sequences, Teller, Telling, WINDOW,
 };
 use mangofront_engines::{News, Upstreams};
-use mangofront_peers::{Member, Peers, Service};
+use mangofront_peers::{Member, Peers};
 use mangofront_settings::ids::{AvailabilityZone, Incarnation, InstanceId};
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::copies::{CopyRequest, PublishedCopy};
-use crate::datagram::{
-    Confirmation, DATAGRAM_LIMIT_BYTES, Datagram, Message, Nonce, Relayed, parts,
-};
+use crate::datagram::{Confirmation, Datagram, Message, Nonce, parts};
 use crate::published::Published;
-use crate::published_options::ASK_TIMEOUT;
 
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
-/// Duty of watching what is published for a zone.
-const WATCH_DUTY: &str = "watch-published";
-
-/// Daemons of a zone that watch; two, so that one may fail.
-const WATCHERS: usize = 2;
-
 /// Duty of passing news on in a zone; the number of a slice follows.
 const RELAY_DUTY: &str = "relay-news";
 
@@ -59,13 +49,6 @@
 /// two turns of busy processors. Relays hold it for half a window twice.
 const TELLING_DELAY: Duration = Duration::from_millis(4);
 
-/// Time for a watcher to hand over what it has in force: some packets in its zone, and
-/// a turn of a busy processor for each of the others that ask at the same moment.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Time between two lists of all that has not ended.
-const REPEAT_PERIOD: Duration = Duration::from_secs(1);
-
 /// Pause after a failed reading, so that a lasting fault does not spin.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -93,14 +76,6 @@
 /// Name of a daemon that watches.
 pub(crate) type Watcher = InstanceId;
 
-/// Which life of a daemon something is of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Known {
-    New,
-    Before,
-    Ended,
-}
-
 /// News from and to the other daemons.
 #[derive(Debug)]
 pub struct Sharing {
@@ -163,97 +138,6 @@
         }))
     }
 
-    /// Tells the others what comes out of `news`, for ever.
-    pub async fn tell(self: Rc<Self>, mut news: UnboundedReceiver<News>) {
-        while let Some(first) = news.next().await {
-            let mut batch = vec![first];
-            while let Ok(next) = news.try_recv() {
-                batch.push(next);
-            }
-            let paths = self.paths();
-            if paths.is_relayed(self.relay_from_daemons) {
-                self.tell_by_relays(batch, &paths).await;
-            } else {
-                self.tell_all(batch, &paths).await;
-            }
-        }
-    }
-
-    async fn tell_all(&self, news: Vec<News>, paths: &Paths) {
-        for part in parts(news) {
-            let message = Message::News(self.next_sequence(), part);
-            self.send_all(message, &paths.others).await;
-        }
-    }
-
-    /// Has the relays of the zone tell the others; does so itself while nothing is
-    /// heard of them.
-    async fn tell_by_relays(self: &Rc<Self>, news: Vec<News>, paths: &Paths) {
-        let is_heard = |at: Instant| at.elapsed() < RELAY_SILENCE;
-        let Some(slice) = paths.slice(paths.slice_of(self.daemon)) else {
-            return self.tell_all(news, paths).await;
-        };
-        if slice.rank.is_none() && !self.relay_heard.get().is_some_and(is_heard) {
-            self.tell_all(news.clone(), paths).await;
-        }
-        for part in parts(news) {
-            let telling = Telling {
-                teller: self.teller(),
-                sequence: self.next_sequence(),
-                news: part,
-            };
-            if let Some(rank) = slice.rank {
-                self.hold(telling.clone(), Scope::Fleet, rank);
-            }
-            let message = Message::PassOn(Scope::Fleet, vec![telling]);
-            self.send_all(message, &slice.relays).await;
-        }
-    }
-
-    /// Holds a telling until it is to be passed on.
-    fn hold(self: &Rc<Self>, telling: Telling<News>, scope: Scope, rank: usize) {
-        let now = Instant::now();
-        self.held.borrow_mut().hold(telling, scope, rank, now);
-        if !self.is_passing_on.replace(true) {
-            spawn(Rc::clone(self).pass_on()).detach();
-        }
-    }
-
-    /// Passes on what is held, until nothing is left.
-    async fn pass_on(self: Rc<Self>) {
-        loop {
-            let Some(due) = self.held.borrow().next_due() else {
-                self.is_passing_on.set(false);
-                return;
-            };
-            compio::time::sleep_until(due).await;
-            let due = self.held.borrow_mut().take_due(Instant::now());
-            let paths = self.paths();
-            self.pass_on_far(&due, &paths).await;
-            let all = due.into_iter().map(|(_, telling)| telling).collect();
-            for part in parts(all) {
-                self.send_all(Message::PassedOn(part), &paths.zone).await;
-            }
-        }
-    }
-
-    /// Passes on to the relays of the other zones what they have not heard.
-    async fn pass_on_far(&self, due: &[(Scope, Telling<News>)], paths: &Paths) {
-        let mut by_slice: BTreeMap<usize, Vec<Telling<News>>> = BTreeMap::new();
-        let unheard = due.iter().filter(|(scope, _)| *scope == Scope::Fleet);
-        for (_, telling) in unheard {
-            let slice = paths.slice_of(telling.teller.daemon);
-            by_slice.entry(slice).or_default().push(telling.clone());
-        }
-        for (slice, tellings) in by_slice {
-            let far_relays = paths.slice(slice).map(|slice| slice.far_relays.as_slice());
-            for part in parts(tellings) {
-                let message = Message::PassOn(Scope::Zone, part);
-                self.send_all(message, far_relays.unwrap_or_default()).await;
-            }
-        }
-    }
-
     async fn send_all(&self, message: Message, to: &[SocketAddr]) {
         let datagram = Datagram::write(self.teller(), message);
         for address in to {
@@ -321,50 +205,6 @@
         }
     }
 
-    /// Whether this daemon is one of those that watch what is published for
-    /// their zone.
-    pub(crate) fn is_watcher(&self) -> bool {
-        self.peers.is_delegate(WATCH_DUTY, WATCHERS)
-    }
-
-    /// Asks a watcher of the zone how far it knows what is published.
-    pub(crate) async fn ask(&self) -> Option<(Watcher, Confirmation)> {
-        let nonce = self.next_draw();
-        let watchers = self.peers.delegates(WATCH_DUTY, WATCHERS);
-        let own = self.peers.address();
-        let others: Vec<Member> = watchers
-            .into_iter()
-            .filter(|member| member.address != own)
-            .collect();
-        let watcher = others.get(nonce as usize % others.len().max(1))?;
-        let (answer, answered) = oneshot::channel();
-        self.asked.borrow_mut().insert(nonce, answer);
-        let to = self.news_address(watcher);
-        self.send(self.datagram(Message::Ask(nonce)), to).await;
-        let answered = compio::time::timeout(ASK_TIMEOUT, answered).await;
-        self.asked.borrow_mut().remove(&nonce);
-        let known = answered.ok()?.ok()?;
-        Some((watcher.instance.clone(), known))
-    }
-
-    /// Has a watcher hand over what it has in force.
-    pub(crate) async fn fetch(
-        &self,
-        watcher: &Watcher,
-        request: &CopyRequest,
-    ) -> Option<PublishedCopy> {
-        let call = self
-            .peers
-            .call(watcher, Service::Platform, request.write(), FETCH_TIMEOUT);
-        match call.await {
-            Ok(answer) => PublishedCopy::read(&answer),
-            Err(error) => {
-                log::debug!("gateway: what is published was not handed over: {error}");
-                None
-            }
-        }
-    }
-
     /// Daemons of the own zone, this one included.
     pub(crate) fn zone_daemons(&self) -> usize {
         self.paths().zone.len() + 1
@@ -377,21 +217,6 @@
         nonce
     }
 
-    /// Tells the daemons of the zone what has changed.
-    pub(crate) async fn tell_changed(&self, relayed: Relayed) {
-        let unread = Relayed {
-            upstreams: None,
-            ..relayed
-        };
-        let mut datagram = self.datagram(Message::Changed(relayed));
-        if datagram.len() > DATAGRAM_LIMIT_BYTES {
-            datagram = self.datagram(Message::Changed(unread));
-        }
-        for address in &self.paths().zone {
-            self.send(datagram.clone(), *address).await;
-        }
-    }
-
     /// Hears what the others tell, for ever.
     pub async fn hear(self: Rc<Self>) {
         let mut buffer = Vec::with_capacity(BUFFER_BYTES);
@@ -413,34 +238,6 @@
         }
     }
 
-    /// Tells the others each second of all that has not ended, for ever.
-    ///
-    /// Each daemon at a moment of its own: daemons that started together would all
-    /// tell at once, and be silent for the rest of the second.
-    pub async fn repeat(self: Rc<Self>) {
-        let share = self.daemon as f64 / u64::MAX as f64;
-        compio::time::sleep(REPEAT_PERIOD.mul_f64(share)).await;
-        loop {
-            compio::time::sleep(REPEAT_PERIOD).await;
-            self.upstreams.tell_running();
-        }
-    }
-
-    /// Forgets the work of a daemon that is gone.
-    pub fn gone(&self, instance: &InstanceId) {
-        let daemon = xxh3_64(instance.as_bytes());
-        if let Some(incarnation) = self.lives.borrow_mut().remove(&daemon) {
-            self.forget(daemon, incarnation);
-        }
-    }
-
-    /// Forgets a life that has ended, and its work.
-    fn forget(&self, daemon: u64, incarnation: Incarnation) {
-        let life = life_of(daemon, incarnation);
-        self.upstreams.forget(life);
-        self.sequences.borrow_mut().forget(life);
-    }
-
     /// Tells a daemon that has just started, or was out of reach, of all that has
     /// not ended.
     async fn introduce(&self, to: SocketAddr) {
@@ -509,21 +306,6 @@
         }
     }
 
-    /// Takes in what a daemon told; whether it was new.
-    async fn take_telling(&self, telling: &Telling<News>) -> bool {
-        let teller = &telling.teller;
-        let from = SocketAddr::new(teller.address, self.own.port());
-        if !self.meet(teller, from).await {
-            return false;
-        }
-        let life = teller.life();
-        let is_new = self.sequences.borrow_mut().is_new(life, telling.sequence);
-        if is_new {
-            self.take_news(life, telling.news.clone(), from).await;
-        }
-        is_new
-    }
-
     async fn take_news(&self, life: Life, news: Vec<News>, from: SocketAddr) {
         let mut has_unknown = false;
         for one in news {
@@ -534,41 +316,6 @@
         }
     }
 
-    /// Notes that a daemon at `from` lives; false if this life of it has ended, or it
-    /// is this one.
-    async fn meet(&self, other: &Teller, from: SocketAddr) -> bool {
-        if other.daemon == self.daemon {
-            return false;
-        }
-        let known = self.know(other);
-        if known == Known::Ended {
-            return false;
-        }
-        self.upstreams.heard_zone(&other.zone);
-        if known == Known::New {
-            self.introduce(from).await;
-        }
-        true
-    }
-
-    /// Whether this life of a daemon is known; work of an earlier one ended with it
-    /// and is forgotten.
-    fn know(&self, other: &Teller) -> Known {
-        let mut lives = self.lives.borrow_mut();
-        let before = lives.get(&other.daemon).copied();
-        if before.is_some_and(|before| before > other.incarnation) {
-            return Known::Ended;
-        }
-        if before == Some(other.incarnation) {
-            return Known::Before;
-        }
-        lives.insert(other.daemon, other.incarnation);
-        if let Some(before) = before {
-            self.forget(other.daemon, before);
-        }
-        Known::New
-    }
-
     /// This daemon, as it names itself.
     fn teller(&self) -> Teller {
         Teller {
