Tell what callers got of prompts of each size

Added: a fingerprint (organisation, method, path, body; BLAKE3) on the lines of placement, failed attempt and end; what the caller got (disposition) and the target on the line of the end; a counter by class, size and disposition; `mangofront losses`, which puts requests of many daemons into tenths by size. The start of the upstream's life stands on the line of a failed attempt.

No decision is changed.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -60,6 +60,9 @@
     #[error("trace: none of {lines} lines names request {request}")]
     #[diagnostic(help("was it served by these daemons, and do the logs reach back so far?"))]
     NoSuchRequest { request: String, lines: usize },
+    #[error("losses: none of {lines} lines tells how a prompt ended")]
+    #[diagnostic(help("are these the logs of daemons that serve published routes?"))]
+    NoRequests { lines: usize },
     #[error("stand-in: `{0}` is not NAME=VALUE")]
     BadSetting(String),
     #[error("stand-in: its settings don't fit: {0}")]
@@ -91,9 +94,10 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Output(cause) if is_closed(cause) => ExitCode::SUCCESS,
-            Self::Faulty(_) | Self::Refused { .. } | Self::NoSuchRequest { .. } => {
-                ExitCode::from(EXIT_FAULT)
-            }
+            Self::Faulty(_)
+            | Self::Refused { .. }
+            | Self::NoSuchRequest { .. }
+            | Self::NoRequests { .. } => ExitCode::from(EXIT_FAULT),
             _ => ExitCode::from(EXIT_UNASKED),
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,8 @@
 mod check;
 mod error;
 mod explain;
+mod lines;
+mod losses;
 mod output;
 mod standin;
 mod status;
@@ -46,6 +48,10 @@
       Shows a request's story out of the structured logs of any number of
       daemons, read from the files or from standard input. Exit 1 when no line
       names the request.
+  mangofront losses [FILE]...
+      Counts what callers got of prompts of each size, out of the structured
+      logs of any number of daemons, read from the files or from standard input:
+      a row for each route and each tenth of its requests by size.
   mangofront standin engine|service|platform|weights --address ADDR
                      [--count N] [--settings FILE] [--set NAME=VALUE]...
       Runs an emulator until SIGTERM or SIGINT, or N alike on consecutive ports. A VALUE is JSON, or else a
@@ -86,6 +92,7 @@
         Some("audit") => audit::run(arguments)?,
         Some("explain") => explain::run(arguments)?,
         Some("trace") => return trace::run(arguments),
+        Some("losses") => return losses::run(arguments),
         Some("standin") => standin::run(arguments)?,
         Some(other) => return Err(CliError::UnknownCommand(other.to_owned())),
         None => version_or_nothing(arguments)?,
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -7,14 +7,14 @@
 //! took along when it was killed has no last line; the daemon's next start is shown.
 
 use std::collections::BTreeSet;
-use std::io::{self, Read};
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::error::CliError;
-use crate::{finish, output};
+use crate::lines::{Line, Lines};
+use crate::output;
 
 /// Time around a request in which lines about its upstreams belong to its story,
 /// in milliseconds.
@@ -29,69 +29,14 @@
 /// Fields that stand at the start of a printed line or say nothing there.
 const LEADING_FIELDS: [&str; 4] = ["time", "level", "message", "request"];
 
-/// One structured line.
-#[derive(Debug)]
-struct Line {
-    time_ms: i64,
-    /// What stood before the object: usually the daemon's name, at times behind a
-    /// time of its own.
-    source: String,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    /// Name of the daemon: the last word before the object.
-    fn daemon(&self) -> Option<&str> {
-        self.source.split_whitespace().last()
-    }
-}
-
-/// What was read, and what of it was no line of a daemon.
-#[derive(Debug, Default)]
-struct Lines {
-    lines: Vec<Line>,
-    foreign: usize,
-    is_torn: bool,
-}
-
 pub(crate) fn run(mut arguments: Arguments) -> Result<ExitCode, CliError> {
     let request: String = arguments.free_from_str()?;
-    let mut text = String::new();
-    let mut has_file = false;
-    while let Some(path) = arguments.opt_free_from_str::<String>()? {
-        has_file = true;
-        let unreadable = |cause| CliError::Unreadable {
-            path: path.clone(),
-            cause,
-        };
-        let bytes = std::fs::read(&path).map_err(unreadable)?;
-        text.push_str(&String::from_utf8_lossy(&bytes));
-    }
-    finish(arguments)?;
-    if !has_file {
-        let mut bytes = Vec::new();
-        let unreadable = |cause: io::Error| CliError::Unreadable {
-            path: "standard input".to_owned(),
-            cause,
-        };
-        io::stdin().read_to_end(&mut bytes).map_err(unreadable)?;
-        text = String::from_utf8_lossy(&bytes).into_owned();
-    }
-    let mut read = read_lines(&text);
-    read.lines.sort_by_key(|line| line.time_ms);
+    let read = Lines::read(arguments)?;
     let story = story(&read.lines, &request);
     for line in &story {
         output::print(&format!("{}\n", sentence(line)))?;
     }
-    if read.foreign > 0 {
-        eprintln!(
-            "trace: {} lines are no structured lines of a daemon",
-            read.foreign
-        );
-    }
-    if read.is_torn {
-        eprintln!("trace: the last line is torn");
-    }
+    read.report_passed_over("trace");
     if story.is_empty() {
         return Err(CliError::NoSuchRequest {
             request,
@@ -101,33 +46,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn read_lines(text: &str) -> Lines {
-    let mut read = Lines::default();
-    let mut rows = text.lines().filter(|row| !row.trim().is_empty()).peekable();
-    while let Some(row) = rows.next() {
-        let is_last = rows.peek().is_none() && !text.ends_with('\n');
-        match read_line(row) {
-            Some(line) => read.lines.push(line),
-            None if is_last && row.contains('{') => read.is_torn = true,
-            None => read.foreign += 1,
-        }
-    }
-    read
-}
-
-fn read_line(row: &str) -> Option<Line> {
-    let start = row.find('{')?;
-    let (source, object) = row.split_at(start);
-    let fields: Map<String, Value> = serde_json::from_str(object.trim_end()).ok()?;
-    let time: jiff::Timestamp = fields.get("time")?.as_str()?.parse().ok()?;
-    fields.get("message")?;
-    Some(Line {
-        time_ms: time.as_millisecond(),
-        source: source.trim().to_owned(),
-        fields,
-    })
-}
-
 /// The lines of a request, with those about its upstreams around it.
 fn story<'a>(lines: &'a [Line], request: &str) -> Vec<&'a Line> {
     let names = |line: &Line, name: &str| line.fields.get(name)?.as_str().map(str::to_owned);
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -62,6 +62,21 @@
     TooLarge,
 }
 
+impl NoUpstream {
+    /// Stable code, for metrics, logs and callers.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::NoneKnown => "no_upstream_known",
+            Self::AllTried => "all_upstreams_tried",
+            Self::Busy => "upstreams_busy",
+            Self::Overrun => "engines_overrun",
+            Self::Full => "all_slots_taken",
+            Self::TooLarge => "no_memory_for_prompt",
+        }
+    }
+}
+
 /// One upstream's share in a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reader {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -197,6 +197,7 @@
     let organisation = call.organisation.as_ref();
     Ended {
         request: &call.id,
+        fingerprint: call.fingerprint,
         route: &call.route.name,
         organisation: organisation.map_or("none", |organisation| &organisation.id),
         outcome: RequestOutcome::Cancelled,
@@ -206,6 +207,7 @@
         attempts: history.sent,
         readers: 0,
         prompt_tokens: call.tokens.map_or(0, |tokens| tokens.prompt_tokens),
+        target: call.route.target,
         waited: history.waited,
         expected: Duration::ZERO,
         first_event: None,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -179,18 +179,10 @@
             };
         }
         match failed {
-            Failed::NoUpstream(NoUpstream::NoneKnown) => not_run("no_upstream_known"),
-            Failed::NoUpstream(NoUpstream::AllTried) => not_run("all_upstreams_tried"),
-            Failed::NoUpstream(NoUpstream::Busy) => not_run("upstreams_busy"),
-            Failed::NoUpstream(NoUpstream::Overrun) => Refusal::NotRun {
-                reason: "engines_overrun",
-                retry_after: RETRY_AFTER_OVERRUN,
+            Failed::NoUpstream(reason) => Refusal::NotRun {
+                reason: reason.code(),
+                retry_after: retry_after(reason),
             },
-            Failed::NoUpstream(NoUpstream::Full) => Refusal::NotRun {
-                reason: "all_slots_taken",
-                retry_after: RETRY_AFTER_SLOTS,
-            },
-            Failed::NoUpstream(NoUpstream::TooLarge) => not_run("no_memory_for_prompt"),
             Failed::Unreachable(_) => not_run("upstreams_unreachable"),
             Failed::NotRun(_) => not_run("upstream_did_not_run_it"),
             Failed::MayHaveRun(reason) => Refusal::Unknown { reason },
@@ -199,6 +191,17 @@
     }
 }
 
+/// When a caller may come back for whom no upstream was chosen.
+fn retry_after(reason: NoUpstream) -> Duration {
+    match reason {
+        NoUpstream::Overrun => RETRY_AFTER_OVERRUN,
+        NoUpstream::Full => RETRY_AFTER_SLOTS,
+        NoUpstream::NoneKnown | NoUpstream::AllTried | NoUpstream::Busy | NoUpstream::TooLarge => {
+            RETRY_AFTER_FULL
+        }
+    }
+}
+
 /// Sends the request to one more upstream and waits for its answer's head.
 pub(crate) async fn attempt(
     gateway: &Gateway,
@@ -240,7 +243,7 @@
         Ok(_) => metrics.attempt_ended(zone, "answered"),
         Err(failed) => {
             metrics.attempt_ended(zone, failed.code());
-            trace::attempt_failed(&call.id, &upstream.id, failed.code(), &failed.to_string());
+            trace::attempt_failed(call, &upstream, failed.code(), &failed.to_string());
         }
     }
     Ok(Answering {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
 use crate::answer;
 use crate::dialect::{CallHead, EventId, TokenCounts};
 use crate::drain::Stage;
+use crate::fingerprint::Fingerprint;
 use crate::gateway::{Gateway, InProgress};
 use crate::refusal::Refusal;
 use crate::trace;
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) id: String,
+    /// Ties it to what its caller sent before.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     /// When an answer is of no more use to the caller, or its route's time is up.
     pub(crate) deadline: Instant,
@@ -91,8 +94,12 @@
     let mut response = match served {
         Ok((admitted, body)) => {
             let patience = admitted.head.patience.unwrap_or(admitted.route.timeout);
+            let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+            let organisation = admitted.organisation.as_ref();
+            let organisation = organisation.map(|organisation| organisation.id.as_str());
             let call = Call {
                 id: admitted.head.request_id,
+                fingerprint: Fingerprint::of(organisation, &head.method, path, &body),
                 arrived,
                 deadline: arrived + patience.min(admitted.route.timeout),
                 route: admitted.route,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod dialect;
 mod drain;
 mod events;
+mod fingerprint;
 mod follow;
 mod gateway;
 mod horizon;
@@ -43,6 +44,7 @@
     Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
 };
 pub use events::{EventFramer, FramedEvents};
+pub use fingerprint::Fingerprint;
 pub use gateway::{Gateway, GatewayParts};
 pub use horizon::{Continuation, Horizon};
 pub use lease::Lease;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -273,12 +273,8 @@
             let key = key_of(&broken.upstream);
             self.gateway
                 .leave_out(key, Failure::Unreachable, &self.call.id);
-            trace::attempt_failed(
-                &self.call.id,
-                &broken.upstream.id,
-                "broken_off",
-                &failed.to_string(),
-            );
+            let reason = failed.to_string();
+            trace::attempt_failed(&self.call, &broken.upstream, "broken_off", &reason);
             let zone = &broken.upstream.availability_zone;
             self.gateway
                 .parts()
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -7,13 +7,14 @@
 
 use std::time::Duration;
 
-use mangofront_engines::{Failure, Placed};
+use mangofront_engines::{Failure, NoUpstream, Placed};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
-use mangofront_telemetry::metrics::{LengthBucket, Metrics, RequestOutcome};
+use mangofront_telemetry::metrics::{Disposition, LengthBucket, Metrics, RequestOutcome};
 
 use crate::attempts::History;
 use crate::call::Call;
 use crate::dialect::Position;
+use crate::fingerprint::Fingerprint;
 use crate::lease::Lease;
 use crate::provenance::Provenance;
 use crate::published::Published;
@@ -130,6 +131,7 @@
         .collect();
     log::info!(
         request = call.id.as_str(),
+        fingerprint = call.fingerprint.to_string().as_str(),
         route = call.route.name.as_str(),
         prompt_tokens = call.tokens.map_or(0, |tokens| tokens.prompt_tokens),
         attempt = history.tried.len() + 1,
@@ -148,9 +150,16 @@
 }
 
 /// An upstream failed a request, or answered that it had not run it.
-pub(crate) fn attempt_failed(request: &str, upstream: &str, outcome: &str, reason: &str) {
-    log::info!(request = request, upstream = upstream, outcome = outcome, reason = reason;
-        "gateway: attempt failed");
+pub(crate) fn attempt_failed(call: &Call, upstream: &Upstream, outcome: &str, reason: &str) {
+    log::info!(
+        request = call.id.as_str(),
+        fingerprint = call.fingerprint.to_string().as_str(),
+        upstream = upstream.id.as_str(),
+        upstream_started_at_ms = upstream.started_at_ms,
+        outcome = outcome,
+        reason = reason;
+        "gateway: attempt failed"
+    );
 }
 
 /// An upstream gets no requests for a while.
@@ -194,6 +203,7 @@
 #[derive(Debug)]
 pub(crate) struct Ended<'a> {
     pub(crate) request: &'a str,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: &'a str,
     pub(crate) organisation: &'a str,
     pub(crate) outcome: RequestOutcome,
@@ -204,6 +214,8 @@
     /// Engines that read the prompt.
     pub(crate) readers: usize,
     pub(crate) prompt_tokens: u64,
+    /// Time to the first event, or to the whole answer, that is aimed at.
+    pub(crate) target: Duration,
     /// Time for which the request waited for engines with less to do.
     pub(crate) waited: Duration,
     /// Time to the first event, as predicted when it was placed.
@@ -216,26 +228,50 @@
 }
 
 impl Ended<'_> {
+    /// What the caller got.
+    fn disposition(&self) -> Disposition {
+        let is_refused_for_load = self.reason == NoUpstream::Overrun.code();
+        match self.outcome {
+            RequestOutcome::Answered if self.first_event.unwrap_or(self.took) <= self.target => {
+                Disposition::ServedInTime
+            }
+            RequestOutcome::Answered => Disposition::ServedLate,
+            RequestOutcome::NotRun if !is_refused_for_load => Disposition::RefusedOtherwise,
+            RequestOutcome::NotRun if self.waited.is_zero() => Disposition::RefusedAtArrival,
+            RequestOutcome::NotRun => Disposition::RefusedAfterWait,
+            RequestOutcome::Cancelled => Disposition::Left,
+            RequestOutcome::Failed => Disposition::BrokenOff,
+            RequestOutcome::Unknown => Disposition::Unanswered,
+        }
+    }
+
     /// Writes the line and counts the request.
     pub(crate) fn write(&self, metrics: &Metrics) {
         metrics.request_ended(self.route, self.outcome);
         metrics.request_took(self.route, self.outcome, self.took);
         metrics.organisation_ended(self.organisation, self.outcome);
+        let disposition = self.disposition();
+        if self.prompt_tokens > 0 {
+            metrics.prompt_ended(self.route, self.prompt_tokens, disposition);
+        }
         if let Some(first_event) = self.first_event {
             let length = LengthBucket::of(self.prompt_tokens);
             metrics.first_token(self.route, length, first_event);
         }
         log::info!(
             request = self.request,
+            fingerprint = self.fingerprint.to_string().as_str(),
             route = self.route,
             organisation = self.organisation,
             outcome = self.outcome.name(),
+            disposition = disposition.name(),
             reason = self.reason,
             status = self.status,
             upstream = self.upstream,
             attempts = self.attempts,
             readers = self.readers,
             prompt_tokens = self.prompt_tokens,
+            target_ms = milliseconds(self.target),
             waited_ms = milliseconds(self.waited),
             expected_ms = milliseconds(self.expected),
             first_event_ms = self.first_event.map_or(0, milliseconds),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -19,7 +19,7 @@
 use thiserror::Error;
 
 use instruments::Instruments;
-pub use labels::{PeerState, RequestOutcome};
+pub use labels::{Disposition, PeerState, RequestOutcome};
 pub use mangofront_prompt::LengthBucket;
 
 /// Start of every metric's name.
@@ -134,6 +134,19 @@
         histogram.record(after.as_secs_f64(), &labels);
     }
 
+    /// Counts a prompt that ended, by its size.
+    ///
+    /// The counts of all daemons add up, so that the share of any size of a class that
+    /// was served can be read off them.
+    pub fn prompt_ended(&self, class: &str, prompt_tokens: u64, disposition: Disposition) {
+        let labels = [
+            label("class", class),
+            label("tokens_up_to", size_limit_tokens(prompt_tokens).to_string()),
+            label("disposition", disposition.name()),
+        ];
+        self.0.instruments.prompts.add(1, &labels);
+    }
+
     /// Counts a stream as in flight until the guard is dropped.
     pub fn stream_started(&self) -> InFlightStream {
         self.0.instruments.in_flight_streams.add(1, &[]);
@@ -179,6 +192,25 @@
     }
 }
 
+/// Least size of a prompt that is told apart, in tokens.
+const LEAST_SIZE_TOKENS: u64 = 1_024;
+
+/// Size from which on prompts are told apart no more, in tokens.
+const LARGEST_SIZE_TOKENS: u64 = 2_097_152;
+
+/// Upper limit of a prompt's size among powers of two and the middles between them, in
+/// tokens.
+fn size_limit_tokens(prompt_tokens: u64) -> u64 {
+    let power = prompt_tokens
+        .clamp(LEAST_SIZE_TOKENS, LARGEST_SIZE_TOKENS)
+        .next_power_of_two();
+    let middle = power / 4 * 3;
+    match prompt_tokens <= middle && middle > LEAST_SIZE_TOKENS {
+        true => middle,
+        false => power,
+    }
+}
+
 /// Organisations that have series of their own.
 const ORGANISATIONS_LIMIT: usize = 48;
 
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct Instruments {
     pub(super) requests: Counter<u64>,
+    pub(super) prompts: Counter<u64>,
     pub(super) time_to_first_token: Histogram<f64>,
     pub(super) in_flight_streams: UpDownCounter<i64>,
     pub(super) tokens_relayed: Counter<u64>,
@@ -46,6 +47,10 @@
         observe_dropped_lines(meter);
         Self {
             requests: counter("requests", "Requests that ended, by class and outcome"),
+            prompts: counter(
+                "prompts",
+                "Prompts that ended, by class, size and what their callers got",
+            ),
             time_to_first_token: meter
                 .f64_histogram("time_to_first_token")
                 .with_description("Time from a request's arrival to its first token")
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -29,6 +29,46 @@
     }
 }
 
+/// What a caller got of a prompt of one size.
+///
+/// Tells apart why one was not served, which [`RequestOutcome`] does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disposition {
+    /// The first event came within the target.
+    ServedInTime,
+    /// It was served, and the first event came after the target.
+    ServedLate,
+    /// Refused for load as it came.
+    RefusedAtArrival,
+    /// Refused for load after it was held back.
+    RefusedAfterWait,
+    /// Refused for another reason: no memory, no slot, all upstreams tried.
+    RefusedOtherwise,
+    /// The caller went away.
+    Left,
+    /// The answer broke off.
+    BrokenOff,
+    /// It may have run and no answer came.
+    Unanswered,
+}
+
+impl Disposition {
+    /// Name in metrics and logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::ServedInTime => "served_in_time",
+            Self::ServedLate => "served_late",
+            Self::RefusedAtArrival => "refused_at_arrival",
+            Self::RefusedAfterWait => "refused_after_wait",
+            Self::RefusedOtherwise => "refused_otherwise",
+            Self::Left => "left",
+            Self::BrokenOff => "broken_off",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// What is known of another daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerState {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -443,3 +443,35 @@
         .join("\n===\n")
     );
 }
+
+/// A line of a request that ended, as a daemon writes it.
+fn ended(second: u32, fingerprint: &str, tokens: u64, disposition: &str, first_ms: u64) -> String {
+    format!(
+        "front-a {{\"time\":\"2026-03-03T01:01:{second:02}.000Z\",\"level\":\"INFO\",\
+         \"message\":\"gateway: request ended\",\"request\":\"r\",\"route\":\"review\",\
+         \"fingerprint\":\"{fingerprint}\",\"disposition\":\"{disposition}\",\
+         \"prompt_tokens\":{tokens},\"target_ms\":4000,\"first_event_ms\":{first_ms},\
+         \"took_ms\":1000}}\n"
+    )
+}
+
+#[test]
+fn losses_counts_what_callers_got_of_each_size() {
+    let mut lines: String = (1..=8)
+        .map(|size| ended(10, &format!("f{size}"), size * 1_000, "served_in_time", 300))
+        .collect();
+    // Refused, and served late for its caller when it came back.
+    lines += &ended(11, "f9", 9_000, "refused_after_wait", 0);
+    lines += &ended(16, "f9", 9_000, "served_in_time", 500);
+    // Refused twice.
+    lines += &ended(12, "f10", 10_000, "refused_at_arrival", 0);
+    lines += &ended(17, "f10", 10_000, "refused_at_arrival", 0);
+    // The same was asked for long before, and served.
+    lines += &ended(13, "f1", 1_000, "left", 0);
+    lines += "a line of something else\n";
+    let logs = TemporaryFile::new("losses.log", &lines);
+    let empty = TemporaryFile::new("losses-empty.log", "nothing\n");
+    let counted = tool(&["losses", logs.name()]);
+    let none = tool(&["losses", empty.name()]);
+    insta::assert_snapshot!([seen(&counted), seen(&none)].join("\n===\n"));
+}
