Count what became of the largest prompts over all daemons and callers

Cause: an open loop.

Change: what became of each of the largest prompts (refused, placed, lost, served) is kept for a minute by the caller's request, told to all daemons, and counted by size. One is refused only while 60 of 100 of its size are served without it; below 50 of 100 it is sent once it can't be in time in place of being held. Held prompts wait for two targets rather than three.

Tests replaced by as strict ones: the pattern of refusals at any peak now bounds the share served at every prefix; the draw by a lot is gone with its case, in its place a size of which nothing is known. New: a caller counts once, other daemons' count, a size lost too often is held no longer.

--- a/crates/engines/examples/choice_cost.rs
+++ b/crates/engines/examples/choice_cost.rs
@@ -106,7 +106,8 @@
         elapsed: Duration::ZERO,
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
-        lot: None,
+        request: 0,
+        is_refusable: false,
         connected: HashSet::new(),
     }
 }
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -10,8 +10,9 @@
 use thiserror::Error;
 
 use crate::layout::lay_out;
+use crate::shares::RequestName;
 use crate::upstream::{Known, Load};
-use crate::verdict::{Forecast, Verdict, judge};
+use crate::verdict::{Forecast, ServedWithout, Verdict, judge};
 use crate::weigh::{Weighing, read_after_ms};
 use crate::work::Part;
 
@@ -32,9 +33,10 @@
     pub waited: Duration,
     /// Time after which the request has ended for certain.
     pub time_left: Duration,
-    /// A number drawn for the request, by which some of the largest may be refused; none
-    /// if it was sent before, as it has cost engines already.
-    pub lot: Option<u64>,
+    /// Names the request over all the times that its caller sends it.
+    pub request: RequestName,
+    /// Whether it may be refused: nothing of it was sent yet, which has cost engines.
+    pub is_refusable: bool,
     /// Addresses to which a connection is open that the request can take.
     pub connected: HashSet<SocketAddr>,
 }
@@ -137,8 +139,8 @@
     pub(crate) draw: u64,
     /// Whether this daemon has just started and may not know of the others' requests.
     pub(crate) is_settling: bool,
-    /// Whether the request may be refused when engines are overrun.
-    pub(crate) may_refuse: bool,
+    /// How many prompts of the request's size are served without it.
+    pub(crate) served_without: ServedWithout,
 }
 
 /// Chooses among the upstreams of a plain service: the least loaded one.
@@ -223,7 +225,7 @@
         all_read_after_ms: (placed_ms + read_ms) / candidates.len() as f64,
     };
     let options = weighing.options();
-    match judge(forecast, demand, circumstances.may_refuse, options) {
+    match judge(forecast, demand, circumstances.served_without, options) {
         Verdict::Send => Ok(chosen),
         Verdict::Hold => Err(NoUpstream::Busy),
         Verdict::Refuse => Err(NoUpstream::Overrun),
--- a/crates/engines/src/news.rs
+++ b/crates/engines/src/news.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::shares::{Fate, RequestName, Size};
 use crate::work::{Part, UpstreamKey, Work, WorkId};
 
 /// One life of a daemon that tells news.
@@ -47,6 +48,15 @@
         /// Requests that write.
         writing: Vec<WorkId>,
     },
+    /// What became of one of the largest prompts.
+    Fate {
+        /// The request.
+        request: RequestName,
+        /// Its size.
+        size: Size,
+        /// What became of it.
+        fate: Fate,
+    },
     /// An upstream failed.
     Failed {
         /// The upstream.
--- a/crates/engines/src/placed.rs
+++ b/crates/engines/src/placed.rs
@@ -6,6 +6,7 @@
 
 use crate::choose::Reader;
 use crate::lives::LifeEnd;
+use crate::shares::{Fate, RequestName, Size};
 use crate::upstreams::Upstreams;
 use crate::work::WorkId;
 
@@ -25,6 +26,8 @@
     pub oldest_news: Duration,
     pub(crate) id: WorkId,
     pub(crate) is_read: bool,
+    /// The request and its size, if it is among the largest.
+    pub(crate) share: Option<(RequestName, Size)>,
     pub(crate) life_end: LifeEnd,
     pub(crate) upstreams: Upstreams,
 }
@@ -58,10 +61,20 @@
         }
         self.upstreams.note_read(self.id);
     }
+
+    /// Notes that the answer was passed on whole.
+    pub fn answered(&mut self) {
+        if let Some((request, size)) = self.share.take() {
+            self.upstreams.note_end(request, size, Fate::Served);
+        }
+    }
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
         self.upstreams.note_ended(self.id);
+        if let Some((request, size)) = self.share.take() {
+            self.upstreams.note_end(request, size, Fate::Lost);
+        }
     }
 }
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -10,8 +10,9 @@
 use crate::choose::Demand;
 use crate::lives::Lives;
 use crate::news::Origin;
-use crate::shedding::{Shedding, Size, is_drawn};
+use crate::shares::{Shares, Size};
 use crate::upstream::Known;
+use crate::verdict::ServedWithout;
 use crate::work::{UpstreamKey, Work, WorkId};
 
 /// Who placed a request: this daemon or another.
@@ -46,7 +47,8 @@
     pub(crate) zones: HashMap<AvailabilityZone, Instant>,
     /// The life that each upstream is in.
     pub(crate) lives: Lives,
-    pub(crate) shedding: Shedding,
+    /// What became of the largest prompts.
+    pub(crate) shares: Shares,
     /// Short prompts that other daemons place.
     pub(crate) shorts_of_others: Arrivals,
     /// Time until a placement of another daemon is heard of.
@@ -94,25 +96,34 @@
         oldest.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at))
     }
 
-    /// Size of a prompt that may be refused, if it is among the largest.
+    /// Size of a prompt, if it is among the largest.
     pub(crate) fn size(&self, service: &str, demand: &Demand) -> Option<Size> {
         let mut of_service = self.known.iter();
         let known = of_service.find(|known| known.info.service == service)?;
         let read_ms = known.figures.as_ref()?.read_ms(demand.prompt_tokens);
-        Size::of(read_ms, demand.target)
+        Size::of(service, read_ms, demand.target)
     }
 
-    /// Whether a prompt may be refused, as enough of its size are served.
-    pub(crate) fn may_refuse(
+    /// How many prompts of its size are served without a prompt.
+    pub(crate) fn served_without(
         &self,
         demand: &Demand,
         size: Option<Size>,
         options: &ChoiceOptions,
-    ) -> bool {
-        let is_drawn = |lot| is_drawn(lot, options.refusable_percent);
-        match (demand.lot, size) {
-            (Some(lot), Some(size)) => is_drawn(lot) && self.shedding.may_refuse(size),
-            _ => false,
+    ) -> ServedWithout {
+        let Some(size) = size else {
+            return ServedWithout::NotCounted;
+        };
+        let are_served = |percent| {
+            let shares = &self.shares;
+            shares.are_served_without(demand.request, size, percent)
+        };
+        if are_served(options.served_percent) {
+            ServedWithout::Enough
+        } else if are_served(options.promised_percent) {
+            ServedWithout::AsPromised
+        } else {
+            ServedWithout::TooFew
         }
     }
 
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -17,7 +17,7 @@
 use crate::health::Failure;
 use crate::news::{News, Origin, milliseconds, part_of, placed_news};
 use crate::placed::Placed;
-use crate::shedding::Size;
+use crate::shares::{Fate, RequestName, Size};
 use crate::state::{OWN, State};
 use crate::upstream::{Known, Load, loads};
 use crate::work::{UpstreamKey, Work, WorkId, key_of};
@@ -148,10 +148,14 @@
         }
         let size = state.size(service, demand);
         let choice = self.choose(&state, service, demand, size, tried, now);
-        match (&choice, size) {
-            (Ok(_), Some(size)) => state.shedding.placed(size),
-            (Err(NoUpstream::Overrun), Some(size)) => state.shedding.refused(size),
-            _ => {}
+        let fate = match &choice {
+            Ok(_) => Some(Fate::Placed),
+            Err(NoUpstream::Overrun) => Some(Fate::Refused),
+            Err(_) => None,
+        };
+        let share = size.map(|size| (demand.request, size));
+        if let (Some((request, size)), Some(fate)) = (share, fate) {
+            self.note_fate(&mut state, request, size, fate);
         }
         let choice = choice?;
         let id = state.next_work;
@@ -177,6 +181,7 @@
             oldest_news: state.oldest_news(now),
             id,
             is_read: false,
+            share,
             life_end,
             upstreams: self.clone(),
         })
@@ -243,7 +248,7 @@
                     draw: xxh3_64_with_seed(&state.next_work.to_le_bytes(), self.0.salt),
                     is_settling: now.saturating_duration_since(self.0.started)
                         < options.settling_time(),
-                    may_refuse: state.may_refuse(demand, size, options),
+                    served_without: state.served_without(demand, size, options),
                 };
                 choose_engines(&candidates, &figures, demand, options, circumstances)
             }
@@ -412,6 +417,13 @@
             News::Running { reading, writing } => {
                 return state.set_running(origin, &reading, &writing, now);
             }
+            News::Fate {
+                request,
+                size,
+                fate,
+            } => {
+                state.shares.note(request, size, fate, now);
+            }
             News::Failed {
                 upstream,
                 ejected_ms,
@@ -496,6 +508,22 @@
         self.tell(News::Ended { work: id });
     }
 
+    /// Notes what became of an own request that is among the largest.
+    pub(crate) fn note_end(&self, request: RequestName, size: Size, fate: Fate) {
+        let mut state = self.0.state.borrow_mut();
+        self.note_fate(&mut state, request, size, fate);
+    }
+
+    fn note_fate(&self, state: &mut State, request: RequestName, size: Size, fate: Fate) {
+        if state.shares.note(request, size, fate, self.now()) {
+            self.tell(News::Fate {
+                request,
+                size,
+                fate,
+            });
+        }
+    }
+
     fn tell(&self, news: News) {
         // Without a listener there are no other daemons to hear it.
         let _ = self.0.news.unbounded_send(news);
--- a/crates/engines/src/verdict.rs
+++ b/crates/engines/src/verdict.rs
@@ -10,9 +10,9 @@
 //! time. The largest are refused at their arrival only if engines have so much to read
 //! already that holding on is known to be in vain.
 //!
-//! Against refusing by the queue at arrival, this took the worth of simulated loads from
-//! 0.877 to 0.897 before 78 engines with seconds to spare, and from 0.904 to 0.909 and
-//! 0.836 to 0.841 before fewer or shorter targets, eight seeds each.
+//! How many of each size may be refused is steered by what became of the others of it
+//! ([`crate::shares`]). A size that was served too seldom is not refused, and is sent
+//! while there is time to answer it rather than held for a shorter queue.
 
 use mangofront_settings::process::ChoiceOptions;
 
@@ -43,11 +43,24 @@
     Refuse,
 }
 
-/// Decides what becomes of a prompt; `may_refuse` whether enough of its size are served.
+/// How many of a prompt's size are served without it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServedWithout {
+    /// As many as are to be served, so that it may be refused.
+    Enough,
+    /// Fewer than that, and as many as are promised.
+    AsPromised,
+    /// Fewer than are promised.
+    TooFew,
+    /// It is none of the largest, and never refused for its size.
+    NotCounted,
+}
+
+/// Decides what becomes of a prompt.
 pub(crate) fn judge(
     forecast: Forecast,
     demand: &Demand,
-    may_refuse: bool,
+    served_without: ServedWithout,
     options: &ChoiceOptions,
 ) -> Verdict {
     let is_split = forecast.read_ms > options.unsplit_read_ms;
@@ -55,6 +68,7 @@
     if !is_split || joins {
         return Verdict::Send;
     }
+    let may_refuse = served_without == ServedWithout::Enough && demand.is_refusable;
     let is_overrun = forecast.all_read_after_ms > options.overrun_ms;
     if may_refuse && is_overrun && demand.waited.is_zero() {
         return Verdict::Refuse;
@@ -68,6 +82,10 @@
     if may_refuse {
         return Verdict::Refuse;
     }
+    // Held on, it might be sent too late to be answered before its caller leaves.
+    if served_without == ServedWithout::TooFew {
+        return Verdict::Send;
+    }
     // One that comes back has less time left than a late one may wait.
     let time_left_ms = demand.time_left.as_secs_f64() * 1_000.0;
     let has_time = time_left_ms > forecast.read_after_ms + target_ms;
--- a/crates/engines/tests/engines/choice.rs
+++ b/crates/engines/tests/engines/choice.rs
@@ -133,18 +133,36 @@
 /// A review that may be refused, some time after it came.
 fn refusable(tokens: u64, elapsed_ms: u64) -> Demand {
     Demand {
-        lot: Some(0),
+        is_refusable: true,
         ..after(&review(tokens), elapsed_ms)
     }
 }
 
+/// Callers whose reviews of a size were served, by the numbers of their requests.
+fn served_before(fleet: &Fleet, tokens: u64, requests: std::ops::Range<u64>) {
+    for request in requests {
+        let review = Demand {
+            request,
+            ..after(&review(tokens), LATE_MS)
+        };
+        fleet.place(&review).expect("it is placed").answered();
+    }
+}
+
+/// Guards against a size being refused more often than is promised, whatever the peak.
 #[test]
-fn of_the_longest_prompts_some_are_placed_at_any_peak() {
+fn of_the_longest_prompts_most_are_placed_at_any_peak() {
     let (fleet, mut running) = busy_engines(4);
-    let longest = refusable(220_000, 2_400);
-    let late = refusable(220_000, LATE_MS);
     let mut outcomes = String::new();
-    for _ in 0..12 {
+    for request in 1..=16 {
+        let longest = Demand {
+            request,
+            ..refusable(220_000, 2_400)
+        };
+        let late = Demand {
+            request,
+            ..refusable(220_000, LATE_MS)
+        };
         match fleet.place(&longest) {
             Err(NoUpstream::Overrun) => outcomes.push('r'),
             Err(refused) => {
@@ -152,10 +170,70 @@
                 running.push(fleet.place(&late).unwrap());
                 outcomes.push('p');
             }
-            Ok(_) => panic!("the engines are overrun"),
+            Ok(placed) => {
+                running.push(placed);
+                outcomes.push('p');
+            }
         }
+        // One of each size counts as served before any is known.
+        let placed = outcomes.matches('p').count() + 1;
+        assert!(placed * 100 >= 60 * (outcomes.len() + 1), "{outcomes}");
+    }
+    insta::assert_snapshot!(outcomes, @"prprpprprpprprpp");
+}
+
+/// Guards against a caller that comes back being counted as one more of its size, which
+/// would let others be refused in its place.
+#[test]
+fn a_caller_that_is_refused_again_counts_once() {
+    let (fleet, _running) = busy_engines(4);
+    served_before(&fleet, 220_000, 1..2);
+    let outcome = |request: u64| {
+        let longest = Demand {
+            request,
+            ..refusable(220_000, 2_400)
+        };
+        fleet.place(&longest).map(|_| ()).unwrap_err()
+    };
+    let outcomes = [7, 7, 7, 8, 7, 9].map(outcome);
+    let (refused, held) = (NoUpstream::Overrun, NoUpstream::Busy);
+    assert_eq!(outcomes, [refused, refused, refused, held, refused, held]);
+}
+
+/// Guards against each daemon counting only the few of a size that it meets itself.
+#[test]
+fn what_other_daemons_served_of_a_size_counts() {
+    let (mut other, _of_other) = busy_engines(4);
+    other.told();
+    served_before(&other, 220_000, 1..3);
+    let (fleet, _running) = busy_engines(4);
+    let longest = Demand {
+        request: 7,
+        ..refusable(220_000, 2_400)
+    };
+    assert_eq!(fleet.place(&longest).unwrap_err(), NoUpstream::Busy);
+    for news in other.told() {
+        fleet.upstreams.hear(1, news);
     }
-    assert_eq!(outcomes, "rrprrprrprrp");
+    assert_eq!(fleet.place(&longest).unwrap_err(), NoUpstream::Overrun);
+}
+
+/// Guards against prompts of a size that was served too seldom being held until they can
+/// no longer be answered.
+#[test]
+fn a_size_that_was_lost_too_often_is_held_no_longer() {
+    let (fleet, _running) = busy_engines(4);
+    let late = |request: u64| Demand {
+        request,
+        ..after(&review(220_000), 3_000)
+    };
+    served_before(&fleet, 220_000, 1..2);
+    assert_eq!(fleet.place(&late(3)).unwrap_err(), NoUpstream::Busy);
+    // Placed, and not answered whole.
+    for request in 4..6 {
+        drop(fleet.place(&after(&late(request), LATE_MS)));
+    }
+    assert!(fleet.place(&late(3)).is_ok());
 }
 
 /// Held while it can be in time, refused once it can't, or at once if it is hopeless.
@@ -163,10 +241,9 @@
 fn a_long_prompt_is_held_until_it_can_not_be_in_time() {
     let (fleet, _running) = busy_engines(8);
     let outcome = |demand: &Demand| fleet.place(demand).map(|placed| placed.readers.len());
-    let drawn_otherwise = Demand {
-        lot: Some(99),
-        ..refusable(170_000, 2_000)
-    };
+    let unknown_size = refusable(220_000, 2_000);
+    served_before(&fleet, 300_000, 9..12);
+    served_before(&fleet, 170_000, 1..9);
     insta::assert_debug_snapshot!([
         (
             "keeps all busy for over a second",
@@ -175,7 +252,7 @@
         ("came just now", outcome(&refusable(170_000, 0))),
         ("came 0.4 s ago", outcome(&refusable(170_000, 400))),
         ("came 2 s ago", outcome(&refusable(170_000, 2_000))),
-        ("drawn otherwise", outcome(&drawn_otherwise)),
+        ("nothing known of its size", outcome(&unknown_size)),
         (
             "within one engine's target",
             outcome(&refusable(130_000, 2_000))
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -86,7 +86,8 @@
         elapsed: Duration::ZERO,
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
-        lot: None,
+        request: 0,
+        is_refusable: false,
         connected: HashSet::new(),
     }
 }
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -366,7 +366,8 @@
             elapsed: waited,
             waited,
             time_left: self.time_left(request),
-            lot: Some(lot(id, request.asks)),
+            request: id as u64,
+            is_refusable: true,
             connected: HashSet::new(),
         };
         let daemon = request.daemon;
@@ -478,7 +479,9 @@
         if request.events_left > 0 {
             return;
         }
-        request.placed = None;
+        if let Some(mut placed) = request.placed.take() {
+            placed.answered();
+        }
         request.is_served = true;
         let kind = request.kind;
         let is_in_time = request.first_ms <= kind.target_ms && request.pause_ms <= kind.gap_ms;
@@ -514,11 +517,6 @@
     }
 }
 
-/// The number that a request draws, another one each time that it is asked.
-fn lot(id: Id, asks: u32) -> u64 {
-    (id as u64 * 2 + u64::from(asks)).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32
-}
-
 fn upstream(number: usize) -> Upstream {
     Upstream {
         id: format!("i-{number}"),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -138,14 +138,17 @@
     placed.first_event();
     drop(reservations);
     match read.ok_or_else(restarted)? {
-        Ok(body) => Ok(Whole {
-            status,
-            headers,
-            body,
-            upstream: upstream.id,
-            readers: placed.readers.len(),
-            expected: placed.expected_first_event,
-        }),
+        Ok(body) => {
+            placed.answered();
+            Ok(Whole {
+                status,
+                headers,
+                body,
+                upstream: upstream.id,
+                readers: placed.readers.len(),
+                expected: placed.expected_first_event,
+            })
+        }
         Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
         Err(error) => Err(Failed::MayHaveRun(error.to_string())),
     }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -18,7 +18,6 @@
 use mangofront_routes::{Safety, Upstream};
 use mangofront_upstream::{Answer, Connections, SendError, Target};
 use thiserror::Error;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
@@ -259,9 +258,8 @@
     let asked = Instant::now();
     let mut waited = Duration::ZERO;
     loop {
-        let lot = (history.sent == 0).then(|| lot(call));
         let connections = &gateway.parts().connections;
-        let demand = demand(call, waited, lot, connections);
+        let demand = demand(call, history, waited, connections);
         let upstreams = &gateway.parts().upstreams;
         match upstreams.place(&call.service, &demand, &history.tried) {
             Err(NoUpstream::Busy) if call.time_left() > LEAST_TIME => {
@@ -283,7 +281,7 @@
 }
 
 /// What placement has to know of a request.
-fn demand(call: &Call, waited: Duration, lot: Option<u64>, connections: &Connections) -> Demand {
+fn demand(call: &Call, history: &History, waited: Duration, connections: &Connections) -> Demand {
     let gap = match call.route.safety {
         Safety::Stream { gap, .. } => gap,
         Safety::Idempotent | Safety::AtMostOnce => Duration::ZERO,
@@ -296,7 +294,8 @@
         target: call.route.target,
         elapsed: call.arrived.elapsed(),
         waited,
-        lot,
+        request: call.fingerprint.short(),
+        is_refusable: history.sent == 0,
         // Others open one of their own in any case.
         connected: match call.route.safety.may_repeat() {
             true => connections.unused(),
@@ -306,11 +305,6 @@
     }
 }
 
-/// The number drawn for a request; from its id, so that one which comes back is drawn anew.
-fn lot(call: &Call) -> u64 {
-    xxh3_64(call.id.as_bytes())
-}
-
 fn no_memory(gateway: &Gateway, call: &Call, upstream: &Upstream) -> Failed {
     gateway.leave_out(key_of(upstream), Failure::Full, &call.id);
     Failed::Unreachable(format!("{} reserved no memory", upstream.id))
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -41,6 +41,15 @@
     }
 }
 
+impl Fingerprint {
+    /// A shorter name: few enough requests are at work at a time for it to tell them apart.
+    #[must_use]
+    pub fn short(self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -209,6 +209,9 @@
             if self.is_over {
                 if self.outcome == RequestOutcome::Cancelled {
                     self.outcome = RequestOutcome::Answered;
+                    if let Some(running) = self.running.as_mut() {
+                        running.placed.answered();
+                    }
                 }
                 return None;
             }
--- a/crates/settings/src/process/choice.rs
+++ b/crates/settings/src/process/choice.rs
@@ -61,18 +61,16 @@
     /// shorter queue; 0.9 by default, as the expectation may be a pass or two short.
     pub in_time_targets: f64,
     /// Targets for which a prompt that can't be in time any more, and is not refused, waits
-    /// for a shorter queue; 3 by default, as callers leave after four.
-    ///
-    /// 1.5 put late prompts into queues that made others late too: 3 bought 0.003 and 0.006
-    /// of the worth in time of twelve simulated loads, eight seeds each.
+    /// for a shorter queue; 2 by default, which leaves time to read it before its caller
+    /// leaves after four.
     pub late_targets: f64,
-    /// Share of the largest prompts that may be refused when they can't be in time, in
-    /// percent; 66 by default.
-    ///
-    /// The largest have to be served at least half as often as all others. Which may be
-    /// refused is drawn, as each of hundreds of daemons meets too few of them for the count
-    /// of those that it placed to bind.
-    pub refusable_percent: u64,
+    /// Share of the callers with prompts of a size among the largest that are served, in
+    /// percent; 60 by default. The others may be refused when they can't be in time.
+    pub served_percent: u64,
+    /// Share of them below which prompts of that size are held back no more than they can
+    /// be in time, in percent; 50 by default, as the largest are promised to be served at
+    /// least half as often as all.
+    pub promised_percent: u64,
     /// Answers with pauses of up to this many times the shortest fill the engines
     /// from the near end, all others from the far end; 1.5 by default.
     pub brisk_factor: f64,
@@ -208,8 +206,9 @@
             overrun_ms: 1_000.0,
             wait_targets: 0.5,
             in_time_targets: 0.9,
-            late_targets: 3.0,
-            refusable_percent: 66,
+            late_targets: 2.0,
+            served_percent: 60,
+            promised_percent: 50,
             brisk_factor: 1.5,
             safe_gap_share: 0.6,
             broken_gap_share: 1.0,
