Write a line for an attempt that breaks before its first event

An attempt whose answer had begun and broke before the first event, or within an answer of one piece, left only the line of the request's end: how many engines broke under one request, and which life each was in, could not be told from the lines. Now each such attempt is counted and has its line, as one that breaks later has. No decision is changed.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -13,7 +13,9 @@
 use mangofront_http::{Body, full, stream_until_abort};
 use mangofront_telemetry::metrics::RequestOutcome;
 
-use crate::attempts::{Answering, Failed, History, attempt, restarted, until_restart};
+use crate::attempts::{
+    Answering, BROKEN_OFF, Failed, History, attempt, note_failed, restarted, until_restart,
+};
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
@@ -50,20 +52,30 @@
         let attempted = attempt(gateway, call, history, call.last_event_id).await;
         let failed = match attempted {
             Ok(answering) if is_stream(call, &answering) => {
+                let upstream = answering.upstream.clone();
                 match Opening::read(gateway, call, answering, history).await {
                     Ok(opening) => return stream(gateway, call, opening, std::mem::take(history)),
-                    Err(failed) => failed,
+                    Err(failed) => {
+                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed);
+                        failed
+                    }
                 }
             }
-            Ok(answering) => match whole(gateway, call, answering).await {
-                Ok(whole) if is_fault(call, whole.status) => {
-                    let reason = format!("answered {}", whole.status);
-                    fault = Some(whole);
-                    Failed::MayHaveRun(reason)
+            Ok(answering) => {
+                let upstream = answering.upstream.clone();
+                match whole(gateway, call, answering).await {
+                    Ok(whole) if is_fault(call, whole.status) => {
+                        let reason = format!("answered {}", whole.status);
+                        fault = Some(whole);
+                        Failed::MayHaveRun(reason)
+                    }
+                    Ok(whole) => return respond(gateway, call, whole, history),
+                    Err(failed) => {
+                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed);
+                        failed
+                    }
                 }
-                Ok(whole) => return respond(gateway, call, whole, history),
-                Err(failed) => failed,
-            },
+            }
             Err(failed) => failed,
         };
         if history.may_go_on(gateway, call, &failed) {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -66,6 +66,9 @@
 /// Least urgent rank that engines know.
 const LAST_URGENCY: u8 = 9;
 
+/// How an attempt ended whose answer had begun, for metrics and logs.
+pub(crate) const BROKEN_OFF: &str = "broken_off";
+
 /// An upstream that answers.
 #[derive(Debug)]
 pub(crate) struct Answering {
@@ -236,14 +239,12 @@
             Err(restarted())
         }
     };
-    let metrics = &gateway.parts().metrics;
-    let zone = &upstream.availability_zone;
     match &result {
-        Ok(_) => metrics.attempt_ended(zone, "answered"),
-        Err(failed) => {
-            metrics.attempt_ended(zone, failed.code());
-            trace::attempt_failed(call, &upstream, failed.code(), &failed.to_string());
+        Ok(_) => {
+            let zone = &upstream.availability_zone;
+            gateway.parts().metrics.attempt_ended(zone, "answered");
         }
+        Err(failed) => note_failed(gateway, call, &upstream, failed.code(), failed),
     }
     Ok(Answering {
         answer: result?,
@@ -253,6 +254,19 @@
     })
 }
 
+/// Counts an attempt that failed, and writes its line.
+pub(crate) fn note_failed(
+    gateway: &Gateway,
+    call: &Call,
+    upstream: &Upstream,
+    outcome: &'static str,
+    failed: &Failed,
+) {
+    let zone = &upstream.availability_zone;
+    gateway.parts().metrics.attempt_ended(zone, outcome);
+    trace::attempt_failed(call, upstream, outcome, &failed.to_string());
+}
+
 /// Chooses the upstreams; waits while they have too much to do.
 async fn place(gateway: &Gateway, call: &Call, history: &mut History) -> Result<Placed, Failed> {
     let asked = Instant::now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,12 +22,14 @@
 use mangofront_upstream::SendError;
 
 use crate::answer::ended;
-use crate::attempts::{Answering, Failed, History, attempt, restarted, until_restart};
+use crate::attempts::{
+    Answering, BROKEN_OFF, Failed, History, attempt, note_failed, restarted, until_restart,
+};
 use crate::call::Call;
 use crate::events::EventFramer;
 use crate::gateway::Gateway;
 use crate::reservations::Reservations;
-use crate::trace::{self, Ended};
+use crate::trace::Ended;
 
 /// Silence, in usual pauses, after which an upstream is given up.
 const SILENT_PAUSES: u32 = 4;
@@ -276,13 +278,8 @@
             let key = key_of(&broken.upstream);
             self.gateway
                 .leave_out(key, Failure::Unreachable, &self.call.id);
-            let reason = failed.to_string();
-            trace::attempt_failed(&self.call, &broken.upstream, "broken_off", &reason);
-            let zone = &broken.upstream.availability_zone;
-            self.gateway
-                .parts()
-                .metrics
-                .attempt_ended(zone, "broken_off");
+            let upstream = &broken.upstream;
+            note_failed(&self.gateway, &self.call, upstream, BROKEN_OFF, &failed);
         }
         let last_id = self.framer.last_id();
         while last_id.is_some() && self.history.may_go_on(&self.gateway, &self.call, &failed) {
