Keep a request that crashes its upstreams from further ones

Cause: what a request did to an upstream was kept no longer than the request (its history), and told to nobody; attempts followed each other at once, and the budget of second sends can't bind, as each arrival is a new request.

Change: when the connection of a request breaks at an upstream that may have run it, a new connection shows whether the upstream still serves (refused, or none in time and its zone is not silent; one that leaves is passed over). Lives that ended under a request are kept by its fingerprint as a set that only grows, told to all daemons, told again each second by those that saw it, and told to who starts. Below three crashes a request with two takes one upstream at most; from the third on it is refused at once with 503, not run, when to come back, and why. It ends after 60 s, doubled with each further crash, by one trial at one daemon. An answer that comes whole clears a request, so innocents beside it are served.

The first look by one connection alone missed one of two crashes of the stand-in, which takes a connection on its way down: a connection has to stay open for 50 ms.

--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -4,7 +4,8 @@
 //! that other daemons told of, and which upstreams failed lately. From the
 //! published speed of the engines it predicts when a prompt's first event would
 //! come, and chooses the engine that answers together with those that read
-//! parts of the prompt ([`Upstreams::place`]).
+//! parts of the prompt ([`Upstreams::place`]). It also owns which requests upstreams
+//! crashed under, and keeps those that crash every one from further ones.
 //!
 //! Long prompts are read by many engines at once, because the whole work stays
 //! the same while each engine, and every short request on it, is held up for a
@@ -17,6 +18,7 @@
 
 mod arrivals;
 mod choose;
+mod crashes;
 mod health;
 mod layout;
 mod lives;
@@ -31,6 +33,7 @@
 mod work;
 
 pub use choose::{Demand, NoUpstream, Reader};
+pub use crashes::{CrashStatus, Standing};
 pub use health::Failure;
 pub use mangofront_settings::process::ChoiceOptions;
 pub use news::{News, Origin};
--- a/crates/engines/src/news.rs
+++ b/crates/engines/src/news.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::Record;
 use crate::shares::{Fate, RequestName, Size};
 use crate::work::{Part, UpstreamKey, Work, WorkId};
 
@@ -57,6 +58,17 @@
         /// What became of it.
         fate: Fate,
     },
+    /// Upstreams crashed under a request; all that the teller knows of it.
+    Crashes {
+        /// The request.
+        request: RequestName,
+        /// Lives of upstreams that ended under it.
+        crashed: Vec<UpstreamKey>,
+        /// Those of them for which it was cleared since.
+        cleared: Vec<UpstreamKey>,
+        /// Time since the last of them ended, in milliseconds.
+        since_ms: u32,
+    },
     /// An upstream failed.
     Failed {
         /// The upstream.
@@ -112,6 +124,15 @@
     }
 }
 
+pub(crate) fn crashes_news(request: RequestName, record: Record) -> News {
+    News::Crashes {
+        request,
+        crashed: record.crashed,
+        cleared: record.cleared,
+        since_ms: milliseconds(record.since),
+    }
+}
+
 pub(crate) fn milliseconds(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/engines/src/shares.rs
+++ b/crates/engines/src/shares.rs
@@ -14,7 +14,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Names a request over all the times that its caller sends it.
-pub type RequestName = u64;
+///
+/// Wide enough that nobody can find another request of the same name.
+pub type RequestName = u128;
 
 /// Time for which it is kept what became of a request: over two peaks and the time in
 /// which their callers come back.
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::choose::Demand;
+use crate::crashes::Crashes;
 use crate::lives::Lives;
 use crate::news::Origin;
 use crate::shares::{Shares, Size};
@@ -49,6 +50,8 @@
     pub(crate) lives: Lives,
     /// What became of the largest prompts.
     pub(crate) shares: Shares,
+    /// Requests under which upstreams crashed.
+    pub(crate) crashes: Crashes,
     /// Short prompts that other daemons place.
     pub(crate) shorts_of_others: Arrivals,
     /// Time until a placement of another daemon is heard of.
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -14,8 +14,9 @@
 use crate::choose::{
     Candidate, Choice, Circumstances, Demand, NoUpstream, choose_engines, choose_plain,
 };
+use crate::crashes::{CRASHES_LIMIT, CrashStatus, Record, Standing};
 use crate::health::Failure;
-use crate::news::{News, Origin, milliseconds, part_of, placed_news};
+use crate::news::{News, Origin, crashes_news, milliseconds, part_of, placed_news};
 use crate::placed::Placed;
 use crate::shares::{Fate, RequestName, Size};
 use crate::state::{OWN, State};
@@ -23,6 +24,12 @@
 use crate::work::{UpstreamKey, Work, WorkId, key_of};
 use mangofront_settings::process::ChoiceOptions;
 
+/// Requests of whose crashes a daemon tells again each second, of those that it saw.
+const REPEATED_CRASHES: usize = 16;
+
+/// Requests of whose crashes a daemon tells one that has just started.
+const INTRODUCED_CRASHES: usize = 8;
+
 /// Tells the time.
 pub type Clock = fn() -> Instant;
 
@@ -348,6 +355,63 @@
         Some(ejected)
     }
 
+    /// Notes that an upstream crashed while it ran a request of this daemon; how many did
+    /// under that request.
+    pub fn crashed_under(&self, request: RequestName, upstream: UpstreamKey) -> usize {
+        let now = self.now();
+        let mut state = self.0.state.borrow_mut();
+        state.crashes.note(request, upstream, now);
+        self.tell_crashes(&state, request, now);
+        match state.crashes.standing(request, now) {
+            Standing::Open { crashes } => crashes,
+            Standing::Quarantined { .. } | Standing::OnTrial => CRASHES_LIMIT,
+        }
+    }
+
+    /// Notes that a request is not at fault for crashes so far, as an upstream answered
+    /// it whole or the operator says so; whether there were any.
+    pub fn clear(&self, request: RequestName) -> bool {
+        let mut state = self.0.state.borrow_mut();
+        let had_any = state.crashes.clear(request);
+        if had_any {
+            self.tell_crashes(&state, request, self.now());
+        }
+        had_any
+    }
+
+    /// Whether a request may be sent to an upstream, after crashes under it.
+    #[must_use]
+    pub fn standing(&self, request: RequestName) -> Standing {
+        self.0.state.borrow().crashes.standing(request, self.now())
+    }
+
+    /// Whether one more crash would keep a request from all upstreams, or it is already.
+    #[must_use]
+    pub fn is_near_quarantine(&self, request: RequestName) -> bool {
+        match self.standing(request) {
+            Standing::Open { crashes } => crashes + 1 >= CRASHES_LIMIT,
+            Standing::Quarantined { .. } | Standing::OnTrial => true,
+        }
+    }
+
+    /// Keeps others from trying a request while this daemon does.
+    pub fn begin_trial(&self, request: RequestName) {
+        let now = self.now();
+        self.0.state.borrow_mut().crashes.begin_trial(request, now);
+    }
+
+    /// Requests that are kept from upstreams, for a status page.
+    #[must_use]
+    pub fn quarantined(&self) -> Vec<CrashStatus> {
+        self.0.state.borrow().crashes.status(self.now())
+    }
+
+    fn tell_crashes(&self, state: &State, request: RequestName, now: Instant) {
+        if let Some(record) = state.crashes.record(request, now) {
+            self.tell(crashes_news(request, record));
+        }
+    }
+
     /// Upstreams that are known.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -369,6 +433,28 @@
         known.is_some_and(|known| !known.info.leaving)
     }
 
+    /// Whether an upstream is registered, in this life.
+    #[must_use]
+    pub fn is_known(&self, upstream: UpstreamKey) -> bool {
+        self.0.state.borrow_mut().known_mut(upstream).is_some()
+    }
+
+    /// Whether a later life of an upstream is registered.
+    #[must_use]
+    pub fn has_started_again(&self, upstream: &Upstream) -> bool {
+        let state = self.0.state.borrow();
+        let mut same = state.known.iter().map(|known| &known.info);
+        same.any(|info| info.id == upstream.id && info.started_at_ms > upstream.started_at_ms)
+    }
+
+    /// Whether an upstream said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
+        let mut state = self.0.state.borrow_mut();
+        let known = state.known_mut(upstream);
+        known.is_some_and(|known| known.info.leaving)
+    }
+
     /// The upstream that listens at `address`.
     #[must_use]
     pub fn at_address(&self, address: SocketAddr) -> Option<UpstreamKey> {
@@ -424,6 +510,19 @@
             } => {
                 state.shares.note(request, size, fate, now);
             }
+            News::Crashes {
+                request,
+                crashed,
+                cleared,
+                since_ms,
+            } => {
+                let record = Record {
+                    crashed,
+                    cleared,
+                    since: Duration::from_millis(u64::from(since_ms)),
+                };
+                state.crashes.merge(request, &record, now);
+            }
             News::Failed {
                 upstream,
                 ejected_ms,
@@ -461,6 +560,12 @@
                 news.push(News::Read { work: *id });
             }
         }
+        let worst = state.crashes.worst(INTRODUCED_CRASHES, false).into_iter();
+        let records = worst.filter_map(|request| {
+            let record = state.crashes.record(request, now)?;
+            Some(crashes_news(request, record))
+        });
+        news.extend(records);
         news
     }
 
@@ -468,6 +573,10 @@
     pub fn tell_running(&self) {
         let state = self.0.state.borrow();
         let own = || state.works.iter().filter(|(key, _)| key.0 == OWN);
+        let now = self.now();
+        for request in state.crashes.worst(REPEATED_CRASHES, true) {
+            self.tell_crashes(&state, request, now);
+        }
         let of = |is_reading| {
             own()
                 .filter(move |(_, work)| work.is_reading == is_reading)
--- a/crates/engines/tests/engines/choice.rs
+++ b/crates/engines/tests/engines/choice.rs
@@ -139,7 +139,7 @@
 }
 
 /// Callers whose reviews of a size were served, by the numbers of their requests.
-fn served_before(fleet: &Fleet, tokens: u64, requests: std::ops::Range<u64>) {
+fn served_before(fleet: &Fleet, tokens: u64, requests: std::ops::Range<u128>) {
     for request in requests {
         let review = Demand {
             request,
@@ -188,7 +188,7 @@
 fn a_caller_that_is_refused_again_counts_once() {
     let (fleet, _running) = busy_engines(4);
     served_before(&fleet, 220_000, 1..2);
-    let outcome = |request: u64| {
+    let outcome = |request: u128| {
         let longest = Demand {
             request,
             ..refusable(220_000, 2_400)
@@ -223,7 +223,7 @@
 #[test]
 fn a_size_that_was_lost_too_often_is_held_no_longer() {
     let (fleet, _running) = busy_engines(4);
-    let late = |request: u64| Demand {
+    let late = |request: u128| Demand {
         request,
         ..after(&review(220_000), 3_000)
     };
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -1,6 +1,7 @@
 //! The view of the engines and the choice among them.
 
 mod choice;
+mod crashes;
 mod figures;
 mod support;
 mod view;
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -366,7 +366,7 @@
             elapsed: waited,
             waited,
             time_left: self.time_left(request),
-            request: id as u64,
+            request: id as u128,
             is_refusable: true,
             connected: HashSet::new(),
         };
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,12 +12,14 @@
 use http::{HeaderMap, Response, StatusCode};
 use mangofront_http::{Body, full, stream_until_abort};
 use mangofront_telemetry::metrics::RequestOutcome;
+use mangofront_upstream::SendError;
 
 use crate::attempts::{
     Answering, BROKEN_OFF, Failed, History, attempt, note_failed, restarted, until_restart,
 };
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::quarantine::note_answered;
 use crate::refusal::Refusal;
 use crate::relay::{Opening, Relay};
 use crate::trace::Ended;
@@ -56,7 +58,7 @@
                 match Opening::read(gateway, call, answering, history).await {
                     Ok(opening) => return stream(gateway, call, opening, std::mem::take(history)),
                     Err(failed) => {
-                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed);
+                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed).await;
                         failed
                     }
                 }
@@ -71,7 +73,7 @@
                     }
                     Ok(whole) => return respond(gateway, call, whole, history),
                     Err(failed) => {
-                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed);
+                        note_failed(gateway, call, &upstream, BROKEN_OFF, &failed).await;
                         failed
                     }
                 }
@@ -84,7 +86,7 @@
         if let Some(whole) = fault {
             return respond(gateway, call, whole, history);
         }
-        if let Failed::MayHaveRun(_) | Failed::OutOfTime = failed {
+        if let Failed::MayHaveRun(_) | Failed::Broken(_) | Failed::OutOfTime = failed {
             history.may_have_run = true;
         }
         let refusal = history.refusal(failed);
@@ -152,6 +154,9 @@
     match read.ok_or_else(restarted)? {
         Ok(body) => {
             placed.answered();
+            if !status.is_server_error() {
+                note_answered(gateway, call);
+            }
             Ok(Whole {
                 status,
                 headers,
@@ -162,6 +167,7 @@
             })
         }
         Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
+        Err(error @ SendError::Broken { .. }) => Err(Failed::Broken(error.to_string())),
         Err(error) => Err(Failed::MayHaveRun(error.to_string())),
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -22,6 +22,7 @@
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
 use crate::gateway::Gateway;
+use crate::quarantine::{admit, note_break};
 use crate::refusal::Refusal;
 use crate::reservations::Reservations;
 use crate::trace;
@@ -66,6 +67,9 @@
 /// Least urgent rank that engines know.
 const LAST_URGENCY: u8 = 9;
 
+/// Why a request is refused under which too many upstreams crashed.
+pub(crate) const CRASHES_UPSTREAMS: &str = "request_crashes_upstreams";
+
 /// How an attempt ended whose answer had begun, for metrics and logs.
 pub(crate) const BROKEN_OFF: &str = "broken_off";
 
@@ -94,6 +98,15 @@
     /// The request may have run.
     #[error("it may have run: {0}")]
     MayHaveRun(String),
+    /// The connection broke while the request may have run.
+    #[error("it may have run: {0}")]
+    Broken(String),
+    /// Too many upstreams crashed under the request.
+    #[error("upstreams crash under it")]
+    Quarantined {
+        /// When it may be tried again.
+        retry_after: Duration,
+    },
     /// Time is up; the request may have run.
     #[error("time is up")]
     OutOfTime,
@@ -106,7 +119,8 @@
             Self::NoUpstream(_) => "no_upstream",
             Self::Unreachable(_) => "unreachable",
             Self::NotRun(_) => "not_run",
-            Self::MayHaveRun(_) => "may_have_run",
+            Self::MayHaveRun(_) | Self::Broken(_) => "may_have_run",
+            Self::Quarantined { .. } => "quarantined",
             Self::OutOfTime => "out_of_time",
         }
     }
@@ -122,6 +136,8 @@
     pub(crate) may_have_run: bool,
     /// Time for which the request waited for engines with less to do.
     pub(crate) waited: Duration,
+    /// Whether it is tried again after upstreams crashed under it.
+    pub(crate) is_trial: bool,
 }
 
 impl History {
@@ -130,10 +146,18 @@
     /// Takes from the budget of second sends when it says so.
     pub(crate) fn may_go_on(&mut self, gateway: &Gateway, call: &Call, failed: &Failed) -> bool {
         match failed {
-            Failed::NoUpstream(_) | Failed::OutOfTime => return false,
+            Failed::NoUpstream(_) | Failed::OutOfTime | Failed::Quarantined { .. } => {
+                return false;
+            }
             Failed::Unreachable(_) => self.unreachable += 1,
             Failed::NotRun(_) => {}
-            Failed::MayHaveRun(_) => self.may_have_run = true,
+            Failed::MayHaveRun(_) | Failed::Broken(_) => self.may_have_run = true,
+        }
+        let upstreams = &gateway.parts().upstreams;
+        if matches!(failed, Failed::Broken(_))
+            && upstreams.is_near_quarantine(call.fingerprint.name())
+        {
+            return false;
         }
         if self.may_have_run && !call.route.safety.may_repeat() {
             return false;
@@ -173,11 +197,15 @@
             return match failed {
                 Failed::OutOfTime => Refusal::TimedOut,
                 Failed::MayHaveRun(reason)
+                | Failed::Broken(reason)
                 | Failed::NotRun(reason)
                 | Failed::Unreachable(reason) => Refusal::Unknown { reason },
                 Failed::NoUpstream(reason) => Refusal::Unknown {
                     reason: reason.to_string(),
                 },
+                Failed::Quarantined { .. } => Refusal::Unknown {
+                    reason: failed.to_string(),
+                },
             };
         }
         match failed {
@@ -187,7 +215,11 @@
             },
             Failed::Unreachable(_) => not_run("upstreams_unreachable"),
             Failed::NotRun(_) => not_run("upstream_did_not_run_it"),
-            Failed::MayHaveRun(reason) => Refusal::Unknown { reason },
+            Failed::MayHaveRun(reason) | Failed::Broken(reason) => Refusal::Unknown { reason },
+            Failed::Quarantined { retry_after } => Refusal::NotRun {
+                reason: CRASHES_UPSTREAMS,
+                retry_after,
+            },
             Failed::OutOfTime => Refusal::TimedOut,
         }
     }
@@ -211,6 +243,7 @@
     history: &mut History,
     last_event_id: Option<EventId>,
 ) -> Result<Answering, Failed> {
+    admit(gateway, call, history)?;
     let mut placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
     let key = key_of(&upstream);
@@ -225,6 +258,8 @@
     let reservations = Reservations::make(gateway.orders(), &placed.readers, &name)
         .await
         .map_err(|upstream| no_memory(gateway, call, &upstream))?;
+    // While it waited, more upstreams may have crashed under it elsewhere.
+    admit(gateway, call, history)?;
     let request = request(gateway, call, &placed, &reservations, last_event_id)?;
     let patience = patience(gateway, call, history, &placed);
     let sent = {
@@ -244,7 +279,7 @@
             let zone = &upstream.availability_zone;
             gateway.parts().metrics.attempt_ended(zone, "answered");
         }
-        Err(failed) => note_failed(gateway, call, &upstream, failed.code(), failed),
+        Err(failed) => note_failed(gateway, call, &upstream, failed.code(), failed).await,
     }
     Ok(Answering {
         answer: result?,
@@ -254,8 +289,8 @@
     })
 }
 
-/// Counts an attempt that failed, and writes its line.
-pub(crate) fn note_failed(
+/// Counts an attempt that failed, writes its line, and looks whether its upstream crashed.
+pub(crate) async fn note_failed(
     gateway: &Gateway,
     call: &Call,
     upstream: &Upstream,
@@ -265,6 +300,9 @@
     let zone = &upstream.availability_zone;
     gateway.parts().metrics.attempt_ended(zone, outcome);
     trace::attempt_failed(call, upstream, outcome, &failed.to_string());
+    if let Failed::Broken(_) = failed {
+        note_break(gateway, call, upstream).await;
+    }
 }
 
 /// Chooses the upstreams; waits while they have too much to do.
@@ -308,7 +346,7 @@
         target: call.route.target,
         elapsed: call.arrived.elapsed(),
         waited,
-        request: call.fingerprint.short(),
+        request: call.fingerprint.name(),
         is_refusable: history.sent == 0,
         // Others open one of their own in any case.
         connected: match call.route.safety.may_repeat() {
@@ -405,7 +443,7 @@
 
 /// How an attempt ended whose upstream has started again: what it did is lost.
 pub(crate) fn restarted() -> Failed {
-    Failed::MayHaveRun("the upstream has started again".to_owned())
+    Failed::Broken("the upstream has started again".to_owned())
 }
 
 async fn send(
@@ -508,5 +546,8 @@
     if call.time_left().is_zero() {
         return Failed::OutOfTime;
     }
-    Failed::MayHaveRun(error.to_string())
+    match error {
+        SendError::Broken { .. } => Failed::Broken(error.to_string()),
+        _ => Failed::MayHaveRun(error.to_string()),
+    }
 }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -10,7 +10,7 @@
 use crate::dialect::Position;
 
 /// Version of the datagrams; a daemon drops any other.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Largest datagram that is sent, in bytes; below the usual limit of a link.
 pub(crate) const DATAGRAM_LIMIT_BYTES: usize = 1_400;
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 
 use http::Method;
+use mangofront_engines::RequestName;
 
 /// Bytes of a fingerprint: too many for two requests to share one by chance.
 const LENGTH_BYTES: usize = 16;
@@ -42,11 +43,10 @@
 }
 
 impl Fingerprint {
-    /// A shorter name: few enough requests are at work at a time for it to tell them apart.
+    /// The same as a number.
     #[must_use]
-    pub fn short(self) -> u64 {
-        let [a, b, c, d, e, f, g, h, ..] = self.0;
-        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    pub fn name(self) -> RequestName {
+        RequestName::from_be_bytes(self.0)
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -114,6 +114,7 @@
         let members = self.0.parts.peers.members();
         let live = members.iter().filter(|member| member.state.answers());
         let live = live.count() as u64;
+        metrics.quarantined(self.0.parts.upstreams.quarantined().len() as u64);
         metrics.peers(PeerState::Live, live);
         metrics.peers(PeerState::Suspected, members.len() as u64 - live);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Owns a routed request from its head to the last byte of its answer: which
 //! route and organisation it is of (`call`), whether this daemon may serve it
 //! now (`published`, `lease`), where it is sent and what follows a failed
-//! attempt (`attempts`, `budget`), and the relay of its answer (`answer`,
+//! attempt (`attempts`, `budget`, `quarantine`), and the relay of its answer (`answer`,
 //! `relay`). Bodies pass through unread. What callers, upstreams and the
 //! publishing platform speak is translated by the edges in [`Dialect`] and
 //! [`Source`]; the choice of upstreams is `mangofront-engines`', and other
@@ -29,6 +29,7 @@
 mod provenance;
 mod published;
 mod published_options;
+mod quarantine;
 mod refusal;
 mod registrations;
 mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::call::Call;
 use crate::events::EventFramer;
 use crate::gateway::Gateway;
+use crate::quarantine::note_answered;
 use crate::reservations::Reservations;
 use crate::trace::Ended;
 
@@ -130,10 +131,10 @@
                 self.is_over = true;
                 Ok(())
             }
-            Ok(None) => Err(Failed::MayHaveRun("ended within an event".to_owned())),
+            Ok(None) => Err(Failed::Broken("ended within an event".to_owned())),
             Ok(Some(Err(error))) => {
                 gateway.leave_out(key, Failure::Unreachable, &call.id);
-                Err(Failed::MayHaveRun(error.to_string()))
+                Err(Failed::Broken(error.to_string()))
             }
             Err(_) if call.time_left().is_zero() => Err(Failed::OutOfTime),
             Err(_) => {
@@ -211,6 +212,7 @@
             if self.is_over {
                 if self.outcome == RequestOutcome::Cancelled {
                     self.outcome = RequestOutcome::Answered;
+                    note_answered(&self.gateway, &self.call);
                     if let Some(running) = self.running.as_mut() {
                         running.placed.answered();
                     }
@@ -254,8 +256,8 @@
                 self.is_over = true;
                 Ok(())
             }
-            Ok(None) => Err(Failed::MayHaveRun("ended within an event".to_owned())),
-            Ok(Some(Err(error))) => Err(Failed::MayHaveRun(error.to_string())),
+            Ok(None) => Err(Failed::Broken("ended within an event".to_owned())),
+            Ok(Some(Err(error))) => Err(Failed::Broken(error.to_string())),
             Err(_) if self.call.time_left().is_zero() => Err(Failed::OutOfTime),
             // Without room for another send, the only one that can still go on is
             // the upstream itself, which may only be slow.
@@ -279,7 +281,7 @@
             self.gateway
                 .leave_out(key, Failure::Unreachable, &self.call.id);
             let upstream = &broken.upstream;
-            note_failed(&self.gateway, &self.call, upstream, BROKEN_OFF, &failed);
+            note_failed(&self.gateway, &self.call, upstream, BROKEN_OFF, &failed).await;
         }
         let last_id = self.framer.last_id();
         while last_id.is_some() && self.history.may_go_on(&self.gateway, &self.call, &failed) {
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -162,6 +162,40 @@
     );
 }
 
+/// An upstream crashed while it ran a request.
+pub(crate) fn crashed_under(
+    request: &str,
+    fingerprint: Fingerprint,
+    upstream: &Upstream,
+    crashes: usize,
+    evidence: &str,
+) {
+    log::warn!(
+        request = request,
+        fingerprint = fingerprint.to_string().as_str(),
+        upstream = upstream.id.as_str(),
+        upstream_started_at_ms = upstream.started_at_ms,
+        crashes = crashes,
+        evidence = evidence;
+        "gateway: upstream crashed under a request"
+    );
+}
+
+/// A request is tried once more after upstreams crashed under it.
+pub(crate) fn tried_again(call: &Call) {
+    log::info!(
+        request = call.id.as_str(),
+        fingerprint = call.fingerprint.to_string().as_str();
+        "gateway: request tried again after its quarantine"
+    );
+}
+
+/// A request is no longer held to be at fault for crashes.
+pub(crate) fn cleared(fingerprint: Fingerprint, reason: &str) {
+    log::info!(fingerprint = fingerprint.to_string().as_str(), reason = reason;
+        "gateway: request cleared of crashes");
+}
+
 /// An upstream gets no requests for a while.
 pub(crate) fn upstream_left_out(upstream: &str, failure: Failure, time: Duration, cause: &str) {
     log::info!(
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -169,6 +169,16 @@
         self.0.instruments.retries.add(1, &[]);
     }
 
+    /// Counts an upstream that crashed under a request.
+    pub fn upstream_crashed(&self) {
+        self.0.instruments.upstream_crashes.add(1, &[]);
+    }
+
+    /// Sets how many requests are kept from all upstreams, as too many crashed under them.
+    pub fn quarantined(&self, count: u64) {
+        self.0.instruments.quarantined.record(count, &[]);
+    }
+
     /// Counts a fault of an upstream at `step`.
     pub fn upstream_error(&self, step: &'static str) {
         let labels = [label("step", step)];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -25,6 +25,8 @@
     pub(super) refusals: Counter<u64>,
     pub(super) retries: Counter<u64>,
     pub(super) upstream_errors: Counter<u64>,
+    pub(super) upstream_crashes: Counter<u64>,
+    pub(super) quarantined: Gauge<u64>,
     pub(super) request_duration: Histogram<f64>,
     pub(super) organisation_requests: Counter<u64>,
     pub(super) upstream_attempts: Counter<u64>,
@@ -65,6 +67,14 @@
             refusals: counter("refusals", "Refused requests, by reason"),
             retries: counter("retries", "Attempts after a request's first one"),
             upstream_errors: counter("upstream_errors", "Faults of upstreams, by step"),
+            upstream_crashes: counter(
+                "upstream_crashes",
+                "Upstreams that crashed while they ran a request of this daemon",
+            ),
+            quarantined: meter
+                .u64_gauge("quarantined_requests")
+                .with_description("Requests kept from all upstreams, as these crash under them")
+                .build(),
             request_duration: meter
                 .f64_histogram("request_duration")
                 .with_description("Time from a request's arrival to its end, by class and outcome")
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -252,6 +252,14 @@
         }
     }
 
+    /// Keeps the connection for a later call; whether it is still open.
+    pub fn keep(self) -> bool {
+        let is_open = !self.sender.is_closed();
+        let idle = &self.connections.0.idle;
+        idle.put(self.target.address, self.sender, None);
+        is_open
+    }
+
     /// Instance at the other end.
     #[must_use]
     pub fn target(&self) -> &Target {
