List and lift what is kept from upstreams, and tell callers why

An operator who has mended the upstreams had to wait for the quarantine's end, or restart daemons. `mangofront quarantine` lists requests by fingerprint, crashes and the time left, and lifts one at all daemons; the admin listener of a daemon with published routes answers /quarantine and /quarantine/lift. The caller's refusal says that repeating it before Retry-After is of no use.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,6 +17,7 @@
 mod lines;
 mod losses;
 mod output;
+mod quarantine;
 mod standin;
 mod status;
 mod table;
@@ -44,6 +45,9 @@
   mangofront explain --admin ADDR --model M --tokens N [--class C]
                      [--organisation O] [--json]
       Shows where a prompt of N tokens would go, and why, without running it.
+  mangofront quarantine --admin ADDR [--lift FINGERPRINT] [--json]
+      Shows the requests that are kept from all upstreams, as these crash under
+      them, or ends the quarantine of one at all daemons.
   mangofront trace ID [FILE]...
       Shows a request's story out of the structured logs of any number of
       daemons, read from the files or from standard input. Exit 1 when no line
@@ -91,6 +95,7 @@
         Some("status") => status::run(arguments)?,
         Some("audit") => audit::run(arguments)?,
         Some("explain") => explain::run(arguments)?,
+        Some("quarantine") => quarantine::run(arguments)?,
         Some("trace") => return trace::run(arguments),
         Some("losses") => return losses::run(arguments),
         Some("standin") => standin::run(arguments)?,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,15 +12,14 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_channel::mpsc;
 use futures_util::FutureExt;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{Response, StatusCode};
 use mangofront_adapter::{HeaderDialect, StoreClient};
 use mangofront_engines::Upstreams;
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, SecondSendLimit, Sharing,
     SharingOptions,
 };
-use mangofront_http::{Body, ServeLimits, Shutdown, empty, full, serve};
+use mangofront_http::{Body, ServeLimits, Shutdown, empty, serve};
 use mangofront_peers::{ListedPeer, MemberChange, Peers, Responder, Service};
 use mangofront_settings::process::{DaemonSettings, GatewaySettings, read_daemon_settings};
 use mangofront_telemetry::metrics::Metrics;
@@ -29,7 +28,7 @@
 
 use crate::error::DaemonError;
 use crate::run::{listen, signal, wait_for_stop};
-use crate::{lag, membership};
+use crate::{gateway_admin, lag, membership};
 
 /// Number of the signal that says that the settings file has changed.
 const SIGHUP: i32 = 1;
@@ -88,7 +87,8 @@
     let readiness = move |_request, _peer| ready_answer(asked.is_ready());
     spawn(serve(balancer, limits, readiness, never.clone())).detach();
     let asked = gateway.clone();
-    let operator = move |request, _peer| operator_answer(asked.clone(), metrics.clone(), request);
+    let operator =
+        move |request, _peer| gateway_admin::answer(asked.clone(), metrics.clone(), request);
     spawn(serve(operators, limits, operator, never)).detach();
     let answering = gateway.clone();
     let answer = move |request, peer| answering.clone().handle(request, peer);
@@ -230,24 +230,6 @@
     response
 }
 
-async fn operator_answer(
-    gateway: Gateway,
-    metrics: Metrics,
-    request: Request<Incoming>,
-) -> Response<Body> {
-    match request.uri().path() {
-        "/metrics" => {
-            gateway.record_state();
-            Response::new(full(metrics.render()))
-        }
-        _ => {
-            let mut response = Response::new(empty());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            response
-        }
-    }
-}
-
 /// Serves on for a while, and then waits until all that is in progress has ended.
 async fn drain(gateway: &Gateway, grace: Duration) {
     let started = Instant::now();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod explain;
 mod feeds;
 mod gateway;
+mod gateway_admin;
 mod lag;
 mod membership;
 mod orders;
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -6,9 +6,11 @@
 //! nobody can make a request that has the name of another organisation's.
 
 use std::fmt;
+use std::str::FromStr;
 
 use http::Method;
 use mangofront_engines::RequestName;
+use thiserror::Error;
 
 /// Bytes of a fingerprint: too many for two requests to share one by chance.
 const LENGTH_BYTES: usize = 16;
@@ -50,6 +52,30 @@
     }
 }
 
+impl From<RequestName> for Fingerprint {
+    fn from(name: RequestName) -> Self {
+        Self(name.to_be_bytes())
+    }
+}
+
+/// Text that is no fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a fingerprint has 32 hexadecimal digits")]
+pub struct NoFingerprint;
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hexadecimal = text.bytes().all(|digit| digit.is_ascii_hexdigit());
+        if text.len() != 2 * LENGTH_BYTES || !is_hexadecimal {
+            return Err(NoFingerprint);
+        }
+        let name = RequestName::from_str_radix(text, 16).map_err(|_error| NoFingerprint)?;
+        Ok(name.into())
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,8 +17,10 @@
 use crate::call;
 use crate::dialect::Dialect;
 use crate::drain::{Drain, Stage};
+use crate::fingerprint::Fingerprint;
 use crate::options::GatewayOptions;
 use crate::published::Published;
+use crate::quarantine::QuarantinedRequest;
 use crate::reservations::Orders;
 use crate::{trace, zones};
 
@@ -119,6 +121,22 @@
         metrics.peers(PeerState::Suspected, members.len() as u64 - live);
     }
 
+    /// Requests that are kept from all upstreams, as these crash under them.
+    #[must_use]
+    pub fn quarantined(&self) -> Vec<QuarantinedRequest> {
+        let quarantined = self.0.parts.upstreams.quarantined();
+        quarantined.into_iter().map(Into::into).collect()
+    }
+
+    /// Ends the quarantine of a request at all daemons; whether there was one.
+    pub fn lift_quarantine(&self, fingerprint: Fingerprint) -> bool {
+        let was_kept = self.0.parts.upstreams.clear(fingerprint.name());
+        if was_kept {
+            trace::cleared(fingerprint, "lifted by the operator");
+        }
+        was_kept
+    }
+
     /// Begins the planned stop.
     pub fn stop(&self) {
         self.0.drain.begin();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,12 +45,13 @@
     Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
 };
 pub use events::{EventFramer, FramedEvents};
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use gateway::{Gateway, GatewayParts};
 pub use horizon::{Continuation, Horizon};
 pub use lease::Lease;
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
 pub use published::Published;
 pub use published_options::PublishedOptions;
+pub use quarantine::QuarantinedRequest;
 pub use registrations::{Missing, Registered, Registrations};
 pub use sharing::{Sharing, SharingError, SharingOptions};
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use compio::runtime::spawn;
-use mangofront_engines::{RequestName, Standing, key_of};
+use mangofront_engines::{CrashStatus, RequestName, Standing, key_of};
 use mangofront_routes::Upstream;
 use mangofront_upstream::{SendError, Target};
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::attempts::{Failed, History};
@@ -35,6 +36,31 @@
 /// When a caller may come back with a request that another daemon may try by now.
 const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(20);
 
+/// A request that is kept from all upstreams, for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct QuarantinedRequest {
+    /// Its fingerprint, as in the daemons' lines.
+    pub fingerprint: String,
+    /// Upstreams that crashed under it.
+    pub crashes: usize,
+    /// Time until it may be tried again, in milliseconds; 0 once it may.
+    pub left_ms: u64,
+}
+
+impl From<CrashStatus> for QuarantinedRequest {
+    fn from(status: CrashStatus) -> Self {
+        let left = match status.standing {
+            Standing::Quarantined { left } => left,
+            Standing::Open { .. } | Standing::OnTrial => Duration::ZERO,
+        };
+        Self {
+            fingerprint: Fingerprint::from(status.request).to_string(),
+            crashes: status.crashes,
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
 /// Whether a request may be sent to an upstream now.
 pub(crate) fn admit(gateway: &Gateway, call: &Call, history: &mut History) -> Result<(), Failed> {
     let name = call.fingerprint.name();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 use mangofront_http::{Body, ErrorBody, Outcome};
 use mangofront_telemetry::metrics::RequestOutcome;
 
+use crate::attempts::CRASHES_UPSTREAMS;
+
 /// Why a request got no answer of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -60,6 +62,17 @@
         }
     }
 
+    /// Why, in the caller's body: the reason, and what it can't tell by itself.
+    fn message(&self) -> String {
+        match self.reason() {
+            CRASHES_UPSTREAMS => format!(
+                "{CRASHES_UPSTREAMS}: upstreams crashed while they ran it, so it is sent to no \
+                 further one; to repeat it before the time in Retry-After is of no use"
+            ),
+            reason => reason.to_owned(),
+        }
+    }
+
     /// Stable code, for metrics.
     pub(crate) fn code(&self) -> &'static str {
         match self {
@@ -92,7 +105,7 @@
 
     pub(crate) fn into_response(self, request_id: &str) -> Response<Body> {
         let status = self.status();
-        let body = ErrorBody::new("refused", self.outcome(), "gateway", self.reason())
+        let body = ErrorBody::new("refused", self.outcome(), "gateway", self.message())
             .request_id(request_id);
         let mut response = body.into_response(status);
         if let Self::NotRun { retry_after, .. } = self {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -475,3 +475,16 @@
     let none = tool(&["losses", empty.name()]);
     insta::assert_snapshot!([seen(&counted), seen(&none)].join("\n===\n"));
 }
+
+#[test]
+fn quarantine_is_shown_and_lifted() {
+    let requests = r#"{"requests": [{"fingerprint": "5392cc", "crashes": 3, "left_ms": 42000}]}"#;
+    let none = r#"{"requests": []}"#;
+    let lifted = r#"{"lifted": "5392cc"}"#;
+    let admin = FakeAdmin::start([(200, requests), (200, none), (200, lifted)]);
+    let listed = tool(&["quarantine", "--admin", admin.address()]);
+    let empty = tool(&["quarantine", "--admin", admin.address()]);
+    let lift = tool(&["quarantine", "--admin", admin.address(), "--lift", "5392cc"]);
+    let answers = [seen(&listed), seen(&empty), seen(&lift)].join("\n===\n");
+    insta::assert_snapshot!(format!("{answers}\n{:#?}", admin.calls()));
+}
