--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,5 +1,8 @@
 //! The handle that holds all upstreams and the work on them.
 
+mod blame;
+mod exchange;
+
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -14,22 +17,15 @@
 use crate::choose::{
     Candidate, Choice, Circumstances, Demand, NoUpstream, choose_engines, choose_plain,
 };
-use crate::crashes::{CRASHES_LIMIT, CrashStatus, Record, Standing};
 use crate::health::Failure;
-use crate::news::{News, Origin, crashes_news, milliseconds, part_of, placed_news};
+use crate::news::{News, milliseconds, placed_news};
 use crate::placed::Placed;
-use crate::shares::{Fate, RequestName, Size};
+use crate::shares::{Fate, Size};
 use crate::state::{OWN, State};
 use crate::upstream::{Known, Load, loads};
-use crate::work::{UpstreamKey, Work, WorkId, key_of};
+use crate::work::{UpstreamKey, Work, key_of};
 use mangofront_settings::process::ChoiceOptions;
 
-/// Requests of whose crashes a daemon tells again each second, of those that it saw.
-const REPEATED_CRASHES: usize = 16;
-
-/// Requests of whose crashes a daemon tells one that has just started.
-const INTRODUCED_CRASHES: usize = 8;
-
 /// Tells the time.
 pub type Clock = fn() -> Instant;
 
@@ -355,63 +351,6 @@
         Some(ejected)
     }
 
-    /// Notes that an upstream crashed while it ran a request of this daemon; how many did
-    /// under that request.
-    pub fn crashed_under(&self, request: RequestName, upstream: UpstreamKey) -> usize {
-        let now = self.now();
-        let mut state = self.0.state.borrow_mut();
-        state.crashes.note(request, upstream, now);
-        self.tell_crashes(&state, request, now);
-        match state.crashes.standing(request, now) {
-            Standing::Open { crashes } => crashes,
-            Standing::Quarantined { .. } | Standing::OnTrial => CRASHES_LIMIT,
-        }
-    }
-
-    /// Notes that a request is not at fault for crashes so far, as an upstream answered
-    /// it whole or the operator says so; whether there were any.
-    pub fn clear(&self, request: RequestName) -> bool {
-        let mut state = self.0.state.borrow_mut();
-        let had_any = state.crashes.clear(request);
-        if had_any {
-            self.tell_crashes(&state, request, self.now());
-        }
-        had_any
-    }
-
-    /// Whether a request may be sent to an upstream, after crashes under it.
-    #[must_use]
-    pub fn standing(&self, request: RequestName) -> Standing {
-        self.0.state.borrow().crashes.standing(request, self.now())
-    }
-
-    /// Whether one more crash would keep a request from all upstreams, or it is already.
-    #[must_use]
-    pub fn is_near_quarantine(&self, request: RequestName) -> bool {
-        match self.standing(request) {
-            Standing::Open { crashes } => crashes + 1 >= CRASHES_LIMIT,
-            Standing::Quarantined { .. } | Standing::OnTrial => true,
-        }
-    }
-
-    /// Keeps others from trying a request while this daemon does.
-    pub fn begin_trial(&self, request: RequestName) {
-        let now = self.now();
-        self.0.state.borrow_mut().crashes.begin_trial(request, now);
-    }
-
-    /// Requests that are kept from upstreams, for a status page.
-    #[must_use]
-    pub fn quarantined(&self) -> Vec<CrashStatus> {
-        self.0.state.borrow().crashes.status(self.now())
-    }
-
-    fn tell_crashes(&self, state: &State, request: RequestName, now: Instant) {
-        if let Some(record) = state.crashes.record(request, now) {
-            self.tell(crashes_news(request, record));
-        }
-    }
-
     /// Upstreams that are known.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -465,130 +404,6 @@
             .map(|known| known.key)
     }
 
-    /// Takes in news of another daemon; whether it has requests that are not known
-    /// here, so that it should introduce itself again.
-    ///
-    /// News are lost while a zone is cut off. Without those of the requests that
-    /// were placed meanwhile, engines full of them would look idle afterwards.
-    pub fn hear(&self, origin: Origin, news: News) -> bool {
-        let now = self.now();
-        let mut state = self.0.state.borrow_mut();
-        state.heard.insert(origin, now);
-        match news {
-            News::Placed {
-                work,
-                parts,
-                gap_ms,
-                expected_in_ms,
-                expires_in_ms,
-            } => {
-                let work_key = (origin, work);
-                let heard = Work {
-                    is_reading: parts.iter().any(|part| part.read_us > 0),
-                    parts: parts.iter().map(part_of).collect(),
-                    expected_at: now + Duration::from_millis(u64::from(expected_in_ms)),
-                    gap_ms: f64::from(gap_ms),
-                    known_since: now,
-                    expires_at: now + Duration::from_millis(u64::from(expires_in_ms)),
-                };
-                if heard.is_reading && heard.parts.len() == 1 {
-                    state.shorts_of_others.note(now);
-                }
-                state.add(work_key, heard, now);
-            }
-            News::Read { work } => state.mark_read(&(origin, work)),
-            News::Ended { work } => {
-                state.works.remove(&(origin, work));
-            }
-            News::Running { reading, writing } => {
-                return state.set_running(origin, &reading, &writing, now);
-            }
-            News::Fate {
-                request,
-                size,
-                fate,
-            } => {
-                state.shares.note(request, size, fate, now);
-            }
-            News::Crashes {
-                request,
-                crashed,
-                cleared,
-                since_ms,
-            } => {
-                let record = Record {
-                    crashed,
-                    cleared,
-                    since: Duration::from_millis(u64::from(since_ms)),
-                };
-                state.crashes.merge(request, &record, now);
-            }
-            News::Failed {
-                upstream,
-                ejected_ms,
-            } => {
-                let time = Duration::from_millis(u64::from(ejected_ms));
-                let time = time.min(self.0.options.first_ejection());
-                if let Some(known) = state.known_mut(upstream) {
-                    known.health.leave_out(time, now);
-                }
-            }
-        }
-        false
-    }
-
-    /// Forgets the work of a daemon that is gone.
-    pub fn forget(&self, origin: Origin) {
-        let mut state = self.0.state.borrow_mut();
-        state.works.retain(|key, _| key.0 != origin);
-        state.heard.remove(&origin);
-    }
-
-    /// All requests of this daemon that have not ended, as a daemon that has just
-    /// started, or was out of reach, has to hear of them.
-    #[must_use]
-    pub fn introduction(&self) -> Vec<News> {
-        let now = self.now();
-        let state = self.0.state.borrow();
-        let own = state.works.iter().filter(|(key, _)| key.0 == OWN);
-        let mut news = Vec::new();
-        for ((_, id), work) in own {
-            let expected = work.expected_at.saturating_duration_since(now);
-            let left = work.expires_at.saturating_duration_since(now);
-            news.push(placed_news(*id, work, expected, left));
-            if !work.is_reading {
-                news.push(News::Read { work: *id });
-            }
-        }
-        let worst = state.crashes.worst(INTRODUCED_CRASHES, false).into_iter();
-        let records = worst.filter_map(|request| {
-            let record = state.crashes.record(request, now)?;
-            Some(crashes_news(request, record))
-        });
-        news.extend(records);
-        news
-    }
-
-    /// Tells the other daemons of all requests that have not ended.
-    pub fn tell_running(&self) {
-        let state = self.0.state.borrow();
-        let own = || state.works.iter().filter(|(key, _)| key.0 == OWN);
-        let now = self.now();
-        for request in state.crashes.worst(REPEATED_CRASHES, true) {
-            self.tell_crashes(&state, request, now);
-        }
-        let of = |is_reading| {
-            own()
-                .filter(move |(_, work)| work.is_reading == is_reading)
-                .map(|(key, _)| key.1)
-                .collect()
-        };
-        self.tell(News::Running {
-            reading: of(true),
-            writing: of(false),
-        });
-    }
-
     /// The view, for a status page.
     #[must_use]
     pub fn status(&self) -> Vec<UpstreamStatus> {
@@ -605,34 +420,6 @@
         state.known.iter().zip(&loads).map(status).collect()
     }
 
-    /// Notes that the first event of an own request came.
-    pub(crate) fn note_read(&self, id: WorkId) {
-        self.0.state.borrow_mut().mark_read(&(OWN, id));
-        self.tell(News::Read { work: id });
-    }
-
-    /// Notes that an own request ended.
-    pub(crate) fn note_ended(&self, id: WorkId) {
-        self.0.state.borrow_mut().works.remove(&(OWN, id));
-        self.tell(News::Ended { work: id });
-    }
-
-    /// Notes what became of an own request that is among the largest.
-    pub(crate) fn note_end(&self, request: RequestName, size: Size, fate: Fate) {
-        let mut state = self.0.state.borrow_mut();
-        self.note_fate(&mut state, request, size, fate);
-    }
-
-    fn note_fate(&self, state: &mut State, request: RequestName, size: Size, fate: Fate) {
-        if state.shares.note(request, size, fate, self.now()) {
-            self.tell(News::Fate {
-                request,
-                size,
-                fate,
-            });
-        }
-    }
-
     fn tell(&self, news: News) {
         // Without a listener there are no other daemons to hear it.
         let _ = self.0.news.unbounded_send(news);
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -14,11 +14,10 @@
 use mangofront_telemetry::metrics::RequestOutcome;
 use mangofront_upstream::SendError;
 
-use crate::attempts::{
-    Answering, BROKEN_OFF, Failed, History, attempt, note_failed, restarted, until_restart,
-};
+use crate::attempts::{Answering, BROKEN_OFF, attempt, note_failed, restarted, until_restart};
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::history::{Failed, History};
 use crate::quarantine::note_answered;
 use crate::refusal::Refusal;
 use crate::relay::{Opening, Relay};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod fingerprint;
 mod follow;
 mod gateway;
+mod history;
 mod horizon;
 mod lease;
 mod options;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -15,10 +15,10 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::attempts::{Failed, History};
 use crate::call::Call;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
+use crate::history::{Failed, History};
 use crate::trace;
 
 /// Time for an upstream to take a connection: one that takes none in this is down, or out
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,7 +10,7 @@
 use mangofront_http::{Body, ErrorBody, Outcome};
 use mangofront_telemetry::metrics::RequestOutcome;
 
-use crate::attempts::CRASHES_UPSTREAMS;
+use crate::history::CRASHES_UPSTREAMS;
 
 /// Why a request got no answer of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,12 +22,11 @@
 use mangofront_upstream::SendError;
 
 use crate::answer::ended;
-use crate::attempts::{
-    Answering, BROKEN_OFF, Failed, History, attempt, note_failed, restarted, until_restart,
-};
+use crate::attempts::{Answering, BROKEN_OFF, attempt, note_failed, restarted, until_restart};
 use crate::call::Call;
 use crate::events::EventFramer;
 use crate::gateway::Gateway;
+use crate::history::{Failed, History};
 use crate::quarantine::note_answered;
 use crate::reservations::Reservations;
 use crate::trace::Ended;
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -11,10 +11,10 @@
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
 use mangofront_telemetry::metrics::{Disposition, LengthBucket, Metrics, RequestOutcome};
 
-use crate::attempts::History;
 use crate::call::Call;
 use crate::dialect::Position;
 use crate::fingerprint::Fingerprint;
+use crate::history::History;
 use crate::lease::Lease;
 use crate::provenance::Provenance;
 use crate::published::Published;
