Take an upstream that closes new connections for crashed

Cause: a link before an upstream that has ended takes connections and closes them. The look for a crash took that for an upstream with too many connections, which lives.

An upstream that closes two new connections in a row counts as crashed; one that lives and was short of connections is cleared by the next answer that comes whole.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -29,8 +29,8 @@
 /// that ends may still take it and break it at once.
 const SETTLING_TIME: Duration = Duration::from_millis(50);
 
-/// Connections that are tried: an upstream that has too many closes new ones, and takes
-/// the next one again.
+/// Connections that are tried: an upstream that has too many may close one and take the
+/// next.
 const LOOKS: usize = 2;
 
 /// When a caller may come back with a request that another daemon may try by now.
@@ -149,7 +149,8 @@
             Look::Closes => {}
         }
     }
-    None
+    // What takes them may stand before an upstream that has ended.
+    Some("closes new connections")
 }
 
 /// What a new connection to an upstream shows.
