Give a reservation back only after its last renewal

Cause: the end of a request dropped the task that renewed its reservations and sent the release on another connection. A renewal on its way could be taken in after the release, and then held the memory until it ended by itself.

--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::runtime::{JoinHandle, spawn};
+use compio::runtime::spawn;
+use futures_channel::oneshot;
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode, header};
 use mangofront_engines::Reader;
@@ -55,7 +56,8 @@
 pub(crate) struct Reservations {
     orders: Orders,
     held: Vec<Reservation>,
-    renewal: Option<JoinHandle<()>>,
+    /// Dropped when the request ends; each task then gives its reservation back.
+    renewals: Vec<oneshot::Sender<()>>,
 }
 
 impl Reservations {
@@ -80,7 +82,7 @@
         let mut reservations = Self {
             orders: orders.clone(),
             held: wanted.collect(),
-            renewal: None,
+            renewals: Vec::new(),
         };
         if reservations.held.is_empty() {
             return Ok(reservations);
@@ -92,8 +94,11 @@
                 return Err(one.upstream.clone());
             }
         }
-        let renewed = (orders.clone(), reservations.held.clone());
-        reservations.renewal = Some(spawn(renew(renewed.0, renewed.1)));
+        for one in &reservations.held {
+            let (request_lives, request_ended) = oneshot::channel();
+            spawn(keep(orders.clone(), one.clone(), request_ended)).detach();
+            reservations.renewals.push(request_lives);
+        }
         Ok(reservations)
     }
 
@@ -107,7 +112,10 @@
 
 impl Drop for Reservations {
     fn drop(&mut self) {
-        drop(self.renewal.take());
+        if !self.renewals.is_empty() {
+            return;
+        }
+        // Not all were made, so that none is kept by a task.
         for one in self.held.drain(..) {
             let orders = self.orders.clone();
             spawn(async move { release(&orders, &one).await }).detach();
@@ -115,11 +123,19 @@
     }
 }
 
-async fn renew(orders: Orders, held: Vec<Reservation>) {
-    loop {
-        compio::time::sleep(orders.hold / RENEWALS_PER_HOLD).await;
-        join_all(held.iter().map(|one| reserve(&orders, one))).await;
+/// Renews a reservation until its request has ended, and gives it back then.
+///
+/// One after the other: a renewal that is taken in after the release would hold the memory
+/// until it ends by itself.
+async fn keep(orders: Orders, one: Reservation, mut request_ended: oneshot::Receiver<()>) {
+    let pause = orders.hold / RENEWALS_PER_HOLD;
+    while compio::time::timeout(pause, &mut request_ended)
+        .await
+        .is_err()
+    {
+        reserve(&orders, &one).await;
     }
+    release(&orders, &one).await;
 }
 
 async fn reserve(orders: &Orders, one: &Reservation) -> bool {
