Tell again that a request was cleared to whoever missed it

What callers saw: a request that an upstream had answered whole, or whose quarantine the operator had lifted, could stay refused at a daemon that had missed the news, as long as its quarantine.

Cause: a daemon that saw crashes tells of them each second; that a request was cleared was told once.

Now whoever hears of crashes for which it has cleared a request tells so again; the property that records merge in any order holds unchanged.

--- a/crates/engines/src/crashes.rs
+++ b/crates/engines/src/crashes.rs
@@ -180,6 +180,15 @@
         }
     }
 
+    /// Whether a request was cleared here for crashes for which a teller still holds it at
+    /// fault, so that it has missed news.
+    pub(crate) fn has_cleared_more(&self, request: RequestName, record: &Record) -> bool {
+        let is_unheard =
+            |life: &UpstreamKey| record.crashed.contains(life) && !record.cleared.contains(life);
+        let kept = self.kept.get(&request);
+        kept.is_some_and(|kept| kept.cleared.iter().any(is_unheard))
+    }
+
     /// Whether a request may be sent.
     pub(crate) fn standing(&self, request: RequestName, now: Instant) -> Standing {
         let kept = self.kept.get(&request);
--- a/crates/engines/src/upstreams/exchange.rs
+++ b/crates/engines/src/upstreams/exchange.rs
@@ -73,6 +73,9 @@
                     since: Duration::from_millis(u64::from(since_ms)),
                 };
                 state.crashes.merge(request, &record, now);
+                if state.crashes.has_cleared_more(request, &record) {
+                    self.tell_crashes(&state, request, now);
+                }
             }
             News::Failed {
                 upstream,
--- a/crates/engines/tests/engines/crashes.rs
+++ b/crates/engines/tests/engines/crashes.rs
@@ -157,6 +157,30 @@
     assert_eq!(starting.standing(REQUEST), one.standing(REQUEST));
 }
 
+/// Guards against a request being kept for ever by a daemon that missed that it was cleared.
+#[test]
+fn whoever_missed_that_a_request_was_cleared_is_told_again() {
+    let (one, mut of_one) = daemon();
+    let (other, mut of_other) = daemon();
+    (1..=3).for_each(|life| {
+        other.crashed_under(REQUEST, life);
+    });
+    for news in told(&mut of_other) {
+        one.hear(2, news);
+    }
+    one.clear(REQUEST);
+    told(&mut of_one);
+    // That was lost; the other goes on to tell what it knows.
+    other.tell_running();
+    for news in told(&mut of_other) {
+        one.hear(2, news);
+    }
+    for news in told(&mut of_one) {
+        other.hear(2, news);
+    }
+    assert_eq!(other.standing(REQUEST), open(0));
+}
+
 /// Guards against a flood of requests that crash upstreams once making room for one that
 /// crashes them all.
 #[test]
