--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -38,6 +38,6 @@
 pub use mangofront_settings::process::ChoiceOptions;
 pub use news::{News, Origin};
 pub use placed::Placed;
-pub use shares::{Fate, RequestName, Size};
+pub use shares::{Progress, RequestName, Size};
 pub use upstreams::{Clock, UpstreamStatus, Upstreams};
 pub use work::{UpstreamKey, WorkId, key_of};
--- a/crates/engines/src/news.rs
+++ b/crates/engines/src/news.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crashes::Record;
-use crate::shares::{Fate, RequestName, Size};
+use crate::shares::{Progress, RequestName, Size};
 use crate::work::{Part, UpstreamKey, Work, WorkId};
 
 /// One life of a daemon that tells news.
@@ -50,13 +50,13 @@
         writing: Vec<WorkId>,
     },
     /// What became of one of the largest prompts.
-    Fate {
+    Progress {
         /// The request.
         request: RequestName,
         /// Its size.
         size: Size,
         /// What became of it.
-        fate: Fate,
+        progress: Progress,
     },
     /// Upstreams crashed under a request; all that the teller knows of it.
     Crashes {
--- a/crates/engines/src/placed.rs
+++ b/crates/engines/src/placed.rs
@@ -6,7 +6,7 @@
 
 use crate::choose::Reader;
 use crate::lives::LifeEnd;
-use crate::shares::{Fate, RequestName, Size};
+use crate::shares::{Progress, RequestName, Size};
 use crate::upstreams::Upstreams;
 use crate::work::WorkId;
 
@@ -65,7 +65,7 @@
     /// Notes that the answer was passed on whole.
     pub fn answered(&mut self) {
         if let Some((request, size)) = self.share.take() {
-            self.upstreams.note_end(request, size, Fate::Served);
+            self.upstreams.note_end(request, size, Progress::Served);
         }
     }
 }
@@ -74,7 +74,7 @@
     fn drop(&mut self) {
         self.upstreams.note_ended(self.id);
         if let Some((request, size)) = self.share.take() {
-            self.upstreams.note_end(request, size, Fate::Lost);
+            self.upstreams.note_end(request, size, Progress::Lost);
         }
     }
 }
--- a/crates/engines/src/shares.rs
+++ b/crates/engines/src/shares.rs
@@ -56,7 +56,7 @@
 
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Fate {
+pub enum Progress {
     /// It was refused for load.
     Refused,
     /// An upstream works on it.
@@ -67,7 +67,7 @@
     Served,
 }
 
-impl Fate {
+impl Progress {
     /// Whether it counts as not served.
     fn is_unserved(self) -> bool {
         match self {
@@ -87,7 +87,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Kept {
     size: Size,
-    fate: Fate,
+    progress: Progress,
 }
 
 /// What became of the largest prompts lately.
@@ -105,24 +105,26 @@
         &mut self,
         request: RequestName,
         size: Size,
-        fate: Fate,
+        progress: Progress,
         now: Instant,
     ) -> bool {
         self.forget_old(now);
         let before = self.kept.get(&request).copied();
         // News overtake each other, and nothing follows a whole answer.
-        if before.is_some_and(|before| before.fate == fate || before.fate == Fate::Served) {
+        if before.is_some_and(|before| {
+            before.progress == progress || before.progress == Progress::Served
+        }) {
             return false;
         }
         match before {
             Some(before) => self.uncount(before),
             None => self.since.push_back((now, request)),
         }
-        let kept = Kept { size, fate };
+        let kept = Kept { size, progress };
         self.kept.insert(request, kept);
         let tally = self.tallies.entry(size).or_default();
         tally.all += 1;
-        tally.unserved += u32::from(fate.is_unserved());
+        tally.unserved += u32::from(progress.is_unserved());
         true
     }
 
@@ -136,7 +138,7 @@
         let tally = self.tallies.get(&size).copied().unwrap_or_default();
         let before = self.kept.get(&request).filter(|kept| kept.size == size);
         let (all, unserved) = match before {
-            Some(kept) if kept.fate.is_unserved() => (tally.all, tally.unserved),
+            Some(kept) if kept.progress.is_unserved() => (tally.all, tally.unserved),
             Some(_) => (tally.all, tally.unserved + 1),
             None => (tally.all + 1, tally.unserved + 1),
         };
@@ -147,7 +149,7 @@
     fn uncount(&mut self, kept: Kept) {
         if let Some(tally) = self.tallies.get_mut(&kept.size) {
             tally.all -= 1;
-            tally.unserved -= u32::from(kept.fate.is_unserved());
+            tally.unserved -= u32::from(kept.progress.is_unserved());
             if tally.all == 0 {
                 self.tallies.remove(&kept.size);
             }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,6 +1,6 @@
 //! The handle that holds all upstreams and the work on them.
 
-mod blame;
+mod crash_records;
 mod exchange;
 
 use std::cell::RefCell;
@@ -20,7 +20,7 @@
 use crate::health::Failure;
 use crate::news::{News, milliseconds, placed_news};
 use crate::placed::Placed;
-use crate::shares::{Fate, Size};
+use crate::shares::{Progress, Size};
 use crate::state::{OWN, State};
 use crate::upstream::{Known, Load, loads};
 use crate::work::{UpstreamKey, Work, key_of};
@@ -151,14 +151,14 @@
         }
         let size = state.size(service, demand);
         let choice = self.choose(&state, service, demand, size, tried, now);
-        let fate = match &choice {
-            Ok(_) => Some(Fate::Placed),
-            Err(NoUpstream::Overrun) => Some(Fate::Refused),
+        let progress = match &choice {
+            Ok(_) => Some(Progress::Placed),
+            Err(NoUpstream::Overrun) => Some(Progress::Refused),
             Err(_) => None,
         };
         let share = size.map(|size| (demand.request, size));
-        if let (Some((request, size)), Some(fate)) = (share, fate) {
-            self.note_fate(&mut state, request, size, fate);
+        if let (Some((request, size)), Some(progress)) = (share, progress) {
+            self.note_progress(&mut state, request, size, progress);
         }
         let choice = choice?;
         let id = state.next_work;
--- a/crates/engines/src/upstreams/exchange.rs
+++ b/crates/engines/src/upstreams/exchange.rs
@@ -5,7 +5,7 @@
 use super::Upstreams;
 use crate::crashes::Record;
 use crate::news::{News, Origin, crashes_news, part_of, placed_news};
-use crate::shares::{Fate, RequestName, Size};
+use crate::shares::{Progress, RequestName, Size};
 use crate::state::{OWN, State};
 use crate::work::{Work, WorkId};
 
@@ -54,12 +54,12 @@
             News::Running { reading, writing } => {
                 return state.set_running(origin, &reading, &writing, now);
             }
-            News::Fate {
+            News::Progress {
                 request,
                 size,
-                fate,
+                progress,
             } => {
-                state.shares.note(request, size, fate, now);
+                state.shares.note(request, size, progress, now);
             }
             News::Crashes {
                 request,
@@ -156,23 +156,23 @@
     }
 
     /// Notes what became of an own request that is among the largest.
-    pub(crate) fn note_end(&self, request: RequestName, size: Size, fate: Fate) {
+    pub(crate) fn note_end(&self, request: RequestName, size: Size, progress: Progress) {
         let mut state = self.0.state.borrow_mut();
-        self.note_fate(&mut state, request, size, fate);
+        self.note_progress(&mut state, request, size, progress);
     }
 
-    pub(super) fn note_fate(
+    pub(super) fn note_progress(
         &self,
         state: &mut State,
         request: RequestName,
         size: Size,
-        fate: Fate,
+        progress: Progress,
     ) {
-        if state.shares.note(request, size, fate, self.now()) {
-            self.tell(News::Fate {
+        if state.shares.note(request, size, progress, self.now()) {
+            self.tell(News::Progress {
                 request,
                 size,
-                fate,
+                progress,
             });
         }
     }
