Let no time pass in the scenes of busy engines

The scene read the real clock, and what its engines have to read shrinks with it: 20 ms of sleep before that row bring the failure about each time (20, 60, 150 and 300 ms tried, 0 ms passes).

--- a/crates/engines/tests/engines/choice.rs
+++ b/crates/engines/tests/engines/choice.rs
@@ -11,7 +11,7 @@
 
 /// Engines that have two long reviews to read, 3.8 s of one engine's time.
 fn busy_engines(count: usize) -> (Fleet, Vec<Placed>) {
-    let fleet = Fleet::new(count);
+    let fleet = Fleet::at_one_moment(count);
     let running = (0..2)
         .map(|_| {
             fleet
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{ChoiceOptions, Demand, News, NoUpstream, Placed, Upstreams};
@@ -13,6 +14,14 @@
 
 pub const SERVICE: &str = "assist-llm";
 
+/// Salt of the daemon under test.
+const SALT: u64 = 0x9E37_79B9_7F4A_7C15;
+
+fn one_moment() -> Instant {
+    static MOMENT: OnceLock<Instant> = OnceLock::new();
+    *MOMENT.get_or_init(Instant::now)
+}
+
 pub fn upstream(number: usize, service: &str, zone: &str) -> Upstream {
     Upstream {
         id: format!("i-{number}"),
@@ -49,7 +58,7 @@
 
     pub fn with_options(listed: Vec<Upstream>, options: ChoiceOptions) -> Self {
         let (tell, news) = unbounded();
-        let upstreams = Upstreams::new(options, "hall-a".to_owned(), 0x9E37_79B9_7F4A_7C15, tell);
+        let upstreams = Upstreams::new(options, "hall-a".to_owned(), SALT, tell);
         let fleet = Self {
             upstreams,
             news,
@@ -59,6 +68,26 @@
         fleet
     }
 
+    /// A daemon for which no time passes, so that what engines have to read stays the same
+    /// however late the test runs.
+    pub fn at_one_moment(count: usize) -> Self {
+        let (tell, news) = unbounded();
+        let options = ChoiceOptions {
+            settling_time_ms: 0,
+            ..ChoiceOptions::default()
+        };
+        let zone = "hall-a".to_owned();
+        let upstreams = Upstreams::with_clock(options, zone, SALT, tell, one_moment);
+        let listed = (0..count).map(|number| upstream(number, SERVICE, "hall-a"));
+        let fleet = Self {
+            upstreams,
+            news,
+            listed: listed.collect(),
+        };
+        fleet.list(&fleet.listed);
+        fleet
+    }
+
     pub fn list(&self, listed: &[Upstream]) {
         let engine = HashMap::from([(SERVICE.to_owned(), Rc::new(figures()))]);
         self.upstreams.set_known(listed.iter().cloned(), &engine);
