Play a fleet of 27 daemons against a scripted store in one process

Each daemon is a real Published, Sharing and Peers on a loopback address of its own. What the store does to each daemon's calls is drawn from a seed; every view is looked at each 20 ms.

--- /dev/null
+++ b/crates/gateway/tests/fleet/main.rs
@@ -0,0 +1,67 @@
+//! A fleet in one process that follows a scripted store.
+//!
+//! Each daemon has its own membership and datagrams on a loopback address of its own.
+//! `MANGOFRONT_FLEET_SEEDS` sets the seeds, as a range or a list: `1..40` or `3,17`.
+
+mod daemon;
+mod run;
+mod script;
+mod store;
+
+use std::sync::{Mutex, PoisonError};
+
+use compio::runtime::Runtime;
+
+use crate::run::play;
+use crate::script::{Family, Script};
+
+/// Held by the one fleet that runs at a time.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// Guards against work sent on to an upstream that has left, by daemons that the store
+/// turns away while it serves others.
+#[test]
+fn daemons_that_are_turned_away_learn_of_departures_in_time() {
+    check(Family::TurnedAway, &[1, 2]);
+}
+
+/// Guards against a departure that waits behind a large configuration.
+#[test]
+fn departures_do_not_wait_for_a_large_configuration() {
+    check(Family::Narrow, &[1]);
+}
+
+/// Guards against an outage of the store that ends the use of live upstreams, or keeps
+/// those that do not return.
+#[test]
+fn an_outage_keeps_the_upstreams_that_return() {
+    check(Family::Outage, &[1]);
+}
+
+/// Plays a run for each seed.
+fn check(family: Family, seeds: &[u64]) {
+    let mut failed = Vec::new();
+    for seed in set_seeds().unwrap_or_else(|| seeds.to_vec()) {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let runtime = Runtime::new().expect("a runtime starts");
+        let report = runtime.block_on(play(Script::draw(family, seed)));
+        drop(runtime);
+        drop(running);
+        print!("{family:?} seed {seed}: {report}");
+        if !report.faults.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "{family:?} failed with seeds {failed:?}");
+}
+
+/// Seeds that the environment sets.
+fn set_seeds() -> Option<Vec<u64>> {
+    let set = std::env::var("MANGOFRONT_FLEET_SEEDS").ok()?;
+    let number = |text: &str| text.trim().parse::<u64>().expect("a seed is a number");
+    let seeds = match set.split_once("..") {
+        Some((first, end)) => (number(first)..number(end)).collect(),
+        None => set.split(',').map(number).collect(),
+    };
+    Some(seeds)
+}
