--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -70,6 +70,7 @@
     last_event_id: Option<EventId>,
 ) -> Result<Answering, Failed> {
     admit(gateway, call, history)?;
+    gateway.parts().published.confirmed_lately().await;
     let mut placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
     let key = key_of(&upstream);
--- /dev/null
+++ b/crates/gateway/src/confirm.rs
@@ -0,0 +1,213 @@
+//! Having what is in force confirmed by other daemons.
+//!
+//! A daemon that does not watch the source asks those of its zone that do how far they
+//! know what is published. Their answers renew its lease and bring the changes of upstreams
+//! that it lacks. Where none of them is in touch with the source, as where it turns away
+//! just these, daemons of its own zone and of others are asked that may be: whoever is in
+//! touch tells who is not.
+//!
+//! A configuration is fetched beside the questions, however long that takes; changes of
+//! upstreams never wait for it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mangofront_dissemination::Teller;
+use mangofront_routes::RouteTable;
+use mangofront_settings::ids::InstanceId;
+
+use crate::boot_clock::BootInstant;
+use crate::copies::{CopyOf, CopyPart, PartialCopy, Wanted};
+use crate::datagram::Relayed;
+use crate::dialect::Entry;
+use crate::provenance::Provenance;
+use crate::published::Published;
+use crate::published_options::ASK_TIMEOUT;
+use crate::sharing::{Circle, Sharing, Told};
+use crate::trace;
+
+impl Published {
+    /// Has what is in force confirmed by other daemons, for ever.
+    pub(crate) async fn keep_confirmed(self, sharing: Rc<Sharing>) {
+        loop {
+            if !self.is_confirmed_by_source(&sharing) {
+                self.ask(&sharing).await;
+            }
+            self.0.ask_soon.wait(self.options().ask_period).await;
+        }
+    }
+
+    /// Whether this daemon watches the source and is in touch with it.
+    fn is_confirmed_by_source(&self, sharing: &Sharing) -> bool {
+        sharing.is_watcher() && self.is_confirmed_within(self.options().told_age_limit)
+    }
+
+    fn is_confirmed_within(&self, time: Duration) -> bool {
+        self.0.lease.is_younger_than(time)
+    }
+
+    /// Asks other daemons, those of the own zone that watch first.
+    async fn ask(&self, sharing: &Rc<Sharing>) {
+        let is_confirmed = self.ask_circle(sharing, Circle::Watchers).await
+            || self.ask_circle(sharing, Circle::Fleet).await;
+        let was_alone = self.0.is_alone.replace(!is_confirmed);
+        if was_alone == is_confirmed {
+            trace::confirmed_by_others(is_confirmed);
+        }
+        if !is_confirmed {
+            self.0.source_needed.wake();
+        }
+        self.0.asked.wake();
+    }
+
+    /// Asks some daemons at once; whether one that is in touch has answered.
+    async fn ask_circle(&self, sharing: &Rc<Sharing>, circle: Circle) -> bool {
+        let asked = BootInstant::now();
+        let after = self.horizon().upstreams();
+        let mut answers = sharing.ask(circle, after).await;
+        while let Some(told) = answers
+            .next(ASK_TIMEOUT.saturating_sub(asked.elapsed()))
+            .await
+        {
+            if self.take_answer(sharing, asked, told) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Takes in what another daemon knows; whether it is in touch.
+    fn take_answer(&self, sharing: &Rc<Sharing>, asked: BootInstant, told: Told) -> bool {
+        let known = told.known;
+        self.note_heard(known.answered);
+        let provenance = Provenance::answered(told.from.ip(), &known);
+        self.take_told(told.upstreams.changes, &provenance);
+        if told.upstreams.are_all {
+            self.change_horizon(|horizon| horizon.advance_upstreams(known.upstreams_position));
+        }
+        if known.age() >= self.options().told_age_limit {
+            return false;
+        }
+        let has_configuration = self.version() >= known.configuration;
+        if has_configuration {
+            let position = known.configuration_position;
+            self.change_horizon(|horizon| horizon.advance_configuration(position));
+        }
+        let horizon = self.horizon();
+        let has_upstreams = horizon.upstreams() >= Some(known.upstreams_position);
+        match (has_upstreams, has_configuration) {
+            (true, true) => {
+                self.0.lease.confirm(asked.before(known.age()));
+                self.0.is_first_hand.set(false);
+                self.0.is_behind.set(false);
+            }
+            (false, _) => self.fetch(sharing, told.instance, Wanted::Upstreams),
+            (true, false) => self.fetch(sharing, told.instance, Wanted::Configuration),
+        }
+        known.is_in_touch
+    }
+
+    /// Takes in changes that a watcher of the zone read.
+    ///
+    /// They say nothing of how current that is: a datagram may have lain unread
+    /// while this daemon stood still.
+    pub(crate) fn take_relayed(&self, relayed: Relayed, from: &Teller) {
+        self.note_heard(relayed.answered);
+        let provenance = Provenance::relayed(from.address, relayed.position);
+        let Relayed {
+            after,
+            position,
+            upstreams,
+            has_configuration,
+            ..
+        } = relayed;
+        let are_all = upstreams.are_all;
+        self.take_told(upstreams.changes, &provenance);
+        let mut is_current = are_all && !has_configuration;
+        self.change_horizon(|horizon| {
+            if are_all {
+                is_current &= horizon.follow_upstreams(after, position);
+            }
+            if !has_configuration {
+                is_current &= horizon.follow_configuration(after, position);
+            }
+        });
+        if !is_current {
+            self.0.ask_soon.wake();
+        }
+    }
+
+    /// Begins to fetch a copy, unless one is being fetched.
+    fn fetch(&self, sharing: &Rc<Sharing>, from: InstanceId, wanted: Wanted) {
+        if self.0.is_fetching.replace(true) {
+            return;
+        }
+        let (published, sharing) = (self.clone(), Rc::clone(sharing));
+        let fetching = async move {
+            let has_copy = published.fetch_copy(&sharing, &from, wanted).await;
+            published.0.is_fetching.set(false);
+            if !has_copy {
+                published.0.is_behind.set(true);
+                published.0.source_needed.wake();
+            }
+            published.0.ask_soon.wake();
+        };
+        compio::runtime::spawn(fetching).detach();
+    }
+
+    /// Fetches a copy from another daemon, part by part; whether it was taken in.
+    async fn fetch_copy(&self, sharing: &Sharing, from: &InstanceId, wanted: Wanted) -> bool {
+        let mut partial = PartialCopy::default();
+        while let Some(missing) = partial.missing(wanted) {
+            let part = match sharing.fetch(from, missing).await {
+                Ok(bytes) => CopyPart::read(&bytes),
+                Err(error) => {
+                    trace::copy_failed(from, &error.to_string());
+                    return false;
+                }
+            };
+            if !part.is_some_and(|part| partial.add(part)) {
+                trace::copy_failed(from, "the copy that was begun is there no more");
+                return false;
+            }
+        }
+        self.take_copy(&partial, from)
+    }
+
+    /// Takes over a copy; whether it could be read.
+    fn take_copy(&self, copy: &PartialCopy, from: &InstanceId) -> bool {
+        match copy.copy() {
+            Some(CopyOf::Configuration(_)) => {
+                let Some(table) = copy.read::<RouteTable>() else {
+                    return false;
+                };
+                let position = self.horizon().configuration().unwrap_or_default();
+                self.take_table(table, &Provenance::copied(from, position));
+                true
+            }
+            Some(CopyOf::Upstreams(position)) => {
+                let Some(upstreams) = copy.read::<Vec<_>>() else {
+                    return false;
+                };
+                let entries = upstreams.into_iter().map(Entry::Upstream);
+                self.take_all(position, entries, &Provenance::copied(from, position));
+                self.change_horizon(|horizon| horizon.advance_upstreams(position));
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Waits until what is in force was confirmed lately, unless nobody can confirm it.
+    ///
+    /// A daemon that stood still, or was cut off and is back, asks before it sends; one that
+    /// reaches nobody in touch goes on with what it knows.
+    pub(crate) async fn confirmed_lately(&self) {
+        let limit = self.options().unconfirmed_limit();
+        if self.is_confirmed_within(limit) || self.0.is_alone.get() || self.version().is_none() {
+            return;
+        }
+        self.0.ask_soon.wake();
+        self.0.asked.wait(ASK_TIMEOUT * 2).await;
+    }
+}
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -1,48 +1,82 @@
-//! Copies of what is in force, which daemons of a zone hand to each other.
+//! Copies of what is in force, which daemons hand to each other in parts.
 //!
 //! A call to the source is counted against the budget of the whole fleet, and each
-//! new configuration would be fetched by every daemon. So daemons fetch it from one
-//! of their zone that watches. A copy is as good as what it was made from: it says
-//! how far its maker knows what is published, and how long ago that was current.
+//! new configuration would be fetched by every daemon; one that the source turns away
+//! could not fetch it at all. So daemons fetch it from one that has it. A part fits
+//! through a narrow link well within the time of a call, so that a copy is as large as
+//! it has to be, and what is said meanwhile does not wait behind it.
+
+use std::cell::RefCell;
 
 use bytes::Bytes;
-use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream};
+use mangofront_routes::ConfigurationVersion;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::datagram::Confirmation;
 use crate::dialect::Position;
 
+/// Largest part of a copy, in bytes.
+const PART_BYTES: usize = 24 * 1024;
+
 /// Largest copy that is handed out, in bytes.
-///
-/// Two watchers of a zone with forty daemons and links of 20 Mbit/s hand out twenty
-/// such copies each in half a second; a larger one is sooner read at the source.
-const COPY_LIMIT_BYTES: usize = 64 * 1024;
+const HANDED_OUT_LIMIT_BYTES: usize = 64 * 1024;
 
-/// Asks for a copy of what the asker does not have.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct CopyRequest {
-    /// Configuration that the asker has in force.
-    pub(crate) version: Option<ConfigurationVersion>,
-    /// Position up to which it knows the upstreams.
-    pub(crate) after: Option<Position>,
+/// Largest copy that is put together, in bytes; a larger one is no copy.
+const COPY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// What a copy is of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum CopyOf {
+    /// The configuration of this version.
+    Configuration(ConfigurationVersion),
+    /// All upstreams as of this position.
+    Upstreams(Position),
 }
 
-/// What is in force at one daemon.
+/// What a daemon asks a copy of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Wanted {
+    /// The configuration in force.
+    Configuration,
+    /// All upstreams.
+    Upstreams,
+    /// More of a copy.
+    More {
+        /// Copy that was begun.
+        copy: CopyOf,
+        /// Bytes that the asker has.
+        from_byte: u32,
+    },
+}
+
+/// A part of a copy.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct PublishedCopy {
-    /// How far its maker knows what is published.
-    pub(crate) known: Confirmation,
-    /// The configuration, if it is another than the asker's.
-    pub(crate) table: Option<RouteTable>,
-    /// All upstreams, if any has changed since the asker's position.
-    pub(crate) upstreams: Option<Vec<Upstream>>,
+pub(crate) struct CopyPart {
+    pub(crate) copy: CopyOf,
+    /// Size of the whole copy.
+    pub(crate) size_bytes: u32,
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// A copy that is put together.
+#[derive(Debug, Default)]
+pub(crate) struct PartialCopy {
+    begun: Option<(CopyOf, u32)>,
+    bytes: Vec<u8>,
+}
+
+/// Copies that were handed out last, as bytes.
+#[derive(Debug, Default)]
+pub(crate) struct HandedOut {
+    configuration: RefCell<Option<(CopyOf, Bytes)>>,
+    upstreams: RefCell<Option<(CopyOf, Bytes)>>,
 }
 
-impl CopyRequest {
+impl Wanted {
     /// The request as bytes.
-    pub(crate) fn write(&self) -> Bytes {
-        // Two numbers, so writing can't fail.
-        Bytes::from(postcard::to_stdvec(self).unwrap_or_default())
+    pub(crate) fn write(self) -> Bytes {
+        // Numbers, so writing can't fail.
+        Bytes::from(postcard::to_stdvec(&self).unwrap_or_default())
     }
 
     /// The request that these bytes are, if they are one.
@@ -51,18 +85,95 @@
     }
 }
 
-impl PublishedCopy {
-    /// The copy as bytes; none if it is too large to be handed out.
+impl CopyPart {
+    /// The part as bytes.
     pub(crate) fn write(&self) -> Bytes {
-        let bytes = postcard::to_stdvec(self).unwrap_or_default();
-        match bytes.len() {
-            0..=COPY_LIMIT_BYTES => Bytes::from(bytes),
-            _ => Bytes::new(),
-        }
+        // Numbers and bytes, so writing can't fail.
+        Bytes::from(postcard::to_stdvec(self).unwrap_or_default())
     }
 
-    /// The copy that these bytes are, if they are one.
+    /// The part that these bytes are, if they are one.
     pub(crate) fn read(bytes: &[u8]) -> Option<Self> {
         postcard::from_bytes(bytes).ok()
     }
 }
+
+impl PartialCopy {
+    /// What to ask for next of a copy of `wanted`; nothing when it is whole.
+    pub(crate) fn missing(&self, wanted: Wanted) -> Option<Wanted> {
+        let Some((copy, size_bytes)) = self.begun else {
+            return Some(wanted);
+        };
+        let from_byte = self.bytes.len() as u32;
+        (from_byte < size_bytes).then_some(Wanted::More { copy, from_byte })
+    }
+
+    /// Adds a part; whether it belongs to the copy and brings it on.
+    pub(crate) fn add(&mut self, part: CopyPart) -> bool {
+        let is_of_another = self
+            .begun
+            .is_some_and(|begun| begun != (part.copy, part.size_bytes));
+        let size_bytes = part.size_bytes as usize;
+        let is_too_long = self.bytes.len() + part.bytes.len() > size_bytes;
+        if is_of_another || is_too_long || part.bytes.is_empty() || size_bytes > COPY_LIMIT_BYTES {
+            return false;
+        }
+        self.begun = Some((part.copy, part.size_bytes));
+        self.bytes.extend_from_slice(&part.bytes);
+        true
+    }
+
+    /// The whole copy, if it can be read.
+    pub(crate) fn read<T: DeserializeOwned>(&self) -> Option<T> {
+        postcard::from_bytes(&self.bytes).ok()
+    }
+
+    /// What it is a copy of.
+    pub(crate) fn copy(&self) -> Option<CopyOf> {
+        self.begun.map(|(copy, _)| copy)
+    }
+}
+
+impl HandedOut {
+    /// The first part of `copy`, which `write` makes unless it was handed out before; none
+    /// of a copy that is too large.
+    pub(crate) fn first_part(
+        &self,
+        copy: CopyOf,
+        write: impl FnOnce() -> Vec<u8>,
+    ) -> Option<CopyPart> {
+        let mut last = self.last_of(copy).borrow_mut();
+        let bytes = match last.take() {
+            Some((other, bytes)) if other == copy => bytes,
+            _ => Bytes::from(write()),
+        };
+        let part = part(copy, &bytes, 0);
+        let is_handed_out = bytes.len() <= HANDED_OUT_LIMIT_BYTES;
+        *last = Some((copy, bytes));
+        is_handed_out.then_some(part)
+    }
+
+    /// The part of `copy` that begins at a byte, if that copy is still at hand.
+    pub(crate) fn more(&self, copy: CopyOf, from_byte: u32) -> Option<CopyPart> {
+        let last = self.last_of(copy).borrow();
+        let (_, bytes) = last.as_ref().filter(|(other, _)| *other == copy)?;
+        Some(part(copy, bytes, from_byte as usize))
+    }
+
+    fn last_of(&self, copy: CopyOf) -> &RefCell<Option<(CopyOf, Bytes)>> {
+        match copy {
+            CopyOf::Configuration(_) => &self.configuration,
+            CopyOf::Upstreams(_) => &self.upstreams,
+        }
+    }
+}
+
+fn part(copy: CopyOf, bytes: &Bytes, from_byte: usize) -> CopyPart {
+    let from_byte = from_byte.min(bytes.len());
+    let end = (from_byte + PART_BYTES).min(bytes.len());
+    CopyPart {
+        copy,
+        size_bytes: bytes.len() as u32,
+        bytes: bytes[from_byte..end].to_vec(),
+    }
+}
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -1,16 +1,18 @@
 //! What daemons say to each other by datagram.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mangofront_dissemination::{Scope, Sequence, Teller, Telling};
 use mangofront_engines::News;
-use mangofront_routes::{Upstream, UpstreamId};
+use mangofront_routes::{ConfigurationVersion, Upstream, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::contact::Answered;
 use crate::dialect::Position;
+use crate::registrations::{Record, Standing};
 
 /// Version of the datagrams; a daemon drops any other.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Largest datagram that is sent, in bytes; below the usual limit of a link.
 pub(crate) const DATAGRAM_LIMIT_BYTES: usize = 1_400;
@@ -43,10 +45,11 @@
     Introduction(Vec<News>),
     /// Asks for [`Message::Introduction`].
     Introduce,
-    /// Asks how far the receiver knows what is published.
-    Ask(Nonce),
+    /// Asks how far the receiver knows what is published, and for the changes of upstreams
+    /// after a position.
+    Ask(Nonce, Option<Position>),
     /// Answer to [`Message::Ask`].
-    Confirmed(Nonce, Confirmation),
+    Confirmed(Nonce, Confirmation, UpstreamChanges),
     /// Something that is published has changed.
     Changed(Relayed),
 }
@@ -58,34 +61,68 @@
 /// on two days of some seventy daemons from 4,644 to 2,552 and from 5,413 to 3,816.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Relayed {
-    /// Position from which on these are all changes.
+    /// Position from which on the changes are told.
     pub(crate) after: Position,
     /// Position up to which they are.
     pub(crate) position: Position,
-    /// The changes in order; none when they have to be read at the source.
-    pub(crate) upstreams: Option<Vec<UpstreamChange>>,
+    /// Changes of upstreams.
+    pub(crate) upstreams: UpstreamChanges,
+    /// Whether the configuration has changed too.
+    pub(crate) has_configuration: bool,
+    /// Since when and until when the sender knows that the source answered.
+    pub(crate) answered: Option<AnsweredAges>,
 }
 
-/// A change of a registration.
+/// Changes of upstreams, in any order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamChanges {
+    /// The changes.
+    pub(crate) changes: Vec<UpstreamChange>,
+    /// Whether these are all.
+    pub(crate) are_all: bool,
+}
+
+/// The last change of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamChange {
+    /// What has changed.
+    pub(crate) kind: UpstreamChangeKind,
+    /// Time for which somebody has known it, in milliseconds.
+    pub(crate) known_for_ms: u32,
+}
+
+/// What has changed of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum UpstreamChange {
+pub(crate) enum UpstreamChangeKind {
     /// It was registered, or its registration changed.
     Registered(Upstream),
-    /// It is no longer registered.
-    Gone(UpstreamId),
-    /// Its registration can't be used, and why.
-    Unusable(UpstreamId, String),
+    /// It is no longer registered, or not so that it can be used.
+    Gone(UpstreamId, Position),
 }
 
 /// How far a daemon knows what is published.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Confirmation {
-    /// Position up to which it knows all changes.
-    pub(crate) position: Position,
-    /// Position of the last change.
-    pub(crate) last_change: Position,
-    /// Time since that was known to be current, in milliseconds.
+    /// Position up to which it knows all changes of upstreams.
+    pub(crate) upstreams_position: Position,
+    /// Position up to which it knows all changes of the configuration.
+    pub(crate) configuration_position: Position,
+    /// Configuration that it has in force.
+    pub(crate) configuration: Option<ConfigurationVersion>,
+    /// Time since all of that was known to be current, in milliseconds.
     pub(crate) age_ms: u32,
+    /// Whether neither a call of its own failed nor the last question to others.
+    pub(crate) is_in_touch: bool,
+    /// Since when and until when it knows that the source answered.
+    pub(crate) answered: Option<AnsweredAges>,
+}
+
+/// Time since the first and the last of the answers that the source gave without a break,
+/// as far as the teller knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AnsweredAges {
+    pub(crate) since_ms: u32,
+    pub(crate) until_ms: u32,
 }
 
 impl Confirmation {
@@ -95,6 +132,71 @@
     }
 }
 
+impl AnsweredAges {
+    /// The same as ages at `now`.
+    pub(crate) fn of(answered: Answered, now: Instant) -> Self {
+        Self {
+            since_ms: whole_ms(now.saturating_duration_since(answered.since)),
+            until_ms: whole_ms(now.saturating_duration_since(answered.until)),
+        }
+    }
+
+    /// The same as moments, told at `now`; none if they lie before this machine's clock.
+    pub(crate) fn at(self, now: Instant) -> Option<Answered> {
+        let ago = |ms: u32| now.checked_sub(Duration::from_millis(u64::from(ms)));
+        Some(Answered {
+            since: ago(self.since_ms)?,
+            until: ago(self.until_ms)?,
+        })
+    }
+}
+
+impl UpstreamChange {
+    /// The change that a record holds.
+    pub(crate) fn of(id: &UpstreamId, record: &Record) -> Self {
+        let kind = match &record.standing {
+            Standing::Registered(upstream) => UpstreamChangeKind::Registered(upstream.clone()),
+            Standing::Removed => UpstreamChangeKind::Gone(id.clone(), record.position),
+        };
+        Self {
+            kind,
+            known_for_ms: whole_ms(record.known_for()),
+        }
+    }
+
+    /// Whether no new work goes to the upstream after it.
+    pub(crate) fn is_departure(&self) -> bool {
+        match &self.kind {
+            UpstreamChangeKind::Registered(upstream) => upstream.leaving,
+            UpstreamChangeKind::Gone(..) => true,
+        }
+    }
+
+    /// Time for which somebody has known it.
+    pub(crate) fn known_for(&self) -> Duration {
+        Duration::from_millis(u64::from(self.known_for_ms))
+    }
+}
+
+impl UpstreamChanges {
+    /// As many of `changes` as fit into a datagram beside the rest of a message;
+    /// departures first, as work at an upstream that is not known yet does no harm.
+    pub(crate) fn that_fit(mut changes: Vec<UpstreamChange>) -> Self {
+        changes.sort_by_key(|change| !change.is_departure());
+        let count = changes.len();
+        let fitting = parts(changes).into_iter().next().unwrap_or_default();
+        Self {
+            are_all: fitting.len() == count,
+            changes: fitting,
+        }
+    }
+}
+
+/// Whole milliseconds of a time, as far as they can be told.
+fn whole_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl Datagram {
     /// The bytes of a datagram.
     pub(crate) fn write(sender: Teller, message: Message) -> Vec<u8> {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -137,6 +137,8 @@
     UnusableUpstream {
         /// Id under which it is published.
         id: UpstreamId,
+        /// Position of its last change.
+        position: Position,
         /// What is wrong with it, in a short sentence.
         reason: String,
     },
@@ -157,7 +159,12 @@
     /// A value was written.
     Written(Entry),
     /// An upstream is no longer published.
-    UpstreamGone(UpstreamId),
+    UpstreamGone {
+        /// Its id.
+        id: UpstreamId,
+        /// Position of this change.
+        position: Position,
+    },
 }
 
 /// All published values.
--- a/crates/gateway/src/horizon.rs
+++ b/crates/gateway/src/horizon.rs
@@ -4,7 +4,10 @@
 //! changes up to its position can follow on from there, by the source's answers or by
 //! other daemons' words. It may lose that thread, when the source has dropped the history
 //! or an answer may have been cut; everything has to be read then. What it knew before
-//! stays known: nobody's older word may bring back what it has seen replaced.
+//! stays known: a reading that is older than that is refused.
+//!
+//! Upstreams and the configuration are followed apart: a change of an upstream is taken in
+//! whether or not a configuration before it is known.
 
 use crate::dialect::Position;
 
@@ -13,88 +16,78 @@
 pub struct Horizon {
     /// Furthest position of which something is known.
     furthest: Option<Position>,
-    /// Whether all changes up to it are known.
-    is_complete: bool,
-    /// Position of the last change.
-    last_change: Position,
-    /// Position of the last change of an upstream.
-    last_upstream_change: Position,
-}
-
-/// How changes that somebody tells of go with what is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Continuation {
-    /// All of them are known.
-    Known,
-    /// They follow on from what is known.
-    Next,
-    /// Others between them and what is known are missing.
-    Gap,
+    /// Position up to which all changes of upstreams are known.
+    upstreams: Option<Position>,
+    /// Position up to which all changes of the configuration are known.
+    configuration: Option<Position>,
 }
 
 impl Horizon {
     /// Position up to which all changes are known, if there is one.
     #[must_use]
     pub fn position(&self) -> Option<Position> {
-        self.furthest.filter(|_| self.is_complete)
+        self.upstreams.min(self.configuration)
     }
 
-    /// Position of the last change.
+    /// Position up to which all changes of upstreams are known, if there is one.
     #[must_use]
-    pub fn last_change(&self) -> Position {
-        self.last_change
+    pub fn upstreams(&self) -> Option<Position> {
+        self.upstreams
     }
 
-    /// Whether all changes of upstreams are known to one who knows all up to `position`.
+    /// Position up to which all changes of the configuration are known, if there is one.
     #[must_use]
-    pub fn has_upstreams_of(&self, position: Position) -> bool {
-        position >= self.last_upstream_change
+    pub fn configuration(&self) -> Option<Position> {
+        self.configuration
     }
 
     /// Whether everything as of `position` may replace what is known.
     #[must_use]
     pub fn accepts(&self, position: Position) -> bool {
-        self.furthest.is_none_or(|furthest| furthest <= position)
+        self.furthest <= Some(position)
     }
 
-    /// How all changes from `after` up to `position` go with what is known.
-    #[must_use]
-    pub fn continuation(&self, after: Position, position: Position) -> Continuation {
-        match self.position() {
-            Some(known) if known >= position => Continuation::Known,
-            Some(known) if known >= after => Continuation::Next,
-            _ => Continuation::Gap,
-        }
+    /// Notes that all changes up to `position` are known.
+    pub fn advance(&mut self, position: Position) {
+        self.advance_upstreams(position);
+        self.advance_configuration(position);
     }
 
-    /// Notes that nothing has changed up to `position`.
-    pub fn confirm(&mut self, position: Position) {
+    /// Notes that all changes of upstreams up to `position` are known.
+    pub fn advance_upstreams(&mut self, position: Position) {
+        self.upstreams = self.upstreams.max(Some(position));
         self.furthest = self.furthest.max(Some(position));
     }
 
-    /// Notes that all changes up to `position` were taken in.
-    pub fn advance(&mut self, position: Position, of_upstreams: bool) {
-        self.replace(position, position);
-        if of_upstreams {
-            self.last_upstream_change = position;
-        }
+    /// Notes that all changes of the configuration up to `position` are known.
+    pub fn advance_configuration(&mut self, position: Position) {
+        self.configuration = self.configuration.max(Some(position));
+        self.furthest = self.furthest.max(Some(position));
     }
 
-    /// Notes that everything as of `position` was taken in but for the upstreams, which
-    /// had not changed.
-    pub fn replace(&mut self, position: Position, last_change: Position) {
-        self.furthest = Some(position);
-        self.is_complete = true;
-        self.last_change = last_change;
+    /// Notes all changes of upstreams from `after` up to `position`; whether they follow on
+    /// what is known.
+    pub fn follow_upstreams(&mut self, after: Position, position: Position) -> bool {
+        let follows = self.upstreams.is_some_and(|known| known >= after);
+        if follows {
+            self.advance_upstreams(position);
+        }
+        follows
     }
 
-    /// Notes that upstreams were taken over whose last change is at `position` or before.
-    pub fn replace_upstreams(&mut self, position: Position) {
-        self.last_upstream_change = position;
+    /// Notes that the configuration has not changed from `after` up to `position`; whether
+    /// that follows on what is known.
+    pub fn follow_configuration(&mut self, after: Position, position: Position) -> bool {
+        let follows = self.configuration.is_some_and(|known| known >= after);
+        if follows {
+            self.advance_configuration(position);
+        }
+        follows
     }
 
     /// Notes that changes may be missing, so that everything has to be read.
     pub fn lose(&mut self) {
-        self.is_complete = false;
+        self.upstreams = None;
+        self.configuration = None;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod boot_clock;
 mod budget;
 mod call;
+mod confirm;
 mod contact;
 mod copies;
 mod datagram;
@@ -37,10 +38,11 @@
 mod reservations;
 mod sharing;
 mod trace;
+mod wakeup;
 mod zones;
 
 pub use budget::{SecondSendBudget, SecondSendLimit};
-pub use contact::Contact;
+pub use contact::{Answered, Contact};
 pub use dialect::{
     AnswerHead, AttemptHead, CallFault, CallHead, Change, Changes, Dialect, Entry, EventId, Helper,
     Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
@@ -48,11 +50,11 @@
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use gateway::{Gateway, GatewayParts};
-pub use horizon::{Continuation, Horizon};
+pub use horizon::Horizon;
 pub use lease::Lease;
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
 pub use published::Published;
 pub use published_options::PublishedOptions;
 pub use quarantine::QuarantinedRequest;
-pub use registrations::{Missing, Registered, Registrations};
+pub use registrations::{Missing, Record, Registered, Registrations, Standing};
 pub use sharing::{Sharing, SharingError, SharingOptions};
--- a/crates/gateway/src/provenance.rs
+++ b/crates/gateway/src/provenance.rs
@@ -6,9 +6,10 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use mangofront_settings::ids::InstanceId;
+
 use crate::datagram::Confirmation;
 use crate::dialect::Position;
-use crate::sharing::Watcher;
 
 /// Name of the source in log lines.
 const SOURCE: &str = "platform";
@@ -22,6 +23,8 @@
     Watch,
     /// A daemon that watches passed changes on.
     Relay,
+    /// Another daemon told of changes when it was asked.
+    Answer,
     /// Another daemon handed over all that it has in force.
     Copy,
 }
@@ -33,6 +36,7 @@
             Self::Read => "read",
             Self::Watch => "watch",
             Self::Relay => "relay",
+            Self::Answer => "answer",
             Self::Copy => "copy",
         }
     }
@@ -71,13 +75,23 @@
         }
     }
 
+    /// Changes that the daemon at `from` told of when it was asked.
+    pub(crate) fn answered(from: IpAddr, known: &Confirmation) -> Self {
+        Self {
+            channel: Channel::Answer,
+            from: from.to_string(),
+            position: known.upstreams_position,
+            age: Some(known.age()),
+        }
+    }
+
     /// What `from` had in force.
-    pub(crate) fn copied(from: &Watcher, known: &Confirmation) -> Self {
+    pub(crate) fn copied(from: &InstanceId, position: Position) -> Self {
         Self {
             channel: Channel::Copy,
             from: from.clone(),
-            position: known.position,
-            age: Some(known.age()),
+            position,
+            age: None,
         }
     }
 
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -1,35 +1,35 @@
 //! What is published, as this daemon has it in force.
 //!
 //! A configuration comes into force only if its version is higher than the one
-//! before it, so that a source that serves old values can't bring one back. Where
-//! the values come from is decided in `follow`.
-//! Which upstreams are used, see `registrations`.
+//! before it, so that a source that serves old values can't bring one back; of an upstream
+//! the last change holds, whoever tells of it. Where the values come from is decided in
+//! `follow` and `confirm`. Which upstreams are used, see `registrations`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::runtime::spawn;
-use futures_channel::oneshot;
 use mangofront_engines::Upstreams;
-use mangofront_routes::{EngineFigures, RouteTable, Upstream, UpstreamId};
+use mangofront_routes::{ConfigurationVersion, EngineFigures, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::ServiceName;
 use mangofront_upstream::Connections;
 
-use crate::contact::Contact;
-use crate::copies::{CopyRequest, PublishedCopy};
-use crate::datagram::{Confirmation, Relayed, UpstreamChange};
-use crate::dialect::{Change, Entry, Position};
-use crate::horizon::{Continuation, Horizon};
+use crate::contact::{Answered, Contact};
+use crate::copies::{CopyOf, CopyPart, HandedOut, Wanted};
+use crate::datagram::{
+    AnsweredAges, Confirmation, UpstreamChange, UpstreamChangeKind, UpstreamChanges,
+};
+use crate::dialect::{Entry, Position};
+use crate::horizon::Horizon;
 use crate::lease::Lease;
 use crate::provenance::Provenance;
 use crate::published_options::PublishedOptions;
 use crate::registrations::{Missing, Registered, Registrations};
-use crate::sharing::Watcher;
 use crate::trace;
+use crate::wakeup::Wakeup;
 
 /// The published values in force; clones share them.
 #[derive(Debug, Clone)]
@@ -42,13 +42,26 @@
     connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
     registrations: RefCell<Registrations>,
-    pub(crate) contact: Cell<Contact>,
-    /// Whether the last call failed.
-    pub(crate) is_out_of_touch: Cell<bool>,
+    contact: Cell<Contact>,
     pub(crate) lease: Lease,
     horizon: Cell<Horizon>,
-    /// Wakes the task that follows the source, when it waits between two questions.
-    nudge: RefCell<Option<oneshot::Sender<()>>>,
+    handed_out: HandedOut,
+    /// Longest time by which others knew of a departure before.
+    most_late: Cell<Duration>,
+    /// Whether the source itself confirmed what is in force last.
+    pub(crate) is_first_hand: Cell<bool>,
+    /// Whether nobody in touch with the source answered the last question.
+    pub(crate) is_alone: Cell<bool>,
+    /// Whether what others tell of could not be had from them.
+    pub(crate) is_behind: Cell<bool>,
+    /// Whether a copy is being fetched.
+    pub(crate) is_fetching: Cell<bool>,
+    /// Ends the wait between two questions to other daemons.
+    pub(crate) ask_soon: Wakeup,
+    /// Ends the wait of who has no need of the source.
+    pub(crate) source_needed: Wakeup,
+    /// Ends the wait for an answer to a question.
+    pub(crate) asked: Wakeup,
 }
 
 impl Published {
@@ -63,10 +76,17 @@
             table: RefCell::default(),
             registrations: RefCell::default(),
             contact: Cell::default(),
-            is_out_of_touch: Cell::default(),
             lease: Lease::default(),
             horizon: Cell::default(),
-            nudge: RefCell::default(),
+            handed_out: HandedOut::default(),
+            most_late: Cell::default(),
+            is_first_hand: Cell::default(),
+            is_alone: Cell::default(),
+            is_behind: Cell::default(),
+            is_fetching: Cell::default(),
+            ask_soon: Wakeup::default(),
+            source_needed: Wakeup::default(),
+            asked: Wakeup::default(),
         }))
     }
 
@@ -82,6 +102,16 @@
         &self.0.lease
     }
 
+    /// Longest time by which others knew before that an upstream leaves or has left.
+    #[must_use]
+    pub fn most_late(&self) -> Duration {
+        self.0.most_late.get()
+    }
+
+    fn note_departure(&self, late: Duration) {
+        self.0.most_late.set(self.most_late().max(late));
+    }
+
     /// Whether any upstream is known.
     #[must_use]
     pub fn has_upstreams(&self) -> bool {
@@ -105,109 +135,164 @@
         let age = self.0.lease.age()?;
         let horizon = self.horizon();
         Some(Confirmation {
-            position: horizon.position()?,
-            last_change: horizon.last_change(),
+            upstreams_position: horizon.upstreams()?,
+            configuration_position: horizon.configuration()?,
+            configuration: self.version(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            is_in_touch: self.is_in_touch(),
+            answered: self.answered(),
         })
     }
 
-    /// Takes in changes that a watcher of the zone read, or has them read if they
-    /// don't follow on what is known.
-    ///
-    /// They say nothing of how current that is: a datagram may have lain unread
-    /// while this daemon stood still.
-    pub(crate) fn take_relayed(&self, relayed: Relayed, from: IpAddr) {
-        let horizon = self.horizon();
-        let upstreams = match horizon.continuation(relayed.after, relayed.position) {
-            Continuation::Known => return,
-            Continuation::Next => relayed.upstreams,
-            Continuation::Gap => None,
+    /// Whether the last call to the source, or the last question to others, was answered.
+    fn is_in_touch(&self) -> bool {
+        let is_told = !self.0.is_alone.get() && !self.0.contact.get().is_failing();
+        self.0.is_first_hand.get() || is_told
+    }
+
+    /// Version of the configuration in force.
+    pub(crate) fn version(&self) -> Option<ConfigurationVersion> {
+        self.0.table.borrow().as_ref().map(|table| table.version())
+    }
+
+    /// Since when and until when the source is known to have answered.
+    pub(crate) fn answered(&self) -> Option<AnsweredAges> {
+        let answered = self.0.contact.get().last_answered()?;
+        Some(AnsweredAges::of(answered, Instant::now()))
+    }
+
+    /// Notes that the source has just answered a call of `asked`.
+    pub(crate) fn note_answer(&self, asked: Instant) {
+        self.0.is_first_hand.set(true);
+        self.change_contact(|contact| contact.answered(asked, Instant::now()));
+    }
+
+    /// Notes that a call to the source has failed.
+    pub(crate) fn note_failure(&self) {
+        self.0.is_first_hand.set(false);
+        self.change_contact(Contact::failed);
+    }
+
+    /// Takes in what another daemon knows of the source's answers.
+    pub(crate) fn note_heard(&self, answered: Option<AnsweredAges>) {
+        let now = Instant::now();
+        let Some(answered): Option<Answered> = answered.and_then(|ages| ages.at(now)) else {
+            return;
         };
-        let Some(upstreams) = upstreams else {
-            self.nudge();
+        self.change_contact(|contact| contact.heard(answered, now));
+    }
+
+    fn change_contact(&self, change: impl FnOnce(&mut Contact)) {
+        let mut contact = self.0.contact.get();
+        change(&mut contact);
+        self.0.contact.set(contact);
+        let grace = self.0.options.lapse_grace;
+        if contact.keep_until(Instant::now(), grace).is_none() {
+            self.end_all_keeping();
+        }
+    }
+
+    /// Uses no upstream any longer that may only have lapsed: the source was there.
+    fn end_all_keeping(&self) {
+        let ended = self.0.registrations.borrow_mut().end_all_keeping();
+        if ended.is_empty() {
             return;
+        }
+        for id in &ended {
+            trace::keeping_ended(id);
+        }
+        self.pass_on_upstreams();
+    }
+
+    /// Changes of upstreams after `position`, as many as fit into a datagram.
+    pub(crate) fn changes_after(&self, position: Option<Position>) -> UpstreamChanges {
+        let registrations = self.0.registrations.borrow();
+        let changes = position.and_then(|position| registrations.changes_after(position));
+        let Some(changes) = changes else {
+            return UpstreamChanges::default();
         };
-        let provenance = Provenance::relayed(from, relayed.position);
-        for change in upstreams {
-            match change {
-                UpstreamChange::Registered(upstream) => self.take_upstream(upstream, &provenance),
-                UpstreamChange::Gone(id) => self.take_missing(id, &provenance),
-                UpstreamChange::Unusable(id, reason) => {
-                    self.take_unusable(&id, &reason, &provenance);
+        let changes = changes.map(|(id, record)| UpstreamChange::of(id, record));
+        UpstreamChanges::that_fit(changes.collect())
+    }
+
+    /// Takes in changes of upstreams that another daemon tells of.
+    pub(crate) fn take_told(&self, changes: Vec<UpstreamChange>, provenance: &Provenance) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let late = change.known_for();
+            match change.kind {
+                UpstreamChangeKind::Registered(upstream) => {
+                    self.take_upstream(upstream, late, provenance);
+                }
+                UpstreamChangeKind::Gone(id, position) => {
+                    self.take_missing(id, position, late, provenance);
                 }
             }
         }
         self.pass_on_upstreams();
-        self.change_horizon(|horizon| horizon.advance(relayed.position, true));
     }
 
-    /// Answers a daemon that asks for what is in force here.
+    /// Answers a daemon that asks for a copy of what is in force here.
     ///
-    /// The answer is empty where nothing is confirmed, or it would be too large.
+    /// The answer is empty where there is none, or the copy that was begun is replaced.
     #[must_use]
     pub fn answer_copy(&self, request: &[u8]) -> Bytes {
-        let (Some(request), Some(known)) = (CopyRequest::read(request), self.confirmation()) else {
-            return Bytes::new();
-        };
-        let is_new = |table: &Rc<RouteTable>| Some(table.version()) != request.version;
-        let table = self.table().filter(is_new);
-        let horizon = self.horizon();
-        let knows_upstreams = |after: Position| horizon.has_upstreams_of(after);
-        let copy = PublishedCopy {
-            known,
-            table: table.map(|table| (*table).clone()),
-            upstreams: match request.after.is_some_and(knows_upstreams) {
-                true => None,
-                // Of what this daemon only keeps, the asker would never hear the end.
-                false => Some(self.0.registrations.borrow().published().cloned().collect()),
-            },
-        };
-        copy.write()
+        let part = Wanted::read(request).and_then(|wanted| self.copy_part(wanted));
+        part.map(|part| part.write()).unwrap_or_default()
     }
 
-    /// Takes over what another daemon had in force; whether it is at least as far as
-    /// this one.
-    ///
-    /// It says nothing of how current that is here.
-    pub(crate) fn take_copy(&self, copy: PublishedCopy, from: &Watcher) -> bool {
-        let known = copy.known;
-        let provenance = Provenance::copied(from, &known);
-        if !self.horizon().accepts(known.position) {
-            return false;
-        }
-        if let Some(upstreams) = copy.upstreams {
-            self.take_all(upstreams.into_iter().map(Entry::Upstream), &provenance);
-            self.change_horizon(|horizon| horizon.replace_upstreams(known.last_change));
-        }
-        if let Some(table) = copy.table {
-            self.take_table(table);
+    fn copy_part(&self, wanted: Wanted) -> Option<CopyPart> {
+        let handed_out = &self.0.handed_out;
+        match wanted {
+            Wanted::Configuration => {
+                let table = self.table()?;
+                let copy = CopyOf::Configuration(table.version());
+                let write = || postcard::to_stdvec(&*table).unwrap_or_default();
+                handed_out.first_part(copy, write)
+            }
+            Wanted::Upstreams => {
+                let copy = CopyOf::Upstreams(self.horizon().upstreams()?);
+                let registrations = self.0.registrations.borrow();
+                // Of what this daemon only keeps, the asker would never hear the end.
+                let published: Vec<&Upstream> = registrations.published().collect();
+                let write = || postcard::to_stdvec(&published).unwrap_or_default();
+                handed_out.first_part(copy, write)
+            }
+            Wanted::More { copy, from_byte } => handed_out.more(copy, from_byte),
         }
-        self.change_horizon(|horizon| horizon.replace(known.position, known.last_change));
-        true
     }
 
-    /// Takes over everything that is published; what is not among it is missing.
+    /// Takes over everything that was published at `position`; what is not among it is
+    /// missing.
     pub(crate) fn take_all(
         &self,
+        position: Position,
         entries: impl IntoIterator<Item = Entry>,
         provenance: &Provenance,
     ) {
-        let mut missing = self.0.registrations.borrow().ids();
+        let mut missing: Vec<UpstreamId> = {
+            let registrations = self.0.registrations.borrow();
+            let published = registrations.published();
+            let until_then = published.filter(|upstream| upstream.registered_at <= position);
+            until_then.map(|upstream| upstream.id.clone()).collect()
+        };
+        let mut present = std::collections::HashSet::new();
         for entry in entries {
             match &entry {
-                Entry::Upstream(upstream) => {
-                    missing.remove(&upstream.id);
-                }
-                Entry::UnusableUpstream { id, .. } => {
-                    missing.remove(id);
+                Entry::Upstream(Upstream { id, .. }) | Entry::UnusableUpstream { id, .. } => {
+                    present.insert(id.clone());
                 }
                 Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other => {}
             }
             self.take_entry(entry, provenance);
         }
+        missing.retain(|id| !present.contains(id));
         for id in missing {
-            self.take_missing(id, provenance);
+            self.take_missing(id, position, Duration::ZERO, provenance);
         }
+        self.0.registrations.borrow_mut().replaced_at(position);
         self.pass_on_upstreams();
     }
 
@@ -216,38 +301,32 @@
         &self.0.options
     }
 
-    /// Told when something has changed that was not relayed.
-    pub(crate) fn next_nudge(&self) -> oneshot::Receiver<()> {
-        let (nudge, nudged) = oneshot::channel();
-        self.0.nudge.replace(Some(nudge));
-        nudged
-    }
-
-    /// Has the source asked at once.
-    fn nudge(&self) {
-        if let Some(waiting) = self.0.nudge.take() {
-            // The task may have gone on by itself.
-            let _ = waiting.send(());
-        }
-    }
-
     pub(crate) fn take_entry(&self, entry: Entry, provenance: &Provenance) {
         match entry {
-            Entry::Configuration(table) => self.take_table(*table),
-            Entry::Upstream(upstream) => self.take_upstream(upstream, provenance),
-            Entry::UnusableUpstream { id, reason } => {
-                self.take_unusable(&id, &reason, provenance);
+            Entry::Configuration(table) => self.take_table(*table, provenance),
+            Entry::Upstream(upstream) => self.take_upstream(upstream, Duration::ZERO, provenance),
+            Entry::UnusableUpstream {
+                id,
+                position,
+                reason,
+            } => {
+                self.take_unusable(&id, position, &reason, provenance);
             }
             Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
             Entry::Other => {}
         }
     }
 
-    fn take_upstream(&self, upstream: Upstream, provenance: &Provenance) {
-        let registered = self.0.registrations.borrow_mut().register(upstream.clone());
-        match registered {
-            Registered::Changed => trace::upstream_published(&upstream, provenance),
-            Registered::Unchanged => {}
+    fn take_upstream(&self, upstream: Upstream, late: Duration, provenance: &Provenance) {
+        let mut registrations = self.0.registrations.borrow_mut();
+        match registrations.register(upstream.clone(), late) {
+            Registered::Changed => {
+                trace::upstream_published(&upstream, late, provenance);
+                if upstream.leaving {
+                    self.note_departure(late);
+                }
+            }
+            Registered::Unchanged | Registered::Outdated => {}
             Registered::EarlierLife => trace::earlier_life(&upstream),
         }
     }
@@ -255,34 +334,50 @@
     /// A registration that can't be used names no upstream, also where one that
     /// could be used stood before: it may be of another upstream by now. Requests
     /// that run there go on.
-    fn take_unusable(&self, id: &UpstreamId, reason: &str, provenance: &Provenance) {
+    fn take_unusable(
+        &self,
+        id: &UpstreamId,
+        position: Position,
+        reason: &str,
+        provenance: &Provenance,
+    ) {
         trace::unusable_registration(id, reason, provenance);
-        if self.0.registrations.borrow_mut().remove(id) {
-            trace::upstream_gone(id, provenance);
+        let mut registrations = self.0.registrations.borrow_mut();
+        if registrations.remove(id, position, Duration::ZERO) {
+            trace::upstream_gone(id, Duration::ZERO, provenance);
         }
     }
 
-    fn take_table(&self, table: RouteTable) {
+    pub(crate) fn take_table(&self, table: RouteTable, provenance: &Provenance) {
         let mut in_force = self.0.table.borrow_mut();
         let before = in_force.as_ref().map(|table| table.version());
         if before.is_some_and(|before| table.version() <= before) {
             return;
         }
-        trace::configuration_accepted(&table, before);
+        trace::configuration_accepted(&table, before, provenance);
         *in_force = Some(Rc::new(table));
         drop(in_force);
         self.pass_on_upstreams();
     }
 
     /// Removes an upstream, at once or after the time in which it may come back.
-    pub(crate) fn take_missing(&self, id: UpstreamId, provenance: &Provenance) {
+    pub(crate) fn take_missing(
+        &self,
+        id: UpstreamId,
+        position: Position,
+        late: Duration,
+        provenance: &Provenance,
+    ) {
         let now = Instant::now();
         let contact = self.0.contact.get();
         let keep_until = contact.keep_until(now, self.0.options.lapse_grace);
-        let missing = self.0.registrations.borrow_mut().miss(&id, keep_until);
-        match missing {
+        let mut registrations = self.0.registrations.borrow_mut();
+        match registrations.miss(&id, position, late, keep_until) {
             Missing::Unchanged => {}
-            Missing::Removed => trace::upstream_gone(&id, provenance),
+            Missing::Removed => {
+                trace::upstream_gone(&id, late, provenance);
+                self.note_departure(late);
+            }
             Missing::Kept(until) => {
                 trace::removal_put_off(&id, until.duration_since(now), provenance);
                 spawn(self.clone().end_keeping(id, until, provenance.clone())).detach();
@@ -293,13 +388,10 @@
     /// Removes an upstream at `until`, unless it is registered again before.
     async fn end_keeping(self, id: UpstreamId, until: Instant, provenance: Provenance) {
         compio::time::sleep_until(until).await;
-        let is_over = self
-            .0
-            .registrations
-            .borrow_mut()
-            .end_keeping(&id, Instant::now());
-        if is_over {
-            trace::upstream_gone(&id, &provenance);
+        let mut registrations = self.0.registrations.borrow_mut();
+        if registrations.end_keeping(&id, Instant::now()) {
+            drop(registrations);
+            trace::upstream_gone(&id, Duration::ZERO, &provenance);
             self.pass_on_upstreams();
         }
     }
@@ -331,22 +423,3 @@
         }
     }
 }
-
-/// The changes, if all of them that matter are of upstreams.
-pub(crate) fn upstream_changes(changes: &[Change]) -> Option<Vec<UpstreamChange>> {
-    let mut of_upstreams = Vec::with_capacity(changes.len());
-    for change in changes {
-        match change {
-            Change::Written(Entry::Upstream(upstream)) => {
-                of_upstreams.push(UpstreamChange::Registered(upstream.clone()));
-            }
-            Change::UpstreamGone(id) => of_upstreams.push(UpstreamChange::Gone(id.clone())),
-            Change::Written(Entry::UnusableUpstream { id, reason }) => {
-                of_upstreams.push(UpstreamChange::Unusable(id.clone(), reason.clone()));
-            }
-            Change::Written(Entry::Other) => {}
-            Change::Written(Entry::Configuration(_) | Entry::Malformed { .. }) => return None,
-        }
-    }
-    Some(of_upstreams)
-}
--- a/crates/gateway/src/published_options.rs
+++ b/crates/gateway/src/published_options.rs
@@ -6,13 +6,17 @@
 //! time within which a change has to be acted on everywhere:
 //!
 //! ```text
-//! change .. neighbour too old .. asked .. no answer .. own call .. request sent
-//!         relayed_age_limit   ask_period  ASK_TIMEOUT  CALL_TIME   SEND_TIME
+//! change .. teller too old .. asked .. no answer .. others asked .. own call .. request sent
+//!         told_age_limit  ask_period  ASK_TIMEOUT   ASK_TIMEOUT    CALL_TIME  SEND_TIME
 //! ```
+//!
+//! The sum is what is expected. What is acted on is measured: a request is sent by what was
+//! confirmed within [`unconfirmed_limit`](PublishedOptions::unconfirmed_limit), or after
+//! others were asked.
 
 use std::time::Duration;
 
-/// Time for a daemon of the same zone to answer a datagram.
+/// Time for another daemon to answer a datagram.
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time for the source to answer a call that has not to wait: many times the usual.
@@ -36,11 +40,11 @@
     /// Time for an answer beyond that wait: many times the usual few
     /// milliseconds, for a source that is slow but there.
     pub answer_timeout: Duration,
-    /// Time between two questions to a neighbour that watches.
+    /// Time between two questions to other daemons.
     pub ask_period: Duration,
-    /// Age up to which what a neighbour knows is taken; older, it is out of touch
-    /// itself.
-    pub relayed_age_limit: Duration,
+    /// Age up to which what another daemon knows confirms what is in force here; older, it
+    /// is out of touch itself.
+    pub told_age_limit: Duration,
     /// Time for each part of a reading of everything.
     pub read_timeout: Duration,
     /// Pause after a failed call; doubled up to `longest_pause`.
@@ -61,7 +65,7 @@
     /// acted on within `change_bound`,
     /// [`LEAST_CHANGE_BOUND`](mangofront_settings::process::LEAST_CHANGE_BOUND) at least.
     ///
-    /// What a neighbour relays may be as old as one wait and one late answer, and
+    /// What a daemon that watches tells may be as old as one wait and one late answer, and
     /// the next question comes a period later: together half of the lease, so
     /// that a single loss never makes a daemon refuse requests.
     #[must_use]
@@ -73,8 +77,8 @@
         Self {
             watch_wait: share(0.24, 0.35),
             answer_timeout: Duration::from_millis(700),
-            ask_period: share(0.1, 0.15),
-            relayed_age_limit: share(0.4, 0.55),
+            ask_period: share(0.1, 0.13),
+            told_age_limit: share(0.4, 0.42),
             read_timeout: Duration::from_millis(2_000),
             first_pause: Duration::from_millis(80),
             longest_pause: Duration::from_millis(600),
@@ -83,11 +87,16 @@
         }
     }
 
+    /// Time without a confirmation after which others are asked before a request is sent.
+    #[must_use]
+    pub fn unconfirmed_limit(&self) -> Duration {
+        self.told_age_limit + self.ask_period + ASK_TIMEOUT * 2
+    }
+
     /// Longest time from a change until no request is sent any more by what was before
-    /// it, at a daemon that reaches the source while its neighbours do not.
+    /// it, at a daemon that reaches the source while those that it asks do not.
     #[must_use]
     pub fn acted_on_within(&self) -> Duration {
-        let asked_after = self.relayed_age_limit + self.ask_period;
-        asked_after + ASK_TIMEOUT + CALL_TIME + SEND_TIME
+        self.unconfirmed_limit() + CALL_TIME + SEND_TIME
     }
 }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -1,16 +1,28 @@
 //! The registrations of upstreams, and which upstreams are used by them.
 //!
+//! The source numbers its changes, so of two statements on one upstream the one with the
+//! higher number holds, whoever tells it and in whatever order they come. Statements may be
+//! lost, repeated and mixed: all daemons that have heard of the same last changes hold the
+//! same. A removal is kept as a statement too, or an older one could undo it.
+//!
 //! A registration may be missing because its upstream has left, or only because it
 //! lapsed while the source was out of reach. So an upstream may be used for a moment
-//! longer than it is registered. That is a guess of this daemon, made from when it lost
-//! the source, and is kept apart from what is published: other daemons are handed what
-//! is published only, as nothing would ever tell them that a guess has ended.
+//! longer than it is registered. That is a guess of this daemon and is kept apart from
+//! what is published: other daemons are handed what is published only, as nothing would
+//! ever tell them that a guess has ended.
 
-use std::collections::{HashMap, HashSet};
-use std::time::Instant;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
 use mangofront_routes::{Upstream, UpstreamId};
 
+use crate::dialect::Position;
+
+/// Removals that are remembered; the oldest half goes first.
+///
+/// Upstreams of a fleet of the target size that leave within minutes.
+const REMOVALS_LIMIT: usize = 4_096;
+
 /// What a registration changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Registered {
@@ -18,6 +30,8 @@
     Changed,
     /// Nothing that matters.
     Unchanged,
+    /// Nothing: a later change of it is known.
+    Outdated,
     /// Nothing: it was written by an earlier life than the one that is known.
     EarlierLife,
 }
@@ -25,7 +39,7 @@
 /// What a missing registration led to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Missing {
-    /// The upstream was not known, or is kept already.
+    /// The upstream was not known, is kept already, or a later change of it is known.
     Unchanged,
     /// The upstream is used no more.
     Removed,
@@ -36,10 +50,36 @@
 /// Registrations as far as they are known.
 #[derive(Debug, Default)]
 pub struct Registrations {
-    /// As published at the position that this daemon knows.
-    published: HashMap<UpstreamId, Upstream>,
+    records: HashMap<UpstreamId, Record>,
     /// Upstreams that are no longer published and used nevertheless.
     kept: HashMap<UpstreamId, Kept>,
+    removals: usize,
+    /// Removals up to this position may be unknown here, or forgotten.
+    removals_known_after: Position,
+    /// Position of the last change of all.
+    last_change: Position,
+}
+
+/// The last change of an upstream that is known.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// Position of the change.
+    pub position: Position,
+    /// What has been published since.
+    pub standing: Standing,
+    /// When this daemon learned of it.
+    pub learned: Instant,
+    /// Time for which others had known it by then, as far as they told.
+    pub late: Duration,
+}
+
+/// What is published of an upstream.
+#[derive(Debug, Clone)]
+pub enum Standing {
+    /// This registration.
+    Registered(Upstream),
+    /// Nothing.
+    Removed,
 }
 
 #[derive(Debug)]
@@ -48,66 +88,184 @@
     until: Instant,
 }
 
+impl Record {
+    /// Time since somebody learned of it.
+    #[must_use]
+    pub fn known_for(&self) -> Duration {
+        self.late + self.learned.elapsed()
+    }
+}
+
+impl Standing {
+    fn upstream(&self) -> Option<&Upstream> {
+        match self {
+            Self::Registered(upstream) => Some(upstream),
+            Self::Removed => None,
+        }
+    }
+}
+
 impl Registrations {
-    /// Takes in a registration.
-    pub fn register(&mut self, upstream: Upstream) -> Registered {
-        let id = &upstream.id;
-        let kept = self.kept.get(id).map(|kept| &kept.upstream);
-        let before = self.published.get(id).or(kept);
+    /// Takes in a registration, which others have known for `late`.
+    pub fn register(&mut self, upstream: Upstream, late: Duration) -> Registered {
+        let id = upstream.id.clone();
+        let record = self.records.get(&id);
+        let position = upstream.registered_at;
+        if record.is_some_and(|record| record.position > position) {
+            return Registered::Outdated;
+        }
+        let published = record.and_then(|record| record.standing.upstream());
+        let before = published.or_else(|| self.kept.get(&id).map(|kept| &kept.upstream));
         if before.is_some_and(|before| before.started_at_ms > upstream.started_at_ms) {
             return Registered::EarlierLife;
         }
         let is_unchanged = before.is_some_and(|before| before.says_the_same(&upstream));
-        self.kept.remove(id);
-        self.published.insert(id.clone(), upstream);
+        self.kept.remove(&id);
+        self.note(id, position, Standing::Registered(upstream), late);
         match is_unchanged {
             true => Registered::Unchanged,
             false => Registered::Changed,
         }
     }
 
-    /// Notes that a registration is missing; its upstream is kept until `keep_until`, if
-    /// that is given and it had not said that it leaves.
-    pub fn miss(&mut self, id: &UpstreamId, keep_until: Option<Instant>) -> Missing {
-        let Some(upstream) = self.published.remove(id) else {
+    /// Notes that nothing is published of an upstream from `position` on; it is kept until
+    /// `keep_until`, if that is given and it had not said that it leaves.
+    pub fn miss(
+        &mut self,
+        id: &UpstreamId,
+        position: Position,
+        late: Duration,
+        keep_until: Option<Instant>,
+    ) -> Missing {
+        let Some(before) = self.replace(id, position, late) else {
             return Missing::Unchanged;
         };
         match keep_until {
-            Some(until) if !upstream.leaving => {
-                self.kept.insert(id.clone(), Kept { upstream, until });
+            Some(until) if !before.leaving => {
+                let kept = Kept {
+                    upstream: before,
+                    until,
+                };
+                self.kept.insert(id.clone(), kept);
                 Missing::Kept(until)
             }
             _ => Missing::Removed,
         }
     }
 
-    /// Uses an upstream no more, at once; whether it was used.
-    pub fn remove(&mut self, id: &UpstreamId) -> bool {
+    /// Uses an upstream no more from `position` on, at once; whether it was used.
+    pub fn remove(&mut self, id: &UpstreamId, position: Position, late: Duration) -> bool {
+        let is_outdated = |record: &Record| record.position > position;
+        if self.records.get(id).is_some_and(is_outdated) {
+            return false;
+        }
         let was_kept = self.kept.remove(id).is_some();
-        let was_published = self.published.remove(id).is_some();
+        let was_published = self.replace(id, position, late).is_some();
         was_kept || was_published
     }
 
+    /// Notes a removal; the registration that stood before, if it was published.
+    fn replace(&mut self, id: &UpstreamId, position: Position, late: Duration) -> Option<Upstream> {
+        let Some(record) = self.records.get_mut(id) else {
+            self.note_removal(id, position, late);
+            return None;
+        };
+        if record.position > position {
+            return None;
+        }
+        let Some(before) = record.standing.upstream().cloned() else {
+            record.position = position;
+            self.last_change = self.last_change.max(position);
+            return None;
+        };
+        self.note_removal(id, position, late);
+        Some(before)
+    }
+
+    fn note_removal(&mut self, id: &UpstreamId, position: Position, late: Duration) {
+        self.note(id.clone(), position, Standing::Removed, late);
+        self.forget_removals();
+    }
+
+    fn note(&mut self, id: UpstreamId, position: Position, standing: Standing, late: Duration) {
+        let is_removal = matches!(standing, Standing::Removed);
+        let record = Record {
+            position,
+            standing,
+            learned: Instant::now(),
+            late,
+        };
+        let before = self.records.insert(id, record);
+        let was_removal = before.is_some_and(|before| before.standing.upstream().is_none());
+        self.removals += usize::from(is_removal);
+        self.removals -= usize::from(was_removal);
+        self.last_change = self.last_change.max(position);
+    }
+
+    /// Forgets the older half of the removals, when there are too many.
+    fn forget_removals(&mut self) {
+        if self.removals <= REMOVALS_LIMIT {
+            return;
+        }
+        let removals = self.records.values();
+        let removals = removals.filter(|record| record.standing.upstream().is_none());
+        let mut positions: Vec<Position> = removals.map(|record| record.position).collect();
+        positions.sort_unstable();
+        let last = positions[positions.len() / 2];
+        self.records
+            .retain(|_, record| record.standing.upstream().is_some() || record.position > last);
+        self.removals = positions
+            .iter()
+            .filter(|position| **position > last)
+            .count();
+        self.removals_known_after = self.removals_known_after.max(last);
+    }
+
+    /// Notes that all was taken over as of `position`, so that removals before it may have
+    /// been missed.
+    pub fn replaced_at(&mut self, position: Position) {
+        self.removals_known_after = self.removals_known_after.max(position);
+    }
+
     /// Ends the use of an upstream that was kept until `now` or earlier; whether it was.
     pub fn end_keeping(&mut self, id: &UpstreamId, now: Instant) -> bool {
         let is_over = self.kept.get(id).is_some_and(|kept| kept.until <= now);
         is_over && self.kept.remove(id).is_some()
     }
 
-    /// The registrations that are published, to be handed to others.
-    pub fn published(&self) -> impl Iterator<Item = &Upstream> {
-        self.published.values()
+    /// Ends the use of all upstreams that are kept; their ids.
+    pub fn end_all_keeping(&mut self) -> Vec<UpstreamId> {
+        self.kept.drain().map(|(id, _)| id).collect()
     }
 
-    /// Ids of the registrations that are published.
+    /// The last change of an upstream that is known.
     #[must_use]
-    pub fn ids(&self) -> HashSet<UpstreamId> {
-        self.published.keys().cloned().collect()
+    pub fn record(&self, id: &UpstreamId) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    /// All last changes after `position`; none if some of them may be forgotten.
+    pub fn changes_after(
+        &self,
+        position: Position,
+    ) -> Option<impl Iterator<Item = (&UpstreamId, &Record)>> {
+        if position < self.removals_known_after {
+            return None;
+        }
+        let has_any = self.last_change > position;
+        let records = has_any.then(|| self.records.iter()).into_iter().flatten();
+        Some(records.filter(move |(_, record)| record.position > position))
+    }
+
+    /// The registrations that are published, to be handed to others.
+    pub fn published(&self) -> impl Iterator<Item = &Upstream> {
+        let records = self.records.values();
+        records.filter_map(|record| record.standing.upstream())
     }
 
     /// The upstreams that are used.
     pub fn used(&self) -> impl Iterator<Item = &Upstream> {
         let kept = self.kept.values().map(|kept| &kept.upstream);
-        self.published.values().chain(kept)
+        self.published().chain(kept)
     }
 }
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -22,7 +22,7 @@
 use std::time::{Duration, Instant};
 
 use compio::net::UdpSocket;
-use futures_channel::oneshot;
+use futures_channel::mpsc::UnboundedSender;
 use mangofront_dissemination::{
     Held, Life, Neighbour, Paths, RELAYS, Sequence, Sequences, Teller, Telling, WINDOW,
 };
@@ -32,8 +32,10 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::datagram::{Confirmation, Datagram, Message, Nonce, parts};
+use crate::datagram::{Datagram, Message, Nonce, parts};
 use crate::published::Published;
+use asking::Answer;
+pub(crate) use asking::{Circle, Told};
 
 /// Largest datagram that is read, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -73,9 +75,6 @@
     pub relay_from_daemons: usize,
 }
 
-/// Name of a daemon that watches.
-pub(crate) type Watcher = InstanceId;
-
 /// News from and to the other daemons.
 #[derive(Debug)]
 pub struct Sharing {
@@ -89,7 +88,8 @@
     /// Lives of the other daemons, by their short names.
     lives: RefCell<HashMap<u64, Incarnation>>,
     published: Published,
-    asked: RefCell<HashMap<Nonce, oneshot::Sender<Confirmation>>>,
+    /// Questions whose answers are awaited.
+    asked: RefCell<HashMap<Nonce, UnboundedSender<Answer>>>,
     next_nonce: Cell<Nonce>,
     next_sequence: Cell<Sequence>,
     sequences: RefCell<Sequences>,
@@ -217,6 +217,12 @@
         nonce
     }
 
+    /// A number below `count`, which is not zero, drawn anew each time.
+    fn draw_below(&self, count: usize) -> usize {
+        let drawn = xxh3_64(&self.next_draw().to_le_bytes());
+        (drawn % count as u64) as usize
+    }
+
     /// Hears what the others tell, for ever.
     pub async fn hear(self: Rc<Self>) {
         let mut buffer = Vec::with_capacity(BUFFER_BYTES);
@@ -285,24 +291,24 @@
             }
             Message::Introduction(news) => self.take_news(sender.life(), news, from).await,
             Message::Introduce => self.introduce(from).await,
-            Message::Ask(nonce) => {
+            Message::Ask(nonce, after) => {
                 if let Some(known) = self.published.confirmation() {
-                    let answer = self.datagram(Message::Confirmed(nonce, known));
+                    let upstreams = self.published.changes_after(after);
+                    let answer = self.datagram(Message::Confirmed(nonce, known, upstreams));
                     self.send(answer, from).await;
                 }
             }
-            Message::Confirmed(nonce, known) => {
-                if let Some(answer) = self.asked.borrow_mut().remove(&nonce) {
+            Message::Confirmed(nonce, known, upstreams) => {
+                if let Some(asker) = self.asked.borrow().get(&nonce) {
                     // Whoever asked may have given up waiting.
-                    let _ = answer.send(known);
-                }
-            }
-            Message::Changed(relayed) => {
-                // A watcher reads for itself, and would take the same twice.
-                if !self.is_watcher() {
-                    self.published.take_relayed(relayed, sender.address);
+                    let _ = asker.unbounded_send(Answer {
+                        from,
+                        known,
+                        upstreams,
+                    });
                 }
             }
+            Message::Changed(relayed) => self.published.take_relayed(relayed, &sender),
         }
     }
 
--- a/crates/gateway/src/sharing/asking.rs
+++ b/crates/gateway/src/sharing/asking.rs
@@ -1,14 +1,18 @@
-//! Who watches what is published for a zone, and what the others ask of them.
+//! Who watches what is published for a zone, and what daemons ask each other of it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_channel::oneshot;
-use mangofront_peers::{Member, Service};
+use bytes::Bytes;
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use futures_util::StreamExt;
+use mangofront_peers::{CallError, Member, Service};
+use mangofront_settings::ids::{AvailabilityZone, InstanceId};
 
-use super::{Sharing, Watcher};
-use crate::copies::{CopyRequest, PublishedCopy};
-use crate::datagram::{Confirmation, DATAGRAM_LIMIT_BYTES, Message, Relayed};
-use crate::published_options::ASK_TIMEOUT;
+use super::Sharing;
+use crate::copies::Wanted;
+use crate::datagram::{Confirmation, Message, Nonce, Relayed, UpstreamChanges};
+use crate::dialect::Position;
 
 /// Duty of watching what is published for a zone.
 const WATCH_DUTY: &str = "watch-published";
@@ -16,10 +20,77 @@
 /// Daemons of a zone that watch; two, so that one may fail.
 const WATCHERS: usize = 2;
 
-/// Time for a watcher to hand over what it has in force: some packets in its zone, and
-/// a turn of a busy processor for each of the others that ask at the same moment.
+/// Other daemons of the own zone that are asked where no watcher is in touch.
+const ZONE_ASKED: usize = 2;
+
+/// Other zones of which a watcher and another daemon are asked where none of the own zone
+/// is in touch.
+const ZONES_ASKED: usize = 3;
+
+/// Time for another daemon to hand over a part of a copy: some packets through a narrow
+/// link, and a turn of a busy processor for each of the others that ask at the same moment.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Whom a daemon asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Circle {
+    /// Those of its zone that watch.
+    Watchers,
+    /// Others of its zone, and watchers of other zones, drawn anew each time.
+    Fleet,
+}
+
+/// An answer to a question.
+#[derive(Debug)]
+pub(crate) struct Told {
+    pub(crate) from: SocketAddr,
+    pub(crate) instance: InstanceId,
+    pub(crate) known: Confirmation,
+    pub(crate) upstreams: UpstreamChanges,
+}
+
+/// An answer as it came.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) from: SocketAddr,
+    pub(super) known: Confirmation,
+    pub(super) upstreams: UpstreamChanges,
+}
+
+/// Answers to one question, as they come.
+pub(crate) struct Answers<'a> {
+    sharing: &'a Sharing,
+    nonce: Nonce,
+    asked: Vec<(SocketAddr, InstanceId)>,
+    answers: UnboundedReceiver<Answer>,
+}
+
+impl Answers<'_> {
+    /// The next answer, if one comes within `time` and more are awaited.
+    pub(crate) async fn next(&mut self, time: Duration) -> Option<Told> {
+        if self.asked.is_empty() {
+            return None;
+        }
+        let answer = compio::time::timeout(time, self.answers.next()).await;
+        let answer = answer.ok()??;
+        let is_asked = |(address, _): &(SocketAddr, InstanceId)| *address == answer.from;
+        let place = self.asked.iter().position(is_asked)?;
+        let (from, instance) = self.asked.swap_remove(place);
+        Some(Told {
+            from,
+            instance,
+            known: answer.known,
+            upstreams: answer.upstreams,
+        })
+    }
+}
+
+impl Drop for Answers<'_> {
+    fn drop(&mut self) {
+        self.sharing.asked.borrow_mut().remove(&self.nonce);
+    }
+}
+
 impl Sharing {
     /// Whether this daemon is one of those that watch what is published for
     /// their zone.
@@ -27,54 +98,74 @@
         self.peers.is_delegate(WATCH_DUTY, WATCHERS)
     }
 
-    /// Asks a watcher of the zone how far it knows what is published.
-    pub(crate) async fn ask(&self) -> Option<(Watcher, Confirmation)> {
+    /// Asks other daemons how far they know what is published, and for the changes of
+    /// upstreams after a position.
+    pub(crate) async fn ask(&self, circle: Circle, after: Option<Position>) -> Answers<'_> {
         let nonce = self.next_draw();
-        let watchers = self.peers.delegates(WATCH_DUTY, WATCHERS);
+        let members = match circle {
+            Circle::Watchers => self.peers.delegates(WATCH_DUTY, WATCHERS),
+            Circle::Fleet => self.draw_informants(),
+        };
         let own = self.peers.address();
-        let others: Vec<Member> = watchers
-            .into_iter()
-            .filter(|member| member.address != own)
+        let others = members.into_iter().filter(|member| member.address != own);
+        let asked: Vec<(SocketAddr, InstanceId)> = others
+            .map(|member| (self.news_address(&member), member.instance))
             .collect();
-        let watcher = others.get(nonce as usize % others.len().max(1))?;
-        let (answer, answered) = oneshot::channel();
+        let (answer, answers) = unbounded();
         self.asked.borrow_mut().insert(nonce, answer);
-        let to = self.news_address(watcher);
-        self.send(self.datagram(Message::Ask(nonce)), to).await;
-        let answered = compio::time::timeout(ASK_TIMEOUT, answered).await;
-        self.asked.borrow_mut().remove(&nonce);
-        let known = answered.ok()?.ok()?;
-        Some((watcher.instance.clone(), known))
+        let question = self.datagram(Message::Ask(nonce, after));
+        for (address, _) in &asked {
+            self.send(question.clone(), *address).await;
+        }
+        Answers {
+            sharing: self,
+            nonce,
+            asked,
+            answers,
+        }
+    }
+
+    /// Daemons that may be in touch where those that watch for this zone are not.
+    fn draw_informants(&self) -> Vec<Member> {
+        let mut by_zone = self.peers.delegates_by_zone(WATCH_DUTY, usize::MAX);
+        let mut own = by_zone.remove(&self.zone).unwrap_or_default();
+        let own_address = self.peers.address();
+        own.retain(|member| member.address != own_address);
+        let mut informants = self.draw(own.into_iter().skip(WATCHERS).collect(), ZONE_ASKED);
+        let zones: Vec<(AvailabilityZone, Vec<Member>)> = by_zone.into_iter().collect();
+        for (_, mut members) in self.draw(zones, ZONES_ASKED) {
+            let others = members.split_off(WATCHERS.min(members.len()));
+            informants.extend(self.draw(members, 1));
+            informants.extend(self.draw(others, 1));
+        }
+        informants
+    }
+
+    /// Some of `items`, drawn.
+    fn draw<T>(&self, mut items: Vec<T>, count: usize) -> Vec<T> {
+        let mut drawn = Vec::with_capacity(count);
+        while drawn.len() < count && !items.is_empty() {
+            let place = self.draw_below(items.len());
+            drawn.push(items.swap_remove(place));
+        }
+        drawn
     }
 
-    /// Has a watcher hand over what it has in force.
+    /// Has another daemon hand over a part of a copy of what it has in force.
     pub(crate) async fn fetch(
         &self,
-        watcher: &Watcher,
-        request: &CopyRequest,
-    ) -> Option<PublishedCopy> {
-        let call = self
-            .peers
-            .call(watcher, Service::Platform, request.write(), FETCH_TIMEOUT);
-        match call.await {
-            Ok(answer) => PublishedCopy::read(&answer),
-            Err(error) => {
-                log::debug!("gateway: what is published was not handed over: {error}");
-                None
-            }
-        }
+        from: &InstanceId,
+        wanted: Wanted,
+    ) -> Result<Bytes, CallError> {
+        let request = wanted.write();
+        self.peers
+            .call(from, Service::Platform, request, FETCH_TIMEOUT)
+            .await
     }
 
     /// Tells the daemons of the zone what has changed.
     pub(crate) async fn tell_changed(&self, relayed: Relayed) {
-        let unread = Relayed {
-            upstreams: None,
-            ..relayed
-        };
-        let mut datagram = self.datagram(Message::Changed(relayed));
-        if datagram.len() > DATAGRAM_LIMIT_BYTES {
-            datagram = self.datagram(Message::Changed(unread));
-        }
+        let datagram = self.datagram(Message::Changed(relayed));
         for address in &self.paths().zone {
             self.send(datagram.clone(), *address).await;
         }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -9,6 +9,7 @@
 
 use mangofront_engines::{Failure, NoUpstream, Placed};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
+use mangofront_settings::ids::InstanceId;
 use mangofront_telemetry::metrics::{Disposition, LengthBucket, Metrics, RequestOutcome};
 
 use crate::call::Call;
@@ -31,17 +32,23 @@
 }
 
 /// A configuration came into force.
-pub(crate) fn configuration_accepted(table: &RouteTable, before: Option<ConfigurationVersion>) {
+pub(crate) fn configuration_accepted(
+    table: &RouteTable,
+    before: Option<ConfigurationVersion>,
+    provenance: &Provenance,
+) {
     log::info!(
         version = table.version(),
         before_version = before.unwrap_or_default(),
-        routes = table.route_count();
+        routes = table.route_count(),
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str();
         "gateway: configuration in force"
     );
 }
 
-/// An upstream was registered or changed.
-pub(crate) fn upstream_published(upstream: &Upstream, provenance: &Provenance) {
+/// An upstream was registered or changed, which others have known for `late`.
+pub(crate) fn upstream_published(upstream: &Upstream, late: Duration, provenance: &Provenance) {
     log::info!(
         upstream = upstream.id.as_str(),
         address = upstream.address.to_string().as_str(),
@@ -50,7 +57,8 @@
         learned_by = provenance.channel.name(),
         learned_from = provenance.from.as_str(),
         position = provenance.position,
-        age_ms = provenance.age.map(milliseconds);
+        age_ms = provenance.age.map(milliseconds),
+        late_ms = milliseconds(late);
         "gateway: upstream registered"
     );
 }
@@ -86,14 +94,16 @@
     );
 }
 
-/// An upstream is no longer used, as its registration is gone.
-pub(crate) fn upstream_gone(id: &UpstreamId, provenance: &Provenance) {
+/// An upstream is no longer used, as its registration is gone, which others have known
+/// for `late`.
+pub(crate) fn upstream_gone(id: &UpstreamId, late: Duration, provenance: &Provenance) {
     log::info!(
         upstream = id.as_str(),
         learned_by = provenance.channel.name(),
         learned_from = provenance.from.as_str(),
         position = provenance.position,
-        age_ms = provenance.age.map(milliseconds);
+        age_ms = provenance.age.map(milliseconds),
+        late_ms = milliseconds(late);
         "gateway: upstream gone"
     );
 }
@@ -111,6 +121,21 @@
     );
 }
 
+/// An upstream that was kept is no longer used, as the source was there all the while.
+pub(crate) fn keeping_ended(id: &UpstreamId) {
+    log::info!(upstream = id.as_str(); "gateway: upstream gone, its registration had not lapsed");
+}
+
+/// A copy of what is in force could not be had from another daemon.
+pub(crate) fn copy_failed(from: &InstanceId, reason: &str) {
+    log::info!(from = from.as_str(), reason = reason; "gateway: copy not handed over");
+}
+
+/// Nobody who is in touch with the source answers, or somebody does again.
+pub(crate) fn confirmed_by_others(is_confirmed: bool) {
+    log::info!(is_confirmed = is_confirmed; "gateway: confirmation by other daemons");
+}
+
 /// An answer with changes is so large that it may lack later ones.
 pub(crate) fn changes_may_be_cut(position: Position) {
     log::info!(position = position; "gateway: changes may be cut, everything is read");
@@ -143,7 +168,7 @@
         daemons_heard = placed.daemons_heard,
         oldest_news_ms = milliseconds(placed.oldest_news),
         configuration_version = call.version,
-        position = known.map(|known| known.position),
+        position = known.map(|known| known.upstreams_position),
         position_age_ms = known.map(|known| known.age_ms);
         "gateway: request placed"
     );
--- a/crates/gateway/tests/fleet/store.rs
+++ b/crates/gateway/tests/fleet/store.rs
@@ -95,13 +95,16 @@
     }
 
     /// The change as a source tells it.
-    fn change(&self, _position: Position) -> Change {
+    fn change(&self, position: Position) -> Change {
         match self {
             Self::Configured(table) => {
                 Change::Written(Entry::Configuration(Box::new((**table).clone())))
             }
             Self::Registered(upstream) => Change::Written(Entry::Upstream(upstream.clone())),
-            Self::Gone(id) => Change::UpstreamGone(id.clone()),
+            Self::Gone(id) => Change::UpstreamGone {
+                id: id.clone(),
+                position,
+            },
         }
     }
 }
--- a/crates/gateway/tests/horizon.rs
+++ b/crates/gateway/tests/horizon.rs
@@ -1,10 +1,10 @@
 //! How far a daemon knows what is published, and whose word it takes for it.
 
-use mangofront_gateway::{Continuation, Horizon};
+use mangofront_gateway::Horizon;
 
 fn at(position: u64) -> Horizon {
     let mut horizon = Horizon::default();
-    horizon.advance(position, true);
+    horizon.advance(position);
     horizon
 }
 
@@ -21,22 +21,40 @@
 }
 
 #[test]
-fn changes_are_taken_in_only_where_they_follow() {
-    let horizon = at(20);
-    assert_eq!(horizon.continuation(10, 20), Continuation::Known);
-    assert_eq!(horizon.continuation(10, 21), Continuation::Next);
-    assert_eq!(horizon.continuation(21, 22), Continuation::Gap);
+fn changes_are_all_known_only_where_they_follow() {
+    let mut horizon = at(20);
+    assert!(horizon.follow_upstreams(10, 20), "known already");
+    assert_eq!(horizon.upstreams(), Some(20));
+    assert!(horizon.follow_upstreams(10, 21), "next");
+    assert_eq!(horizon.upstreams(), Some(21));
+    assert!(!horizon.follow_upstreams(22, 23), "a gap");
+    assert_eq!(horizon.upstreams(), Some(21));
     let mut lost = horizon;
     lost.lose();
-    assert_eq!(lost.continuation(10, 21), Continuation::Gap);
+    assert!(!lost.follow_upstreams(10, 21));
+    assert_eq!(lost.upstreams(), None);
 }
 
 #[test]
-fn a_confirmation_moves_the_position_and_no_change() {
+fn an_older_position_moves_nothing_back() {
     let mut horizon = at(20);
-    horizon.confirm(30);
-    horizon.confirm(25);
+    horizon.advance(30);
+    horizon.advance(25);
     assert_eq!(horizon.position(), Some(30));
-    assert_eq!(horizon.last_change(), 20);
-    assert!(horizon.has_upstreams_of(20) && !horizon.has_upstreams_of(19));
+}
+
+/// Departures stood in line behind a configuration: a change that followed one which was
+/// not known yet was passed over.
+#[test]
+fn upstreams_are_followed_past_a_configuration_that_is_not_known() {
+    let mut horizon = at(20);
+    assert!(horizon.follow_upstreams(20, 25));
+    assert_eq!(horizon.configuration(), Some(20));
+    assert_eq!(
+        horizon.position(),
+        Some(20),
+        "from here on the source is asked"
+    );
+    assert!(horizon.follow_configuration(20, 25));
+    assert_eq!(horizon.position(), Some(25));
 }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -130,8 +130,8 @@
 #[test]
 fn a_neighbour_out_of_touch_is_not_believed_for_long() {
     let options = PublishedOptions::for_bounds(Duration::from_secs(5), Duration::from_secs(2));
-    let asked_after = options.relayed_age_limit + options.ask_period;
-    assert!(options.relayed_age_limit > options.watch_wait);
+    let asked_after = options.told_age_limit + options.ask_period;
+    assert!(options.told_age_limit > options.watch_wait);
     assert!(asked_after < Duration::from_secs(2), "{asked_after:?}");
 }
 
@@ -144,7 +144,7 @@
         let lease = Duration::from_millis(100 + u64::from(lease_ms));
         let bound = LEAST_CHANGE_BOUND + Duration::from_millis(u64::from(bound_ms));
         let options = PublishedOptions::for_bounds(lease, bound);
-        let is_believed = options.relayed_age_limit > options.watch_wait;
+        let is_believed = options.told_age_limit > options.watch_wait;
         is_believed && options.acted_on_within() <= bound && options.lapse_grace < bound
     }
     QuickCheck::new()
--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use mangofront_gateway::{Contact, Missing, Registered, Registrations};
+use mangofront_gateway::{Contact, Missing, Registered, Registrations, Standing};
 use mangofront_routes::Upstream;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const KEPT: Duration = Duration::from_secs(2);
 
+/// Position at which an upstream was registered, and one after it.
+const REGISTERED_AT: u64 = 1;
+const MISSING_AT: u64 = 2;
+
 fn upstream(id: u8, leaving: bool) -> Upstream {
     Upstream {
         id: format!("i-{id}"),
@@ -17,7 +21,7 @@
         address: format!("10.0.0.{id}:80").parse().expect("an address"),
         availability_zone: "z".to_owned(),
         slots: 4,
-        registered_at: 1,
+        registered_at: REGISTERED_AT,
         leaving,
     }
 }
@@ -31,9 +35,10 @@
     let now = Instant::now();
     let until = now + KEPT;
     let mut registrations = Registrations::default();
-    registrations.register(upstream(1, false));
+    registrations.register(upstream(1, false), Duration::ZERO);
     let id = "i-1".to_owned();
-    assert_eq!(registrations.miss(&id, Some(until)), Missing::Kept(until));
+    let missing = registrations.miss(&id, MISSING_AT, Duration::ZERO, Some(until));
+    assert_eq!(missing, Missing::Kept(until));
     assert_eq!(registrations.used().count(), 1);
     assert_eq!(registrations.published().count(), 0);
     assert!(!registrations.end_keeping(&id, now), "not yet");
@@ -44,9 +49,10 @@
 #[test]
 fn one_that_said_that_it_leaves_is_not_kept() {
     let mut registrations = Registrations::default();
-    registrations.register(upstream(1, true));
+    registrations.register(upstream(1, true), Duration::ZERO);
     let until = Instant::now() + KEPT;
-    let missing = registrations.miss(&"i-1".to_owned(), Some(until));
+    let id = "i-1".to_owned();
+    let missing = registrations.miss(&id, MISSING_AT, Duration::ZERO, Some(until));
     assert_eq!(missing, Missing::Removed);
     assert_eq!(registrations.used().count(), 0);
 }
@@ -56,10 +62,14 @@
     let until = Instant::now() + KEPT;
     let mut registrations = Registrations::default();
     let id = "i-1".to_owned();
-    registrations.register(upstream(1, false));
-    registrations.miss(&id, Some(until));
+    registrations.register(upstream(1, false), Duration::ZERO);
+    registrations.miss(&id, MISSING_AT, Duration::ZERO, Some(until));
+    let back = Upstream {
+        registered_at: MISSING_AT + 1,
+        ..upstream(1, false)
+    };
     assert_eq!(
-        registrations.register(upstream(1, false)),
+        registrations.register(back, Duration::ZERO),
         Registered::Unchanged
     );
     assert!(!registrations.end_keeping(&id, until));
@@ -96,25 +106,31 @@
         let until = Some(Instant::now() + KEPT);
         let mut source: BTreeSet<String> = BTreeSet::new();
         let (mut first, mut second) = (Registrations::default(), Registrations::default());
-        steps.into_iter().chain([Step::Copied]).all(|step| {
+        let steps = steps.into_iter().chain([Step::Copied]);
+        (1..).zip(steps).all(|(position, step)| {
             match step {
                 Step::Registers(id) | Step::SaysThatItLeaves(id) => {
                     let leaving = matches!(step, Step::SaysThatItLeaves(_));
                     source.insert(format!("i-{id}"));
-                    first.register(upstream(id, leaving));
+                    let registered = Upstream {
+                        registered_at: position,
+                        ..upstream(id, leaving)
+                    };
+                    first.register(registered, Duration::ZERO);
                 }
                 Step::Gone(id) => {
-                    source.remove(&format!("i-{id}"));
-                    first.miss(&format!("i-{id}"), until);
+                    let id = format!("i-{id}");
+                    source.remove(&id);
+                    first.miss(&id, position, Duration::ZERO, until);
                 }
                 Step::Copied => {
                     let copied: Vec<Upstream> = first.published().cloned().collect();
-                    let missing = second.ids();
-                    for id in &missing - &copied.iter().map(|one| one.id.clone()).collect() {
-                        second.miss(&id, None);
+                    let missing = names(second.published());
+                    for id in &missing - &names(copied.iter()) {
+                        second.miss(&id, position, Duration::ZERO, None);
                     }
                     for one in copied {
-                        second.register(one);
+                        second.register(one, Duration::ZERO);
                     }
                     return names(second.used()) == source;
                 }
@@ -127,17 +143,91 @@
         .quickcheck(property as fn(Vec<Step>) -> bool);
 }
 
+/// Daemons that heard the same last changes differed, as one had taken an older statement
+/// for a later one: it sent requests to an upstream that had left.
+///
+/// Each hears every change once at least, and some again, in an order of its own.
+#[test]
+fn changes_lead_to_the_same_in_any_order() {
+    fn property(steps: Vec<Step>, order: Vec<usize>) -> bool {
+        let mut source = Registrations::default();
+        let mut statements = Vec::new();
+        for (position, step) in (1..).zip(steps) {
+            let statement = match step {
+                Step::Registers(id) => (position, id, Some(false)),
+                Step::SaysThatItLeaves(id) => (position, id, Some(true)),
+                Step::Gone(id) => (position, id, None),
+                Step::Copied => continue,
+            };
+            state(&mut source, statement);
+            statements.push(statement);
+        }
+        let mut daemon = Registrations::default();
+        let mixed = order.iter().filter(|_| !statements.is_empty());
+        for place in mixed.map(|place| place % statements.len().max(1)) {
+            state(&mut daemon, statements[place]);
+        }
+        statements
+            .iter()
+            .rev()
+            .for_each(|one| state(&mut daemon, *one));
+        let leaving = |registrations: &Registrations| -> BTreeSet<(String, bool)> {
+            let used = registrations.used();
+            used.map(|one| (one.id.clone(), one.leaving)).collect()
+        };
+        leaving(&daemon) == leaving(&source)
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<Step>, Vec<usize>) -> bool);
+}
+
+/// Takes in what is published of an upstream from a position on.
+fn state(registrations: &mut Registrations, (position, id, leaving): (u64, u8, Option<bool>)) {
+    match leaving {
+        Some(leaving) => {
+            let registered = Upstream {
+                registered_at: position,
+                ..upstream(id, leaving)
+            };
+            registrations.register(registered, Duration::ZERO);
+        }
+        None => {
+            registrations.miss(&format!("i-{id}"), position, Duration::ZERO, None);
+        }
+    }
+}
+
+/// Removals that were forgotten can't be told: a daemon that asks for what it lacks must not
+/// be told that it has all.
+#[test]
+fn a_removal_that_may_be_forgotten_is_not_left_out_silently() {
+    let mut registrations = Registrations::default();
+    for number in 1..=5_000_u64 {
+        registrations.miss(&format!("i-{number}"), number, Duration::ZERO, None);
+    }
+    assert!(registrations.changes_after(1).is_none());
+    let latest: Vec<u64> = registrations
+        .changes_after(4_990)
+        .expect("the latest are known")
+        .filter(|(_, record)| matches!(record.standing, Standing::Removed))
+        .map(|(_, record)| record.position)
+        .collect();
+    assert_eq!(latest.len(), 10);
+}
+
 /// What is missing is kept for a moment after the source is back, not after it is noticed.
 #[test]
 fn keeping_ends_a_moment_after_the_contact_is_regained() {
     let now = Instant::now();
     let mut contact = Contact::default();
+    contact.answered(now, now);
     assert_eq!(contact.keep_until(now, KEPT), None, "never out of touch");
-    contact.note(false, now);
+    contact.failed();
     assert_eq!(contact.keep_until(now, KEPT), Some(now + KEPT));
-    contact.note(true, now);
+    contact.answered(now, now);
     let later = now + KEPT / 2;
-    contact.note(true, later);
+    contact.answered(later, later);
     assert_eq!(contact.keep_until(later, KEPT), Some(now + KEPT));
     assert_eq!(contact.keep_until(now + KEPT, KEPT), None);
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -127,6 +127,12 @@
         histogram.record(late.as_secs_f64(), &[]);
     }
 
+    /// Sets the longest time by which others knew of an upstream's departure before.
+    pub fn departure_late(&self, late: Duration) {
+        let gauge = &self.0.instruments.departure_lateness;
+        gauge.record(late.as_secs_f64(), &[]);
+    }
+
     /// Records the time from a request's arrival to its first token.
     pub fn first_token(&self, class: &str, length: LengthBucket, after: Duration) {
         let labels = [label("class", class), label("length", length.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -32,6 +32,7 @@
     pub(super) upstream_attempts: Counter<u64>,
     pub(super) lease_age: Gauge<f64>,
     pub(super) event_loop_lateness: Histogram<f64>,
+    pub(super) departure_lateness: Gauge<f64>,
     pub(super) peers: Gauge<u64>,
     pub(super) control_sent: Counter<u64>,
     pub(super) control_received: Counter<u64>,
@@ -100,6 +101,13 @@
                 .with_unit("s")
                 .with_boundaries(LATENESS_BOUNDS_S.to_vec())
                 .build(),
+            departure_lateness: meter
+                .f64_gauge("departure_lateness_most")
+                .with_description(
+                    "Longest time by which others knew before that an upstream leaves or has left",
+                )
+                .with_unit("s")
+                .build(),
             peers: meter
                 .u64_gauge("peers")
                 .with_description("Other daemons, by state")
