Judge by all daemons in reach whether a missing registration may have lapsed

What callers saw: requests went to upstreams that had left for 1.7 s more, at daemons that had been turned away by the source for a moment while others were answered all the while.

Cause: a daemon whose own call had failed took that for an outage of the source, in which registrations may lapse, and put removals off. The call says nothing of registrations: the source may turn away this daemon only.

Change: daemons tell each other since when and until when the source has answered without a break. What another one saw answered is no outage, and ends one that was assumed; an outage that all saw ends for all with the first answer that anybody had. A daemon that heard of no answer for 3 s was cut off, and upstreams that were cut off with it have time to come back.

Why it works: removals are put off only for a time of which nobody in reach knows an answer.

--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use mangofront_gateway::{Contact, Missing, Registered, Registrations, Standing};
+use mangofront_gateway::{Answered, Contact, Missing, Registered, Registrations, Standing};
 use mangofront_routes::Upstream;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -231,3 +231,65 @@
     assert_eq!(contact.keep_until(later, KEPT), Some(now + KEPT));
     assert_eq!(contact.keep_until(now + KEPT, KEPT), None);
 }
+
+/// A daemon that the source had turned away kept upstreams that had left, though others were
+/// answered all the while: its own failed calls stood for an outage.
+#[test]
+fn what_another_saw_answered_is_no_outage() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let other = |since_ms, until_ms| Answered {
+        since: at(since_ms),
+        until: at(until_ms),
+    };
+    let mut contact = Contact::default();
+    contact.answered(at(0), at(1_000));
+    contact.failed();
+    assert!(
+        contact.keep_until(at(1_500), KEPT).is_some(),
+        "nobody told yet"
+    );
+    contact.heard(other(900, 1_600), at(1_600));
+    assert_eq!(contact.keep_until(at(1_600), KEPT), None);
+    contact.failed();
+    contact.answered(at(2_000), at(2_000));
+    assert!(
+        contact.keep_until(at(2_000), KEPT).is_some(),
+        "an outage from 1.6 s on"
+    );
+    contact.heard(other(900, 2_100), at(2_100));
+    assert_eq!(contact.keep_until(at(2_100), KEPT), None, "it was none");
+}
+
+/// An outage that everybody saw ends for all when the first is answered again.
+#[test]
+fn an_outage_ends_with_the_first_answer_that_anybody_had() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut contact = Contact::default();
+    contact.answered(at(0), at(1_000));
+    contact.failed();
+    let other = Answered {
+        since: at(2_000),
+        until: at(2_200),
+    };
+    contact.heard(other, at(2_200));
+    assert_eq!(contact.keep_until(at(2_300), KEPT), Some(at(2_000) + KEPT));
+}
+
+/// A zone that was cut off dropped its own upstreams when it was back, as the others had
+/// seen their registrations lapse.
+#[test]
+fn a_daemon_that_was_cut_off_gives_upstreams_time_to_come_back() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut contact = Contact::default();
+    contact.answered(at(0), at(1_000));
+    contact.failed();
+    let other = Answered {
+        since: at(0),
+        until: at(8_900),
+    };
+    contact.heard(other, at(9_000));
+    assert_eq!(contact.keep_until(at(9_000), KEPT), Some(at(9_000) + KEPT));
+}
