Hand configurations of any size from daemon to daemon, in parts

Cause: a copy above 64 KiB was empty, for narrow links to hand it out within the time of one call.

Change: a copy is written once for each version and handed out in parts of 24 KiB, each with the time of a call; a part is a hundredth of a second on a link of 20 Mbit/s.

Why it works: the time of a call no longer bounds the size of what is handed on.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -18,9 +18,6 @@
 /// Largest part of a copy, in bytes.
 const PART_BYTES: usize = 24 * 1024;
 
-/// Largest copy that is handed out, in bytes.
-const HANDED_OUT_LIMIT_BYTES: usize = 64 * 1024;
-
 /// Largest copy that is put together, in bytes; a larger one is no copy.
 const COPY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
@@ -135,22 +132,16 @@
 }
 
 impl HandedOut {
-    /// The first part of `copy`, which `write` makes unless it was handed out before; none
-    /// of a copy that is too large.
-    pub(crate) fn first_part(
-        &self,
-        copy: CopyOf,
-        write: impl FnOnce() -> Vec<u8>,
-    ) -> Option<CopyPart> {
+    /// The first part of `copy`, which `write` makes unless it was handed out before.
+    pub(crate) fn first_part(&self, copy: CopyOf, write: impl FnOnce() -> Vec<u8>) -> CopyPart {
         let mut last = self.last_of(copy).borrow_mut();
         let bytes = match last.take() {
             Some((other, bytes)) if other == copy => bytes,
             _ => Bytes::from(write()),
         };
         let part = part(copy, &bytes, 0);
-        let is_handed_out = bytes.len() <= HANDED_OUT_LIMIT_BYTES;
         *last = Some((copy, bytes));
-        is_handed_out.then_some(part)
+        part
     }
 
     /// The part of `copy` that begins at a byte, if that copy is still at hand.
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -250,7 +250,7 @@
                 let table = self.table()?;
                 let copy = CopyOf::Configuration(table.version());
                 let write = || postcard::to_stdvec(&*table).unwrap_or_default();
-                handed_out.first_part(copy, write)
+                Some(handed_out.first_part(copy, write))
             }
             Wanted::Upstreams => {
                 let copy = CopyOf::Upstreams(self.horizon().upstreams()?);
@@ -258,7 +258,7 @@
                 // Of what this daemon only keeps, the asker would never hear the end.
                 let published: Vec<&Upstream> = registrations.published().collect();
                 let write = || postcard::to_stdvec(&published).unwrap_or_default();
-                handed_out.first_part(copy, write)
+                Some(handed_out.first_part(copy, write))
             }
             Wanted::More { copy, from_byte } => handed_out.more(copy, from_byte),
         }
