Read everything at once after a dropped history

What callers saw: after an outage whose history the source had dropped, upstreams that did not come back were used for up to 3.2 s after its return, for a bound of 2.5 s in the test.

Cause: the answer that the history is gone was paused after like a failed call, up to 0.6 s, and the time for which missing upstreams are kept was counted from the reading after it.

Change: that answer shows that the source is back, and everything is read after the first pause.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -53,18 +53,16 @@
                     pause = options.first_pause;
                     self.0.is_behind.set(false);
                 }
+                Err(SourceError::HistoryGone) => {
+                    self.change_horizon(Horizon::lose);
+                    compio::time::sleep(options.first_pause).await;
+                }
                 Err(error) => {
                     if is_first {
                         trace::dependency_lost("platform", &error.to_string());
                     }
-                    match error {
-                        // It was there all the while, so nothing has lapsed.
-                        SourceError::HistoryGone => self.change_horizon(Horizon::lose),
-                        SourceError::Failed(_) | SourceError::Refused(_) => {
-                            self.note_failure();
-                            self.0.ask_soon.wake();
-                        }
-                    }
+                    self.note_failure();
+                    self.0.ask_soon.wake();
                     self.wait_after_failure(pause, &sharing).await;
                     pause = (pause * 2).min(options.longest_pause);
                 }
@@ -140,13 +138,16 @@
         let asked = BootInstant::now();
         let timeout = self.options().answer_timeout;
         let called = Instant::now();
+        let answer = source.watch(after, wait, timeout).await;
+        if matches!(answer, Ok(_) | Err(SourceError::HistoryGone)) {
+            // What others are told of the changes says that the source was there.
+            self.note_answer(called);
+        }
         let Changes {
             position,
             changes,
             may_be_cut,
-        } = source.watch(after, wait, timeout).await?;
-        // What others are told of the changes says that the source was there.
-        self.note_answer(called);
+        } = answer?;
         if changes.is_empty() {
             // It waited the whole time and nothing had changed by its end.
             self.change_horizon(|horizon| horizon.advance(position));
