Answer for more changes than a datagram holds, and for answers that may be cut

They are told page by page now, in the order of their positions, and a relay takes as many datagrams as it needs. - Copies of configuration and of upstreams waited for each other, and a later copy ended those that were being fetched. Each has a flag and a time of its own; the last four are at hand. - An old registration told late brought an upstream back that a reading had shown to be gone. - A reading of everything was refused where others told of later changes while it ran. - A call to ask that came while a question ran was lost; a second answer of one daemon ended a round; questions of an earlier life could be answered in a later one; a removal without a number was not taken in; daemons of other zones were drawn as watchers that do not watch. - What is in force is confirmed before a request's route and key are looked up, and at each look of one that is held, not only before its first placing; a question is asked for the sake of requests once in 100 ms.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -70,7 +70,6 @@
     last_event_id: Option<EventId>,
 ) -> Result<Answering, Failed> {
     admit(gateway, call, history)?;
-    gateway.parts().published.confirmed_lately().await;
     let mut placed = place(gateway, call, history).await?;
     let upstream = placed.answering().clone();
     let key = key_of(&upstream);
@@ -137,6 +136,7 @@
     let asked = Instant::now();
     let mut waited = Duration::ZERO;
     loop {
+        gateway.parts().published.confirmed_lately().await;
         let connections = &gateway.parts().connections;
         let demand = demand(call, history, waited, connections);
         let upstreams = &gateway.parts().upstreams;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -66,6 +66,7 @@
     let arrived = Instant::now();
     let in_progress = gateway.begin();
     let (head, body) = request.into_parts();
+    gateway.parts().published.confirmed_lately().await;
     let table = gateway.parts().published.table();
     let body_limit_bytes = table.as_ref().map_or(FIRST_BODY_LIMIT_BYTES, |table| {
         table.limits().body_limit_bytes
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -6,11 +6,12 @@
 //! just these, daemons of its own zone and of others are asked that may be: whoever is in
 //! touch tells who is not.
 //!
-//! A configuration is fetched beside the questions, however long that takes; changes of
+//! More changes than fit into an answer are asked for page by page. A configuration is fetched beside the questions, however long that takes; changes of
 //! upstreams never wait for it.
 
+use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mangofront_dissemination::Teller;
 use mangofront_routes::RouteTable;
@@ -18,20 +19,24 @@
 
 use crate::boot_clock::BootInstant;
 use crate::copies::{CopyOf, CopyPart, PartialCopy, Wanted};
-use crate::datagram::Relayed;
+use crate::datagram::{Relayed, UpstreamChanges};
 use crate::dialect::Entry;
 use crate::provenance::Provenance;
 use crate::published::Published;
-use crate::published_options::ASK_TIMEOUT;
+use crate::published_options::{ASK_AGAIN_AFTER, ASK_TIMEOUT};
 use crate::sharing::{Circle, Sharing, Told};
 use crate::trace;
 
+/// Time for a whole copy; the source is read where it takes longer.
+const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+
 impl Published {
     /// Has what is in force confirmed by other daemons, for ever.
     pub(crate) async fn keep_confirmed(self, sharing: Rc<Sharing>) {
         loop {
-            if !self.is_confirmed_by_source(&sharing) {
-                self.ask(&sharing).await;
+            match self.is_confirmed_by_source(&sharing) {
+                true => self.0.is_alone.set(false),
+                false => self.ask(&sharing).await,
             }
             self.0.ask_soon.wait(self.options().ask_period).await;
         }
@@ -55,8 +60,9 @@
             trace::confirmed_by_others(is_confirmed);
         }
         if !is_confirmed {
-            self.0.source_needed.wake();
+            self.0.source_needed.call();
         }
+        self.0.last_asked.set(Some(Instant::now()));
         self.0.asked.wake();
     }
 
@@ -80,10 +86,10 @@
     fn take_answer(&self, sharing: &Rc<Sharing>, asked: BootInstant, told: Told) -> bool {
         let known = told.known;
         self.note_heard(known.answered);
-        let provenance = Provenance::answered(told.from.ip(), &known);
-        self.take_told(told.upstreams.changes, &provenance);
-        if told.upstreams.are_all {
-            self.change_horizon(|horizon| horizon.advance_upstreams(known.upstreams_position));
+        let has_changes = told.upstreams.is_some();
+        if let Some(told_changes) = told.upstreams {
+            let provenance = Provenance::answered(told.from.ip(), &known);
+            self.take_upstreams(told_changes, &provenance);
         }
         if known.age() >= self.options().told_age_limit {
             return false;
@@ -101,60 +107,72 @@
                 self.0.is_first_hand.set(false);
                 self.0.is_behind.set(false);
             }
-            (false, _) => self.fetch(sharing, told.instance, Wanted::Upstreams),
-            (true, false) => self.fetch(sharing, told.instance, Wanted::Configuration),
+            (false, _) if has_changes => self.0.ask_soon.call(),
+            (false, _) => self.fetch(sharing, &told.instance, Wanted::Upstreams),
+            (true, false) => {}
+        }
+        if !has_configuration {
+            self.fetch(sharing, &told.instance, Wanted::Configuration);
         }
         known.is_in_touch
     }
 
+    /// Takes in a page of changes of upstreams; whether they follow on what is known.
+    fn take_upstreams(&self, told: UpstreamChanges, provenance: &Provenance) -> bool {
+        let (after, up_to) = (told.after, told.up_to);
+        self.take_told(told.changes, provenance);
+        let mut follows = false;
+        self.change_horizon(|horizon| follows = horizon.follow_upstreams(after, up_to));
+        follows
+    }
+
     /// Takes in changes that a watcher of the zone read.
     ///
     /// They say nothing of how current that is: a datagram may have lain unread
     /// while this daemon stood still.
     pub(crate) fn take_relayed(&self, relayed: Relayed, from: &Teller) {
         self.note_heard(relayed.answered);
-        let provenance = Provenance::relayed(from.address, relayed.position);
-        let Relayed {
-            after,
-            position,
-            upstreams,
-            has_configuration,
-            ..
-        } = relayed;
-        let are_all = upstreams.are_all;
-        self.take_told(upstreams.changes, &provenance);
-        let mut is_current = are_all && !has_configuration;
-        self.change_horizon(|horizon| {
-            if are_all {
-                is_current &= horizon.follow_upstreams(after, position);
-            }
-            if !has_configuration {
-                is_current &= horizon.follow_configuration(after, position);
-            }
-        });
+        let (after, up_to) = (relayed.upstreams.after, relayed.upstreams.up_to);
+        let provenance = Provenance::relayed(from.address, up_to);
+        let mut is_current = self.take_upstreams(relayed.upstreams, &provenance);
+        if relayed.has_others {
+            is_current = false;
+        } else {
+            self.change_horizon(|horizon| is_current &= horizon.follow_configuration(after, up_to));
+        }
         if !is_current {
-            self.0.ask_soon.wake();
+            self.0.ask_soon.call();
         }
     }
 
     /// Begins to fetch a copy, unless one is being fetched.
-    fn fetch(&self, sharing: &Rc<Sharing>, from: InstanceId, wanted: Wanted) {
-        if self.0.is_fetching.replace(true) {
+    fn fetch(&self, sharing: &Rc<Sharing>, from: &InstanceId, wanted: Wanted) {
+        if self.is_fetching(wanted).replace(true) {
             return;
         }
-        let (published, sharing) = (self.clone(), Rc::clone(sharing));
+        let (published, sharing, from) = (self.clone(), Rc::clone(sharing), from.clone());
         let fetching = async move {
-            let has_copy = published.fetch_copy(&sharing, &from, wanted).await;
-            published.0.is_fetching.set(false);
-            if !has_copy {
+            let fetched = published.fetch_copy(&sharing, &from, wanted);
+            let has_copy = compio::time::timeout(COPY_TIMEOUT, fetched).await;
+            let has_copy = has_copy.unwrap_or(false);
+            published.is_fetching(wanted).set(false);
+            if has_copy {
+                published.0.ask_soon.call();
+            } else {
                 published.0.is_behind.set(true);
-                published.0.source_needed.wake();
+                published.0.source_needed.call();
             }
-            published.0.ask_soon.wake();
         };
         compio::runtime::spawn(fetching).detach();
     }
 
+    fn is_fetching(&self, wanted: Wanted) -> &Cell<bool> {
+        match wanted {
+            Wanted::Upstreams => &self.0.is_fetching_upstreams,
+            Wanted::Configuration | Wanted::More { .. } => &self.0.is_fetching_configuration,
+        }
+    }
+
     /// Fetches a copy from another daemon, part by part; whether it was taken in.
     async fn fetch_copy(&self, sharing: &Sharing, from: &InstanceId, wanted: Wanted) -> bool {
         let mut partial = PartialCopy::default();
@@ -207,7 +225,11 @@
         if self.is_confirmed_within(limit) || self.0.is_alone.get() || self.version().is_none() {
             return;
         }
-        self.0.ask_soon.wake();
+        let last_asked = self.0.last_asked.get();
+        if last_asked.is_some_and(|asked| asked.elapsed() < ASK_AGAIN_AFTER) {
+            return;
+        }
+        self.0.ask_soon.call();
         self.0.asked.wait(ASK_TIMEOUT * 2).await;
     }
 }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -7,6 +7,7 @@
 //! it has to be, and what is said meanwhile does not wait behind it.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 
 use bytes::Bytes;
 use mangofront_routes::ConfigurationVersion;
@@ -21,6 +22,9 @@
 /// Largest copy that is put together, in bytes; a larger one is no copy.
 const COPY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
+/// Copies that are kept while others may be fetching them; the oldest goes first.
+const KEPT_COPIES: usize = 4;
+
 /// What a copy is of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum CopyOf {
@@ -64,10 +68,7 @@
 
 /// Copies that were handed out last, as bytes.
 #[derive(Debug, Default)]
-pub(crate) struct HandedOut {
-    configuration: RefCell<Option<(CopyOf, Bytes)>>,
-    upstreams: RefCell<Option<(CopyOf, Bytes)>>,
-}
+pub(crate) struct HandedOut(RefCell<VecDeque<(CopyOf, Bytes)>>);
 
 impl Wanted {
     /// The request as bytes.
@@ -134,29 +135,25 @@
 impl HandedOut {
     /// The first part of `copy`, which `write` makes unless it was handed out before.
     pub(crate) fn first_part(&self, copy: CopyOf, write: impl FnOnce() -> Vec<u8>) -> CopyPart {
-        let mut last = self.last_of(copy).borrow_mut();
-        let bytes = match last.take() {
-            Some((other, bytes)) if other == copy => bytes,
-            _ => Bytes::from(write()),
-        };
+        if let Some(part) = self.more(copy, 0) {
+            return part;
+        }
+        let bytes = Bytes::from(write());
         let part = part(copy, &bytes, 0);
-        *last = Some((copy, bytes));
+        let mut copies = self.0.borrow_mut();
+        copies.push_back((copy, bytes));
+        if copies.len() > KEPT_COPIES {
+            copies.pop_front();
+        }
         part
     }
 
     /// The part of `copy` that begins at a byte, if that copy is still at hand.
     pub(crate) fn more(&self, copy: CopyOf, from_byte: u32) -> Option<CopyPart> {
-        let last = self.last_of(copy).borrow();
-        let (_, bytes) = last.as_ref().filter(|(other, _)| *other == copy)?;
+        let copies = self.0.borrow();
+        let (_, bytes) = copies.iter().find(|(other, _)| *other == copy)?;
         Some(part(copy, bytes, from_byte as usize))
     }
-
-    fn last_of(&self, copy: CopyOf) -> &RefCell<Option<(CopyOf, Bytes)>> {
-        match copy {
-            CopyOf::Configuration(_) => &self.configuration,
-            CopyOf::Upstreams(_) => &self.upstreams,
-        }
-    }
 }
 
 fn part(copy: CopyOf, bytes: &Bytes, from_byte: usize) -> CopyPart {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -49,7 +49,9 @@
     /// after a position.
     Ask(Nonce, Option<Position>),
     /// Answer to [`Message::Ask`].
-    Confirmed(Nonce, Confirmation, UpstreamChanges),
+    ///
+    /// The changes are the first page of those that were asked for, if they are known.
+    Confirmed(Nonce, Confirmation, Option<UpstreamChanges>),
     /// Something that is published has changed.
     Changed(Relayed),
 }
@@ -61,25 +63,23 @@
 /// on two days of some seventy daemons from 4,644 to 2,552 and from 5,413 to 3,816.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Relayed {
-    /// Position from which on the changes are told.
-    pub(crate) after: Position,
-    /// Position up to which they are.
-    pub(crate) position: Position,
     /// Changes of upstreams.
     pub(crate) upstreams: UpstreamChanges,
-    /// Whether the configuration has changed too.
-    pub(crate) has_configuration: bool,
+    /// Whether something else has changed, or may have.
+    pub(crate) has_others: bool,
     /// Since when and until when the sender knows that the source answered.
     pub(crate) answered: Option<AnsweredAges>,
 }
 
-/// Changes of upstreams, in any order.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// All changes of upstreams between two positions, in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct UpstreamChanges {
+    /// Position from which on they are all.
+    pub(crate) after: Position,
+    /// Position up to which they are all.
+    pub(crate) up_to: Position,
     /// The changes.
     pub(crate) changes: Vec<UpstreamChange>,
-    /// Whether these are all.
-    pub(crate) are_all: bool,
 }
 
 /// The last change of an upstream.
@@ -164,11 +164,11 @@
         }
     }
 
-    /// Whether no new work goes to the upstream after it.
-    pub(crate) fn is_departure(&self) -> bool {
+    /// Position of the change.
+    pub(crate) fn position(&self) -> Position {
         match &self.kind {
-            UpstreamChangeKind::Registered(upstream) => upstream.leaving,
-            UpstreamChangeKind::Gone(..) => true,
+            UpstreamChangeKind::Registered(upstream) => upstream.registered_at,
+            UpstreamChangeKind::Gone(_, position) => *position,
         }
     }
 
@@ -179,16 +179,32 @@
 }
 
 impl UpstreamChanges {
-    /// As many of `changes` as fit into a datagram beside the rest of a message;
-    /// departures first, as work at an upstream that is not known yet does no harm.
-    pub(crate) fn that_fit(mut changes: Vec<UpstreamChange>) -> Self {
-        changes.sort_by_key(|change| !change.is_departure());
-        let count = changes.len();
-        let fitting = parts(changes).into_iter().next().unwrap_or_default();
-        Self {
-            are_all: fitting.len() == count,
-            changes: fitting,
+    /// All `changes` between two positions, in pages that fit into a datagram each.
+    pub(crate) fn pages(
+        after: Position,
+        up_to: Position,
+        mut changes: Vec<UpstreamChange>,
+    ) -> Vec<Self> {
+        changes.sort_by_key(UpstreamChange::position);
+        let mut pages: Vec<Self> = Vec::new();
+        for changes in parts(changes) {
+            let after = pages.last().map_or(after, |page| page.up_to);
+            let up_to = changes.last().map_or(after, UpstreamChange::position);
+            pages.push(Self {
+                after,
+                up_to: up_to.max(after),
+                changes,
+            });
+        }
+        match pages.last_mut() {
+            Some(last) => last.up_to = last.up_to.max(up_to),
+            None => pages.push(Self {
+                after,
+                up_to,
+                changes: Vec::new(),
+            }),
         }
+        pages
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -62,7 +62,7 @@
                         trace::dependency_lost("platform", &error.to_string());
                     }
                     self.note_failure();
-                    self.0.ask_soon.wake();
+                    self.0.ask_soon.call();
                     self.wait_after_failure(pause, &sharing).await;
                     pause = (pause * 2).min(options.longest_pause);
                 }
@@ -72,7 +72,8 @@
 
     /// Whether this daemon has to call the source itself.
     fn needs_source(&self, sharing: &Sharing) -> bool {
-        let knows_nothing = self.horizon().position().is_none() && !self.0.is_fetching.get();
+        let is_fetching = self.0.is_fetching_upstreams.get();
+        let knows_nothing = self.horizon().position().is_none() && !is_fetching;
         sharing.is_watcher() || knows_nothing || self.0.is_alone.get() || self.0.is_behind.get()
     }
 
@@ -114,9 +115,11 @@
         let asked = BootInstant::now();
         let timeout = self.options().read_timeout;
         let called = Instant::now();
+        // Later changes that others tell of while it is read are not undone by it.
+        let known = self.horizon();
         let Snapshot { position, entries } = source.read(timeout).await?;
         self.note_answer(called);
-        if !self.horizon().accepts(position) {
+        if !known.accepts(position) {
             let reason =
                 format!("what was read is of position {position}, older than what is known");
             return Err(SourceError::Failed(reason));
@@ -154,7 +157,7 @@
             self.0.lease.confirm(asked.after(wait.min(asked.elapsed())));
             return Ok(());
         }
-        let relayed = self.relayed(after, position, &changes);
+        let relayed = self.relayed(after, position, &changes, may_be_cut);
         self.take_changes(changes, &Provenance::watched(position, asked.elapsed()));
         self.change_horizon(|horizon| horizon.advance(position));
         if may_be_cut {
@@ -167,7 +170,9 @@
         }
         // Where nobody who watches is in touch, whoever gets through tells the others.
         if sharing.is_watcher() || self.0.is_alone.get() {
-            sharing.tell_changed(relayed).await;
+            for relayed in relayed {
+                sharing.tell_changed(relayed).await;
+            }
         }
         if !may_be_cut {
             let pause = self.options().change_pause.min(self.time_to_confirm());
@@ -186,21 +191,34 @@
     }
 
     /// What the other daemons of the zone are told of changes.
-    fn relayed(&self, after: Position, position: Position, changes: &[Change]) -> Relayed {
+    fn relayed(
+        &self,
+        after: Position,
+        position: Position,
+        changes: &[Change],
+        may_be_cut: bool,
+    ) -> Vec<Relayed> {
         let is_other = |change: &Change| {
             matches!(
                 change,
                 Change::Written(Entry::Configuration(_) | Entry::Malformed { .. })
             )
         };
+        let has_others = may_be_cut || changes.iter().any(is_other);
+        let answered = self.answered();
         let upstreams: Vec<UpstreamChange> = changes.iter().filter_map(upstream_change).collect();
-        Relayed {
-            after,
-            position,
-            upstreams: UpstreamChanges::that_fit(upstreams),
-            has_configuration: changes.iter().any(is_other),
-            answered: self.answered(),
-        }
+        // Of changes that may be cut, those are known that are there.
+        let up_to = match may_be_cut {
+            true => after,
+            false => position,
+        };
+        let pages = UpstreamChanges::pages(after, up_to, upstreams).into_iter();
+        let relayed = pages.map(|upstreams| Relayed {
+            upstreams,
+            has_others,
+            answered,
+        });
+        relayed.collect()
     }
 
     /// Takes in changes that the source told of.
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -29,7 +29,7 @@
 use crate::published_options::PublishedOptions;
 use crate::registrations::{Missing, Registered, Registrations};
 use crate::trace;
-use crate::wakeup::Wakeup;
+use crate::wakeup::{Call, Wakeup};
 
 /// The published values in force; clones share them.
 #[derive(Debug, Clone)]
@@ -54,12 +54,16 @@
     pub(crate) is_alone: Cell<bool>,
     /// Whether what others tell of could not be had from them.
     pub(crate) is_behind: Cell<bool>,
-    /// Whether a copy is being fetched.
-    pub(crate) is_fetching: Cell<bool>,
+    /// Whether a copy of the configuration is being fetched.
+    pub(crate) is_fetching_configuration: Cell<bool>,
+    /// Whether a copy of all upstreams is being fetched.
+    pub(crate) is_fetching_upstreams: Cell<bool>,
+    /// When other daemons were last asked.
+    pub(crate) last_asked: Cell<Option<Instant>>,
     /// Ends the wait between two questions to other daemons.
-    pub(crate) ask_soon: Wakeup,
+    pub(crate) ask_soon: Call,
     /// Ends the wait of who has no need of the source.
-    pub(crate) source_needed: Wakeup,
+    pub(crate) source_needed: Call,
     /// Ends the wait for an answer to a question.
     pub(crate) asked: Wakeup,
 }
@@ -83,9 +87,11 @@
             is_first_hand: Cell::default(),
             is_alone: Cell::default(),
             is_behind: Cell::default(),
-            is_fetching: Cell::default(),
-            ask_soon: Wakeup::default(),
-            source_needed: Wakeup::default(),
+            is_fetching_configuration: Cell::default(),
+            is_fetching_upstreams: Cell::default(),
+            last_asked: Cell::default(),
+            ask_soon: Call::default(),
+            source_needed: Call::default(),
             asked: Wakeup::default(),
         }))
     }
@@ -204,34 +210,34 @@
         self.pass_on_upstreams();
     }
 
-    /// Changes of upstreams after `position`, as many as fit into a datagram.
-    pub(crate) fn changes_after(&self, position: Option<Position>) -> UpstreamChanges {
+    /// First page of the changes of upstreams after a position, if they are known.
+    pub(crate) fn changes_after(&self, after: Option<Position>) -> Option<UpstreamChanges> {
+        let (after, up_to) = (after?, self.horizon().upstreams()?);
         let registrations = self.0.registrations.borrow();
-        let changes = position.and_then(|position| registrations.changes_after(position));
-        let Some(changes) = changes else {
-            return UpstreamChanges::default();
-        };
+        let changes = registrations.changes_after(after)?;
         let changes = changes.map(|(id, record)| UpstreamChange::of(id, record));
-        UpstreamChanges::that_fit(changes.collect())
+        let pages = UpstreamChanges::pages(after, up_to.max(after), changes.collect());
+        pages.into_iter().next()
     }
 
     /// Takes in changes of upstreams that another daemon tells of.
     pub(crate) fn take_told(&self, changes: Vec<UpstreamChange>, provenance: &Provenance) {
-        if changes.is_empty() {
-            return;
-        }
+        let mut has_changed = false;
         for change in changes {
             let late = change.known_for();
-            match change.kind {
+            has_changed |= match change.kind {
                 UpstreamChangeKind::Registered(upstream) => {
-                    self.take_upstream(upstream, late, provenance);
+                    let may_be_removed = self.0.registrations.borrow().may_be_removed(&upstream);
+                    !may_be_removed && self.take_upstream(upstream, late, provenance)
                 }
                 UpstreamChangeKind::Gone(id, position) => {
-                    self.take_missing(id, position, late, provenance);
+                    self.take_missing(id, position, late, provenance)
                 }
-            }
+            };
+        }
+        if has_changed {
+            self.pass_on_upstreams();
         }
-        self.pass_on_upstreams();
     }
 
     /// Answers a daemon that asks for a copy of what is in force here.
@@ -304,7 +310,9 @@
     pub(crate) fn take_entry(&self, entry: Entry, provenance: &Provenance) {
         match entry {
             Entry::Configuration(table) => self.take_table(*table, provenance),
-            Entry::Upstream(upstream) => self.take_upstream(upstream, Duration::ZERO, provenance),
+            Entry::Upstream(upstream) => {
+                self.take_upstream(upstream, Duration::ZERO, provenance);
+            }
             Entry::UnusableUpstream {
                 id,
                 position,
@@ -317,7 +325,8 @@
         }
     }
 
-    fn take_upstream(&self, upstream: Upstream, late: Duration, provenance: &Provenance) {
+    /// Takes in a registration; whether anything that matters has changed.
+    fn take_upstream(&self, upstream: Upstream, late: Duration, provenance: &Provenance) -> bool {
         let mut registrations = self.0.registrations.borrow_mut();
         match registrations.register(upstream.clone(), late) {
             Registered::Changed => {
@@ -325,9 +334,13 @@
                 if upstream.leaving {
                     self.note_departure(late);
                 }
+                true
+            }
+            Registered::Unchanged | Registered::Outdated => false,
+            Registered::EarlierLife => {
+                trace::earlier_life(&upstream);
+                false
             }
-            Registered::Unchanged | Registered::Outdated => {}
-            Registered::EarlierLife => trace::earlier_life(&upstream),
         }
     }
 
@@ -360,27 +373,30 @@
         self.pass_on_upstreams();
     }
 
-    /// Removes an upstream, at once or after the time in which it may come back.
+    /// Removes an upstream, at once or after the time in which it may come back; whether
+    /// it is used no more.
     pub(crate) fn take_missing(
         &self,
         id: UpstreamId,
         position: Position,
         late: Duration,
         provenance: &Provenance,
-    ) {
+    ) -> bool {
         let now = Instant::now();
         let contact = self.0.contact.get();
         let keep_until = contact.keep_until(now, self.0.options.lapse_grace);
         let mut registrations = self.0.registrations.borrow_mut();
         match registrations.miss(&id, position, late, keep_until) {
-            Missing::Unchanged => {}
+            Missing::Unchanged => false,
             Missing::Removed => {
                 trace::upstream_gone(&id, late, provenance);
                 self.note_departure(late);
+                true
             }
             Missing::Kept(until) => {
                 trace::removal_put_off(&id, until.duration_since(now), provenance);
                 spawn(self.clone().end_keeping(id, until, provenance.clone())).detach();
+                false
             }
         }
     }
--- a/crates/gateway/src/published_options.rs
+++ b/crates/gateway/src/published_options.rs
@@ -19,6 +19,9 @@
 /// Time for another daemon to answer a datagram.
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after a question in which it is not asked again for the sake of a request.
+pub(crate) const ASK_AGAIN_AFTER: Duration = Duration::from_millis(100);
+
 /// Time for the source to answer a call that has not to wait: many times the usual.
 const CALL_TIME: Duration = Duration::from_millis(100);
 
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -115,6 +115,9 @@
             return Registered::Outdated;
         }
         let published = record.and_then(|record| record.standing.upstream());
+        if published.is_some_and(|published| published.registered_at == position) {
+            return Registered::Unchanged;
+        }
         let before = published.or_else(|| self.kept.get(&id).map(|kept| &kept.upstream));
         if before.is_some_and(|before| before.started_at_ms > upstream.started_at_ms) {
             return Registered::EarlierLife;
@@ -244,6 +247,14 @@
         self.records.get(id)
     }
 
+    /// Whether a registration that somebody tells of may have been removed since, as all that
+    /// stood later than it is known, but not it.
+    #[must_use]
+    pub fn may_be_removed(&self, upstream: &Upstream) -> bool {
+        let is_unknown = !self.records.contains_key(&upstream.id);
+        is_unknown && upstream.registered_at <= self.removals_known_after
+    }
+
     /// All last changes after `position`; none if some of them may be forgotten.
     pub fn changes_after(
         &self,
--- a/crates/gateway/src/sharing/asking.rs
+++ b/crates/gateway/src/sharing/asking.rs
@@ -1,7 +1,7 @@
 //! Who watches what is published for a zone, and what daemons ask each other of it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
@@ -46,7 +46,7 @@
     pub(crate) from: SocketAddr,
     pub(crate) instance: InstanceId,
     pub(crate) known: Confirmation,
-    pub(crate) upstreams: UpstreamChanges,
+    pub(crate) upstreams: Option<UpstreamChanges>,
 }
 
 /// An answer as it came.
@@ -54,7 +54,7 @@
 pub(super) struct Answer {
     pub(super) from: SocketAddr,
     pub(super) known: Confirmation,
-    pub(super) upstreams: UpstreamChanges,
+    pub(super) upstreams: Option<UpstreamChanges>,
 }
 
 /// Answers to one question, as they come.
@@ -68,20 +68,25 @@
 impl Answers<'_> {
     /// The next answer, if one comes within `time` and more are awaited.
     pub(crate) async fn next(&mut self, time: Duration) -> Option<Told> {
-        if self.asked.is_empty() {
-            return None;
+        let until = Instant::now() + time;
+        while !self.asked.is_empty() {
+            let left = until.saturating_duration_since(Instant::now());
+            let answer = compio::time::timeout(left, self.answers.next()).await;
+            let answer = answer.ok()??;
+            let is_asked = |(address, _): &(SocketAddr, InstanceId)| *address == answer.from;
+            let Some(place) = self.asked.iter().position(is_asked) else {
+                // It has answered already.
+                continue;
+            };
+            let (from, instance) = self.asked.swap_remove(place);
+            return Some(Told {
+                from,
+                instance,
+                known: answer.known,
+                upstreams: answer.upstreams,
+            });
         }
-        let answer = compio::time::timeout(time, self.answers.next()).await;
-        let answer = answer.ok()??;
-        let is_asked = |(address, _): &(SocketAddr, InstanceId)| *address == answer.from;
-        let place = self.asked.iter().position(is_asked)?;
-        let (from, instance) = self.asked.swap_remove(place);
-        Some(Told {
-            from,
-            instance,
-            known: answer.known,
-            upstreams: answer.upstreams,
-        })
+        None
     }
 }
 
@@ -127,7 +132,7 @@
 
     /// Daemons that may be in touch where those that watch for this zone are not.
     fn draw_informants(&self) -> Vec<Member> {
-        let mut by_zone = self.peers.delegates_by_zone(WATCH_DUTY, usize::MAX);
+        let mut by_zone = self.peers.delegates_of_zones(WATCH_DUTY, usize::MAX);
         let mut own = by_zone.remove(&self.zone).unwrap_or_default();
         let own_address = self.peers.address();
         own.retain(|member| member.address != own_address);
--- a/crates/gateway/src/wakeup.rs
+++ b/crates/gateway/src/wakeup.rs
@@ -1,6 +1,6 @@
 //! Wakes whoever waits for something to happen.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use futures_channel::oneshot;
@@ -9,6 +9,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Wakeup(RefCell<Vec<oneshot::Sender<()>>>);
 
+/// A task that is called, at once or as soon as it waits.
+#[derive(Debug, Default)]
+pub(crate) struct Call {
+    waiting: Wakeup,
+    is_due: Cell<bool>,
+}
+
 impl Wakeup {
     /// Wakes all that wait by now.
     pub(crate) fn wake(&self) {
@@ -27,3 +34,19 @@
         self.0.borrow_mut().retain(|waiting| !waiting.is_canceled());
     }
 }
+
+impl Call {
+    /// Calls the task.
+    pub(crate) fn call(&self) {
+        self.is_due.set(true);
+        self.waiting.wake();
+    }
+
+    /// Waits for a call since the last wait, for at most `time`.
+    pub(crate) async fn wait(&self, time: Duration) {
+        if !self.is_due.get() {
+            self.waiting.wait(time).await;
+        }
+        self.is_due.set(false);
+    }
+}
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -182,7 +182,19 @@
         duty: &str,
         count: usize,
     ) -> BTreeMap<AvailabilityZone, Vec<Member>> {
-        topology::delegates_by_zone(&self.members(), duty, count)
+        let capacity = |member: &Member| member.capacity_percent;
+        topology::delegates_by_zone(&self.members(), duty, count, capacity)
+    }
+
+    /// Members of each availability zone that take on `duty`, as [`Peers::delegates`] names
+    /// those of the own one.
+    #[must_use]
+    pub fn delegates_of_zones(
+        &self,
+        duty: &str,
+        count: usize,
+    ) -> BTreeMap<AvailabilityZone, Vec<Member>> {
+        topology::delegates_by_zone(&self.members(), duty, count, |_| 0)
     }
 
     /// How many pauses of this process were seen.
--- a/crates/peers/src/topology.rs
+++ b/crates/peers/src/topology.rs
@@ -89,11 +89,12 @@
     highest(of_zone, duty, count, |_| 0)
 }
 
-/// Members of each availability zone that take on `duty`, the ablest first.
+/// Members of each availability zone that take on `duty`, those of highest `capacity` first.
 pub(crate) fn delegates_by_zone(
     members: &[Member],
     duty: &str,
     count: usize,
+    capacity: impl Fn(&Member) -> u32,
 ) -> BTreeMap<AvailabilityZone, Vec<Member>> {
     let zones: BTreeSet<&AvailabilityZone> = members
         .iter()
@@ -103,10 +104,7 @@
         let of_zone = members
             .iter()
             .filter(|member| member.availability_zone == *zone);
-        (
-            zone.clone(),
-            highest(of_zone, duty, count, |member| member.capacity_percent),
-        )
+        (zone.clone(), highest(of_zone, duty, count, &capacity))
     };
     zones.into_iter().map(of_zone).collect()
 }
