--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -6,8 +6,9 @@
 //! just these, daemons of its own zone and of others are asked that may be: whoever is in
 //! touch tells who is not.
 //!
-//! More changes than fit into an answer are asked for page by page. A configuration is fetched beside the questions, however long that takes; changes of
-//! upstreams never wait for it.
+//! More changes than fit into an answer are asked for page by page. A configuration is
+//! fetched beside the questions, however long that takes; changes of upstreams never wait
+//! for it.
 
 use std::cell::Cell;
 use std::rc::Rc;
