Give a reservation back whose engine answers after it was given up

Cause: a reserve without an answer in 0.4 s was taken for one that was not carried out: it was given back at once, and the engine took it in after that. The class of the incident: what this daemon did not hear did not happen.

Change: the answer is awaited on by a task of its own, for as long as the reservation would be held, and the reservation is given back once more after it.

--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -87,7 +87,13 @@
         if reservations.held.is_empty() {
             return Ok(reservations);
         }
-        let made = join_all(reservations.held.iter().map(|one| reserve(orders, one))).await;
+        let made = join_all(
+            reservations
+                .held
+                .iter()
+                .map(|one| reserve_first(orders, one)),
+        )
+        .await;
         for (one, is_made) in reservations.held.iter().zip(made) {
             if !is_made {
                 // Dropping gives back also the one that may have been made unheard.
@@ -133,20 +139,38 @@
         .await
         .is_err()
     {
-        reserve(&orders, &one).await;
+        reserve(&orders, &one, ORDER_TIMEOUT).await;
     }
     release(&orders, &one).await;
 }
 
-async fn reserve(orders: &Orders, one: &Reservation) -> bool {
+/// Reserves memory that was not reserved before; whether the engine says so in time.
+///
+/// A late answer is awaited on: the reservation may be made after it was given back, and is
+/// given back once more then.
+async fn reserve_first(orders: &Orders, one: &Reservation) -> bool {
+    let (told, answered) = oneshot::channel();
+    let (orders, one) = (orders.clone(), one.clone());
+    let reserving = async move {
+        let is_made = reserve(&orders, &one, orders.hold).await;
+        if told.send(is_made).is_err() {
+            release(&orders, &one).await;
+        }
+    };
+    spawn(reserving).detach();
+    let answered = compio::time::timeout(ORDER_TIMEOUT, answered).await;
+    matches!(answered, Ok(Ok(true)))
+}
+
+async fn reserve(orders: &Orders, one: &Reservation, timeout: Duration) -> bool {
     let request = orders.dialect.reserve(&one.id, one.tokens, orders.hold);
-    send(orders, one, request).await == Some(StatusCode::OK)
+    send(orders, one, request, timeout).await == Some(StatusCode::OK)
 }
 
 async fn release(orders: &Orders, one: &Reservation) {
     for _ in 0..RELEASE_TRIES {
         let request = orders.dialect.release(&one.id);
-        if send(orders, one, request).await.is_some() {
+        if send(orders, one, request, ORDER_TIMEOUT).await.is_some() {
             return;
         }
     }
@@ -158,6 +182,7 @@
     orders: &Orders,
     one: &Reservation,
     mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
+    timeout: Duration,
 ) -> Option<StatusCode> {
     let target = Target {
         instance: one.upstream.id.clone(),
@@ -166,7 +191,7 @@
     if let Ok(host) = HeaderValue::try_from(one.upstream.address.to_string()) {
         request.headers_mut().insert(header::HOST, host);
     }
-    let deadline = Instant::now() + ORDER_TIMEOUT;
+    let deadline = Instant::now() + timeout;
     let sent = orders.connections.send(&target, request, deadline).await;
     let answer = match sent {
         Ok(answer) => answer,
