Let no belief outlast a standstill between choice and sending; tell copies of two lives apart

It is asked right before the first byte whether what is in force was confirmed lately, and that nobody could confirm it counts only as long as a question was asked lately. - A copy that another life of its maker had begun could be put together of two orders of the same size. Its digest stands in each part.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -288,9 +288,10 @@
     };
     let deadline = Instant::now() + patience;
     // Memory was reserved and a connection opened since the choice; the upstream may have
-    // said meanwhile that it leaves.
+    // said meanwhile that it leaves, or this daemon may have stood still.
     let key = key_of(upstream);
-    let is_wanted = || gateway.parts().upstreams.takes_work(key);
+    let parts = gateway.parts();
+    let is_wanted = || parts.published.may_be_acted_on() && parts.upstreams.takes_work(key);
     let sent = if call.route.safety.may_repeat() {
         connections
             .send_if(&target, request, deadline, is_wanted)
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -12,7 +12,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use mangofront_dissemination::Teller;
 use mangofront_routes::RouteTable;
@@ -63,7 +63,7 @@
         if !is_confirmed {
             self.0.source_needed.call();
         }
-        self.0.last_asked.set(Some(Instant::now()));
+        self.0.last_asked.set(Some(BootInstant::now()));
         self.0.asked.wake();
     }
 
@@ -222,15 +222,23 @@
     /// A daemon that stood still, or was cut off and is back, asks before it sends; one that
     /// reaches nobody in touch goes on with what it knows.
     pub(crate) async fn confirmed_lately(&self) {
-        let limit = self.options().unconfirmed_limit();
-        if self.is_confirmed_within(limit) || self.0.is_alone.get() || self.version().is_none() {
-            return;
-        }
-        let last_asked = self.0.last_asked.get();
-        if last_asked.is_some_and(|asked| asked.elapsed() < ASK_AGAIN_AFTER) {
+        if self.may_be_acted_on() || self.version().is_none() || self.has_asked(ASK_AGAIN_AFTER) {
             return;
         }
         self.0.ask_soon.call();
         self.0.asked.wait(ASK_TIMEOUT * 2).await;
     }
+
+    /// Whether what is in force was confirmed lately, or nobody could confirm it.
+    pub(crate) fn may_be_acted_on(&self) -> bool {
+        let limit = self.options().unconfirmed_limit();
+        let is_alone = self.0.is_alone.get() && self.has_asked(limit);
+        self.is_confirmed_within(limit) || is_alone
+    }
+
+    /// Whether other daemons were asked within the last `time`.
+    fn has_asked(&self, time: Duration) -> bool {
+        let asked = self.0.last_asked.get();
+        asked.is_some_and(|asked| asked.elapsed() < time)
+    }
 }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -13,6 +13,7 @@
 use mangofront_routes::ConfigurationVersion;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Position;
 
@@ -56,19 +57,37 @@
     pub(crate) copy: CopyOf,
     /// Size of the whole copy.
     pub(crate) size_bytes: u32,
+    /// Digest of the whole copy: another life of its maker may write it in another order.
+    pub(crate) digest: u64,
     pub(crate) bytes: Vec<u8>,
 }
 
+/// Which copy the parts are of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Begun {
+    copy: CopyOf,
+    size_bytes: u32,
+    digest: u64,
+}
+
 /// A copy that is put together.
 #[derive(Debug, Default)]
 pub(crate) struct PartialCopy {
-    begun: Option<(CopyOf, u32)>,
+    begun: Option<Begun>,
     bytes: Vec<u8>,
 }
 
 /// Copies that were handed out last, as bytes.
 #[derive(Debug, Default)]
-pub(crate) struct HandedOut(RefCell<VecDeque<(CopyOf, Bytes)>>);
+pub(crate) struct HandedOut(RefCell<VecDeque<Written>>);
+
+/// A copy as bytes.
+#[derive(Debug)]
+struct Written {
+    copy: CopyOf,
+    digest: u64,
+    bytes: Bytes,
+}
 
 impl Wanted {
     /// The request as bytes.
@@ -99,24 +118,28 @@
 impl PartialCopy {
     /// What to ask for next of a copy of `wanted`; nothing when it is whole.
     pub(crate) fn missing(&self, wanted: Wanted) -> Option<Wanted> {
-        let Some((copy, size_bytes)) = self.begun else {
+        let Some(begun) = self.begun else {
             return Some(wanted);
         };
+        let copy = begun.copy;
         let from_byte = self.bytes.len() as u32;
-        (from_byte < size_bytes).then_some(Wanted::More { copy, from_byte })
+        (from_byte < begun.size_bytes).then_some(Wanted::More { copy, from_byte })
     }
 
     /// Adds a part; whether it belongs to the copy and brings it on.
     pub(crate) fn add(&mut self, part: CopyPart) -> bool {
-        let is_of_another = self
-            .begun
-            .is_some_and(|begun| begun != (part.copy, part.size_bytes));
+        let begun = Begun {
+            copy: part.copy,
+            size_bytes: part.size_bytes,
+            digest: part.digest,
+        };
+        let is_of_another = self.begun.is_some_and(|before| before != begun);
         let size_bytes = part.size_bytes as usize;
         let is_too_long = self.bytes.len() + part.bytes.len() > size_bytes;
         if is_of_another || is_too_long || part.bytes.is_empty() || size_bytes > COPY_LIMIT_BYTES {
             return false;
         }
-        self.begun = Some((part.copy, part.size_bytes));
+        self.begun = Some(begun);
         self.bytes.extend_from_slice(&part.bytes);
         true
     }
@@ -128,7 +151,7 @@
 
     /// What it is a copy of.
     pub(crate) fn copy(&self) -> Option<CopyOf> {
-        self.begun.map(|(copy, _)| copy)
+        self.begun.map(|begun| begun.copy)
     }
 }
 
@@ -139,9 +162,15 @@
             return part;
         }
         let bytes = Bytes::from(write());
-        let part = part(copy, &bytes, 0);
+        let digest = xxh3_64(&bytes);
+        let written = Written {
+            copy,
+            digest,
+            bytes,
+        };
+        let part = written.part(0);
         let mut copies = self.0.borrow_mut();
-        copies.push_back((copy, bytes));
+        copies.push_back(written);
         if copies.len() > KEPT_COPIES {
             copies.pop_front();
         }
@@ -151,17 +180,20 @@
     /// The part of `copy` that begins at a byte, if that copy is still at hand.
     pub(crate) fn more(&self, copy: CopyOf, from_byte: u32) -> Option<CopyPart> {
         let copies = self.0.borrow();
-        let (_, bytes) = copies.iter().find(|(other, _)| *other == copy)?;
-        Some(part(copy, bytes, from_byte as usize))
+        let written = copies.iter().find(|written| written.copy == copy)?;
+        Some(written.part(from_byte as usize))
     }
 }
 
-fn part(copy: CopyOf, bytes: &Bytes, from_byte: usize) -> CopyPart {
-    let from_byte = from_byte.min(bytes.len());
-    let end = (from_byte + PART_BYTES).min(bytes.len());
-    CopyPart {
-        copy,
-        size_bytes: bytes.len() as u32,
-        bytes: bytes[from_byte..end].to_vec(),
+impl Written {
+    fn part(&self, from_byte: usize) -> CopyPart {
+        let from_byte = from_byte.min(self.bytes.len());
+        let end = (from_byte + PART_BYTES).min(self.bytes.len());
+        CopyPart {
+            copy: self.copy,
+            size_bytes: self.bytes.len() as u32,
+            digest: self.digest,
+            bytes: self.bytes[from_byte..end].to_vec(),
+        }
     }
 }
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -17,6 +17,7 @@
 use mangofront_settings::ids::ServiceName;
 use mangofront_upstream::Connections;
 
+use crate::boot_clock::BootInstant;
 use crate::contact::{Answered, Contact};
 use crate::copies::{CopyOf, CopyPart, HandedOut, Wanted};
 use crate::datagram::{
@@ -59,7 +60,7 @@
     /// Whether a copy of all upstreams is being fetched.
     pub(crate) is_fetching_upstreams: Cell<bool>,
     /// When other daemons were last asked.
-    pub(crate) last_asked: Cell<Option<Instant>>,
+    pub(crate) last_asked: Cell<Option<BootInstant>>,
     /// Ends the wait between two questions to other daemons.
     pub(crate) ask_soon: Call,
     /// Ends the wait of who has no need of the source.
