Wait for addresses that a draining predecessor still has

What operators saw: a daemon that was started while its predecessor drained ended at once, with exit code 1 and 'Address already in use', and nobody served once the predecessor had gone. One of five addresses in use was enough.

Cause: each listener was tried once.

Change: the start repeats a listener whose address is in use until the predecessor must have ended: its stop grace and 2 s for the kernel. Other faults end the start as before, and so does an address that stays in use, by name. The callers' address is taken last, so that no caller is held meanwhile.

2 s: ending a process and closing its sockets takes milliseconds; a machine that is short of processors needs longer. 50 ms between tries: two hundred tries in the usual ten seconds, and no visible pause for callers.

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,5 +1,6 @@
 //! Reasons why a daemon does not start.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use mangofront_gateway::SharingError;
@@ -57,3 +58,21 @@
         cause: std::io::Error,
     },
 }
+
+impl DaemonError {
+    /// Whether an address could not be listened on because a process has it.
+    pub(crate) fn is_address_in_use(&self) -> bool {
+        match self {
+            Self::Listen { cause, .. } => cause.kind() == ErrorKind::AddrInUse,
+            Self::Peers(error) => error.is_address_in_use(),
+            Self::Sharing(error) => error.is_address_in_use(),
+            Self::Help
+            | Self::Arguments(_)
+            | Self::Settings(_)
+            | Self::Logs(_)
+            | Self::Client(_)
+            | Self::Metrics(_)
+            | Self::Io { .. } => false,
+        }
+    }
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -26,6 +26,7 @@
 use mangofront_upstream::{Connections, ConnectionsOptions};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::address_wait::AddressWait;
 use crate::error::DaemonError;
 use crate::run::{listen, signal, wait_for_stop};
 use crate::{gateway_admin, lag, membership};
@@ -65,11 +66,13 @@
     path: PathBuf,
     own: GatewaySettings,
 ) -> Result<(), DaemonError> {
-    let callers = listen(settings.caller_address).await?;
-    let balancer = listen(own.ready_address).await?;
-    let operators = listen(settings.admin_address).await?;
+    let wait = AddressWait::for_predecessor(own.stop_grace());
+    let balancer = wait.listen(|| listen(own.ready_address)).await?;
+    let operators = wait.listen(|| listen(settings.admin_address)).await?;
     let metrics = Metrics::new()?;
-    let (gateway, peers, background) = assemble(&settings, &own, &metrics).await?;
+    let (gateway, peers, background) = assemble(&settings, &own, &metrics, wait).await?;
+    // Last, so that no caller is held while another address is waited for.
+    let callers = wait.listen(|| listen(settings.caller_address)).await?;
     log::info!(
         instance = settings.instance.as_str(),
         availability_zone = settings.availability_zone.as_str(),
@@ -111,6 +114,7 @@
     settings: &DaemonSettings,
     own: &GatewaySettings,
     metrics: &Metrics,
+    wait: AddressWait,
 ) -> Result<(Gateway, Peers, Vec<JoinHandle<()>>), DaemonError> {
     let (tell, told) = mpsc::unbounded();
     let zone = settings.availability_zone.clone();
@@ -124,20 +128,20 @@
     );
     let store = StoreClient::new(connections.clone(), settings.platform_address);
     let sharing_cell: Rc<std::cell::OnceCell<Rc<Sharing>>> = Rc::default();
-    let peers = start_peers(settings, own, &published, &sharing_cell)?;
+    let start = async || start_peers(settings, own, &published, &sharing_cell);
+    let peers = wait.listen(start).await?;
     let sharing_options = SharingOptions {
         address: own.news_address,
         instance: settings.instance.clone(),
         zone,
         relay_from_daemons: own.relay_from_daemons as usize,
     };
-    let sharing = Sharing::start(
-        sharing_options,
-        peers.clone(),
-        upstreams.clone(),
-        published.clone(),
-    )
-    .await?;
+    let start = async || {
+        let (options, peers) = (sharing_options.clone(), peers.clone());
+        let sharing = Sharing::start(options, peers, upstreams.clone(), published.clone());
+        Ok(sharing.await?)
+    };
+    let sharing = wait.listen(start).await?;
     // Set once, right here.
     let _ = sharing_cell.set(Rc::clone(&sharing));
     let options = GatewayOptions::builder(settings.instance.clone())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! stop, and the tasks that carry news from one part to another (`feeds`,
 //! `engines`). It takes no decision on a request.
 
+mod address_wait;
 mod admin;
 mod arguments;
 mod control;
--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -17,6 +17,7 @@
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
+use crate::address_wait::AddressWait;
 use crate::error::DaemonError;
 use crate::membership::{self, PeerExchange};
 use crate::orders;
@@ -42,7 +43,11 @@
 ///
 /// # Errors
 /// [`DaemonError`] when a part refuses its settings or its address.
-pub(crate) fn assemble(settings: DaemonSettings, policy: Policy) -> Result<Parts, DaemonError> {
+pub(crate) async fn assemble(
+    settings: DaemonSettings,
+    policy: Policy,
+    wait: AddressWait,
+) -> Result<Parts, DaemonError> {
     let audit = AuditLog::new(settings.audit_capacity_entries as usize);
     let platform = start_platform(&settings, &audit)?;
     let (instance, zone) = (&settings.instance, &settings.availability_zone);
@@ -55,7 +60,8 @@
     });
     let metrics = Metrics::new()?;
     let responders = Rc::default();
-    let peers = membership::start(&settings, &audit, &platform, &responders)?;
+    let start = async || membership::start(&settings, &audit, &platform, &responders);
+    let peers = wait.listen(start).await?;
     let options = OnceOptions::new(settings.instance.clone(), peers.incarnation());
     let once = Once::new(options, Rc::new(PeerExchange(peers.clone())));
     responders.set_once(once.clone());
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 use mangofront_settings::process::DaemonSettings;
 use mangofront_telemetry::invariants::{Invariant, check};
 
+use crate::address_wait::AddressWait;
 use crate::error::DaemonError;
 use crate::parts::{Parts, assemble};
 use crate::{admin, control, feeds, lag, orders, relay, views, watchers};
@@ -28,6 +29,10 @@
 /// knows a configuration and an instance list.
 const START_PATIENCE: Duration = Duration::from_secs(3);
 
+/// Time for a predecessor to stop where no limit is set; classes, which would name one,
+/// are not known yet.
+const USUAL_STOP_TIME: Duration = Duration::from_secs(8);
+
 /// Pause between looks at the requests in progress while draining.
 const DRAIN_PAUSE: Duration = Duration::from_millis(10);
 
@@ -36,10 +41,14 @@
 /// # Errors
 /// [`DaemonError`] when it can't start.
 pub(crate) async fn run(settings: DaemonSettings, policy: Policy) -> Result<(), DaemonError> {
-    let callers = listen(settings.caller_address).await?;
-    let operators = listen(settings.admin_address).await?;
+    let wait = AddressWait::for_predecessor(predecessor_stop_limit(&settings));
+    let operators = wait.listen(|| listen(settings.admin_address)).await?;
     let limits = serve_limits(&settings);
-    let parts = assemble(settings, policy)?;
+    let parts = assemble(settings, policy, wait).await?;
+    // Last, so that no caller is held while another address is waited for.
+    let callers = wait
+        .listen(|| listen(parts.settings.caller_address))
+        .await?;
     log::info!(
         "daemon: {} serves callers on {}",
         parts.settings.instance,
@@ -152,6 +161,13 @@
         .max()
 }
 
+/// Time that a predecessor may take to stop: as set, else what it takes as a rule.
+fn predecessor_stop_limit(settings: &DaemonSettings) -> Duration {
+    settings
+        .stop_limit_ms
+        .map_or(USUAL_STOP_TIME, Duration::from_millis)
+}
+
 pub(crate) async fn wait_for_stop() -> Result<(), DaemonError> {
     let mut terminate = std::pin::pin!(signal(SIGTERM).fuse());
     let mut interrupt = std::pin::pin!(signal(SIGINT).fuse());
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -62,6 +62,14 @@
     cause: io::Error,
 }
 
+impl SharingError {
+    /// Whether another process has the address.
+    #[must_use]
+    pub fn is_address_in_use(&self) -> bool {
+        self.cause.kind() == io::ErrorKind::AddrInUse
+    }
+}
+
 /// Settings of [`Sharing`].
 #[derive(Debug, Clone)]
 pub struct SharingOptions {
--- a/crates/peers/src/error.rs
+++ b/crates/peers/src/error.rs
@@ -20,6 +20,17 @@
     },
 }
 
+impl PeersError {
+    /// Whether another process has the listen address.
+    #[must_use]
+    pub fn is_address_in_use(&self) -> bool {
+        match self {
+            Self::Listen { cause, .. } => *cause == nng::Error::AddressInUse,
+            Self::Socket(_) => false,
+        }
+    }
+}
+
 /// Step of a link at which an error arose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LinkStep {
