Vouch for no changes of upstreams that are not known

What callers saw: requests sent to upstreams that had left, by daemons that the store had turned away, for as long as 5.6 s in runs of the fleet test (bound 3 s) and, had these gone on, until the upstream's next change.

Cause: a daemon that asks for the changes after a position is answered with what the other one knows, and told up to where that is everything. Changes that were relayed past a gap are known without those before them. They were told as if they were everything up to the last of them, so the asker's position moved past departures that it had never heard of, and no later answer held them.

In a traced run (73 departures late, 5.30 s) daemons that knew everything up to 38, and eight changes from 46 to 53, answered 'from 38 up to 53, eight changes'; the ones who asked never learned 40 to 45, at their confirmed position 53. A daemon had read 40 to 45 at once after a large configuration, so it had not relayed them, and relayed what followed.

Change: a page vouches for changes up to where its teller knows them all. Changes beyond are told as before.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -73,27 +73,27 @@
 
 /// All changes of upstreams between two positions, in order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct UpstreamChanges {
+pub struct UpstreamChanges {
     /// Position from which on they are all.
-    pub(crate) after: Position,
-    /// Position up to which they are all.
-    pub(crate) up_to: Position,
+    pub after: Position,
+    /// Position up to which they are all; later ones may be among them.
+    pub up_to: Position,
     /// The changes.
-    pub(crate) changes: Vec<UpstreamChange>,
+    pub changes: Vec<UpstreamChange>,
 }
 
 /// The last change of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct UpstreamChange {
+pub struct UpstreamChange {
     /// What has changed.
-    pub(crate) kind: UpstreamChangeKind,
+    pub kind: UpstreamChangeKind,
     /// Time for which somebody has known it, in milliseconds.
-    pub(crate) known_for_ms: u32,
+    pub known_for_ms: u32,
 }
 
 /// What has changed of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum UpstreamChangeKind {
+pub enum UpstreamChangeKind {
     /// It was registered, or its registration changed.
     Registered(Upstream),
     /// It is no longer registered, or not so that it can be used.
@@ -165,7 +165,8 @@
     }
 
     /// Position of the change.
-    pub(crate) fn position(&self) -> Position {
+    #[must_use]
+    pub fn position(&self) -> Position {
         match &self.kind {
             UpstreamChangeKind::Registered(upstream) => upstream.registered_at,
             UpstreamChangeKind::Gone(_, position) => *position,
@@ -180,19 +181,19 @@
 
 impl UpstreamChanges {
     /// All `changes` between two positions, in pages that fit into a datagram each.
-    pub(crate) fn pages(
-        after: Position,
-        up_to: Position,
-        mut changes: Vec<UpstreamChange>,
-    ) -> Vec<Self> {
+    ///
+    /// Changes beyond `up_to` are told too; of others as late as they nothing is known, so
+    /// no page vouches for that.
+    #[must_use]
+    pub fn pages(after: Position, up_to: Position, mut changes: Vec<UpstreamChange>) -> Vec<Self> {
         changes.sort_by_key(UpstreamChange::position);
         let mut pages: Vec<Self> = Vec::new();
         for changes in parts(changes) {
             let after = pages.last().map_or(after, |page| page.up_to);
-            let up_to = changes.last().map_or(after, UpstreamChange::position);
+            let last = changes.last().map_or(after, UpstreamChange::position);
             pages.push(Self {
                 after,
-                up_to: up_to.max(after),
+                up_to: last.min(up_to).max(after),
                 changes,
             });
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -208,8 +208,9 @@
         let answered = self.answered();
         let upstreams: Vec<UpstreamChange> = changes.iter().filter_map(upstream_change).collect();
         // Of changes that may be cut, those are known that are there.
+        let last = upstreams.iter().map(UpstreamChange::position).max();
         let up_to = match may_be_cut {
-            true => after,
+            true => last.unwrap_or(after),
             false => position,
         };
         let pages = UpstreamChanges::pages(after, up_to, upstreams).into_iter();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 
 pub use budget::{SecondSendBudget, SecondSendLimit};
 pub use contact::{Answered, Contact};
+pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
 pub use dialect::{
     AnswerHead, AttemptHead, CallFault, CallHead, Change, Changes, Dialect, Entry, EventId, Helper,
     Position, ReservationId, Snapshot, Source, SourceError, TokenCounts,
