Write the log again once its output takes lines

What operators saw: after a single write that failed (a full disk, a reader too slow for an output that doesn't block) a daemon's log was silent for the rest of its life.

Cause: the thread that writes ended at the first error.

Change: lines that the output does not take are dropped, counted and told like others. A line that was cut off is ended before the next one. What the counter holds is taken off only when the line that tells it was written.

Evidence: lines_are_written_again_once_the_output_takes_them fails on the code before (104 lines, none after the stall) and holds now, with the six others of its target.

--- a/crates/telemetry/src/logs/queue.rs
+++ b/crates/telemetry/src/logs/queue.rs
@@ -6,7 +6,7 @@
 //! second. What was dropped is told in a line of its own.
 
 use std::collections::HashMap;
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -147,16 +147,23 @@
     }
 }
 
-/// Writes lines until the last sender is gone or the output takes no more.
+/// Writes lines until the last sender is gone.
+///
+/// An output may fail for a while: a full disk, or a reader that is slow. Lines that it
+/// does not take are dropped and counted.
 fn write_all(mut output: impl Write, lines: &Receiver<Message>, dropped: &AtomicU64) {
     let mut told = Instant::now();
+    let mut is_torn = false;
     loop {
         let first = match lines.recv_timeout(TELL_PERIOD) {
             Ok(first) => Some(first),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let mut batch = Vec::new();
+        let mut batch = match is_torn {
+            true => vec![b'\n'],
+            false => Vec::new(),
+        };
         let mut flushed = Vec::new();
         if let Some(Message::Line(_)) = first {
             thread::sleep(BATCH_TIME);
@@ -167,13 +174,15 @@
                 Message::Flush(done) => flushed.push(done),
             }
         }
-        if told.elapsed() >= TELL_PERIOD {
+        let (written, rest) = batch.split_at(write_some(&mut output, &batch));
+        is_torn = written.last().map_or(is_torn, |last| *last != b'\n');
+        // A line of which only the end is missing is not lost.
+        let lost = rest.iter().skip(1).filter(|byte| **byte == b'\n').count() as u64;
+        dropped.fetch_add(lost, Ordering::Relaxed);
+        DROPPED.fetch_add(lost, Ordering::Relaxed);
+        if told.elapsed() >= TELL_PERIOD && !is_torn {
             told = Instant::now();
-            batch.extend_from_slice(dropped_line(dropped).as_bytes());
-        }
-        if output.write_all(&batch).is_err() {
-            // Nobody reads any more, so there is nowhere to say it.
-            return;
+            is_torn = tell_dropped(&mut output, dropped);
         }
         for done in flushed {
             // Whoever asked may have given up waiting.
@@ -182,12 +191,34 @@
     }
 }
 
-/// Line that tells how many were dropped since the last one; empty for none.
-fn dropped_line(dropped: &AtomicU64) -> String {
-    match dropped.swap(0, Ordering::Relaxed) {
-        0 => String::new(),
-        count => format!(
-            "{{\"level\":\"WARN\",\"message\":\"logs: lines dropped\",\"lines\":{count}}}\n"
-        ),
+/// Writes as much as the output takes; the number of bytes that it took.
+fn write_some(output: &mut impl Write, bytes: &[u8]) -> usize {
+    let mut written = 0;
+    while written < bytes.len() {
+        match output.write(&bytes[written..]) {
+            Ok(0) => break,
+            Ok(count) => written += count,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            // There is nowhere to say it; what was lost is told once lines are taken again.
+            Err(_) => break,
+        }
+    }
+    // Standard output holds back a line that has no end yet.
+    let _ = output.flush();
+    written
+}
+
+/// Tells how many lines were dropped since it was last told; whether the line is torn.
+fn tell_dropped(output: &mut impl Write, dropped: &AtomicU64) -> bool {
+    let count = dropped.load(Ordering::Relaxed);
+    if count == 0 {
+        return false;
+    }
+    let line =
+        format!("{{\"level\":\"WARN\",\"message\":\"logs: lines dropped\",\"lines\":{count}}}\n");
+    let written = write_some(output, line.as_bytes());
+    if written == line.len() {
+        dropped.fetch_sub(count, Ordering::Relaxed);
     }
+    written > 0 && written < line.len()
 }
--- a/crates/telemetry/tests/processes.rs
+++ b/crates/telemetry/tests/processes.rs
@@ -1,8 +1,11 @@
 //! What touches a whole process: its log and its invariants. Each test runs
 //! this binary again as a child with one role, and looks at what it left.
 
+use std::io::{BufRead, BufReader, Read};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::os::unix::process::ExitStatusExt;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
 use mangofront_settings::process::{LogFormat, LogLevel, LogSettings};
@@ -12,14 +15,24 @@
 
 const ROLE: &str = "MANGOFRONT_TEST_ROLE";
 
-/// Runs the test `child` of this binary with `role` in its environment.
-fn run(role: &str) -> Output {
+/// How long a child waits until its output takes no more.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a child says once its output takes no more.
+const FULL: &str = "the output is full";
+
+/// The test `child` of this binary with `role` in its environment.
+fn command(role: &str) -> Command {
     let binary = std::env::current_exe().expect("path of this binary");
-    Command::new(binary)
+    let mut command = Command::new(binary);
+    command
         .args(["child", "--exact", "--nocapture"])
-        .env(ROLE, role)
-        .output()
-        .expect("child runs")
+        .env(ROLE, role);
+    command
+}
+
+fn run(role: &str) -> Output {
+    command(role).output().expect("child runs")
 }
 
 fn stderr(output: &Output) -> String {
@@ -33,6 +46,7 @@
         Ok("human") => write_lines(LogLevel::Info, LogFormat::Human),
         Ok("json") => write_lines(LogLevel::Debug, LogFormat::Json),
         Ok("flood") => write_too_much(),
+        Ok("stalled") => write_past_a_stall(),
         Ok("counted") => break_twice(),
         Ok("fatal") => {
             invariants::set_fatal(true);
@@ -77,6 +91,55 @@
     std::thread::sleep(Duration::from_millis(1_500));
 }
 
+/// More than an output takes that nobody reads, and a line once somebody does.
+fn write_past_a_stall() {
+    let settings = LogSettings {
+        level: LogLevel::Info,
+        format: LogFormat::Json,
+    };
+    logs::init(&settings).expect("first set-up");
+    let filling = "x".repeat(2_000);
+    for _ in 0..1_000 {
+        log::error!(target: "mangofront_gateway", filling = filling.as_str(); "gateway: a fault");
+    }
+    let started = Instant::now();
+    while logs::dropped_lines() == 0 && started.elapsed() < PATIENCE {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    eprintln!("{FULL}");
+    for _ in 0..20 {
+        std::thread::sleep(Duration::from_millis(100));
+        log::info!(target: "mangofront_gateway", "gateway: after the stall");
+    }
+    logs::flush();
+}
+
+/// Guards against a log that is silent for good after one write that failed.
+#[test]
+fn lines_are_written_again_once_the_output_takes_them() {
+    let (mut reader, output) = UnixStream::pair().expect("a pair of sockets");
+    // The child shares it: a write that finds it full fails.
+    output.set_nonblocking(true).expect("a flag is set");
+    let mut child = command("stalled")
+        .stdout(OwnedFd::from(output))
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("child runs");
+    let told = BufReader::new(child.stderr.take().expect("it is piped"));
+    let mut told = told.lines().map(|line| line.expect("text"));
+    assert!(told.any(|line| line == FULL));
+    let mut text = String::new();
+    reader.read_to_string(&mut text).expect("text");
+    assert!(child.wait().expect("child ends").success());
+    let whole = text.lines().filter(|line| line.starts_with('{'));
+    let (whole, torn): (Vec<&str>, Vec<&str>) = whole.partition(|line| line.ends_with('}'));
+    assert!(torn.len() <= 1, "{torn:?}");
+    let count = |part: &str| whole.iter().filter(|line| line.contains(part)).count();
+    assert!(count("after the stall") > 0, "{} lines", whole.len());
+    assert!(count("a fault") < 1_000, "the output was full");
+    assert!(count("logs: lines dropped") > 0);
+}
+
 #[test]
 fn lines_past_their_kinds_budget_are_dropped_and_told() {
     let output = run("flood");
