--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -20,6 +20,12 @@
     check(Family::TurnedAway, &[1, 2]);
 }
 
+/// Guards against daemons that ask in vain, again and again, where one of all is in touch.
+#[test]
+fn daemons_learn_of_departures_in_time_from_the_only_one_that_is_served() {
+    check(Family::OneServed, &[1, 2]);
+}
+
 /// Guards against a departure that waits behind a large configuration.
 #[test]
 fn departures_do_not_wait_for_a_large_configuration() {
--- a/crates/gateway/tests/fleet/script.rs
+++ b/crates/gateway/tests/fleet/script.rs
@@ -62,6 +62,8 @@
 pub enum Family {
     /// The store turns away some daemons and serves the others.
     TurnedAway,
+    /// The store turns away all daemons but one.
+    OneServed,
     /// Links are narrow or late, and nobody is turned away.
     Narrow,
     /// All calls fail for a while.
@@ -155,6 +157,7 @@
         let mut random = StdRng::seed_from_u64(seed);
         match family {
             Family::TurnedAway => departures(&mut random, draw_turned_away),
+            Family::OneServed => departures(&mut random, draw_one_served),
             Family::Narrow => departures(&mut random, draw_narrow),
             Family::Outage => outage(&mut random),
         }
@@ -335,18 +338,30 @@
         };
         let is_turned_away = !sound.contains(&place) && random.random_bool(share);
         turned_away += usize::from(is_turned_away);
-        let stretches = match is_turned_away {
-            true => vec![draw_stretch(random, end)],
-            false => Vec::new(),
-        };
-        lines.push(LinePlan {
-            bytes_per_s: LINK_BYTES_PER_S,
-            stretches,
-        });
+        lines.push(draw_line(random, end, is_turned_away));
     }
     (format!("{turned_away} turned away ({pattern:?})"), lines)
 }
 
+/// Lines of a fleet of which all daemons but one are turned away.
+fn draw_one_served(random: &mut StdRng, end: Duration) -> (String, Vec<LinePlan>) {
+    let served = random.random_range(0..DAEMONS);
+    let lines = (0..DAEMONS).map(|place| draw_line(random, end, place != served));
+    ("all turned away but one".to_owned(), lines.collect())
+}
+
+/// The line of a daemon that is turned away for a while, or served throughout.
+fn draw_line(random: &mut StdRng, end: Duration, is_turned_away: bool) -> LinePlan {
+    let stretches = match is_turned_away {
+        true => vec![draw_stretch(random, end)],
+        false => Vec::new(),
+    };
+    LinePlan {
+        bytes_per_s: LINK_BYTES_PER_S,
+        stretches,
+    }
+}
+
 /// A time in which one daemon's calls go badly.
 fn draw_stretch(random: &mut StdRng, end: Duration) -> Stretch {
     let from = Duration::from_millis(random.random_range(100..1_500));
