--- a/crates/peers/tests/freeze.rs
+++ b/crates/peers/tests/freeze.rs
@@ -52,14 +52,13 @@
     /// Waits for a line that begins so.
     fn expect(&self, start: &str) {
         let deadline = Instant::now() + DEADLINE;
+        let mut passed_over = Vec::new();
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let line = self.lines.recv_timeout(left);
-            if line
-                .unwrap_or_else(|_| panic!("no line {start:?}"))
-                .starts_with(start)
-            {
-                return;
+            match self.lines.recv_timeout(left) {
+                Ok(line) if line.starts_with(start) => return,
+                Ok(line) => passed_over.push(line),
+                Err(_) => panic!("no line {start:?}, but {passed_over:#?}"),
             }
         }
     }
