--- a/crates/peers/examples/member.rs
+++ b/crates/peers/examples/member.rs
@@ -77,8 +77,6 @@
         if peers.woke() != woke {
             woke = peers.woke();
             println!("woke {woke}");
-            // The view may have been refreshed since the last look.
-            fresh = false;
         }
         if peers.view_fresh() != fresh {
             fresh = !fresh;
