Log and measure upstreams that a daemon does not reach

A daemon that lost its links to all upstreams wrote the same lines as one whose upstreams are down, and nothing said since when. The new crate paths keeps the evidence of each path: answers, failed connections, probes. Here it is only recorded and logged (path to upstream suspected, regained, with the number of such paths and the longest outage; gauge upstream_paths); no decision uses it.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -360,6 +360,13 @@
         Some(ejected)
     }
 
+    /// Keys of all known upstreams.
+    #[must_use]
+    pub fn keys(&self) -> Vec<UpstreamKey> {
+        let state = self.0.state.borrow();
+        state.upstreams.iter().map(|entry| entry.key).collect()
+    }
+
     /// Number of known upstreams.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -15,8 +15,9 @@
 use http_body_util::Full;
 use mangofront_engines::{Demand, Failure, NoUpstream, Placement, Share, UpstreamKey, key_of};
 use mangofront_http::Outcome;
+use mangofront_paths::PathFault;
 use mangofront_routes::{RetrySafety, Upstream};
-use mangofront_upstream::{Connections, SendError, Target, UpstreamResponse};
+use mangofront_upstream::{Connections, SendError, Step, Target, UpstreamResponse};
 
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
@@ -303,7 +304,8 @@
         instance: upstream.id.clone(),
         address: upstream.address,
     };
-    let deadline = Instant::now() + head_timeout;
+    let started = Instant::now();
+    let deadline = started + head_timeout;
     // Since the upstream was selected, memory was reserved and a connection opened. The
     // upstream may have announced its shutdown since then, or this daemon may have been
     // suspended.
@@ -316,9 +318,12 @@
             .await
     } else {
         // If a reused connection breaks, it is unknown whether the request was run.
-        let opened = connections.open(&target, deadline).await?;
-        opened.send_if(request, deadline, is_still_wanted).await
+        match connections.open(&target, deadline).await {
+            Ok(opened) => opened.send_if(request, deadline, is_still_wanted).await,
+            Err(error) => Err(error),
+        }
     };
+    record_path(gateway, upstream, &sent, started);
     let reached = match &sent {
         Ok(_) => true,
         Err(error) => error.outcome() != Outcome::NotRun,
@@ -329,6 +334,24 @@
     sent
 }
 
+/// Records what an attempt showed of the path to its upstream.
+fn record_path(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    sent: &Result<UpstreamResponse, SendError>,
+    started: Instant,
+) {
+    let fault = match sent {
+        Ok(_) => return gateway.paths().prove(upstream),
+        Err(SendError::Timeout { step, .. }) if *step == Step::Connect => PathFault::Silent,
+        Err(SendError::ConnectionFailed { step, .. }) if *step == Step::Connect => {
+            PathFault::Refused
+        }
+        Err(_) => return,
+    };
+    gateway.paths().suspect(upstream, fault, started);
+}
+
 /// Checks that the head answers this request and comes from the intended upstream.
 fn check_head(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use mangofront_engines::{Failure, UpstreamKey, Upstreams};
 use mangofront_http::Body;
 use mangofront_peers::Peers;
-use mangofront_telemetry::metrics::{Metrics, PeerState};
+use mangofront_telemetry::metrics::{Metrics, PathState, PeerState};
 use mangofront_upstream::Connections;
 
 use crate::call;
@@ -18,6 +18,7 @@
 use crate::drain::{Drain, Stage};
 use crate::fingerprint::Fingerprint;
 use crate::options::GatewayOptions;
+use crate::paths::Paths;
 use crate::published::Published;
 use crate::quarantine::QuarantinedRequest;
 use crate::reservations::ReservationClient;
@@ -57,6 +58,7 @@
     parts: GatewayParts,
     retry_budget: RetryBudget,
     reservation_client: ReservationClient,
+    paths: Paths,
     drain: Drain,
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
@@ -77,6 +79,7 @@
             parts,
             retry_budget,
             reservation_client,
+            paths: Paths::default(),
             drain: Drain::default(),
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
@@ -117,6 +120,9 @@
         let members = self.0.parts.peers.members();
         let live = members.iter().filter(|member| member.state.is_responsive());
         let live = live.count() as u64;
+        let paths = self.0.paths.summary(&self.0.parts.upstreams.keys());
+        metrics.upstream_paths(PathState::Lost, paths.lost as u64);
+        metrics.upstream_paths(PathState::Suspected, paths.suspected as u64);
         metrics.quarantined(self.0.parts.upstreams.quarantined().len() as u64);
         metrics.peers(PeerState::Live, live);
         metrics.peers(PeerState::Suspected, members.len() as u64 - live);
@@ -176,6 +182,11 @@
         &self.0.retry_budget
     }
 
+    /// Paths from this daemon to the upstreams.
+    pub(crate) fn paths(&self) -> &Paths {
+        &self.0.paths
+    }
+
     pub(crate) fn reservation_client(&self) -> &ReservationClient {
         &self.0.reservation_client
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod known_positions;
 mod lease;
 mod options;
+mod paths;
 mod provenance;
 mod published;
 mod published_options;
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mangofront_engines::{Failure, NoUpstream, Placement};
+use mangofront_paths::{PathFault, PathSummary};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::InstanceId;
 use mangofront_telemetry::metrics::{Disposition, LengthBucket, Metrics, RequestOutcome};
@@ -211,6 +212,34 @@
     );
 }
 
+/// An upstream takes no connection of this daemon; it or the path to it failed.
+pub(crate) fn path_suspected(
+    upstream: &Upstream,
+    fault: PathFault,
+    failed_for: Duration,
+    summary: &PathSummary,
+) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        address = upstream.address.to_string().as_str(),
+        evidence = fault.name(),
+        failed_for_ms = milliseconds(failed_for),
+        lost_paths = summary.lost,
+        suspected_paths = summary.suspected,
+        longest_outage_ms = summary.longest_outage.map(milliseconds);
+        "gateway: path to upstream suspected"
+    );
+}
+
+/// The path from this daemon to an upstream works again.
+pub(crate) fn path_regained(upstream: &Upstream, outage: Duration) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        outage_ms = milliseconds(outage);
+        "gateway: path to upstream regained"
+    );
+}
+
 /// A request is tried once after its quarantine.
 pub(crate) fn trial_started(call: &Call) {
     log::info!(
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use instruments::Instruments;
-pub use labels::{Disposition, PeerState, RequestOutcome};
+pub use labels::{Disposition, PathState, PeerState, RequestOutcome};
 pub use mangofront_prompt::LengthBucket;
 
 /// Prefix of the names of all metrics.
@@ -114,6 +114,12 @@
         self.0.instruments.upstream_attempts.add(1, &labels);
     }
 
+    /// Sets the number of upstreams to which the direct path is in `state`.
+    pub fn upstream_paths(&self, state: PathState, count: u64) {
+        let labels = [label("state", state.name())];
+        self.0.instruments.upstream_paths.record(count, &labels);
+    }
+
     /// Sets the time since the published state was last known to be current.
     pub fn lease_age(&self, age: Duration) {
         let gauge = &self.0.instruments.lease_age;
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -31,6 +31,7 @@
     pub(super) request_duration: Histogram<f64>,
     pub(super) organisation_requests: Counter<u64>,
     pub(super) upstream_attempts: Counter<u64>,
+    pub(super) upstream_paths: Gauge<u64>,
     pub(super) lease_age: Gauge<f64>,
     pub(super) event_loop_lateness: Histogram<f64>,
     pub(super) departure_lateness: Gauge<f64>,
@@ -91,6 +92,10 @@
                 "upstream_attempts",
                 "Attempts at upstreams, by availability zone and outcome",
             ),
+            upstream_paths: meter
+                .u64_gauge("upstream_paths")
+                .with_description("Upstreams to which the direct path is not used, by state")
+                .build(),
             lease_age: meter
                 .f64_gauge("lease_age")
                 .with_description("Time since what is published was known to be in force")
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -29,6 +29,26 @@
     }
 }
 
+/// State of a direct path to an upstream that is not in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathState {
+    /// Another daemon reaches the upstream and this one does not.
+    Lost,
+    /// It fails, and no other daemon told whether the upstream works.
+    Suspected,
+}
+
+impl PathState {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Lost => "lost",
+            Self::Suspected => "suspected",
+        }
+    }
+}
+
 /// How a prompt was served, or why it was not.
 ///
 /// Unlike [`RequestOutcome`], distinguishes the reasons for which a prompt is not served.
