--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_channel::mpsc;
 use futures_util::FutureExt;
+use futures_util::future::join;
 use http::{Response, StatusCode};
 use mangofront_adapter::{HeaderDialect, StoreClient};
 use mangofront_engines::Upstreams;
@@ -73,6 +74,9 @@
         .listen(|| listen(gateway_settings.ready_address))
         .await?;
     let admin_listener = wait.listen(|| listen(settings.admin_address)).await?;
+    let proxy_listener = wait
+        .listen(|| listen(gateway_settings.news_address))
+        .await?;
     let metrics = Metrics::new()?;
     let (gateway, peers, background_tasks) =
         assemble(&settings, &gateway_settings, &metrics, wait).await?;
@@ -100,6 +104,10 @@
         no_shutdown.clone(),
     ))
     .detach();
+    let (stop_proxy, proxy_stopped) = Shutdown::new();
+    let proxy_gateway = gateway.clone();
+    let handle_proxied = move |request, peer| proxy_gateway.clone().handle_proxied(request, peer);
+    let proxy_server = spawn(serve(proxy_listener, limits, handle_proxied, proxy_stopped));
     let admin_gateway = gateway.clone();
     let handle_admin = move |request, _peer| {
         gateway_admin::handle(admin_gateway.clone(), metrics.clone(), request)
@@ -118,8 +126,10 @@
     drain(&gateway, gateway_settings.stop_grace()).await;
     peers.leave();
     stop_callers.trigger();
+    stop_proxy.trigger();
     // A connection whose caller does not read must not keep the process alive.
-    let _ = compio::time::timeout(CONNECTION_CLOSE_TIMEOUT, server).await;
+    let servers = join(server, proxy_server);
+    let _ = compio::time::timeout(CONNECTION_CLOSE_TIMEOUT, servers).await;
     drop((background_tasks, reload_task));
     log::info!(in_progress = gateway.in_progress(); "daemon: stopped");
     mangofront_telemetry::logs::flush();
@@ -177,11 +187,16 @@
             window: gateway_settings.second_send_window(),
         })
         .stall_timeout(gateway_settings.engine_stall())
+        .proxied_limit(gateway_settings.proxied_limit_requests as usize)
+        .proxied_bodies_limit_bytes(gateway_settings.proxied_bodies_limit_bytes as usize)
         .build();
     let gateway = Gateway::new(GatewayParts {
         options,
         dialect: Rc::new(HeaderDialect),
         connections,
+        peer_connections: peer_connections(settings),
+        proxy_port: gateway_settings.news_address.port(),
+        availability_zone: settings.availability_zone.clone(),
         upstreams,
         published: published.clone(),
         peers: peers.clone(),
@@ -193,6 +208,7 @@
         spawn(Rc::clone(&exchange).rebroadcast_running()),
         spawn(exchange.receive()),
         spawn(gateway.clone().watch_zones()),
+        spawn(gateway.clone().watch_paths()),
         spawn(event_loop_lag::measure(metrics.clone())),
     ];
     Ok((gateway, peers, background_tasks))
@@ -203,6 +219,18 @@
         connect_timeout: settings.limits.connect_timeout(),
         idle_limit: MAX_IDLE_CONNECTIONS,
         idle_timeout: IDLE_CONNECTION_TIMEOUT,
+        ..ConnectionsOptions::default()
+    })
+}
+
+/// Connections to other daemons, which know this one by the address it connects from.
+fn peer_connections(settings: &DaemonSettings) -> Connections {
+    let own_ip = settings.peer_address.ip();
+    Connections::new(ConnectionsOptions {
+        connect_timeout: settings.limits.connect_timeout(),
+        idle_limit: MAX_IDLE_CONNECTIONS,
+        idle_timeout: IDLE_CONNECTION_TIMEOUT,
+        local_ip: Some(own_ip).filter(|ip| !ip.is_unspecified()),
     })
 }
 
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -348,16 +348,29 @@
     }
 
     /// Records a failure of an upstream; returns its ejection time, if the upstream is known.
+    ///
+    /// The failure concerns this daemon alone until it is published.
     pub fn record_failure(&self, upstream: UpstreamKey, failure: Failure) -> Option<Duration> {
         let now = self.now();
         let mut state = self.0.state.borrow_mut();
         let entry = state.upstream_mut(upstream)?;
-        let ejected = entry.health.record_failure(failure, now, &self.0.options);
+        Some(entry.health.record_failure(failure, now, &self.0.options))
+    }
+
+    /// Has the other daemons eject an upstream, for `time` at most.
+    pub fn publish_failure(&self, upstream: UpstreamKey, time: Duration) {
         self.publish(LoadUpdate::Failed {
             upstream,
-            ejected_ms: saturating_ms(ejected),
+            ejected_ms: saturating_ms(time),
         });
-        Some(ejected)
+    }
+
+    /// Ends the ejection of an upstream, as its failures were not its own.
+    pub fn forgive(&self, upstream: UpstreamKey) {
+        let mut state = self.0.state.borrow_mut();
+        if let Some(entry) = state.upstream_mut(upstream) {
+            entry.health.record_answer();
+        }
     }
 
     /// Keys of all known upstreams.
@@ -367,6 +380,34 @@
         state.upstreams.iter().map(|entry| entry.key).collect()
     }
 
+    /// The registration of an upstream.
+    #[must_use]
+    pub fn registration(&self, upstream: UpstreamKey) -> Option<Upstream> {
+        let mut state = self.0.state.borrow_mut();
+        state
+            .upstream_mut(upstream)
+            .map(|entry| entry.registration.clone())
+    }
+
+    /// Up to `count` upstreams other than `except` that take work, those of the own zone
+    /// first.
+    #[must_use]
+    pub fn draw_others(&self, except: UpstreamKey, count: usize) -> Vec<Upstream> {
+        let mut state = self.0.state.borrow_mut();
+        let turn = state.next_work;
+        state.next_work += 1;
+        let rank = |key: UpstreamKey| xxh3_64_with_seed(&key.to_le_bytes(), turn);
+        let mut others: Vec<&Upstream> = state
+            .upstreams
+            .iter()
+            .filter(|entry| entry.key != except && !entry.registration.leaving)
+            .map(|entry| &entry.registration)
+            .collect();
+        let is_remote = |one: &Upstream| one.availability_zone != self.0.availability_zone;
+        others.sort_by_key(|one| (is_remote(one), rank(key_of(one))));
+        others.into_iter().take(count).cloned().collect()
+    }
+
     /// Number of known upstreams.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -92,6 +92,7 @@
         }
         if let AttemptError::MayHaveRun(_)
         | AttemptError::ConnectionLost(_)
+        | AttemptError::PathLost
         | AttemptError::DeadlineExceeded = error
         {
             history.may_have_run = true;
@@ -154,6 +155,7 @@
         mut placement,
         upstream,
         reservations,
+        way: _way,
     } = attempt_answer;
     let status = answer.status;
     let headers = gateway.parts().dialect.answer_headers(&answer.headers);
@@ -254,5 +256,6 @@
         took: call.arrived.elapsed(),
         version: call.version,
         lease_age: call.lease_age,
+        proxy: history.proxy.clone(),
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -14,18 +14,18 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use mangofront_engines::{Demand, Failure, NoUpstream, Placement, Share, UpstreamKey, key_of};
-use mangofront_http::Outcome;
-use mangofront_paths::PathFault;
 use mangofront_routes::{RetrySafety, Upstream};
-use mangofront_upstream::{Connections, SendError, Step, Target, UpstreamResponse};
+use mangofront_upstream::{Connections, SendError, UpstreamResponse};
 
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
 use crate::gateway::Gateway;
 use crate::history::{AttemptError, History, MIN_ATTEMPT_TIME};
+use crate::proxy::{AttemptKind, Times};
 use crate::quarantine::{check_quarantine, record_lost_connection};
-use crate::reservations::Reservations;
+use crate::reservations::{ReservationFailure, Reservations};
 use crate::trace;
+use crate::upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamCallError, Way};
 
 /// Pause before placement is tried again while all engines are overloaded: shorter than one
 /// share of a prompt takes to prefill, and long enough to keep the cost of placement low.
@@ -61,6 +61,7 @@
     pub(crate) upstream: Upstream,
     /// Released when the request no longer uses the memory.
     pub(crate) reservations: Reservations,
+    pub(crate) way: Way,
 }
 
 /// Sends the request to the next upstream and waits for the head of its answer.
@@ -85,7 +86,7 @@
     let reservations =
         Reservations::acquire(gateway.reservation_client(), &placement.shares, &name)
             .await
-            .map_err(|upstream| reservation_failed(gateway, call, &upstream))?;
+            .map_err(|failed| reservation_failed(gateway, call, &failed))?;
     // Other daemons may have seen more upstreams crash under this request while it waited.
     check_quarantine(gateway, call, history)?;
     let request = build_request(gateway, call, &placement, &reservations, last_event_id)?;
@@ -103,7 +104,7 @@
     };
     let result = match sent {
         Some(Ok(answer)) => check_head(gateway, call, &upstream, answer, history),
-        Some(Err(error)) => Err(send_failed(gateway, call, key, &error)),
+        Some(Err(error)) => Err(send_failed(gateway, call, &upstream, error)),
         None => {
             history.sent += 1;
             Err(upstream_restarted())
@@ -116,11 +117,13 @@
         }
         Err(error) => record_failed_attempt(gateway, call, &upstream, error.code(), error).await,
     }
+    let UpstreamAnswer { answer, way } = result?;
     Ok(AttemptAnswer {
-        answer: result?,
+        answer,
         placement,
         upstream,
         reservations,
+        way,
     })
 }
 
@@ -197,8 +200,15 @@
     }
 }
 
-fn reservation_failed(gateway: &Gateway, call: &Call, upstream: &Upstream) -> AttemptError {
-    gateway.eject(key_of(upstream), Failure::Full, &call.id);
+fn reservation_failed(gateway: &Gateway, call: &Call, failed: &ReservationFailure) -> AttemptError {
+    let upstream = &failed.upstream;
+    // Without an answer it is not known whether the upstream is full.
+    gateway.upstream_client().record_failure(
+        key_of(upstream),
+        Failure::Full,
+        failed.is_answered,
+        &call.id,
+    );
     AttemptError::Unreachable(format!("{} reserved no memory", upstream.id))
 }
 
@@ -298,68 +308,53 @@
     request: Request<Full<Bytes>>,
     head_timeout: Duration,
     history: &mut History,
-) -> Result<UpstreamResponse, SendError> {
-    let connections = &gateway.parts().connections;
-    let target = Target {
-        instance: upstream.id.clone(),
-        address: upstream.address,
-    };
-    let started = Instant::now();
-    let deadline = started + head_timeout;
+) -> Result<UpstreamAnswer, UpstreamCallError> {
+    let deadline = Instant::now() + head_timeout;
     // Since the upstream was selected, memory was reserved and a connection opened. The
     // upstream may have announced its shutdown since then, or this daemon may have been
     // suspended.
     let key = key_of(upstream);
     let parts = gateway.parts();
     let is_still_wanted = || parts.published.may_be_acted_on() && parts.upstreams.accepts_work(key);
-    let sent = if call.route.safety.may_retry() {
-        connections
-            .send_if(&target, request, deadline, is_still_wanted)
-            .await
-    } else {
-        // If a reused connection breaks, it is unknown whether the request was run.
-        match connections.open(&target, deadline).await {
-            Ok(opened) => opened.send_if(request, deadline, is_still_wanted).await,
-            Err(error) => Err(error),
-        }
+    let may_retry = call.route.safety.may_retry();
+    let upstream_call = UpstreamCall {
+        upstream,
+        request,
+        times: Times {
+            deadline,
+            expires: call.deadline,
+        },
+        kind: match may_retry {
+            true => AttemptKind::Repeatable,
+            false => AttemptKind::AtMostOnce,
+        },
+        leaves_lost_path: may_retry && history.may_resend_after_next(gateway, call),
+        cause: &call.id,
     };
-    record_path(gateway, upstream, &sent, started);
-    let reached = match &sent {
-        Ok(_) => true,
-        Err(error) => error.outcome() != Outcome::NotRun,
+    let client = gateway.upstream_client();
+    let sent = client.send(upstream_call, is_still_wanted).await;
+    let has_arrived = match &sent {
+        Ok(answer) => {
+            history.proxy = answer.way.proxy().cloned();
+            true
+        }
+        Err(error) => error.may_have_arrived(),
     };
-    if reached {
+    if has_arrived {
         history.sent += 1;
     }
     sent
 }
 
-/// Records what an attempt showed of the path to its upstream.
-fn record_path(
-    gateway: &Gateway,
-    upstream: &Upstream,
-    sent: &Result<UpstreamResponse, SendError>,
-    started: Instant,
-) {
-    let fault = match sent {
-        Ok(_) => return gateway.paths().prove(upstream),
-        Err(SendError::Timeout { step, .. }) if *step == Step::Connect => PathFault::Silent,
-        Err(SendError::ConnectionFailed { step, .. }) if *step == Step::Connect => {
-            PathFault::Refused
-        }
-        Err(_) => return,
-    };
-    gateway.paths().suspect(upstream, fault, started);
-}
-
 /// Checks that the head answers this request and comes from the intended upstream.
 fn check_head(
     gateway: &Gateway,
     call: &Call,
     upstream: &Upstream,
-    answer: UpstreamResponse,
+    answered: UpstreamAnswer,
     history: &mut History,
-) -> Result<UpstreamResponse, AttemptError> {
+) -> Result<UpstreamAnswer, AttemptError> {
+    let answer = &answered.answer;
     let head = gateway
         .parts()
         .dialect
@@ -385,7 +380,7 @@
         }
     }
     gateway.parts().upstreams.record_answer(key);
-    Ok(answer)
+    Ok(answered)
 }
 
 fn refused_by_upstream(
@@ -410,21 +405,23 @@
 fn send_failed(
     gateway: &Gateway,
     call: &Call,
-    key: UpstreamKey,
-    error: &SendError,
+    upstream: &Upstream,
+    error: UpstreamCallError,
 ) -> AttemptError {
-    match error {
-        SendError::Withdrawn { .. } => {}
-        SendError::Timeout { .. } => gateway.eject(key, Failure::Silent, &call.id),
-        SendError::ConnectionFailed { .. }
-        | SendError::Refused { .. }
-        | SendError::Protocol { .. } => {
-            gateway.eject(key, Failure::Unreachable, &call.id);
+    let error = match error {
+        UpstreamCallError::NoPath => return AttemptError::NoPath,
+        UpstreamCallError::NotConnected(error) | UpstreamCallError::Withdrawn(error) => {
+            return AttemptError::Unreachable(error.to_string());
         }
-    }
-    if error.outcome() == Outcome::NotRun {
-        return AttemptError::Unreachable(error.to_string());
-    }
+        UpstreamCallError::PathLost => return AttemptError::PathLost,
+        UpstreamCallError::MayHaveRun(error) => error,
+    };
+    let failure = match error {
+        SendError::Timeout { .. } => Failure::Silent,
+        _ => Failure::Unreachable,
+    };
+    let client = gateway.upstream_client();
+    client.suspect(upstream, failure, &call.id);
     if call.time_left().is_zero() {
         return AttemptError::DeadlineExceeded;
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -111,6 +111,9 @@
     /// Creates the headers of an attempt from those of the caller.
     fn attempt_headers(&self, caller: &HeaderMap, attempt: &AttemptHead<'_>) -> HeaderMap;
 
+    /// Shortens the time that the headers of an attempt leave to its upstream.
+    fn limit_time(&self, attempt: &mut HeaderMap, time_left: Duration);
+
     /// Reads the head of an upstream's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,19 +10,22 @@
 use mangofront_engines::{Failure, UpstreamKey, Upstreams};
 use mangofront_http::Body;
 use mangofront_peers::Peers;
-use mangofront_telemetry::metrics::{Metrics, PathState, PeerState};
+use mangofront_settings::ids::AvailabilityZone;
+use mangofront_telemetry::metrics::{Metrics, PeerState};
 use mangofront_upstream::Connections;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call;
 use crate::dialect::Dialect;
 use crate::drain::{Drain, Stage};
 use crate::fingerprint::Fingerprint;
 use crate::options::GatewayOptions;
-use crate::paths::Paths;
+use crate::proxy::{self, ProxiedAttempts, ProxyClient, ProxySelection};
 use crate::published::Published;
 use crate::quarantine::QuarantinedRequest;
 use crate::reservations::ReservationClient;
 use crate::retry_budget::RetryBudget;
+use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::{trace, zones};
 
 /// Dependencies of a [`Gateway`].
@@ -33,6 +36,12 @@
     pub dialect: Rc<dyn Dialect>,
     /// Connections to upstreams.
     pub connections: Connections,
+    /// Connections to other daemons.
+    pub peer_connections: Connections,
+    /// Port on which all daemons accept proxied attempts.
+    pub proxy_port: u16,
+    /// Availability zone of this daemon.
+    pub availability_zone: AvailabilityZone,
     /// The upstreams and their load.
     pub upstreams: Upstreams,
     /// The published values in force.
@@ -57,8 +66,9 @@
 struct Shared {
     parts: GatewayParts,
     retry_budget: RetryBudget,
+    upstream_client: UpstreamClient,
     reservation_client: ReservationClient,
-    paths: Paths,
+    proxied_attempts: Rc<ProxiedAttempts>,
     drain: Drain,
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
@@ -70,16 +80,18 @@
     #[must_use]
     pub fn new(parts: GatewayParts) -> Self {
         let retry_budget = RetryBudget::new(parts.options.retry_limit);
+        let upstream_client = upstream_client(&parts);
         let reservation_client = ReservationClient {
-            connections: parts.connections.clone(),
+            upstreams: upstream_client.clone(),
             dialect: Rc::clone(&parts.dialect),
             hold: parts.options.reservation_hold,
         };
         Self(Rc::new(Shared {
             parts,
             retry_budget,
+            upstream_client,
             reservation_client,
-            paths: Paths::default(),
+            proxied_attempts: Rc::default(),
             drain: Drain::default(),
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
@@ -93,6 +105,20 @@
         zones::probe_quiet_zones(parts.upstreams.clone(), parts.connections.clone()).await;
     }
 
+    /// Looks for lost paths to upstreams and probes them, forever.
+    pub async fn watch_paths(self) {
+        self.upstream_client().clone().watch_paths().await;
+    }
+
+    /// Forwards one attempt of the daemon at `peer` to an upstream.
+    pub async fn handle_proxied(
+        self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Response<Body> {
+        proxy::handle(self, request, peer).await
+    }
+
     /// Answers one request of the caller at `peer`.
     pub async fn handle(self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         call::handle(self, request, peer).await
@@ -120,9 +146,6 @@
         let members = self.0.parts.peers.members();
         let live = members.iter().filter(|member| member.state.is_responsive());
         let live = live.count() as u64;
-        let paths = self.0.paths.summary(&self.0.parts.upstreams.keys());
-        metrics.upstream_paths(PathState::Lost, paths.lost as u64);
-        metrics.upstream_paths(PathState::Suspected, paths.suspected as u64);
         metrics.quarantined(self.0.parts.upstreams.quarantined().len() as u64);
         metrics.peers(PeerState::Live, live);
         metrics.peers(PeerState::Suspected, members.len() as u64 - live);
@@ -182,9 +205,14 @@
         &self.0.retry_budget
     }
 
-    /// Paths from this daemon to the upstreams.
-    pub(crate) fn paths(&self) -> &Paths {
-        &self.0.paths
+    /// Calls to upstreams, on direct paths or through other daemons.
+    pub(crate) fn upstream_client(&self) -> &UpstreamClient {
+        &self.0.upstream_client
+    }
+
+    /// Attempts that are being forwarded for other daemons.
+    pub(crate) fn proxied_attempts(&self) -> &Rc<ProxiedAttempts> {
+        &self.0.proxied_attempts
     }
 
     pub(crate) fn reservation_client(&self) -> &ReservationClient {
@@ -209,13 +237,11 @@
         count
     }
 
-    /// Ejects an upstream for a while after `request` failed there.
+    /// Ejects an upstream for a while, here and at the other daemons, after `request` failed
+    /// there.
     pub(crate) fn eject(&self, upstream: UpstreamKey, failure: Failure, request: &str) {
-        let upstreams = &self.0.parts.upstreams;
-        if let Some(time) = upstreams.record_failure(upstream, failure) {
-            let id = upstreams.id_of(upstream).unwrap_or_default();
-            trace::upstream_ejected(&id, failure, time, request);
-        }
+        self.upstream_client()
+            .record_failure(upstream, failure, true, request);
     }
 
     /// Counts a request as in progress until the guard is dropped.
@@ -230,6 +256,23 @@
     }
 }
 
+fn upstream_client(parts: &GatewayParts) -> UpstreamClient {
+    let instance = parts.options.instance.clone();
+    let selection = ProxySelection::new(
+        parts.peers.clone(),
+        parts.availability_zone.clone(),
+        parts.proxy_port,
+        xxh3_64(instance.as_bytes()),
+    );
+    UpstreamClient::new(UpstreamClientParts {
+        connections: parts.connections.clone(),
+        upstreams: parts.upstreams.clone(),
+        published: parts.published.clone(),
+        proxies: ProxyClient::new(instance, parts.peer_connections.clone(), selection),
+        metrics: parts.metrics.clone(),
+    })
+}
+
 /// Guard of a request in progress.
 #[derive(Debug)]
 pub(crate) struct InProgress(Gateway);
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use mangofront_engines::{NoUpstream, UpstreamKey};
+use mangofront_settings::ids::InstanceId;
 use thiserror::Error;
 
 use crate::call::Call;
@@ -27,6 +28,10 @@
 /// Retry-After when the engines are overloaded and the prompt would miss its deadline.
 const RETRY_AFTER_OVERRUN: Duration = Duration::from_millis(3_500);
 
+/// Retry-After when no path leads from this daemon to the upstreams. Another daemon, to which
+/// the caller's retry goes, may serve it at once.
+const RETRY_AFTER_NO_PATH: Duration = Duration::from_millis(300);
+
 /// Reason for refusing a request under which too many upstreams crashed.
 pub(crate) const CRASHES_UPSTREAMS: &str = "request_crashes_upstreams";
 
@@ -39,6 +44,10 @@
     /// Nothing was sent.
     #[error("nothing was sent: {0}")]
     Unreachable(String),
+    /// Nothing was sent: the path to the upstream is lost, and no other daemon forwards the
+    /// request.
+    #[error("no path to the upstream")]
+    NoPath,
     /// The upstream reports that it did not run the request.
     #[error("the upstream did not run it: {0}")]
     NotRun(String),
@@ -48,6 +57,9 @@
     /// The connection broke, or the upstream started again, while the request may have run.
     #[error("it may have run: {0}")]
     ConnectionLost(String),
+    /// The request may have run; the path to its upstream was lost.
+    #[error("it may have run: the path to the upstream was lost")]
+    PathLost,
     /// Too many upstreams crashed under the request.
     #[error("upstreams crash under it")]
     Quarantined {
@@ -66,7 +78,8 @@
             Self::NoUpstream(_) => "no_upstream",
             Self::Unreachable(_) => "unreachable",
             Self::NotRun(_) => "not_run",
-            Self::MayHaveRun(_) | Self::ConnectionLost(_) => "may_have_run",
+            Self::NoPath => "no_path",
+            Self::MayHaveRun(_) | Self::ConnectionLost(_) | Self::PathLost => "may_have_run",
             Self::Quarantined { .. } => "quarantined",
             Self::DeadlineExceeded => "out_of_time",
         }
@@ -85,6 +98,10 @@
     pub(crate) waited: Duration,
     /// Whether this is the trial of a request after its quarantine.
     pub(crate) is_trial: bool,
+    /// Whether an upstream was left out as no path leads to it.
+    pub(crate) lacks_path: bool,
+    /// The daemon that forwarded the last attempt, if one did.
+    pub(crate) proxy: Option<InstanceId>,
 }
 
 impl History {
@@ -104,10 +121,16 @@
                 return false;
             }
             AttemptError::Unreachable(_) => self.unreachable += 1,
-            AttemptError::NotRun(_) => {}
-            AttemptError::MayHaveRun(_) | AttemptError::ConnectionLost(_) => {
-                self.may_have_run = true
+            AttemptError::NoPath => {
+                self.unreachable += 1;
+                self.lacks_path = true;
+                let unreachable = gateway.upstream_client().without_direct_path();
+                self.tried.extend(unreachable);
             }
+            AttemptError::NotRun(_) => {}
+            AttemptError::MayHaveRun(_)
+            | AttemptError::ConnectionLost(_)
+            | AttemptError::PathLost => self.may_have_run = true,
         }
         let upstreams = &gateway.parts().upstreams;
         if matches!(error, AttemptError::ConnectionLost(_))
@@ -138,11 +161,30 @@
         is_allowed
     }
 
+    /// Whether the route and the retry budget allow another attempt.
+    pub(crate) fn may_resend(&self, gateway: &Gateway, call: &Call) -> bool {
+        let daemons = gateway.daemon_count();
+        let budget = gateway.retry_budget();
+        self.has_attempts_left(call) && budget.has_room(&call.service, daemons, Instant::now())
+    }
+
+    /// Whether they would after one that is about to be sent.
+    pub(crate) fn may_resend_after_next(&self, gateway: &Gateway, call: &Call) -> bool {
+        self.sent + 1 < call.route.attempts && self.may_resend(gateway, call)
+    }
+
     /// Whether the route allows another attempt.
     pub(crate) fn has_attempts_left(&self, call: &Call) -> bool {
         self.sent < call.route.attempts
     }
 
+    fn no_path() -> Refusal {
+        Refusal::NotRun {
+            reason: "no_path_to_upstreams",
+            retry_after: RETRY_AFTER_NO_PATH,
+        }
+    }
+
     /// The refusal of a request whose last attempt failed with `error`.
     pub(crate) fn refusal(&self, error: AttemptError) -> Refusal {
         let not_run = |reason| Refusal::NotRun {
@@ -159,12 +201,16 @@
                 AttemptError::NoUpstream(reason) => Refusal::Unknown {
                     reason: reason.to_string(),
                 },
-                AttemptError::Quarantined { .. } => Refusal::Unknown {
+                AttemptError::Quarantined { .. }
+                | AttemptError::NoPath
+                | AttemptError::PathLost => Refusal::Unknown {
                     reason: error.to_string(),
                 },
             };
         }
         match error {
+            AttemptError::NoPath => Self::no_path(),
+            AttemptError::NoUpstream(NoUpstream::AllTried) if self.lacks_path => Self::no_path(),
             AttemptError::NoUpstream(reason) => Refusal::NotRun {
                 reason: reason.code(),
                 retry_after: retry_after(reason),
@@ -174,6 +220,9 @@
             AttemptError::MayHaveRun(reason) | AttemptError::ConnectionLost(reason) => {
                 Refusal::Unknown { reason }
             }
+            AttemptError::PathLost => Refusal::Unknown {
+                reason: error.to_string(),
+            },
             AttemptError::Quarantined { retry_after } => Refusal::NotRun {
                 reason: CRASHES_UPSTREAMS,
                 retry_after,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,9 @@
 mod lease;
 mod options;
 mod paths;
+mod probe;
 mod provenance;
+mod proxy;
 mod published;
 mod published_options;
 mod quarantine;
@@ -39,6 +41,7 @@
 mod source_availability;
 mod state_exchange;
 mod trace;
+mod upstream_client;
 mod zones;
 
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -27,6 +27,8 @@
     pub(crate) reservation_hold: Duration,
     pub(crate) stall_timeout: Duration,
     pub(crate) answer_limit_bytes: usize,
+    pub(crate) proxied_limit: usize,
+    pub(crate) proxied_bodies_limit_bytes: usize,
 }
 
 impl GatewayOptions {
@@ -39,6 +41,8 @@
             retry_limit: RetryLimit::default(),
             reservation_hold: Duration::from_secs(3),
             stall_timeout: Duration::from_millis(1_500),
+            proxied_limit: 256,
+            proxied_bodies_limit_bytes: 64 * 1024 * 1024,
         }
     }
 }
@@ -51,6 +55,8 @@
     retry_limit: RetryLimit,
     reservation_hold: Duration,
     stall_timeout: Duration,
+    proxied_limit: usize,
+    proxied_bodies_limit_bytes: usize,
 }
 
 impl GatewayOptionsBuilder {
@@ -82,6 +88,20 @@
         self
     }
 
+    /// Attempts of other daemons that are forwarded at once; 256 by default.
+    #[must_use]
+    pub fn proxied_limit(mut self, attempts: usize) -> Self {
+        self.proxied_limit = attempts;
+        self
+    }
+
+    /// Sum of the bodies of these attempts, in bytes; 64 MiB by default.
+    #[must_use]
+    pub fn proxied_bodies_limit_bytes(mut self, bytes: usize) -> Self {
+        self.proxied_bodies_limit_bytes = bytes;
+        self
+    }
+
     /// Builds the settings.
     #[must_use]
     pub fn build(self) -> GatewayOptions {
@@ -93,6 +113,8 @@
             reservation_hold: self.reservation_hold,
             stall_timeout: self.stall_timeout,
             answer_limit_bytes: 8 * 1024 * 1024,
+            proxied_limit: self.proxied_limit,
+            proxied_bodies_limit_bytes: self.proxied_bodies_limit_bytes,
         }
     }
 }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -1,41 +1,111 @@
-//! Paths from this daemon to the upstreams, as far as its own attempts show.
+//! Paths from this daemon to the upstreams.
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mangofront_engines::{UpstreamKey, key_of};
-use mangofront_paths::{PathFault, PathOptions, PathSummary, PathTable};
+use mangofront_paths::{PathFault, PathOptions, PathSummary, PathTable, Route};
 use mangofront_routes::Upstream;
 
+use crate::signal::Waiters;
 use crate::trace;
 
+/// Longest wait of [`Paths::wait_until_silent`] between two looks: silence is the absence of an
+/// event, so nothing wakes it.
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
 /// The paths of this daemon; clones share their state.
-#[derive(Debug, Clone)]
-pub(crate) struct Paths(Rc<RefCell<PathTable>>);
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Paths(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    table: RefCell<PathTable>,
+    changed: Waiters,
+}
 
-impl Default for Paths {
+impl Default for Shared {
     fn default() -> Self {
-        Self(Rc::new(RefCell::new(
-            PathTable::new(PathOptions::default()),
-        )))
+        Self {
+            table: RefCell::new(PathTable::new(PathOptions::default())),
+            changed: Waiters::default(),
+        }
+    }
+}
+
+/// Counts an attempt as waiting for its upstream until dropped.
+#[derive(Debug)]
+pub(crate) struct PendingAttempt {
+    paths: Paths,
+    upstream: UpstreamKey,
+}
+
+impl Drop for PendingAttempt {
+    fn drop(&mut self) {
+        self.paths.0.table.borrow_mut().end_attempt(self.upstream);
     }
 }
 
 impl Paths {
-    /// Records an answer of an upstream.
+    /// How the next attempt should reach an upstream.
+    pub(crate) fn route(&self, upstream: UpstreamKey) -> Route {
+        self.0.table.borrow().route(upstream)
+    }
+
+    /// Counts an attempt on the direct path.
+    pub(crate) fn begin_attempt(&self, upstream: UpstreamKey) -> PendingAttempt {
+        let mut table = self.0.table.borrow_mut();
+        table.begin_attempt(upstream, Instant::now());
+        PendingAttempt {
+            paths: self.clone(),
+            upstream,
+        }
+    }
+
+    /// Records bytes that arrived on the direct path.
+    pub(crate) fn receive(&self, upstream: UpstreamKey) {
+        self.0.table.borrow_mut().receive(upstream, Instant::now());
+    }
+
+    /// Records an answer on a new direct connection.
     pub(crate) fn prove(&self, upstream: &Upstream) {
-        let now = Instant::now();
-        let ended = self.0.borrow_mut().prove(key_of(upstream), now);
+        let ended = self
+            .0
+            .table
+            .borrow_mut()
+            .prove(key_of(upstream), Instant::now());
         if let Some(outage) = ended {
             trace::path_regained(upstream, outage);
+            self.0.changed.wake_all();
+        }
+    }
+
+    /// Records that the daemon `witness` reached an upstream that this one did not reach
+    /// `since`.
+    pub(crate) fn lose(
+        &self,
+        upstream: &Upstream,
+        fault: PathFault,
+        since: Instant,
+        witness: &str,
+    ) {
+        let now = Instant::now();
+        let mut table = self.0.table.borrow_mut();
+        let is_new = table.lose(key_of(upstream), fault, since, now);
+        let summary = table.summary(now);
+        drop(table);
+        if is_new {
+            trace::path_lost(upstream, fault, since.elapsed(), witness, &summary);
+            self.0.changed.wake_all();
         }
     }
 
-    /// Records that an upstream was not reached `since`.
+    /// Records that an upstream was not reached `since`, and that no other daemon could tell
+    /// whether it works.
     pub(crate) fn suspect(&self, upstream: &Upstream, fault: PathFault, since: Instant) {
         let now = Instant::now();
-        let mut table = self.0.borrow_mut();
+        let mut table = self.0.table.borrow_mut();
         let is_new = table.suspect(key_of(upstream), fault, since, now);
         let summary = table.summary(now);
         drop(table);
@@ -44,10 +114,45 @@
         }
     }
 
-    /// Number of paths to `known` upstreams, by state.
-    pub(crate) fn summary(&self, known: &[UpstreamKey]) -> PathSummary {
-        let mut table = self.0.borrow_mut();
-        table.retain(known);
-        table.summary(Instant::now())
+    /// Records that a proxy reached an upstream whose direct path is suspected.
+    pub(crate) fn confirm_suspicion(&self, upstream: &Upstream, witness: &str) {
+        let now = Instant::now();
+        let outage = self.0.table.borrow().suspicion(key_of(upstream));
+        if let Some((fault, since)) = outage {
+            self.lose(upstream, fault, since.min(now), witness);
+        }
+    }
+
+    /// Records that an upstream does not answer other daemons either.
+    pub(crate) fn excuse(&self, upstream: UpstreamKey) {
+        self.0.table.borrow_mut().excuse(upstream);
+    }
+
+    /// Records a failed probe.
+    pub(crate) fn fail_probe(&self, upstream: UpstreamKey, fault: PathFault) {
+        let now = Instant::now();
+        self.0.table.borrow_mut().fail_probe(upstream, fault, now);
+    }
+
+    /// Upstreams that should be examined, as nothing arrives from any.
+    pub(crate) fn silent(&self) -> Vec<UpstreamKey> {
+        self.0.table.borrow_mut().silent(Instant::now())
+    }
+
+    /// Upstreams to probe now.
+    pub(crate) fn due_probes(&self, known: &[UpstreamKey]) -> Vec<UpstreamKey> {
+        self.0.table.borrow_mut().due_probes(known, Instant::now())
+    }
+
+    /// Number of paths by state.
+    pub(crate) fn summary(&self) -> PathSummary {
+        self.0.table.borrow().summary(Instant::now())
+    }
+
+    /// Waits until the direct path to an upstream is lost and silent.
+    pub(crate) async fn wait_until_silent(&self, upstream: UpstreamKey) {
+        while !self.0.table.borrow().is_silent(upstream, Instant::now()) {
+            self.0.changed.wait(SILENCE_CHECK_PERIOD).await;
+        }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,153 @@
+//! Probes of upstreams, which tell a lost path from a failed upstream.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Uri, header};
+use http_body_util::Full;
+use mangofront_paths::PathFault;
+use mangofront_routes::Upstream;
+use mangofront_upstream::{Connections, FreshConnection, SendError, Target};
+
+/// Time for an upstream to accept a connection: one that accepts none in this time is down
+/// or unreachable.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for an upstream to answer a probe.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which a new connection shows whether its upstream is exiting: it may still
+/// accept a connection and close it immediately.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
+
+/// Connections that are tried: an upstream that has too many may close one and accept the
+/// next.
+const MAX_CONNECTIONS: usize = 2;
+
+/// Largest answer to a probe, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeResult {
+    /// The upstream answered.
+    Answered,
+    /// It accepted a connection and did not answer in time.
+    Silent,
+    /// It closed each new connection.
+    Closed,
+    /// It accepted no connection in time.
+    NotConnected,
+    /// It refused connections.
+    Refused,
+}
+
+impl ProbeResult {
+    const ALL: [Self; 5] = [
+        Self::Answered,
+        Self::Silent,
+        Self::Closed,
+        Self::NotConnected,
+        Self::Refused,
+    ];
+
+    /// Name in logs and between daemons; it must not change.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Silent => "does not answer",
+            Self::Closed => "closes new connections",
+            Self::NotConnected => "takes no connection in time",
+            Self::Refused => "refuses connections",
+        }
+    }
+
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|result| result.name() == name)
+    }
+
+    /// How the path fails, if it does.
+    pub(crate) fn fault(self) -> Option<PathFault> {
+        match self {
+            Self::Answered => None,
+            Self::Closed | Self::Refused => Some(PathFault::Refused),
+            Self::Silent | Self::NotConnected => Some(PathFault::Silent),
+        }
+    }
+
+    /// Whether an upstream that only this daemon knows of would count as exited.
+    pub(crate) fn suggests_exit(self) -> bool {
+        match self {
+            Self::Answered | Self::Silent => false,
+            Self::Closed | Self::NotConnected | Self::Refused => true,
+        }
+    }
+}
+
+/// Probes an upstream on a new connection.
+///
+/// Without a `path` that upstreams of the service answer, a connection that stays open counts
+/// as an answer.
+pub(crate) async fn probe(
+    connections: &Connections,
+    upstream: &Upstream,
+    path: Option<&str>,
+) -> ProbeResult {
+    let target = target_of(upstream);
+    let mut result = ProbeResult::Closed;
+    for _ in 0..MAX_CONNECTIONS {
+        let deadline = Instant::now() + CONNECT_TIMEOUT;
+        result = match connections.open(&target, deadline).await {
+            Err(SendError::Timeout { .. }) => ProbeResult::NotConnected,
+            Err(_) => ProbeResult::Refused,
+            Ok(opened) => match path {
+                Some(path) => request_answer(opened, upstream, path).await,
+                None => settle(opened).await,
+            },
+        };
+        if result != ProbeResult::Closed {
+            break;
+        }
+    }
+    result
+}
+
+/// The upstream as the target of a connection.
+pub(crate) fn target_of(upstream: &Upstream) -> Target {
+    Target {
+        instance: upstream.id.clone(),
+        address: upstream.address,
+    }
+}
+
+async fn request_answer(opened: FreshConnection, upstream: &Upstream, path: &str) -> ProbeResult {
+    let Some(request) = probe_request(upstream, path) else {
+        return settle(opened).await;
+    };
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
+    match opened.send(request, deadline).await {
+        Ok(answer) => {
+            // Read to the end, so that the connection can be reused. The head is the answer.
+            let _ = answer.bytes(ANSWER_LIMIT_BYTES, deadline).await;
+            ProbeResult::Answered
+        }
+        Err(SendError::Timeout { .. }) => ProbeResult::Silent,
+        Err(_) => ProbeResult::Closed,
+    }
+}
+
+fn probe_request(upstream: &Upstream, path: &str) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse::<Uri>().ok()?;
+    let host = HeaderValue::try_from(upstream.address.to_string()).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    Some(request)
+}
+
+async fn settle(opened: FreshConnection) -> ProbeResult {
+    compio::time::sleep(SETTLING_TIME).await;
+    match opened.return_to_pool() {
+        true => ProbeResult::Answered,
+        false => ProbeResult::Closed,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/proxy/client.rs
@@ -0,0 +1,232 @@
+//! Sending of attempts through other daemons.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use mangofront_engines::key_of;
+use mangofront_http::Outcome;
+use mangofront_routes::Upstream;
+use mangofront_settings::ids::InstanceId;
+use mangofront_upstream::{Connections, SendError, Step, Target, UpstreamResponse};
+
+use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
+use super::selection::{OutstandingAttempt, Proxy, ProxySelection};
+use crate::probe::ProbeResult;
+
+/// Daemons that are tried as proxies for one attempt.
+const MAX_PROXIES: usize = 4;
+
+/// Time after which no further daemon is tried.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time for another daemon to accept a connection: many round trips between zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for another daemon to report the result of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Largest answer of a proxy that sent nothing, in bytes.
+const REFUSAL_LIMIT_BYTES: usize = 16 * 1024;
+
+/// Time limits of an attempt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Times {
+    /// Latest time for the head of the answer.
+    pub(crate) deadline: Instant,
+    /// Latest time at which the complete answer is useful.
+    pub(crate) expires: Instant,
+}
+
+/// The answer of an upstream, received through a proxy.
+#[derive(Debug)]
+pub(crate) struct Proxied {
+    pub(crate) answer: UpstreamResponse,
+    /// The daemon that forwarded the attempt.
+    pub(crate) proxy: InstanceId,
+    /// Counts the attempt at the proxy until its answer is complete.
+    pub(crate) outstanding: OutstandingAttempt,
+}
+
+/// Why a proxied attempt has no answer.
+#[derive(Debug)]
+pub(crate) enum ProxyError {
+    /// Nothing was sent: no daemon is known that could forward the attempt.
+    NoProxy,
+    /// Nothing was sent: daemons with a path to other upstreams can't reach this one.
+    Unreachable {
+        proxy: InstanceId,
+        evidence: ProbeResult,
+    },
+    /// The attempt may have run.
+    Unknown(SendError),
+    /// The attempt was no longer wanted; nothing was sent.
+    Withdrawn(SendError),
+}
+
+/// Sends attempts through other daemons; clones share their state.
+#[derive(Debug, Clone)]
+pub(crate) struct ProxyClient {
+    instance: InstanceId,
+    connections: Connections,
+    selection: Rc<ProxySelection>,
+}
+
+/// Result of one proxy.
+enum Reply {
+    Answered(UpstreamResponse),
+    NotSent(ProxyOutcome, String),
+}
+
+impl ProxyClient {
+    /// Creates a client for the daemon `instance`; `connections` are to other daemons.
+    pub(crate) fn new(
+        instance: InstanceId,
+        connections: Connections,
+        selection: ProxySelection,
+    ) -> Self {
+        Self {
+            instance,
+            connections,
+            selection: Rc::new(selection),
+        }
+    }
+
+    /// Whether another daemon is known that might forward attempts.
+    pub(crate) fn has_members(&self) -> bool {
+        self.selection.has_members()
+    }
+
+    /// Sends an attempt to an upstream through another daemon.
+    ///
+    /// Another one is tried only if nothing was sent.
+    pub(crate) async fn send(
+        &self,
+        upstream: &Upstream,
+        request: Request<Full<Bytes>>,
+        kind: AttemptKind,
+        times: Times,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<Proxied, ProxyError> {
+        let mut tried = Vec::new();
+        let started = Instant::now();
+        while tried.len() < MAX_PROXIES
+            && started.elapsed() < SEARCH_TIMEOUT
+            && let Some(proxy) = self.selection.next(upstream, &tried)
+        {
+            tried.push(proxy.instance.clone());
+            let outstanding = self.selection.begin(&proxy);
+            let sent = self
+                .send_through(&proxy, upstream, request.clone(), kind, times, &is_wanted)
+                .await;
+            match sent {
+                Ok(Reply::Answered(answer)) => {
+                    return Ok(Proxied {
+                        answer,
+                        proxy: proxy.instance,
+                        outstanding,
+                    });
+                }
+                Ok(Reply::NotSent(ProxyOutcome::Unreachable, evidence)) => {
+                    return Err(ProxyError::Unreachable {
+                        proxy: proxy.instance,
+                        evidence: ProbeResult::from_name(&evidence)
+                            .unwrap_or(ProbeResult::NotConnected),
+                    });
+                }
+                Ok(Reply::NotSent(ProxyOutcome::NoPath, _)) => {
+                    self.selection.record_no_path(&proxy, key_of(upstream));
+                }
+                Ok(Reply::NotSent(..)) => self.selection.record_refusal(&proxy),
+                Err(error @ SendError::Withdrawn { .. }) => {
+                    return Err(ProxyError::Withdrawn(error));
+                }
+                Err(error) if error.outcome() == Outcome::NotRun => {
+                    log::debug!("gateway: proxy {} not reached: {error}", proxy.instance);
+                    self.selection.record_failure(&proxy);
+                }
+                Err(error) => {
+                    self.selection.record_failure(&proxy);
+                    return Err(ProxyError::Unknown(error));
+                }
+            }
+        }
+        Err(ProxyError::NoProxy)
+    }
+
+    /// Has another daemon probe an upstream; `None` if no daemon with a path to upstreams
+    /// told a result.
+    pub(crate) async fn probe(&self, upstream: &Upstream) -> Option<(InstanceId, ProbeResult)> {
+        let request = Request::new(Full::new(Bytes::new()));
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        let times = Times {
+            deadline,
+            expires: deadline,
+        };
+        let sent = self.send(upstream, request, AttemptKind::Probe, times, || true);
+        match sent.await {
+            Ok(proxied) => {
+                let proxy = proxied.proxy;
+                // Read to the end, so that the connection can be reused.
+                let _ = proxied.answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
+                Some((proxy, ProbeResult::Answered))
+            }
+            Err(ProxyError::Unreachable { proxy, evidence }) => Some((proxy, evidence)),
+            Err(_) => None,
+        }
+    }
+
+    async fn send_through(
+        &self,
+        proxy: &Proxy,
+        upstream: &Upstream,
+        request: Request<Full<Bytes>>,
+        kind: AttemptKind,
+        times: Times,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<Reply, SendError> {
+        let target = Target {
+            instance: proxy.instance.clone(),
+            address: proxy.address,
+        };
+        let Times { deadline, expires } = times;
+        let prepare = |request: &mut Request<Full<Bytes>>| {
+            let order = AttemptOrder {
+                sender: self.instance.clone(),
+                kind,
+                upstream: key_of(upstream),
+                time_left: expires.saturating_duration_since(Instant::now()),
+            };
+            order.write(request.headers_mut());
+            is_wanted()
+        };
+        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let mut answer = match kind {
+            AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
+                self.connections
+                    .send_prepared(&target, request, connect_deadline, deadline, prepare)
+                    .await?
+            }
+            // If a reused connection breaks, it is unknown whether the request was run.
+            AttemptKind::AtMostOnce => {
+                let opened = self.connections.open(&target, connect_deadline).await?;
+                opened.send_prepared(request, deadline, prepare).await?
+            }
+        };
+        match ProxyOutcome::take(&mut answer.headers) {
+            (ProxyOutcome::Answered, _) => Ok(Reply::Answered(answer)),
+            (ProxyOutcome::Unknown, reason) => Err(SendError::ConnectionFailed {
+                step: Step::Head,
+                peer: upstream.id.clone(),
+                cause: format!("{reason}, through {}", proxy.instance),
+            }),
+            (outcome, reason) => {
+                // Read to the end, so that the connection can be reused.
+                let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
+                Ok(Reply::NotSent(outcome, reason))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/proxy/server.rs
@@ -0,0 +1,304 @@
+//! Forwarding of attempts for other daemons.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use mangofront_engines::key_of;
+use mangofront_http::{Aborted, Body, Outcome, collect, empty, stream_until_abort};
+use mangofront_paths::Route;
+use mangofront_routes::Upstream;
+use mangofront_upstream::{SendError, UpstreamResponse};
+
+use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
+use crate::gateway::{Gateway, InProgress};
+use crate::probe::{ProbeResult, target_of};
+use crate::trace;
+
+/// Body limit while no configuration is in force, in bytes.
+const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time for an upstream to accept a connection: less than the daemon that waits for the
+/// result allows for its own.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Attempts of other daemons that are forwarded at once, and the sum of their bodies.
+#[derive(Debug, Default)]
+pub(crate) struct ProxiedAttempts {
+    count: Cell<usize>,
+    body_bytes: Cell<usize>,
+}
+
+/// Counts a forwarded attempt until its answer is complete.
+struct ForwardedAttempt {
+    attempts: Rc<ProxiedAttempts>,
+    body_bytes: usize,
+    _in_progress: InProgress,
+}
+
+impl ForwardedAttempt {
+    /// Counts an attempt, unless the limit is reached.
+    fn begin(gateway: &Gateway) -> Option<Self> {
+        let attempts = Rc::clone(gateway.proxied_attempts());
+        if attempts.count.get() >= gateway.options().proxied_limit {
+            return None;
+        }
+        attempts.count.set(attempts.count.get() + 1);
+        Some(Self {
+            attempts,
+            body_bytes: 0,
+            _in_progress: gateway.begin_request(),
+        })
+    }
+
+    /// Counts the body of the attempt, unless the limit is reached.
+    fn add_body(&mut self, bytes: usize, limit_bytes: usize) -> bool {
+        let sum = self.attempts.body_bytes.get() + bytes;
+        let has_room = sum <= limit_bytes;
+        if has_room {
+            self.body_bytes = bytes;
+            self.attempts.body_bytes.set(sum);
+        }
+        has_room
+    }
+}
+
+impl Drop for ForwardedAttempt {
+    fn drop(&mut self) {
+        let attempts = &self.attempts;
+        attempts.count.set(attempts.count.get() - 1);
+        attempts
+            .body_bytes
+            .set(attempts.body_bytes.get() - self.body_bytes);
+    }
+}
+
+/// Forwards one attempt of the daemon at `peer`.
+pub(crate) async fn handle(
+    gateway: Gateway,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<Body> {
+    let arrived = Instant::now();
+    let (mut head, body) = request.into_parts();
+    let order = AttemptOrder::take(&mut head.headers);
+    let Some(order) = order.filter(|order| is_daemon(&gateway, &order.sender, peer)) else {
+        trace::proxy_request_rejected(&peer.to_string());
+        return not_sent(ProxyOutcome::Refused, "not a daemon", StatusCode::FORBIDDEN);
+    };
+    let (outcome, reason, response) = match forward(&gateway, head, body, &order, arrived).await {
+        Ok(response) => (ProxyOutcome::Answered, String::new(), response),
+        Err(NotAnswered { outcome, reason }) => {
+            let status = match outcome {
+                ProxyOutcome::Unknown => StatusCode::BAD_GATEWAY,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            let response = not_sent(outcome, &reason, status);
+            (outcome, reason, response)
+        }
+    };
+    gateway.parts().metrics.attempt_forwarded(outcome.name());
+    if outcome != ProxyOutcome::Answered {
+        trace::attempt_not_forwarded(&order.sender, order.upstream, outcome.name(), &reason);
+    }
+    response
+}
+
+/// Why an attempt has no answer.
+struct NotAnswered {
+    outcome: ProxyOutcome,
+    reason: String,
+}
+
+impl NotAnswered {
+    fn new(outcome: ProxyOutcome, reason: impl Into<String>) -> Self {
+        Self {
+            outcome,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Whether a request comes from the daemon that it names, as membership knows it.
+fn is_daemon(gateway: &Gateway, sender: &str, peer: SocketAddr) -> bool {
+    let members = gateway.parts().peers.members();
+    let mut members = members.iter();
+    members.any(|member| member.instance == sender && member.address.ip() == peer.ip())
+}
+
+async fn forward(
+    gateway: &Gateway,
+    head: Parts,
+    body: Incoming,
+    order: &AttemptOrder,
+    arrived: Instant,
+) -> Result<Response<Body>, NotAnswered> {
+    let refused = |reason: &str| NotAnswered::new(ProxyOutcome::Refused, reason);
+    if gateway.is_refusing() {
+        return Err(refused("stopping"));
+    }
+    let Some(mut attempt) = ForwardedAttempt::begin(gateway) else {
+        return Err(refused("too many attempts"));
+    };
+    let table = gateway.parts().published.table();
+    let body_limit_bytes = table.map_or(UNCONFIGURED_BODY_LIMIT_BYTES, |table| {
+        table.limits().body_limit_bytes
+    });
+    let body = collect(body, body_limit_bytes).await;
+    let body = body.map_err(|error| refused(&error.to_string()))?;
+    if !attempt.add_body(body.len(), gateway.options().proxied_bodies_limit_bytes) {
+        return Err(refused("too many bytes of bodies"));
+    }
+    gateway.parts().published.wait_until_confirmed().await;
+    let upstream = gateway.parts().upstreams.registration(order.upstream);
+    let Some(upstream) = upstream else {
+        return Err(refused("the upstream is not known"));
+    };
+    if gateway.upstream_client().paths().route(order.upstream) == Route::Proxied {
+        return Err(NotAnswered::new(ProxyOutcome::NoPath, "its path is lost"));
+    }
+    if order.kind == AttemptKind::Probe {
+        return probe(gateway, &upstream).await;
+    }
+    let expires = arrived + order.time_left;
+    let request = build_request(head, body);
+    let sent = send(gateway, &upstream, request, order.kind, expires).await;
+    match sent {
+        Ok(answer) => Ok(relay(gateway, &upstream, answer, attempt)),
+        Err(error @ SendError::Withdrawn { .. }) => Err(refused(&error.to_string())),
+        Err(error) if error.outcome() == Outcome::NotRun => {
+            Err(explain_failure(gateway, &upstream, &error).await)
+        }
+        Err(error) => Err(NotAnswered::new(ProxyOutcome::Unknown, error.to_string())),
+    }
+}
+
+async fn probe(gateway: &Gateway, upstream: &Upstream) -> Result<Response<Body>, NotAnswered> {
+    match gateway.upstream_client().probe(upstream).await {
+        ProbeResult::Answered => {
+            let mut response = Response::new(empty());
+            ProxyOutcome::Answered.write("", response.headers_mut());
+            Ok(response)
+        }
+        failed => Err(distinguish(gateway, upstream, failed).await),
+    }
+}
+
+/// Tells whether an upstream is down or this daemon has no path to upstreams.
+async fn distinguish(gateway: &Gateway, upstream: &Upstream, failed: ProbeResult) -> NotAnswered {
+    let outcome = match gateway.upstream_client().reaches_another(upstream).await {
+        true => ProxyOutcome::Unreachable,
+        false => ProxyOutcome::NoPath,
+    };
+    NotAnswered::new(outcome, failed.name())
+}
+
+async fn explain_failure(gateway: &Gateway, upstream: &Upstream, error: &SendError) -> NotAnswered {
+    let failed = match error {
+        SendError::Timeout { .. } => ProbeResult::NotConnected,
+        _ => ProbeResult::Refused,
+    };
+    distinguish(gateway, upstream, failed).await
+}
+
+fn build_request(head: Parts, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = head.method;
+    *request.uri_mut() = head.uri;
+    *request.headers_mut() = head.headers;
+    remove_framing(request.headers_mut());
+    request
+}
+
+/// Removes the headers that belong to one connection.
+fn remove_framing(headers: &mut HeaderMap) {
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+    ] {
+        headers.remove(name);
+    }
+}
+
+async fn send(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+    kind: AttemptKind,
+    expires: Instant,
+) -> Result<UpstreamResponse, SendError> {
+    let connect_deadline = expires.min(Instant::now() + CONNECT_TIMEOUT);
+    let parts = gateway.parts();
+    let target = target_of(upstream);
+    let key = key_of(upstream);
+    let prepare = |request: &mut Request<Full<Bytes>>| {
+        if kind == AttemptKind::Order {
+            return true;
+        }
+        let left = expires.saturating_duration_since(Instant::now());
+        parts.dialect.limit_time(request.headers_mut(), left);
+        parts.published.may_be_acted_on() && parts.upstreams.accepts_work(key)
+    };
+    let sent = match kind {
+        AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
+            parts
+                .connections
+                .send_prepared(&target, request, connect_deadline, expires, prepare)
+                .await
+        }
+        AttemptKind::AtMostOnce => {
+            let opened = parts.connections.open(&target, connect_deadline).await?;
+            opened.send_prepared(request, expires, prepare).await
+        }
+    };
+    if sent.is_ok() {
+        gateway.upstream_client().paths().receive(key);
+        parts.upstreams.received_from(key);
+    }
+    sent
+}
+
+/// The answer as it arrives; dropped, and the upstream's connection with it, when the other
+/// daemon disconnects.
+fn relay(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    answer: UpstreamResponse,
+    attempt: ForwardedAttempt,
+) -> Response<Body> {
+    let (status, mut headers) = (answer.status, answer.headers.clone());
+    remove_framing(&mut headers);
+    ProxyOutcome::Answered.write("", &mut headers);
+    let (gateway, key, id) = (gateway.clone(), key_of(upstream), upstream.id.clone());
+    let chunks = answer.chunks().map(move |chunk| {
+        let _attempt = &attempt;
+        match chunk {
+            Ok(chunk) => {
+                gateway.upstream_client().paths().receive(key);
+                Ok(chunk)
+            }
+            Err(error) => {
+                log::debug!("gateway: forwarded answer of {id} broke off: {error}");
+                Err(Aborted)
+            }
+        }
+    });
+    let mut response = Response::new(stream_until_abort(chunks));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn not_sent(outcome: ProxyOutcome, reason: &str, status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    outcome.write(reason, response.headers_mut());
+    response
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,12 +6,11 @@
 //! later. Crashes are recorded with the upstreams and broadcast to all daemons
 //! ([`mangofront_engines::QuarantineState`]); this module decides whether a request may be sent.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::runtime::spawn;
 use mangofront_engines::{CrashStatus, QuarantineState, RequestFingerprint, key_of};
 use mangofront_routes::Upstream;
-use mangofront_upstream::{SendError, Target};
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -19,19 +18,9 @@
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
 use crate::history::{AttemptError, History};
+use crate::probe::ProbeResult;
 use crate::trace;
-
-/// Time for an upstream to accept a connection: one that accepts none in this time is down
-/// or unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time after which a new connection shows whether its upstream is exiting: it may still
-/// accept a connection and close it immediately.
-const SETTLING_TIME: Duration = Duration::from_millis(50);
-
-/// Connections that are tried: an upstream that has too many may close one and accept the
-/// next.
-const MAX_PROBES: usize = 2;
+use crate::upstream_client::Verdict;
 
 /// Retry-After of a request that another daemon may try by now.
 const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(20);
@@ -151,7 +140,7 @@
     trace::upstream_crashed_under(&request, fingerprint, &upstream, crashes, evidence);
 }
 
-/// Evidence that an upstream has exited; `None` if it is alive or can't be probed.
+/// Evidence that an upstream has exited; `None` if it is alive or nobody can tell.
 async fn crash_evidence(gateway: &Gateway, upstream: &Upstream) -> Option<&'static str> {
     let upstreams = &gateway.parts().upstreams;
     if upstreams.has_restarted(upstream) {
@@ -161,50 +150,19 @@
     if !upstreams.is_known(key_of(upstream)) {
         return None;
     }
-    for _ in 0..MAX_PROBES {
-        match probe(gateway, upstream).await {
-            ProbeResult::StaysOpen | ProbeResult::Unknown => return None,
-            ProbeResult::Down(evidence) => return Some(evidence),
-            ProbeResult::Closed => {}
-        }
-    }
-    // A proxy may accept connections in front of an upstream that has exited.
-    Some("closes new connections")
-}
-
-/// Result of opening a connection to an upstream.
-enum ProbeResult {
-    /// The connection stays open.
-    StaysOpen,
-    /// The connection was closed again.
-    Closed,
-    /// No connection could be opened.
-    Down(&'static str),
-    /// The upstream's zone is unreachable.
-    Unknown,
-}
-
-async fn probe(gateway: &Gateway, upstream: &Upstream) -> ProbeResult {
-    let target = Target {
-        instance: upstream.id.clone(),
-        address: upstream.address,
+    let evidence = match gateway.upstream_client().examine(upstream).await {
+        Verdict::Fails(evidence) => evidence,
+        Verdict::Answers | Verdict::PathLost | Verdict::Unknown => return None,
     };
-    let deadline = Instant::now() + CONNECT_TIMEOUT;
-    match gateway.parts().connections.open(&target, deadline).await {
-        Ok(opened) => {
-            compio::time::sleep(SETTLING_TIME).await;
-            match opened.return_to_pool() {
-                true => ProbeResult::StaysOpen,
-                false => ProbeResult::Closed,
-            }
-        }
-        Err(SendError::Timeout { .. }) => {
-            let silent = gateway.parts().upstreams.unreachable_zones();
-            match silent.contains(&upstream.availability_zone) {
-                true => ProbeResult::Unknown,
-                false => ProbeResult::Down("takes no connection in time"),
-            }
+    let is_zone_silent = || {
+        let silent = upstreams.unreachable_zones();
+        silent.contains(&upstream.availability_zone)
+    };
+    match evidence {
+        ProbeResult::Answered | ProbeResult::Silent => None,
+        ProbeResult::NotConnected if is_zone_silent() => None,
+        ProbeResult::NotConnected | ProbeResult::Closed | ProbeResult::Refused => {
+            Some(evidence.name())
         }
-        Err(_) => ProbeResult::Down("refuses connections"),
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use compio::time::Elapsed;
+use futures_util::future::{Either, select};
 use futures_util::{Stream, StreamExt};
 use http::{HeaderMap, StatusCode};
 use mangofront_engines::{Failure, Placement, key_of};
@@ -32,6 +33,7 @@
 use crate::quarantine::record_success;
 use crate::reservations::Reservations;
 use crate::trace::RequestSummary;
+use crate::upstream_client::Way;
 
 /// Multiple of the usual gap between events after which a silent upstream is given up.
 const SILENCE_TIMEOUT_GAPS: u32 = 4;
@@ -50,6 +52,7 @@
     chunks: Chunks,
     placement: Placement,
     upstream: Upstream,
+    way: Way,
     /// Released when the stream ends.
     _reservations: Reservations,
 }
@@ -60,15 +63,38 @@
             chunks: Box::pin(attempt_answer.answer.chunks()),
             placement: attempt_answer.placement,
             upstream: attempt_answer.upstream,
+            way: attempt_answer.way,
             _reservations: attempt_answer.reservations,
         }
     }
 
     /// The next chunk; waits until `deadline` at most.
-    async fn next(&mut self, deadline: Instant) -> Result<NextChunk, AttemptError> {
+    ///
+    /// If `leaves_lost_path` is set, it also ends once the direct path is lost and silent.
+    async fn next(
+        &mut self,
+        gateway: &Gateway,
+        deadline: Instant,
+        leaves_lost_path: bool,
+    ) -> Result<NextChunk, AttemptError> {
+        let key = key_of(&self.upstream);
         let chunk = pin!(compio::time::timeout_at(deadline, self.chunks.next()));
-        let next = until_restart(&mut self.placement, chunk).await;
-        next.ok_or_else(upstream_restarted)
+        let next = pin!(until_restart(&mut self.placement, chunk));
+        let paths = gateway.upstream_client().paths();
+        let next = match &self.way {
+            Way::Direct { .. } if leaves_lost_path => {
+                match select(next, pin!(paths.wait_until_silent(key))).await {
+                    Either::Left((next, _)) => next,
+                    Either::Right(_) => return Err(AttemptError::PathLost),
+                }
+            }
+            Way::Direct { .. } | Way::Proxied { .. } => next.await,
+        };
+        let next = next.ok_or_else(upstream_restarted)?;
+        if matches!((&self.way, &next), (Way::Direct { .. }, Ok(Some(Ok(_))))) {
+            paths.receive(key);
+        }
+        Ok(next)
     }
 }
 
@@ -106,7 +132,7 @@
         let timeout = first_event_timeout(gateway, call, history, &opened.stream.placement);
         let deadline = Instant::now() + timeout;
         while opened.first.is_empty() && !opened.is_finished {
-            opened.read_chunk(gateway, call, deadline).await?;
+            opened.read_chunk(gateway, call, history, deadline).await?;
         }
         opened.stream.placement.record_first_event();
         Ok(opened)
@@ -116,10 +142,12 @@
         &mut self,
         gateway: &Gateway,
         call: &Call,
+        history: &History,
         deadline: Instant,
     ) -> Result<(), AttemptError> {
-        let key = key_of(&self.stream.upstream);
-        let next = self.stream.next(deadline).await?;
+        let may_resend = call.route.safety.may_retry() && history.may_resend(gateway, call);
+        let next = self.stream.next(gateway, deadline, may_resend).await?;
+        let client = gateway.upstream_client();
         match next {
             Ok(Some(Ok(chunk))) => {
                 let framed = self.framer.push(&chunk);
@@ -136,12 +164,12 @@
                 "ended within an event".to_owned(),
             )),
             Ok(Some(Err(error))) => {
-                gateway.eject(key, Failure::Unreachable, &call.id);
+                client.suspect(&self.stream.upstream, Failure::Unreachable, &call.id);
                 Err(AttemptError::ConnectionLost(error.to_string()))
             }
             Err(_) if call.time_left().is_zero() => Err(AttemptError::DeadlineExceeded),
             Err(_) => {
-                gateway.eject(key, Failure::Silent, &call.id);
+                client.suspect(&self.stream.upstream, Failure::Silent, &call.id);
                 Err(AttemptError::MayHaveRun("no first event".to_owned()))
             }
         }
@@ -243,7 +271,15 @@
         };
         let silence_timeout = silence_timeout(&self.call, &self.history);
         let deadline = self.call.deadline.min(Instant::now() + silence_timeout);
-        let next = stream.next(deadline).await?;
+        let is_resumable = matches!(
+            self.call.route.safety,
+            RetrySafety::Stream {
+                resumable: true,
+                ..
+            }
+        );
+        let may_resend = is_resumable && self.history.may_resend(&self.gateway, &self.call);
+        let next = stream.next(&self.gateway, deadline, may_resend).await?;
         match next {
             Ok(Some(Ok(chunk))) => {
                 let key = key_of(&stream.upstream);
@@ -287,9 +323,11 @@
     async fn resume(&mut self, error: AttemptError) -> Result<(), AttemptError> {
         let mut error = error;
         if let Some(broken) = self.stream.take() {
-            let key = key_of(&broken.upstream);
-            self.gateway.eject(key, Failure::Unreachable, &self.call.id);
             let upstream = &broken.upstream;
+            if !matches!(error, AttemptError::PathLost) {
+                let client = self.gateway.upstream_client();
+                client.suspect(upstream, Failure::Unreachable, &self.call.id);
+            }
             record_failed_attempt(
                 &self.gateway,
                 &self.call,
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -12,9 +12,10 @@
 use http::{HeaderValue, StatusCode, header};
 use mangofront_engines::Share;
 use mangofront_routes::Upstream;
-use mangofront_upstream::{Connections, Target};
 
 use crate::dialect::{Dialect, ReservationId};
+use crate::proxy::{AttemptKind, Times};
+use crate::upstream_client::{UpstreamCall, UpstreamClient};
 
 /// Renewals within the hold time of a reservation.
 const RENEWALS_PER_HOLD: u32 = 3;
@@ -31,7 +32,7 @@
 /// Makes reservation calls to engines.
 #[derive(Clone)]
 pub(crate) struct ReservationClient {
-    pub(crate) connections: Connections,
+    pub(crate) upstreams: UpstreamClient,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) hold: Duration,
 }
@@ -42,6 +43,14 @@
     }
 }
 
+/// A reservation that was not made.
+#[derive(Debug)]
+pub(crate) struct ReservationFailure {
+    pub(crate) upstream: Upstream,
+    /// Whether the upstream answered.
+    pub(crate) is_answered: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Reservation {
     upstream: Upstream,
@@ -64,12 +73,12 @@
     /// The id of each reservation begins with `name`, which is unique to the request.
     ///
     /// # Errors
-    /// The upstream that did not reserve the memory.
+    /// The first reservation that was not made.
     pub(crate) async fn acquire(
         client: &ReservationClient,
         shares: &[Share],
         name: &str,
-    ) -> Result<Self, Upstream> {
+    ) -> Result<Self, ReservationFailure> {
         let requested = shares.iter().enumerate().filter_map(|(index, share)| {
             Some(Reservation {
                 upstream: share.upstream.clone(),
@@ -92,11 +101,14 @@
                 .map(|reservation| reserve_first(client, reservation)),
         )
         .await;
-        for (reservation, is_confirmed) in reservations.held.iter().zip(results) {
-            if !is_confirmed {
+        for (reservation, status) in reservations.held.iter().zip(results) {
+            if status != Some(StatusCode::OK) {
                 // Dropping `reservations` also releases one that was made although its
                 // answer was lost.
-                return Err(reservation.upstream.clone());
+                return Err(ReservationFailure {
+                    upstream: reservation.upstream.clone(),
+                    is_answered: status.is_some(),
+                });
             }
         }
         for reservation in &reservations.held {
@@ -153,29 +165,36 @@
     release(&client, &reservation).await;
 }
 
-/// Makes a new reservation; returns whether the engine confirmed it in time.
+/// Makes a new reservation; returns the engine's answer, if it came in time.
 ///
 /// A late answer is still awaited: the engine may make the reservation after it was
 /// released, and it is then released once more.
-async fn reserve_first(client: &ReservationClient, reservation: &Reservation) -> bool {
+async fn reserve_first(
+    client: &ReservationClient,
+    reservation: &Reservation,
+) -> Option<StatusCode> {
     let (result_sender, result_receiver) = oneshot::channel();
     let (client, reservation) = (client.clone(), reservation.clone());
     let attempt = async move {
-        let is_confirmed = reserve(&client, &reservation, client.hold).await;
-        if result_sender.send(is_confirmed).is_err() {
+        let status = reserve(&client, &reservation, client.hold).await;
+        if result_sender.send(status).is_err() {
             release(&client, &reservation).await;
         }
     };
     spawn(attempt).detach();
     let result = compio::time::timeout(CALL_TIMEOUT, result_receiver).await;
-    matches!(result, Ok(Ok(true)))
+    result.ok()?.ok()?
 }
 
-async fn reserve(client: &ReservationClient, reservation: &Reservation, timeout: Duration) -> bool {
+async fn reserve(
+    client: &ReservationClient,
+    reservation: &Reservation,
+    timeout: Duration,
+) -> Option<StatusCode> {
     let request = client
         .dialect
         .reserve(&reservation.id, reservation.tokens, client.hold);
-    send(client, reservation, request, timeout).await == Some(StatusCode::OK)
+    send(client, reservation, request, timeout).await
 }
 
 async fn release(client: &ReservationClient, reservation: &Reservation) {
@@ -198,20 +217,26 @@
     mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
     timeout: Duration,
 ) -> Option<StatusCode> {
-    let target = Target {
-        instance: reservation.upstream.id.clone(),
-        address: reservation.upstream.address,
-    };
     if let Ok(host) = HeaderValue::try_from(reservation.upstream.address.to_string()) {
         request.headers_mut().insert(header::HOST, host);
     }
     let deadline = Instant::now() + timeout;
-    let sent = client.connections.send(&target, request, deadline).await;
-    let answer = match sent {
-        Ok(answer) => answer,
+    let call = UpstreamCall {
+        upstream: &reservation.upstream,
+        request,
+        times: Times {
+            deadline,
+            expires: deadline,
+        },
+        kind: AttemptKind::Order,
+        leaves_lost_path: false,
+        cause: &reservation.id,
+    };
+    let answer = match client.upstreams.send(call, || true).await {
+        Ok(answered) => answered.answer,
         Err(error) => {
             log::debug!(
-                "gateway: reservation call to {} failed: {error}",
+                "gateway: reservation call to {} failed: {error:?}",
                 reservation.upstream.id
             );
             return None;
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use mangofront_engines::{Failure, NoUpstream, Placement};
+use mangofront_engines::{Failure, NoUpstream, Placement, UpstreamKey};
 use mangofront_paths::{PathFault, PathSummary};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::InstanceId;
@@ -212,7 +212,8 @@
     );
 }
 
-/// An upstream takes no connection of this daemon; it or the path to it failed.
+/// An upstream takes no connection of this daemon, and no other daemon could tell whether it
+/// works.
 pub(crate) fn path_suspected(
     upstream: &Upstream,
     fault: PathFault,
@@ -231,6 +232,26 @@
     );
 }
 
+/// The path from this daemon to an upstream is lost: `witness` reached the upstream.
+pub(crate) fn path_lost(
+    upstream: &Upstream,
+    fault: PathFault,
+    failed_for: Duration,
+    witness: &str,
+    summary: &PathSummary,
+) {
+    log::warn!(
+        upstream = upstream.id.as_str(),
+        address = upstream.address.to_string().as_str(),
+        evidence = fault.name(),
+        failed_for_ms = milliseconds(failed_for),
+        reached_by = witness,
+        lost_paths = summary.lost,
+        suspected_paths = summary.suspected;
+        "gateway: path to upstream lost"
+    );
+}
+
 /// The path from this daemon to an upstream works again.
 pub(crate) fn path_regained(upstream: &Upstream, outage: Duration) {
     log::info!(
@@ -240,6 +261,37 @@
     );
 }
 
+/// Another daemon forwarded an attempt of this one.
+pub(crate) fn attempt_proxied(cause: &str, upstream: &Upstream, proxy: &InstanceId) {
+    log::info!(
+        request = cause,
+        upstream = upstream.id.as_str(),
+        proxy = proxy.as_str();
+        "gateway: attempt sent through another daemon"
+    );
+}
+
+/// An attempt of another daemon has no answer.
+pub(crate) fn attempt_not_forwarded(
+    sender: &InstanceId,
+    upstream: UpstreamKey,
+    outcome: &str,
+    reason: &str,
+) {
+    log::info!(
+        sender = sender.as_str(),
+        upstream_key = format!("{upstream:016x}").as_str(),
+        outcome = outcome,
+        reason = reason;
+        "gateway: attempt of another daemon not answered"
+    );
+}
+
+/// Something that is not a known daemon called the port of proxied attempts.
+pub(crate) fn proxy_request_rejected(peer: &str) {
+    log::warn!(peer = peer; "gateway: proxied attempt rejected, its sender is no known daemon");
+}
+
 /// A request is tried once after its quarantine.
 pub(crate) fn trial_started(call: &Call) {
     log::info!(
@@ -318,6 +370,8 @@
     pub(crate) took: Duration,
     pub(crate) version: ConfigurationVersion,
     pub(crate) lease_age: Option<Duration>,
+    /// The daemon that forwarded the last attempt, if one did.
+    pub(crate) proxy: Option<InstanceId>,
 }
 
 impl RequestSummary<'_> {
@@ -361,6 +415,7 @@
             reason = self.reason,
             status = self.status,
             upstream = self.upstream,
+            proxy = self.proxy.as_deref().unwrap_or_default(),
             attempts = self.attempts,
             readers = self.engines,
             prompt_tokens = self.prompt_tokens,
--- /dev/null
+++ b/crates/gateway/src/upstream_client.rs
@@ -0,0 +1,500 @@
+//! Calls to upstreams, on the direct path or through another daemon.
+//!
+//! An upstream that takes no connection may be down, or this daemon's path to it lost. Nothing
+//! was sent in that case, so the same call is made through another daemon at once, and its
+//! result tells which it was: if it is answered, the path is lost; if the other daemon can't
+//! reach the upstream either, and has proof that its own paths work, the upstream is down.
+//! Failures after a call was sent are examined in the background.
+//!
+//! Only an upstream that failed is reported to the other daemons. What happens on this daemon's
+//! own paths says nothing about the upstream.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::runtime::spawn;
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, Shared as SharedFuture, select};
+use http::Request;
+use http_body_util::Full;
+use mangofront_engines::{Failure, UpstreamKey, Upstreams, key_of};
+use mangofront_http::Outcome;
+use mangofront_paths::{PathFault, Route};
+use mangofront_routes::Upstream;
+use mangofront_settings::ids::InstanceId;
+use mangofront_telemetry::metrics::{Metrics, PathState};
+use mangofront_upstream::{Connections, SendError, Step, UpstreamResponse};
+
+use crate::paths::{Paths, PendingAttempt};
+use crate::probe::{ProbeResult, probe, target_of};
+use crate::proxy::{AttemptKind, OutstandingAttempt, ProxyClient, ProxyError, Times};
+use crate::published::Published;
+use crate::trace;
+
+/// Time for an upstream to accept a connection while another daemon could forward the call:
+/// many round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Period with which lost and silent paths are looked for.
+const WATCH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time for which the proof that this daemon reaches some upstream is good.
+const PROOF_LIFETIME: Duration = Duration::from_millis(300);
+
+/// Other upstreams that are probed to prove that this daemon reaches any.
+const PROOF_PROBES: usize = 2;
+
+/// An examination that several tasks may wait for.
+type Examination = SharedFuture<LocalBoxFuture<'static, Verdict>>;
+
+/// One call to an upstream.
+pub(crate) struct UpstreamCall<'a> {
+    pub(crate) upstream: &'a Upstream,
+    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) times: Times,
+    pub(crate) kind: AttemptKind,
+    /// Whether the caller would rather repeat the call than wait on a path that is lost.
+    pub(crate) leaves_lost_path: bool,
+    /// Id of the request that it serves, for logs.
+    pub(crate) cause: &'a str,
+}
+
+/// Head of an answer, and the way that it came.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    pub(crate) answer: UpstreamResponse,
+    pub(crate) way: Way,
+}
+
+/// The way of a call that was answered.
+#[derive(Debug)]
+pub(crate) enum Way {
+    /// On a connection of this daemon.
+    Direct {
+        /// Counts the attempt as waiting until the answer is complete.
+        _pending: PendingAttempt,
+    },
+    /// Through another daemon.
+    Proxied {
+        /// The other daemon.
+        proxy: InstanceId,
+        /// Counts the attempt there until the answer is complete.
+        _outstanding: OutstandingAttempt,
+    },
+}
+
+impl Way {
+    /// The daemon through which the call went.
+    pub(crate) fn proxy(&self) -> Option<&InstanceId> {
+        match self {
+            Self::Direct { .. } => None,
+            Self::Proxied { proxy, .. } => Some(proxy),
+        }
+    }
+}
+
+/// Why a call has no answer.
+#[derive(Debug)]
+pub(crate) enum UpstreamCallError {
+    /// Nothing was sent: the path is lost, and no other daemon could forward the call.
+    NoPath,
+    /// Nothing was sent: the upstream takes no connection.
+    NotConnected(SendError),
+    /// The call was no longer wanted; nothing was sent.
+    Withdrawn(SendError),
+    /// The call may have run; the path has been lost since it was sent.
+    PathLost,
+    /// The call may have run.
+    MayHaveRun(SendError),
+}
+
+impl UpstreamCallError {
+    /// Whether the upstream may have received the call.
+    pub(crate) fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::MayHaveRun(_) | Self::PathLost)
+    }
+}
+
+/// What an examination of an upstream showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It answers this daemon.
+    Answers,
+    /// It answers another daemon and not this one.
+    PathLost,
+    /// It answers neither this daemon nor another one with working paths, or there is no
+    /// other daemon.
+    Fails(ProbeResult),
+    /// No daemon could tell.
+    Unknown,
+}
+
+/// Dependencies of an [`UpstreamClient`].
+#[derive(Debug, Clone)]
+pub(crate) struct UpstreamClientParts {
+    pub(crate) connections: Connections,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) published: Published,
+    pub(crate) proxies: ProxyClient,
+    pub(crate) metrics: Metrics,
+}
+
+/// Calls upstreams; clones share their state.
+#[derive(Debug, Clone)]
+pub(crate) struct UpstreamClient(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    parts: UpstreamClientParts,
+    paths: Paths,
+    examinations: RefCell<HashMap<UpstreamKey, Examination>>,
+    /// When another upstream last answered a probe, and which one.
+    last_proof: RefCell<Option<(Instant, UpstreamKey)>>,
+}
+
+impl UpstreamClient {
+    /// Creates a client whose paths are all in use.
+    pub(crate) fn new(parts: UpstreamClientParts) -> Self {
+        Self(Rc::new(Shared {
+            parts,
+            paths: Paths::default(),
+            examinations: RefCell::default(),
+            last_proof: RefCell::default(),
+        }))
+    }
+
+    /// The paths of this daemon.
+    pub(crate) fn paths(&self) -> &Paths {
+        &self.0.paths
+    }
+
+    /// Makes a call; `is_wanted` is asked right before it is written.
+    pub(crate) async fn send(
+        &self,
+        call: UpstreamCall<'_>,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        match self.0.paths.route(key_of(call.upstream)) {
+            Route::Direct => self.send_directly(call, is_wanted).await,
+            Route::Proxied => {
+                let proxied = self.send_proxied(&call, &is_wanted).await?;
+                if let Some(proxy) = proxied.way.proxy() {
+                    self.0.paths.confirm_suspicion(call.upstream, proxy);
+                }
+                Ok(proxied)
+            }
+        }
+    }
+
+    async fn send_directly(
+        &self,
+        call: UpstreamCall<'_>,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        let (key, started) = (key_of(call.upstream), Instant::now());
+        let pending = self.0.paths.begin_attempt(key);
+        let error = match self.try_directly(&call, &is_wanted).await {
+            None => return Err(UpstreamCallError::PathLost),
+            Some(Ok(answer)) => {
+                self.0.paths.receive(key);
+                return Ok(UpstreamAnswer {
+                    answer,
+                    way: Way::Direct { _pending: pending },
+                });
+            }
+            Some(Err(error)) => error,
+        };
+        drop(pending);
+        match error {
+            SendError::Withdrawn { .. } => Err(UpstreamCallError::Withdrawn(error)),
+            _ if error.outcome() != Outcome::NotRun => Err(UpstreamCallError::MayHaveRun(error)),
+            _ => {
+                self.send_after_failed_connect(call, is_wanted, error, started)
+                    .await
+            }
+        }
+    }
+
+    /// Makes a call on the direct path; `None` if the call left it, as it is lost.
+    async fn try_directly(
+        &self,
+        call: &UpstreamCall<'_>,
+        is_wanted: &impl Fn() -> bool,
+    ) -> Option<Result<UpstreamResponse, SendError>> {
+        let connections = &self.0.parts.connections;
+        let target = target_of(call.upstream);
+        let deadline = call.times.deadline;
+        let connect_deadline = match self.0.parts.proxies.has_members() {
+            true => deadline.min(Instant::now() + CONNECT_TIMEOUT),
+            false => deadline,
+        };
+        let sending = async {
+            let request = call.request.clone();
+            match call.kind {
+                AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
+                    let prepare = |_: &mut Request<Full<Bytes>>| is_wanted();
+                    connections
+                        .send_prepared(&target, request, connect_deadline, deadline, prepare)
+                        .await
+                }
+                // If a reused connection breaks, it is unknown whether the request was run.
+                AttemptKind::AtMostOnce => {
+                    let opened = connections.open(&target, connect_deadline).await?;
+                    opened.send_if(request, deadline, is_wanted).await
+                }
+            }
+        };
+        if !call.leaves_lost_path {
+            return Some(sending.await);
+        }
+        let is_silent = self.0.paths.wait_until_silent(key_of(call.upstream));
+        match select(pin!(sending), pin!(is_silent)).await {
+            Either::Left((sent, _)) => Some(sent),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// Makes a call through another daemon, as no connection could be opened.
+    async fn send_after_failed_connect(
+        &self,
+        call: UpstreamCall<'_>,
+        is_wanted: impl Fn() -> bool,
+        error: SendError,
+        started: Instant,
+    ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        let upstream = call.upstream;
+        let fault = path_fault(&error);
+        match self.send_proxied(&call, &is_wanted).await {
+            Ok(proxied) => {
+                if let Some(proxy) = proxied.way.proxy() {
+                    self.0.paths.lose(upstream, fault, started, proxy);
+                }
+                Ok(proxied)
+            }
+            Err(UpstreamCallError::NoPath) => {
+                let has_others = self.0.parts.proxies.has_members();
+                if has_others {
+                    self.0.paths.suspect(upstream, fault, started);
+                }
+                let key = key_of(upstream);
+                self.record_failure(key, Failure::Unreachable, !has_others, call.cause);
+                Err(UpstreamCallError::NotConnected(error))
+            }
+            Err(UpstreamCallError::NotConnected(_)) => Err(UpstreamCallError::NotConnected(error)),
+            Err(other) => Err(other),
+        }
+    }
+
+    async fn send_proxied(
+        &self,
+        call: &UpstreamCall<'_>,
+        is_wanted: &impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        let request = call.request.clone();
+        let proxies = &self.0.parts.proxies;
+        let sent = proxies.send(call.upstream, request, call.kind, call.times, is_wanted);
+        match sent.await {
+            Ok(proxied) => {
+                trace::attempt_proxied(call.cause, call.upstream, &proxied.proxy);
+                self.0.parts.metrics.attempt_proxied("answered");
+                Ok(UpstreamAnswer {
+                    answer: proxied.answer,
+                    way: Way::Proxied {
+                        proxy: proxied.proxy,
+                        _outstanding: proxied.outstanding,
+                    },
+                })
+            }
+            Err(ProxyError::NoProxy) => {
+                self.0.parts.metrics.attempt_proxied("no_proxy");
+                Err(UpstreamCallError::NoPath)
+            }
+            Err(ProxyError::Unreachable { evidence, .. }) => {
+                self.0.parts.metrics.attempt_proxied("unreachable");
+                self.0.paths.excuse(key_of(call.upstream));
+                let key = key_of(call.upstream);
+                self.record_failure(key, Failure::Unreachable, true, call.cause);
+                Err(UpstreamCallError::NotConnected(
+                    SendError::ConnectionFailed {
+                        step: Step::Connect,
+                        peer: call.upstream.id.clone(),
+                        cause: evidence.name().to_owned(),
+                    },
+                ))
+            }
+            Err(ProxyError::Withdrawn(error)) => Err(UpstreamCallError::Withdrawn(error)),
+            Err(ProxyError::Unknown(error)) => {
+                self.0.parts.metrics.attempt_proxied("unknown");
+                Err(UpstreamCallError::MayHaveRun(error))
+            }
+        }
+    }
+
+    /// Ejects an upstream for a while; reports it to the other daemons if `is_established`.
+    pub(crate) fn record_failure(
+        &self,
+        upstream: UpstreamKey,
+        failure: Failure,
+        is_established: bool,
+        cause: &str,
+    ) -> Duration {
+        let upstreams = &self.0.parts.upstreams;
+        let Some(time) = upstreams.record_failure(upstream, failure) else {
+            return Duration::ZERO;
+        };
+        let id = upstreams.id_of(upstream).unwrap_or_default();
+        trace::upstream_ejected(&id, failure, time, cause);
+        if is_established {
+            upstreams.publish_failure(upstream, time);
+        }
+        time
+    }
+
+    /// Ejects an upstream after a failure, and examines whether the upstream or the path
+    /// failed.
+    pub(crate) fn suspect(&self, upstream: &Upstream, failure: Failure, cause: &str) {
+        let key = key_of(upstream);
+        let ejection = self.record_failure(key, failure, false, cause);
+        let (client, upstream) = (self.clone(), upstream.clone());
+        spawn(async move {
+            match client.examine(&upstream).await {
+                // The failure is not one of the path, so it may concern all daemons.
+                Verdict::Answers | Verdict::Fails(_) => {
+                    client.0.parts.upstreams.publish_failure(key, ejection);
+                }
+                Verdict::PathLost | Verdict::Unknown => {}
+            }
+        })
+        .detach();
+    }
+
+    /// Finds out whether an upstream answers this daemon, or else another one.
+    ///
+    /// Those who ask at the same time share one examination.
+    pub(crate) async fn examine(&self, upstream: &Upstream) -> Verdict {
+        let key = key_of(upstream);
+        let running = self.0.examinations.borrow().get(&key).cloned();
+        let examination = running.unwrap_or_else(|| {
+            let (client, upstream) = (self.clone(), upstream.clone());
+            let examination = async move { client.examine_once(&upstream).await };
+            let examination = examination.boxed_local().shared();
+            let mut examinations = self.0.examinations.borrow_mut();
+            examinations.insert(key, examination.clone());
+            examination
+        });
+        let verdict = examination.await;
+        self.0.examinations.borrow_mut().remove(&key);
+        verdict
+    }
+
+    async fn examine_once(&self, upstream: &Upstream) -> Verdict {
+        let (key, started) = (key_of(upstream), Instant::now());
+        let own = match self.0.paths.route(key) {
+            Route::Direct => Some(self.probe(upstream).await),
+            Route::Proxied => None,
+        };
+        if own == Some(ProbeResult::Answered) {
+            return Verdict::Answers;
+        }
+        let proxies = &self.0.parts.proxies;
+        match (proxies.probe(upstream).await, own) {
+            (Some((witness, ProbeResult::Answered)), Some(own)) => {
+                if let Some(fault) = own.fault() {
+                    self.0.paths.lose(upstream, fault, started, &witness);
+                }
+                self.0.parts.upstreams.forgive(key);
+                Verdict::PathLost
+            }
+            (Some((_, ProbeResult::Answered)), None) => Verdict::PathLost,
+            (Some((_, evidence)), Some(own)) if evidence.suggests_exit() => Verdict::Fails(own),
+            (Some((_, evidence)), _) => Verdict::Fails(evidence),
+            (None, Some(own)) if !proxies.has_members() => Verdict::Fails(own),
+            (None, _) => Verdict::Unknown,
+        }
+    }
+
+    /// Probes an upstream on the direct path.
+    pub(crate) async fn probe(&self, upstream: &Upstream) -> ProbeResult {
+        let table = self.0.parts.published.table();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.service(&upstream.service));
+        let path = service.and_then(|service| service.probe_path.clone());
+        let result = probe(&self.0.parts.connections, upstream, path.as_deref()).await;
+        match result.fault() {
+            None => {
+                self.0.paths.prove(upstream);
+                self.0.parts.upstreams.received_from(key_of(upstream));
+            }
+            Some(fault) => self.0.paths.fail_probe(key_of(upstream), fault),
+        }
+        result
+    }
+
+    /// Whether this daemon reaches any upstream but `except`, by a new connection.
+    pub(crate) async fn reaches_another(&self, except: &Upstream) -> bool {
+        let except = key_of(except);
+        let is_fresh =
+            |(at, key): (Instant, UpstreamKey)| key != except && at.elapsed() < PROOF_LIFETIME;
+        if self.0.last_proof.borrow().is_some_and(is_fresh) {
+            return true;
+        }
+        let upstreams = &self.0.parts.upstreams;
+        for other in upstreams.draw_others(except, PROOF_PROBES) {
+            if self.probe(&other).await == ProbeResult::Answered {
+                let proof = (Instant::now(), key_of(&other));
+                *self.0.last_proof.borrow_mut() = Some(proof);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Looks for lost paths and probes them, forever.
+    pub(crate) async fn watch_paths(self) {
+        loop {
+            compio::time::sleep(WATCH_PERIOD).await;
+            let upstreams = &self.0.parts.upstreams;
+            for key in self.0.paths.silent() {
+                self.examine_in_background(key);
+            }
+            let known = upstreams.keys();
+            for key in self.0.paths.due_probes(&known) {
+                if let Some(upstream) = upstreams.registration(key) {
+                    let client = self.clone();
+                    spawn(async move { client.probe(&upstream).await }).detach();
+                }
+            }
+            let summary = self.0.paths.summary();
+            let metrics = &self.0.parts.metrics;
+            metrics.upstream_paths(PathState::Lost, summary.lost as u64);
+            metrics.upstream_paths(PathState::Suspected, summary.suspected as u64);
+        }
+    }
+
+    fn examine_in_background(&self, key: UpstreamKey) {
+        if let Some(upstream) = self.0.parts.upstreams.registration(key) {
+            let client = self.clone();
+            spawn(async move { client.examine(&upstream).await }).detach();
+        }
+    }
+
+    /// Upstreams that this daemon does not reach on a direct path.
+    pub(crate) fn without_direct_path(&self) -> Vec<UpstreamKey> {
+        let mut keys = self.0.parts.upstreams.keys();
+        keys.retain(|key| self.0.paths.route(*key) == Route::Proxied);
+        keys
+    }
+}
+
+/// How a path failed on which no connection could be opened.
+fn path_fault(error: &SendError) -> PathFault {
+    match error {
+        SendError::Timeout { .. } => PathFault::Silent,
+        _ => PathFault::Refused,
+    }
+}
--- a/crates/gateway/tests/fleet/daemon.rs
+++ b/crates/gateway/tests/fleet/daemon.rs
@@ -224,6 +224,7 @@
         connect_timeout: Duration::from_millis(500),
         idle_limit: 1,
         idle_timeout: Duration::from_secs(1),
+        ..ConnectionsOptions::default()
     })
 }
 
--- a/crates/gateway/tests/fleet/script.rs
+++ b/crates/gateway/tests/fleet/script.rs
@@ -184,6 +184,7 @@
 /// A configuration with the given number of routes.
 pub fn table(version: u64, routes: usize) -> RouteTable {
     let service = |name: &str| Service {
+        probe_path: None,
         name: name.to_owned(),
         connections_limit: 96,
         engine: None,
--- a/crates/routes/src/service.rs
+++ b/crates/routes/src/service.rs
@@ -14,6 +14,8 @@
     pub connections_limit: u32,
     /// Profile of its engines; `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// Path that its upstreams answer without running a request, if there is one.
+    pub probe_path: Option<String>,
 }
 
 /// Speed and memory of the engines of a service.
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -61,6 +61,11 @@
     Field::defaulted("engine_stall_ms", number(1.0, 3.6e6)),
     Field::defaulted("stop_grace_s", number(0.1, 3_600.0)),
     Field::defaulted("relay_from_daemons", integer(0, 1_000_000)),
+    Field::defaulted("proxied_limit_requests", integer(0, 1_000_000)),
+    Field::defaulted(
+        "proxied_bodies_limit_bytes",
+        integer(MIB_BYTES, 64 * 1024 * MIB_BYTES),
+    ),
     Field::defaulted("processor_cores", number(0.001, 10_000.0)),
     Field::defaulted("choice", Shape::Object(CHOICE)),
 ];
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -13,7 +13,8 @@
 pub struct GatewaySettings {
     /// Address on which the load balancer checks whether this daemon is ready.
     pub ready_address: SocketAddr,
-    /// Address for datagrams between daemons; all use the same port.
+    /// Address for datagrams and, by TCP, proxied attempts between daemons; all use the same
+    /// port.
     pub news_address: SocketAddr,
     /// Addresses of daemons that are asked for the other members; some may be out of
     /// date.
@@ -50,6 +51,13 @@
     /// of each availability zone.
     #[serde(default = "default_relay_from_daemons")]
     pub relay_from_daemons: u32,
+    /// Maximum number of attempts of other daemons, which have no path to an upstream, that
+    /// are forwarded at once.
+    #[serde(default = "default_proxied_limit_requests")]
+    pub proxied_limit_requests: u32,
+    /// Memory for the bodies of these attempts together, in bytes.
+    #[serde(default = "default_proxied_bodies_limit_bytes")]
+    pub proxied_bodies_limit_bytes: u64,
     /// Processor time that this daemon may use, in cores; the daemons with the most in
     /// each availability zone relay load updates.
     #[serde(default = "default_processor_cores")]
@@ -92,6 +100,14 @@
     100
 }
 
+const fn default_proxied_limit_requests() -> u32 {
+    256
+}
+
+const fn default_proxied_bodies_limit_bytes() -> u64 {
+    64 * 1024 * 1024
+}
+
 const fn default_processor_cores() -> f64 {
     1.0
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -114,6 +114,19 @@
         self.0.instruments.upstream_attempts.add(1, &labels);
     }
 
+    /// Counts an attempt that other daemons were asked to forward; `outcome` is a stable code.
+    pub fn attempt_proxied(&self, outcome: &'static str) {
+        let labels = [label("outcome", outcome)];
+        self.0.instruments.attempts_proxied.add(1, &labels);
+    }
+
+    /// Counts an attempt that another daemon asked this one to forward; `outcome` is a stable
+    /// code.
+    pub fn attempt_forwarded(&self, outcome: &'static str) {
+        let labels = [label("outcome", outcome)];
+        self.0.instruments.attempts_forwarded.add(1, &labels);
+    }
+
     /// Sets the number of upstreams to which the direct path is in `state`.
     pub fn upstream_paths(&self, state: PathState, count: u64) {
         let labels = [label("state", state.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -31,6 +31,8 @@
     pub(super) request_duration: Histogram<f64>,
     pub(super) organisation_requests: Counter<u64>,
     pub(super) upstream_attempts: Counter<u64>,
+    pub(super) attempts_proxied: Counter<u64>,
+    pub(super) attempts_forwarded: Counter<u64>,
     pub(super) upstream_paths: Gauge<u64>,
     pub(super) lease_age: Gauge<f64>,
     pub(super) event_loop_lateness: Histogram<f64>,
@@ -92,6 +94,14 @@
                 "upstream_attempts",
                 "Attempts at upstreams, by availability zone and outcome",
             ),
+            attempts_proxied: counter(
+                "attempts_proxied",
+                "Attempts that other daemons were asked to forward, by outcome",
+            ),
+            attempts_forwarded: counter(
+                "attempts_forwarded",
+                "Attempts that other daemons asked this one to forward, by outcome",
+            ),
             upstream_paths: meter
                 .u64_gauge("upstream_paths")
                 .with_description("Upstreams to which the direct path is not used, by state")
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -11,12 +11,13 @@
 
 use std::cell::Cell;
 use std::collections::HashSet;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::net::TcpStream;
+use compio::net::{TcpSocket, TcpStream};
 use cyper_core::HyperStream;
 use http::Request;
 use http_body_util::Full;
@@ -49,6 +50,8 @@
     pub idle_timeout: Duration,
     /// Maximum number of idle connections per address; 64 by default.
     pub idle_limit: usize,
+    /// Address to connect from; chosen by the operating system by default.
+    pub local_ip: Option<IpAddr>,
 }
 
 impl Default for ConnectionsOptions {
@@ -57,6 +60,7 @@
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(5),
             idle_limit: 64,
+            local_ip: None,
         }
     }
 }
@@ -68,6 +72,7 @@
 #[derive(Debug)]
 struct Shared {
     connect_timeout: Duration,
+    local_ip: Option<IpAddr>,
     idle: IdleConnections,
     control: Cell<ControlTraffic>,
 }
@@ -79,6 +84,7 @@
         let idle = IdleConnections::new(options.idle_timeout, options.idle_limit);
         Self(Rc::new(Shared {
             connect_timeout: options.connect_timeout,
+            local_ip: options.local_ip,
             idle,
             control: Cell::default(),
         }))
@@ -107,12 +113,30 @@
     pub async fn send_if(
         &self,
         target: &Target,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         deadline: Instant,
         is_wanted: impl Fn() -> bool,
+    ) -> Result<UpstreamResponse, SendError> {
+        let connect_deadline = deadline;
+        self.send_prepared(target, request, connect_deadline, deadline, |_| is_wanted())
+            .await
+    }
+
+    /// Like [`Self::send_if`]; a new connection has to be open by `connect_deadline`, and
+    /// `prepare` may change the call right before it is written.
+    ///
+    /// # Errors
+    /// As for [`Self::send_if`].
+    pub async fn send_prepared(
+        &self,
+        target: &Target,
+        mut request: Request<Full<Bytes>>,
+        connect_deadline: Instant,
+        deadline: Instant,
+        prepare: impl Fn(&mut Request<Full<Bytes>>) -> bool,
     ) -> Result<UpstreamResponse, SendError> {
         while let Some(mut sender) = self.0.idle.take(target.address) {
-            if !is_wanted() {
+            if !prepare(&mut request) {
                 return Err(withdrawn(target));
             }
             let sent = with_deadline(
@@ -130,8 +154,8 @@
                 },
             }
         }
-        let opened = self.open(target, deadline).await?;
-        opened.send_if(request, deadline, is_wanted).await
+        let opened = self.open(target, connect_deadline.min(deadline)).await?;
+        opened.send_prepared(request, deadline, prepare).await
     }
 
     /// Opens a new connection for one call.
@@ -158,7 +182,7 @@
             limit,
             target,
             Step::Connect,
-            TcpStream::connect(target.address),
+            self.connect_socket(target.address),
         )
         .await?
         .map_err(|error| connection_failed(target, Step::Connect, &error))?;
@@ -180,6 +204,18 @@
         Ok(sender)
     }
 
+    async fn connect_socket(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let Some(local_ip) = self.0.local_ip else {
+            return TcpStream::connect(address).await;
+        };
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+            SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+        };
+        socket.bind(SocketAddr::new(local_ip, 0)).await?;
+        socket.connect(address).await
+    }
+
     /// Traffic of the control calls to engines since the start of the process:
     /// reports, orders and cancellations.
     #[must_use]
@@ -231,12 +267,26 @@
     /// [`SendError::Withdrawn`] if `is_wanted` returns false, any other when no
     /// response head arrived by `deadline`.
     pub async fn send_if(
-        mut self,
+        self,
         request: Request<Full<Bytes>>,
         deadline: Instant,
         is_wanted: impl Fn() -> bool,
     ) -> Result<UpstreamResponse, SendError> {
-        if !is_wanted() {
+        self.send_prepared(request, deadline, |_| is_wanted()).await
+    }
+
+    /// Like [`Self::send_if`]; `prepare` may also change the call right before it is
+    /// written.
+    ///
+    /// # Errors
+    /// As for [`Self::send_if`].
+    pub async fn send_prepared(
+        mut self,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
+        prepare: impl Fn(&mut Request<Full<Bytes>>) -> bool,
+    ) -> Result<UpstreamResponse, SendError> {
+        if !prepare(&mut request) {
             return Err(withdrawn(&self.target));
         }
         let sending = self.sender.try_send_request(request);
