--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -78,6 +78,8 @@
 enum Reply {
     Answered(UpstreamResponse),
     NotSent(ProxyOutcome, String),
+    /// The proxy works, and does not know whether the attempt ran.
+    Unknown(SendError),
 }
 
 impl ProxyClient {
@@ -140,6 +142,7 @@
                     self.selection.record_no_path(&proxy, key_of(upstream));
                 }
                 Ok(Reply::NotSent(..)) => self.selection.record_refusal(&proxy),
+                Ok(Reply::Unknown(error)) => return Err(ProxyError::Unknown(error)),
                 Err(error @ SendError::Withdrawn { .. }) => {
                     return Err(ProxyError::Withdrawn(error));
                 }
@@ -217,11 +220,11 @@
         };
         match ProxyOutcome::take(&mut answer.headers) {
             (ProxyOutcome::Answered, _) => Ok(Reply::Answered(answer)),
-            (ProxyOutcome::Unknown, reason) => Err(SendError::ConnectionFailed {
+            (ProxyOutcome::Unknown, reason) => Ok(Reply::Unknown(SendError::ConnectionFailed {
                 step: Step::Head,
                 peer: upstream.id.clone(),
                 cause: format!("{reason}, through {}", proxy.instance),
-            }),
+            })),
             (outcome, reason) => {
                 // Read to the end, so that the connection can be reused.
                 let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -33,11 +33,15 @@
 /// Daemons drawn for one attempt, of which the least loaded is used.
 const DRAWN: usize = 2;
 
-/// What a daemon is left out for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum Scope {
-    All,
-    Upstream(UpstreamKey),
+/// Why a daemon is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Reason {
+    /// It was not reached, or did not answer. It is still used if there is no other.
+    Failed,
+    /// It took no further attempt.
+    Refused,
+    /// It has no path to this upstream.
+    NoPath(UpstreamKey),
 }
 
 /// A daemon that may proxy an attempt.
@@ -58,7 +62,7 @@
     salt: u64,
     draws: Cell<u64>,
     outstanding: RefCell<HashMap<InstanceId, usize>>,
-    paused_until: RefCell<HashMap<(InstanceId, Scope), Instant>>,
+    paused_until: RefCell<HashMap<(InstanceId, Reason), Instant>>,
 }
 
 /// Counts an attempt at a proxy until dropped.
@@ -98,21 +102,22 @@
     pub(crate) fn next(&self, upstream: &Upstream, tried: &[InstanceId]) -> Option<Proxy> {
         let key = mangofront_engines::key_of(upstream);
         let now = Instant::now();
+        let is_paused = |one: &Proxy, reason| self.is_paused(one, reason, now);
         let candidates: Vec<Proxy> = self
             .members()
-            .filter(|one| !tried.contains(&one.instance) && !self.is_paused(one, key, now))
+            .filter(|one| {
+                !tried.contains(&one.instance)
+                    && !is_paused(one, Reason::Refused)
+                    && !is_paused(one, Reason::NoPath(key))
+            })
             .collect();
-        let is_near =
-            |one: &&Proxy| one.zone == self.zone || one.zone == upstream.availability_zone;
-        let near: Vec<&Proxy> = candidates.iter().filter(is_near).collect();
-        let group = match near.is_empty() {
-            true => candidates.iter().collect(),
-            false => near,
-        };
-        self.draw(group)
+        let candidates = prefer(candidates, |one| !is_paused(one, Reason::Failed));
+        let candidates = prefer(candidates, |one| {
+            one.zone == self.zone || one.zone == upstream.availability_zone
+        });
+        self.draw(candidates)
             .into_iter()
             .min_by_key(|one| self.load(one))
-            .cloned()
     }
 
     /// Whether another daemon is known that might proxy.
@@ -132,17 +137,17 @@
 
     /// Leaves out a daemon that failed as a proxy.
     pub(crate) fn record_failure(&self, proxy: &Proxy) {
-        self.pause(proxy, Scope::All, FAILURE_PAUSE);
+        self.pause(proxy, Reason::Failed, FAILURE_PAUSE);
     }
 
     /// Leaves out a daemon that took no further attempt.
     pub(crate) fn record_refusal(&self, proxy: &Proxy) {
-        self.pause(proxy, Scope::All, REFUSAL_PAUSE);
+        self.pause(proxy, Reason::Refused, REFUSAL_PAUSE);
     }
 
     /// Leaves out, for one upstream, a daemon that has no path to it.
     pub(crate) fn record_no_path(&self, proxy: &Proxy, upstream: UpstreamKey) {
-        self.pause(proxy, Scope::Upstream(upstream), NO_PATH_PAUSE);
+        self.pause(proxy, Reason::NoPath(upstream), NO_PATH_PAUSE);
     }
 
     fn members(&self) -> impl Iterator<Item = Proxy> {
@@ -154,26 +159,23 @@
         others.map(move |member| proxy_of(member, port))
     }
 
-    fn pause(&self, proxy: &Proxy, scope: Scope, time: Duration) {
+    fn pause(&self, proxy: &Proxy, reason: Reason, time: Duration) {
         let now = Instant::now();
         let mut paused_until = self.paused_until.borrow_mut();
         if paused_until.len() >= MAX_PAUSES {
             paused_until.retain(|_, until| now < *until);
         }
-        paused_until.insert((proxy.instance.clone(), scope), now + time);
+        paused_until.insert((proxy.instance.clone(), reason), now + time);
     }
 
-    fn is_paused(&self, proxy: &Proxy, upstream: UpstreamKey, now: Instant) -> bool {
+    fn is_paused(&self, proxy: &Proxy, reason: Reason, now: Instant) -> bool {
         let paused_until = self.paused_until.borrow();
-        let is_paused = |scope| {
-            let until = paused_until.get(&(proxy.instance.clone(), scope));
-            until.is_some_and(|until| now < *until)
-        };
-        is_paused(Scope::All) || is_paused(Scope::Upstream(upstream))
+        let until = paused_until.get(&(proxy.instance.clone(), reason));
+        until.is_some_and(|until| now < *until)
     }
 
     /// Draws up to [`DRAWN`] of `group`.
-    fn draw<'a>(&self, mut group: Vec<&'a Proxy>) -> Vec<&'a Proxy> {
+    fn draw(&self, mut group: Vec<Proxy>) -> Vec<Proxy> {
         let mut drawn = Vec::with_capacity(DRAWN);
         while drawn.len() < DRAWN && !group.is_empty() {
             let draw = self.draws.get().wrapping_add(1);
@@ -196,6 +198,17 @@
     }
 }
 
+/// Those of `proxies` for which `is_preferred` returns true, or all if there are none.
+fn prefer(proxies: Vec<Proxy>, is_preferred: impl Fn(&Proxy) -> bool) -> Vec<Proxy> {
+    match proxies.iter().any(&is_preferred) {
+        true => proxies
+            .into_iter()
+            .filter(|one| is_preferred(one))
+            .collect(),
+        false => proxies,
+    }
+}
+
 fn proxy_of(member: Member, port: u16) -> Proxy {
     Proxy {
         address: SocketAddr::new(member.address.ip(), port),
