--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -96,9 +96,9 @@
         }
     }
 
-    /// Whether another daemon is known that might forward attempts.
-    pub(crate) fn has_members(&self) -> bool {
-        self.selection.has_members()
+    /// Whether no other daemon is known, in whatever state.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.selection.is_alone()
     }
 
     /// Sends an attempt to an upstream through another daemon.
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -120,9 +120,10 @@
             .min_by_key(|one| self.load(one))
     }
 
-    /// Whether another daemon is known that might proxy.
-    pub(crate) fn has_members(&self) -> bool {
-        self.members().next().is_some()
+    /// Whether no other daemon is known, in whatever state.
+    pub(crate) fn is_alone(&self) -> bool {
+        let own = self.peers.address();
+        self.peers.members().iter().all(|one| one.address == own)
     }
 
     /// Counts an attempt at a proxy.
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -228,9 +228,9 @@
         let connections = &self.0.parts.connections;
         let target = target_of(call.upstream);
         let deadline = call.times.deadline;
-        let connect_deadline = match self.0.parts.proxies.has_members() {
-            true => deadline.min(Instant::now() + CONNECT_TIMEOUT),
-            false => deadline,
+        let connect_deadline = match self.0.parts.proxies.is_alone() {
+            true => deadline,
+            false => deadline.min(Instant::now() + CONNECT_TIMEOUT),
         };
         let sending = async {
             let request = call.request.clone();
@@ -276,12 +276,12 @@
                 Ok(proxied)
             }
             Err(UpstreamCallError::NoPath) => {
-                let has_others = self.0.parts.proxies.has_members();
-                if has_others {
+                let is_alone = self.0.parts.proxies.is_alone();
+                if !is_alone {
                     self.0.paths.suspect(upstream, fault, started);
                 }
                 let key = key_of(upstream);
-                self.record_failure(key, Failure::Unreachable, !has_others, call.cause);
+                self.record_failure(key, Failure::Unreachable, is_alone, call.cause);
                 Err(UpstreamCallError::NotConnected(error))
             }
             Err(UpstreamCallError::NotConnected(_)) => Err(UpstreamCallError::NotConnected(error)),
@@ -412,7 +412,7 @@
             (Some((_, ProbeResult::Answered)), None) => Verdict::PathLost,
             (Some((_, evidence)), Some(own)) if evidence.suggests_exit() => Verdict::Fails(own),
             (Some((_, evidence)), _) => Verdict::Fails(evidence),
-            (None, Some(own)) if !proxies.has_members() => Verdict::Fails(own),
+            (None, Some(own)) if proxies.is_alone() => Verdict::Fails(own),
             (None, _) => Verdict::Unknown,
         }
     }
