Ask several daemons about an upstream, and look for silence at no cost a chunk

Three daemons of any zones are asked at once now, one answer of the upstream settles it, and an examination that explained nothing is repeated. An attempt takes two daemons that can't reach an upstream before it counts as down, as one may lack just this path.

Each chunk of a stream counted the members and registered a waiter; now a stream waits once for the loss of its path, and the number of daemons is kept for 0.5 s.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -28,6 +28,9 @@
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::{trace, zones};
 
+/// Age up to which the number of daemons is reused: counting takes as long as there are many.
+const DAEMON_COUNT_MAX_AGE: Duration = Duration::from_millis(500);
+
 /// Dependencies of a [`Gateway`].
 pub struct GatewayParts {
     /// Settings of the gateway.
@@ -73,6 +76,7 @@
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
     max_daemons_seen: Cell<usize>,
+    daemons_counted_at: Cell<Option<Instant>>,
 }
 
 impl Gateway {
@@ -96,6 +100,7 @@
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
             max_daemons_seen: Cell::new(1),
+            daemons_counted_at: Cell::new(None),
         }))
     }
 
@@ -231,10 +236,14 @@
     /// It never decreases: a daemon that is no longer a member may still run behind a
     /// network partition.
     pub(crate) fn daemon_count(&self) -> usize {
-        let members = self.0.parts.peers.members().len();
-        let count = self.0.max_daemons_seen.get().max(members);
-        self.0.max_daemons_seen.set(count);
-        count
+        let counted_at = self.0.daemons_counted_at.get();
+        if counted_at.is_none_or(|at| at.elapsed() >= DAEMON_COUNT_MAX_AGE) {
+            let members = self.0.parts.peers.members().len();
+            let count = self.0.max_daemons_seen.get().max(members);
+            self.0.max_daemons_seen.set(count);
+            self.0.daemons_counted_at.set(Some(Instant::now()));
+        }
+        self.0.max_daemons_seen.get()
     }
 
     /// Ejects an upstream for a while, here and at the other daemons, after `request` failed
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -11,10 +11,13 @@
 use crate::signal::Waiters;
 use crate::trace;
 
-/// Longest wait of [`Paths::wait_until_silent`] between two looks: silence is the absence of an
-/// event, so nothing wakes it.
+/// Time between two looks at a lost path: silence is the absence of an event, so nothing
+/// reports it.
 const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Longest wait for a path to be lost, after which the waiting task looks again.
+const CHANGE_WAIT: Duration = Duration::from_secs(60);
+
 /// The paths of this daemon; clones share their state.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Paths(Rc<Shared>);
@@ -134,6 +137,11 @@
         self.0.table.borrow_mut().fail_probe(upstream, fault, now);
     }
 
+    /// Has silence examined again soon, as the last examination explained nothing.
+    pub(crate) fn examine_again(&self) {
+        self.0.table.borrow_mut().examine_again();
+    }
+
     /// Upstreams that should be examined, as nothing arrives from any.
     pub(crate) fn silent(&self) -> Vec<UpstreamKey> {
         self.0.table.borrow_mut().silent(Instant::now())
@@ -149,10 +157,24 @@
         self.0.table.borrow().summary(Instant::now())
     }
 
+    /// Whether any path is not in use.
+    pub(crate) fn has_outage(&self) -> bool {
+        self.0.table.borrow().has_outage()
+    }
+
+    /// Drops the paths to upstreams that are not `known`.
+    pub(crate) fn retain(&self, known: &[UpstreamKey]) {
+        self.0.table.borrow_mut().retain(known);
+    }
+
     /// Waits until the direct path to an upstream is lost and silent.
-    pub(crate) async fn wait_until_silent(&self, upstream: UpstreamKey) {
+    pub(crate) async fn wait_until_silent(self, upstream: UpstreamKey) {
         while !self.0.table.borrow().is_silent(upstream, Instant::now()) {
-            self.0.changed.wait(SILENCE_CHECK_PERIOD).await;
+            let time = match self.has_outage() {
+                true => SILENCE_CHECK_PERIOD,
+                false => CHANGE_WAIT,
+            };
+            self.0.changed.wait(time).await;
         }
     }
 }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::Request;
 use http_body_util::Full;
 use mangofront_engines::key_of;
@@ -16,6 +18,9 @@
 use super::selection::{OutstandingAttempt, Proxy, ProxySelection};
 use crate::probe::ProbeResult;
 
+/// Daemons that are asked to probe an upstream.
+const WITNESSES: usize = 3;
+
 /// Daemons that are tried as proxies for one attempt.
 const MAX_PROXIES: usize = 4;
 
@@ -56,10 +61,7 @@
     /// Nothing was sent: no daemon is known that could forward the attempt.
     NoProxy,
     /// Nothing was sent: daemons with a path to other upstreams can't reach this one.
-    Unreachable {
-        proxy: InstanceId,
-        evidence: ProbeResult,
-    },
+    Unreachable(ProbeResult),
     /// The attempt may have run.
     Unknown(SendError),
     /// The attempt was no longer wanted; nothing was sent.
@@ -113,6 +115,7 @@
         is_wanted: impl Fn() -> bool,
     ) -> Result<Proxied, ProxyError> {
         let mut tried = Vec::new();
+        let mut unreachable = None;
         let started = Instant::now();
         while tried.len() < MAX_PROXIES
             && started.elapsed() < SEARCH_TIMEOUT
@@ -132,11 +135,12 @@
                     });
                 }
                 Ok(Reply::NotSent(ProxyOutcome::Unreachable, evidence)) => {
-                    return Err(ProxyError::Unreachable {
-                        proxy: proxy.instance,
-                        evidence: ProbeResult::from_name(&evidence)
-                            .unwrap_or(ProbeResult::NotConnected),
-                    });
+                    let evidence = ProbeResult::from_name(&evidence);
+                    let evidence = evidence.unwrap_or(ProbeResult::NotConnected);
+                    // The path of one proxy to this upstream alone may be lost.
+                    if unreachable.replace(evidence).is_some() {
+                        break;
+                    }
                 }
                 Ok(Reply::NotSent(ProxyOutcome::NoPath, _)) => {
                     self.selection.record_no_path(&proxy, key_of(upstream));
@@ -156,29 +160,66 @@
                 }
             }
         }
-        Err(ProxyError::NoProxy)
+        match unreachable {
+            Some(evidence) => Err(ProxyError::Unreachable(evidence)),
+            None => Err(ProxyError::NoProxy),
+        }
     }
 
-    /// Has another daemon probe an upstream; `None` if no daemon with a path to upstreams
-    /// told a result.
+    /// Has a few other daemons probe an upstream at once; `None` if no daemon with a path to
+    /// upstreams told a result.
+    ///
+    /// An upstream that answers one of them works, whatever the others see.
     pub(crate) async fn probe(&self, upstream: &Upstream) -> Option<(InstanceId, ProbeResult)> {
+        let witnesses = self.selection.witnesses(upstream, WITNESSES);
+        let mut probes: FuturesUnordered<_> = witnesses
+            .iter()
+            .map(|witness| self.probe_through(witness, upstream))
+            .collect();
+        let mut failed = None;
+        while let Some(probed) = probes.next().await {
+            match probed {
+                Some((_, ProbeResult::Answered)) => return probed,
+                Some(_) => failed = probed,
+                None => {}
+            }
+        }
+        failed
+    }
+
+    async fn probe_through(
+        &self,
+        witness: &Proxy,
+        upstream: &Upstream,
+    ) -> Option<(InstanceId, ProbeResult)> {
         let request = Request::new(Full::new(Bytes::new()));
         let deadline = Instant::now() + PROBE_TIMEOUT;
         let times = Times {
             deadline,
             expires: deadline,
         };
-        let sent = self.send(upstream, request, AttemptKind::Probe, times, || true);
-        match sent.await {
-            Ok(proxied) => {
-                let proxy = proxied.proxy;
+        let kind = AttemptKind::Probe;
+        let sent = self.send_through(witness, upstream, request, kind, times, || true);
+        let result = match sent.await {
+            Ok(Reply::Answered(answer)) => {
                 // Read to the end, so that the connection can be reused.
-                let _ = proxied.answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
-                Some((proxy, ProbeResult::Answered))
+                let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
+                ProbeResult::Answered
             }
-            Err(ProxyError::Unreachable { proxy, evidence }) => Some((proxy, evidence)),
-            Err(_) => None,
-        }
+            Ok(Reply::NotSent(ProxyOutcome::Unreachable, evidence)) => {
+                ProbeResult::from_name(&evidence)?
+            }
+            Ok(Reply::NotSent(ProxyOutcome::NoPath, _)) => {
+                self.selection.record_no_path(witness, key_of(upstream));
+                return None;
+            }
+            Ok(Reply::NotSent(..) | Reply::Unknown(_)) => return None,
+            Err(_) => {
+                self.selection.record_failure(witness);
+                return None;
+            }
+        };
+        Some((witness.instance.clone(), result))
     }
 
     async fn send_through(
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -115,11 +115,25 @@
         let candidates = prefer(candidates, |one| {
             one.zone == self.zone || one.zone == upstream.availability_zone
         });
-        self.draw(candidates)
+        self.draw(candidates, DRAWN)
             .into_iter()
             .min_by_key(|one| self.load(one))
     }
 
+    /// Up to `count` daemons that may tell whether an upstream works, drawn from all zones.
+    pub(crate) fn witnesses(&self, upstream: &Upstream, count: usize) -> Vec<Proxy> {
+        let key = mangofront_engines::key_of(upstream);
+        let now = Instant::now();
+        let members = self
+            .members()
+            .filter(|one| !self.is_paused(one, Reason::NoPath(key), now));
+        let (failed, others): (Vec<Proxy>, Vec<Proxy>) =
+            members.partition(|one| self.is_paused(one, Reason::Failed, now));
+        let mut witnesses = self.draw(others, count);
+        witnesses.extend(self.draw(failed, count - witnesses.len()));
+        witnesses
+    }
+
     /// Whether no other daemon is known, in whatever state.
     pub(crate) fn is_alone(&self) -> bool {
         let own = self.peers.address();
@@ -149,6 +163,8 @@
     /// Leaves out, for one upstream, a daemon that has no path to it.
     pub(crate) fn record_no_path(&self, proxy: &Proxy, upstream: UpstreamKey) {
         self.pause(proxy, Reason::NoPath(upstream), NO_PATH_PAUSE);
+        // It may lack other paths too.
+        self.pause(proxy, Reason::Failed, REFUSAL_PAUSE);
     }
 
     fn members(&self) -> impl Iterator<Item = Proxy> {
@@ -175,10 +191,10 @@
         until.is_some_and(|until| now < *until)
     }
 
-    /// Draws up to [`DRAWN`] of `group`.
-    fn draw(&self, mut group: Vec<Proxy>) -> Vec<Proxy> {
-        let mut drawn = Vec::with_capacity(DRAWN);
-        while drawn.len() < DRAWN && !group.is_empty() {
+    /// Draws up to `count` of `group`.
+    fn draw(&self, mut group: Vec<Proxy>, count: usize) -> Vec<Proxy> {
+        let mut drawn = Vec::with_capacity(count);
+        while drawn.len() < count && !group.is_empty() {
             let draw = self.draws.get().wrapping_add(1);
             self.draws.set(draw);
             let number = xxh3_64(&(draw ^ self.salt).to_le_bytes());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,8 +12,8 @@
 
 use bytes::Bytes;
 use compio::time::Elapsed;
-use futures_util::future::{Either, select};
-use futures_util::{Stream, StreamExt};
+use futures_util::future::{Either, LocalBoxFuture, pending, select};
+use futures_util::{FutureExt, Stream, StreamExt};
 use http::{HeaderMap, StatusCode};
 use mangofront_engines::{Failure, Placement, key_of};
 use mangofront_http::Aborted;
@@ -53,13 +53,22 @@
     placement: Placement,
     upstream: Upstream,
     way: Way,
+    /// Completes when the direct path is lost and silent.
+    path_lost: LocalBoxFuture<'static, ()>,
     /// Released when the stream ends.
     _reservations: Reservations,
 }
 
 impl UpstreamStream {
-    fn new(attempt_answer: AttemptAnswer) -> Self {
+    fn new(gateway: &Gateway, attempt_answer: AttemptAnswer) -> Self {
+        let paths = gateway.upstream_client().paths().clone();
+        let key = key_of(&attempt_answer.upstream);
+        let path_lost = match attempt_answer.way {
+            Way::Direct { .. } => paths.wait_until_silent(key).boxed_local(),
+            Way::Proxied { .. } => pending().boxed_local(),
+        };
         Self {
+            path_lost,
             chunks: Box::pin(attempt_answer.answer.chunks()),
             placement: attempt_answer.placement,
             upstream: attempt_answer.upstream,
@@ -70,29 +79,27 @@
 
     /// The next chunk; waits until `deadline` at most.
     ///
-    /// If `leaves_lost_path` is set, it also ends once the direct path is lost and silent.
+    /// It also ends once the direct path is lost and silent, if `may_resend` then returns true.
     async fn next(
         &mut self,
         gateway: &Gateway,
         deadline: Instant,
-        leaves_lost_path: bool,
+        may_resend: impl Fn() -> bool,
     ) -> Result<NextChunk, AttemptError> {
-        let key = key_of(&self.upstream);
         let chunk = pin!(compio::time::timeout_at(deadline, self.chunks.next()));
         let next = pin!(until_restart(&mut self.placement, chunk));
-        let paths = gateway.upstream_client().paths();
-        let next = match &self.way {
-            Way::Direct { .. } if leaves_lost_path => {
-                match select(next, pin!(paths.wait_until_silent(key))).await {
-                    Either::Left((next, _)) => next,
-                    Either::Right(_) => return Err(AttemptError::PathLost),
-                }
+        let next = match select(next, &mut self.path_lost).await {
+            Either::Left((next, _)) => next,
+            Either::Right(_) if may_resend() => return Err(AttemptError::PathLost),
+            Either::Right((_, next)) => {
+                self.path_lost = pending().boxed_local();
+                next.await
             }
-            Way::Direct { .. } | Way::Proxied { .. } => next.await,
         };
         let next = next.ok_or_else(upstream_restarted)?;
         if matches!((&self.way, &next), (Way::Direct { .. }, Ok(Some(Ok(_))))) {
-            paths.receive(key);
+            let paths = gateway.upstream_client().paths();
+            paths.receive(key_of(&self.upstream));
         }
         Ok(next)
     }
@@ -124,7 +131,7 @@
         let mut opened = Self {
             status,
             headers,
-            stream: UpstreamStream::new(attempt_answer),
+            stream: UpstreamStream::new(gateway, attempt_answer),
             framer: EventFramer::after(call.last_event_id),
             first: Bytes::new(),
             is_finished: false,
@@ -145,7 +152,7 @@
         history: &History,
         deadline: Instant,
     ) -> Result<(), AttemptError> {
-        let may_resend = call.route.safety.may_retry() && history.may_resend(gateway, call);
+        let may_resend = || call.route.safety.may_retry() && history.may_resend(gateway, call);
         let next = self.stream.next(gateway, deadline, may_resend).await?;
         let client = gateway.upstream_client();
         match next {
@@ -278,7 +285,7 @@
                 ..
             }
         );
-        let may_resend = is_resumable && self.history.may_resend(&self.gateway, &self.call);
+        let may_resend = || is_resumable && self.history.may_resend(&self.gateway, &self.call);
         let next = stream.next(&self.gateway, deadline, may_resend).await?;
         match next {
             Ok(Some(Ok(chunk))) => {
@@ -342,7 +349,7 @@
             let resumed = attempt(&self.gateway, &self.call, &mut self.history, last_id).await;
             match resumed {
                 Ok(attempt_answer) if attempt_answer.answer.status.is_success() => {
-                    let mut stream = UpstreamStream::new(attempt_answer);
+                    let mut stream = UpstreamStream::new(&self.gateway, attempt_answer);
                     stream.placement.record_first_event();
                     self.stream = Some(stream);
                     self.framer = EventFramer::after(last_id);
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -17,8 +17,9 @@
 
 use bytes::Bytes;
 use compio::runtime::spawn;
-use futures_util::FutureExt;
 use futures_util::future::{Either, LocalBoxFuture, Shared as SharedFuture, select};
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use http::Request;
 use http_body_util::Full;
 use mangofront_engines::{Failure, UpstreamKey, Upstreams, key_of};
@@ -35,16 +36,22 @@
 use crate::published::Published;
 use crate::trace;
 
-/// Time for an upstream to accept a connection while another daemon could forward the call:
-/// many round trips.
+/// Time for an upstream to accept a connection before another daemon is asked to forward the
+/// call: many round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Period with which lost and silent paths are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
 
+/// Looks after which paths to upstreams that are gone are dropped.
+const TICKS_PER_RETAIN: u64 = 40;
+
 /// Time for which the proof that this daemon reaches some upstream is good.
 const PROOF_LIFETIME: Duration = Duration::from_millis(300);
 
+/// Time for another upstream to answer such a probe.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Other upstreams that are probed to prove that this daemon reaches any.
 const PROOF_PROBES: usize = 2;
 
@@ -228,10 +235,7 @@
         let connections = &self.0.parts.connections;
         let target = target_of(call.upstream);
         let deadline = call.times.deadline;
-        let connect_deadline = match self.0.parts.proxies.is_alone() {
-            true => deadline,
-            false => deadline.min(Instant::now() + CONNECT_TIMEOUT),
-        };
+        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let sending = async {
             let request = call.request.clone();
             match call.kind {
@@ -251,7 +255,8 @@
         if !call.leaves_lost_path {
             return Some(sending.await);
         }
-        let is_silent = self.0.paths.wait_until_silent(key_of(call.upstream));
+        let paths = self.0.paths.clone();
+        let is_silent = paths.wait_until_silent(key_of(call.upstream));
         match select(pin!(sending), pin!(is_silent)).await {
             Either::Left((sent, _)) => Some(sent),
             Either::Right(_) => None,
@@ -313,7 +318,7 @@
                 self.0.parts.metrics.attempt_proxied("no_proxy");
                 Err(UpstreamCallError::NoPath)
             }
-            Err(ProxyError::Unreachable { evidence, .. }) => {
+            Err(ProxyError::Unreachable(evidence)) => {
                 self.0.parts.metrics.attempt_proxied("unreachable");
                 self.0.paths.excuse(key_of(call.upstream));
                 let key = key_of(call.upstream);
@@ -443,31 +448,38 @@
         if self.0.last_proof.borrow().is_some_and(is_fresh) {
             return true;
         }
-        let upstreams = &self.0.parts.upstreams;
-        for other in upstreams.draw_others(except, PROOF_PROBES) {
-            if self.probe(&other).await == ProbeResult::Answered {
-                let proof = (Instant::now(), key_of(&other));
-                *self.0.last_proof.borrow_mut() = Some(proof);
-                return true;
+        let others = self.0.parts.upstreams.draw_others(except, PROOF_PROBES);
+        let mut probes: FuturesUnordered<_> = others
+            .iter()
+            .map(|other| async move { (key_of(other), self.probe(other).await) })
+            .collect();
+        let first_answer = async {
+            while let Some((key, result)) = probes.next().await {
+                if result == ProbeResult::Answered {
+                    return Some(key);
+                }
             }
-        }
-        false
+            None
+        };
+        let answered = compio::time::timeout(PROOF_TIMEOUT, first_answer).await;
+        let Ok(Some(key)) = answered else {
+            return false;
+        };
+        *self.0.last_proof.borrow_mut() = Some((Instant::now(), key));
+        true
     }
 
     /// Looks for lost paths and probes them, forever.
     pub(crate) async fn watch_paths(self) {
-        loop {
+        for tick in 0_u64.. {
             compio::time::sleep(WATCH_PERIOD).await;
-            let upstreams = &self.0.parts.upstreams;
             for key in self.0.paths.silent() {
                 self.examine_in_background(key);
             }
-            let known = upstreams.keys();
-            for key in self.0.paths.due_probes(&known) {
-                if let Some(upstream) = upstreams.registration(key) {
-                    let client = self.clone();
-                    spawn(async move { client.probe(&upstream).await }).detach();
-                }
+            if self.0.paths.has_outage() {
+                self.probe_due_paths();
+            } else if tick % TICKS_PER_RETAIN == 0 {
+                self.0.paths.retain(&self.0.parts.upstreams.keys());
             }
             let summary = self.0.paths.summary();
             let metrics = &self.0.parts.metrics;
@@ -476,10 +488,25 @@
         }
     }
 
+    fn probe_due_paths(&self) {
+        let upstreams = &self.0.parts.upstreams;
+        for key in self.0.paths.due_probes(&upstreams.keys()) {
+            if let Some(upstream) = upstreams.registration(key) {
+                let client = self.clone();
+                spawn(async move { client.probe(&upstream).await }).detach();
+            }
+        }
+    }
+
     fn examine_in_background(&self, key: UpstreamKey) {
         if let Some(upstream) = self.0.parts.upstreams.registration(key) {
             let client = self.clone();
-            spawn(async move { client.examine(&upstream).await }).detach();
+            spawn(async move {
+                if client.examine(&upstream).await == Verdict::Unknown {
+                    client.0.paths.examine_again();
+                }
+            })
+            .detach();
         }
     }
 
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Has silence examined again without a pause, as the last examination explained nothing.
+    pub fn examine_again(&mut self) {
+        self.silence_examined_at = None;
+    }
+
     /// Upstreams whose paths should be probed, as nothing arrives from any upstream although
     /// several have attempts pending.
     pub fn silent(&mut self, now: Instant) -> Vec<PathKey> {
@@ -253,6 +258,12 @@
         probes
     }
 
+    /// Whether any path is not in use.
+    #[must_use]
+    pub fn has_outage(&self) -> bool {
+        self.outage_since.is_some()
+    }
+
     /// Whether a path is lost, and nothing has arrived on it for some time.
     #[must_use]
     pub fn is_silent(&self, key: PathKey, now: Instant) -> bool {
