Let a proxy notice that its own paths are lost

Seen once, beside a build (a_request_is_refused_at_once_if_no_daemon_has_a_path, 502 for 503): both daemons were partitioned, and the one that forwarded learned nothing from connections that were reset under forwarded attempts, so it went on taking them once the entry daemon's pause for it was over. Now such a failure is examined, and a path that nobody can tell of is suspected, so the next attempt is refused at once. The first path that works again has the others probed at once.

--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -175,7 +175,11 @@
         Err(error) if error.outcome() == Outcome::NotRun => {
             Err(explain_failure(gateway, &upstream, &error).await)
         }
-        Err(error) => Err(NotAnswered::new(ProxyOutcome::Unknown, error.to_string())),
+        Err(error) => {
+            let client = gateway.upstream_client();
+            client.examine_in_background(order.upstream);
+            Err(NotAnswered::new(ProxyOutcome::Unknown, error.to_string()))
+        }
     }
 }
 
@@ -192,9 +196,15 @@
 
 /// Tells whether an upstream is down or this daemon has no path to upstreams.
 async fn distinguish(gateway: &Gateway, upstream: &Upstream, failed: ProbeResult) -> NotAnswered {
-    let outcome = match gateway.upstream_client().reaches_another(upstream).await {
+    let client = gateway.upstream_client();
+    let outcome = match client.reaches_another(upstream).await {
         true => ProxyOutcome::Unreachable,
-        false => ProxyOutcome::NoPath,
+        false => {
+            if let Some(fault) = failed.fault() {
+                client.paths().suspect(upstream, fault, Instant::now());
+            }
+            ProxyOutcome::NoPath
+        }
     };
     NotAnswered::new(outcome, failed.name())
 }
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -418,7 +418,12 @@
             (Some((_, evidence)), Some(own)) if evidence.suggests_exit() => Verdict::Fails(own),
             (Some((_, evidence)), _) => Verdict::Fails(evidence),
             (None, Some(own)) if proxies.is_alone() => Verdict::Fails(own),
-            (None, _) => Verdict::Unknown,
+            (None, own) => {
+                if let Some(fault) = own.and_then(ProbeResult::fault) {
+                    self.0.paths.suspect(upstream, fault, started);
+                }
+                Verdict::Unknown
+            }
         }
     }
 
@@ -498,7 +503,7 @@
         }
     }
 
-    fn examine_in_background(&self, key: UpstreamKey) {
+    pub(crate) fn examine_in_background(&self, key: UpstreamKey) {
         if let Some(upstream) = self.0.parts.upstreams.registration(key) {
             let client = self.clone();
             spawn(async move {
--- a/crates/paths/src/path.rs
+++ b/crates/paths/src/path.rs
@@ -187,13 +187,21 @@
         }
     }
 
-    /// Has the path probed at once, as a byte arrived although it counted as silent.
+    /// Records a byte; a path that counts as silent is then probed at once.
     pub(crate) fn receive(&mut self, now: Instant) {
         self.last_received = Some(now);
-        if let Some(outage) = self.outage_mut()
-            && outage.fault == PathFault::Silent
+        if self
+            .outage()
+            .is_some_and(|outage| outage.fault == PathFault::Silent)
         {
-            outage.next_probe = outage.next_probe.min(now);
+            self.probe_by(now);
+        }
+    }
+
+    /// Has a path that is not in use probed no later than at `time`.
+    pub(crate) fn probe_by(&mut self, time: Instant) {
+        if let Some(outage) = self.outage_mut() {
+            outage.next_probe = outage.next_probe.min(time);
         }
     }
 }
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -115,6 +115,12 @@
         self.last_received = Some(now);
         let options = self.options.clone();
         let ended = self.path_mut(key).prove(now, &options);
+        if ended.is_some() {
+            // The others may work again too.
+            for path in self.paths.values_mut() {
+                path.probe_by(now);
+            }
+        }
         self.end_outages();
         ended
     }
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -68,6 +68,22 @@
     ");
 }
 
+/// Guards against a partition that has ended being found out path by path.
+#[test]
+fn a_path_that_works_again_has_the_others_probed() {
+    let (mut table, start) = (table(), Instant::now());
+    for key in 0..3 {
+        table.lose(key, PathFault::Silent, start, start);
+        for second in 1..10 {
+            table.fail_probe(key, PathFault::Silent, start + second * SECOND);
+        }
+    }
+    let end = start + 10 * SECOND;
+    assert_eq!(table.due_probes(&keys(3), end), Vec::<PathKey>::new());
+    table.prove(1, end);
+    assert_eq!(table.due_probes(&keys(3), end), [0, 2]);
+}
+
 /// Guards against a path that comes and goes being used each time it comes.
 #[test]
 fn a_path_that_is_lost_again_soon_needs_several_probes() {
