Try the direct path if no daemon forwards a call and upstreams are heard

What arrived from upstreams meanwhile shows that it has paths. Now such a call goes directly; one that hears no upstream for a second refuses at once, as before.

--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -157,6 +157,12 @@
         self.0.table.borrow().summary(Instant::now())
     }
 
+    /// Whether a byte arrived from any upstream within the last `time`.
+    pub(crate) fn has_received_within(&self, time: Duration) -> bool {
+        let table = self.0.table.borrow();
+        table.has_received_within(time, Instant::now())
+    }
+
     /// Whether any path is not in use.
     pub(crate) fn has_outage(&self) -> bool {
         self.0.table.borrow().has_outage()
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -25,7 +25,7 @@
 const MAX_PROXIES: usize = 4;
 
 /// Time after which no further daemon is tried.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(600);
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for another daemon to accept a connection: many round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -26,7 +26,7 @@
 
 /// Time for an upstream to accept a connection: less than the daemon that waits for the
 /// result allows for its own.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Attempts of other daemons that are forwarded at once, and the sum of their bodies.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -36,9 +36,9 @@
 use crate::published::Published;
 use crate::trace;
 
-/// Time for an upstream to accept a connection before another daemon is asked to forward the
-/// call: many round trips.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time since the last byte from any upstream for which a call that no other daemon forwards
+/// is still worth a try on a path that counts as lost.
+const SIGN_OF_PATHS_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Period with which lost and silent paths are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
@@ -187,13 +187,26 @@
     ) -> Result<UpstreamAnswer, UpstreamCallError> {
         match self.0.paths.route(key_of(call.upstream)) {
             Route::Direct => self.send_directly(call, is_wanted).await,
-            Route::Proxied => {
-                let proxied = self.send_proxied(&call, &is_wanted).await?;
-                if let Some(proxy) = proxied.way.proxy() {
-                    self.0.paths.confirm_suspicion(call.upstream, proxy);
+            Route::Proxied => match self.send_proxied(&call, &is_wanted).await {
+                Ok(proxied) => {
+                    if let Some(proxy) = proxied.way.proxy() {
+                        self.0.paths.confirm_suspicion(call.upstream, proxy);
+                    }
+                    Ok(proxied)
                 }
-                Ok(proxied)
-            }
+                // A daemon without enough processor time takes slow answers for lost paths.
+                Err(UpstreamCallError::NoPath)
+                    if self.0.paths.has_received_within(SIGN_OF_PATHS_LIFETIME) =>
+                {
+                    let leaves_lost_path = false;
+                    let call = UpstreamCall {
+                        leaves_lost_path,
+                        ..call
+                    };
+                    self.send_directly(call, is_wanted).await
+                }
+                Err(error) => Err(error),
+            },
         }
     }
 
@@ -235,19 +248,17 @@
         let connections = &self.0.parts.connections;
         let target = target_of(call.upstream);
         let deadline = call.times.deadline;
-        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let sending = async {
             let request = call.request.clone();
             match call.kind {
                 AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
-                    let prepare = |_: &mut Request<Full<Bytes>>| is_wanted();
                     connections
-                        .send_prepared(&target, request, connect_deadline, deadline, prepare)
+                        .send_if(&target, request, deadline, is_wanted)
                         .await
                 }
                 // If a reused connection breaks, it is unknown whether the request was run.
                 AttemptKind::AtMostOnce => {
-                    let opened = connections.open(&target, connect_deadline).await?;
+                    let opened = connections.open(&target, deadline).await?;
                     opened.send_if(request, deadline, is_wanted).await
                 }
             }
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -264,6 +264,13 @@
         probes
     }
 
+    /// Whether a byte arrived from any upstream within the last `time`.
+    #[must_use]
+    pub fn has_received_within(&self, time: Duration, now: Instant) -> bool {
+        let last_received = self.last_received;
+        last_received.is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
+
     /// Whether any path is not in use.
     #[must_use]
     pub fn has_outage(&self) -> bool {
