Split the examination of upstreams from the calls to them

Moves only: probes, verdicts and the watch of paths to a module of their own, and the limit of a body, which stood twice, to the gateway.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -23,9 +23,6 @@
 /// load balancer has seen that the daemon is not ready.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
 
-/// Body limit while no configuration is in force, in bytes.
-const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-
 /// A request that was admitted.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -67,11 +64,7 @@
     let (head, body) = request.into_parts();
     gateway.parts().published.wait_until_confirmed().await;
     let table = gateway.parts().published.table();
-    let body_limit_bytes = table
-        .as_ref()
-        .map_or(UNCONFIGURED_BODY_LIMIT_BYTES, |table| {
-            table.limits().body_limit_bytes
-        });
+    let body_limit_bytes = gateway.body_limit_bytes();
     let read = gateway.parts().dialect.read_call(&head);
     let (path, version) = (
         head.uri.path().to_owned(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,9 @@
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::{trace, zones};
 
+/// Body limit while no configuration is in force, in bytes.
+const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Age up to which the number of daemons is reused: counting takes as long as there are many.
 const DAEMON_COUNT_MAX_AGE: Duration = Duration::from_millis(500);
 
@@ -224,6 +227,14 @@
         &self.0.reservation_client
     }
 
+    /// Largest request body, in bytes.
+    pub(crate) fn body_limit_bytes(&self) -> usize {
+        let table = self.0.parts.published.table();
+        table.map_or(UNCONFIGURED_BODY_LIMIT_BYTES, |table| {
+            table.limits().body_limit_bytes
+        })
+    }
+
     /// A number that increases with each request.
     pub(crate) fn next_request_number(&self) -> u64 {
         let number = self.0.request_counter.get();
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -21,9 +21,6 @@
 use crate::probe::{ProbeResult, target_of};
 use crate::trace;
 
-/// Body limit while no configuration is in force, in bytes.
-const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-
 /// Time for an upstream to accept a connection: less than the daemon that waits for the
 /// result allows for its own.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -146,11 +143,7 @@
     let Some(mut attempt) = ForwardedAttempt::begin(gateway) else {
         return Err(refused("too many attempts"));
     };
-    let table = gateway.parts().published.table();
-    let body_limit_bytes = table.map_or(UNCONFIGURED_BODY_LIMIT_BYTES, |table| {
-        table.limits().body_limit_bytes
-    });
-    let body = collect(body, body_limit_bytes).await;
+    let body = collect(body, gateway.body_limit_bytes()).await;
     let body = body.map_err(|error| refused(&error.to_string()))?;
     if !attempt.add_body(body.len(), gateway.options().proxied_bodies_limit_bytes) {
         return Err(refused("too many bytes of bodies"));
--- /dev/null
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -0,0 +1,212 @@
+//! Examination of upstreams and paths: probes of this daemon, and what other daemons see.
+
+use std::time::{Duration, Instant};
+
+use compio::runtime::spawn;
+use futures_util::future::{LocalBoxFuture, Shared as SharedFuture};
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
+use mangofront_engines::{Failure, UpstreamKey, key_of};
+use mangofront_paths::Route;
+use mangofront_routes::Upstream;
+use mangofront_telemetry::metrics::PathState;
+
+use super::UpstreamClient;
+use crate::probe::{ProbeResult, probe};
+
+/// Period with which lost and silent paths are looked for.
+const WATCH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Looks after which paths to upstreams that are gone are dropped.
+const TICKS_PER_RETAIN: u64 = 40;
+
+/// Time for which the proof that this daemon reaches some upstream is good.
+const PROOF_LIFETIME: Duration = Duration::from_millis(300);
+
+/// Time for another upstream to answer such a probe.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Other upstreams that are probed to prove that this daemon reaches any.
+const PROOF_PROBES: usize = 2;
+
+/// An examination that several tasks may wait for.
+pub(super) type Examination = SharedFuture<LocalBoxFuture<'static, Verdict>>;
+
+/// What an examination of an upstream showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It answers this daemon.
+    Answers,
+    /// It answers another daemon and not this one.
+    PathLost,
+    /// It answers neither this daemon nor another one with working paths, or there is no
+    /// other daemon.
+    Fails(ProbeResult),
+    /// No daemon could tell.
+    Unknown,
+}
+
+impl UpstreamClient {
+    /// Ejects an upstream after a failure, and examines whether the upstream or the path
+    /// failed.
+    pub(crate) fn suspect(&self, upstream: &Upstream, failure: Failure, cause: &str) {
+        let key = key_of(upstream);
+        let ejection = self.record_failure(key, failure, false, cause);
+        let (client, upstream) = (self.clone(), upstream.clone());
+        spawn(async move {
+            match client.examine(&upstream).await {
+                // The failure is not one of the path, so it may concern all daemons.
+                Verdict::Answers | Verdict::Fails(_) => {
+                    client.0.parts.upstreams.publish_failure(key, ejection);
+                }
+                Verdict::PathLost | Verdict::Unknown => {}
+            }
+        })
+        .detach();
+    }
+
+    /// Finds out whether an upstream answers this daemon, or else another one.
+    ///
+    /// Those who ask at the same time share one examination.
+    pub(crate) async fn examine(&self, upstream: &Upstream) -> Verdict {
+        let key = key_of(upstream);
+        let running = self.0.examinations.borrow().get(&key).cloned();
+        let examination = running.unwrap_or_else(|| {
+            let (client, upstream) = (self.clone(), upstream.clone());
+            let examination = async move { client.examine_once(&upstream).await };
+            let examination = examination.boxed_local().shared();
+            let mut examinations = self.0.examinations.borrow_mut();
+            examinations.insert(key, examination.clone());
+            examination
+        });
+        let verdict = examination.await;
+        self.0.examinations.borrow_mut().remove(&key);
+        verdict
+    }
+
+    async fn examine_once(&self, upstream: &Upstream) -> Verdict {
+        let (key, started) = (key_of(upstream), Instant::now());
+        let own = match self.0.paths.route(key) {
+            Route::Direct => Some(self.probe(upstream).await),
+            Route::Proxied => None,
+        };
+        if own == Some(ProbeResult::Answered) {
+            return Verdict::Answers;
+        }
+        let proxies = &self.0.parts.proxies;
+        match (proxies.probe(upstream).await, own) {
+            (Some((witness, ProbeResult::Answered)), Some(own)) => {
+                if let Some(fault) = own.fault() {
+                    self.0.paths.lose(upstream, fault, started, &witness);
+                }
+                self.0.parts.upstreams.forgive(key);
+                Verdict::PathLost
+            }
+            (Some((_, ProbeResult::Answered)), None) => Verdict::PathLost,
+            (Some((_, evidence)), Some(own)) if evidence.suggests_exit() => Verdict::Fails(own),
+            (Some((_, evidence)), _) => Verdict::Fails(evidence),
+            (None, Some(own)) if proxies.is_alone() => Verdict::Fails(own),
+            (None, own) => {
+                if let Some(fault) = own.and_then(ProbeResult::fault) {
+                    self.0.paths.suspect(upstream, fault, started);
+                }
+                Verdict::Unknown
+            }
+        }
+    }
+
+    /// Probes an upstream on the direct path.
+    pub(crate) async fn probe(&self, upstream: &Upstream) -> ProbeResult {
+        let table = self.0.parts.published.table();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.service(&upstream.service));
+        let path = service.and_then(|service| service.probe_path.clone());
+        let result = probe(&self.0.parts.connections, upstream, path.as_deref()).await;
+        match result.fault() {
+            None => {
+                self.0.paths.prove(upstream);
+                self.0.parts.upstreams.received_from(key_of(upstream));
+            }
+            Some(fault) => self.0.paths.fail_probe(key_of(upstream), fault),
+        }
+        result
+    }
+
+    /// Whether this daemon reaches any upstream but `except`, by a new connection.
+    pub(crate) async fn reaches_another(&self, except: &Upstream) -> bool {
+        let except = key_of(except);
+        let is_fresh =
+            |(at, key): (Instant, UpstreamKey)| key != except && at.elapsed() < PROOF_LIFETIME;
+        if self.0.last_proof.borrow().is_some_and(is_fresh) {
+            return true;
+        }
+        let others = self.0.parts.upstreams.draw_others(except, PROOF_PROBES);
+        let mut probes: FuturesUnordered<_> = others
+            .iter()
+            .map(|other| async move { (key_of(other), self.probe(other).await) })
+            .collect();
+        let first_answer = async {
+            while let Some((key, result)) = probes.next().await {
+                if result == ProbeResult::Answered {
+                    return Some(key);
+                }
+            }
+            None
+        };
+        let answered = compio::time::timeout(PROOF_TIMEOUT, first_answer).await;
+        let Ok(Some(key)) = answered else {
+            return false;
+        };
+        *self.0.last_proof.borrow_mut() = Some((Instant::now(), key));
+        true
+    }
+
+    /// Looks for lost paths and probes them, forever.
+    pub(crate) async fn watch_paths(self) {
+        for tick in 0_u64.. {
+            compio::time::sleep(WATCH_PERIOD).await;
+            for key in self.0.paths.silent() {
+                self.examine_in_background(key);
+            }
+            if self.0.paths.has_outage() {
+                self.probe_due_paths();
+            } else if tick % TICKS_PER_RETAIN == 0 {
+                self.0.paths.retain(&self.0.parts.upstreams.keys());
+            }
+            let summary = self.0.paths.summary();
+            let metrics = &self.0.parts.metrics;
+            metrics.upstream_paths(PathState::Lost, summary.lost as u64);
+            metrics.upstream_paths(PathState::Suspected, summary.suspected as u64);
+        }
+    }
+
+    fn probe_due_paths(&self) {
+        let upstreams = &self.0.parts.upstreams;
+        for key in self.0.paths.due_probes(&upstreams.keys()) {
+            if let Some(upstream) = upstreams.registration(key) {
+                let client = self.clone();
+                spawn(async move { client.probe(&upstream).await }).detach();
+            }
+        }
+    }
+
+    pub(crate) fn examine_in_background(&self, key: UpstreamKey) {
+        if let Some(upstream) = self.0.parts.upstreams.registration(key) {
+            let client = self.clone();
+            spawn(async move {
+                if client.examine(&upstream).await == Verdict::Unknown {
+                    client.0.paths.examine_again();
+                }
+            })
+            .detach();
+        }
+    }
+
+    /// Upstreams that this daemon does not reach on a direct path.
+    pub(crate) fn without_direct_path(&self) -> Vec<UpstreamKey> {
+        let mut keys = self.0.parts.upstreams.keys();
+        keys.retain(|key| self.0.paths.route(*key) == Route::Proxied);
+        keys
+    }
+}
