Read the rate limits that upstreams name, and log what is sent under them

Sight only, nothing decides by it. A change of a limit, each request under one (how old this daemon's knowledge is, what it sent in 4 s), a gauge of limits in force and a counter of requests by decision.

--- a/crates/gateway/src/boot_clock.rs
+++ b/crates/gateway/src/boot_clock.rs
@@ -20,6 +20,11 @@
         Self(Duration::new(seconds, nanoseconds))
     }
 
+    /// Time since the boot.
+    pub(crate) fn since_boot(self) -> Duration {
+        self.0
+    }
+
     /// The moment `time` later.
     pub(crate) fn after(self, time: Duration) -> Self {
         Self(self.0 + time)
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+use mangofront_limits::NamedLimit;
 use mangofront_routes::{ApiKey, RouteTable, Upstream, UpstreamId};
 use thiserror::Error;
 
@@ -88,7 +89,7 @@
 }
 
 /// Head of an upstream's answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether the upstream reports that it did not run the request and will not.
     pub not_run: bool,
@@ -98,6 +99,8 @@
     pub request_id: Option<String>,
     /// Address of the upstream that caused a refusal.
     pub at_fault: Option<SocketAddr>,
+    /// The rate limit that the upstream names.
+    pub rate_limit: NamedLimit,
 }
 
 /// Reads and writes the heads of one platform.
@@ -114,6 +117,9 @@
     /// Shortens the time that the headers of an attempt leave to its upstream.
     fn limit_time(&self, attempt: &mut HeaderMap, time_left: Duration);
 
+    /// Id of the request whose head consists of `headers`.
+    fn request_id(&self, headers: &HeaderMap) -> Option<String>;
+
     /// Reads the head of an upstream's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::proxy::{self, ProxiedAttempts, ProxyClient, ProxySelection};
 use crate::published::Published;
 use crate::quarantine::QuarantinedRequest;
+use crate::rate_limits::RateLimits;
 use crate::reservations::ReservationClient;
 use crate::retry_budget::RetryBudget;
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
@@ -75,6 +76,7 @@
     upstream_client: UpstreamClient,
     reservation_client: ReservationClient,
     proxied_attempts: Rc<ProxiedAttempts>,
+    rate_limits: RateLimits,
     drain: Drain,
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
@@ -87,7 +89,8 @@
     #[must_use]
     pub fn new(parts: GatewayParts) -> Self {
         let retry_budget = RetryBudget::new(parts.options.retry_limit);
-        let upstream_client = upstream_client(&parts);
+        let rate_limits = RateLimits::new(Rc::clone(&parts.dialect), parts.metrics.clone());
+        let upstream_client = upstream_client(&parts, rate_limits.clone());
         let reservation_client = ReservationClient {
             upstreams: upstream_client.clone(),
             dialect: Rc::clone(&parts.dialect),
@@ -99,6 +102,7 @@
             upstream_client,
             reservation_client,
             proxied_attempts: Rc::default(),
+            rate_limits,
             drain: Drain::default(),
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
@@ -154,6 +158,10 @@
         let members = self.0.parts.peers.members();
         let live = members.iter().filter(|member| member.state.is_responsive());
         let live = live.count() as u64;
+        let upstreams = &self.0.parts.upstreams;
+        self.0
+            .rate_limits
+            .record_state(|key| upstreams.is_known(key));
         metrics.quarantined(self.0.parts.upstreams.quarantined().len() as u64);
         metrics.peers(PeerState::Live, live);
         metrics.peers(PeerState::Suspected, members.len() as u64 - live);
@@ -223,6 +231,11 @@
         &self.0.proxied_attempts
     }
 
+    /// Rate limits that upstreams name.
+    pub(crate) fn rate_limits(&self) -> &RateLimits {
+        &self.0.rate_limits
+    }
+
     pub(crate) fn reservation_client(&self) -> &ReservationClient {
         &self.0.reservation_client
     }
@@ -276,7 +289,7 @@
     }
 }
 
-fn upstream_client(parts: &GatewayParts) -> UpstreamClient {
+fn upstream_client(parts: &GatewayParts, limits: RateLimits) -> UpstreamClient {
     let instance = parts.options.instance.clone();
     let selection = ProxySelection::new(
         parts.peers.clone(),
@@ -289,6 +302,7 @@
         upstreams: parts.upstreams.clone(),
         published: parts.published.clone(),
         proxies: ProxyClient::new(instance, parts.peer_connections.clone(), selection),
+        limits,
         metrics: parts.metrics.clone(),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod published;
 mod published_options;
 mod quarantine;
+mod rate_limits;
 mod refusal;
 mod registrations;
 mod relay;
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -19,6 +19,7 @@
 use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
 use crate::gateway::{Gateway, InProgress};
 use crate::probe::{ProbeResult, target_of};
+use crate::rate_limits;
 use crate::trace;
 
 /// Time for an upstream to accept a connection: less than the daemon that waits for the
@@ -241,6 +242,10 @@
     let parts = gateway.parts();
     let target = target_of(upstream);
     let key = key_of(upstream);
+    let (sent_at, id) = (
+        rate_limits::now(),
+        parts.dialect.request_id(request.headers()),
+    );
     let prepare = |request: &mut Request<Full<Bytes>>| {
         if kind == AttemptKind::Order {
             return true;
@@ -261,7 +266,11 @@
             opened.send_prepared(request, expires, prepare).await
         }
     };
-    if sent.is_ok() {
+    if let Ok(answer) = &sent {
+        let id = id.unwrap_or_default();
+        gateway
+            .rate_limits()
+            .observe(upstream, answer, &id, sent_at);
         gateway.upstream_client().paths().receive(key);
         parts.upstreams.received_from(key);
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mangofront_engines::{Failure, NoUpstream, Placement, UpstreamKey};
+use mangofront_limits::{LimitChange, RateLimit};
 use mangofront_paths::{PathFault, PathSummary};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
 use mangofront_settings::ids::InstanceId;
@@ -292,6 +293,53 @@
     log::warn!(peer = peer; "gateway: proxied attempt rejected, its sender is no known daemon");
 }
 
+/// The rate limit of an upstream that is in force here changed; `source` tells how this daemon
+/// learned of it.
+pub(crate) fn rate_limit_changed(
+    upstream: &Upstream,
+    change: &LimitChange,
+    source: &str,
+    age: Duration,
+) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        address = upstream.address.to_string().as_str(),
+        before_per_s = change.before.map(RateLimit::per_s),
+        now_per_s = change.now.map(RateLimit::per_s),
+        learned_by = source,
+        age_ms = milliseconds(age);
+        "gateway: rate limit of upstream changed"
+    );
+}
+
+/// An upstream names a rate limit that can't be understood; the one in force stays.
+pub(crate) fn rate_limit_invalid(upstream: &Upstream) {
+    log::warn!(
+        upstream = upstream.id.as_str();
+        "gateway: rate limit of upstream can't be understood"
+    );
+}
+
+/// A request goes to an upstream with a rate limit.
+pub(crate) fn rate_limited_send(
+    request: &str,
+    upstream: &Upstream,
+    limit: RateLimit,
+    limit_age_ms: u32,
+    sent_by_this_daemon: usize,
+    decision: &str,
+) {
+    log::info!(
+        request = request,
+        upstream = upstream.id.as_str(),
+        limit_per_s = limit.per_s(),
+        limit_age_ms = limit_age_ms,
+        sent_in_4_s = sent_by_this_daemon,
+        decision = decision;
+        "gateway: request sent under a rate limit"
+    );
+}
+
 /// A request is tried once after its quarantine.
 pub(crate) fn trial_started(call: &Call) {
     log::info!(
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -11,7 +11,7 @@
 
 mod examination;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
@@ -33,6 +33,7 @@
 use crate::probe::target_of;
 use crate::proxy::{AttemptKind, OutstandingAttempt, ProxyClient, ProxyError, Times};
 use crate::published::Published;
+use crate::rate_limits::{self, RateLimits};
 use crate::trace;
 
 use examination::Examination;
@@ -117,6 +118,7 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) published: Published,
     pub(crate) proxies: ProxyClient,
+    pub(crate) limits: RateLimits,
     pub(crate) metrics: Metrics,
 }
 
@@ -154,6 +156,28 @@
         &self,
         call: UpstreamCall<'_>,
         is_wanted: impl Fn() -> bool,
+    ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        let (upstream, cause, sent_at) = (call.upstream, call.cause, rate_limits::now());
+        let limits = &self.0.parts.limits;
+        let is_counted = Cell::new(false);
+        let is_wanted = || {
+            let is_wanted = is_wanted();
+            if is_wanted && !is_counted.replace(true) {
+                limits.record_send(upstream, cause);
+            }
+            is_wanted
+        };
+        let sent = self.send_by_any_way(call, is_wanted).await;
+        if let Ok(answered) = &sent {
+            limits.observe(upstream, &answered.answer, cause, sent_at);
+        }
+        sent
+    }
+
+    async fn send_by_any_way(
+        &self,
+        call: UpstreamCall<'_>,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<UpstreamAnswer, UpstreamCallError> {
         match self.0.paths.route(key_of(call.upstream)) {
             Route::Direct => self.send_directly(call, is_wanted).await,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -133,6 +133,17 @@
         self.0.instruments.upstream_paths.record(count, &labels);
     }
 
+    /// Sets the number of upstreams with a rate limit in force.
+    pub fn rate_limits(&self, count: u64) {
+        self.0.instruments.rate_limits.record(count, &[]);
+    }
+
+    /// Counts a request for an upstream with a rate limit; `decision` is a stable code.
+    pub fn rate_limited_send(&self, decision: &'static str) {
+        let labels = [label("decision", decision)];
+        self.0.instruments.rate_limited_sends.add(1, &labels);
+    }
+
     /// Sets the time since the published state was last known to be current.
     pub fn lease_age(&self, age: Duration) {
         let gauge = &self.0.instruments.lease_age;
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -34,6 +34,8 @@
     pub(super) attempts_proxied: Counter<u64>,
     pub(super) attempts_forwarded: Counter<u64>,
     pub(super) upstream_paths: Gauge<u64>,
+    pub(super) rate_limits: Gauge<u64>,
+    pub(super) rate_limited_sends: Counter<u64>,
     pub(super) lease_age: Gauge<f64>,
     pub(super) event_loop_lateness: Histogram<f64>,
     pub(super) departure_lateness: Gauge<f64>,
@@ -106,6 +108,14 @@
                 .u64_gauge("upstream_paths")
                 .with_description("Upstreams to which the direct path is not used, by state")
                 .build(),
+            rate_limits: meter
+                .u64_gauge("rate_limits")
+                .with_description("Upstreams with a rate limit in force")
+                .build(),
+            rate_limited_sends: counter(
+                "rate_limited_sends",
+                "Requests for upstreams with a rate limit, by what was decided",
+            ),
             lease_age: meter
                 .f64_gauge("lease_age")
                 .with_description("Time since what is published was known to be in force")
