Let no older observation of another daemon lower a limit

observations_merge_in_any_order failed on the commit before: a limit of 1 that was told after one of 2, and observed a second before it, replaced it, so the order of arrival decided. A lower value wins only if its order can't be told, within the time by which a message may be late.

--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -137,7 +137,9 @@
         }
         let is_later = as_of >= known.as_of + DELIVERY_ALLOWANCE;
         let is_lower = match (observation.limit, before) {
-            (Some(limit), Some(before)) => limit < before,
+            (Some(limit), Some(before)) => {
+                limit < before && as_of + DELIVERY_ALLOWANCE >= known.as_of
+            }
             // A limit wins over its end unless the end is provably later.
             (Some(_), None) => as_of >= known.as_of,
             (None, _) => false,
