--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -98,10 +98,12 @@
 /// How long a request waits for a permit: not at all while an upstream without a limit may take
 /// it.
 fn slot_wait(gateway: &Gateway, call: &Call, history: &History) -> SlotWait {
-    let open = gateway.parts().upstreams.open_of_service(&call.service);
-    let has_unlimited = open
-        .iter()
-        .any(|key| !history.tried.contains(key) && gateway.rate_limits().limit(*key).is_none());
+    let limits = gateway.rate_limits();
+    let has_unlimited = !limits.has_limits() || {
+        let open = gateway.parts().upstreams.open_of_service(&call.service);
+        let mut untried = open.iter().filter(|key| !history.tried.contains(key));
+        untried.any(|key| limits.limit(*key).is_none())
+    };
     let patience = call.time_left().saturating_sub(MIN_ATTEMPT_TIME);
     SlotWait {
         max_wait: match has_unlimited {
@@ -130,8 +132,11 @@
     reason: NoUpstream,
 ) -> Result<Placed, AttemptError> {
     let limits = gateway.rate_limits();
-    let open = gateway.parts().upstreams.open_of_service(&call.service);
     let mut withheld: Vec<(UpstreamKey, Moment)> = limits.withheld();
+    if withheld.is_empty() {
+        return Err(AttemptError::NoUpstream(reason));
+    }
+    let open = gateway.parts().upstreams.open_of_service(&call.service);
     withheld.retain(|(key, _)| open.contains(key) && !history.tried.contains(key));
     withheld.sort_unstable_by_key(|(_, until)| *until);
     withheld.truncate(MAX_SLOT_REQUESTS);
--- a/crates/gateway/src/rate_limits/coordination.rs
+++ b/crates/gateway/src/rate_limits/coordination.rs
@@ -29,7 +29,7 @@
 const SHARE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Rounds after which the daemons of the fleet are counted.
-const ROUNDS_PER_COUNT: u64 = 5;
+const ROUNDS_PER_COUNT: u64 = 10;
 
 /// Time after which a question for shares is forgotten; the reply would be of no use.
 const SHARE_QUESTION_LIFETIME: Duration = Duration::from_secs(3);
@@ -87,6 +87,9 @@
             }
         }
         self.0.parts.metrics.rate_limits(in_force.len() as u64);
+        if in_force.is_empty() && !self.0.state.borrow().coordinator.has_groups() {
+            return self.forget_unused();
+        }
         let coordinators = self.coordinators();
         let is_own = |group: &str| {
             let coordinator = coordinators.of(group);
--- a/crates/gateway/src/rate_limits/permits.rs
+++ b/crates/gateway/src/rate_limits/permits.rs
@@ -107,11 +107,10 @@
 impl RateLimits {
     /// Upstreams that may not be sent requests for now, each until the given moment.
     pub(crate) fn withheld(&self) -> Vec<(UpstreamKey, Moment)> {
-        let state = self.0.state.borrow();
-        if !state.table.has_limits() {
+        if !self.has_limits() {
             return Vec::new();
         }
-        let now = now();
+        let (state, now) = (self.0.state.borrow(), now());
         let withheld = |upstream, limit| match state.permits.access(upstream, Some(limit), now) {
             Access::Withheld(until) => Some((upstream, until)),
             Access::Unlimited | Access::Permitted | Access::Unknown => None,
@@ -122,6 +121,11 @@
             .collect()
     }
 
+    /// Whether any limit is in force.
+    pub(crate) fn has_limits(&self) -> bool {
+        self.0.state.borrow().table.has_limits()
+    }
+
     /// The limit in force of an upstream.
     pub(crate) fn limit(&self, upstream: UpstreamKey) -> Option<RateLimit> {
         self.0.state.borrow().table.limit(upstream)
--- a/crates/limits/src/coordinator.rs
+++ b/crates/limits/src/coordinator.rs
@@ -190,6 +190,12 @@
         retired
     }
 
+    /// Whether shares of any group are held or were asked for.
+    #[must_use]
+    pub fn has_groups(&self) -> bool {
+        !self.groups.is_empty()
+    }
+
     /// Forgets the schedules of upstreams that have no limit.
     pub fn retain(&mut self, is_limited: impl Fn(UpstreamKey) -> bool) {
         self.schedules.retain(|key, _| is_limited(*key));
