Wait for the shares of a limit, and learn of its end sooner

Right after a limit is named, and after a coordinator is replaced, the coordinator holds no shares. A request for which all upstreams were limited was refused with a second to come back; now it asks again after 50 ms, up to three times.

--- a/crates/gateway/src/rate_limits/permits.rs
+++ b/crates/gateway/src/rate_limits/permits.rs
@@ -41,6 +41,12 @@
 /// Decision on a call that is sent without a permit and counted afterwards.
 const DECISION_CHARGED: &str = "charged";
 
+/// Decision on a request whose coordinator holds no shares yet.
+const DECISION_NOT_READY: &str = "not_ready";
+
+/// Questions for one permit while the coordinator holds no shares.
+const MAX_QUESTIONS: usize = 4;
+
 /// How long a request may wait for its permits, and its rank among those that wait.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SlotWait {
@@ -161,10 +167,10 @@
         wait: SlotWait,
         cause: &str,
     ) -> Result<Option<Permit>, NotPermitted> {
-        let (key, asked_at) = (key_of(upstream), now());
+        let key = key_of(upstream);
         {
             let permits = &mut self.0.state.borrow_mut().permits;
-            if let Some(permit) = permits.take(key, Some(limit), asked_at) {
+            if let Some(permit) = permits.take(key, Some(limit), now()) {
                 return Ok(Some(permit));
             }
         }
@@ -173,7 +179,7 @@
             max_wait: wait.max_wait,
             rank: wait.rank,
         };
-        let decision = self.ask(upstream, &request).await;
+        let (asked_at, decision) = self.ask_until_ready(upstream, &request).await;
         let metrics = &self.0.parts.metrics;
         let (pause, returns) = match decision {
             Some(PermitDecision::Granted { delay }) => {
@@ -190,6 +196,11 @@
                 metrics.rate_limited_send(DECISION_REFUSED);
                 (earliest, returns)
             }
+            Some(PermitDecision::NotReady { pause }) => {
+                metrics.rate_limited_send(DECISION_NOT_READY);
+                (pause, NO_REPLY_RETURN)
+            }
+            None if self.limit(key).is_none() => return Ok(None),
             None => {
                 metrics.rate_limited_send(DECISION_UNANSWERED);
                 trace::permit_not_decided(cause, upstream);
@@ -201,6 +212,25 @@
         Err(NotPermitted { returns })
     }
 
+    /// Asks the coordinator of an upstream, again if it holds no shares yet and the request can
+    /// wait; returns when it was asked last, and no decision if it does not reply.
+    async fn ask_until_ready(
+        &self,
+        upstream: &Upstream,
+        request: &PermitRequest,
+    ) -> (Moment, Option<PermitDecision>) {
+        for _ in 1..MAX_QUESTIONS {
+            let asked_at = now();
+            match self.ask(upstream, request).await {
+                Some(PermitDecision::NotReady { pause }) if pause <= request.max_wait => {
+                    compio::time::sleep(pause).await;
+                }
+                decision => return (asked_at, decision),
+            }
+        }
+        (now(), self.ask(upstream, request).await)
+    }
+
     /// Asks the coordinator of an upstream; `None` if it does not reply.
     async fn ask(&self, upstream: &Upstream, request: &PermitRequest) -> Option<PermitDecision> {
         let group = &upstream.availability_zone;
--- a/crates/limits/examples/embed.rs
+++ b/crates/limits/examples/embed.rs
@@ -46,6 +46,7 @@
                 let permit = permits.granted(UPSTREAM, limit, now, delay);
                 println!("granted, may be sent in {:?}", permit.wait(now));
             }
+            PermitDecision::NotReady { pause } => println!("no shares yet, ask in {pause:?}"),
             PermitDecision::Refused { returns, .. } => println!("refused, return in {returns:?}"),
         }
     }
--- a/crates/limits/src/coordinator.rs
+++ b/crates/limits/src/coordinator.rs
@@ -13,11 +13,8 @@
 /// Rank from which requests are scheduled least far ahead.
 const LOWEST_RANK: u8 = 9;
 
-/// Time after which a daemon asks again while the coordinator holds no shares.
-const NO_SHARES_PAUSE: Duration = Duration::from_millis(50);
-
-/// When a caller may return that is refused while the coordinator holds no shares.
-const NO_SHARES_RETURN: Duration = Duration::from_secs(1);
+/// Time for the shares of a group to arrive after they were asked for.
+const SHARES_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest time that a refusal names.
 const LONGEST_RETURN: Duration = Duration::from_secs(60);
@@ -41,6 +38,11 @@
         /// Time from the request for the permit.
         delay: Duration,
     },
+    /// The coordinator holds no shares yet; it may be asked again after `pause`.
+    NotReady {
+        /// Time for the shares to arrive.
+        pause: Duration,
+    },
     /// The request can't be sent in time.
     Refused {
         /// Time until one that can wait could be sent.
@@ -118,9 +120,8 @@
     ) -> PermitDecision {
         let share = self.share(group, fleet, now);
         let Some(interval) = limit.interval(share, self.options.least_per_s) else {
-            return PermitDecision::Refused {
-                earliest: NO_SHARES_PAUSE,
-                returns: NO_SHARES_RETURN,
+            return PermitDecision::NotReady {
+                pause: SHARES_PAUSE,
             };
         };
         let (horizon, max_wait) = (self.horizon(request.rank), request.max_wait);
--- a/crates/limits/src/options.rs
+++ b/crates/limits/src/options.rs
@@ -20,7 +20,7 @@
             horizon: Duration::from_secs(1),
             permit_lifetime: Duration::from_millis(250),
             margin: Duration::from_millis(350),
-            least_per_s: 0.2,
+            least_per_s: 0.5,
             forget_daemon_after: Duration::from_secs(600),
         }
     }
@@ -49,7 +49,7 @@
     }
 
     /// Requests per second that are sent even if a limit is lower, as only an answer tells that
-    /// the limit has ended; 0.2 by default.
+    /// the limit has ended; 0.5 by default.
     #[must_use]
     pub fn least_per_s(mut self, per_s: f64) -> Self {
         self.least_per_s = per_s;
