--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,6 +86,7 @@
     request_counter: Cell<u64>,
     max_daemons_seen: Cell<usize>,
     daemons_counted_at: Cell<Option<Instant>>,
+    started: Instant,
 }
 
 impl Gateway {
@@ -110,6 +111,7 @@
             request_counter: Cell::new(0),
             max_daemons_seen: Cell::new(1),
             daemons_counted_at: Cell::new(None),
+            started: Instant::now(),
         }))
     }
 
@@ -263,6 +265,11 @@
         &self.0.retry_budget
     }
 
+    /// Time since this daemon started.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.0.started.elapsed()
+    }
+
     /// Calls to upstreams, on direct paths or through other daemons.
     pub(crate) fn upstream_client(&self) -> &UpstreamClient {
         &self.0.upstream_client
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -195,10 +195,17 @@
         let daemons = gateway.daemon_count();
         let budget = gateway.retry_budget();
         let is_allowed = budget.try_take(&call.service, daemons, Instant::now());
-        if is_allowed {
-            gateway.parts().metrics.retried();
-        } else {
-            trace::retry_refused(&call.id, &call.service, daemons);
+        trace::retry_decided(
+            &call.id,
+            &call.service,
+            daemons,
+            gateway.uptime(),
+            is_allowed,
+        );
+        let metrics = &gateway.parts().metrics;
+        match is_allowed {
+            true => metrics.retried(),
+            false => metrics.retry_refused(),
         }
         is_allowed
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -412,10 +412,22 @@
     log::info!(dependency = zone, reachable = is_reachable; "gateway: zone reachability changed");
 }
 
-/// The retry budget did not allow a retry.
-pub(crate) fn retry_refused(request: &str, service: &str, daemons: usize) {
-    log::info!(request = request, service = service, daemons = daemons;
-        "gateway: second send not allowed by the budget");
+/// The retry budget allowed a retry, or did not; `daemons` share the budget, and `uptime` is the
+/// time since this one started.
+pub(crate) fn retry_decided(
+    request: &str,
+    service: &str,
+    daemons: usize,
+    uptime: Duration,
+    is_allowed: bool,
+) {
+    let uptime_ms = milliseconds(uptime);
+    match is_allowed {
+        true => log::info!(request = request, service = service, daemons = daemons,
+            uptime_ms = uptime_ms; "gateway: second send allowed by the budget"),
+        false => log::info!(request = request, service = service, daemons = daemons,
+            uptime_ms = uptime_ms; "gateway: second send not allowed by the budget"),
+    }
 }
 
 /// A request was refused before it was placed.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -217,6 +217,11 @@
         self.0.instruments.retries.add(1, &[]);
     }
 
+    /// Counts an attempt that the retry budget did not allow.
+    pub fn retry_refused(&self) {
+        self.0.instruments.retries_refused.add(1, &[]);
+    }
+
     /// Counts a request that ran on an upstream when it crashed; `evidence` is a stable text.
     pub fn upstream_crashed(&self, evidence: &'static str) {
         let labels = [label("evidence", evidence)];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -25,6 +25,7 @@
     pub(super) tokens_relayed: Counter<u64>,
     pub(super) refusals: Counter<u64>,
     pub(super) retries: Counter<u64>,
+    pub(super) retries_refused: Counter<u64>,
     pub(super) upstream_errors: Counter<u64>,
     pub(super) upstream_crashes: Counter<u64>,
     pub(super) suspects_cleared: Counter<u64>,
@@ -78,6 +79,10 @@
             tokens_relayed: counter("tokens_relayed", "Tokens passed on to callers"),
             refusals: counter("refusals", "Refused requests, by reason"),
             retries: counter("retries", "Attempts after a request's first one"),
+            retries_refused: counter(
+                "retries_refused",
+                "Attempts after a request's first one that the retry budget did not allow",
+            ),
             upstream_errors: counter("upstream_errors", "Faults of upstreams, by step"),
             upstream_crashes: counter(
                 "upstream_crashes",
