Keep the retry budget of the fleet across restarts of its daemons

Callers saw: after restarts in series engines that shed got a third more repeats than the fleet's budget allows. Cause: the budget lived in the process, so each start had its whole share again, and until membership was known the share was that of a fleet of four (itself and the seeds). A limit over a window in a process that lives shorter than the window, and a share of a membership that is not known yet. Change: an incarnation younger than the window earns 0.17 of its share over it, an older one uses 0.7; the fixed part is earned once no new daemon was seen for 1 s, by the share of the zones in which daemons are known; requests that waited while a daemon was suspended earn nothing; shares are rounded at a point of each daemon's own.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -256,6 +256,7 @@
         spawn(rate_limits.coordinate()),
         spawn(gateway.clone().watch_zones()),
         spawn(gateway.clone().watch_paths()),
+        spawn(gateway.clone().watch_fleet()),
     ];
     Ok((gateway, peers, background_tasks))
 }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -4,7 +4,7 @@
 mod updates;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -441,6 +441,16 @@
         state.upstreams.iter().map(|entry| entry.key).collect()
     }
 
+    /// Availability zones of all known upstreams.
+    #[must_use]
+    pub fn zones(&self) -> BTreeSet<AvailabilityZone> {
+        let state = self.0.state.borrow();
+        let zones = state.upstreams.iter();
+        zones
+            .map(|entry| entry.registration.availability_zone.clone())
+            .collect()
+    }
+
     /// The registration of an upstream.
     #[must_use]
     pub fn registration(&self, upstream: UpstreamKey) -> Option<Upstream> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway, as a daemon uses it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 use mangofront_upstream::Connections;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::boot_clock::BootInstant;
 use crate::call;
 use crate::dialect::{Dialect, PromptPartId};
 use crate::drain::{Drain, Stage};
@@ -26,15 +27,15 @@
 use crate::quarantine::{QuarantinedPart, QuarantinedRequest, Suspects, Trials};
 use crate::rate_limits::{LimitStatus, RateLimits};
 use crate::reservations::ReservationClient;
-use crate::retry_budget::RetryBudget;
+use crate::retry_budget::{FleetShare, FleetView, RetryBudget};
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::{trace, zones};
 
 /// Body limit while no configuration is in force, in bytes.
 const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
-/// Age up to which the number of daemons is reused: counting takes as long as there are many.
-const DAEMON_COUNT_MAX_AGE: Duration = Duration::from_millis(500);
+/// Period with which the daemons are counted that share limits.
+const FLEET_PERIOD: Duration = Duration::from_millis(250);
 
 /// Dependencies of a [`Gateway`].
 pub struct GatewayParts {
@@ -84,8 +85,7 @@
     drain: Drain,
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
-    max_daemons_seen: Cell<usize>,
-    daemons_counted_at: Cell<Option<Instant>>,
+    fleet_share: RefCell<FleetShare>,
     started: Instant,
 }
 
@@ -93,7 +93,14 @@
     /// Creates a gateway.
     #[must_use]
     pub fn new(parts: GatewayParts) -> Self {
-        let retry_budget = RetryBudget::new(parts.options.retry_limit);
+        let own = xxh3_64(parts.options.instance.as_bytes());
+        let started = Instant::now();
+        let retry_budget = RetryBudget::new(
+            parts.options.retry_limit,
+            own ^ parts.peers.incarnation(),
+            started,
+        );
+        let fleet_share = FleetShare::new(own, BootInstant::now().since_boot());
         let upstream_client = upstream_client(&parts);
         let reservation_client = ReservationClient {
             upstreams: upstream_client.clone(),
@@ -109,9 +116,8 @@
             drain: Drain::default(),
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
-            max_daemons_seen: Cell::new(1),
-            daemons_counted_at: Cell::new(None),
-            started: Instant::now(),
+            fleet_share: RefCell::new(fleet_share),
+            started,
         }))
     }
 
@@ -305,18 +311,38 @@
     }
 
     /// Number of daemons that may be sending requests, this one included.
-    ///
-    /// It never decreases: a daemon that is no longer a member may still run behind a
-    /// network partition.
     pub(crate) fn daemon_count(&self) -> usize {
-        let counted_at = self.0.daemons_counted_at.get();
-        if counted_at.is_none_or(|at| at.elapsed() >= DAEMON_COUNT_MAX_AGE) {
-            let members = self.0.parts.peers.members().len();
-            let count = self.0.max_daemons_seen.get().max(members);
-            self.0.max_daemons_seen.set(count);
-            self.0.daemons_counted_at.set(Some(Instant::now()));
+        self.0.fleet_share.borrow().daemons()
+    }
+
+    /// Counts the daemons that share the retry budget, forever.
+    pub async fn watch_fleet(self) {
+        loop {
+            let now = BootInstant::now().since_boot();
+            let share = self
+                .0
+                .fleet_share
+                .borrow_mut()
+                .observe(&self.fleet_view(), now);
+            self.0.retry_budget.set_fixed_share(share, Instant::now());
+            compio::time::sleep(FLEET_PERIOD).await;
+        }
+    }
+
+    fn fleet_view(&self) -> FleetView {
+        let parts = self.parts();
+        let members = parts.peers.members();
+        let running = members.iter().filter(|member| member.state.is_responsive());
+        FleetView {
+            running: running
+                .map(|member| {
+                    let id = xxh3_64(member.instance.as_bytes());
+                    (id, member.availability_zone.clone())
+                })
+                .collect(),
+            zones: parts.upstreams.zones(),
+            lists_others: members.len() > 1,
         }
-        self.0.max_daemons_seen.get()
     }
 
     /// Ejects an upstream for a while, here and at the other daemons, after `request` failed
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,7 +67,7 @@
 pub use registrations::{
     Record, RegisterOutcome, RegistrationState, Registrations, Removal, RemovalOutcome,
 };
-pub use retry_budget::{RetryBudget, RetryLimit};
+pub use retry_budget::{FleetShare, FleetView, RetryBudget, RetryLimit};
 pub use source_availability::{AnsweredPeriod, SourceAvailability};
 pub use state_exchange::{
     StateExchange, StateExchangeError, StateExchangeOptions, StateExchangeParts,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -348,9 +348,8 @@
 
     /// Whether the retry budget allows another upstream to resume the stream.
     fn may_resume_elsewhere(&self) -> bool {
-        let daemons = self.gateway.daemon_count();
         let budget = self.gateway.retry_budget();
-        budget.has_room(&self.call.service, daemons, Instant::now())
+        budget.has_room(&self.call.service, Instant::now())
     }
 
     /// Has another upstream resume the stream after the last event.
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -3,18 +3,39 @@
 //!
 //! The limit applies to all daemons together, in any time window of its length. Each daemon
 //! uses a share of it without coordination: of the part that is proportional to the
-//! requests, that of its own requests; of the fixed part, an equal share.
+//! requests, that of its own requests; of the fixed part, the share that [`FleetShare`] tells.
+//!
+//! A daemon that restarts does not know what its previous incarnation used, and in a series of
+//! restarts nobody does. So an incarnation younger than the window earns retries slowly, from
+//! none at its start, and an older one uses no more than leaves room for what later incarnations
+//! could earn in the same window.
+
+mod fleet_share;
 
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::ServiceName;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Share of the limit that is used; the rest is a margin, as the time windows of the
-/// daemons differ.
+pub use fleet_share::{FleetShare, FleetView};
+
+/// Share of the limit that a daemon uses that has run for a whole window.
+///
+/// With [`STARTING_SHARE`] it leaves a margin, as the time windows of the daemons differ.
 const USABLE_SHARE: f64 = 0.7;
 
+/// Share of the limit that daemons earn in the first window after their starts, however often
+/// they start.
+const STARTING_SHARE: f64 = 0.17;
+
+/// Time between two updates of the fixed share after which this daemon was suspended.
+const SUSPENDED_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which a daemon that was suspended reads requests that were sent before.
+const BACKLOG_TIME: Duration = Duration::from_millis(500);
+
 /// Limit on retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -40,7 +61,26 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
-    services: RefCell<HashMap<ServiceName, SendTimes>>,
+    started: Instant,
+    salt: u64,
+    state: RefCell<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    services: HashMap<ServiceName, SendTimes>,
+    fixed_part: FixedPart,
+    /// When this daemon last woke from a suspension.
+    woke_at: Option<Instant>,
+}
+
+/// The share of the fixed part that belongs to this daemon.
+#[derive(Debug, Clone, Copy)]
+struct FixedPart {
+    share: f64,
+    since: Instant,
+    /// Sum of earlier shares, each times its duration in seconds.
+    earned_share_s: f64,
 }
 
 #[derive(Debug, Default)]
@@ -50,55 +90,118 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget from which nothing was taken.
+    /// A budget of a daemon that starts now; its share of the fixed part is not known yet. `salt`
+    /// is any number that differs between daemons
+    /// and their incarnations.
     #[must_use]
-    pub fn new(limit: RetryLimit) -> Self {
+    pub fn new(limit: RetryLimit, salt: u64, now: Instant) -> Self {
         Self {
             limit,
-            services: RefCell::default(),
+            started: now,
+            salt,
+            state: RefCell::new(State {
+                services: HashMap::new(),
+                fixed_part: FixedPart {
+                    share: 0.0,
+                    since: now,
+                    earned_share_s: 0.0,
+                },
+                woke_at: None,
+            }),
+        }
+    }
+
+    /// Sets the share of the fixed part that belongs to this daemon, from 0 to 1.
+    ///
+    /// It is set several times a second; a longer pause shows that this daemon was suspended.
+    pub fn set_fixed_share(&self, share: f64, now: Instant) {
+        let state = &mut *self.state.borrow_mut();
+        if state.is_late(now) {
+            state.woke_at = Some(now);
         }
+        state.fixed_part = FixedPart {
+            share,
+            since: now,
+            earned_share_s: state.fixed_part.earned_share_s(now),
+        };
     }
 
     /// Records a request to a service.
+    ///
+    /// One that waited while this daemon was suspended belongs to an earlier window, so it does
+    /// not count.
     pub fn record_request(&self, service: &str, now: Instant) {
-        let mut services = self.services.borrow_mut();
-        let sends = service_entry(&mut services, service);
+        let state = &mut *self.state.borrow_mut();
+        if state.is_late(now) || state.has_backlog(now) {
+            return;
+        }
+        let sends = state.sends(service);
         sends.forget(self.limit.window, now);
         sends.requests.push_back(now);
     }
 
-    /// Takes one retry if this daemon's share allows it; `daemons` is the number of daemons that
-    /// share the limit.
-    pub fn try_take(&self, service: &str, daemons: usize, now: Instant) -> bool {
-        let has_room = self.has_room(service, daemons, now);
+    /// Takes one retry if this daemon's share allows it.
+    pub fn try_take(&self, service: &str, now: Instant) -> bool {
+        let has_room = self.has_room(service, now);
         if has_room {
-            let mut services = self.services.borrow_mut();
-            service_entry(&mut services, service).retries.push_back(now);
+            let state = &mut *self.state.borrow_mut();
+            state.sends(service).retries.push_back(now);
         }
         has_room
     }
 
-    /// Whether this daemon's share allows one more retry; `daemons` is the number of daemons
-    /// that share the limit.
-    pub fn has_room(&self, service: &str, daemons: usize, now: Instant) -> bool {
-        let mut services = self.services.borrow_mut();
-        let sends = service_entry(&mut services, service);
+    /// Whether this daemon's share allows one more retry.
+    pub fn has_room(&self, service: &str, now: Instant) -> bool {
+        self.room(service, now) + self.rounding(service) >= 1.0
+    }
+
+    /// Part of a retry, from 0 to 1, by which this daemon's share is rounded up. It is spread
+    /// evenly over the daemons, so that all together lose nothing by rounding.
+    fn rounding(&self, service: &str) -> f64 {
+        xxh3_64_with_seed(service.as_bytes(), self.salt) as f64 / u64::MAX as f64
+    }
+
+    /// Retries that this daemon's share still allows; may be negative.
+    fn room(&self, service: &str, now: Instant) -> f64 {
+        let state = &mut *self.state.borrow_mut();
+        let fixed_part = state.fixed_part;
+        let sends = state.sends(service);
         sends.forget(self.limit.window, now);
         let by_requests = self.limit.ratio * sends.requests.len() as f64;
-        let fixed = self.limit.slack / daemons.max(1) as f64;
-        let allowed = USABLE_SHARE * (by_requests + fixed);
-        (sends.retries.len() + 1) as f64 <= allowed
+        let window_s = self.limit.window.as_secs_f64();
+        let is_starting = now.saturating_duration_since(self.started) < self.limit.window;
+        let (usable, fixed_share) = match is_starting {
+            true => (STARTING_SHARE, fixed_part.earned_share_s(now) / window_s),
+            false => (USABLE_SHARE, fixed_part.share),
+        };
+        usable * (by_requests + self.limit.slack * fixed_share) - sends.retries.len() as f64
     }
 }
 
-fn service_entry<'a>(
-    services: &'a mut HashMap<ServiceName, SendTimes>,
-    service: &str,
-) -> &'a mut SendTimes {
-    if !services.contains_key(service) {
-        services.insert(service.to_owned(), SendTimes::default());
+impl FixedPart {
+    fn earned_share_s(&self, now: Instant) -> f64 {
+        let time = now.saturating_duration_since(self.since);
+        self.earned_share_s + self.share * time.as_secs_f64()
+    }
+}
+
+impl State {
+    fn is_late(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.fixed_part.since) > SUSPENDED_AFTER
+    }
+
+    fn has_backlog(&self, now: Instant) -> bool {
+        let woke_at = self.woke_at;
+        woke_at.is_some_and(|at| now.saturating_duration_since(at) < BACKLOG_TIME)
+    }
+
+    fn sends(&mut self, service: &str) -> &mut SendTimes {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_owned(), SendTimes::default());
+        }
+        self.services.entry(service.to_owned()).or_default()
     }
-    services.entry(service.to_owned()).or_default()
 }
 
 impl SendTimes {
