--- a/crates/gateway/src/retry_budget/fleet_share.rs
+++ b/crates/gateway/src/retry_budget/fleet_share.rs
@@ -72,8 +72,12 @@
                 self.seen_zones.insert(zone.clone());
             }
         }
-        let is_alone = daemons == 1 && view.lists_others;
-        if is_alone || self.is_learning(now) {
+        let is_alone = daemons == 1;
+        let is_known = match is_alone {
+            true => !view.lists_others,
+            false => !self.is_learning(now),
+        };
+        if !is_known {
             return 0.0;
         }
         self.share_of_zones(view, now) / daemons as f64
