Do not record crashes of upstreams that are over their connection limit

Callers saw: requests refused near a quarantine and upstreams left out by all daemons, of upstreams that worked; what the users saw of partitioned daemons was not reproduced. Cause: an upstream over its limit resets new connections, of the request, of this daemon's probe and of the witnesses, and each counted as its exit; a reset as a connection opened read like a refusal; a witness that had lost its paths to one service proved them by another. What a few see of a path stands for the state of the upstream. Change: the end of a process closes all its connections at once, so one that stays open, at this daemon or at any witness, shows that it runs; a refusal is told from a reset; witnesses prove their paths by another upstream of the same service that is not ejected; nine more are asked if none of three reaches it; refusals that all alike see count without proof, and a probe is made on a path that counts as lost, so that the end of all engines at once is recorded. The examination is logged with what each side saw.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -460,23 +460,34 @@
             .map(|entry| entry.registration.clone())
     }
 
-    /// Up to `count` upstreams other than `except` that take work, those of the own zone
-    /// first.
+    /// Up to `count` upstreams other than `except` that take work: of its service alone, if that
+    /// has others. Those that are not ejected come first, and then those of the own zone.
     #[must_use]
     pub fn draw_others(&self, except: UpstreamKey, count: usize) -> Vec<Upstream> {
         let mut state = self.0.state.borrow_mut();
         let turn = state.next_work;
         state.next_work += 1;
+        let service = state
+            .upstream_mut(except)
+            .map(|entry| entry.registration.service.clone());
         let rank = |key: UpstreamKey| xxh3_64_with_seed(&key.to_le_bytes(), turn);
-        let mut others: Vec<&Upstream> = state
+        let now = self.now();
+        let others = state
             .upstreams
             .iter()
-            .filter(|entry| entry.key != except && !entry.registration.leaving)
-            .map(|entry| &entry.registration)
-            .collect();
+            .filter(|entry| entry.key != except && !entry.registration.leaving);
+        let (mut others, rest): (Vec<&UpstreamState>, Vec<&UpstreamState>) =
+            others.partition(|entry| service.as_ref() == Some(&entry.registration.service));
+        if others.is_empty() {
+            others = rest;
+        }
         let is_remote = |one: &Upstream| one.availability_zone != self.0.availability_zone;
-        others.sort_by_key(|one| (is_remote(one), rank(key_of(one))));
-        others.into_iter().take(count).cloned().collect()
+        others.sort_by_key(|entry| {
+            let is_ejected = entry.health.is_ejected(now);
+            (is_ejected, is_remote(&entry.registration), rank(entry.key))
+        });
+        let others = others.into_iter().take(count);
+        others.map(|entry| entry.registration.clone()).collect()
     }
 
     /// Number of known upstreams.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -325,6 +325,7 @@
                 .borrow_mut()
                 .observe(&self.fleet_view(), now);
             self.0.retry_budget.set_fixed_share(share, Instant::now());
+            self.parts().metrics.retry_share(share);
             compio::time::sleep(FLEET_PERIOD).await;
         }
     }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -163,6 +163,11 @@
         table.has_received_within(time, Instant::now())
     }
 
+    /// Whether a byte arrived from an upstream after `since`.
+    pub(crate) fn has_received_since(&self, upstream: UpstreamKey, since: Instant) -> bool {
+        self.0.table.borrow().has_received_since(upstream, since)
+    }
+
     /// Whether any path is not in use.
     pub(crate) fn has_outage(&self) -> bool {
         self.0.table.borrow().has_outage()
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use mangofront_paths::PathFault;
 use mangofront_routes::Upstream;
-use mangofront_upstream::{Connections, FreshConnection, SendError, Target};
+use mangofront_upstream::{ConnectionFault, Connections, FreshConnection, SendError, Target};
 
 /// Time for an upstream to accept a connection: one that accepts none in this time is down
 /// or unreachable.
@@ -34,6 +34,8 @@
     Answered,
     /// It accepted a connection and did not answer in time.
     Silent,
+    /// It closed each new connection and keeps others open, as it has too many.
+    Overloaded,
     /// It closed each new connection.
     Closed,
     /// It accepted no connection in time.
@@ -43,19 +45,33 @@
 }
 
 impl ProbeResult {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Answered,
         Self::Silent,
+        Self::Overloaded,
         Self::Closed,
         Self::NotConnected,
         Self::Refused,
     ];
 
+    /// The result of a connection that could not be opened.
+    pub(crate) fn of_failed_connect(error: &SendError) -> Self {
+        let SendError::ConnectionFailed { fault, .. } = error else {
+            return Self::NotConnected;
+        };
+        match fault {
+            ConnectionFault::Refused => Self::Refused,
+            ConnectionFault::Reset => Self::Closed,
+            ConnectionFault::Other => Self::NotConnected,
+        }
+    }
+
     /// Name in logs and between daemons; it must not change.
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Answered => "answered",
             Self::Silent => "does not answer",
+            Self::Overloaded => "keeps connections and closes new ones",
             Self::Closed => "closes new connections",
             Self::NotConnected => "takes no connection in time",
             Self::Refused => "refuses connections",
@@ -70,16 +86,17 @@
     pub(crate) fn fault(self) -> Option<PathFault> {
         match self {
             Self::Answered => None,
-            Self::Closed | Self::Refused => Some(PathFault::Refused),
+            Self::Overloaded | Self::Closed | Self::Refused => Some(PathFault::Refused),
             Self::Silent | Self::NotConnected => Some(PathFault::Silent),
         }
     }
 
-    /// Whether an upstream that only this daemon knows of would count as exited.
-    pub(crate) fn suggests_exit(self) -> bool {
+    /// Whether the upstream certainly runs: the end of a process closes all its connections at
+    /// once.
+    pub(crate) fn shows_life(self) -> bool {
         match self {
-            Self::Answered | Self::Silent => false,
-            Self::Closed | Self::NotConnected | Self::Refused => true,
+            Self::Answered | Self::Silent | Self::Overloaded => true,
+            Self::Closed | Self::NotConnected | Self::Refused => false,
         }
     }
 }
@@ -98,8 +115,7 @@
     for _ in 0..MAX_CONNECTIONS {
         let deadline = Instant::now() + CONNECT_TIMEOUT;
         result = match connections.open(&target, deadline).await {
-            Err(SendError::Timeout { .. }) => ProbeResult::NotConnected,
-            Err(_) => ProbeResult::Refused,
+            Err(error) => ProbeResult::of_failed_connect(&error),
             Ok(opened) => match path {
                 Some(path) => request_answer(opened, upstream, path).await,
                 None => settle(opened).await,
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -12,14 +12,20 @@
 use mangofront_http::Outcome;
 use mangofront_routes::Upstream;
 use mangofront_settings::ids::InstanceId;
-use mangofront_upstream::{Connections, SendError, Step, Target, UpstreamResponse};
+use mangofront_upstream::{
+    ConnectionFault, Connections, SendError, Step, Target, UpstreamResponse,
+};
 
 use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
 use super::selection::{OutstandingAttempt, Proxy, ProxySelection};
 use crate::probe::ProbeResult;
 
-/// Daemons that are asked to probe an upstream.
-const WITNESSES: usize = 3;
+/// Daemons that are asked first to probe an upstream, and those that are asked if none of them
+/// reaches it: a partition may have cut off the first ones.
+const WITNESSES: [usize; 2] = [3, 9];
+
+/// Other daemons that have to be refused for it to count if none can prove its paths.
+const LEAST_UNPROVEN_REFUSALS: usize = 2;
 
 /// Daemons that are tried as proxies for one attempt.
 const MAX_PROXIES: usize = 4;
@@ -84,6 +90,53 @@
     Unknown(SendError),
 }
 
+/// What one daemon says of an upstream that it probed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Statement {
+    /// It answers that daemon.
+    Answers(InstanceId),
+    /// It does not, and another upstream of its service does.
+    Fails(ProbeResult),
+    /// It refuses connections, and no other upstream of its service answers either.
+    RefusesWithoutProof,
+    /// That daemon has no path to it.
+    NoPath,
+}
+
+/// What other daemons say of an upstream that they probed.
+#[derive(Debug, Default)]
+pub(crate) struct Testimony {
+    /// A daemon that it answers.
+    pub(crate) answered_by: Option<InstanceId>,
+    /// How it fails, by daemons that reach another upstream of its service.
+    pub(crate) failures: Vec<ProbeResult>,
+    /// Daemons whose connections it refuses and that reach no other upstream of its service.
+    pub(crate) unproven_refusals: usize,
+    /// Daemons without a path to it.
+    pub(crate) without_path: usize,
+}
+
+impl Testimony {
+    fn add(&mut self, statement: Option<Statement>) {
+        match statement {
+            Some(Statement::Answers(witness)) => self.answered_by = Some(witness),
+            Some(Statement::Fails(result)) => self.failures.push(result),
+            Some(Statement::RefusesWithoutProof) => self.unproven_refusals += 1,
+            Some(Statement::NoPath) => self.without_path += 1,
+            None => {}
+        }
+    }
+
+    /// Whether all daemons say alike that nothing listens at its address. It can be no path of
+    /// theirs unless each of them has lost it in the same way.
+    pub(crate) fn refuses_all(&self) -> bool {
+        self.answered_by.is_none()
+            && self.failures.is_empty()
+            && self.without_path == 0
+            && self.unproven_refusals >= LEAST_UNPROVEN_REFUSALS
+    }
+}
+
 impl ProxyClient {
     /// Creates a client for the daemon `instance`; `connections` are to other daemons.
     pub(crate) fn new(
@@ -166,32 +219,30 @@
         }
     }
 
-    /// Has a few other daemons probe an upstream at once; `None` if no daemon with a path to
-    /// upstreams told a result.
+    /// Has other daemons probe an upstream.
     ///
     /// An upstream that answers one of them works, whatever the others see.
-    pub(crate) async fn probe(&self, upstream: &Upstream) -> Option<(InstanceId, ProbeResult)> {
-        let witnesses = self.selection.witnesses(upstream, WITNESSES);
-        let mut probes: FuturesUnordered<_> = witnesses
-            .iter()
-            .map(|witness| self.probe_through(witness, upstream))
-            .collect();
-        let mut failed = None;
-        while let Some(probed) = probes.next().await {
-            match probed {
-                Some((_, ProbeResult::Answered)) => return probed,
-                Some(_) => failed = probed,
-                None => {}
+    pub(crate) async fn probe(&self, upstream: &Upstream) -> Testimony {
+        let mut testimony = Testimony::default();
+        let mut asked = Vec::new();
+        for count in WITNESSES {
+            let witnesses = self.selection.witnesses(upstream, &asked, count);
+            asked.extend(witnesses.iter().map(|witness| witness.instance.clone()));
+            let mut probes: FuturesUnordered<_> = witnesses
+                .iter()
+                .map(|witness| self.probe_through(witness, upstream))
+                .collect();
+            while let Some(statement) = probes.next().await {
+                testimony.add(statement);
+                if testimony.answered_by.is_some() {
+                    return testimony;
+                }
             }
         }
-        failed
+        testimony
     }
 
-    async fn probe_through(
-        &self,
-        witness: &Proxy,
-        upstream: &Upstream,
-    ) -> Option<(InstanceId, ProbeResult)> {
+    async fn probe_through(&self, witness: &Proxy, upstream: &Upstream) -> Option<Statement> {
         let request = Request::new(Full::new(Bytes::new()));
         let deadline = Instant::now() + PROBE_TIMEOUT;
         let times = Times {
@@ -200,26 +251,28 @@
         };
         let kind = AttemptKind::Probe;
         let sent = self.send_through(witness, upstream, request, kind, times, || true);
-        let result = match sent.await {
+        match sent.await {
             Ok(Reply::Answered(answer)) => {
                 // Read to the end, so that the connection can be reused.
                 let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
-                ProbeResult::Answered
+                Some(Statement::Answers(witness.instance.clone()))
             }
             Ok(Reply::NotSent(ProxyOutcome::Unreachable, evidence)) => {
-                ProbeResult::from_name(&evidence)?
+                ProbeResult::from_name(&evidence).map(Statement::Fails)
             }
-            Ok(Reply::NotSent(ProxyOutcome::NoPath, _)) => {
+            Ok(Reply::NotSent(ProxyOutcome::NoPath, evidence)) => {
+                if ProbeResult::from_name(&evidence) == Some(ProbeResult::Refused) {
+                    return Some(Statement::RefusesWithoutProof);
+                }
                 self.selection.record_no_path(witness, key_of(upstream));
-                return None;
+                Some(Statement::NoPath)
             }
-            Ok(Reply::NotSent(..) | Reply::Unknown(_)) => return None,
+            Ok(Reply::NotSent(..) | Reply::Unknown(_)) => None,
             Err(_) => {
                 self.selection.record_failure(witness);
-                return None;
+                None
             }
-        };
-        Some((witness.instance.clone(), result))
+        }
     }
 
     async fn send_through(
@@ -263,6 +316,7 @@
             (ProxyOutcome::Answered, _) => Ok(Reply::Answered(answer)),
             (ProxyOutcome::Unknown, reason) => Ok(Reply::Unknown(SendError::ConnectionFailed {
                 step: Step::Head,
+                fault: ConnectionFault::Other,
                 peer: upstream.id.clone(),
                 cause: format!("{reason}, through {}", proxy.instance),
             })),
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -120,13 +120,19 @@
             .min_by_key(|one| self.load(one))
     }
 
-    /// Up to `count` daemons that may tell whether an upstream works, drawn from all zones.
-    pub(crate) fn witnesses(&self, upstream: &Upstream, count: usize) -> Vec<Proxy> {
+    /// Up to `count` daemons that may tell whether an upstream works, drawn from all zones, except
+    /// those in `asked`.
+    pub(crate) fn witnesses(
+        &self,
+        upstream: &Upstream,
+        asked: &[InstanceId],
+        count: usize,
+    ) -> Vec<Proxy> {
         let key = mangofront_engines::key_of(upstream);
         let now = Instant::now();
-        let members = self
-            .members()
-            .filter(|one| !self.is_paused(one, Reason::NoPath(key), now));
+        let members = self.members().filter(|one| {
+            !asked.contains(&one.instance) && !self.is_paused(one, Reason::NoPath(key), now)
+        });
         let (failed, others): (Vec<Proxy>, Vec<Proxy>) =
             members.partition(|one| self.is_paused(one, Reason::Failed, now));
         let mut witnesses = self.draw(others, count);
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -155,12 +155,13 @@
     let Some(upstream) = upstream else {
         return Err(refused("the upstream is not known"));
     };
-    if gateway.upstream_client().paths().route(order.upstream) == Route::Proxied {
-        return Err(NotAnswered::new(ProxyOutcome::NoPath, "its path is lost"));
-    }
+    // A path may count as lost just because the upstream has exited, so it is probed all the same.
     if order.kind == AttemptKind::Probe {
         return probe(gateway, &upstream).await;
     }
+    if gateway.upstream_client().paths().route(order.upstream) == Route::Proxied {
+        return Err(NotAnswered::new(ProxyOutcome::NoPath, "its path is lost"));
+    }
     let expires = arrived + order.time_left;
     let request = build_request(head, body);
     let sent = send(gateway, &upstream, request, order.kind, expires).await;
@@ -192,7 +193,8 @@
 /// Tells whether an upstream is down or this daemon has no path to upstreams.
 async fn distinguish(gateway: &Gateway, upstream: &Upstream, failed: ProbeResult) -> NotAnswered {
     let client = gateway.upstream_client();
-    let outcome = match client.reaches_another(upstream).await {
+    let is_told = failed.shows_life() || client.reaches_another(upstream).await;
+    let outcome = match is_told {
         true => ProxyOutcome::Unreachable,
         false => {
             if let Some(fault) = failed.fault() {
@@ -205,10 +207,7 @@
 }
 
 async fn explain_failure(gateway: &Gateway, upstream: &Upstream, error: &SendError) -> NotAnswered {
-    let failed = match error {
-        SendError::Timeout { .. } => ProbeResult::NotConnected,
-        _ => ProbeResult::Refused,
-    };
+    let failed = ProbeResult::of_failed_connect(error);
     distinguish(gateway, upstream, failed).await
 }
 
--- a/crates/gateway/src/quarantine/crash.rs
+++ b/crates/gateway/src/quarantine/crash.rs
@@ -149,10 +149,8 @@
         silent.contains(&upstream.availability_zone)
     };
     match evidence {
-        ProbeResult::Answered | ProbeResult::Silent => None,
+        _ if evidence.shows_life() => None,
         ProbeResult::NotConnected if is_zone_silent() => None,
-        ProbeResult::NotConnected | ProbeResult::Closed | ProbeResult::Refused => {
-            Some(CrashEvidence::Probe(evidence))
-        }
+        _ => Some(CrashEvidence::Probe(evidence)),
     }
 }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -20,11 +20,14 @@
 use crate::fingerprint::Fingerprint;
 use crate::history::{History, RATE_LIMITED};
 use crate::lease::Lease;
+use crate::probe::ProbeResult;
 use crate::provenance::Provenance;
+use crate::proxy::Testimony;
 use crate::published::Published;
 use crate::quarantine::{LostAttempt, format_suspect};
 use crate::rate_limits::LimitSource;
 use crate::refusal::Refusal;
+use crate::upstream_client::Verdict;
 
 /// Prompt parts that one line lists.
 const MAX_LOGGED_PARTS: usize = 16;
@@ -412,6 +415,26 @@
     log::info!(dependency = zone, reachable = is_reachable; "gateway: zone reachability changed");
 }
 
+/// An upstream that did not answer this daemon was examined.
+pub(crate) fn upstream_examined(
+    upstream: &Upstream,
+    own: Option<ProbeResult>,
+    testimony: &Testimony,
+    verdict: Verdict,
+) {
+    let names: Vec<&str> = testimony.failures.iter().map(|one| one.name()).collect();
+    log::info!(
+        upstream = upstream.id.as_str(),
+        verdict = verdict.name(),
+        own = own.map_or("no path", ProbeResult::name),
+        answered_by = testimony.answered_by.as_deref().unwrap_or_default(),
+        failures = names.join(", ").as_str(),
+        unproven_refusals = testimony.unproven_refusals,
+        without_path = testimony.without_path;
+        "gateway: upstream examined"
+    );
+}
+
 /// The retry budget allowed a retry, or did not; `daemons` share the budget, and `uptime` is the
 /// time since this one started.
 pub(crate) fn retry_decided(
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -25,9 +25,9 @@
 use mangofront_http::Outcome;
 use mangofront_paths::{PathFault, Route};
 use mangofront_routes::Upstream;
-use mangofront_settings::ids::InstanceId;
+use mangofront_settings::ids::{InstanceId, ServiceName};
 use mangofront_telemetry::metrics::Metrics;
-use mangofront_upstream::{Connections, SendError, Step, UpstreamResponse};
+use mangofront_upstream::{ConnectionFault, Connections, SendError, Step, UpstreamResponse};
 
 use crate::paths::{Paths, PendingAttempt};
 use crate::probe::target_of;
@@ -131,8 +131,8 @@
     parts: UpstreamClientParts,
     paths: Paths,
     examinations: RefCell<HashMap<UpstreamKey, Examination>>,
-    /// When another upstream last answered a probe, and which one.
-    last_proof: RefCell<Option<(Instant, UpstreamKey)>>,
+    /// When an upstream of each service last answered a probe for proof, and which one.
+    last_proofs: RefCell<HashMap<ServiceName, (Instant, UpstreamKey)>>,
 }
 
 impl UpstreamClient {
@@ -142,7 +142,7 @@
             parts,
             paths: Paths::default(),
             examinations: RefCell::default(),
-            last_proof: RefCell::default(),
+            last_proofs: RefCell::default(),
         }))
     }
 
@@ -327,6 +327,7 @@
                 Err(UpstreamCallError::NotConnected(
                     SendError::ConnectionFailed {
                         step: Step::Connect,
+                        fault: ConnectionFault::Other,
                         peer: call.upstream.id.clone(),
                         cause: evidence.name().to_owned(),
                     },
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -13,6 +13,8 @@
 
 use super::UpstreamClient;
 use crate::probe::{ProbeResult, probe};
+use crate::proxy::Testimony;
+use crate::trace;
 
 /// Period with which lost and silent paths are looked for.
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
@@ -20,6 +22,9 @@
 /// Looks after which paths to upstreams that are gone are dropped.
 const TICKS_PER_RETAIN: u64 = 40;
 
+/// Time in which the end of a process is noticed on all connections to it.
+const END_NOTICE_TIME: Duration = Duration::from_millis(50);
+
 /// Time for which the proof that this daemon reaches some upstream is good.
 const PROOF_LIFETIME: Duration = Duration::from_millis(300);
 
@@ -29,7 +34,7 @@
 /// Cause of a probe, for logs.
 const PROBE_CAUSE: &str = "probe";
 
-/// Other upstreams that are probed to prove that this daemon reaches any.
+/// Other upstreams of a service that are probed to prove that this daemon reaches any.
 const PROOF_PROBES: usize = 2;
 
 /// An examination that several tasks may wait for.
@@ -49,6 +54,18 @@
     Unknown,
 }
 
+impl Verdict {
+    /// Name in logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Answers => "answers",
+            Self::PathLost => "path lost",
+            Self::Fails(result) => result.name(),
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 impl UpstreamClient {
     /// Ejects an upstream after a failure, and examines whether the upstream or the path
     /// failed.
@@ -96,25 +113,43 @@
         if own == Some(ProbeResult::Answered) {
             return Verdict::Answers;
         }
-        let proxies = &self.0.parts.proxies;
-        match (proxies.probe(upstream).await, own) {
-            (Some((witness, ProbeResult::Answered)), Some(own)) => {
-                if let Some(fault) = own.fault() {
-                    self.0.paths.lose(upstream, fault, started, &witness);
+        let testimony = self.0.parts.proxies.probe(upstream).await;
+        let verdict = self.verdict(own, &testimony);
+        trace::upstream_examined(upstream, own, &testimony, verdict);
+        match verdict {
+            Verdict::PathLost => {
+                let fault = own.and_then(ProbeResult::fault);
+                if let (Some(fault), Some(witness)) = (fault, &testimony.answered_by) {
+                    self.0.paths.lose(upstream, fault, started, witness);
+                    self.0.parts.upstreams.forgive(key);
                 }
-                self.0.parts.upstreams.forgive(key);
-                Verdict::PathLost
             }
-            (Some((_, ProbeResult::Answered)), None) => Verdict::PathLost,
-            (Some((_, evidence)), Some(own)) if evidence.suggests_exit() => Verdict::Fails(own),
-            (Some((_, evidence)), _) => Verdict::Fails(evidence),
-            (None, Some(own)) if proxies.is_alone() => Verdict::Fails(own),
-            (None, own) => {
+            Verdict::Unknown => {
                 if let Some(fault) = own.and_then(ProbeResult::fault) {
                     self.0.paths.suspect(upstream, fault, started);
                 }
-                Verdict::Unknown
             }
+            Verdict::Answers | Verdict::Fails(_) => {}
+        }
+        verdict
+    }
+
+    /// What the failed probe of this daemon, if it has a path, and those of others show.
+    fn verdict(&self, own: Option<ProbeResult>, testimony: &Testimony) -> Verdict {
+        if testimony.answered_by.is_some() {
+            return Verdict::PathLost;
+        }
+        if let Some(first) = testimony.failures.first() {
+            let mut results = testimony.failures.iter().chain(&own);
+            let sign_of_life = results.find(|result| result.shows_life());
+            return Verdict::Fails(*sign_of_life.unwrap_or(own.as_ref().unwrap_or(first)));
+        }
+        match own {
+            Some(own) if self.0.parts.proxies.is_alone() => Verdict::Fails(own),
+            Some(ProbeResult::Refused) | None if testimony.refuses_all() => {
+                Verdict::Fails(ProbeResult::Refused)
+            }
+            _ => Verdict::Unknown,
         }
     }
 
@@ -128,7 +163,16 @@
         if path.is_some() {
             self.0.parts.limits.charge(upstream, PROBE_CAUSE);
         }
+        let started = Instant::now();
         let result = probe(&self.0.parts.connections, upstream, path.as_deref()).await;
+        let result = match result {
+            ProbeResult::Closed | ProbeResult::Refused
+                if self.stays_connected(upstream, started).await =>
+            {
+                ProbeResult::Overloaded
+            }
+            result => result,
+        };
         match result.fault() {
             None => {
                 self.0.paths.prove(upstream);
@@ -139,12 +183,35 @@
         result
     }
 
-    /// Whether this daemon reaches any upstream but `except`, by a new connection.
+    /// Whether connections to an upstream are open for longer than it takes to notice their end.
+    async fn stays_connected(&self, upstream: &Upstream, since: Instant) -> bool {
+        if !self.is_connected(upstream, since) {
+            return false;
+        }
+        compio::time::sleep(END_NOTICE_TIME).await;
+        self.is_connected(upstream, since + END_NOTICE_TIME)
+    }
+
+    /// Whether a connection to an upstream is open, or brought something since `since`.
+    fn is_connected(&self, upstream: &Upstream, since: Instant) -> bool {
+        let idle = self.0.parts.connections.idle_addresses();
+        idle.contains(&upstream.address) || self.0.paths.has_received_since(key_of(upstream), since)
+    }
+
+    /// Whether this daemon reaches another upstream of the service of `except`, if there is one,
+    /// or else any other, by a new connection: a partition may be from one service alone.
     pub(crate) async fn reaches_another(&self, except: &Upstream) -> bool {
+        let service = &except.service;
         let except = key_of(except);
         let is_fresh =
-            |(at, key): (Instant, UpstreamKey)| key != except && at.elapsed() < PROOF_LIFETIME;
-        if self.0.last_proof.borrow().is_some_and(is_fresh) {
+            |(at, key): &(Instant, UpstreamKey)| *key != except && at.elapsed() < PROOF_LIFETIME;
+        if self
+            .0
+            .last_proofs
+            .borrow()
+            .get(service)
+            .is_some_and(is_fresh)
+        {
             return true;
         }
         let others = self.0.parts.upstreams.draw_others(except, PROOF_PROBES);
@@ -164,7 +231,8 @@
         let Ok(Some(key)) = answered else {
             return false;
         };
-        *self.0.last_proof.borrow_mut() = Some((Instant::now(), key));
+        let mut last_proofs = self.0.last_proofs.borrow_mut();
+        last_proofs.insert(service.clone(), (Instant::now(), key));
         true
     }
 
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -271,6 +271,14 @@
         last_received.is_some_and(|at| now.saturating_duration_since(at) < time)
     }
 
+    /// Whether a byte arrived from an upstream after `since`.
+    #[must_use]
+    pub fn has_received_since(&self, key: PathKey, since: Instant) -> bool {
+        let path = self.paths.get(&key);
+        let last_received = path.and_then(|path| path.last_received);
+        last_received.is_some_and(|at| at > since)
+    }
+
     /// Whether any path is not in use.
     #[must_use]
     pub fn has_outage(&self) -> bool {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -217,6 +217,13 @@
         self.0.instruments.retries.add(1, &[]);
     }
 
+    /// Sets this daemon's share of the fixed part of the retry budget, from 0 to 1; 0 while it is
+    /// not known.
+    pub fn retry_share(&self, share: f64) {
+        let gauge = &self.0.instruments.retry_share_ppm;
+        gauge.record((share * 1e6).round() as u64, &[]);
+    }
+
     /// Counts an attempt that the retry budget did not allow.
     pub fn retry_refused(&self) {
         self.0.instruments.retries_refused.add(1, &[]);
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -26,6 +26,7 @@
     pub(super) refusals: Counter<u64>,
     pub(super) retries: Counter<u64>,
     pub(super) retries_refused: Counter<u64>,
+    pub(super) retry_share_ppm: Gauge<u64>,
     pub(super) upstream_errors: Counter<u64>,
     pub(super) upstream_crashes: Counter<u64>,
     pub(super) suspects_cleared: Counter<u64>,
@@ -79,6 +80,12 @@
             tokens_relayed: counter("tokens_relayed", "Tokens passed on to callers"),
             refusals: counter("refusals", "Refused requests, by reason"),
             retries: counter("retries", "Attempts after a request's first one"),
+            retry_share_ppm: meter
+                .u64_gauge("retry_share_ppm")
+                .with_description(
+                    "Share of the fixed part of the retry budget of this daemon, in millionths",
+                )
+                .build(),
             retries_refused: counter(
                 "retries_refused",
                 "Attempts after a request's first one that the retry budget did not allow",
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -25,7 +25,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::Target;
-use crate::error::{SendError, Step};
+use crate::error::{ConnectionFault, SendError, Step};
 use crate::traffic::ControlTraffic;
 
 pub use response::UpstreamResponse;
@@ -185,7 +185,10 @@
             self.connect_socket(target.address),
         )
         .await?
-        .map_err(|error| connection_failed(target, Step::Connect, &error))?;
+        .map_err(|error| {
+            let fault = ConnectionFault::from(&error);
+            connection_failed_by(fault, target, Step::Connect, &error)
+        })?;
         // Without this option a call of two writes waits for an acknowledgement.
         // An error is ignored, as the call can be sent all the same.
         let _ = stream.set_nodelay(true);
@@ -353,6 +356,15 @@
     target: &Target,
     step: Step,
     error: &(impl std::error::Error + ?Sized),
+) -> SendError {
+    connection_failed_by(ConnectionFault::Other, target, step, error)
+}
+
+fn connection_failed_by(
+    fault: ConnectionFault,
+    target: &Target,
+    step: Step,
+    error: &(impl std::error::Error + ?Sized),
 ) -> SendError {
     let cause = match error.source() {
         Some(source) => format!("{error}: {source}"),
@@ -360,6 +372,7 @@
     };
     SendError::ConnectionFailed {
         step,
+        fault,
         peer: target.instance.clone(),
         cause,
     }
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -88,6 +88,7 @@
             }
             Err(error) => Err(SendError::ConnectionFailed {
                 step: Step::Body,
+                fault: crate::ConnectionFault::Other,
                 peer: self.target.instance.clone(),
                 cause: error.to_string(),
             }),
--- a/crates/upstream/src/engine/stream.rs
+++ b/crates/upstream/src/engine/stream.rs
@@ -179,6 +179,7 @@
     fn connection_failed(&self, cause: String) -> SendError {
         SendError::ConnectionFailed {
             step: Step::Body,
+            fault: crate::ConnectionFault::Other,
             peer: self.target.instance.clone(),
             cause,
         }
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of a call to an upstream.
 
+use std::io;
+
 use http::StatusCode;
 use mangofront_http::{ErrorDetail, Outcome};
 use mangofront_settings::ids::InstanceId;
@@ -31,6 +33,27 @@
     }
 }
 
+/// How a connection failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionFault {
+    /// The machine answered that nothing listens at the address.
+    Refused,
+    /// The other side reset it as it was opened, so something listens there.
+    Reset,
+    /// In another way, or after it was opened.
+    Other,
+}
+
+impl From<&io::Error> for ConnectionFault {
+    fn from(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted => Self::Reset,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// Reason why a call got no complete response.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -39,6 +62,8 @@
     ConnectionFailed {
         /// Step at which it failed.
         step: Step,
+        /// How it failed.
+        fault: ConnectionFault,
         /// Instance that was called.
         peer: InstanceId,
         /// Error message of the library.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,7 +14,7 @@
 mod traffic;
 
 pub use connection::{Connections, ConnectionsOptions, FreshConnection, UpstreamResponse};
-pub use error::{SendError, Step};
+pub use error::{ConnectionFault, SendError, Step};
 pub use traffic::ControlTraffic;
 
 use std::net::SocketAddr;
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -101,6 +101,7 @@
         .body(Full::new(call.body))
         .map_err(|error| SendError::ConnectionFailed {
             step: crate::Step::Send,
+            fault: crate::ConnectionFault::Other,
             peer: target.instance.clone(),
             cause: error.to_string(),
         })?;
