Send no new work to an upstream that says in its answers that it leaves

Callers saw: requests at an upstream that was about to exit, while the store, where it would be registered as leaving, was away. Cause: no code read what the answer says; what an upstream says of itself counted only as the store passed it on. Other daemons are told and prefer other upstreams, so that one daemon's word can't take the last one away.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -17,7 +17,7 @@
 use mangofront_adapter::{HeaderDialect, StoreClient};
 use mangofront_engines::Upstreams;
 use mangofront_gateway::{
-    Dialect, Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
+    Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
     RateLimitsParts, RetryLimit, StateExchange, StateExchangeOptions, StateExchangeParts, Trials,
     TrialsParts, peer_messages,
 };
@@ -189,7 +189,6 @@
     let (message_sender, messages) = peer_messages();
     let rate_limits = RateLimits::new(RateLimitsParts {
         instance: settings.instance.clone(),
-        dialect: Rc::clone(&dialect) as Rc<dyn Dialect>,
         upstreams: upstreams.clone(),
         peers: peers.clone(),
         updates: updates_sender,
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -47,6 +47,9 @@
     /// Every known upstream is leaving, or there is none.
     #[error("no upstream of the service is known")]
     NoneKnown,
+    /// Every upstream that was not tried asked this daemon for rest.
+    #[error("every upstream of the service asks for rest")]
+    Resting,
     /// Every upstream was tried already, or failed recently.
     #[error("every upstream of the service was tried already")]
     AllTried,
@@ -70,6 +73,7 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::NoneKnown => "no_upstream_known",
+            Self::Resting => "upstreams_resting",
             Self::AllTried => "all_upstreams_tried",
             Self::Busy => "upstreams_busy",
             Self::Overrun => "engines_overrun",
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -23,6 +23,7 @@
 mod large_prompts;
 mod layout;
 mod load_update;
+mod notices;
 mod placement;
 mod state;
 mod upstream_state;
--- a/crates/engines/src/load_update.rs
+++ b/crates/engines/src/load_update.rs
@@ -82,6 +82,11 @@
     },
     /// An upstream names a rate limit, or no longer does.
     RateLimit(LimitObservation),
+    /// An upstream told the sender that it leaves.
+    Leaving {
+        /// The upstream.
+        upstream: UpstreamKey,
+    },
 }
 
 /// One share of a placed request.
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -13,6 +13,7 @@
 use crate::incarnations::Incarnations;
 use crate::large_prompts::{LargePrompts, SizeClass};
 use crate::load_update::IncarnationId;
+use crate::notices::Notices;
 use crate::upstream_state::UpstreamState;
 use crate::work::{UpstreamKey, Work, WorkId};
 
@@ -53,6 +54,8 @@
     pub(crate) large_prompts: LargePrompts,
     /// What crashes upstreams.
     pub(crate) crashes: CrashTracker,
+    /// What upstreams say of themselves.
+    pub(crate) notices: Notices,
     /// Short prompts placed by other daemons.
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! Handle to all upstreams and the work on them.
 
 mod crash_records;
+mod notices;
 mod updates;
 
 use std::cell::RefCell;
@@ -212,20 +213,35 @@
         let available = || {
             let entries = state.upstreams.iter().zip(&loads);
             entries.filter(|(entry, _)| {
-                entry.registration.service == service && !entry.registration.leaving
+                entry.registration.service == service && !state.is_leaving(entry)
             })
         };
         if available().next().is_none() {
             return Err(NoUpstream::NoneKnown);
         }
-        let not_tried = || available().filter(|(entry, _)| !tried.contains(&entry.key));
+        let not_tried = || {
+            available().filter(|(entry, _)| {
+                !tried.contains(&entry.key) && state.notices.rest(entry.key, now).is_none()
+            })
+        };
+        if not_tried().next().is_none() && available().any(|(entry, _)| !tried.contains(&entry.key))
+        {
+            return Err(NoUpstream::Resting);
+        }
+        let is_not_said_to_leave =
+            |(entry, _): &(&UpstreamState, &Load)| !state.notices.is_said_to_leave(entry.key);
         let is_reachable = |(entry, _): &(&UpstreamState, &Load)| {
             !state.is_zone_unreachable(&entry.registration.availability_zone, now)
         };
         let is_not_ejected = |(entry, _): &(&UpstreamState, &Load)| !entry.health.is_ejected(now);
         let mut open: Vec<(&UpstreamState, &Load)> = not_tried()
-            .filter(|one| is_not_ejected(one) && is_reachable(one))
+            .filter(|one| is_not_ejected(one) && is_reachable(one) && is_not_said_to_leave(one))
             .collect();
+        if open.is_empty() {
+            open = not_tried()
+                .filter(|one| is_not_ejected(one) && is_reachable(one))
+                .collect();
+        }
         // An ejected upstream may be back, and costs less to try than one in an unreachable zone,
         // which takes a timeout.
         if open.is_empty() {
@@ -330,7 +346,7 @@
                 .upstreams
                 .iter()
                 .filter(|entry| {
-                    entry.registration.availability_zone == *zone && !entry.registration.leaving
+                    entry.registration.availability_zone == *zone && state.takes_work(entry, now)
                 })
                 .collect();
             let turn = state.next_work as usize;
@@ -379,7 +395,8 @@
         let open = state.upstreams.iter().zip(&loads).filter(|(entry, _)| {
             let registration = &entry.registration;
             registration.service == service
-                && !registration.leaving
+                && state.takes_work(entry, now)
+                && !state.notices.is_said_to_leave(entry.key)
                 && !entry.health.is_ejected(now)
                 && !state.is_zone_unreachable(&registration.availability_zone, now)
                 && !tried.contains(&entry.key)
@@ -427,7 +444,7 @@
         let is_open = |entry: &&UpstreamState| {
             let registration = &entry.registration;
             registration.service == service
-                && !registration.leaving
+                && state.takes_work(entry, now)
                 && !entry.health.is_ejected(now)
         };
         let open = state.upstreams.iter().filter(is_open);
@@ -475,7 +492,7 @@
         let others = state
             .upstreams
             .iter()
-            .filter(|entry| entry.key != except && !entry.registration.leaving);
+            .filter(|entry| entry.key != except && state.takes_work(entry, now));
         let (mut others, rest): (Vec<&UpstreamState>, Vec<&UpstreamState>) =
             others.partition(|entry| service.as_ref() == Some(&entry.registration.service));
         if others.is_empty() {
@@ -505,14 +522,6 @@
             .map(|entry| entry.registration.id.clone())
     }
 
-    /// Whether an upstream that was chosen may still be given work.
-    #[must_use]
-    pub fn accepts_work(&self, upstream: UpstreamKey) -> bool {
-        let mut state = self.0.state.borrow_mut();
-        let entry = state.upstream_mut(upstream);
-        entry.is_some_and(|entry| !entry.registration.leaving)
-    }
-
     /// Whether this incarnation of an upstream is registered.
     #[must_use]
     pub fn is_known(&self, upstream: UpstreamKey) -> bool {
@@ -529,14 +538,6 @@
         })
     }
 
-    /// Whether an upstream has announced its shutdown.
-    #[must_use]
-    pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
-        let mut state = self.0.state.borrow_mut();
-        let entry = state.upstream_mut(upstream);
-        entry.is_some_and(|entry| entry.registration.leaving)
-    }
-
     /// The upstream that listens on `address`.
     #[must_use]
     pub fn at_address(&self, address: SocketAddr) -> Option<UpstreamKey> {
--- a/crates/engines/src/upstreams/updates.rs
+++ b/crates/engines/src/upstreams/updates.rs
@@ -7,6 +7,7 @@
 use super::{CRASH_EJECTION, Upstreams};
 use crate::large_prompts::{Progress, SizeClass};
 use crate::load_update::{IncarnationId, LoadUpdate, placed_update, share_load};
+use crate::notices::Source;
 use crate::state::{LOCAL, State};
 use crate::work::{Work, WorkId};
 
@@ -86,6 +87,9 @@
                     entry.health.eject_for(time, now);
                 }
             }
+            LoadUpdate::Leaving { upstream } => {
+                state.notices.record_leaving(upstream, Source::Daemon, now);
+            }
             // Limits are kept by `mangofront-limits`.
             LoadUpdate::RateLimit(_) => {}
         }
@@ -135,6 +139,7 @@
         for suspect in state.crashes.with_most_crashes(REBROADCAST_CRASHES, true) {
             self.publish_crashes(&state, suspect, now);
         }
+        self.repeat_notices(&state, now);
         let ids = |is_prefilling| {
             local()
                 .filter(move |(_, work)| work.is_prefilling == is_prefilling)
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -292,14 +292,13 @@
     let upstream = &upstreams[0];
     let deadline = Instant::now() + head_timeout;
     // Since the upstream was selected, memory was reserved and a connection opened. The
-    // upstream may have announced its shutdown or named a limit since then, or this daemon
-    // may have been suspended.
-    let key = key_of(upstream);
+    // upstreams may have announced their shutdown, asked for rest or named a limit since then,
+    // or this daemon may have been suspended.
     let keys: Vec<UpstreamKey> = upstreams.iter().map(key_of).collect();
     let parts = gateway.parts();
     let is_still_wanted = || {
         let is_wanted = parts.published.may_be_acted_on()
-            && parts.upstreams.accepts_work(key)
+            && keys.iter().all(|key| parts.upstreams.accepts_work(*key))
             && permits.allow(&keys);
         if is_wanted {
             permits.spend(upstreams, &call.id);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -106,6 +106,8 @@
     pub at_fault: Option<SocketAddr>,
     /// The rate limit that the upstream names.
     pub rate_limit: NamedLimit,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Reads and writes the heads of one platform.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -378,6 +378,7 @@
         upstreams: parts.upstreams.clone(),
         published: parts.published.clone(),
         proxies: ProxyClient::new(instance, parts.peer_connections.clone(), selection),
+        dialect: Rc::clone(&parts.dialect),
         limits: parts.rate_limits.clone(),
         metrics: parts.metrics.clone(),
     })
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -301,8 +301,10 @@
     match reason {
         NoUpstream::Overrun => RETRY_AFTER_OVERRUN,
         NoUpstream::Full => RETRY_AFTER_SLOTS,
-        NoUpstream::NoneKnown | NoUpstream::AllTried | NoUpstream::Busy | NoUpstream::TooLarge => {
-            RETRY_AFTER_FULL
-        }
+        NoUpstream::NoneKnown
+        | NoUpstream::AllTried
+        | NoUpstream::Resting
+        | NoUpstream::Busy
+        | NoUpstream::TooLarge => RETRY_AFTER_FULL,
     }
 }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -16,7 +16,7 @@
     ConnectionFault, Connections, SendError, Step, Target, UpstreamResponse,
 };
 
-use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
+use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome, TAKES_NO_WORK};
 use super::selection::{OutstandingAttempt, Proxy, ProxySelection};
 use crate::probe::ProbeResult;
 
@@ -198,6 +198,10 @@
                 Ok(Reply::NotSent(ProxyOutcome::NoPath, _)) => {
                     self.selection.record_no_path(&proxy, key_of(upstream));
                 }
+                Ok(Reply::NotSent(_, reason)) if reason == TAKES_NO_WORK => {
+                    let peer = upstream.id.clone();
+                    return Err(ProxyError::Withdrawn(SendError::Withdrawn { peer }));
+                }
                 Ok(Reply::NotSent(..)) => self.selection.record_refusal(&proxy),
                 Ok(Reply::Unknown(error)) => return Err(ProxyError::Unknown(error)),
                 Err(error @ SendError::Withdrawn { .. }) => {
--- a/crates/gateway/src/proxy/headers.rs
+++ b/crates/gateway/src/proxy/headers.rs
@@ -18,6 +18,9 @@
 
 const ALL: [HeaderName; 6] = [SENDER, KIND, UPSTREAM, TIME_LEFT_MS, OUTCOME, REASON];
 
+/// Reason of a refusal by a proxy whose upstream leaves or asked it for rest; it must not change.
+pub(crate) const TAKES_NO_WORK: &str = "the upstream takes no new work";
+
 /// What a proxy is asked to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptKind {
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -16,7 +16,7 @@
 use mangofront_routes::Upstream;
 use mangofront_upstream::{SendError, UpstreamResponse};
 
-use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome};
+use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome, TAKES_NO_WORK};
 use crate::body_end::BodyEnd;
 use crate::gateway::{Gateway, InProgress};
 use crate::probe::{ProbeResult, target_of};
@@ -157,7 +157,10 @@
     };
     // A path may count as lost just because the upstream has exited, so it is probed all the same.
     if order.kind == AttemptKind::Probe {
-        return probe(gateway, &upstream).await;
+        return match gateway.parts().upstreams.rest(order.upstream) {
+            Some(_) => Err(refused("the upstream asked for rest")),
+            None => probe(gateway, &upstream).await,
+        };
     }
     if gateway.upstream_client().paths().route(order.upstream) == Route::Proxied {
         return Err(NotAnswered::new(ProxyOutcome::NoPath, "its path is lost"));
@@ -167,7 +170,14 @@
     let sent = send(gateway, &upstream, request, order.kind, expires).await;
     match sent {
         Ok(answer) => Ok(relay(gateway, &upstream, answer, attempt)),
-        Err(error @ SendError::Withdrawn { .. }) => Err(refused(&error.to_string())),
+        Err(error @ SendError::Withdrawn { .. }) => {
+            let takes_work = gateway.parts().upstreams.accepts_work(order.upstream);
+            let reason = match takes_work {
+                true => error.to_string(),
+                false => TAKES_NO_WORK.to_owned(),
+            };
+            Err(refused(&reason))
+        }
         Err(error) if error.outcome() == Outcome::NotRun => {
             Err(explain_failure(gateway, &upstream, &error).await)
         }
@@ -268,9 +278,8 @@
     };
     if let Ok(answer) = &sent {
         let id = id.unwrap_or_default();
-        gateway
-            .rate_limits()
-            .observe(upstream, answer, &id, sent_at);
+        let client = gateway.upstream_client();
+        client.observe_answer(upstream, answer, &id, sent_at);
         gateway.upstream_client().paths().receive(key);
         parts.upstreams.received_from(key);
     }
--- a/crates/gateway/src/rate_limits/mod.rs
+++ b/crates/gateway/src/rate_limits/mod.rs
@@ -31,7 +31,6 @@
 
 use crate::boot_clock::BootInstant;
 use crate::datagram::{Message, Nonce};
-use crate::dialect::Dialect;
 use crate::peer_messages::PeerMessageSender;
 use coordination::Coordinators;
 pub(crate) use messages::LimitMessage;
@@ -42,8 +41,6 @@
 pub struct RateLimitsParts {
     /// Name of this daemon.
     pub instance: InstanceId,
-    /// Reads the answers of upstreams.
-    pub dialect: Rc<dyn Dialect>,
     /// The upstreams.
     pub upstreams: Upstreams,
     /// Membership of the other daemons.
--- a/crates/gateway/src/rate_limits/observation.rs
+++ b/crates/gateway/src/rate_limits/observation.rs
@@ -5,9 +5,9 @@
 use mangofront_engines::{LoadUpdate, UpstreamKey, key_of};
 use mangofront_limits::{LimitChange, LimitObservation, Moment, NamedLimit};
 use mangofront_routes::Upstream;
-use mangofront_upstream::UpstreamResponse;
 
 use super::{RateLimits, now};
+use crate::dialect::AnswerHead;
 use crate::trace;
 
 /// Time in which sends to an upstream are counted for logs and status.
@@ -38,12 +38,10 @@
     pub(crate) fn observe(
         &self,
         upstream: &Upstream,
-        answer: &UpstreamResponse,
+        head: &AnswerHead,
         request_id: &str,
         sent_at: Moment,
     ) {
-        let dialect = &self.0.parts.dialect;
-        let head = dialect.read_answer(answer.status, &answer.headers);
         if head.wrong_upstream {
             return;
         }
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -51,6 +51,15 @@
     pub(crate) is_answered: bool,
 }
 
+/// What a reservation call is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// A request that has not been sent.
+    NewWork,
+    /// One that runs, or has ended; an upstream that leaves or rests is told of it all the same.
+    RunningWork,
+}
+
 #[derive(Debug, Clone)]
 struct Reservation {
     upstream: Upstream,
@@ -160,7 +169,7 @@
         .await
         .is_err()
     {
-        reserve(&client, &reservation, CALL_TIMEOUT).await;
+        reserve(&client, &reservation, CALL_TIMEOUT, Purpose::RunningWork).await;
     }
     release(&client, &reservation).await;
 }
@@ -176,7 +185,7 @@
     let (result_sender, result_receiver) = oneshot::channel();
     let (client, reservation) = (client.clone(), reservation.clone());
     let attempt = async move {
-        let status = reserve(&client, &reservation, client.hold).await;
+        let status = reserve(&client, &reservation, client.hold, Purpose::NewWork).await;
         if result_sender.send(status).is_err() {
             release(&client, &reservation).await;
         }
@@ -190,19 +199,26 @@
     client: &ReservationClient,
     reservation: &Reservation,
     timeout: Duration,
+    purpose: Purpose,
 ) -> Option<StatusCode> {
     let request = client
         .dialect
         .reserve(&reservation.id, reservation.tokens, client.hold);
-    send(client, reservation, request, timeout).await
+    send(client, reservation, request, timeout, purpose).await
 }
 
 async fn release(client: &ReservationClient, reservation: &Reservation) {
     for _ in 0..RELEASE_ATTEMPTS {
         let request = client.dialect.release(&reservation.id);
-        if send(client, reservation, request, CALL_TIMEOUT)
-            .await
-            .is_some()
+        if send(
+            client,
+            reservation,
+            request,
+            CALL_TIMEOUT,
+            Purpose::RunningWork,
+        )
+        .await
+        .is_some()
         {
             return;
         }
@@ -216,6 +232,7 @@
     reservation: &Reservation,
     mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
     timeout: Duration,
+    purpose: Purpose,
 ) -> Option<StatusCode> {
     if let Ok(host) = HeaderValue::try_from(reservation.upstream.address.to_string()) {
         request.headers_mut().insert(header::HOST, host);
@@ -232,7 +249,11 @@
         leaves_lost_path: false,
         cause: &reservation.id,
     };
-    let answer = match client.upstreams.send(call, || true).await {
+    let is_wanted = || match purpose {
+        Purpose::NewWork => client.upstreams.takes_work(&reservation.upstream),
+        Purpose::RunningWork => true,
+    };
+    let answer = match client.upstreams.send(call, is_wanted).await {
         Ok(answered) => answered.answer,
         Err(error) => {
             log::debug!(
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -415,6 +415,12 @@
     log::info!(dependency = zone, reachable = is_reachable; "gateway: zone reachability changed");
 }
 
+/// An upstream told this daemon that it leaves.
+pub(crate) fn upstream_says_it_leaves(upstream: &str, request: &str) {
+    log::info!(upstream = upstream, cause_request = request;
+        "gateway: upstream says that it leaves");
+}
+
 /// An upstream that did not answer this daemon was examined.
 pub(crate) fn upstream_examined(
     upstream: &Upstream,
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -10,6 +10,7 @@
 //! own paths says nothing about the upstream.
 
 mod examination;
+mod notices;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -29,6 +30,7 @@
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{ConnectionFault, Connections, SendError, Step, UpstreamResponse};
 
+use crate::dialect::Dialect;
 use crate::paths::{Paths, PendingAttempt};
 use crate::probe::target_of;
 use crate::proxy::{AttemptKind, OutstandingAttempt, ProxyClient, ProxyError, Times};
@@ -112,16 +114,24 @@
 }
 
 /// Dependencies of an [`UpstreamClient`].
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub(crate) struct UpstreamClientParts {
     pub(crate) connections: Connections,
     pub(crate) upstreams: Upstreams,
     pub(crate) published: Published,
     pub(crate) proxies: ProxyClient,
+    pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) limits: RateLimits,
     pub(crate) metrics: Metrics,
 }
 
+impl std::fmt::Debug for UpstreamClientParts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("UpstreamClientParts")
+            .finish_non_exhaustive()
+    }
+}
+
 /// Calls upstreams; clones share their state.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamClient(Rc<Shared>);
@@ -151,6 +161,11 @@
         &self.0.paths
     }
 
+    /// Whether an upstream may be sent new work.
+    pub(crate) fn takes_work(&self, upstream: &Upstream) -> bool {
+        self.0.parts.upstreams.accepts_work(key_of(upstream))
+    }
+
     /// Makes a call; `is_wanted` is asked right before it is written.
     pub(crate) async fn send(
         &self,
@@ -165,7 +180,7 @@
         }
         let sent = self.send_by_any_way(call, is_wanted).await;
         if let Ok(answered) = &sent {
-            limits.observe(upstream, &answered.answer, cause, sent_at);
+            self.observe_answer(upstream, &answered.answer, cause, sent_at);
         }
         sent
     }
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -107,8 +107,10 @@
     async fn examine_once(&self, upstream: &Upstream) -> Verdict {
         let (key, started) = (key_of(upstream), Instant::now());
         let own = match self.0.paths.route(key) {
-            Route::Direct => Some(self.probe(upstream).await),
-            Route::Proxied => None,
+            Route::Direct if self.0.parts.upstreams.rest(key).is_none() => {
+                Some(self.probe(upstream).await)
+            }
+            Route::Direct | Route::Proxied => None,
         };
         if own == Some(ProbeResult::Answered) {
             return Verdict::Answers;
@@ -257,7 +259,9 @@
 
     fn probe_due_paths(&self) {
         let upstreams = &self.0.parts.upstreams;
-        for key in self.0.paths.due_probes(&upstreams.keys()) {
+        let mut due = self.0.paths.due_probes(&upstreams.keys());
+        due.retain(|key| upstreams.rest(*key).is_none());
+        for key in due {
             if let Some(upstream) = upstreams.registration(key) {
                 let client = self.clone();
                 spawn(async move { client.probe(&upstream).await }).detach();
--- a/crates/gateway/tests/fleet/daemon.rs
+++ b/crates/gateway/tests/fleet/daemon.rs
@@ -12,7 +12,6 @@
 use compio::runtime::{JoinHandle, spawn};
 use futures_channel::mpsc;
 use futures_util::FutureExt;
-use mangofront_adapter::HeaderDialect;
 use mangofront_engines::{ChoiceOptions, UpstreamKey, Upstreams};
 use mangofront_gateway::{
     Published, PublishedOptions, RateLimits, RateLimitsParts, Source, StateExchange,
@@ -132,7 +131,6 @@
         let (sender, _messages) = peer_messages();
         let limits = RateLimits::new(RateLimitsParts {
             instance: name(index),
-            dialect: Rc::new(HeaderDialect),
             upstreams: upstreams.clone(),
             peers: peers.clone(),
             updates,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use instruments::Instruments;
-pub use labels::{Disposition, PathState, PeerState, RequestOutcome};
+pub use labels::{Disposition, NoticeKind, PathState, PeerState, RequestOutcome};
 pub use mangofront_prompt::LengthBucket;
 
 /// Prefix of the names of all metrics.
@@ -235,6 +235,12 @@
         self.0.instruments.upstream_crashes.add(1, &labels);
     }
 
+    /// Counts a notice of an upstream in an answer to this daemon.
+    pub fn upstream_notice(&self, kind: NoticeKind) {
+        let labels = [label("kind", kind.name())];
+        self.0.instruments.upstream_notices.add(1, &labels);
+    }
+
     /// Counts a request or prompt part that was cleared of crashes.
     pub fn suspect_cleared(&self) {
         self.0.instruments.suspects_cleared.add(1, &[]);
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -29,6 +29,26 @@
     }
 }
 
+/// What an upstream says of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeKind {
+    /// It leaves.
+    Leaving,
+    /// It wants no request of this daemon for a while.
+    Rest,
+}
+
+impl NoticeKind {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Rest => "rest",
+        }
+    }
+}
+
 /// State of a direct path to an upstream that is not in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathState {
