Send an upstream nothing while it rests, as it asked in a 503

Callers saw: attempts lost at upstreams that turned them away again and again, five in the three seconds of one rest. Cause: Retry-After of an upstream was read nowhere; the ejection of a full upstream lasts 150 ms and any answer of an older stream ends it. Change: the time is read at the edge (decimals, dates; the longest of several; others are logged and change nothing), kept for the incarnation whatever else it answers, lengthened and never shortened; nothing new is placed or written there, no probe made, and the forecast does not count it. Not told to other daemons, as it is asked of one. If all rest, who can wait for the soonest does, the others are refused at once with that time, spread by a quarter of it.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -108,6 +108,20 @@
     pub rate_limit: NamedLimit,
     /// Whether the upstream says that it leaves.
     pub is_leaving: bool,
+    /// The rest for which the upstream asks.
+    pub rest: NamedRest,
+}
+
+/// What an answer says of the time for which its upstream wants no request of this daemon.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum NamedRest {
+    /// It names none.
+    #[default]
+    Absent,
+    /// It names a value that is no time.
+    Invalid,
+    /// It names this time.
+    Named(Duration),
 }
 
 /// Reads and writes the heads of one platform.
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -101,6 +101,12 @@
         /// Time until the caller may return.
         retry_after: Duration,
     },
+    /// Nothing was sent: all upstreams that were not tried asked for rest.
+    #[error("the upstreams ask for rest")]
+    Resting {
+        /// Time until the caller may return.
+        retry_after: Duration,
+    },
     /// Too many upstreams crashed under the request or a part of its prompt.
     #[error("upstreams crash under it")]
     Quarantined {
@@ -125,6 +131,7 @@
             Self::MayHaveRun(_) | Self::ConnectionLost(_) | Self::PathLost => "may_have_run",
             Self::Quarantined { .. } => "quarantined",
             Self::RateLimited { .. } => "rate_limited",
+            Self::Resting { .. } => "resting",
             Self::DeadlineExceeded => "out_of_time",
         }
     }
@@ -161,6 +168,7 @@
         match error {
             AttemptError::NoUpstream(_)
             | AttemptError::RateLimited { .. }
+            | AttemptError::Resting { .. }
             | AttemptError::DeadlineExceeded
             | AttemptError::Quarantined { .. } => {
                 return false;
@@ -251,6 +259,7 @@
                 },
                 AttemptError::Quarantined { .. }
                 | AttemptError::RateLimited { .. }
+                | AttemptError::Resting { .. }
                 | AttemptError::NoPath
                 | AttemptError::PathLost => Refusal::Unknown {
                     reason: error.to_string(),
@@ -276,6 +285,10 @@
                 reason: RATE_LIMITED,
                 retry_after,
             },
+            AttemptError::Resting { retry_after } => Refusal::NotRun {
+                reason: NoUpstream::Resting.code(),
+                retry_after,
+            },
             AttemptError::Quarantined { cause, retry_after } => Refusal::NotRun {
                 reason: match cause {
                     QuarantineCause::Request => CRASHES_UPSTREAMS,
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -13,6 +13,7 @@
 use mangofront_limits::Moment;
 use mangofront_routes::{RetrySafety, Upstream};
 use mangofront_upstream::Connections;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempts::upstreams_of;
 use crate::call::Call;
@@ -41,6 +42,12 @@
 /// Time for which other requests avoid the upstream of a trial: until the start of its answer.
 const TRIAL_ISOLATION: Duration = Duration::from_millis(400);
 
+/// Period with which a request that waits for resting upstreams looks for others.
+const REST_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Part of the rest over which the returns of refused callers are spread.
+const RETURN_SPREAD: f64 = 0.25;
+
 /// Lowest rank of a request that waits for a permit.
 const LOWEST_RANK: u32 = 9;
 
@@ -63,6 +70,7 @@
     for _ in 0..MAX_REFUSALS {
         let placement = match place_once(gateway, call, history, &avoided).await {
             Ok(placement) => placement,
+            Err(NoUpstream::Resting) => return Err(resting(gateway, call, history)),
             Err(reason) => return place_at_slot(gateway, call, history, reason).await,
         };
         let limited_reservations = limited_reservations(gateway, &placement);
@@ -238,6 +246,13 @@
                 compio::time::sleep(busy_retry_pause(upstreams.count())).await;
                 waited = started.elapsed();
             }
+            Err(NoUpstream::Resting) => match rest_to_wait_for(gateway, call, &excluded) {
+                Some(rest) => {
+                    compio::time::sleep(rest.min(REST_CHECK_PERIOD)).await;
+                    waited = started.elapsed();
+                }
+                None => return Err(NoUpstream::Resting),
+            },
             placement => {
                 history.waited += waited;
                 return placement;
@@ -246,6 +261,25 @@
     }
 }
 
+/// Time until an upstream takes requests again, if its answer may still come in time.
+fn rest_to_wait_for(gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Option<Duration> {
+    let upstreams = &gateway.parts().upstreams;
+    let rest = upstreams.soonest_rest_end(&call.service, excluded)?;
+    (rest + call.route.target.max(MIN_ATTEMPT_TIME) <= call.time_left()).then_some(rest)
+}
+
+/// The refusal of a request for which no upstream takes requests in time.
+///
+/// The times of return are spread, so that not all callers come at the end of the rest.
+fn resting(gateway: &Gateway, call: &Call, history: &History) -> AttemptError {
+    let upstreams = &gateway.parts().upstreams;
+    let rest = upstreams.soonest_rest_end(&call.service, &history.tried);
+    let draw = f64::from(xxh3_64(call.id.as_bytes()) as u32) / f64::from(u32::MAX);
+    AttemptError::Resting {
+        retry_after: rest.unwrap_or_default().mul_f64(1.0 + RETURN_SPREAD * draw),
+    }
+}
+
 /// Pause between two placement attempts while `engines` engines are overloaded.
 fn busy_retry_pause(engines: usize) -> Duration {
     let factor = (engines as f64 / BUSY_RETRY_SCALING_ENGINES as f64).max(1.0);
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -421,6 +421,18 @@
         "gateway: upstream says that it leaves");
 }
 
+/// An upstream asked this daemon for rest.
+pub(crate) fn upstream_asks_for_rest(upstream: &str, rest: Duration, request: &str) {
+    log::info!(upstream = upstream, rest_ms = milliseconds(rest), cause_request = request;
+        "gateway: upstream asks for rest");
+}
+
+/// An upstream asked for rest by a value that is no time; it changes nothing.
+pub(crate) fn rest_invalid(upstream: &Upstream, request: &str) {
+    log::warn!(upstream = upstream.id.as_str(), cause_request = request;
+        "gateway: upstream asks for rest with a value that is no time");
+}
+
 /// An upstream that did not answer this daemon was examined.
 pub(crate) fn upstream_examined(
     upstream: &Upstream,
