Ask nobody about an upstream whose open connections show that it runs

Now an upstream that keeps connections open is examined no further, a forwarded attempt is explained by a proof of any upstream as before, and a witness suspects its own path only if it reaches nothing at all.

--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -477,27 +477,37 @@
             .map(|entry| entry.registration.clone())
     }
 
-    /// Up to `count` upstreams other than `except` that take work: of its service alone, if that
-    /// has others. Those that are not ejected come first, and then those of the own zone.
+    /// Up to `count` upstreams other than `except` that take work. Those that are not ejected come
+    /// first, and then those of the own zone.
     #[must_use]
     pub fn draw_others(&self, except: UpstreamKey, count: usize) -> Vec<Upstream> {
+        self.draw(count, |entry| entry.key != except)
+    }
+
+    /// Like [`Self::draw_others`], of the service of `except` alone if that has others.
+    #[must_use]
+    pub fn draw_of_service(&self, except: UpstreamKey, count: usize) -> Vec<Upstream> {
+        let service = self.registration(except).map(|upstream| upstream.service);
+        let is_of_service = |entry: &UpstreamState| {
+            entry.key != except && Some(&entry.registration.service) == service.as_ref()
+        };
+        let drawn = self.draw(count, is_of_service);
+        match drawn.is_empty() {
+            true => self.draw_others(except, count),
+            false => drawn,
+        }
+    }
+
+    fn draw(&self, count: usize, is_drawn: impl Fn(&UpstreamState) -> bool) -> Vec<Upstream> {
         let mut state = self.0.state.borrow_mut();
         let turn = state.next_work;
         state.next_work += 1;
-        let service = state
-            .upstream_mut(except)
-            .map(|entry| entry.registration.service.clone());
-        let rank = |key: UpstreamKey| xxh3_64_with_seed(&key.to_le_bytes(), turn);
         let now = self.now();
-        let others = state
-            .upstreams
-            .iter()
-            .filter(|entry| entry.key != except && state.takes_work(entry, now));
-        let (mut others, rest): (Vec<&UpstreamState>, Vec<&UpstreamState>) =
-            others.partition(|entry| service.as_ref() == Some(&entry.registration.service));
-        if others.is_empty() {
-            others = rest;
-        }
+        let rank = |key: UpstreamKey| xxh3_64_with_seed(&key.to_le_bytes(), turn);
+        let others = state.upstreams.iter();
+        let mut others: Vec<&UpstreamState> = others
+            .filter(|entry| is_drawn(entry) && state.takes_work(entry, now))
+            .collect();
         let is_remote = |one: &Upstream| one.availability_zone != self.0.availability_zone;
         others.sort_by_key(|entry| {
             let is_ejected = entry.health.is_ejected(now);
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Whether the upstream certainly runs.
+    fn shows_life(&self) -> bool {
+        self.answered_by.is_some() || self.failures.iter().any(|result| result.shows_life())
+    }
+
     /// Whether all daemons say alike that nothing listens at its address. It can be no path of
     /// theirs unless each of them has lost it in the same way.
     pub(crate) fn refuses_all(&self) -> bool {
@@ -238,7 +243,7 @@
                 .collect();
             while let Some(statement) = probes.next().await {
                 testimony.add(statement);
-                if testimony.answered_by.is_some() {
+                if testimony.shows_life() {
                     return testimony;
                 }
             }
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -22,6 +22,7 @@
 use crate::probe::{ProbeResult, target_of};
 use crate::rate_limits;
 use crate::trace;
+use crate::upstream_client::ProofScope;
 
 /// Time for an upstream to accept a connection: less than the daemon that waits for the
 /// result allows for its own.
@@ -196,29 +197,35 @@
             ProxyOutcome::Answered.write("", response.headers_mut());
             Ok(response)
         }
-        failed => Err(distinguish(gateway, upstream, failed).await),
+        // It may be held against the upstream, and a partition may be from one service alone.
+        failed => Err(distinguish(gateway, upstream, failed, ProofScope::Service).await),
     }
 }
 
-/// Tells whether an upstream is down or this daemon has no path to upstreams.
-async fn distinguish(gateway: &Gateway, upstream: &Upstream, failed: ProbeResult) -> NotAnswered {
+/// Tells whether an upstream is down or this daemon has no path to upstreams, as it reaches another
+/// one of `scope`.
+async fn distinguish(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    failed: ProbeResult,
+    scope: ProofScope,
+) -> NotAnswered {
     let client = gateway.upstream_client();
-    let is_told = failed.shows_life() || client.reaches_another(upstream).await;
-    let outcome = match is_told {
-        true => ProxyOutcome::Unreachable,
-        false => {
-            if let Some(fault) = failed.fault() {
-                client.paths().suspect(upstream, fault, Instant::now());
-            }
-            ProxyOutcome::NoPath
-        }
-    };
-    NotAnswered::new(outcome, failed.name())
+    if failed.shows_life() || client.reaches_another(upstream, scope).await {
+        return NotAnswered::new(ProxyOutcome::Unreachable, failed.name());
+    }
+    let reaches_any =
+        scope != ProofScope::Any && client.reaches_another(upstream, ProofScope::Any).await;
+    if let Some(fault) = failed.fault().filter(|_| !reaches_any) {
+        client.paths().suspect(upstream, fault, Instant::now());
+    }
+    NotAnswered::new(ProxyOutcome::NoPath, failed.name())
 }
 
 async fn explain_failure(gateway: &Gateway, upstream: &Upstream, error: &SendError) -> NotAnswered {
-    let failed = ProbeResult::of_failed_connect(error);
-    distinguish(gateway, upstream, failed).await
+    let client = gateway.upstream_client();
+    let failed = client.explain_failed_connect(upstream, error).await;
+    distinguish(gateway, upstream, failed, ProofScope::Any).await
 }
 
 fn build_request(head: Parts, body: Bytes) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -39,7 +39,7 @@
 use crate::trace;
 
 use examination::Examination;
-pub(crate) use examination::Verdict;
+pub(crate) use examination::{ProofScope, Verdict};
 
 /// Time since the last byte from any upstream for which a call that no other daemon forwards
 /// is still worth a try on a path that counts as lost.
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -10,6 +10,7 @@
 use mangofront_paths::Route;
 use mangofront_routes::Upstream;
 use mangofront_telemetry::metrics::PathState;
+use mangofront_upstream::SendError;
 
 use super::UpstreamClient;
 use crate::probe::{ProbeResult, probe};
@@ -37,6 +38,15 @@
 /// Other upstreams of a service that are probed to prove that this daemon reaches any.
 const PROOF_PROBES: usize = 2;
 
+/// The upstreams by which a daemon may prove its paths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProofScope {
+    /// Others of the same service, if there are any.
+    Service,
+    /// All others.
+    Any,
+}
+
 /// An examination that several tasks may wait for.
 pub(super) type Examination = SharedFuture<LocalBoxFuture<'static, Verdict>>;
 
@@ -112,8 +122,11 @@
             }
             Route::Direct | Route::Proxied => None,
         };
-        if own == Some(ProbeResult::Answered) {
-            return Verdict::Answers;
+        match own {
+            Some(ProbeResult::Answered) => return Verdict::Answers,
+            // It runs, and more connections would only add to what it closes.
+            Some(ProbeResult::Overloaded) => return Verdict::Fails(ProbeResult::Overloaded),
+            _ => {}
         }
         let testimony = self.0.parts.proxies.probe(upstream).await;
         let verdict = self.verdict(own, &testimony);
@@ -167,14 +180,7 @@
         }
         let started = Instant::now();
         let result = probe(&self.0.parts.connections, upstream, path.as_deref()).await;
-        let result = match result {
-            ProbeResult::Closed | ProbeResult::Refused
-                if self.stays_connected(upstream, started).await =>
-            {
-                ProbeResult::Overloaded
-            }
-            result => result,
-        };
+        let result = self.notice_life(upstream, result, started).await;
         match result.fault() {
             None => {
                 self.0.paths.prove(upstream);
@@ -200,41 +206,72 @@
         idle.contains(&upstream.address) || self.0.paths.has_received_since(key_of(upstream), since)
     }
 
-    /// Whether this daemon reaches another upstream of the service of `except`, if there is one,
-    /// or else any other, by a new connection: a partition may be from one service alone.
-    pub(crate) async fn reaches_another(&self, except: &Upstream) -> bool {
+    /// Tells how a connection that could not be opened failed.
+    pub(crate) async fn explain_failed_connect(
+        &self,
+        upstream: &Upstream,
+        error: &SendError,
+    ) -> ProbeResult {
+        let failed = ProbeResult::of_failed_connect(error);
+        self.notice_life(upstream, failed, Instant::now()).await
+    }
+
+    /// The result of a failed probe, unless connections that stay open show that the upstream runs.
+    async fn notice_life(
+        &self,
+        upstream: &Upstream,
+        result: ProbeResult,
+        since: Instant,
+    ) -> ProbeResult {
+        match result {
+            ProbeResult::Closed | ProbeResult::Refused
+                if self.stays_connected(upstream, since).await =>
+            {
+                ProbeResult::Overloaded
+            }
+            result => result,
+        }
+    }
+
+    /// Whether this daemon reaches another upstream than `except`, by a new connection.
+    pub(crate) async fn reaches_another(&self, except: &Upstream, scope: ProofScope) -> bool {
         let service = &except.service;
         let except = key_of(except);
         let is_fresh =
             |(at, key): &(Instant, UpstreamKey)| *key != except && at.elapsed() < PROOF_LIFETIME;
-        if self
-            .0
-            .last_proofs
-            .borrow()
-            .get(service)
-            .is_some_and(is_fresh)
-        {
+        let has_proof = {
+            let last_proofs = self.0.last_proofs.borrow();
+            match scope {
+                ProofScope::Service => last_proofs.get(service).is_some_and(is_fresh),
+                ProofScope::Any => last_proofs.values().any(is_fresh),
+            }
+        };
+        if has_proof {
             return true;
         }
-        let others = self.0.parts.upstreams.draw_others(except, PROOF_PROBES);
+        let upstreams = &self.0.parts.upstreams;
+        let others = match scope {
+            ProofScope::Service => upstreams.draw_of_service(except, PROOF_PROBES),
+            ProofScope::Any => upstreams.draw_others(except, PROOF_PROBES),
+        };
         let mut probes: FuturesUnordered<_> = others
             .iter()
-            .map(|other| async move { (key_of(other), self.probe(other).await) })
+            .map(|other| async move { (other, self.probe(other).await) })
             .collect();
         let first_answer = async {
-            while let Some((key, result)) = probes.next().await {
+            while let Some((other, result)) = probes.next().await {
                 if result == ProbeResult::Answered {
-                    return Some(key);
+                    return Some(other);
                 }
             }
             None
         };
         let answered = compio::time::timeout(PROOF_TIMEOUT, first_answer).await;
-        let Ok(Some(key)) = answered else {
+        let Ok(Some(other)) = answered else {
             return false;
         };
         let mut last_proofs = self.0.last_proofs.borrow_mut();
-        last_proofs.insert(service.clone(), (Instant::now(), key));
+        last_proofs.insert(other.service.clone(), (Instant::now(), key_of(other)));
         true
     }
 
