--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod crashes;
+mod notices;
 mod profile;
 mod support;
 mod view;
