Read what answers to health checks say of their upstreams

A health check is turned away like a request, so its 503 may ask for rest, and all answers of an upstream that leaves say so; the probe passed them by. Found by reading. A name that had two meanings is changed besides.

--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,7 +7,9 @@
 use http_body_util::Full;
 use mangofront_paths::PathFault;
 use mangofront_routes::Upstream;
-use mangofront_upstream::{ConnectionFault, Connections, FreshConnection, SendError, Target};
+use mangofront_upstream::{
+    ConnectionFault, Connections, FreshConnection, SendError, Target, UpstreamResponse,
+};
 
 /// Time for an upstream to accept a connection: one that accepts none in this time is down
 /// or unreachable.
@@ -103,12 +105,14 @@
 
 /// Probes an upstream on a new connection.
 ///
-/// Without a `path` that upstreams of the service answer, a connection that stays open counts
+/// `on_answer` is told of an answer on `path`. Without a path that upstreams of the service answer, a
+/// connection that stays open counts
 /// as an answer.
 pub(crate) async fn probe(
     connections: &Connections,
     upstream: &Upstream,
     path: Option<&str>,
+    on_answer: impl Fn(&UpstreamResponse),
 ) -> ProbeResult {
     let target = target_of(upstream);
     let mut result = ProbeResult::Closed;
@@ -117,7 +121,7 @@
         result = match connections.open(&target, deadline).await {
             Err(error) => ProbeResult::of_failed_connect(&error),
             Ok(opened) => match path {
-                Some(path) => request_answer(opened, upstream, path).await,
+                Some(path) => request_answer(opened, upstream, path, &on_answer).await,
                 None => settle(opened).await,
             },
         };
@@ -136,13 +140,19 @@
     }
 }
 
-async fn request_answer(opened: FreshConnection, upstream: &Upstream, path: &str) -> ProbeResult {
+async fn request_answer(
+    opened: FreshConnection,
+    upstream: &Upstream,
+    path: &str,
+    on_answer: &impl Fn(&UpstreamResponse),
+) -> ProbeResult {
     let Some(request) = probe_request(upstream, path) else {
         return settle(opened).await;
     };
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     match opened.send(request, deadline).await {
         Ok(answer) => {
+            on_answer(&answer);
             // Read to the end, so that the connection can be reused. The head is the answer.
             let _ = answer.bytes(ANSWER_LIMIT_BYTES, deadline).await;
             ProbeResult::Answered
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -10,11 +10,12 @@
 use mangofront_paths::Route;
 use mangofront_routes::Upstream;
 use mangofront_telemetry::metrics::PathState;
-use mangofront_upstream::SendError;
+use mangofront_upstream::{SendError, UpstreamResponse};
 
 use super::UpstreamClient;
 use crate::probe::{ProbeResult, probe};
 use crate::proxy::Testimony;
+use crate::rate_limits;
 use crate::trace;
 
 /// Period with which lost and silent paths are looked for.
@@ -23,8 +24,8 @@
 /// Looks after which paths to upstreams that are gone are dropped.
 const TICKS_PER_RETAIN: u64 = 40;
 
-/// Time in which the end of a process is noticed on all connections to it.
-const END_NOTICE_TIME: Duration = Duration::from_millis(50);
+/// Time in which the end of a process is detected on all connections to it.
+const END_DETECTION_TIME: Duration = Duration::from_millis(50);
 
 /// Time for which the proof that this daemon reaches some upstream is good.
 const PROOF_LIFETIME: Duration = Duration::from_millis(300);
@@ -178,9 +179,13 @@
         if path.is_some() {
             self.0.parts.limits.charge(upstream, PROBE_CAUSE);
         }
-        let started = Instant::now();
-        let result = probe(&self.0.parts.connections, upstream, path.as_deref()).await;
-        let result = self.notice_life(upstream, result, started).await;
+        let (started, sent_at) = (Instant::now(), rate_limits::now());
+        let observe = |answer: &UpstreamResponse| {
+            self.observe_answer(upstream, answer, PROBE_CAUSE, sent_at);
+        };
+        let connections = &self.0.parts.connections;
+        let result = probe(connections, upstream, path.as_deref(), observe).await;
+        let result = self.detect_life(upstream, result, started).await;
         match result.fault() {
             None => {
                 self.0.paths.prove(upstream);
@@ -191,13 +196,13 @@
         result
     }
 
-    /// Whether connections to an upstream are open for longer than it takes to notice their end.
+    /// Whether connections to an upstream are open for longer than it takes to detect their end.
     async fn stays_connected(&self, upstream: &Upstream, since: Instant) -> bool {
         if !self.is_connected(upstream, since) {
             return false;
         }
-        compio::time::sleep(END_NOTICE_TIME).await;
-        self.is_connected(upstream, since + END_NOTICE_TIME)
+        compio::time::sleep(END_DETECTION_TIME).await;
+        self.is_connected(upstream, since + END_DETECTION_TIME)
     }
 
     /// Whether a connection to an upstream is open, or brought something since `since`.
@@ -213,11 +218,11 @@
         error: &SendError,
     ) -> ProbeResult {
         let failed = ProbeResult::of_failed_connect(error);
-        self.notice_life(upstream, failed, Instant::now()).await
+        self.detect_life(upstream, failed, Instant::now()).await
     }
 
     /// The result of a failed probe, unless connections that stay open show that the upstream runs.
-    async fn notice_life(
+    async fn detect_life(
         &self,
         upstream: &Upstream,
         result: ProbeResult,
