--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -105,9 +105,8 @@
 
 /// Probes an upstream on a new connection.
 ///
-/// `on_answer` is told of an answer on `path`. Without a path that upstreams of the service answer, a
-/// connection that stays open counts
-/// as an answer.
+/// `on_answer` is told of an answer on `path`. Without a path that upstreams of the service answer,
+/// a connection that stays open counts as an answer.
 pub(crate) async fn probe(
     connections: &Connections,
     upstream: &Upstream,
