Decide in one type which attempt at a stream is forwarded

Attempts at a stream are to run beside each other until one of them brings an event. StreamRace holds what each of them sent so far and lets one of them through: the first that completes an event after the last forwarded one. An event without an id can't be resumed after, so a stream that forwarded one is taken up nowhere; before, a resumed stream would have repeated it.

Not used yet.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -18,6 +18,9 @@
 /// Field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Field without which an event is a comment.
+const DATA_FIELD: &[u8] = b"data";
+
 /// Largest event, in bytes; a stream with a longer one is rejected.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 
@@ -26,6 +29,8 @@
 pub struct EventFramer {
     pending: BytesMut,
     last_id: Option<EventId>,
+    /// Whether an event without an id followed the one with the last id.
+    has_trailing_event: bool,
 }
 
 /// Complete events from one chunk.
@@ -44,6 +49,7 @@
         Self {
             pending: BytesMut::new(),
             last_id,
+            has_trailing_event: false,
         }
     }
 
@@ -62,6 +68,7 @@
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.has_trailing_event = id.is_none() && has_data(&event);
             count += 1;
             complete.unsplit(event);
         }
@@ -77,6 +84,12 @@
         self.last_id
     }
 
+    /// Whether the last forwarded event has an id, so that another stream can go on after it.
+    #[must_use]
+    pub fn ends_with_id(&self) -> bool {
+        !self.has_trailing_event
+    }
+
     /// Whether the last chunk ended in the middle of an event.
     #[must_use]
     pub fn is_mid_event(&self) -> bool {
@@ -99,3 +112,8 @@
     let value = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
+
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(DATA_FIELD))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod signal;
 mod source_availability;
 mod state_exchange;
+mod stream_race;
 mod trace;
 mod upstream_client;
 mod zones;
@@ -73,3 +74,4 @@
 pub use state_exchange::{
     StateExchange, StateExchangeError, StateExchangeOptions, StateExchangeParts,
 };
+pub use stream_race::{AttemptNumber, ResumePoint, StreamFault, StreamRace};
