Give a retry back to the budget that was not sent

A retry was taken from the budget before its request was placed, and stayed taken if nothing was sent then. A permit is taken once, counts from the send on, and is given back if it is dropped unused. Not used yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,7 +69,7 @@
 pub use registrations::{
     Record, RegisterOutcome, RegistrationState, Registrations, Removal, RemovalOutcome,
 };
-pub use retry_budget::{FleetShare, FleetView, RetryBudget, RetryLimit};
+pub use retry_budget::{FleetShare, FleetView, RetryBudget, RetryLimit, RetryPermit};
 pub use source_availability::{AnsweredPeriod, SourceAvailability};
 pub use state_exchange::{
     StateExchange, StateExchangeError, StateExchangeOptions, StateExchangeParts,
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -12,8 +12,9 @@
 
 mod fleet_share;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use mangofront_settings::ids::ServiceName;
@@ -57,15 +58,45 @@
     }
 }
 
-/// The retries of this daemon.
+/// The retries of this daemon; clones share their state.
+#[derive(Debug, Clone)]
+pub struct RetryBudget(Rc<Shared>);
+
 #[derive(Debug)]
-pub struct RetryBudget {
+struct Shared {
     limit: RetryLimit,
     started: Instant,
     salt: u64,
     state: RefCell<State>,
 }
 
+/// Leave to send one retry; it is given back if it is dropped unused.
+#[derive(Debug)]
+pub struct RetryPermit {
+    budget: RetryBudget,
+    service: ServiceName,
+    taken_at: Instant,
+    is_spent: Cell<bool>,
+}
+
+impl RetryPermit {
+    /// Uses the permit, as the retry is sent `now`.
+    pub fn spend(&self, now: Instant) {
+        if !self.is_spent.replace(true) {
+            self.budget.give_back(&self.service, self.taken_at);
+            self.budget.record_retry(&self.service, now);
+        }
+    }
+}
+
+impl Drop for RetryPermit {
+    fn drop(&mut self) {
+        if !self.is_spent.get() {
+            self.budget.give_back(&self.service, self.taken_at);
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     services: HashMap<ServiceName, SendTimes>,
@@ -95,7 +126,7 @@
     /// and their incarnations.
     #[must_use]
     pub fn new(limit: RetryLimit, salt: u64, now: Instant) -> Self {
-        Self {
+        Self(Rc::new(Shared {
             limit,
             started: now,
             salt,
@@ -108,14 +139,14 @@
                 },
                 woke_at: None,
             }),
-        }
+        }))
     }
 
     /// Sets the share of the fixed part that belongs to this daemon, from 0 to 1.
     ///
     /// It is set several times a second; a longer pause shows that this daemon was suspended.
     pub fn set_fixed_share(&self, share: f64, now: Instant) {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         if state.is_late(now) {
             state.woke_at = Some(now);
         }
@@ -131,12 +162,12 @@
     /// One that waited while this daemon was suspended belongs to an earlier window, so it does
     /// not count.
     pub fn record_request(&self, service: &str, now: Instant) {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         if state.is_late(now) || state.has_backlog(now) {
             return;
         }
         let sends = state.sends(service);
-        sends.forget(self.limit.window, now);
+        sends.forget(self.0.limit.window, now);
         sends.requests.push_back(now);
     }
 
@@ -144,37 +175,60 @@
     pub fn try_take(&self, service: &str, now: Instant) -> bool {
         let has_room = self.has_room(service, now);
         if has_room {
-            let state = &mut *self.state.borrow_mut();
-            state.sends(service).retries.push_back(now);
+            self.record_retry(service, now);
         }
         has_room
     }
 
+    fn record_retry(&self, service: &str, now: Instant) {
+        let state = &mut *self.0.state.borrow_mut();
+        state.sends(service).retries.push_back(now);
+    }
+
+    /// Takes one retry if this daemon's share allows it; returns it if it is not sent after all.
+    pub fn permit(&self, service: &str, now: Instant) -> Option<RetryPermit> {
+        self.try_take(service, now).then(|| RetryPermit {
+            budget: self.clone(),
+            service: service.to_owned(),
+            taken_at: now,
+            is_spent: Cell::new(false),
+        })
+    }
+
+    fn give_back(&self, service: &str, taken_at: Instant) {
+        let state = &mut *self.0.state.borrow_mut();
+        let retries = &mut state.sends(service).retries;
+        // One that is too old to count was removed before.
+        if let Some(index) = retries.iter().rposition(|at| *at == taken_at) {
+            retries.remove(index);
+        }
+    }
+
     /// Whether this daemon's share allows one more retry.
-    pub fn has_room(&self, service: &str, now: Instant) -> bool {
+    pub(crate) fn has_room(&self, service: &str, now: Instant) -> bool {
         self.room(service, now) + self.rounding(service) >= 1.0
     }
 
     /// Part of a retry, from 0 to 1, by which this daemon's share is rounded up. It is spread
     /// evenly over the daemons, so that all together lose nothing by rounding.
     fn rounding(&self, service: &str) -> f64 {
-        xxh3_64_with_seed(service.as_bytes(), self.salt) as f64 / u64::MAX as f64
+        xxh3_64_with_seed(service.as_bytes(), self.0.salt) as f64 / u64::MAX as f64
     }
 
     /// Retries that this daemon's share still allows; may be negative.
     fn room(&self, service: &str, now: Instant) -> f64 {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         let fixed_part = state.fixed_part;
         let sends = state.sends(service);
-        sends.forget(self.limit.window, now);
-        let by_requests = self.limit.ratio * sends.requests.len() as f64;
-        let window_s = self.limit.window.as_secs_f64();
-        let is_starting = now.saturating_duration_since(self.started) < self.limit.window;
+        sends.forget(self.0.limit.window, now);
+        let by_requests = self.0.limit.ratio * sends.requests.len() as f64;
+        let window_s = self.0.limit.window.as_secs_f64();
+        let is_starting = now.saturating_duration_since(self.0.started) < self.0.limit.window;
         let (usable, fixed_share) = match is_starting {
             true => (STARTING_SHARE, fixed_part.earned_share_s(now) / window_s),
             false => (USABLE_SHARE, fixed_part.share),
         };
-        usable * (by_requests + self.limit.slack * fixed_share) - sends.retries.len() as f64
+        usable * (by_requests + self.0.limit.slack * fixed_share) - sends.retries.len() as f64
     }
 }
 
