Measure for how long upstreams are silent in the time in which a daemon ran

A daemon that was not scheduled has heard nothing, and its timers expire before its sockets are read. The clock of this view stands still meanwhile, and it tells whether one upstream of a service is silent or most of them are. Not used yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod reservations;
 mod retry_budget;
 mod signal;
+mod silence;
 mod source_availability;
 mod state_exchange;
 mod stream_race;
@@ -70,6 +71,7 @@
     Record, RegisterOutcome, RegistrationState, Registrations, Removal, RemovalOutcome,
 };
 pub use retry_budget::{FleetShare, FleetView, RetryBudget, RetryLimit, RetryPermit};
+pub use silence::{AwaitedAnswer, RunTime, Silence, SilenceSummary};
 pub use source_availability::{AnsweredPeriod, SourceAvailability};
 pub use state_exchange::{
     StateExchange, StateExchangeError, StateExchangeOptions, StateExchangeParts,
