--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -31,6 +31,8 @@
     last_id: Option<EventId>,
     /// Whether an event without an id followed the one with the last id.
     has_trailing_event: bool,
+    /// Whether the stream is still before the event with the last id.
+    is_repeating: bool,
 }
 
 /// Complete events from one chunk.
@@ -40,6 +42,8 @@
     pub bytes: Bytes,
     /// Number of events.
     pub count: usize,
+    /// Number of those that are comments, without an id and data.
+    pub comments: usize,
 }
 
 impl EventFramer {
@@ -47,34 +51,49 @@
     #[must_use]
     pub fn after(last_id: Option<EventId>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id,
-            has_trailing_event: false,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a framer of a stream that starts somewhere before the event `last_id`.
+    #[must_use]
+    pub fn before(last_id: Option<EventId>) -> Self {
+        Self {
+            is_repeating: true,
+            ..Self::after(last_id)
         }
     }
 
     /// Adds a chunk; returns the events that it completes.
     ///
-    /// Events whose id was already forwarded are dropped. Returns `None` if an event
-    /// exceeds the size limit.
+    /// Events whose id was already forwarded are dropped, and so are those without an id
+    /// between them. Returns `None` if an event exceeds the size limit.
     pub fn push(&mut self, chunk: &[u8]) -> Option<FramedEvents> {
         self.pending.extend_from_slice(chunk);
         let mut complete = BytesMut::new();
         let mut count = 0;
+        let mut comments = 0;
         while let Some(end) = event_end(&self.pending) {
             let event = self.pending.split_to(end);
             let id = event_id(&event);
-            if id.is_some() && id <= self.last_id {
+            if id.is_some() {
+                self.is_repeating = id < self.last_id;
+            }
+            if self.is_repeating || (id.is_some() && id == self.last_id) {
                 continue;
             }
+            let has_data = has_data(&event);
             self.last_id = id.or(self.last_id);
-            self.has_trailing_event = id.is_none() && has_data(&event);
+            self.has_trailing_event = id.is_none() && (has_data || self.has_trailing_event);
             count += 1;
+            comments += usize::from(id.is_none() && !has_data);
             complete.unsplit(event);
         }
         (self.pending.len() <= EVENT_LIMIT_BYTES).then(|| FramedEvents {
             bytes: complete.freeze(),
             count,
+            comments,
         })
     }
 
@@ -90,6 +109,12 @@
         !self.has_trailing_event
     }
 
+    /// Whether the stream is still before the last event that was forwarded.
+    #[must_use]
+    pub fn is_repeating(&self) -> bool {
+        self.is_repeating
+    }
+
     /// Whether the last chunk ended in the middle of an event.
     #[must_use]
     pub fn is_mid_event(&self) -> bool {
--- a/crates/gateway/src/stream_race.rs
+++ b/crates/gateway/src/stream_race.rs
@@ -5,6 +5,8 @@
 //! caller gets each event once and in order, and pieces of two attempts are joined only at an
 //! event's id. A stream is complete if the attempt that is forwarded ends between two events.
 
+use std::cmp::Ordering;
+
 use bytes::Bytes;
 use thiserror::Error;
 
@@ -23,6 +25,9 @@
     /// The stream ended in the middle of an event.
     #[error("ended within an event")]
     EndedWithinEvent,
+    /// The stream ended before the last forwarded event.
+    #[error("ended before the last forwarded event")]
+    EndedEarly,
     /// Another attempt is forwarded.
     #[error("another attempt is forwarded")]
     Discarded,
@@ -61,22 +66,39 @@
     }
 
     /// Adds an attempt that takes the stream up after the event `after`.
+    ///
+    /// Events that were forwarded since its request was sent are dropped. If one of them had no
+    /// id and none followed it, the attempt is discarded.
     pub fn begin(&mut self, attempt: AttemptNumber, after: Option<EventId>) {
         self.discard(attempt);
-        self.running.push((attempt, EventFramer::after(after)));
+        let ResumePoint::After(last_id) = self.resume_point else {
+            return;
+        };
+        let framer = match after.cmp(&last_id) {
+            Ordering::Less => EventFramer::before(last_id),
+            Ordering::Equal => EventFramer::after(last_id),
+            // Events would be missing.
+            Ordering::Greater => return,
+        };
+        self.running.push((attempt, framer));
     }
 
     /// Adds a chunk of an attempt; returns the events to forward.
     ///
-    /// If there are any, all other attempts are discarded.
+    /// If there are any, all other attempts are discarded. Comments discard none, and are
+    /// forwarded only while no other attempt runs.
     ///
     /// # Errors
     /// [`StreamFault`] if the attempt can't be forwarded any further.
     pub fn push(&mut self, attempt: AttemptNumber, chunk: &[u8]) -> Result<Bytes, StreamFault> {
+        let is_alone = self.running.len() == 1;
         let framer = self.framer(attempt)?;
-        let framed = framer.push(chunk).ok_or(StreamFault::EndlessEvent)?;
-        if framed.count == 0 {
-            return Ok(Bytes::new());
+        let Some(framed) = framer.push(chunk) else {
+            self.discard(attempt);
+            return Err(StreamFault::EndlessEvent);
+        };
+        if framed.count == framed.comments {
+            return Ok(if is_alone { framed.bytes } else { Bytes::new() });
         }
         self.resume_point = match framer.ends_with_id() {
             true => ResumePoint::After(framer.last_id()),
@@ -91,8 +113,15 @@
     /// # Errors
     /// [`StreamFault`] if the attempt's stream is not complete.
     pub fn finish(&mut self, attempt: AttemptNumber) -> Result<(), StreamFault> {
-        if self.framer(attempt)?.is_mid_event() {
-            return Err(StreamFault::EndedWithinEvent);
+        let framer = self.framer(attempt)?;
+        let fault = match (framer.is_mid_event(), framer.is_repeating()) {
+            (true, _) => Some(StreamFault::EndedWithinEvent),
+            (false, true) => Some(StreamFault::EndedEarly),
+            (false, false) => None,
+        };
+        if let Some(fault) = fault {
+            self.discard(attempt);
+            return Err(fault);
         }
         self.running.retain(|(other, _)| *other == attempt);
         Ok(())
