Count retry permits that are older than the window

A permit that was taken, but neither sent nor dropped, was forgotten once it was older than the window. So a daemon whose requests waited that long could take the whole share again and then send both: 14 retries in one instant where the share is 7. Outstanding permits are now counted apart from the retries that were sent, until they are used or dropped. One that is given back late frees its own room and no other's; before, it changed nothing.

--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -70,12 +70,11 @@
     state: RefCell<State>,
 }
 
-/// Leave to send one retry; it is given back if it is dropped unused.
+/// Leave to send one retry, which takes up room until it is used or dropped.
 #[derive(Debug)]
 pub struct RetryPermit {
     budget: RetryBudget,
     service: ServiceName,
-    taken_at: Instant,
     is_spent: Cell<bool>,
 }
 
@@ -83,7 +82,7 @@
     /// Uses the permit, as the retry is sent `now`.
     pub fn spend(&self, now: Instant) {
         if !self.is_spent.replace(true) {
-            self.budget.give_back(&self.service, self.taken_at);
+            self.budget.give_back(&self.service);
             self.budget.record_retry(&self.service, now);
         }
     }
@@ -92,7 +91,7 @@
 impl Drop for RetryPermit {
     fn drop(&mut self) {
         if !self.is_spent.get() {
-            self.budget.give_back(&self.service, self.taken_at);
+            self.budget.give_back(&self.service);
         }
     }
 }
@@ -118,6 +117,8 @@
 struct SendTimes {
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    /// Permits that are neither used nor dropped, however old.
+    outstanding: usize,
 }
 
 impl RetryBudget {
@@ -187,21 +188,21 @@
 
     /// Takes one retry if this daemon's share allows it; returns it if it is not sent after all.
     pub fn permit(&self, service: &str, now: Instant) -> Option<RetryPermit> {
-        self.try_take(service, now).then(|| RetryPermit {
+        if !self.has_room(service, now) {
+            return None;
+        }
+        let state = &mut *self.0.state.borrow_mut();
+        state.sends(service).outstanding += 1;
+        Some(RetryPermit {
             budget: self.clone(),
             service: service.to_owned(),
-            taken_at: now,
             is_spent: Cell::new(false),
         })
     }
 
-    fn give_back(&self, service: &str, taken_at: Instant) {
+    fn give_back(&self, service: &str) {
         let state = &mut *self.0.state.borrow_mut();
-        let retries = &mut state.sends(service).retries;
-        // One that is too old to count was removed before.
-        if let Some(index) = retries.iter().rposition(|at| *at == taken_at) {
-            retries.remove(index);
-        }
+        state.sends(service).outstanding -= 1;
     }
 
     /// Whether this daemon's share allows one more retry.
@@ -228,7 +229,8 @@
             true => (STARTING_SHARE, fixed_part.earned_share_s(now) / window_s),
             false => (USABLE_SHARE, fixed_part.share),
         };
-        usable * (by_requests + self.0.limit.slack * fixed_share) - sends.retries.len() as f64
+        let taken = sends.retries.len() + sends.outstanding;
+        usable * (by_requests + self.0.limit.slack * fixed_share) - taken as f64
     }
 }
 
