Expect something of each attempt by its own time

Each new attempt moved the time until which nothing is expected of an upstream, and that time stayed when the attempt ended. So one that got attempts more often than the looked-for silence never counted as silent, and a pause of most upstreams under load would have passed for one of a few. Each attempt in flight has its own time now. An upstream that was heard a moment ago counts as sound although no attempt is in flight there: attempts gather at those that are silent.

--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -22,6 +22,13 @@
 /// Silent upstreams from which on their silence may have a common cause.
 const COMMON_UPSTREAMS: usize = 2;
 
+/// Part of a silence within which an upstream without attempts must have been heard to count as
+/// sound: it may have fallen silent since.
+const RECENTLY_HEARD_DIVISOR: u32 = 4;
+
+/// Time after which an upstream without attempts is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
 /// Time on the clock of a daemon, which stands still while the daemon does not run.
 pub type RunTime = Duration;
 
@@ -38,24 +45,24 @@
     awaited: RefCell<HashMap<UpstreamKey, Awaited>>,
 }
 
-/// An upstream with attempts in flight.
+/// An upstream with attempts in flight, or without any since a moment ago.
 #[derive(Debug)]
 struct Awaited {
     service: ServiceName,
-    attempts: usize,
     /// When it last sent something, or else when the first of the attempts was sent.
     heard_at: RunTime,
-    /// Until when nothing is expected of it.
-    due_at: RunTime,
+    /// When something is expected of each attempt in flight.
+    due_at: Vec<RunTime>,
 }
 
 impl Awaited {
     fn silence(&self, now: RunTime) -> Duration {
-        now.saturating_sub(self.heard_at.max(self.due_at))
+        let due_at = self.due_at.iter().min().copied().unwrap_or_default();
+        now.saturating_sub(self.heard_at.max(due_at))
     }
 }
 
-/// Upstreams of a service with attempts in flight.
+/// Upstreams of a service with attempts in flight or heard a moment ago.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SilenceSummary {
     /// Those that have been silent for a given time.
@@ -131,17 +138,23 @@
     ) -> AwaitedAnswer {
         let now = self.run_time();
         let mut awaited = self.0.awaited.borrow_mut();
+        awaited.retain(|_, entry| {
+            !entry.due_at.is_empty() || now.saturating_sub(entry.heard_at) < FORGET_AFTER
+        });
         let entry = awaited.entry(upstream).or_insert_with(|| Awaited {
             service: service.to_owned(),
-            attempts: 0,
             heard_at: now,
-            due_at: now,
+            due_at: Vec::new(),
         });
-        entry.attempts += 1;
-        entry.due_at = entry.due_at.max(now + expected);
+        if entry.due_at.is_empty() {
+            entry.heard_at = now;
+        }
+        let due_at = now + expected;
+        entry.due_at.push(due_at);
         AwaitedAnswer {
             silence: self.clone(),
             upstream,
+            due_at,
         }
     }
 
@@ -153,13 +166,17 @@
         }
     }
 
-    /// Counts the upstreams of a service with attempts in flight, and those of them that have
-    /// been silent for `time`.
+    /// Counts the upstreams of a service with attempts in flight or heard a moment ago, and those
+    /// of them that have been silent for `time`.
     #[must_use]
     pub fn summary(&self, service: &str, time: Duration) -> SilenceSummary {
         let now = self.run_time();
         let awaited = self.0.awaited.borrow();
-        let of_service = awaited.values().filter(|entry| entry.service == service);
+        let recent = time / RECENTLY_HEARD_DIVISOR;
+        let of_service = awaited.values().filter(|entry| {
+            entry.service == service
+                && (!entry.due_at.is_empty() || now.saturating_sub(entry.heard_at) < recent)
+        });
         of_service.fold(SilenceSummary::default(), |summary, entry| SilenceSummary {
             awaited: summary.awaited + 1,
             silent: summary.silent + usize::from(entry.silence(now) >= time),
@@ -172,15 +189,16 @@
 pub struct AwaitedAnswer {
     silence: Silence,
     upstream: UpstreamKey,
+    due_at: RunTime,
 }
 
 impl Drop for AwaitedAnswer {
     fn drop(&mut self) {
         let mut awaited = self.silence.0.awaited.borrow_mut();
         if let Some(entry) = awaited.get_mut(&self.upstream) {
-            entry.attempts -= 1;
-            if entry.attempts == 0 {
-                awaited.remove(&self.upstream);
+            let own = entry.due_at.iter().position(|at| *at == self.due_at);
+            if let Some(index) = own {
+                entry.due_at.swap_remove(index);
             }
         }
     }
