--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -256,6 +256,7 @@
         spawn(gateway.clone().watch_zones()),
         spawn(gateway.clone().watch_paths()),
         spawn(gateway.clone().watch_fleet()),
+        spawn(gateway.clone().keep_time()),
     ];
     Ok((gateway, peers, background_tasks))
 }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -235,9 +235,16 @@
             !state.is_zone_unreachable(&entry.registration.availability_zone, now)
         };
         let is_not_ejected = |(entry, _): &(&UpstreamState, &Load)| !entry.health.is_ejected(now);
+        let is_heard = |(entry, _): &(&UpstreamState, &Load)| !entry.health.is_silent(now);
+        let is_open = |one: &(&UpstreamState, &Load)| {
+            is_not_ejected(one) && is_reachable(one) && is_not_said_to_leave(one)
+        };
         let mut open: Vec<(&UpstreamState, &Load)> = not_tried()
-            .filter(|one| is_not_ejected(one) && is_reachable(one) && is_not_said_to_leave(one))
+            .filter(|one| is_open(one) && is_heard(one))
             .collect();
+        if open.is_empty() {
+            open = not_tried().filter(is_open).collect();
+        }
         if open.is_empty() {
             open = not_tried()
                 .filter(|one| is_not_ejected(one) && is_reachable(one))
@@ -320,6 +327,31 @@
         Some(entry.health.record_failure(failure, now, &self.0.options))
     }
 
+    /// Has new requests of this daemon prefer other upstreams for a while, or until this one goes
+    /// on; returns that time, if the upstream is known.
+    pub fn record_silence(&self, upstream: UpstreamKey) -> Option<Duration> {
+        let now = self.now();
+        let mut state = self.0.state.borrow_mut();
+        let entry = state.upstream_mut(upstream)?;
+        Some(entry.health.record_silence(now, &self.0.options))
+    }
+
+    /// Records that another upstream went on with a request first, while this one was silent;
+    /// returns its ejection time, if that happens repeatedly.
+    pub fn record_overtaken(&self, upstream: UpstreamKey) -> Option<Duration> {
+        let now = self.now();
+        let mut state = self.0.state.borrow_mut();
+        let entry = state.upstream_mut(upstream)?;
+        entry.health.record_overtaken(now, &self.0.options)
+    }
+
+    /// Records that an upstream went on with a request after it was silent.
+    pub fn record_sign_of_life(&self, upstream: UpstreamKey) {
+        if let Some(entry) = self.0.state.borrow_mut().upstream_mut(upstream) {
+            entry.health.record_sign_of_life();
+        }
+    }
+
     /// Has the other daemons eject an upstream, for `time` at most.
     pub fn publish_failure(&self, upstream: UpstreamKey, time: Duration) {
         self.publish(LoadUpdate::Failed {
--- a/crates/engines/src/upstreams/contact.rs
+++ b/crates/engines/src/upstreams/contact.rs
@@ -80,8 +80,8 @@
             .collect()
     }
 
-    /// Up to `count` upstreams other than `except` that take work. Those that are not ejected come
-    /// first, and then those of the own zone.
+    /// Up to `count` upstreams other than `except` that take work. Those that are neither ejected nor
+    /// silent come first, and then those of the own zone.
     #[must_use]
     pub fn draw_others(&self, except: UpstreamKey, count: usize) -> Vec<Upstream> {
         self.draw(count, |entry| entry.key != except)
@@ -113,8 +113,8 @@
             .collect();
         let is_remote = |one: &Upstream| one.availability_zone != self.0.availability_zone;
         others.sort_by_key(|entry| {
-            let is_ejected = entry.health.is_ejected(now);
-            (is_ejected, is_remote(&entry.registration), rank(entry.key))
+            let is_avoided = entry.health.is_ejected(now) || entry.health.is_silent(now);
+            (is_avoided, is_remote(&entry.registration), rank(entry.key))
         });
         let others = others.into_iter().take(count);
         others.map(|entry| entry.registration.clone()).collect()
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -4,103 +4,49 @@
 //! that breaks off can still become a proper error or be retried. For the same reason the
 //! first event of a stream is awaited; then `relay` forwards the events as they arrive.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, StatusCode};
+use http::Response;
 use mangofront_http::{Body, full, stream_until_abort};
 use mangofront_telemetry::metrics::RequestOutcome;
-use mangofront_upstream::SendError;
 
-use crate::attempts::{
-    AttemptAnswer, FailedAttempt, OUTCOME_BROKEN_OFF, attempt, record_failed_attempt,
-    until_restart, upstream_restarted,
-};
-use crate::body_end::BodyEnd;
 use crate::call::Call;
 use crate::gateway::Gateway;
-use crate::history::{AttemptError, History};
-use crate::quarantine::record_complete_answer;
+use crate::history::{History, SharedHistory};
+use crate::in_flight::{InFlight, Opening};
 use crate::refusal::Refusal;
-use crate::relay::{OpenedStream, Relay};
+use crate::relay::Relay;
+use crate::running_attempt::CompleteAnswer;
 use crate::trace::RequestSummary;
 
-/// A complete answer that is not a stream.
-struct CompleteAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: bytes::Bytes,
-    upstream: String,
-    engines: usize,
-    expected: Duration,
-}
-
 pub(crate) async fn answer(gateway: &Gateway, call: Rc<Call>) -> Response<Body> {
     gateway
         .retry_budget()
         .record_request(&call.service, Instant::now());
-    let mut unanswered = UnansweredGuard::new(gateway, &call);
-    let response = try_upstreams(gateway, &call, &mut unanswered.history).await;
+    let history = SharedHistory::default();
+    let mut unanswered = UnansweredGuard::new(gateway, &call, &history);
+    let mut in_flight = InFlight::new(gateway, &call, &history);
+    let opening = in_flight.open().await;
     unanswered.is_answered = true;
-    response
-}
-
-async fn try_upstreams(
-    gateway: &Gateway,
-    call: &Rc<Call>,
-    history: &mut History,
-) -> Response<Body> {
-    // The last answer with a server error, which the caller gets if no retry succeeds.
-    let mut server_error: Option<CompleteAnswer> = None;
-    loop {
-        let attempted = attempt(gateway, call, history, call.last_event_id).await;
-        let error = match attempted {
-            Ok(attempt_answer) if is_stream(call, &attempt_answer) => {
-                let upstream = attempt_answer.upstream.clone();
-                match OpenedStream::read(gateway, call, attempt_answer, history).await {
-                    Ok(opened) => return stream(gateway, call, opened, std::mem::take(history)),
-                    Err(error) => {
-                        let failed = FailedAttempt::starting(&upstream, OUTCOME_BROKEN_OFF);
-                        record_failed_attempt(gateway, call, history, &failed, &error).await;
-                        error
-                    }
-                }
-            }
-            Ok(attempt_answer) => {
-                let upstream = attempt_answer.upstream.clone();
-                match read_complete(gateway, call, attempt_answer).await {
-                    Ok(complete) if is_retryable_status(call, complete.status) => {
-                        let reason = format!("answered {}", complete.status);
-                        server_error = Some(complete);
-                        AttemptError::MayHaveRun(reason)
-                    }
-                    Ok(complete) => return respond(gateway, call, complete, history),
-                    Err(error) => {
-                        let failed = FailedAttempt::starting(&upstream, OUTCOME_BROKEN_OFF);
-                        record_failed_attempt(gateway, call, history, &failed, &error).await;
-                        error
-                    }
-                }
-            }
-            Err(error) => error,
-        };
-        if history.may_retry(gateway, call, &error) {
-            continue;
-        }
-        if let Some(complete) = server_error {
-            return respond(gateway, call, complete, history);
+    match opening {
+        Ok(Opening::Whole(complete)) => respond(gateway, &call, complete, &history.borrow()),
+        Ok(Opening::Stream {
+            status,
+            headers,
+            first,
+        }) => {
+            let relay = Relay::new(gateway.clone(), call, in_flight, first);
+            let mut response = Response::new(stream_until_abort(relay.chunks()));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
         }
-        if let AttemptError::MayHaveRun(_)
-        | AttemptError::ConnectionLost(_)
-        | AttemptError::PathLost
-        | AttemptError::DeadlineExceeded = error
-        {
-            history.may_have_run = true;
+        Err(error) => {
+            let refusal = history.borrow().refusal(error);
+            log_refused(gateway, &call, &refusal, &history.borrow());
+            refusal.into_response(&call.id)
         }
-        let refusal = history.refusal(error);
-        log_refused(gateway, call, &refusal, history);
-        return refusal.into_response(&call.id);
     }
 }
 
@@ -108,16 +54,16 @@
 struct UnansweredGuard<'a> {
     gateway: &'a Gateway,
     call: Rc<Call>,
-    history: History,
+    history: SharedHistory,
     is_answered: bool,
 }
 
 impl<'a> UnansweredGuard<'a> {
-    fn new(gateway: &'a Gateway, call: &Rc<Call>) -> Self {
+    fn new(gateway: &'a Gateway, call: &Rc<Call>, history: &SharedHistory) -> Self {
         Self {
             gateway,
             call: Rc::clone(call),
-            history: History::default(),
+            history: Rc::clone(history),
             is_answered: false,
         }
     }
@@ -128,66 +74,13 @@
         if !self.is_answered {
             let summary = RequestSummary {
                 reason: "caller_gone",
-                ..request_summary(&self.call, &self.history)
+                ..request_summary(&self.call, &self.history.borrow())
             };
             summary.write(&self.gateway.parts().metrics);
         }
     }
 }
 
-/// Whether the answer is a stream that is relayed as it arrives.
-fn is_stream(call: &Call, attempt_answer: &AttemptAnswer) -> bool {
-    call.route.safety.is_stream() && attempt_answer.answer.status.is_success()
-}
-
-/// Whether another upstream may answer a repeated request better.
-fn is_retryable_status(call: &Call, status: StatusCode) -> bool {
-    call.route.safety.may_retry() && status.is_server_error()
-}
-
-/// Reads an answer that is not a stream.
-async fn read_complete(
-    gateway: &Gateway,
-    call: &Call,
-    attempt_answer: AttemptAnswer,
-) -> Result<CompleteAnswer, AttemptError> {
-    let AttemptAnswer {
-        answer,
-        mut placement,
-        upstream,
-        reservations,
-        way: _way,
-    } = attempt_answer;
-    let status = answer.status;
-    let headers = gateway.parts().dialect.answer_headers(&answer.headers);
-    let end = BodyEnd::of(&answer);
-    let limit_bytes = gateway.options().answer_limit_bytes;
-    let body = pin!(answer.bytes(limit_bytes, call.deadline));
-    let read = until_restart(&mut placement, body).await;
-    placement.record_first_event();
-    drop(reservations);
-    match read.ok_or_else(upstream_restarted)? {
-        Ok(body) => {
-            end.confirm(gateway, &upstream).await?;
-            placement.record_complete();
-            record_complete_answer(gateway, call, status);
-            Ok(CompleteAnswer {
-                status,
-                headers,
-                body,
-                upstream: upstream.id,
-                engines: placement.shares.len(),
-                expected: placement.expected_first_event,
-            })
-        }
-        Err(_) if call.time_left().is_zero() => Err(AttemptError::DeadlineExceeded),
-        Err(error @ SendError::ConnectionFailed { .. }) => {
-            Err(AttemptError::ConnectionLost(error.to_string()))
-        }
-        Err(error) => Err(AttemptError::MayHaveRun(error.to_string())),
-    }
-}
-
 fn respond(
     gateway: &Gateway,
     call: &Call,
@@ -209,21 +102,6 @@
     response
 }
 
-fn stream(
-    gateway: &Gateway,
-    call: &Rc<Call>,
-    opened: OpenedStream,
-    history: History,
-) -> Response<Body> {
-    let status = opened.status;
-    let headers = opened.headers.clone();
-    let relay = Relay::new(gateway.clone(), Rc::clone(call), opened, history);
-    let mut response = Response::new(stream_until_abort(relay.chunks()));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
 fn log_refused(gateway: &Gateway, call: &Call, refusal: &Refusal, history: &History) {
     let summary = RequestSummary {
         outcome: refusal.request_outcome(),
@@ -258,5 +136,6 @@
         version: call.version,
         lease_age: call.lease_age,
         proxy: history.proxy.clone(),
+        selected: history.selected.join(" "),
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,40 +1,36 @@
-//! Sends one request to upstreams, one attempt at a time.
+//! Makes one attempt at a request: places it, reserves memory, sends it and awaits the head of the
+//! answer.
 //!
-//! The outcome of a failed attempt decides whether another one may follow. A request that
-//! was not run may be sent to another upstream; one that may have run is sent again only if
-//! it may be repeated. Both are limited by the attempts of the route and by the retry
-//! budget of the whole fleet.
+//! Nothing here gives an attempt up: it ends with its answer, with the proof that it is lost, or
+//! with the deadline of the request. `in_flight` decides when another one may run beside it, and
+//! which of them is forwarded.
 
+use std::cell::{Cell, RefCell};
 use std::pin::pin;
-use std::time::{Duration, Instant};
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use mangofront_engines::{Failure, Placement, Share, UpstreamKey, key_of};
-use mangofront_routes::{RetrySafety, Upstream};
+use mangofront_routes::Upstream;
 use mangofront_upstream::{SendError, UpstreamResponse};
 
 use crate::call::Call;
 use crate::dialect::{AnswerHead, AttemptHead, EventId, Helper};
 use crate::gateway::Gateway;
-use crate::history::{AnswerProgress, AttemptError, History};
+use crate::history::{AnswerProgress, AttemptError, SendLeave, SharedHistory};
 use crate::place::{Placed, place};
 use crate::proxy::{AttemptKind, Times};
-use crate::quarantine::{check_quarantine, recheck_quarantine, record_lost_connection};
+use crate::quarantine::{check_quarantine, recheck_quarantine};
 use crate::rate_limits::SendPermits;
 use crate::reservations::{ReservationFailure, Reservations};
+use crate::silence::{AwaitedAnswer, RunTime};
+use crate::stream_race::AttemptNumber;
 use crate::trace;
-use crate::upstream_client::{UpstreamAnswer, UpstreamCall, UpstreamCallError, Way};
-
-/// Multiple of the predicted time to the first event that an upstream may take before the
-/// attempt is given up, if another attempt may follow.
-const HEAD_TIMEOUT_FACTOR: u32 = 3;
-
-/// Divisor of the remaining time that a plain service gets to answer before another
-/// upstream is tried; the result is well above its slowest usual answer.
-const PLAIN_TIMEOUT_DIVISOR: u32 = 2;
+use crate::upstream_client::{CallProgress, UpstreamAnswer, UpstreamCall, UpstreamCallError, Way};
 
 /// Urgency of the most urgent rank; each following rank adds one.
 const HIGHEST_URGENCY: u8 = 2;
@@ -45,6 +41,57 @@
 /// Outcome, in metrics and logs, of an attempt whose answer broke off after it had begun.
 pub(crate) const OUTCOME_BROKEN_OFF: &str = "broken_off";
 
+/// What an attempt is made with.
+#[derive(Debug)]
+pub(crate) struct AttemptPlan {
+    pub(crate) number: AttemptNumber,
+    pub(crate) last_event_id: Option<EventId>,
+    pub(crate) leave: SendLeave,
+}
+
+/// How far an attempt got, as others may look while it runs.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptProgress {
+    /// The upstream that answers, once one is selected.
+    upstream: RefCell<Option<Upstream>>,
+    /// Predicted time from the send to the first event.
+    expected: Cell<Duration>,
+    /// When the request was written.
+    sent_at: Cell<Option<RunTime>>,
+    /// Counts the attempt as awaited.
+    awaited: RefCell<Option<AwaitedAnswer>>,
+    call: CallProgress,
+}
+
+impl AttemptProgress {
+    pub(crate) fn upstream(&self) -> Option<Upstream> {
+        self.upstream.borrow().clone()
+    }
+
+    pub(crate) fn expected(&self) -> Duration {
+        self.expected.get()
+    }
+
+    pub(crate) fn sent_at(&self) -> Option<RunTime> {
+        self.sent_at.get()
+    }
+
+    /// Whether it goes on a connection of this daemon to the upstream.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.call.is_direct()
+    }
+
+    fn record_send(&self, gateway: &Gateway) {
+        let silence = gateway.silence();
+        self.sent_at.set(Some(silence.run_time()));
+        if let Some(upstream) = &*self.upstream.borrow() {
+            let key = key_of(upstream);
+            let awaited = silence.await_answer(key, &upstream.service, self.expected());
+            self.awaited.replace(Some(awaited));
+        }
+    }
+}
+
 /// The head of an upstream's answer, and what the request holds at that upstream.
 #[derive(Debug)]
 pub(crate) struct AttemptAnswer {
@@ -58,20 +105,27 @@
 
 /// Sends the request to the next upstream and waits for the head of its answer.
 pub(crate) async fn attempt(
-    gateway: &Gateway,
-    call: &Call,
-    history: &mut History,
-    last_event_id: Option<EventId>,
+    gateway: Gateway,
+    call: Rc<Call>,
+    history: SharedHistory,
+    plan: AttemptPlan,
+    progress: Rc<AttemptProgress>,
 ) -> Result<AttemptAnswer, AttemptError> {
-    check_quarantine(gateway, call, history).await?;
+    let (gateway, call) = (&gateway, &*call);
+    check_quarantine(gateway, call, &history).await?;
     let Placed {
         mut placement,
         permits,
-    } = place(gateway, call, history).await?;
+    } = place(gateway, call, &history).await?;
     let upstream = placement.answering().clone();
-    let key = key_of(&upstream);
-    trace::request_placed(call, history, &placement, &gateway.parts().published);
-    history.tried.push(key);
+    progress.upstream.replace(Some(upstream.clone()));
+    progress.expected.set(placement.expected_first_event);
+    {
+        let history = &mut *history.borrow_mut();
+        let published = &gateway.parts().published;
+        trace::request_placed(call, history, plan.number, &placement, published);
+        history.record_placement(&upstream);
+    }
     let name = format!(
         "{}-{}-{}",
         gateway.options().instance,
@@ -83,39 +137,32 @@
             .await
             .map_err(|failed| reservation_failed(gateway, call, &failed))?;
     // Other daemons may have seen more upstreams crash under this request while it waited.
-    recheck_quarantine(gateway, call, history)?;
-    let request = build_request(gateway, call, &placement, &reservations, last_event_id)?;
-    let head_timeout = head_timeout(gateway, call, history, &placement);
+    recheck_quarantine(gateway, call, &history)?;
+    let request = build_request(gateway, call, &placement, &reservations, plan.last_event_id)?;
+    let upstreams = upstreams_of(&placement);
+    let outgoing = Outgoing {
+        upstreams: &upstreams,
+        request,
+        permits: &permits,
+        leave: &plan.leave,
+        progress: &progress,
+    };
     let sent = {
-        let upstreams = upstreams_of(&placement);
-        let outgoing = Outgoing {
-            upstreams: &upstreams,
-            request,
-            head_timeout,
-            permits: &permits,
-        };
-        let sending = pin!(send(gateway, call, outgoing, history));
+        let sending = pin!(send(gateway, call, outgoing, &history));
         until_restart(&mut placement, sending).await
     };
-    let result = match sent {
-        Some(Ok(answer)) => check_head(gateway, call, &upstream, answer, history),
-        Some(Err(error)) => Err(send_failed(gateway, call, &upstream, error)),
-        None => {
-            history.sent += 1;
-            Err(upstream_restarted())
+    let answered = match sent {
+        Some(Ok(answer)) => check_head(gateway, call, &upstream, answer, &history)?,
+        Some(Err(error)) => return Err(send_failed(gateway, call, &upstream, error)),
+        None if progress.sent_at().is_none() => {
+            let reason = format!("{} has started again", upstream.id);
+            return Err(AttemptError::Unreachable(reason));
         }
+        None => return Err(upstream_restarted()),
     };
-    match &result {
-        Ok(_) => {
-            let zone = &upstream.availability_zone;
-            gateway.parts().metrics.attempt_ended(zone, "answered");
-        }
-        Err(error) => {
-            let failed = FailedAttempt::starting(&upstream, error.code());
-            record_failed_attempt(gateway, call, history, &failed, error).await;
-        }
-    }
-    let UpstreamAnswer { answer, way } = result?;
+    let zone = &upstream.availability_zone;
+    gateway.parts().metrics.attempt_ended(zone, "answered");
+    let UpstreamAnswer { answer, way } = answered;
     Ok(AttemptAnswer {
         answer,
         placement,
@@ -134,33 +181,6 @@
     pub(crate) progress: AnswerProgress,
 }
 
-impl<'a> FailedAttempt<'a> {
-    /// An attempt that failed before its answer was underway.
-    pub(crate) fn starting(upstream: &'a Upstream, outcome: &'static str) -> Self {
-        Self {
-            upstream,
-            outcome,
-            progress: AnswerProgress::Starting,
-        }
-    }
-}
-
-/// Records a failed attempt in metrics and logs, and checks whether its upstream crashed.
-pub(crate) async fn record_failed_attempt(
-    gateway: &Gateway,
-    call: &Call,
-    history: &History,
-    failed: &FailedAttempt<'_>,
-    error: &AttemptError,
-) {
-    let zone = &failed.upstream.availability_zone;
-    gateway.parts().metrics.attempt_ended(zone, failed.outcome);
-    trace::attempt_failed(call, failed, &error.to_string());
-    if let AttemptError::ConnectionLost(_) = error {
-        record_lost_connection(gateway, call, history, failed).await;
-    }
-}
-
 /// The upstreams of a placement; the first one answers.
 pub(crate) fn upstreams_of(placement: &Placement) -> Vec<Upstream> {
     let shares = placement.shares.iter();
@@ -229,29 +249,6 @@
     (HIGHEST_URGENCY + rank.min(LOWEST_URGENCY - HIGHEST_URGENCY) + by_target).min(LOWEST_URGENCY)
 }
 
-/// Time to wait for the head of the answer.
-///
-/// A request that must not be sent again is never given up because of silence.
-fn head_timeout(
-    gateway: &Gateway,
-    call: &Call,
-    history: &History,
-    placement: &Placement,
-) -> Duration {
-    let left = call.time_left();
-    let may_retry = call.route.safety.may_retry();
-    if !may_retry || history.sent + 1 >= call.route.attempts {
-        return left;
-    }
-    match call.route.safety {
-        RetrySafety::Stream { .. } => {
-            let predicted = placement.expected_first_event * HEAD_TIMEOUT_FACTOR;
-            left.min(predicted + gateway.stall_timeout())
-        }
-        RetrySafety::Idempotent | RetrySafety::AtMostOnce => left / PLAIN_TIMEOUT_DIVISOR,
-    }
-}
-
 /// Runs `future` until the upstream starts again; `None` if it did.
 pub(crate) async fn until_restart<F: Future + Unpin>(
     placement: &mut Placement,
@@ -273,24 +270,25 @@
     /// The upstreams that get the request or a part of it; the first one answers.
     upstreams: &'a [Upstream],
     request: Request<Full<Bytes>>,
-    head_timeout: Duration,
     permits: &'a SendPermits,
+    leave: &'a SendLeave,
+    progress: &'a AttemptProgress,
 }
 
 async fn send(
     gateway: &Gateway,
     call: &Call,
     outgoing: Outgoing<'_>,
-    history: &mut History,
+    history: &SharedHistory,
 ) -> Result<UpstreamAnswer, UpstreamCallError> {
     let Outgoing {
         upstreams,
         request,
-        head_timeout,
         permits,
+        leave,
+        progress,
     } = outgoing;
     let upstream = &upstreams[0];
-    let deadline = Instant::now() + head_timeout;
     // Since the upstream was selected, memory was reserved and a connection opened. The
     // upstreams may have announced their shutdown, asked for rest or named a limit since then,
     // or this daemon may have been suspended.
@@ -302,35 +300,40 @@
             && permits.allow(&keys);
         if is_wanted {
             permits.spend(upstreams, &call.id);
+            leave.spend();
+            if progress.sent_at().is_none() {
+                history.borrow_mut().sent += 1;
+                progress.record_send(gateway);
+            }
         }
         is_wanted
     };
-    let may_retry = call.route.safety.may_retry();
     let upstream_call = UpstreamCall {
         upstream,
         request,
         times: Times {
-            deadline,
+            deadline: call.deadline,
             expires: call.deadline,
         },
-        kind: match may_retry {
+        kind: match call.route.safety.may_retry() {
             true => AttemptKind::Repeatable,
             false => AttemptKind::AtMostOnce,
         },
-        leaves_lost_path: may_retry && history.may_resend_after_next(gateway, call),
+        progress: &progress.call,
         cause: &call.id,
     };
     let client = gateway.upstream_client();
     let sent = client.send(upstream_call, is_still_wanted).await;
-    let has_arrived = match &sent {
-        Ok(answer) => {
-            history.proxy = answer.way.proxy().cloned();
-            true
+    let history = &mut *history.borrow_mut();
+    match &sent {
+        Ok(answer) => history.proxy = answer.way.proxy().cloned(),
+        Err(error) if !error.may_have_arrived() => {
+            if progress.sent_at.take().is_some() {
+                history.sent -= 1;
+                progress.awaited.take();
+            }
         }
-        Err(error) => error.may_have_arrived(),
-    };
-    if has_arrived {
-        history.sent += 1;
+        Err(_) => {}
     }
     sent
 }
@@ -341,7 +344,7 @@
     call: &Call,
     upstream: &Upstream,
     answered: UpstreamAnswer,
-    history: &mut History,
+    history: &SharedHistory,
 ) -> Result<UpstreamAnswer, AttemptError> {
     let answer = &answered.answer;
     let head = gateway
@@ -363,7 +366,7 @@
         // This is a late answer to an earlier request, or it names no request, so the
         // outcome of this one is unknown. Dropping the answer closes the connection.
         other => {
-            history.may_have_run = true;
+            history.borrow_mut().may_have_run = true;
             let other = other.as_deref().unwrap_or("no request");
             return Err(AttemptError::MayHaveRun(format!("an answer to {other}")));
         }
@@ -402,20 +405,15 @@
         UpstreamCallError::NotConnected(error) | UpstreamCallError::Withdrawn(error) => {
             return AttemptError::Unreachable(error.to_string());
         }
-        UpstreamCallError::PathLost => return AttemptError::PathLost,
         UpstreamCallError::MayHaveRun(error) => error,
     };
-    let failure = match error {
-        SendError::Timeout { .. } => Failure::Silent,
-        _ => Failure::Unreachable,
-    };
-    let client = gateway.upstream_client();
-    client.suspect(upstream, failure, &call.id);
-    if call.time_left().is_zero() {
-        return AttemptError::DeadlineExceeded;
+    let is_lost = matches!(error, SendError::ConnectionFailed { .. });
+    if is_lost {
+        gateway.upstream_client().suspect(upstream, &call.id);
     }
-    match error {
-        SendError::ConnectionFailed { .. } => AttemptError::ConnectionLost(error.to_string()),
-        _ => AttemptError::MayHaveRun(error.to_string()),
+    match is_lost {
+        _ if call.time_left().is_zero() => AttemptError::DeadlineExceeded,
+        true => AttemptError::ConnectionLost(error.to_string()),
+        false => AttemptError::MayHaveRun(error.to_string()),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,7 +28,9 @@
 use crate::rate_limits::{LimitStatus, RateLimits};
 use crate::reservations::ReservationClient;
 use crate::retry_budget::{FleetShare, FleetView, RetryBudget};
+use crate::silence::Silence;
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
+use crate::usual_times::UsualTimes;
 use crate::{trace, zones};
 
 /// Body limit while no configuration is in force, in bytes.
@@ -79,6 +81,8 @@
 struct Shared {
     parts: GatewayParts,
     retry_budget: RetryBudget,
+    silence: Silence,
+    usual_times: UsualTimes,
     upstream_client: UpstreamClient,
     reservation_client: ReservationClient,
     proxied_attempts: Rc<ProxiedAttempts>,
@@ -110,6 +114,8 @@
         Self(Rc::new(Shared {
             parts,
             retry_budget,
+            silence: Silence::default(),
+            usual_times: UsualTimes::default(),
             upstream_client,
             reservation_client,
             proxied_attempts: Rc::default(),
@@ -127,6 +133,11 @@
         zones::probe_quiet_zones(parts.upstreams.clone(), parts.connections.clone()).await;
     }
 
+    /// Measures the time in which this daemon runs, forever.
+    pub async fn keep_time(self) {
+        self.silence().clone().keep_time().await;
+    }
+
     /// Looks for lost paths to upstreams and probes them, forever.
     pub async fn watch_paths(self) {
         self.upstream_client().clone().watch_paths().await;
@@ -271,6 +282,16 @@
         &self.0.retry_budget
     }
 
+    /// The upstreams from which this daemon awaits something.
+    pub(crate) fn silence(&self) -> &Silence {
+        &self.0.silence
+    }
+
+    /// How long upstreams usually take.
+    pub(crate) fn usual_times(&self) -> &UsualTimes {
+        &self.0.usual_times
+    }
+
     /// Time since this daemon started.
     pub(crate) fn uptime(&self) -> Duration {
         self.0.started.elapsed()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,9 @@
 mod fingerprint;
 mod follow;
 mod gateway;
+mod hedging;
 mod history;
+mod in_flight;
 mod known_positions;
 mod lease;
 mod options;
@@ -41,6 +43,7 @@
 mod relay;
 mod reservations;
 mod retry_budget;
+mod running_attempt;
 mod signal;
 mod silence;
 mod source_availability;
@@ -48,6 +51,7 @@
 mod stream_race;
 mod trace;
 mod upstream_client;
+mod usual_times;
 mod zones;
 
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
@@ -77,3 +81,4 @@
     StateExchange, StateExchangeError, StateExchangeOptions, StateExchangeParts,
 };
 pub use stream_race::{AttemptNumber, ResumePoint, StreamFault, StreamRace};
+pub use usual_times::{UsualTimes, Wait};
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -8,16 +8,8 @@
 use mangofront_paths::{PathFault, PathOptions, PathSummary, PathTable, Route};
 use mangofront_routes::Upstream;
 
-use crate::signal::Waiters;
 use crate::trace;
 
-/// Time between two looks at a lost path: silence is the absence of an event, so nothing
-/// reports it.
-const SILENCE_CHECK_PERIOD: Duration = Duration::from_millis(250);
-
-/// Longest wait for a path to be lost, after which the waiting task looks again.
-const CHANGE_WAIT: Duration = Duration::from_secs(60);
-
 /// The paths of this daemon; clones share their state.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Paths(Rc<Shared>);
@@ -25,14 +17,12 @@
 #[derive(Debug)]
 struct Shared {
     table: RefCell<PathTable>,
-    changed: Waiters,
 }
 
 impl Default for Shared {
     fn default() -> Self {
         Self {
             table: RefCell::new(PathTable::new(PathOptions::default())),
-            changed: Waiters::default(),
         }
     }
 }
@@ -80,7 +70,6 @@
             .prove(key_of(upstream), Instant::now());
         if let Some(outage) = ended {
             trace::path_regained(upstream, outage);
-            self.0.changed.wake_all();
         }
     }
 
@@ -100,7 +89,6 @@
         drop(table);
         if is_new {
             trace::path_lost(upstream, fault, since.elapsed(), witness, &summary);
-            self.0.changed.wake_all();
         }
     }
 
@@ -178,14 +166,8 @@
         self.0.table.borrow_mut().retain(known);
     }
 
-    /// Waits until the direct path to an upstream is lost and silent.
-    pub(crate) async fn wait_until_silent(self, upstream: UpstreamKey) {
-        while !self.0.table.borrow().is_silent(upstream, Instant::now()) {
-            let time = match self.has_outage() {
-                true => SILENCE_CHECK_PERIOD,
-                false => CHANGE_WAIT,
-            };
-            self.0.changed.wait(time).await;
-        }
+    /// Whether the direct path to an upstream is lost, and nothing has arrived on it for some time.
+    pub(crate) fn is_silent(&self, upstream: UpstreamKey) -> bool {
+        self.0.table.borrow().is_silent(upstream, Instant::now())
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -18,7 +18,7 @@
 use crate::attempts::upstreams_of;
 use crate::call::Call;
 use crate::gateway::Gateway;
-use crate::history::{AttemptError, History, MIN_ATTEMPT_TIME};
+use crate::history::{AttemptError, History, MIN_ATTEMPT_TIME, SharedHistory};
 use crate::rate_limits::{NotPermitted, SendPermits, SlotWait};
 
 /// Pause before placement is tried again while all engines are overloaded: shorter than one
@@ -61,16 +61,17 @@
 pub(crate) async fn place(
     gateway: &Gateway,
     call: &Call,
-    history: &mut History,
+    history: &SharedHistory,
 ) -> Result<Placed, AttemptError> {
-    let mut avoided = match history.trial.is_some() {
-        true => all_but_calmest(gateway, call, history),
+    let is_trial = history.borrow().trial.is_some();
+    let mut avoided = match is_trial {
+        true => all_but_calmest(gateway, call, &history.borrow()),
         false => Vec::new(),
     };
     for _ in 0..MAX_REFUSALS {
         let placement = match place_once(gateway, call, history, &avoided).await {
             Ok(placement) => placement,
-            Err(NoUpstream::Resting) => return Err(resting(gateway, call, history)),
+            Err(NoUpstream::Resting) => return Err(resting(gateway, call, &history.borrow())),
             Err(reason) => return place_at_slot(gateway, call, history, reason).await,
         };
         let limited_reservations = limited_reservations(gateway, &placement);
@@ -78,12 +79,12 @@
             avoided.extend(limited_reservations);
             continue;
         }
-        let wait = slot_wait(gateway, call, history);
+        let wait = slot_wait(gateway, call, &history.borrow());
         let limits = gateway.rate_limits();
         let upstreams = upstreams_of(&placement);
         if let Ok(permits) = limits.acquire(&upstreams, wait, &call.id).await {
             wait_for_permits(&permits, history).await;
-            if history.trial.is_some() {
+            if is_trial {
                 isolate(gateway, &upstreams);
             }
             return Ok(Placed { placement, permits });
@@ -110,11 +111,11 @@
 }
 
 /// Waits until the permits may be used.
-async fn wait_for_permits(permits: &SendPermits, history: &mut History) {
+async fn wait_for_permits(permits: &SendPermits, history: &SharedHistory) {
     let wait = permits.wait();
     if !wait.is_zero() {
         compio::time::sleep(wait).await;
-        history.waited += wait;
+        history.borrow_mut().waited += wait;
     }
 }
 
@@ -162,7 +163,7 @@
 async fn place_at_slot(
     gateway: &Gateway,
     call: &Call,
-    history: &mut History,
+    history: &SharedHistory,
     reason: NoUpstream,
 ) -> Result<Placed, AttemptError> {
     let limits = gateway.rate_limits();
@@ -171,7 +172,7 @@
         return Err(AttemptError::NoUpstream(reason));
     }
     let open = gateway.parts().upstreams.open_of_service(&call.service);
-    withheld.retain(|(key, _)| open.contains(key) && !history.tried.contains(key));
+    withheld.retain(|(key, _)| open.contains(key) && !history.borrow().tried.contains(key));
     withheld.sort_unstable_by_key(|(_, until)| *until);
     withheld.truncate(MAX_SLOT_REQUESTS);
     let mut refused: Option<Duration> = None;
@@ -189,7 +190,7 @@
         match limits.acquire(&[upstream], wait, &call.id).await {
             Ok(permits) => {
                 wait_for_permits(&permits, history).await;
-                let placement = place_on(gateway, call, history, key);
+                let placement = place_on(gateway, call, &history.borrow(), key);
                 return placement
                     .map(|placement| Placed { placement, permits })
                     .map_err(AttemptError::NoUpstream);
@@ -223,7 +224,7 @@
 async fn place_once(
     gateway: &Gateway,
     call: &Call,
-    history: &mut History,
+    history: &SharedHistory,
     avoided: &[UpstreamKey],
 ) -> Result<Placement, NoUpstream> {
     let started = Instant::now();
@@ -231,11 +232,11 @@
     loop {
         gateway.parts().published.wait_until_confirmed().await;
         let connections = &gateway.parts().connections;
-        let demand = demand(call, history, waited, connections);
+        let demand = demand(call, &history.borrow(), waited, connections);
         let upstreams = &gateway.parts().upstreams;
         let withheld = gateway.rate_limits().withheld();
-        let excluded: Vec<UpstreamKey> = history
-            .tried
+        let tried = history.borrow().tried.clone();
+        let excluded: Vec<UpstreamKey> = tried
             .iter()
             .chain(avoided)
             .copied()
@@ -254,7 +255,7 @@
                 None => return Err(NoUpstream::Resting),
             },
             placement => {
-                history.waited += waited;
+                history.borrow_mut().waited += waited;
                 return placement;
             }
         }
--- a/crates/gateway/src/quarantine/crash.rs
+++ b/crates/gateway/src/quarantine/crash.rs
@@ -14,7 +14,7 @@
 use crate::call::Call;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::Gateway;
-use crate::history::{AnswerProgress, History};
+use crate::history::{AnswerProgress, SharedHistory};
 use crate::probe::ProbeResult;
 use crate::trace;
 use crate::upstream_client::Verdict;
@@ -70,22 +70,24 @@
 /// Handles the loss of a connection to an upstream that may have run the request.
 ///
 /// A request that no crash has met yet goes on elsewhere while the upstream is checked, if its
-/// answer was underway; any other waits for the result, so that no further upstream crashes before
-/// it is known.
+/// answer was underway or another attempt runs already; any other waits for the result, so that
+/// no further upstream crashes before it is known.
 pub(crate) async fn record_lost_connection(
     gateway: &Gateway,
     call: &Call,
-    history: &History,
+    history: &SharedHistory,
     failed: &FailedAttempt<'_>,
+    has_other_attempt: bool,
 ) {
     let lost = LostAttempt {
         request: call.id.clone(),
         fingerprint: call.fingerprint,
         progress: failed.progress,
-        is_trial: history.trial.is_some(),
+        is_trial: history.borrow().trial.is_some(),
         suspects: call.suspects.clone(),
     };
-    let may_go_on = lost.progress == AnswerProgress::Underway && is_unsuspected(gateway, &lost);
+    let is_underway = lost.progress == AnswerProgress::Underway;
+    let may_go_on = has_other_attempt || (is_underway && is_unsuspected(gateway, &lost));
     let check = check_for_crash(gateway.clone(), lost, failed.upstream.clone());
     match may_go_on {
         true => spawn(check).detach(),
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::call::Call;
 use crate::gateway::Gateway;
-use crate::history::{AttemptError, History, MIN_ATTEMPT_TIME, QuarantineCause};
+use crate::history::{AttemptError, MIN_ATTEMPT_TIME, QuarantineCause, SharedHistory};
 use crate::trace;
 
 pub(crate) use crash::{LostAttempt, record_lost_connection};
@@ -42,16 +42,16 @@
 pub(crate) async fn check_quarantine(
     gateway: &Gateway,
     call: &Call,
-    history: &mut History,
+    history: &SharedHistory,
 ) -> Result<(), AttemptError> {
     let started = Instant::now();
-    while history.trial.is_none() {
+    while history.borrow().trial.is_none() {
         let blocked = blocked_suspects(gateway, call);
         if blocked.is_empty() {
             return Ok(());
         }
         if let Some(trial) = begin_trial(gateway, call, &blocked).await {
-            history.trial = Some(trial);
+            history.borrow_mut().trial = Some(trial);
             trace::trial_started(call, &blocked);
             return Ok(());
         }
@@ -68,9 +68,9 @@
 pub(crate) fn recheck_quarantine(
     gateway: &Gateway,
     call: &Call,
-    history: &History,
+    history: &SharedHistory,
 ) -> Result<(), AttemptError> {
-    if history.trial.is_some() {
+    if history.borrow().trial.is_some() {
         return Ok(());
     }
     match blocked_suspects(gateway, call) {
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -15,7 +15,7 @@
 
 use crate::dialect::{Dialect, ReservationId};
 use crate::proxy::{AttemptKind, Times};
-use crate::upstream_client::{UpstreamCall, UpstreamClient};
+use crate::upstream_client::{CallProgress, UpstreamCall, UpstreamClient};
 
 /// Renewals within the hold time of a reservation.
 const RENEWALS_PER_HOLD: u32 = 3;
@@ -246,7 +246,7 @@
             expires: deadline,
         },
         kind: AttemptKind::Order,
-        leaves_lost_path: false,
+        progress: &CallProgress::default(),
         cause: &reservation.id,
     };
     let is_wanted = || match purpose {
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -18,6 +18,7 @@
 use crate::call::Call;
 use crate::dialect::Position;
 use crate::fingerprint::Fingerprint;
+use crate::hedging::HedgeTrigger;
 use crate::history::{History, RATE_LIMITED};
 use crate::lease::Lease;
 use crate::probe::ProbeResult;
@@ -27,6 +28,8 @@
 use crate::quarantine::{LostAttempt, format_suspect};
 use crate::rate_limits::LimitSource;
 use crate::refusal::Refusal;
+use crate::silence::SilenceSummary;
+use crate::stream_race::AttemptNumber;
 use crate::upstream_client::Verdict;
 
 /// Prompt parts that one line lists.
@@ -162,6 +165,7 @@
 pub(crate) fn request_placed(
     call: &Call,
     history: &History,
+    number: AttemptNumber,
     placement: &Placement,
     published: &Published,
 ) {
@@ -176,7 +180,7 @@
         fingerprint = call.fingerprint.to_string().as_str(),
         route = call.route.name.as_str(),
         prompt_tokens = call.tokens.map_or(0, |tokens| tokens.prompt_tokens),
-        attempt = history.tried.len() + 1,
+        attempt = number + 1,
         upstream = ids[0],
         helpers = ids[1..].join(" ").as_str(),
         waited_ms = milliseconds(history.waited),
@@ -192,7 +196,12 @@
 }
 
 /// An upstream failed a request, or reported that it did not run it.
-pub(crate) fn attempt_failed(call: &Call, failed: &FailedAttempt<'_>, reason: &str) {
+pub(crate) fn attempt_failed(
+    call: &Call,
+    failed: &FailedAttempt<'_>,
+    reason: &str,
+    has_other_attempt: bool,
+) {
     log::info!(
         request = call.id.as_str(),
         fingerprint = call.fingerprint.to_string().as_str(),
@@ -200,11 +209,69 @@
         upstream_started_at_ms = failed.upstream.started_at_ms,
         outcome = failed.outcome,
         answer = failed.progress.name(),
+        has_other_attempt = has_other_attempt,
         reason = reason;
         "gateway: attempt failed"
     );
 }
 
+/// An attempt whose upstream is silent for much longer than usual.
+#[derive(Debug)]
+pub(crate) struct SilentAttempt<'a> {
+    pub(crate) upstream: &'a Upstream,
+    pub(crate) trigger: HedgeTrigger,
+    pub(crate) silence: Duration,
+    /// Silence from which on it counts.
+    pub(crate) limit: Duration,
+    /// How many other upstreams are silent too.
+    pub(crate) summary: SilenceSummary,
+    /// Time for which this daemon has not run since its start.
+    pub(crate) lateness: Duration,
+}
+
+/// The upstream of an attempt has been silent for much longer than usual.
+pub(crate) fn attempt_silent(call: &Call, silent: &SilentAttempt<'_>) {
+    log::info!(
+        request = call.id.as_str(),
+        upstream = silent.upstream.id.as_str(),
+        trigger = silent.trigger.name(),
+        silent_ms = milliseconds(silent.silence),
+        limit_ms = milliseconds(silent.limit),
+        silent_upstreams = silent.summary.silent,
+        awaited_upstreams = silent.summary.awaited,
+        not_run_ms = milliseconds(silent.lateness),
+        left_ms = milliseconds(call.time_left());
+        "gateway: upstream of an attempt is silent"
+    );
+}
+
+/// One of two attempts was first to go on, and the other is cancelled.
+pub(crate) fn attempt_overtaken(
+    call: &Call,
+    winner: Option<Upstream>,
+    loser: Option<Upstream>,
+    by_replacement: bool,
+) {
+    let id = |upstream: Option<Upstream>| upstream.map_or(String::new(), |upstream| upstream.id);
+    log::info!(
+        request = call.id.as_str(),
+        upstream = id(winner).as_str(),
+        cancelled_upstream = id(loser).as_str(),
+        by_replacement = by_replacement;
+        "gateway: attempt overtaken"
+    );
+}
+
+/// New requests of this daemon prefer others to an upstream that is silent.
+pub(crate) fn silent_upstream_avoided(upstream: &Upstream, time: Duration, cause: &str) {
+    log::info!(
+        upstream = upstream.id.as_str(),
+        avoided_ms = milliseconds(time),
+        cause_request = cause;
+        "gateway: silent upstream avoided"
+    );
+}
+
 /// An upstream crashed while running a request.
 pub(crate) fn upstream_crashed_under(
     lost: &LostAttempt,
@@ -514,6 +581,8 @@
     pub(crate) lease_age: Option<Duration>,
     /// The daemon that forwarded the last attempt, if one did.
     pub(crate) proxy: Option<InstanceId>,
+    /// Ids of the upstreams that were selected, in order, separated by spaces.
+    pub(crate) selected: String,
 }
 
 impl RequestSummary<'_> {
@@ -560,6 +629,7 @@
             upstream = self.upstream,
             proxy = self.proxy.as_deref().unwrap_or_default(),
             attempts = self.attempts,
+            selected = self.selected.as_str(),
             readers = self.engines,
             prompt_tokens = self.prompt_tokens,
             target_ms = milliseconds(self.target),
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -12,14 +12,12 @@
 mod examination;
 mod notices;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{Either, select};
 use http::Request;
 use http_body_util::Full;
 use mangofront_engines::{Failure, UpstreamKey, Upstreams, key_of};
@@ -51,12 +49,25 @@
     pub(crate) request: Request<Full<Bytes>>,
     pub(crate) times: Times,
     pub(crate) kind: AttemptKind,
-    /// Whether the caller would rather repeat the call than wait on a path that is lost.
-    pub(crate) leaves_lost_path: bool,
+    /// Tells the caller how far it got.
+    pub(crate) progress: &'a CallProgress,
     /// Id of the request that it serves, for logs.
     pub(crate) cause: &'a str,
 }
 
+/// How far a call got.
+#[derive(Debug, Default)]
+pub(crate) struct CallProgress {
+    is_direct: Cell<bool>,
+}
+
+impl CallProgress {
+    /// Whether the call goes on a connection of this daemon to the upstream.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.is_direct.get()
+    }
+}
+
 /// Head of an answer, and the way that it came.
 #[derive(Debug)]
 pub(crate) struct UpstreamAnswer {
@@ -100,8 +111,6 @@
     NotConnected(SendError),
     /// The call was no longer wanted; nothing was sent.
     Withdrawn(SendError),
-    /// The call may have run; the path has been lost since it was sent.
-    PathLost,
     /// The call may have run.
     MayHaveRun(SendError),
 }
@@ -109,7 +118,7 @@
 impl UpstreamCallError {
     /// Whether the upstream may have received the call.
     pub(crate) fn may_have_arrived(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_) | Self::PathLost)
+        matches!(self, Self::MayHaveRun(_))
     }
 }
 
@@ -203,11 +212,6 @@
                 Err(UpstreamCallError::NoPath)
                     if self.0.paths.has_received_within(SIGN_OF_PATHS_LIFETIME) =>
                 {
-                    let leaves_lost_path = false;
-                    let call = UpstreamCall {
-                        leaves_lost_path,
-                        ..call
-                    };
                     self.send_directly(call, is_wanted).await
                 }
                 Err(error) => Err(error),
@@ -223,15 +227,14 @@
         let (key, started) = (key_of(call.upstream), Instant::now());
         let pending = self.0.paths.begin_attempt(key);
         let error = match self.try_directly(&call, &is_wanted).await {
-            None => return Err(UpstreamCallError::PathLost),
-            Some(Ok(answer)) => {
+            Ok(answer) => {
                 self.0.paths.receive(key);
                 return Ok(UpstreamAnswer {
                     answer,
                     way: Way::Direct { _pending: pending },
                 });
             }
-            Some(Err(error)) => error,
+            Err(error) => error,
         };
         drop(pending);
         match error {
@@ -244,38 +247,28 @@
         }
     }
 
-    /// Makes a call on the direct path; `None` if the call left it, as it is lost.
+    /// Makes a call on the direct path.
     async fn try_directly(
         &self,
         call: &UpstreamCall<'_>,
         is_wanted: &impl Fn() -> bool,
-    ) -> Option<Result<UpstreamResponse, SendError>> {
+    ) -> Result<UpstreamResponse, SendError> {
+        call.progress.is_direct.set(true);
         let connections = &self.0.parts.connections;
         let target = target_of(call.upstream);
         let deadline = call.times.deadline;
-        let sending = async {
-            let request = call.request.clone();
-            match call.kind {
-                AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
-                    connections
-                        .send_if(&target, request, deadline, is_wanted)
-                        .await
-                }
-                // If a reused connection breaks, it is unknown whether the request was run.
-                AttemptKind::AtMostOnce => {
-                    let opened = connections.open(&target, deadline).await?;
-                    opened.send_if(request, deadline, is_wanted).await
-                }
+        let request = call.request.clone();
+        match call.kind {
+            AttemptKind::Repeatable | AttemptKind::Order | AttemptKind::Probe => {
+                connections
+                    .send_if(&target, request, deadline, is_wanted)
+                    .await
+            }
+            // If a reused connection breaks, it is unknown whether the request was run.
+            AttemptKind::AtMostOnce => {
+                let opened = connections.open(&target, deadline).await?;
+                opened.send_if(request, deadline, is_wanted).await
             }
-        };
-        if !call.leaves_lost_path {
-            return Some(sending.await);
-        }
-        let paths = self.0.paths.clone();
-        let is_silent = paths.wait_until_silent(key_of(call.upstream));
-        match select(pin!(sending), pin!(is_silent)).await {
-            Either::Left((sent, _)) => Some(sent),
-            Either::Right(_) => None,
         }
     }
 
@@ -315,6 +308,7 @@
         call: &UpstreamCall<'_>,
         is_wanted: &impl Fn() -> bool,
     ) -> Result<UpstreamAnswer, UpstreamCallError> {
+        call.progress.is_direct.set(false);
         let request = call.request.clone();
         let proxies = &self.0.parts.proxies;
         let sent = proxies.send(call.upstream, request, call.kind, call.times, is_wanted);
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -78,11 +78,11 @@
 }
 
 impl UpstreamClient {
-    /// Ejects an upstream after a failure, and examines whether the upstream or the path
+    /// Ejects an upstream whose connection was lost, and examines whether the upstream or the path
     /// failed.
-    pub(crate) fn suspect(&self, upstream: &Upstream, failure: Failure, cause: &str) {
+    pub(crate) fn suspect(&self, upstream: &Upstream, cause: &str) {
         let key = key_of(upstream);
-        let ejection = self.record_failure(key, failure, false, cause);
+        let ejection = self.record_failure(key, Failure::Unreachable, false, cause);
         let (client, upstream) = (self.clone(), upstream.clone());
         spawn(async move {
             match client.examine(&upstream).await {
@@ -96,6 +96,36 @@
         .detach();
     }
 
+    /// Has new requests prefer others to an upstream that is silent, and examines it.
+    ///
+    /// Silence proves nothing: it is ejected only if it certainly doesn't run.
+    pub(crate) fn avoid_silent(&self, upstream: &Upstream, cause: &str) {
+        let key = key_of(upstream);
+        if let Some(time) = self.0.parts.upstreams.record_silence(key) {
+            trace::silent_upstream_avoided(upstream, time, cause);
+        }
+        let (client, upstream, cause) = (self.clone(), upstream.clone(), cause.to_owned());
+        spawn(async move {
+            if let Verdict::Fails(result) = client.examine(&upstream).await
+                && !result.shows_life()
+            {
+                client.record_failure(key, Failure::Unreachable, true, &cause);
+            }
+        })
+        .detach();
+    }
+
+    /// Records that a replacement went on first while an upstream was silent.
+    ///
+    /// That is no silence of this daemon's paths alone, so repeated ones concern all daemons.
+    pub(crate) fn record_overtaken(&self, upstream: &Upstream, cause: &str) {
+        let (key, upstreams) = (key_of(upstream), &self.0.parts.upstreams);
+        if let Some(time) = upstreams.record_overtaken(key) {
+            trace::upstream_ejected(&upstream.id, Failure::Overtaken, time, cause);
+            upstreams.publish_failure(key, time);
+        }
+    }
+
     /// Finds out whether an upstream answers this daemon, or else another one.
     ///
     /// Those who ask at the same time share one examination.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,7 +18,9 @@
 use thiserror::Error;
 
 use instruments::Instruments;
-pub use labels::{Disposition, NoticeKind, PathState, PeerState, RequestOutcome};
+pub use labels::{
+    Disposition, NoticeKind, PathState, PeerState, ReplacementOutcome, RequestOutcome,
+};
 pub use mangofront_prompt::LengthBucket;
 
 /// Prefix of the names of all metrics.
@@ -235,6 +237,12 @@
         self.0.instruments.upstream_crashes.add(1, &labels);
     }
 
+    /// Counts what became of the replacement of a silent attempt.
+    pub fn replacement(&self, outcome: ReplacementOutcome) {
+        let labels = [label("outcome", outcome.name())];
+        self.0.instruments.replacements.add(1, &labels);
+    }
+
     /// Counts a notice of an upstream in an answer to this daemon.
     pub fn upstream_notice(&self, kind: NoticeKind) {
         let labels = [label("kind", kind.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -29,6 +29,7 @@
     pub(super) retry_share_ppm: Gauge<u64>,
     pub(super) upstream_errors: Counter<u64>,
     pub(super) upstream_crashes: Counter<u64>,
+    pub(super) replacements: Counter<u64>,
     pub(super) upstream_notices: Counter<u64>,
     pub(super) suspects_cleared: Counter<u64>,
     pub(super) suspected_parts: Gauge<u64>,
@@ -96,6 +97,10 @@
                 "upstream_crashes",
                 "Requests of this daemon that ran on an upstream when it crashed, by evidence",
             ),
+            replacements: counter(
+                "replacements",
+                "Replacements of silent attempts, by outcome",
+            ),
             upstream_notices: counter(
                 "upstream_notices",
                 "Answers in which upstreams begin to leave or ask for rest, by kind",
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -49,6 +49,44 @@
     }
 }
 
+/// What became of the replacement of a silent attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplacementOutcome {
+    /// It was started.
+    Started,
+    /// It was forwarded.
+    Won,
+    /// The attempt that it was to replace went on first.
+    Overtaken,
+    /// The retry budget had no room for it.
+    RefusedByBudget,
+    /// No upstream could be selected for it, or none was reached.
+    NotPlaced,
+    /// Its upstream did not run it.
+    RefusedByUpstream,
+    /// One of the attempts failed beside the other.
+    Failed,
+    /// It was not started, as most upstreams were silent.
+    CommonSilence,
+}
+
+impl ReplacementOutcome {
+    /// Name in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Won => "won",
+            Self::Overtaken => "overtaken",
+            Self::RefusedByBudget => "refused_by_budget",
+            Self::NotPlaced => "not_placed",
+            Self::RefusedByUpstream => "refused_by_upstream",
+            Self::Failed => "failed",
+            Self::CommonSilence => "common_silence",
+        }
+    }
+}
+
 /// State of a direct path to an upstream that is not in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathState {
