Refuse what a stopping daemon has not sent

Callers whose requests waited for an upstream when their daemon stopped got no answer: the drain waited until the grace was nearly over, and the process exited. Nothing that waits in a request knew of the stop: not the placement, the wait for a permit, for a verdict of the quarantine or for the values in force, nor the read of the body. No line named the request.

As soon as the daemon refuses new requests, those waits now end, woken by the stage, and the request is refused with 503, not run, reason "stopping" and Retry-After, its connection closed. A request whose own deadline comes before the end of the grace goes on waiting, as its caller is answered in time either way, and so does one that may have run. A retry that would have to be placed then is refused too if the request certainly did not run. The refusals count in mangofront's refusals under "stopping", and the line "daemon: stopped" says how many there were.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -142,7 +142,11 @@
     let servers = join(server, proxy_server);
     let _ = compio::time::timeout(CONNECTION_CLOSE_TIMEOUT, servers).await;
     drop((background_tasks, reload_task));
-    log::info!(in_progress = gateway.in_progress(); "daemon: stopped");
+    log::info!(
+        in_progress = gateway.in_progress(),
+        refused_unsent = gateway.refused_unsent();
+        "daemon: stopped"
+    );
     mangofront_telemetry::logs::flush();
     Ok(())
 }
@@ -340,8 +344,8 @@
 async fn drain(gateway: &Gateway, grace: Duration) {
     let started = Instant::now();
     log::info!(in_progress = gateway.in_progress(); "daemon: stopping");
-    gateway.begin_drain();
     let limit = grace.saturating_sub(STOP_MARGIN + CONNECTION_CLOSE_TIMEOUT);
+    gateway.begin_drain(limit);
     while started.elapsed() < limit {
         if gateway.is_refusing() && gateway.in_progress() == 0 {
             return;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -18,6 +18,7 @@
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 use crate::running_attempt::CompleteAnswer;
+use crate::stopping;
 use crate::trace::RequestSummary;
 
 pub(crate) async fn answer(gateway: &Gateway, call: Rc<Call>) -> Response<Body> {
@@ -45,6 +46,7 @@
         Err(error) => {
             let refusal = history.borrow().refusal(error);
             log_refused(gateway, &call, &refusal, &history.borrow());
+            stopping::record_refusal(gateway, &refusal);
             refusal.into_response(&call.id)
         }
     }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -28,6 +28,7 @@
 use crate::rate_limits::SendPermits;
 use crate::reservations::{ReservationFailure, Reservations};
 use crate::silence::{AwaitedAnswer, RunTime};
+use crate::stopping::unless_stopping;
 use crate::stream_race::AttemptNumber;
 use crate::trace;
 use crate::upstream_client::{CallProgress, UpstreamAnswer, UpstreamCall, UpstreamCallError, Way};
@@ -112,11 +113,14 @@
     progress: Rc<AttemptProgress>,
 ) -> Result<AttemptAnswer, AttemptError> {
     let (gateway, call) = (&gateway, &*call);
-    check_quarantine(gateway, call, &history).await?;
+    let placing = async {
+        check_quarantine(gateway, call, &history).await?;
+        place(gateway, call, &history).await
+    };
     let Placed {
         mut placement,
         permits,
-    } = place(gateway, call, &history).await?;
+    } = unless_stopping(gateway, call, &history, placing).await?;
     let upstream = placement.answering().clone();
     progress.upstream.replace(Some(upstream.clone()));
     progress.expected.set(placement.expected_first_event);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,7 +18,7 @@
 use crate::gateway::{Gateway, InProgress};
 use crate::quarantine::Suspects;
 use crate::refusal::Refusal;
-use crate::trace;
+use crate::{stopping, trace};
 
 /// Time after which a caller may retry when this daemon can't serve it for now; by then the
 /// load balancer has seen that the daemon is not ready.
@@ -65,7 +65,10 @@
     let arrived = Instant::now();
     let in_progress = gateway.begin_request();
     let (head, body) = request.into_parts();
-    gateway.parts().published.wait_until_confirmed().await;
+    let drain = gateway.drain();
+    let confirmed = gateway.parts().published.wait_until_confirmed();
+    // A daemon that refuses new requests refuses this one below.
+    drain.until_refusing(confirmed).await;
     let table = gateway.parts().published.table();
     let body_limit_bytes = gateway.body_limit_bytes();
     let read = gateway.parts().dialect.read_call(&head);
@@ -82,12 +85,16 @@
         Err(error) => Err(Refusal::BadHead(error.to_string())),
     };
     // The body is read even if the request is refused, so that the connection stays usable.
-    let body = collect(body, body_limit_bytes).await;
+    let body = drain.until_refusing(collect(body, body_limit_bytes)).await;
     let served = match (admitted, body) {
         (Err(refusal), _) => Err(refusal),
-        (Ok(_), Err(BodyError::TooLarge { .. })) => Err(Refusal::BodyTooLarge),
-        (Ok(_), Err(BodyError::Interrupted(_))) => Err(Refusal::BodyBroken),
-        (Ok(admitted), Ok(body)) => Ok((admitted, body)),
+        (Ok(_), None) => {
+            drain.record_refused_unsent();
+            Err(stopping::not_sent())
+        }
+        (Ok(_), Some(Err(BodyError::TooLarge { .. }))) => Err(Refusal::BodyTooLarge),
+        (Ok(_), Some(Err(BodyError::Interrupted(_)))) => Err(Refusal::BodyBroken),
+        (Ok(admitted), Some(Ok(body))) => Ok((admitted, body)),
     };
     let mut response = match served {
         Ok((admitted, body)) => {
@@ -149,7 +156,7 @@
     path: &str,
 ) -> Result<Admitted, Refusal> {
     if gateway.stage() == Stage::Refusing {
-        return Err(unavailable("stopping"));
+        return Err(stopping::not_sent());
     }
     let table = table.ok_or_else(|| unavailable("no_configuration"))?;
     let lease = gateway.parts().published.lease();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -249,9 +249,15 @@
         self.0.parts.rate_limits.stop_coordinating();
     }
 
-    /// Starts the graceful shutdown.
-    pub fn begin_drain(&self) {
-        self.0.drain.begin();
+    /// Starts the graceful shutdown, which ends after `time` at the latest.
+    pub fn begin_drain(&self, time: Duration) {
+        self.0.drain.begin(time);
+    }
+
+    /// Number of accepted requests that the shutdown refused, as nothing of them was sent in time.
+    #[must_use]
+    pub fn refused_unsent(&self) -> u64 {
+        self.0.drain.refused_unsent()
     }
 
     /// Whether new requests are refused by now.
@@ -270,6 +276,11 @@
         self.0.drain.stage()
     }
 
+    /// Progress of the graceful shutdown.
+    pub(crate) fn drain(&self) -> &Drain {
+        &self.0.drain
+    }
+
     pub(crate) fn options(&self) -> &GatewayOptions {
         &self.0.parts.options
     }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::Trial;
 use crate::refusal::Refusal;
 use crate::retry_budget::RetryPermit;
+use crate::stopping::{self, STOPPING};
 use crate::trace;
 
 /// Upstreams that may prove unreachable for one request. Nothing was sent to them, so they
@@ -119,6 +120,9 @@
     /// The deadline passed; the request may have run.
     #[error("time is up")]
     DeadlineExceeded,
+    /// Nothing was sent, as this daemon stops.
+    #[error("{STOPPING}")]
+    Stopping,
 }
 
 impl AttemptError {
@@ -134,6 +138,7 @@
             Self::RateLimited { .. } => "rate_limited",
             Self::Resting { .. } => "resting",
             Self::DeadlineExceeded => "out_of_time",
+            Self::Stopping => STOPPING,
         }
     }
 }
@@ -204,6 +209,7 @@
             | AttemptError::RateLimited { .. }
             | AttemptError::Resting { .. }
             | AttemptError::Quarantined { .. }
+            | AttemptError::Stopping
             | AttemptError::NotRun(_) => {}
             AttemptError::Unreachable(_) => self.unreachable += 1,
             AttemptError::NoPath => {
@@ -230,6 +236,7 @@
             | AttemptError::RateLimited { .. }
             | AttemptError::Resting { .. }
             | AttemptError::DeadlineExceeded
+            | AttemptError::Stopping
             | AttemptError::Quarantined { .. } => return Resend::Never,
             AttemptError::ConnectionLost(_) if is_near_quarantine(gateway, call) => {
                 return Resend::Never;
@@ -306,6 +313,7 @@
                 AttemptError::Quarantined { .. }
                 | AttemptError::RateLimited { .. }
                 | AttemptError::Resting { .. }
+                | AttemptError::Stopping
                 | AttemptError::NoPath => Refusal::Unknown {
                     reason: error.to_string(),
                 },
@@ -338,6 +346,7 @@
                 },
                 retry_after,
             },
+            AttemptError::Stopping => stopping::not_sent(),
             AttemptError::DeadlineExceeded => Refusal::TimedOut,
         }
     }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -361,6 +361,7 @@
             | AttemptError::MayHaveRun(_)
             | AttemptError::ConnectionLost(_)
             | AttemptError::Quarantined { .. }
+            | AttemptError::Stopping
             | AttemptError::DeadlineExceeded => false,
         };
         is_temporary && self.may_be_sent_again()
@@ -522,6 +523,7 @@
         | AttemptError::RateLimited { .. }
         | AttemptError::Resting { .. }
         | AttemptError::Quarantined { .. }
+        | AttemptError::Stopping
         | AttemptError::NoPath
         | AttemptError::Unreachable(_) => ReplacementOutcome::NotPlaced,
         AttemptError::NotRun(_) => ReplacementOutcome::RefusedByUpstream,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod silence;
 mod source_availability;
 mod state_exchange;
+mod stopping;
 mod stream_race;
 mod trace;
 mod upstream_client;
