Tell callers and the log what a stopping daemon cuts off

A request that ran for longer than the grace of a stop vanished with the process: its connection closed, the caller of a plain request got no status, no line named the request, and "daemon: stopped" counted it as in progress. A caller that reads nothing kept its stream until the process ended.

When the grace is nearly over, each request in progress now ends: with 502 if it may have run (never 503 once it was sent), with an aborted body if it is a stream. Its line "gateway: request ended" has the reason "daemon_stopping", and "daemon: stopped" says how many were cut off. Connections that are still open after the time to close are aborted, so that what they hold is dropped, and logged, before the process exits; serve_while_on_time takes an abort signal for that.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -21,7 +21,10 @@
     RateLimitsParts, RetryLimit, StateExchange, StateExchangeOptions, StateExchangeParts, Trials,
     TrialsParts, peer_messages,
 };
-use mangofront_http::{Acceptance, Body, ServeLimits, Shutdown, empty, serve, serve_while_on_time};
+use mangofront_http::{
+    Acceptance, Body, ServeLimits, Shutdown, StopSignals, empty, serve, serve_abortable,
+    serve_while_on_time,
+};
 use mangofront_peers::{ListedPeer, MemberChange, Peers, Responder, Service};
 use mangofront_settings::process::{DaemonSettings, GatewaySettings, read_daemon_settings};
 use mangofront_telemetry::metrics::Metrics;
@@ -52,6 +55,9 @@
 /// Time for caller connections to close after the drain.
 const CONNECTION_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for the remaining connections to be dropped.
+const CONNECTION_ABORT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Idle connections kept for each upstream: as many of an upstream's slots as one
 /// daemon may use at the same time.
 const MAX_IDLE_CONNECTIONS: usize = 24;
@@ -98,6 +104,7 @@
         write_timeout: settings.limits.stream_stall_timeout(),
     };
     let (stop_callers, callers_stopped) = Shutdown::new();
+    let (abort_servers, servers_aborted) = Shutdown::new();
     let (_never_triggered, no_shutdown) = Shutdown::new();
     let ready_gateway = gateway.clone();
     let readiness = move |_request, _peer| readiness_response(ready_gateway.is_ready());
@@ -110,8 +117,20 @@
     .detach();
     let (stop_proxy, proxy_stopped) = Shutdown::new();
     let proxy_gateway = gateway.clone();
-    let handle_proxied = move |request, peer| proxy_gateway.clone().handle_proxied(request, peer);
-    let proxy_server = spawn(serve(proxy_listener, limits, handle_proxied, proxy_stopped));
+    let handle_proxied = move |request, peer| {
+        let response = proxy_gateway.clone().handle_proxied(request, peer);
+        async move { Ok(response.await) }
+    };
+    let proxy_signals = StopSignals {
+        shutdown: proxy_stopped,
+        abort: servers_aborted.clone(),
+    };
+    let proxy_server = spawn(serve_abortable(
+        proxy_listener,
+        limits,
+        handle_proxied,
+        proxy_signals,
+    ));
     let admin_gateway = gateway.clone();
     let handle_admin = move |request, _peer| {
         gateway_admin::handle(admin_gateway.clone(), metrics.clone(), request)
@@ -129,7 +148,10 @@
         limits,
         acceptance,
         handle_caller,
-        callers_stopped,
+        StopSignals {
+            shutdown: callers_stopped,
+            abort: servers_aborted,
+        },
     ));
     let reload_task = spawn(reload(settings_path));
     wait_for_stop().await?;
@@ -138,13 +160,18 @@
     peers.leave();
     stop_callers.trigger();
     stop_proxy.trigger();
-    // A connection whose caller does not read must not keep the process alive.
-    let servers = join(server, proxy_server);
-    let _ = compio::time::timeout(CONNECTION_CLOSE_TIMEOUT, servers).await;
+    let mut servers = std::pin::pin!(join(server, proxy_server));
+    let closing = compio::time::timeout(CONNECTION_CLOSE_TIMEOUT, servers.as_mut());
+    if closing.await.is_err() {
+        // A connection whose caller does not read must not keep the process alive.
+        abort_servers.trigger();
+        let _ = compio::time::timeout(CONNECTION_ABORT_TIMEOUT, servers).await;
+    }
     drop((background_tasks, reload_task));
     log::info!(
         in_progress = gateway.in_progress(),
-        refused_unsent = gateway.refused_unsent();
+        refused_unsent = gateway.refused_unsent(),
+        cut_off = gateway.cut_off();
         "daemon: stopped"
     );
     mangofront_telemetry::logs::flush();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use mangofront_audit::AuditEvent;
 use mangofront_configuration::Platform;
-use mangofront_http::{Acceptance, ServeLimits, Shutdown, serve, serve_while_on_time};
+use mangofront_http::{Acceptance, ServeLimits, Shutdown, StopSignals, serve, serve_while_on_time};
 use mangofront_placement::Policy;
 use mangofront_settings::process::DaemonSettings;
 use mangofront_telemetry::invariants::{Invariant, check};
@@ -59,6 +59,7 @@
     );
     let (stop_admin, admin_stopped) = Shutdown::new();
     let (stop_entry, entry_stopped) = Shutdown::new();
+    let (abort_entry, entry_aborted) = Shutdown::new();
     let admin_components = components.clone();
     let handle_admin = move |request, _peer| admin::handle(admin_components.clone(), request);
     spawn(serve(admin_listener, limits, handle_admin, admin_stopped)).detach();
@@ -77,7 +78,10 @@
             limits,
             acceptance,
             handle_caller,
-            entry_stopped,
+            StopSignals {
+                shutdown: entry_stopped,
+                abort: entry_aborted,
+            },
         )
         .await;
     });
@@ -91,6 +95,7 @@
     // A connection whose caller does not read must not keep the process alive:
     // its request has already ended.
     let _ = compio::time::timeout(RETRY_AFTER_STOP, server).await;
+    abort_entry.trigger();
     drop(background_tasks);
     stop_admin.trigger();
     log::info!("daemon: stopped");
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -13,7 +13,7 @@
 
 use crate::call::Call;
 use crate::gateway::Gateway;
-use crate::history::{History, SharedHistory};
+use crate::history::{AttemptError, History, SharedHistory};
 use crate::in_flight::{InFlight, Opening};
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -28,7 +28,8 @@
     let history = SharedHistory::default();
     let mut unanswered = UnansweredGuard::new(gateway, &call, &history);
     let mut in_flight = InFlight::new(gateway, &call, &history);
-    let opening = in_flight.open().await;
+    let opening = gateway.drain().until_end(in_flight.open()).await;
+    let opening = opening.unwrap_or(Err(AttemptError::CutOff));
     unanswered.is_answered = true;
     match opening {
         Ok(Opening::Whole(complete)) => respond(gateway, &call, complete, &history.borrow()),
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -3,7 +3,7 @@
 //! First the daemon only reports that it is not ready, so that new callers go elsewhere,
 //! and asks callers to close their connections. Later it refuses new requests, and those that it
 //! has not sent yet, as there may not be enough time left to finish them. It exits once all
-//! requests in progress are answered.
+//! requests in progress are answered; those that are not when its time ends are cut off.
 
 use std::cell::{Cell, RefCell};
 use std::pin::pin;
@@ -41,6 +41,7 @@
     begun: Shutdown,
     trigger: RefCell<Option<ShutdownTrigger>>,
     refused_unsent: Cell<u64>,
+    cut_off: Cell<u64>,
 }
 
 impl Default for Drain {
@@ -51,6 +52,7 @@
             begun,
             trigger: RefCell::new(Some(trigger)),
             refused_unsent: Cell::default(),
+            cut_off: Cell::default(),
         }
     }
 }
@@ -78,7 +80,12 @@
         }
     }
 
-    /// Whether the shutdown ends before `time`.
+    /// Whether requests in progress are cut off by now.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ends_before(Instant::now())
+    }
+
+    /// Whether requests in progress are cut off before `time`.
     pub(crate) fn ends_before(&self, time: Instant) -> bool {
         let schedule = self.schedule.get();
         schedule.is_some_and(|schedule| schedule.ends_at <= time)
@@ -98,6 +105,20 @@
         }
     }
 
+    /// Waits until requests in progress are cut off.
+    async fn ended(&self) {
+        let schedule = self.schedule().await;
+        compio::time::sleep_until(schedule.ends_at).await;
+    }
+
+    /// Runs `future` until requests in progress are cut off; `None` if it did not end before.
+    pub(crate) async fn until_end<F: Future>(&self, future: F) -> Option<F::Output> {
+        match select(pin!(future), pin!(self.ended())).await {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        }
+    }
+
     async fn schedule(&self) -> Schedule {
         self.begun.wait().await;
         match self.schedule.get() {
@@ -111,8 +132,18 @@
         self.refused_unsent.set(self.refused_unsent.get() + 1);
     }
 
+    /// Counts a request that is cut off.
+    pub(crate) fn record_cut_off(&self) {
+        self.cut_off.set(self.cut_off.get() + 1);
+    }
+
     /// Number of accepted requests that were refused, as nothing of them was sent in time.
     pub(crate) fn refused_unsent(&self) -> u64 {
         self.refused_unsent.get()
     }
+
+    /// Number of requests that were cut off.
+    pub(crate) fn cut_off(&self) -> u64 {
+        self.cut_off.get()
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -260,6 +260,12 @@
         self.0.drain.refused_unsent()
     }
 
+    /// Number of requests that the shutdown cut off.
+    #[must_use]
+    pub fn cut_off(&self) -> u64 {
+        self.0.drain.cut_off()
+    }
+
     /// Whether new requests are refused by now.
     #[must_use]
     pub fn is_refusing(&self) -> bool {
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -14,7 +14,7 @@
 use crate::quarantine::Trial;
 use crate::refusal::Refusal;
 use crate::retry_budget::RetryPermit;
-use crate::stopping::{self, STOPPING};
+use crate::stopping::{self, CUT_OFF, STOPPING};
 use crate::trace;
 
 /// Upstreams that may prove unreachable for one request. Nothing was sent to them, so they
@@ -123,6 +123,9 @@
     /// Nothing was sent, as this daemon stops.
     #[error("{STOPPING}")]
     Stopping,
+    /// This daemon stops, and can wait no longer.
+    #[error("{CUT_OFF}")]
+    CutOff,
 }
 
 impl AttemptError {
@@ -139,6 +142,7 @@
             Self::Resting { .. } => "resting",
             Self::DeadlineExceeded => "out_of_time",
             Self::Stopping => STOPPING,
+            Self::CutOff => CUT_OFF,
         }
     }
 }
@@ -220,7 +224,8 @@
             }
             AttemptError::MayHaveRun(_)
             | AttemptError::ConnectionLost(_)
-            | AttemptError::DeadlineExceeded => self.may_have_run = true,
+            | AttemptError::DeadlineExceeded
+            | AttemptError::CutOff => self.may_have_run = true,
         }
     }
 
@@ -237,6 +242,7 @@
             | AttemptError::Resting { .. }
             | AttemptError::DeadlineExceeded
             | AttemptError::Stopping
+            | AttemptError::CutOff
             | AttemptError::Quarantined { .. } => return Resend::Never,
             AttemptError::ConnectionLost(_) if is_near_quarantine(gateway, call) => {
                 return Resend::Never;
@@ -314,6 +320,7 @@
                 | AttemptError::RateLimited { .. }
                 | AttemptError::Resting { .. }
                 | AttemptError::Stopping
+                | AttemptError::CutOff
                 | AttemptError::NoPath => Refusal::Unknown {
                     reason: error.to_string(),
                 },
@@ -346,7 +353,10 @@
                 },
                 retry_after,
             },
-            AttemptError::Stopping => stopping::not_sent(),
+            AttemptError::CutOff if self.sent > 0 => Refusal::Unknown {
+                reason: error.to_string(),
+            },
+            AttemptError::Stopping | AttemptError::CutOff => stopping::not_sent(),
             AttemptError::DeadlineExceeded => Refusal::TimedOut,
         }
     }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -362,6 +362,7 @@
             | AttemptError::ConnectionLost(_)
             | AttemptError::Quarantined { .. }
             | AttemptError::Stopping
+            | AttemptError::CutOff
             | AttemptError::DeadlineExceeded => false,
         };
         is_temporary && self.may_be_sent_again()
@@ -529,6 +530,7 @@
         AttemptError::NotRun(_) => ReplacementOutcome::RefusedByUpstream,
         AttemptError::MayHaveRun(_)
         | AttemptError::ConnectionLost(_)
+        | AttemptError::CutOff
         | AttemptError::DeadlineExceeded => ReplacementOutcome::Failed,
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -68,7 +68,8 @@
         if self.has_ended {
             return None;
         }
-        match self.in_flight.next_events().await {
+        let next = self.gateway.drain().until_end(self.in_flight.next_events());
+        match next.await.unwrap_or(Err(AttemptError::CutOff)) {
             Ok(Some(events)) => {
                 let now = Instant::now();
                 let pause = now.saturating_duration_since(self.last_event_at);
@@ -86,6 +87,9 @@
     }
 
     fn abort(&mut self, error: &AttemptError) -> Aborted {
+        if matches!(error, AttemptError::CutOff) {
+            self.gateway.drain().record_cut_off();
+        }
         self.outcome = RequestOutcome::Failed;
         self.reason = error.to_string();
         self.has_ended = true;
@@ -95,6 +99,11 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        // A caller that reads nothing gets neither further events nor the abort.
+        let is_dropped = self.outcome == RequestOutcome::Cancelled;
+        if is_dropped && self.gateway.drain().has_ended() {
+            self.abort(&AttemptError::CutOff);
+        }
         let forwarded = self.in_flight.forwarded();
         let stream = forwarded.and_then(RunningAttempt::stream);
         let (upstream, engines, expected) = match stream {
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -2,7 +2,8 @@
 //!
 //! A request that was not sent yet can be refused truthfully, so that its caller goes to another
 //! daemon in time. That happens as soon as new requests are refused, unless its own deadline comes
-//! before the end of the shutdown anyway. One that runs is given the time that is left.
+//! before the end of the shutdown anyway. One that runs is given the time that is left, and is then cut
+//! off: its caller gets an error, or an answer that is visibly incomplete.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -17,6 +18,9 @@
 /// Reason for refusing a request that was not sent when this daemon began to refuse requests.
 pub(crate) const STOPPING: &str = "stopping";
 
+/// Reason for the end of a request that ran for longer than this daemon could wait.
+pub(crate) const CUT_OFF: &str = "daemon_stopping";
+
 /// Retry-After while this daemon stops. Another one can serve the request at once, and by then the
 /// load balancer has seen that this one is not ready.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(300);
@@ -56,8 +60,11 @@
 
 /// Counts a request that is refused because this daemon stops.
 pub(crate) fn record_refusal(gateway: &Gateway, refusal: &Refusal) {
-    if refusal.reason() == STOPPING {
-        gateway.drain().record_refused_unsent();
-        gateway.parts().metrics.refused(STOPPING);
+    let drain = gateway.drain();
+    match refusal.reason() {
+        STOPPING => drain.record_refused_unsent(),
+        CUT_OFF => drain.record_cut_off(),
+        _ => return,
     }
+    gateway.parts().metrics.refused(refusal.code());
 }
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -89,13 +89,13 @@
     drop(abort_trigger);
 }
 
-/// Like [`serve`], but closes new connections unread as far as `acceptance` demands.
+/// Like [`serve_abortable`], but closes new connections unread as far as `acceptance` demands.
 pub async fn serve_while_on_time<H, A>(
     listener: TcpListener,
     limits: ServeLimits,
     acceptance: Acceptance,
     handler: H,
-    shutdown: Shutdown,
+    signals: StopSignals,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
     A: Future<Output = Response<Body>> + 'static,
@@ -104,18 +104,14 @@
         let response = handler(request, peer);
         async move { Ok(response.await) }
     };
-    // Kept alive until the server has ended, as dropping the trigger is an abort.
-    let (abort_trigger, abort) = Shutdown::new();
-    let signals = StopSignals { shutdown, abort };
     serve_accepted(listener, limits, handler, signals, || {
         acceptance.accepts(Instant::now())
     })
     .await;
-    drop(abort_trigger);
 }
 
-/// Like [`serve`], for emulators of crashing processes: the whole server can be
-/// aborted, and the handler can close a connection without a response.
+/// Like [`serve`], but the whole server can be aborted, and the handler can close a connection
+/// without a response.
 pub async fn serve_abortable<H, A>(
     listener: TcpListener,
     limits: ServeLimits,
