Forward no attempt that a stopping daemon would break off

While a daemon stopped it took attempts of other daemons until it refused new requests, however long they might run, and broke them off as it exited: the other daemon read an unexpected end of the stream and had to send the request again, where it could. No line of the stopping daemon named them.

A stopping daemon now refuses an attempt whose time may end after its own grace, so that another daemon forwards it; shorter ones are served as before. What it still forwards when the grace is nearly over is cut off like requests of its own callers, counted in "cut_off", with the line "gateway: forwarded attempt cut off". The waits before the send end as the daemon begins to refuse, and the attempt is refused as not sent.

--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -10,10 +10,11 @@
 use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use mangofront_engines::key_of;
+use mangofront_engines::{UpstreamKey, key_of};
 use mangofront_http::{Aborted, Body, Outcome, collect, empty, stream_until_abort};
 use mangofront_paths::Route;
 use mangofront_routes::Upstream;
+use mangofront_settings::ids::InstanceId;
 use mangofront_upstream::{SendError, UpstreamResponse};
 
 use super::headers::{AttemptKind, AttemptOrder, ProxyOutcome, TAKES_NO_WORK};
@@ -21,6 +22,7 @@
 use crate::gateway::{Gateway, InProgress};
 use crate::probe::{ProbeResult, target_of};
 use crate::rate_limits;
+use crate::stopping::{CUT_OFF, STOPPING};
 use crate::trace;
 use crate::upstream_client::ProofScope;
 
@@ -37,6 +39,13 @@
 
 /// Counts a forwarded attempt until its answer is complete.
 struct ForwardedAttempt {
+    gateway: Gateway,
+    /// Id of the request.
+    request: String,
+    sender: InstanceId,
+    upstream: UpstreamKey,
+    /// Whether it was sent, and its answer is neither complete nor broken off.
+    is_running: bool,
     attempts: Rc<ProxiedAttempts>,
     body_bytes: usize,
     _in_progress: InProgress,
@@ -44,19 +53,30 @@
 
 impl ForwardedAttempt {
     /// Counts an attempt, unless the limit is reached.
-    fn begin(gateway: &Gateway) -> Option<Self> {
+    fn begin(gateway: &Gateway, headers: &HeaderMap, order: &AttemptOrder) -> Option<Self> {
         let attempts = Rc::clone(gateway.proxied_attempts());
         if attempts.count.get() >= gateway.options().proxied_limit {
             return None;
         }
         attempts.count.set(attempts.count.get() + 1);
+        let request = gateway.parts().dialect.request_id(headers);
         Some(Self {
+            gateway: gateway.clone(),
+            request: request.unwrap_or_default(),
+            sender: order.sender.clone(),
+            upstream: order.upstream,
+            is_running: false,
             attempts,
             body_bytes: 0,
             _in_progress: gateway.begin_request(),
         })
     }
 
+    /// Records that the answer has ended.
+    fn record_end(&mut self) {
+        self.is_running = false;
+    }
+
     /// Counts the body of the attempt, unless the limit is reached.
     fn add_body(&mut self, bytes: usize, limit_bytes: usize) -> bool {
         let sum = self.attempts.body_bytes.get() + bytes;
@@ -71,6 +91,11 @@
 
 impl Drop for ForwardedAttempt {
     fn drop(&mut self) {
+        let drain = self.gateway.drain();
+        if self.is_running && drain.has_ended() {
+            drain.record_cut_off();
+            trace::forwarded_attempt_cut_off(&self.request, &self.sender, self.upstream);
+        }
         let attempts = &self.attempts;
         attempts.count.set(attempts.count.get() - 1);
         attempts
@@ -140,18 +165,24 @@
     arrived: Instant,
 ) -> Result<Response<Body>, NotAnswered> {
     let refused = |reason: &str| NotAnswered::new(ProxyOutcome::Refused, reason);
-    if gateway.is_refusing() {
-        return Err(refused("stopping"));
+    let drain = gateway.drain();
+    let expires = arrived + order.time_left;
+    // Another daemon may forward an attempt to its end that would be cut off here.
+    if gateway.is_refusing() || drain.ends_before(expires) {
+        return Err(refused(STOPPING));
     }
-    let Some(mut attempt) = ForwardedAttempt::begin(gateway) else {
+    let Some(mut attempt) = ForwardedAttempt::begin(gateway, &head.headers, order) else {
         return Err(refused("too many attempts"));
     };
-    let body = collect(body, gateway.body_limit_bytes()).await;
+    let body = drain.until_refusing(collect(body, gateway.body_limit_bytes()));
+    let body = body.await.ok_or_else(|| refused(STOPPING))?;
     let body = body.map_err(|error| refused(&error.to_string()))?;
     if !attempt.add_body(body.len(), gateway.options().proxied_bodies_limit_bytes) {
         return Err(refused("too many bytes of bodies"));
     }
-    gateway.parts().published.wait_until_confirmed().await;
+    let confirmed = gateway.parts().published.wait_until_confirmed();
+    let confirmed = drain.until_refusing(confirmed).await;
+    confirmed.ok_or_else(|| refused(STOPPING))?;
     let upstream = gateway.parts().upstreams.registration(order.upstream);
     let Some(upstream) = upstream else {
         return Err(refused("the upstream is not known"));
@@ -166,9 +197,13 @@
     if gateway.upstream_client().paths().route(order.upstream) == Route::Proxied {
         return Err(NotAnswered::new(ProxyOutcome::NoPath, "its path is lost"));
     }
-    let expires = arrived + order.time_left;
     let request = build_request(head, body);
-    let sent = send(gateway, &upstream, request, order.kind, expires).await;
+    attempt.is_running = true;
+    let sending = send(gateway, &upstream, request, order.kind, expires);
+    let Some(sent) = drain.until_end(sending).await else {
+        return Err(NotAnswered::new(ProxyOutcome::Unknown, CUT_OFF));
+    };
+    attempt.is_running = sent.is_ok();
     match sent {
         Ok(answer) => Ok(relay(gateway, &upstream, answer, attempt)),
         Err(error @ SendError::Withdrawn { .. }) => {
@@ -299,29 +334,37 @@
     gateway: &Gateway,
     upstream: &Upstream,
     answer: UpstreamResponse,
-    attempt: ForwardedAttempt,
+    mut attempt: ForwardedAttempt,
 ) -> Response<Body> {
     let (status, mut headers) = (answer.status, answer.headers.clone());
     remove_framing(&mut headers);
     ProxyOutcome::Answered.write("", &mut headers);
     let (gateway, key, id) = (gateway.clone(), key_of(upstream), upstream.id.clone());
     let (end, confirming, ended) = (BodyEnd::of(&answer), gateway.clone(), upstream.clone());
-    let chunks = answer.chunks().map(move |chunk| {
-        let _attempt = &attempt;
-        match chunk {
-            Ok(chunk) => {
-                gateway.upstream_client().paths().receive(key);
-                Ok(chunk)
-            }
-            Err(error) => {
-                log::debug!("gateway: forwarded answer of {id} broke off: {error}");
-                Err(Aborted)
-            }
+    let chunks = Box::pin(answer.chunks());
+    let chunks = futures_util::stream::unfold(chunks, move |mut chunks| {
+        let (gateway, id) = (gateway.clone(), id.clone());
+        async move {
+            let chunk = match gateway.drain().until_end(chunks.next()).await {
+                Some(Some(Ok(chunk))) => {
+                    gateway.upstream_client().paths().receive(key);
+                    Ok(chunk)
+                }
+                Some(Some(Err(error))) => {
+                    log::debug!("gateway: forwarded answer of {id} broke off: {error}");
+                    Err(Aborted)
+                }
+                Some(None) => return None,
+                None => Err(Aborted),
+            };
+            Some((chunk, chunks))
         }
     });
     // The other daemon gets chunks, so it could not tell a cut answer from a complete one.
     let cut = futures_util::stream::once(async move {
-        end.confirm(&confirming, &ended).await.err().map(|error| {
+        let confirmed = end.confirm(&confirming, &ended).await;
+        attempt.record_end();
+        confirmed.err().map(|error| {
             log::debug!("gateway: forwarded answer of {} is cut: {error}", ended.id);
             Err(Aborted)
         })
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -29,6 +29,7 @@
 use crate::rate_limits::LimitSource;
 use crate::refusal::Refusal;
 use crate::silence::SilenceSummary;
+use crate::stopping::CUT_OFF;
 use crate::stream_race::AttemptNumber;
 use crate::upstream_client::Verdict;
 
@@ -372,6 +373,17 @@
     );
 }
 
+/// An attempt of another daemon was cut off, as this one stops.
+pub(crate) fn forwarded_attempt_cut_off(request: &str, sender: &InstanceId, upstream: UpstreamKey) {
+    log::info!(
+        request = request,
+        sender = sender.as_str(),
+        upstream_key = format!("{upstream:016x}").as_str(),
+        reason = CUT_OFF;
+        "gateway: forwarded attempt cut off"
+    );
+}
+
 /// Something that is not a known daemon called the port of proxied attempts.
 pub(crate) fn proxy_request_rejected(peer: &str) {
     log::warn!(peer = peer; "gateway: proxied attempt rejected, its sender is no known daemon");
