--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -41,6 +41,33 @@
     assert_eq!(fleet.daemons[0].exit_code(), Some(0));
 }
 
+/// Guards against a second stop signal that kills a draining daemon and its streams.
+#[test]
+fn further_stop_signals_interrupt_no_stream() {
+    let mut spec = FleetSpec::default();
+    for engine in &mut spec.engines {
+        // Slow enough for the signals to arrive during the stream.
+        engine["time_scale"] = json!(0.5);
+    }
+    let mut fleet = Fleet::start(spec);
+    let body = json!({"model": "assist-llm", "prompt": "Which toner fits copier 12?",
+        "max_tokens": 60, "stream": true});
+    let caller = fleet.caller_client(0);
+    let request = thread::spawn(move || caller.post("/v1/completions", &body));
+    wait_until("the answer has begun", || {
+        let status = fleet.admin_client(0).get("/status").json();
+        status["daemon"]["requests_in_progress"] == 1
+    });
+    for name in ["TERM", "TERM", "INT", "TERM"] {
+        fleet.daemons[0].signal(name);
+        thread::sleep(Duration::from_millis(20));
+    }
+    let answer = request.join().expect("the reader ends");
+    assert!(answer.body_complete);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(fleet.daemons[0].exit_code(), Some(0));
+}
+
 #[test]
 fn requests_queued_before_the_stop_are_answered() {
     let mut fleet = Fleet::start(FleetSpec::default());
