Keep attempts of the project's own interface that are only silent

What callers saw: answers that failed although their engine, which had stood still for some seconds, went on long before their deadline: 502 "gave up after 2 attempts", or a stream that ended in an error.

Cause: silence was taken for a failure. After 2 s without a first token or 1 s without a further one the stream was resumed on another connection; if the engine did not answer within 1 s, the attempt was dropped, and only then it was asked whether a retry was allowed, whether an engine was free and whether it took the request. An engine that did not confirm a start within 2 s was given up in the same way. A failed resumption also cancelled the attempt at its engine. Each silence counted as a failure, so five of them ejected an engine that had proved no fault.

Change: an attempt ends by its answer, by a failure that shows that the engine no longer runs it (its connection ended and the stream could not be resumed, or 404 from the resumption), by the deadline, or because another attempt yielded the next token. A silent stream is read on the connection that it has while it is resumed on another one and after that failed; the checks follow each other after pauses that double up to 8 s. A replacement starts beside a silent attempt, at another engine, within the retry budget (asked at the send, after an engine was found) and the limit of five failures; the first token decides, the others are cancelled. The invariant "at most one attempt is running" becomes "all attempts in flight wait for the token at next_offset, and at most one of them is not silent". Silence records no outcome for the engine; load reports that fail still mark it unreachable, until the next one arrives. `EngineStream::next` keeps the last token if its future is dropped, as several are now waited for at once. The prefill of a group has no limit for silence, as before; its first engine still has 2 s to queue the attempt.

Tests on the code as it was (tests/processes/paused.rs, engines paused by SIGSTOP for 4 or 9 s, requests that have 30 s), load about 19:

paused::a_pause_ejects_no_engine: left: 1 right: 0 paused::requests_without_a_token_outlast_a_pause_of_the_only_engine: 28 of 30 answers failed, the first: status 502, "gave up after 2 attempts: await_head to engine-0 timed out" (another run: 30 of 30) paused::answers_that_began_outlast_a_pause_of_the_only_engine: 6 of 6 answers failed paused::answers_outlast_a_pause_while_the_other_engine_is_full: 6 of 6 answers failed paused::answers_outlast_a_pause_while_the_other_engines_leave: 20 of 20 answers failed test result: FAILED. 0 passed; 5 failed

With the change: 5 of 5 pass in two runs, load 18 to 25.

--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -1,34 +1,33 @@
 //! Attempts at one request, combined into one sequence of tokens.
 //!
-//! Invariants: at most one attempt is running; the next token returned is always the
-//! one at `next_offset`, whichever attempt it comes from; nothing is started after
-//! the caller's deadline. A failed attempt is followed by another one from the same
-//! offset, within the retry budget.
+//! An attempt ends by its answer, by a failure that shows that the engine no longer
+//! runs it, by the caller's deadline, or because another one yielded the next token.
+//! Silence does not end it: a replacement is started beside it, at another engine and
+//! within the retry budget, and whichever yields a token first goes on alone.
+//!
+//! Invariants: all attempts in flight wait for the token at `next_offset`, and at most
+//! one of them is not silent; the next token returned is always that one, whichever
+//! attempt it comes from; nothing is started after the caller's deadline.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::select_all;
 use mangofront_admission::Permit;
+use mangofront_http::Outcome;
 use mangofront_placement::{EngineOutcome, PlacedRequest};
-use mangofront_upstream::engine::{self, EngineStream, Frame, GenerateCall};
-use mangofront_upstream::reservation::GroupReservation;
+use mangofront_upstream::engine::{self, Frame, GenerateCall};
 use mangofront_upstream::{SendError, Target};
 
+use super::attempt::{Attempt, AttemptEvent, Start, Started};
 use super::retries::{Retries, engine_outcome};
 use super::{CompletionRequest, checks, group};
 use crate::context::Entry;
 use crate::error::EntryError;
 use crate::progress::RequestProgress;
 
-/// Maximum wait for the first token before the stream is resumed to probe the
-/// engine; also the time limit for the engine to queue the attempt.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Maximum wait between two tokens before the stream is resumed to probe the engine.
-const TOKEN_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Time limit for an engine to resume a stream.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for the first engine of a group to queue the attempt.
+const GROUP_QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time after which a caller may retry when its attempts failed.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
@@ -47,24 +46,11 @@
     /// Number of attempts so far, which is the number of the last one.
     attempt_count: u32,
     next_offset: u32,
-    running: Option<RunningAttempt>,
+    /// Attempts in flight, in the order in which they were started.
+    in_flight: Vec<Attempt>,
     finished: bool,
 }
 
-/// The running attempt.
-#[derive(Debug)]
-struct RunningAttempt {
-    placed: PlacedRequest,
-    /// Keeps the memory of the group reserved until the attempt has ended.
-    _reservation: Option<GroupReservation>,
-    stream: EngineStream,
-    call: GenerateCall,
-    target: Target,
-    first_token_received: bool,
-    /// Number of tokens received from this attempt.
-    generated_tokens: u32,
-}
-
 impl Attempts {
     /// Creates the state of an admitted request, before its first attempt.
     pub(crate) fn new(
@@ -81,7 +67,7 @@
             retries: Retries::new(),
             attempt_count: 0,
             next_offset: 0,
-            running: None,
+            in_flight: Vec::new(),
             finished: false,
         }
     }
@@ -99,7 +85,7 @@
     pub(crate) async fn next(&mut self) -> Result<Frame, EntryError> {
         let next = self.advance().await;
         if let Err(error) = &next {
-            checks::check_not_run(&self.request, error, self.retries.may_have_run);
+            checks::check_not_run(&self.request, error, self.retries.may_have_run());
         }
         next
     }
@@ -107,28 +93,32 @@
     async fn advance(&mut self) -> Result<Frame, EntryError> {
         loop {
             self.check_deadline()?;
-            let mut running = match self.running.take() {
-                Some(running) => running,
-                None => match self.place_and_start().await? {
-                    Some(running) => running,
-                    None => continue,
-                },
-            };
-            match running.stream.next(self.token_deadline(&running)).await {
-                Ok(frame) => {
-                    self.handle_frame(&mut running, &frame);
+            if self.in_flight.is_empty() && !self.place().await? {
+                continue;
+            }
+            match self.next_event().await {
+                (index, AttemptEvent::Token(frame)) => {
+                    let attempt = self.in_flight.swap_remove(index);
+                    // Cancels the others.
+                    self.in_flight.clear();
+                    self.handle_frame(&attempt, &frame);
                     if !self.finished {
-                        self.running = Some(running);
+                        self.in_flight.push(attempt);
                     }
                     return Ok(frame);
                 }
-                Err(error) => self.resume_or_retry(running, error).await?,
+                (index, AttemptEvent::Failed(error)) => {
+                    drop(self.in_flight.remove(index));
+                    self.handle_failure(error).await?;
+                }
+                (index, AttemptEvent::Silent) => self.handle_silence(index).await?,
             }
         }
     }
 
-    /// Places and starts an attempt; `None` if it failed and may be retried.
-    async fn place_and_start(&mut self) -> Result<Option<RunningAttempt>, EntryError> {
+    /// Places an attempt if none is in flight; false if no engine could be found and
+    /// the placement may be tried again.
+    async fn place(&mut self) -> Result<bool, EntryError> {
         let parts = self.entry.parts();
         parts.platform.refreshed().await;
         let demand = &self.request.demand;
@@ -138,66 +128,64 @@
                 return Err(self.no_engine_error());
             }
             self.retries.back_off().await;
-            return Ok(None);
+            return Ok(false);
         };
-        self.attempt_count += 1;
-        match self.start(placed).await {
-            Ok(running) => return Ok(Some(running)),
-            Err(error) if group::is_out_of_memory(&error) => self.wait_for_group().await?,
-            Err(error) => self.retry_or_fail(error).await?,
-        }
-        Ok(None)
+        self.start(placed);
+        Ok(true)
     }
 
-    async fn start(&mut self, placed: PlacedRequest) -> Result<RunningAttempt, SendError> {
+    fn start(&mut self, placed: PlacedRequest) {
         checks::check_instance_live(&self.entry, &placed.instance);
-        let reservation = self.prepare_group(&placed).await?;
-        let call = self.generate_call(&placed, reservation.as_ref());
+        self.attempt_count += 1;
+        let deadline = self.request.caller.deadline;
+        let connections = self.entry.parts().connections.clone();
+        let start = self.send(&placed);
+        let attempt = Attempt::new(connections, placed, start, deadline);
+        self.in_flight.push(attempt);
+    }
+
+    /// Prepares and sends an attempt; the future ends once its engine has queued it.
+    fn send(&self, placed: &PlacedRequest) -> Start {
+        let entry = self.entry.clone();
+        let request = Rc::clone(&self.request);
         let target = Target {
             instance: placed.instance.clone(),
             address: placed.address,
         };
-        let connections = &self.entry.parts().connections;
-        let queue_deadline = self.deadline_after(FIRST_TOKEN_TIMEOUT);
-        let stream = engine::generate(connections, &target, call.clone(), queue_deadline).await?;
-        self.retries.may_have_run = true;
-        Ok(RunningAttempt {
-            placed,
-            _reservation: reservation,
-            stream,
-            call,
-            target,
-            first_token_received: false,
-            generated_tokens: 0,
+        let mut call = self.generate_call(placed);
+        let members = placed.group.clone();
+        let may_have_run = self.retries.may_have_run_flag();
+        Box::pin(async move {
+            let mut queue_deadline = call.deadline;
+            let mut reservation = None;
+            if let Some(members) = members {
+                let group = group::GroupPrefill {
+                    entry: &entry,
+                    request: &request,
+                    attempt: call.attempt,
+                    members: &members,
+                    priority: call.priority,
+                };
+                let mut reserved = group.reserve().await?;
+                may_have_run.set(true);
+                group.compute(&mut reserved).await?;
+                call.reservation = Some(reserved.id().to_owned());
+                reservation = Some(reserved);
+                queue_deadline = queue_deadline.min(Instant::now() + GROUP_QUEUE_TIMEOUT);
+            }
+            let connections = &entry.parts().connections;
+            let stream =
+                engine::generate(connections, &target, call.clone(), queue_deadline).await?;
+            may_have_run.set(true);
+            Ok(Started {
+                stream,
+                call,
+                _reservation: reservation,
+            })
         })
     }
 
-    /// Reserves memory and computes the prefill on a group, if the prompt needs one.
-    async fn prepare_group(
-        &mut self,
-        placed: &PlacedRequest,
-    ) -> Result<Option<GroupReservation>, SendError> {
-        let Some(members) = &placed.group else {
-            return Ok(None);
-        };
-        let group = group::GroupPrefill {
-            entry: &self.entry,
-            request: &self.request,
-            attempt: self.attempt_count,
-            members,
-            priority: placed.priority,
-        };
-        let mut reservation = group.reserve().await?;
-        self.retries.may_have_run = true;
-        group.compute(&mut reservation).await?;
-        Ok(Some(reservation))
-    }
-
-    fn generate_call(
-        &self,
-        placed: &PlacedRequest,
-        reservation: Option<&GroupReservation>,
-    ) -> GenerateCall {
+    fn generate_call(&self, placed: &PlacedRequest) -> GenerateCall {
         GenerateCall {
             endpoint: self.request.endpoint,
             body: self.request.body.content.clone(),
@@ -205,31 +193,34 @@
             attempt: self.attempt_count,
             priority: placed.priority,
             resume_offset: self.next_offset,
-            reservation: reservation.map(|reservation| reservation.id().to_owned()),
+            reservation: None,
             deadline: self.request.caller.deadline,
         }
     }
 
-    fn handle_frame(&mut self, running: &mut RunningAttempt, frame: &Frame) {
+    /// Waits for the next event of any attempt in flight and returns its index.
+    async fn next_event(&mut self) -> (usize, AttemptEvent) {
+        if let [attempt] = self.in_flight.as_mut_slice() {
+            return (0, attempt.next().await);
+        }
+        let events = self
+            .in_flight
+            .iter_mut()
+            .map(|attempt| Box::pin(attempt.next()));
+        let (event, index, _) = select_all(events).await;
+        (index, event)
+    }
+
+    fn handle_frame(&mut self, attempt: &Attempt, frame: &Frame) {
         checks::check_next_token(&self.request, frame, self.next_offset);
         self.next_offset = frame.offset + 1;
-        if running.first_token_received {
-            running.generated_tokens += 1;
-            running
-                .placed
-                .record_generated_tokens(running.generated_tokens);
-        } else {
-            running.first_token_received = true;
-            running.generated_tokens = 1;
-            running.placed.record_first_token();
-        }
         if frame.offset == 0 {
             self.record_first_token_latency();
         }
         if frame.finish_reason.is_some() {
             self.finished = true;
             let placement = &self.entry.parts().placement;
-            placement.record_outcome(&running.target.instance, EngineOutcome::Success);
+            placement.record_outcome(&attempt.placed.instance, EngineOutcome::Success);
         }
     }
 
@@ -240,49 +231,44 @@
         self.progress.first_token(length_tokens, time);
     }
 
-    /// Resumes an interrupted or silent stream at its engine, or makes a new attempt.
+    /// Starts an attempt at another engine beside silent ones, if that is allowed.
     ///
-    /// An engine without output may just be slow, especially before the first token
-    /// of a long prompt. Resuming the stream on another connection distinguishes it
-    /// from an engine that has crashed or hangs, and loses no computed tokens.
-    async fn resume_or_retry(
-        &mut self,
-        mut running: RunningAttempt,
-        error: SendError,
-    ) -> Result<(), EntryError> {
-        let resumable = matches!(
-            error,
-            SendError::ConnectionFailed { .. } | SendError::Timeout { .. }
-        );
-        let stream_id = running.stream.stream_id().map(str::to_owned);
-        let Some(stream_id) = stream_id.filter(|_| resumable) else {
-            drop(running);
-            return self.retry_or_fail(error).await;
-        };
+    /// A silent engine has proved no fault, so no outcome is recorded for it.
+    async fn handle_silence(&mut self, index: usize) -> Result<(), EntryError> {
+        let instance = &self.in_flight[index].placed.instance;
+        self.retries.exclude(instance);
+        let is_last = index + 1 == self.in_flight.len();
+        let id = &self.request.id;
+        log::debug!("entry: an attempt of {id} at {instance} is silent");
+        if !is_last {
+            return Ok(());
+        }
+        let entry = self.entry.clone();
+        let parts = entry.parts();
+        parts.platform.refreshed().await;
         self.check_deadline()?;
-        running.call.resume_offset = self.next_offset;
-        let resume_deadline = self.deadline_after(RESUME_TIMEOUT);
-        let connections = &self.entry.parts().connections;
-        let call = running.call.clone();
-        match engine::resume(
-            connections,
-            &running.target,
-            &stream_id,
-            call,
-            resume_deadline,
-        )
-        .await
-        {
-            Ok(stream) => {
-                std::mem::replace(&mut running.stream, stream).detach();
-                self.running = Some(running);
-                Ok(())
-            }
-            Err(error) => {
-                drop(running);
-                self.retry_or_fail(error).await
-            }
+        let demand = &self.request.demand;
+        let Ok(placed) = parts.placement.place(demand, self.retries.excluded()) else {
+            return Ok(());
+        };
+        let has_begun = self.next_offset > 0;
+        if self.retries.may_replace(has_begun, &parts.admission) {
+            parts.metrics.retried();
+            self.start(placed);
         }
+        Ok(())
+    }
+
+    /// Makes a new attempt after one failed, unless others are in flight.
+    async fn handle_failure(&mut self, error: SendError) -> Result<(), EntryError> {
+        if !self.in_flight.is_empty() {
+            self.record_failure(&error);
+            return self.check_deadline();
+        }
+        if group::is_out_of_memory(&error) {
+            return self.wait_for_group().await;
+        }
+        self.retry_or_fail(error).await
     }
 
     /// Waits for memory that is reserved by other groups, without reserving any.
@@ -295,14 +281,9 @@
     /// Records a failed attempt and waits for the next one; an error if no further
     /// attempt is allowed.
     async fn retry_or_fail(&mut self, error: SendError) -> Result<(), EntryError> {
-        let (number, request) = (self.attempt_count, &self.request.id);
-        log::debug!("entry: attempt {number} of {request} failed: {error}");
-        self.retries.record_failure(&error);
+        let outcome = self.record_failure(&error);
         self.check_deadline()?;
         let parts = self.entry.parts();
-        let outcome = engine_outcome(&error);
-        parts.placement.record_outcome(error.peer(), outcome);
-        parts.metrics.upstream_error(error.step_name());
         let has_begun = self.next_offset > 0;
         if !self.retries.may_retry(outcome, has_begun, &parts.admission) {
             return Err(EntryError::AttemptsFailed {
@@ -316,6 +297,21 @@
         Ok(())
     }
 
+    /// Records a failed attempt, except that an engine has no part in a failure at the
+    /// request's deadline.
+    fn record_failure(&mut self, error: &SendError) -> EngineOutcome {
+        let id = &self.request.id;
+        log::debug!("entry: an attempt of {id} failed: {error}");
+        self.retries.record_failure(error);
+        let outcome = engine_outcome(error);
+        if self.check_deadline().is_ok() {
+            let parts = self.entry.parts();
+            parts.placement.record_outcome(error.peer(), outcome);
+            parts.metrics.upstream_error(error.step_name());
+        }
+        outcome
+    }
+
     fn no_engine_error(&self) -> EntryError {
         EntryError::NoUpstream {
             kind: "engine",
@@ -328,23 +324,18 @@
         if Instant::now() < self.request.caller.deadline {
             return Ok(());
         }
-        let outcome = self.retries.outcome();
+        let outcome = self.outcome();
         Err(EntryError::DeadlineExceeded { outcome })
     }
 
-    /// `time` from now, but no later than the request's deadline.
-    fn deadline_after(&self, time: Duration) -> Instant {
-        self.request.caller.deadline.min(Instant::now() + time)
-    }
-
-    /// Time by which the running attempt must yield a token before its engine is
-    /// probed.
-    fn token_deadline(&self, running: &RunningAttempt) -> Instant {
-        let token_timeout = if running.first_token_received {
-            TOKEN_TIMEOUT
+    /// Outcome of the request if it ended now without a complete answer.
+    fn outcome(&self) -> Outcome {
+        // An attempt in flight may have been written although its engine has not
+        // confirmed it.
+        if self.in_flight.is_empty() {
+            self.retries.outcome()
         } else {
-            FIRST_TOKEN_TIMEOUT
-        };
-        self.deadline_after(token_timeout)
+            Outcome::Failed
+        }
     }
 }
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -7,6 +7,7 @@
 //! bytes.
 
 mod answer;
+mod attempt;
 mod attempts;
 mod checks;
 mod group;
--- a/crates/entry/src/completion/retries.rs
+++ b/crates/entry/src/completion/retries.rs
@@ -4,6 +4,8 @@
 //! Invariant: `may_have_run` is never reset to false; a request is reported as *not
 //! run* only while it is false.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use mangofront_admission::{Admission, Backoff};
@@ -33,12 +35,13 @@
     backoff: Backoff,
     group_backoff: Backoff,
     /// Number of failed attempts, without those for which a group had no free
-    /// memory, plus the times that excluded engines were readmitted.
+    /// memory, plus the times that excluded engines were readmitted and that silent
+    /// attempts got a replacement.
     failures: u32,
-    /// Whether any attempt may have run.
-    pub(super) may_have_run: bool,
-    /// Engines at which this request failed since the excluded ones were last
-    /// readmitted.
+    /// Whether any attempt may have run; shared with the attempts that start.
+    may_have_run: Rc<Cell<bool>>,
+    /// Engines at which this request failed or was silent since the excluded ones
+    /// were last readmitted.
     excluded: Vec<InstanceId>,
 }
 
@@ -49,7 +52,7 @@
             backoff: Backoff::new(FIRST_BACKOFF, MAX_BACKOFF, rand::random()),
             group_backoff: Backoff::new(FIRST_GROUP_BACKOFF, MAX_GROUP_BACKOFF, rand::random()),
             failures: 0,
-            may_have_run: false,
+            may_have_run: Rc::default(),
             excluded: Vec::new(),
         }
     }
@@ -59,11 +62,30 @@
         &self.excluded
     }
 
+    /// Whether any attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+
+    /// Flag that an attempt sets as soon as it may have run.
+    pub(super) fn may_have_run_flag(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.may_have_run)
+    }
+
     /// Records a failed attempt and excludes its engine.
     pub(super) fn record_failure(&mut self, error: &SendError) {
-        self.may_have_run |= error.outcome() != Outcome::NotRun;
+        if error.outcome() != Outcome::NotRun {
+            self.may_have_run.set(true);
+        }
         self.failures += 1;
-        self.excluded.push(error.peer().clone());
+        self.exclude(error.peer());
+    }
+
+    /// Excludes an engine from placement.
+    pub(super) fn exclude(&mut self, instance: &InstanceId) {
+        if !self.excluded.contains(instance) {
+            self.excluded.push(instance.clone());
+        }
     }
 
     /// Readmits the excluded engines; returns false if there are none or the limit
@@ -94,6 +116,15 @@
             && (is_exempt_from_budget || admission.retry_budget().try_take())
     }
 
+    /// Whether a replacement may be started beside a silent attempt; counts it as a
+    /// failure, which bounds the attempts in flight. The budget applies as for a retry.
+    pub(super) fn may_replace(&mut self, has_begun: bool, admission: &Admission) -> bool {
+        let may_replace =
+            self.failures < MAX_FAILURES && (has_begun || admission.retry_budget().try_take());
+        self.failures += u32::from(may_replace);
+        may_replace
+    }
+
     /// Waits before the next attempt.
     pub(super) async fn back_off(&mut self) {
         compio::time::sleep(self.backoff.next_wait()).await;
@@ -106,7 +137,7 @@
 
     /// Outcome of the request if it ended now without a complete answer.
     pub(super) fn outcome(&self) -> Outcome {
-        if self.may_have_run {
+        if self.may_have_run() {
             Outcome::Failed
         } else {
             Outcome::NotRun
@@ -115,7 +146,7 @@
 
     /// Error of the last attempt, extended if an earlier attempt may have run.
     pub(super) fn final_error(&self, error: SendError) -> SendError {
-        if self.may_have_run && error.outcome() == Outcome::NotRun {
+        if self.may_have_run() && error.outcome() == Outcome::NotRun {
             let cause = format!("{error}, after earlier attempts that may have run");
             return SendError::Protocol {
                 peer: error.peer().clone(),
--- a/crates/upstream/src/engine/attempt.rs
+++ b/crates/upstream/src/engine/attempt.rs
@@ -75,6 +75,9 @@
 /// Resumes a stream at the same engine from the call's `resume_offset`; the engine
 /// must respond by `deadline`.
 ///
+/// A failure does not cancel the attempt, since the stream may still arrive on the
+/// connection on which it was started.
+///
 /// # Errors
 /// [`SendError`]; refused with 404 when the engine no longer has the stream.
 pub async fn resume(
@@ -84,13 +87,13 @@
     call: GenerateCall,
     deadline: Instant,
 ) -> Result<EngineStream, SendError> {
-    let guard = CancelGuard::new(connections, target, &call);
     let path = format!("/v1/streams/{stream}?offset={}", call.resume_offset);
     let request = json_request(target, Method::GET, &path, Bytes::new())?;
     let response = connections.send(target, request, deadline).await?;
     if response.status != StatusCode::OK {
         return Err(refusal_error(target, response, deadline).await);
     }
+    let guard = CancelGuard::new(connections, target, &call);
     Ok(EngineStream::new(target, call, response, guard))
 }
 
--- a/crates/upstream/src/engine/stream.rs
+++ b/crates/upstream/src/engine/stream.rs
@@ -70,6 +70,8 @@
     stream: Option<String>,
     next_offset: u32,
     events: Pin<Box<dyn Stream<Item = Result<Event, mangofront_http::EventsError>>>>,
+    /// Last token, while the end of the body is read.
+    last_token: Option<Frame>,
     guard: CancelGuard,
 }
 
@@ -100,6 +102,7 @@
             stream,
             next_offset: call.resume_offset,
             events: Box::pin(events(response.chunks())),
+            last_token: None,
             guard,
             call,
         }
@@ -111,12 +114,30 @@
         self.stream.as_deref()
     }
 
-    /// Next token of the answer; the last one has a finish reason.
+    /// Next token of the answer; the last one has a finish reason. No token is lost if
+    /// the future is dropped.
     ///
     /// # Errors
     /// [`SendError`] when the stream is interrupted, skips a token, or yields no
     /// token by `deadline`.
     pub async fn next(&mut self, deadline: Instant) -> Result<Frame, SendError> {
+        loop {
+            if self.last_token.is_some() {
+                self.read_to_end().await;
+            }
+            if let Some(frame) = self.last_token.take() {
+                return Ok(frame);
+            }
+            let frame = self.next_frame(deadline).await?;
+            if frame.finish_reason.is_none() {
+                return Ok(frame);
+            }
+            self.guard.disarm();
+            self.last_token = Some(frame);
+        }
+    }
+
+    async fn next_frame(&mut self, deadline: Instant) -> Result<Frame, SendError> {
         loop {
             let next_event = self.events.next();
             let event = match with_deadline(deadline, &self.target, Step::Body, next_event).await? {
@@ -135,10 +156,6 @@
                 return Err(self.protocol(cause));
             }
             self.next_offset += 1;
-            if frame.finish_reason.is_some() {
-                self.guard.disarm();
-                self.read_to_end().await;
-            }
             return Ok(frame);
         }
     }
--- a/crates/upstream/tests/engine.rs
+++ b/crates/upstream/tests/engine.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use mangofront_http::{ErrorBody, Outcome};
 use mangofront_prompt::Endpoint;
@@ -138,6 +140,35 @@
     assert_eq!(server.calls(), ["GET /v1/streams/s?offset=4"]);
 }
 
+/// Guards against the cancellation of an answer that may still arrive on its first connection,
+/// because it could not be resumed on another one.
+#[compio::test]
+async fn failed_resumption_does_not_cancel_the_attempt() {
+    let server = engine(|| Reply::status("503 Service Unavailable", "")).await;
+    let connections = connections();
+    let error = resume(&connections, &server.target, "s", attempt(4), deadline())
+        .await
+        .unwrap_err();
+    assert!(matches!(error, SendError::Refused { .. }), "{error:?}");
+    send_later_calls(&connections, &server).await;
+    let mut calls = start_and_later_calls();
+    calls[0] = "GET /v1/streams/s?offset=4";
+    assert_eq!(server.calls(), calls);
+}
+
+/// Guards against an answer without its end, because the wait for the last token was dropped
+/// after the token had been read.
+#[compio::test]
+async fn last_token_is_kept_if_the_wait_for_it_is_dropped() {
+    let server = engine(|| Reply::open_stream(&[last_token(0)])).await;
+    let mut stream = start(&connections(), &server).await.unwrap();
+    let wait = stream.next(deadline());
+    let dropped = compio::time::timeout(Duration::from_millis(100), wait).await;
+    assert!(dropped.is_err(), "{dropped:?}");
+    let frame = stream.next(deadline()).await.unwrap();
+    assert_eq!(frame.finish_reason, Some(FinishReason::Length));
+}
+
 #[compio::test]
 async fn dropped_stream_cancels_its_attempt() {
     let server = engine(|| Reply::open_stream(&[token(0)])).await;
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -16,6 +16,7 @@
 mod not_run;
 mod once;
 mod orders;
+mod paused;
 mod process;
 mod requests;
 mod services;
