Refuse requests that wait for admission at a stop with 503

What callers saw: as a daemon began to stop, requests that waited for admission and had never been sent were refused with 429, as if there were too many of them, although any other daemon could serve them. A request that arrived a moment later was refused with 503. Callers and load balancers that go elsewhere on 503 didn't on 429.

Cause: all refusals of the admission control got one status.

The rest of what was looked at holds: they are refused as the stop begins, before anything is waited for, with the code `stopping`, the outcome `not_run` and Retry-After; the daemon logs their number ("admission: closed, ... waiting requests refused").

Test on the code as it was (load about 30):

stop::requests_that_wait_for_admission_are_refused_as_the_stop_begins: assertion `left == right` failed, left: 429, right: 503

The fleets of the tests get a setting for the longest shutdown of their daemons, which is null as before in all of them.

--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -150,6 +150,10 @@
             | Self::KeyRequired => StatusCode::BAD_REQUEST,
             Self::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            // Another daemon can serve it, unlike a request that is refused as excessive.
+            Self::Refused {
+                code: "stopping", ..
+            } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Refused { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration | Self::Stopping { .. } | Self::NoUpstream { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -76,6 +76,9 @@
     pub heartbeat_ms: u64,
     /// Non-default values of the settings under `limits` of each daemon.
     pub limits: Value,
+    /// Longest graceful shutdown of a daemon. If set, a violated invariant doesn't end the
+    /// daemon, as requests that are cut off violate one.
+    pub stop_limit_ms: Option<u64>,
     /// Published configuration.
     pub configuration: Value,
 }
@@ -90,6 +93,7 @@
             isolated_zones: false,
             heartbeat_ms: 200,
             limits: json!({}),
+            stop_limit_ms: None,
             configuration: configuration(),
         }
     }
@@ -235,8 +239,9 @@
                 "suspect_after_ms": self.spec.heartbeat_ms * 5
             },
             "limits": self.spec.limits,
+            "stop_limit_ms": self.spec.stop_limit_ms,
             "logs": {"level": "debug"},
-            "fatal_invariants": true
+            "fatal_invariants": self.spec.stop_limit_ms.is_none()
         });
         let path = self.directory.join(format!("entry-{index}.jsonc"));
         fs::write(&path, settings.to_string()).expect("the settings are written");
@@ -479,11 +484,16 @@
 }
 
 impl Fleet {
+    /// What the daemon of `index` has logged.
+    pub fn log(&self, index: usize) -> String {
+        let path = self.directory.join(format!("entry-{index}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Prints the logs of all daemons, for a test that failed.
     fn print_logs(&self) {
         for index in 0..self.spec.daemons {
-            let path = self.directory.join(format!("entry-{index}.log"));
-            let log = fs::read_to_string(path).unwrap_or_default();
+            let log = self.log(index);
             eprintln!("--- log of entry-{index}\n{log}");
         }
     }
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -93,6 +93,62 @@
     assert_eq!(fleet.daemons[0].exit_code(), Some(0));
 }
 
+/// A fleet with one engine that generates 20 tokens a second for as long as a caller waits.
+fn slow_fleet(stop_limit_ms: Option<u64>) -> Fleet {
+    let engine = json!({"time_scale": 1.0, "load_lag_ms": 20, "step": {"base_us": 50_000}});
+    let mut spec = FleetSpec {
+        engines: vec![engine],
+        services: vec![json!({"delay_ms": 20_000})],
+        stop_limit_ms,
+        ..FleetSpec::default()
+    };
+    spec.configuration["classes"]["diagnosis"] =
+        json!({"time_to_first_token_ms": 10_000, "allowed_delay_ms": 50_000});
+    Fleet::start(spec)
+}
+
+/// Guards against requests that were never sent and that a stopping daemon keeps waiting, and
+/// against refusals of them that look like an overload.
+#[test]
+fn requests_that_wait_for_admission_are_refused_as_the_stop_begins() {
+    let mut fleet = slow_fleet(None);
+    let (refused, answered) = thread::scope(|scope| {
+        let requests: Vec<_> = (0..60)
+            .map(|nth| {
+                let caller = fleet.caller_client(0);
+                scope.spawn(move || {
+                    let answer =
+                        caller.post(COMPLETIONS, &completion_body(&nth.to_string(), 100, false));
+                    (answer, Instant::now())
+                })
+            })
+            .collect();
+        wait_until("requests wait for admission", || {
+            fleet.status(0)["admission"]["waiting"].as_u64() > Some(10)
+        });
+        fleet.daemons[0].signal("TERM");
+        let stop_began = Instant::now();
+        let answers = requests
+            .into_iter()
+            .map(|request| request.join().expect("it ends"));
+        let (answered, refused): (Vec<_>, Vec<_>) =
+            answers.partition(|(answer, _)| answer.is_complete());
+        for (answer, ended) in &refused {
+            assert_eq!(answer.status, 503, "{answer:?}");
+            assert_eq!(answer.json()["error"]["code"], "stopping", "{answer:?}");
+            assert_eq!(answer.outcome().as_deref(), Some("not_run"), "{answer:?}");
+            let delay = ended.saturating_duration_since(stop_began);
+            assert!(delay < Duration::from_secs(2), "refused after {delay:?}");
+        }
+        (refused.len(), answered.len())
+    });
+    assert!(
+        refused > 10 && answered > 0,
+        "{refused} refused, {answered} answered"
+    );
+    assert_eq!(fleet.daemons[0].exit_code(), Some(0));
+}
+
 /// Tries one daemon after the other until one doesn't refuse the request because it is stopping.
 fn send_with_failover(first: usize, send: impl Fn(usize) -> Answer) -> Answer {
     let started = Instant::now();
