Tell callers of requests that are cut off at the stop limit

What callers saw: when a daemon's longest shutdown (`stop_limit_ms`) was over, the connections of the requests still in progress closed: no status, or a stream without a last event. No line named these requests; the audit trail had their number alone. The daemon then panicked as it exited (exit code 101), because dropping a request spawns the call that cancels its attempt, which the executor does not allow while the runtime is dropped: "assertion failed: inner.map.is_empty()", compio-executor queue.rs:104.

Cause: the drain stopped waiting and left the requests to the exit.

Change: at the stop limit the daemon ends each request in progress with the error `stopped` (503, or the last event of a stream) and logs a line with its id, then waits up to 0.5 s for callers to take it. The outcome is `not_run` for requests whose body was being read or that were never sent, `failed` for completions that may have run, and `unknown`, without Retry-After, for calls of services. Attempts are dropped while the runtime still runs, so their cancellations are sent. An order goes on in its own task, as it does when its caller leaves. The invariant `stop_cuts_nothing` and the audit entry count the same requests as before.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,6 +39,9 @@
 /// Interval at which the number of requests in progress is polled while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Longest time for callers to accept the errors of requests that were cut off.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Runs a daemon until it receives a stop signal and has drained.
 ///
 /// # Errors
@@ -142,8 +145,8 @@
     ]
 }
 
-/// Refuses new requests and waits until those in progress have ended or the stop limit
-/// has passed.
+/// Refuses new requests and waits until those in progress have ended; cuts them off when
+/// the stop limit has passed.
 async fn drain(components: &Components) {
     let started = Instant::now();
     components.audit.record(AuditEvent::DrainStarted {
@@ -156,6 +159,13 @@
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let cut_requests = components.entry.in_progress() as u64;
+    if cut_requests > 0 {
+        components.entry.cut_off();
+        let cut_off_at = Instant::now();
+        while components.entry.in_progress() > 0 && cut_off_at.elapsed() < CUT_OFF_TIMEOUT {
+            compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
     check(Invariant::StopCutsNothing, cut_requests == 0, || {
         format!("{cut_requests} requests were cut off at the stop limit")
     });
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -9,10 +9,11 @@
 //! one of them is not silent; the next token returned is always that one, whichever
 //! attempt it comes from; nothing is started after the caller's deadline.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::select_all;
+use futures_util::future::{Either, select, select_all};
 use mangofront_admission::Permit;
 use mangofront_http::Outcome;
 use mangofront_placement::{EngineOutcome, PlacedRequest};
@@ -83,13 +84,25 @@
     /// The deadline of the request's class has passed, or no further attempt is
     /// allowed.
     pub(crate) async fn next(&mut self) -> Result<Frame, EntryError> {
-        let next = self.advance().await;
+        let next = match self.advance_until_cut_off().await {
+            Some(next) => next,
+            None => Err(self.entry.cut_off_error(&self.request.id, self.outcome())),
+        };
         if let Err(error) = &next {
             checks::check_not_run(&self.request, error, self.retries.may_have_run());
         }
         next
     }
 
+    /// Next token, or `None` if the request is cut off.
+    async fn advance_until_cut_off(&mut self) -> Option<Result<Frame, EntryError>> {
+        let entry = self.entry.clone();
+        match select(pin!(self.advance()), pin!(entry.wait_for_cut_off())).await {
+            Either::Left((next, _)) => Some(next),
+            Either::Right(_) => None,
+        }
+    }
+
     async fn advance(&mut self) -> Result<Frame, EntryError> {
         loop {
             self.check_deadline()?;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,15 +1,17 @@
 //! State shared by all requests of a daemon.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::{Body as _, Incoming};
 use mangofront_admission::Admission;
 use mangofront_configuration::{AcceptedConfiguration, Platform};
-use mangofront_http::Body;
+use mangofront_http::{Body, Outcome, Shutdown, ShutdownTrigger};
 use mangofront_once::Once;
 use mangofront_placement::Placement;
 use mangofront_settings::ids::AvailabilityZone;
@@ -89,6 +91,9 @@
     bodies_bytes: Cell<usize>,
     /// Set once the daemon stops: the time after which a caller may retry.
     stopping: Cell<Option<Duration>>,
+    /// Sent when the requests in progress are to end without their answers.
+    cut_off: Shutdown,
+    cut_off_trigger: RefCell<Option<ShutdownTrigger>>,
     instance_rotation: InstanceRotation,
 }
 
@@ -96,11 +101,14 @@
     /// Creates an entry that uses `parts`.
     #[must_use]
     pub fn new(parts: EntryParts) -> Self {
+        let (cut_off_trigger, cut_off) = Shutdown::new();
         Self(Rc::new(Shared {
             parts,
             in_progress: Cell::new(0),
             bodies_bytes: Cell::new(0),
             stopping: Cell::new(None),
+            cut_off,
+            cut_off_trigger: RefCell::new(Some(cut_off_trigger)),
             instance_rotation: InstanceRotation::default(),
         }))
     }
@@ -116,6 +124,44 @@
         self.0.parts.admission.close(retry_after);
     }
 
+    /// Ends all requests in progress with an error, as the stop limit has passed.
+    pub fn cut_off(&self) {
+        let trigger = self.0.cut_off_trigger.take();
+        if let Some(trigger) = trigger {
+            trigger.trigger();
+        }
+    }
+
+    /// Waits until the requests in progress are cut off.
+    pub(crate) async fn wait_for_cut_off(&self) {
+        self.0.cut_off.wait().await;
+    }
+
+    /// Handles a request until it is cut off, which then has `outcome`.
+    ///
+    /// # Errors
+    /// That of `handling`, or [`EntryError::CutOff`].
+    pub(crate) async fn until_cut_off<T>(
+        &self,
+        request_id: &str,
+        outcome: Outcome,
+        handling: impl Future<Output = Result<T, EntryError>>,
+    ) -> Result<T, EntryError> {
+        match select(pin!(handling), pin!(self.wait_for_cut_off())).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(self.cut_off_error(request_id, outcome)),
+        }
+    }
+
+    /// Error of a request that is cut off, which is logged.
+    pub(crate) fn cut_off_error(&self, request_id: &str, outcome: Outcome) -> EntryError {
+        log::warn!("entry: request {request_id} was cut off at the stop limit");
+        EntryError::CutOff {
+            outcome,
+            retry_after: self.stopping().unwrap_or_default(),
+        }
+    }
+
     /// Number of requests that were received and are not yet completely answered.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -52,6 +52,11 @@
     },
     #[error("the class's time is over")]
     DeadlineExceeded { outcome: Outcome },
+    #[error("the daemon stopped before the request was answered")]
+    CutOff {
+        outcome: Outcome,
+        retry_after: Duration,
+    },
     #[error("gave up after {attempts} attempts: {last}")]
     AttemptsFailed {
         attempts: u32,
@@ -89,6 +94,7 @@
             Self::Prompt(_) => "malformed_request",
             Self::NoConfiguration => "no_configuration",
             Self::Stopping { .. } => "stopping",
+            Self::CutOff { .. } => "stopped",
             Self::Refused { code, .. } | Self::Order { code, .. } => code,
             Self::NoUpstream { .. } => "no_upstream",
             Self::DeadlineExceeded { .. } => "deadline_exceeded",
@@ -105,6 +111,7 @@
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
             Self::DeadlineExceeded { outcome }
+            | Self::CutOff { outcome, .. }
             | Self::NoUpstream { outcome, .. }
             | Self::Order { outcome, .. } => *outcome,
             Self::AttemptsFailed { last, .. } => match last.outcome() {
@@ -128,6 +135,7 @@
             Self::Refused { .. }
                 | Self::NoUpstream { .. }
                 | Self::DeadlineExceeded { .. }
+                | Self::CutOff { .. }
                 | Self::AttemptsFailed { .. }
                 | Self::Service(_)
                 | Self::KeyRequired
@@ -155,9 +163,10 @@
                 code: "stopping", ..
             } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Refused { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfiguration | Self::Stopping { .. } | Self::NoUpstream { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Stopping { .. }
+            | Self::CutOff { .. }
+            | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::AttemptsFailed { .. } | Self::Service(_) => StatusCode::BAD_GATEWAY,
             Self::Order {
@@ -186,6 +195,7 @@
             Self::Body(_) | Self::BodyTimeout => "read_body",
             Self::NoConfiguration => "configuration",
             Self::Stopping { .. } | Self::Refused { .. } => "admission",
+            Self::CutOff { .. } => "stop",
             Self::NoUpstream { .. } => "placement",
             Self::DeadlineExceeded { .. } => "deadline",
             Self::AttemptsFailed { last, .. } | Self::Service(last) => last.step_name(),
@@ -207,6 +217,10 @@
             | Self::Refused { retry_after, .. }
             | Self::NoUpstream { retry_after, .. }
             | Self::AttemptsFailed { retry_after, .. } => Some(*retry_after),
+            Self::CutOff {
+                outcome,
+                retry_after,
+            } => (*outcome != Outcome::Unknown).then_some(*retry_after),
             Self::Order { retry_after, .. } => *retry_after,
             Self::NoConfiguration => Some(Duration::from_secs(1)),
             _ => None,
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -5,7 +5,7 @@
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use mangofront_http::{Body, headers, json};
+use mangofront_http::{Body, Outcome, headers, json};
 use mangofront_prompt::Endpoint;
 use serde::Serialize;
 
@@ -40,17 +40,21 @@
     let pending_response = PendingResponse::new(&id, peer);
     let (head, body) = request.into_parts();
     let active = entry.begin(body);
-    let result = match (entry.stopping(), find_route(&head.method, head.uri.path())) {
-        (Some(retry_after), _) => Err(EntryError::Stopping { retry_after }),
-        (None, Ok(_)) if is_full(entry) => Err(too_many_requests()),
-        (None, Ok(Route::Complete(endpoint))) => {
-            completion::handle(entry, &active, endpoint, &head, &id).await
+    let handling = async {
+        match (entry.stopping(), find_route(&head.method, head.uri.path())) {
+            (Some(retry_after), _) => Err(EntryError::Stopping { retry_after }),
+            (None, Ok(_)) if is_full(entry) => Err(too_many_requests()),
+            (None, Ok(Route::Complete(endpoint))) => {
+                completion::handle(entry, &active, endpoint, &head, &id).await
+            }
+            (None, Ok(Route::Models)) => models::list(entry),
+            (None, Ok(Route::MintKey)) => mint_key(entry),
+            (None, Ok(Route::Service)) => service::handle(entry, &active, head, &id).await,
+            (None, Err(error)) => Err(error),
         }
-        (None, Ok(Route::Models)) => models::list(entry),
-        (None, Ok(Route::MintKey)) => mint_key(entry),
-        (None, Ok(Route::Service)) => service::handle(entry, &active, head, &id).await,
-        (None, Err(error)) => Err(error),
     };
+    // Requests that may have run are cut off where their outcome is known.
+    let result = entry.until_cut_off(&id, Outcome::NotRun, handling).await;
     if let Some(unread_body) = active.take_body() {
         bodies::discard(entry, unread_body).await;
     }
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -63,11 +63,14 @@
     let key = caller::text(&head.headers, headers::IDEMPOTENCY_KEY)?.map(str::to_owned);
     let (service_call, repeatability) = read_call(active, head, arrived, id).await?;
     let progress = RequestProgress::begin(active, &service_call.caller);
-    let result = match (key, repeatability) {
-        (Some(key), _) => order::execute(entry, active, service_call, key).await,
-        (None, Repeatability::Forbidden) => Err(EntryError::KeyRequired),
-        (None, Repeatability::Allowed) => send(entry, &service_call).await,
+    let sending = async {
+        match (key, repeatability) {
+            (Some(key), _) => order::execute(entry, active, service_call, key).await,
+            (None, Repeatability::Forbidden) => Err(EntryError::KeyRequired),
+            (None, Repeatability::Allowed) => send(entry, &service_call).await,
+        }
     };
+    let result = entry.until_cut_off(id, Outcome::Unknown, sending).await;
     match &result {
         Ok(_) => progress.answered(),
         Err(error) => progress.failed(error),
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -149,6 +149,44 @@
     assert_eq!(fleet.daemons[0].exit_code(), Some(0));
 }
 
+/// Guards against requests that end without an error or a line in the log, because the longest
+/// shutdown was over before they were answered.
+#[test]
+fn requests_cut_off_at_the_stop_limit_are_told_so_and_logged() {
+    let mut fleet = slow_fleet(Some(1500));
+    let send = |path: &'static str, body| {
+        let caller = fleet.caller_client(0);
+        thread::spawn(move || caller.post(path, &body))
+    };
+    let streamed = send(COMPLETIONS, completion_body("streamed", 1000, true));
+    let plain = send(COMPLETIONS, completion_body("plain", 1000, false));
+    let called = send("/v1/services/fleet-ops/readings", json!({}));
+    wait_until("the requests are in progress", || {
+        fleet.status(0)["daemon"]["requests_in_progress"] == 3
+            && fleet.engine_counter(0, "started") == 2
+            && fleet.engine_counter(0, "tokens") > 10
+    });
+    fleet.daemons[0].signal("TERM");
+    let [streamed, plain, called] =
+        [streamed, plain, called].map(|request| request.join().expect("it ends"));
+    assert_eq!(fleet.daemons[0].exit_code(), Some(0));
+    for (answer, status, outcome) in [
+        (&streamed, 200, "failed"),
+        (&plain, 503, "failed"),
+        (&called, 503, "unknown"),
+    ] {
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(answer.outcome().as_deref(), Some(outcome), "{answer:?}");
+        assert!(answer.body_complete && !answer.is_complete(), "{answer:?}");
+    }
+    let log = fleet.log(0);
+    let lines = log
+        .lines()
+        .filter(|line| line.contains("cut off at the stop limit"));
+    let requests = lines.filter(|line| line.contains("entry: request"));
+    assert_eq!(requests.count(), 3);
+}
+
 /// Tries one daemon after the other until one doesn't refuse the request because it is stopping.
 fn send_with_failover(first: usize, send: impl Fn(usize) -> Answer) -> Answer {
     let started = Instant::now();
