Bound the permits that a test takes

A budget without a limit made the test run until memory was used up, and did not fail it: a mutation by hand that was never counted did so for a quarter of an hour.

--- a/crates/gateway/tests/retry_permits.rs
+++ b/crates/gateway/tests/retry_permits.rs
@@ -26,8 +26,12 @@
     permits(budget, now).len()
 }
 
+/// Permits that are taken at most, so that a budget without a limit fails a test.
+const MAX_PERMITS: usize = 1_000;
+
 fn permits(budget: &RetryBudget, now: Instant) -> Vec<RetryPermit> {
-    std::iter::from_fn(|| budget.permit(SERVICE, now)).collect()
+    let permits = std::iter::from_fn(|| budget.permit(SERVICE, now));
+    permits.take(MAX_PERMITS).collect()
 }
 
 /// Guards against retries of many requests that found room in the same instant.
