Count a silence that several requests meet once, and tell no other daemon

A pause of one upstream with five streams of a daemon gave five overtakes within milliseconds: it was ejected for up to 4 s, and the others were told, as the review of the fix found by reading. Requests that were sent before the last overtake count no more, an answer resets the count, and only silence on a direct path that is not lost counts. Others are not told, as it may be this daemon's path.

--- a/crates/engines/src/health.rs
+++ b/crates/engines/src/health.rs
@@ -47,8 +47,9 @@
     ejected_until: Option<Instant>,
     /// Silences since it was last heard to go on.
     consecutive_silences: u32,
-    /// Replacements that went on first since then.
+    /// Replacements that went on first since its last answer.
     consecutive_overtakes: u32,
+    last_overtaken_at: Option<Instant>,
     /// When others are no longer preferred for its silence.
     silent_until: Option<Instant>,
 }
@@ -72,14 +73,21 @@
         time
     }
 
-    /// Records that another upstream went on with a request first, while this one was silent.
+    /// Records that another upstream went on first with a request that was sent here `sent_at`,
+    /// while this one was silent.
     ///
-    /// Returns the ejection time, if that happens repeatedly.
+    /// Requests that were sent before the last one so recorded met the same silence, and count
+    /// once. Returns the ejection time, if that happens repeatedly.
     pub(crate) fn record_overtaken(
         &mut self,
+        sent_at: Instant,
         now: Instant,
         options: &ChoiceOptions,
     ) -> Option<Duration> {
+        if self.last_overtaken_at.is_some_and(|last| sent_at <= last) {
+            return None;
+        }
+        self.last_overtaken_at = Some(now);
         self.consecutive_overtakes += 1;
         let repeated = self.consecutive_overtakes.checked_sub(EJECTING_OVERTAKES)?;
         let time = ejection_time(repeated, options);
@@ -98,6 +106,7 @@
     /// same.
     pub(crate) fn record_answer(&mut self) {
         self.consecutive_failures = 0;
+        self.consecutive_overtakes = 0;
         self.ejected_until = None;
     }
 
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -336,13 +336,15 @@
         Some(entry.health.record_silence(now, &self.0.options))
     }
 
-    /// Records that another upstream went on with a request first, while this one was silent;
-    /// returns its ejection time, if that happens repeatedly.
-    pub fn record_overtaken(&self, upstream: UpstreamKey) -> Option<Duration> {
+    /// Records that another upstream went on first with a request that was sent to this one
+    /// `age` ago, while it was silent; returns its ejection time, if that happens repeatedly.
+    pub fn record_overtaken(&self, upstream: UpstreamKey, age: Duration) -> Option<Duration> {
         let now = self.now();
+        let sent_at = now.checked_sub(age)?;
         let mut state = self.0.state.borrow_mut();
         let entry = state.upstream_mut(upstream)?;
-        entry.health.record_overtaken(now, &self.0.options)
+        let options = &self.0.options;
+        entry.health.record_overtaken(sent_at, now, options)
     }
 
     /// Records that an upstream went on with a request after it was silent.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -258,7 +258,7 @@
             return;
         }
         let winner = self.running.swap_remove(index);
-        for loser in self.running.drain(..) {
+        for loser in std::mem::take(&mut self.running) {
             let by_replacement = loser.number < winner.number;
             trace::attempt_overtaken(
                 &self.call,
@@ -271,15 +271,21 @@
                 true => ReplacementOutcome::Won,
                 false => ReplacementOutcome::Overtaken,
             });
-            if let Some(upstream) = loser.upstream().filter(|_| by_replacement) {
-                let client = self.gateway.upstream_client();
-                client.record_overtaken(&upstream, &self.call.id);
+            if by_replacement && loser.is_direct() && !loser.is_on_lost_path() {
+                self.record_overtaken(&loser);
             }
             self.race.discard(loser.number);
         }
         self.running.push(winner);
     }
 
+    fn record_overtaken(&self, loser: &RunningAttempt) {
+        if let (Some(upstream), Some(age)) = (loser.upstream(), loser.age()) {
+            let client = self.gateway.upstream_client();
+            client.record_overtaken(&upstream, age, &self.call.id);
+        }
+    }
+
     /// Records that an attempt went on, if its upstream was found to be silent.
     fn record_end_of_silence(&mut self, number: AttemptNumber) {
         if self
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -266,6 +266,17 @@
         Some(self.gateway.silence().run_time().saturating_sub(since))
     }
 
+    /// Time since it was sent, in the time in which this daemon ran.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        let sent_at = self.progress.sent_at()?;
+        Some(self.gateway.silence().run_time().saturating_sub(sent_at))
+    }
+
+    /// Whether it goes on a connection of this daemon to its upstream.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.progress.is_direct()
+    }
+
     /// Whether the path on which it was sent is lost, and nothing arrives on it.
     pub(crate) fn is_on_lost_path(&self) -> bool {
         let is_silent = |upstream| {
--- a/crates/gateway/src/upstream_client/examination.rs
+++ b/crates/gateway/src/upstream_client/examination.rs
@@ -115,14 +115,14 @@
         .detach();
     }
 
-    /// Records that a replacement went on first while an upstream was silent.
+    /// Records that a replacement went on first while an upstream was silent on the direct path
+    /// for a request that was sent `age` ago.
     ///
-    /// That is no silence of this daemon's paths alone, so repeated ones concern all daemons.
-    pub(crate) fn record_overtaken(&self, upstream: &Upstream, cause: &str) {
-        let (key, upstreams) = (key_of(upstream), &self.0.parts.upstreams);
-        if let Some(time) = upstreams.record_overtaken(key) {
+    /// Other daemons are not told, as it may be this daemon's path that is silent.
+    pub(crate) fn record_overtaken(&self, upstream: &Upstream, age: Duration, cause: &str) {
+        let upstreams = &self.0.parts.upstreams;
+        if let Some(time) = upstreams.record_overtaken(key_of(upstream), age) {
             trace::upstream_ejected(&upstream.id, Failure::Overtaken, time, cause);
-            upstreams.publish_failure(key, time);
         }
     }
 
