Let refused replacements use up nothing that a lost attempt needs

Replacements that could not be sent counted as unreachable upstreams of the request: four of them during one pause, and a stream whose first attempt was then really lost broke off with time, attempts and budget left (found by reading in the review). Beside a running attempt they count for nothing now, and upstreams that did not take the request may be asked again. Retries count in metrics at the send, as in the budget.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -304,7 +304,9 @@
             && permits.allow(&keys);
         if is_wanted {
             permits.spend(upstreams, &call.id);
-            leave.spend();
+            if leave.spend() {
+                parts.metrics.retried();
+            }
             if progress.sent_at().is_none() {
                 history.borrow_mut().sent += 1;
                 progress.record_send(gateway);
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -157,10 +157,12 @@
 }
 
 impl SendLeave {
-    /// Uses the leave, as the request is sent.
-    pub(crate) fn spend(&self) {
-        if let Self::Retry(permit) = self {
-            permit.spend(Instant::now());
+    /// Uses the leave, as the request is sent; returns whether that is a retry that was not
+    /// counted yet.
+    pub(crate) fn spend(&self) -> bool {
+        match self {
+            Self::First => false,
+            Self::Retry(permit) => permit.spend(Instant::now()),
         }
     }
 }
@@ -206,7 +208,7 @@
         self.selected.push(upstream.id.clone());
     }
 
-    /// Records that an attempt failed with `error`.
+    /// Records that an attempt failed with `error` while no other one ran.
     pub(crate) fn record_failure(&mut self, gateway: &Gateway, error: &AttemptError) {
         match error {
             AttemptError::NoUpstream(_)
@@ -229,6 +231,22 @@
         }
     }
 
+    /// Records that an attempt failed with `error` beside one at the upstream `running`.
+    ///
+    /// What was not sent counts for nothing, as the request may still need it if the other attempt
+    /// is lost; upstreams that did not take it may be asked again.
+    pub(crate) fn record_failure_beside(&mut self, running: UpstreamKey, error: &AttemptError) {
+        match error {
+            AttemptError::MayHaveRun(_)
+            | AttemptError::ConnectionLost(_)
+            | AttemptError::DeadlineExceeded => self.may_have_run = true,
+            AttemptError::NoUpstream(NoUpstream::AllTried) => {
+                self.tried.retain(|key| *key == running);
+            }
+            _ => {}
+        }
+    }
+
     /// Whether another attempt may follow the last one, which failed with `error`.
     pub(crate) fn resend_after(
         &self,
@@ -275,14 +293,10 @@
             gateway.uptime(),
             permit.is_some(),
         );
-        let metrics = &gateway.parts().metrics;
         match permit {
-            Some(permit) => {
-                metrics.retried();
-                Resend::Allowed(SendLeave::Retry(permit))
-            }
+            Some(permit) => Resend::Allowed(SendLeave::Retry(permit)),
             None => {
-                metrics.retry_refused();
+                gateway.parts().metrics.retry_refused();
                 Resend::NoBudget
             }
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -305,9 +305,13 @@
     async fn lose(&mut self, index: usize, error: AttemptError) -> Result<(), AttemptError> {
         let lost = self.running.remove(index);
         self.race.discard(lost.number);
-        self.history
-            .borrow_mut()
-            .record_failure(&self.gateway, &error);
+        let other = self.running.first().and_then(RunningAttempt::upstream);
+        let mut history = self.history.borrow_mut();
+        match other {
+            Some(running) => history.record_failure_beside(key_of(&running), &error),
+            None => history.record_failure(&self.gateway, &error),
+        }
+        drop(history);
         self.record_failed_attempt(&lost, &error).await;
         drop(lost);
         if matches!(error, AttemptError::DeadlineExceeded) {
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -79,12 +79,14 @@
 }
 
 impl RetryPermit {
-    /// Uses the permit, as the retry is sent `now`.
-    pub fn spend(&self, now: Instant) {
-        if !self.is_spent.replace(true) {
+    /// Uses the permit, as the retry is sent `now`; returns whether it was unused.
+    pub fn spend(&self, now: Instant) -> bool {
+        let is_unused = !self.is_spent.replace(true);
+        if is_unused {
             self.budget.give_back(&self.service);
             self.budget.record_retry(&self.service, now);
         }
+        is_unused
     }
 }
 
