Send no replacement near a quarantine once a connection was lost

Only the last error of a request was asked for a lost connection, and one that ran beside a replacement which was not sent yet was examined in the background. So a prompt that crashes upstreams could reach one more (found by reading in the review). The loss is kept for the request now, and the examination is waited for unless the other attempt was sent.

--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -191,6 +191,8 @@
     pub(crate) sent: u32,
     pub(crate) unreachable: u32,
     pub(crate) may_have_run: bool,
+    /// Whether an upstream was lost while it may have run the request.
+    pub(crate) has_lost_connection: bool,
     /// Time for which the request waited for less loaded engines.
     pub(crate) waited: Duration,
     /// The trial of what is quarantined, if the request is one.
@@ -210,6 +212,7 @@
 
     /// Records that an attempt failed with `error` while no other one ran.
     pub(crate) fn record_failure(&mut self, gateway: &Gateway, error: &AttemptError) {
+        self.has_lost_connection |= matches!(error, AttemptError::ConnectionLost(_));
         match error {
             AttemptError::NoUpstream(_)
             | AttemptError::RateLimited { .. }
@@ -236,6 +239,7 @@
     /// What was not sent counts for nothing, as the request may still need it if the other attempt
     /// is lost; upstreams that did not take it may be asked again.
     pub(crate) fn record_failure_beside(&mut self, running: UpstreamKey, error: &AttemptError) {
+        self.has_lost_connection |= matches!(error, AttemptError::ConnectionLost(_));
         match error {
             AttemptError::MayHaveRun(_)
             | AttemptError::ConnectionLost(_)
@@ -262,9 +266,6 @@
             | AttemptError::Stopping
             | AttemptError::CutOff
             | AttemptError::Quarantined { .. } => return Resend::Never,
-            AttemptError::ConnectionLost(_) if is_near_quarantine(gateway, call) => {
-                return Resend::Never;
-            }
             _ => {}
         }
         if self.may_have_run && !call.route.safety.may_retry() {
@@ -276,8 +277,12 @@
         self.resend(gateway, call)
     }
 
-    /// Whether the request may be sent, or sent once more, by the route and the retry budget.
+    /// Whether the request may be sent, or sent once more, by the route, the quarantine and the
+    /// retry budget.
     pub(crate) fn resend(&self, gateway: &Gateway, call: &Call) -> Resend {
+        if self.has_lost_connection && is_near_quarantine(gateway, call) {
+            return Resend::Never;
+        }
         if self.sent == 0 {
             return Resend::Allowed(SendLeave::First);
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -490,6 +490,7 @@
     /// Records an attempt that failed in metrics and logs, and checks whether its upstream crashed.
     async fn record_failed_attempt(&self, lost: &RunningAttempt, error: &AttemptError) {
         let has_other_attempt = !self.running.is_empty();
+        let has_sent_attempt = self.running.iter().any(|other| other.age().is_some());
         if has_other_attempt {
             let metrics = &self.gateway.parts().metrics;
             metrics.replacement(replacement_failure(error));
@@ -520,7 +521,7 @@
                 &self.call,
                 &self.history,
                 &failed,
-                has_other_attempt,
+                has_sent_attempt,
             )
             .await;
         }
--- a/crates/gateway/src/quarantine/crash.rs
+++ b/crates/gateway/src/quarantine/crash.rs
@@ -70,14 +70,14 @@
 /// Handles the loss of a connection to an upstream that may have run the request.
 ///
 /// A request that no crash has met yet goes on elsewhere while the upstream is checked, if its
-/// answer was underway or another attempt runs already; any other waits for the result, so that
+/// answer was underway or another attempt was sent already; any other waits for the result, so that
 /// no further upstream crashes before it is known.
 pub(crate) async fn record_lost_connection(
     gateway: &Gateway,
     call: &Call,
     history: &SharedHistory,
     failed: &FailedAttempt<'_>,
-    has_other_attempt: bool,
+    has_sent_attempt: bool,
 ) {
     let lost = LostAttempt {
         request: call.id.clone(),
@@ -87,7 +87,7 @@
         suspects: call.suspects.clone(),
     };
     let is_underway = lost.progress == AnswerProgress::Underway;
-    let may_go_on = has_other_attempt || (is_underway && is_unsuspected(gateway, &lost));
+    let may_go_on = has_sent_attempt || (is_underway && is_unsuspected(gateway, &lost));
     let check = check_for_crash(gateway.clone(), lost, failed.upstream.clone());
     match may_go_on {
         true => spawn(check).detach(),
