Notice every sign of life of a silent attempt, and avoid its upstream once it is alone

Only events of a stream ended the silence of an attempt, so a plain service that was silent once was avoided for longer and longer, and an attempt whose first look fell into a common silence never had its upstream avoided. An answer that breaks off as its proxy stops no longer ejects the upstream (all found by reading in the review).

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -69,6 +69,8 @@
     next_replacement_at: RunTime,
     /// The attempt whose upstream was last found to be silent.
     silent_attempt: Option<AttemptNumber>,
+    /// The attempt for which its upstream was last avoided.
+    avoided_attempt: Option<AttemptNumber>,
     /// The last answer with a server error, which the caller gets if no other attempt succeeds.
     server_error: Option<CompleteAnswer>,
 }
@@ -100,6 +102,7 @@
             is_finished: false,
             next_replacement_at: RunTime::ZERO,
             silent_attempt: None,
+            avoided_attempt: None,
             server_error: None,
         }
     }
@@ -200,6 +203,7 @@
         event: AttemptEvent,
     ) -> Result<Option<Step>, AttemptError> {
         let number = self.running[index].number;
+        self.record_end_of_silence(index);
         match event {
             AttemptEvent::Head(status) if self.is_open && !status.is_success() => {
                 let error = AttemptError::MayHaveRun(format!("answered {status}"));
@@ -211,7 +215,6 @@
                 Ok(events) if events.is_empty() => Ok(None),
                 Ok(events) => {
                     self.forward(index);
-                    self.record_end_of_silence(number);
                     self.running[0].record_events();
                     Ok(Some(Step::Events(events)))
                 }
@@ -287,15 +290,16 @@
     }
 
     /// Records that an attempt went on, if its upstream was found to be silent.
-    fn record_end_of_silence(&mut self, number: AttemptNumber) {
-        if self
-            .silent_attempt
-            .take_if(|silent| *silent == number)
-            .is_none()
-        {
+    fn record_end_of_silence(&mut self, index: usize) {
+        let attempt = &self.running[index];
+        if self.silent_attempt != Some(attempt.number) {
             return;
         }
-        if let Some(upstream) = self.running[0].upstream() {
+        self.silent_attempt = None;
+        if self.avoided_attempt == Some(attempt.number) {
+            self.avoided_attempt = None;
+        }
+        if let Some(upstream) = attempt.upstream() {
             let upstreams = &self.gateway.parts().upstreams;
             upstreams.record_sign_of_life(key_of(&upstream));
         }
@@ -460,7 +464,8 @@
             metrics.replacement(ReplacementOutcome::CommonSilence);
             return;
         }
-        if is_new && trigger == HedgeTrigger::Silence {
+        let is_avoided = self.avoided_attempt.replace(number) == Some(number);
+        if !is_avoided && trigger == HedgeTrigger::Silence {
             self.gateway
                 .upstream_client()
                 .avoid_silent(&upstream, &self.call.id);
@@ -511,7 +516,7 @@
         metrics.attempt_ended(zone, failed.outcome);
         trace::attempt_failed(&self.call, &failed, &error.to_string(), has_other_attempt);
         if let AttemptError::ConnectionLost(_) = error {
-            if lost.stream().is_some() {
+            if lost.stream().is_some() && lost.is_direct() {
                 self.gateway
                     .upstream_client()
                     .suspect(&upstream, &self.call.id);
