Take silent upstreams rather than overloaded ones

While one upstream of a service was heard, all silent ones were left aside, so requests waited or were refused for load although a sound upstream that paused for a moment had room: avoidance worked like ejection (found by reading in the review).

--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Whether an upstream of a service is silent.
+    pub(crate) fn has_silent(&self, service: &str, now: Instant) -> bool {
+        let mut upstreams = self.upstreams.iter();
+        upstreams.any(|entry| entry.registration.service == service && entry.health.is_silent(now))
+    }
+
     pub(crate) fn upstream_mut(&mut self, key: UpstreamKey) -> Option<&mut UpstreamState> {
         let index = self.upstreams.binary_search_by_key(&key, |entry| entry.key);
         self.upstreams.get_mut(index.ok()?)
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -65,6 +65,15 @@
     pub is_ejected: bool,
 }
 
+/// Upstreams among which one is chosen.
+#[derive(Debug, Clone, Copy)]
+struct Among<'a> {
+    /// Those that are not chosen.
+    tried: &'a [UpstreamKey],
+    /// Whether silent ones are as good as others.
+    includes_silent: bool,
+}
+
 impl Upstreams {
     /// Creates a view without upstreams; updates for other daemons are sent to `updates`. `salt` is
     /// any number that differs between daemons.
@@ -161,7 +170,19 @@
             state.shortest_gap = Some(shortest);
         }
         let size = state.size(service, demand);
-        let choice = self.choose(&state, service, demand, size, tried, now);
+        let among = |includes_silent| Among {
+            tried,
+            includes_silent,
+        };
+        let choice = match self.choose(&state, service, demand, size, among(false), now) {
+            // Those that are heard are overloaded, while silent ones may go on at any moment.
+            Err(NoUpstream::Busy | NoUpstream::Full | NoUpstream::Overrun)
+                if state.has_silent(service, now) =>
+            {
+                self.choose(&state, service, demand, size, among(true), now)
+            }
+            choice => choice,
+        };
         let progress = match &choice {
             Ok(_) => Some(Progress::Placed),
             Err(NoUpstream::Overrun) => Some(Progress::Refused),
@@ -207,9 +228,10 @@
         service: &str,
         demand: &Demand,
         size: Option<SizeClass>,
-        tried: &[UpstreamKey],
+        among: Among<'_>,
         now: Instant,
     ) -> Result<Choice, NoUpstream> {
+        let tried = among.tried;
         let loads = loads(&state.upstreams, state.work.values(), now);
         let available = || {
             let entries = state.upstreams.iter().zip(&loads);
@@ -240,7 +262,7 @@
             is_not_ejected(one) && is_reachable(one) && is_not_said_to_leave(one)
         };
         let mut open: Vec<(&UpstreamState, &Load)> = not_tried()
-            .filter(|one| is_open(one) && is_heard(one))
+            .filter(|one| is_open(one) && (among.includes_silent || is_heard(one)))
             .collect();
         if open.is_empty() {
             open = not_tried().filter(is_open).collect();
