Decode evacuations, places to run and warm-up from what is published

Cause: the adapter read op/config and servers/ only. What a service says of its warm-up, what a registration and an answer say of being cold, the regions of routes and organisations, and the operator's evacuations of zones were dropped.

Change: routes::AllowedRegions, WarmUp, Upstream::cold_left; Entry::Evacuation and Change::EvacuationEnded; AnswerHead::cold_left. Nothing uses them yet: they are the types on which the parts agree.

--- a/crates/engines/examples/choice_cost.rs
+++ b/crates/engines/examples/choice_cost.rs
@@ -79,6 +79,7 @@
         started_at_ms: 0,
         registered_at: Position::new(0, u64::from(number)),
         leaving: false,
+        cold_left: None,
     }
 }
 
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -32,6 +32,7 @@
         slots: 6,
         registered_at: Position::new(0, number as u64),
         leaving: false,
+        cold_left: None,
     }
 }
 
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -532,5 +532,6 @@
         slots: 16,
         registered_at: Position::new(0, number as u64),
         leaving: false,
+        cold_left: None,
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -16,6 +16,7 @@
 pub use mangofront_quarantine::PromptPartId;
 pub use mangofront_routes::Position;
 use mangofront_routes::{ApiKey, RouteTable, Upstream, UpstreamId};
+use mangofront_settings::ids::AvailabilityZone;
 use thiserror::Error;
 
 /// Number of an event within its stream; it increases.
@@ -108,6 +109,8 @@
     pub is_leaving: bool,
     /// The rest for which the upstream asks.
     pub rest: NamedRest,
+    /// How much longer the upstream says that it is cold.
+    pub cold_left: Option<Duration>,
 }
 
 /// What an answer says of the time for which its upstream wants no request of this daemon.
@@ -169,6 +172,13 @@
         /// What is wrong with it, in a short sentence.
         reason: String,
     },
+    /// An operator's request that upstreams of a zone get no new work.
+    Evacuation {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Position of the request.
+        position: Position,
+    },
     /// Another value that can't be decoded; the one before it stays in force.
     Malformed {
         /// Name under which it is published.
@@ -192,6 +202,13 @@
         /// Position of this change.
         position: Position,
     },
+    /// Upstreams of a zone may get new work again.
+    EvacuationEnded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Position of this change.
+        position: Position,
+    },
 }
 
 /// All published values.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -339,6 +339,7 @@
                 Change::UpstreamGone { id, position } => {
                     self.apply_removal(id, Removal::observed_at(position), provenance);
                 }
+                Change::EvacuationEnded { .. } => {}
             }
         }
         self.sync_upstreams();
@@ -357,9 +358,13 @@
                 position: *position,
                 is_announced: self.is_announced(id),
             },
-            Change::Written(Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other) => {
-                return None;
-            }
+            Change::Written(
+                Entry::Evacuation { .. }
+                | Entry::Configuration(_)
+                | Entry::Malformed { .. }
+                | Entry::Other,
+            )
+            | Change::EvacuationEnded { .. } => return None,
         };
         Some(UpstreamChange {
             kind,
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -381,7 +381,10 @@
                 Entry::Upstream(Upstream { id, .. }) | Entry::UnusableUpstream { id, .. } => {
                     present.insert(id.clone());
                 }
-                Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other => {}
+                Entry::Evacuation { .. }
+                | Entry::Configuration(_)
+                | Entry::Malformed { .. }
+                | Entry::Other => {}
             }
             self.apply_entry(entry, provenance);
         }
@@ -411,7 +414,7 @@
                 self.apply_unusable(&id, position, &reason, provenance);
             }
             Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
-            Entry::Other => {}
+            Entry::Evacuation { .. } | Entry::Other => {}
         }
     }
 
--- a/crates/gateway/tests/fleet/script.rs
+++ b/crates/gateway/tests/fleet/script.rs
@@ -6,8 +6,8 @@
 
 use http::StatusCode;
 use mangofront_routes::{
-    CallerLimits, Position, RetrySafety, Route, RouteTable, RouteTableParts, Service, Split,
-    Upstream,
+    AllowedRegions, CallerLimits, Position, RetrySafety, Route, RouteTable, RouteTableParts,
+    Service, Split, Upstream,
 };
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -179,6 +179,7 @@
         slots: 16,
         registered_at: Position::default(),
         leaving: false,
+        cold_left: None,
     }
 }
 
@@ -186,6 +187,7 @@
 pub fn table(version: u64, routes: usize) -> RouteTable {
     let service = |name: &str| Service {
         probe_path: None,
+        warm_up: None,
         name: name.to_owned(),
         connections_limit: 96,
         engine: None,
@@ -217,6 +219,7 @@
         }],
         attempts: 2,
         needs_no_key: true,
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
--- a/crates/gateway/tests/registrations.rs
+++ b/crates/gateway/tests/registrations.rs
@@ -26,6 +26,7 @@
         slots: 4,
         registered_at: REGISTERED_AT,
         leaving,
+        cold_left: None,
     }
 }
 
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -5,15 +5,17 @@
 //! process. Published documents are decoded into these types at the edge of the process. This crate
 //! does no input or output, and decides nothing except which route a request matches.
 
+mod place;
 mod position;
 mod route;
 mod service;
 mod table;
 mod upstream;
 
+pub use place::AllowedRegions;
 pub use position::{Era, Position, Revision};
 pub use route::{RetrySafety, Route, Split};
-pub use service::{EngineProfile, Service};
+pub use service::{EngineProfile, Service, WarmUp};
 pub use table::{CallerLimits, Organisation, RouteTable, RouteTableParts};
 pub use upstream::{Upstream, UpstreamId};
 
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -5,6 +5,8 @@
 use mangofront_settings::ids::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::place::AllowedRegions;
+
 /// Whether a request may be retried after an attempt that ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RetrySafety {
@@ -71,6 +73,8 @@
     pub attempts: u32,
     /// Whether a request without a known key is served.
     pub needs_no_key: bool,
+    /// Regions in which its requests may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
--- a/crates/routes/src/service.rs
+++ b/crates/routes/src/service.rs
@@ -16,6 +16,17 @@
     pub engine: Option<EngineProfile>,
     /// Path that its upstreams answer without running a request, if there is one.
     pub probe_path: Option<String>,
+    /// How its upstreams warm up; `None` if they take full load from their start.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// How upstreams of a service warm up after a start, or after they became cold again.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time for which an upstream is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold upstream takes from all daemons together.
+    pub requests_per_s: f64,
 }
 
 /// Speed and memory of the engines of a service.
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -6,7 +6,7 @@
 use mangofront_settings::ids::{OrganisationId, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::{ApiKey, ConfigurationVersion, Route, Service};
+use crate::{AllowedRegions, ApiKey, ConfigurationVersion, Route, Service};
 
 /// Limits on callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +24,8 @@
     pub id: OrganisationId,
     /// Priority that overrides the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which its requests may run, besides those of the route.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Contents of a [`RouteTable`].
--- a/crates/routes/src/upstream.rs
+++ b/crates/routes/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Registration of an upstream: one incarnation of an engine or service process.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,8 @@
     pub registered_at: Position,
     /// Whether it has announced its shutdown.
     pub leaving: bool,
+    /// How much longer it is cold, as of its last change; `None` if it doesn't say.
+    pub cold_left: Option<Duration>,
 }
 
 impl Upstream {
