Tell which upstreams are cold from registrations, answers and other daemons

Cause: nothing kept what is said of an upstream's warm-up.

Change: limits::WarmUps. Nothing uses it yet.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -23,6 +23,9 @@
 //! - Shares of daemons that can't be reached stay unused for a while, as these may be running
 //!   behind a partition ([`FleetSize`]).
 //!
+//! An upstream that is cold takes fewer requests for a while, at a rate that its service publishes:
+//! a limit like one that it names. [`WarmUps`] tells which are cold, and until when.
+//!
 //! [`LimitTable`] merges what daemons observe of limits, [`ShareLender`] and [`Coordinator`] keep
 //! the leases and the schedules, [`Permits`] those that a daemon was granted. The crate does no
 //! input or output. All methods take the current time as a [`Moment`].
@@ -35,6 +38,7 @@
 mod schedule;
 mod shares;
 mod table;
+mod warm_up;
 
 use std::time::Duration;
 
@@ -45,6 +49,7 @@
 pub use rate::{NamedLimit, RateLimit};
 pub use shares::ShareLender;
 pub use table::{LimitChange, LimitInForce, LimitObservation, LimitTable};
+pub use warm_up::{ColdChange, ColdEvidence, ColdObservation, ColdUpstream, WarmUpTerms, WarmUps};
 
 /// Time since the machine's boot, including the time for which it was suspended.
 pub type Moment = Duration;
