Keep the rate of cold upstreams over all daemons, and prefer warm ones

Cause: a zone that returns cold got full load at once from each daemon.

Change: the rate of a warm-up is a limit like one that an upstream names; the lower of the two is in force. Requests for permits, decisions and charges carry what the sender knows, with the rate, so that a coordinator that has not heard of the upstream counts. Published::cold_upstreams is fed with registrations, answers and updates. Datagrams get version 14. In the played fleet a send asks the product's Permit::is_usable where it compared with the same lifetime itself; the tests of named limits are as before.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -222,6 +222,7 @@
     let rate_limits = RateLimits::new(RateLimitsParts {
         instance: settings.instance.clone(),
         upstreams: upstreams.clone(),
+        cold_upstreams: published.cold_upstreams().clone(),
         peers: peers.clone(),
         updates: updates_sender,
         messages: message_sender.clone(),
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -109,6 +109,11 @@
         self.load.running() < self.upstream.slots() + options.queued_requests
     }
 
+    /// Whether every slot is taken.
+    pub(crate) fn is_full(&self) -> bool {
+        self.load.running() >= self.upstream.slots()
+    }
+
     /// Cost of connecting to it, in milliseconds.
     pub(crate) fn connect_cost_ms(&self, options: &ChoiceOptions) -> f64 {
         match self.is_connected {
--- a/crates/engines/src/load_update.rs
+++ b/crates/engines/src/load_update.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use mangofront_limits::LimitObservation;
+use mangofront_limits::{ColdObservation, LimitObservation};
 use mangofront_quarantine::{CrashRecord, RequestFingerprint, Suspect};
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +82,8 @@
     },
     /// An upstream names a rate limit, or no longer does.
     RateLimit(LimitObservation),
+    /// An upstream told the sender how much longer it is cold.
+    Cold(ColdObservation),
     /// An upstream told the sender that it leaves.
     Leaving {
         /// The upstream.
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -56,6 +56,8 @@
     pub(crate) crashes: CrashTracker,
     /// What upstreams say of themselves.
     pub(crate) notices: Notices,
+    /// Upstreams that are cold, each until the given time.
+    pub(crate) cold_until: HashMap<UpstreamKey, Instant>,
     /// Short prompts placed by other daemons.
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! Handle to all upstreams and the work on them.
 
+mod cold;
 mod contact;
 mod crash_records;
 mod notices;
@@ -26,6 +27,7 @@
 use crate::state::{LOCAL, State};
 use crate::upstream_state::{Load, UpstreamState, loads};
 use crate::work::{UpstreamKey, Work, key_of};
+use cold::ColdChoice;
 use mangofront_settings::process::ChoiceOptions;
 
 /// Time for which an upstream that has exited is left out: until its registration has lapsed.
@@ -74,6 +76,7 @@
     includes_silent: bool,
     /// Whether those that may have left are as good as others.
     includes_unconfirmed: bool,
+    cold: ColdChoice,
 }
 
 impl Upstreams {
@@ -182,8 +185,9 @@
                 tried,
                 includes_silent,
                 includes_unconfirmed,
+                cold: ColdChoice::Included,
             };
-            self.choose(&state, service, demand, size, among, now)
+            self.choose_warm_first(&state, service, demand, size, among, now)
         };
         let choose_heard_first = |includes_unconfirmed| match choose(false, includes_unconfirmed) {
             // Those that are heard are overloaded, while silent ones may go on at any moment.
@@ -297,6 +301,7 @@
         if open.is_empty() {
             open = not_tried().collect();
         }
+        self.retain_by_warmth(state, &mut open, among.cold, now);
         let candidates: Vec<Candidate<'_>> = open
             .into_iter()
             .enumerate()
@@ -330,6 +335,11 @@
                 };
                 choose_engines(&candidates, &profile, demand, options, context)
             }
+            _ if among.cold == ColdChoice::Excluded
+                && candidates.iter().all(Candidate::is_full) =>
+            {
+                Err(NoUpstream::Full)
+            }
             _ => choose_plain(&candidates, options, zone, state.next_work)
                 .ok_or(NoUpstream::AllTried),
         }
--- a/crates/engines/src/upstreams/updates.rs
+++ b/crates/engines/src/upstreams/updates.rs
@@ -91,7 +91,7 @@
                 state.notices.record_leaving(upstream, Source::Daemon, now);
             }
             // Limits are kept by `mangofront-limits`.
-            LoadUpdate::RateLimit(_) => {}
+            LoadUpdate::RateLimit(_) | LoadUpdate::Cold(_) => {}
         }
         false
     }
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -1,6 +1,7 @@
 //! View of the upstreams, and the choice among them.
 
 mod choice;
+mod cold;
 mod crashes;
 mod notices;
 mod profile;
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -14,7 +14,7 @@
 use crate::source_availability::AnsweredPeriod;
 
 /// Version of the format; datagrams with any other version are dropped.
-const VERSION: u8 = 13;
+const VERSION: u8 = 14;
 
 /// Largest datagram that is sent, in bytes; below the usual MTU.
 pub(crate) const DATAGRAM_LIMIT_BYTES: usize = 1_400;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod body_end;
 mod boot_clock;
 mod call;
+mod cold_upstreams;
 mod confirm;
 mod copies;
 mod datagram;
@@ -56,6 +57,7 @@
 mod usual_times;
 mod zones;
 
+pub use cold_upstreams::ColdUpstreams;
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
 pub use dialect::{
     AnswerHead, AttemptHead, CallHead, CallHeadError, Change, Changes, Dialect, Entry, EventId,
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -21,6 +21,7 @@
 use mangofront_upstream::Connections;
 
 use crate::boot_clock::BootInstant;
+use crate::cold_upstreams::ColdUpstreams;
 use crate::copies::{CopyCache, CopyId, CopyPart, CopyRequest};
 use crate::datagram::{
     AnsweredPeriodAges, Confirmation, UpstreamChange, UpstreamChangeKind, UpstreamChanges,
@@ -31,7 +32,7 @@
 use crate::lease::Lease;
 use crate::provenance::Provenance;
 use crate::published_options::PublishedOptions;
-use crate::registrations::{RegisterOutcome, Registrations, Removal, RemovalOutcome};
+use crate::registrations::{Record, RegisterOutcome, Registrations, Removal, RemovalOutcome};
 use crate::signal::{Signal, Waiters};
 use crate::source_availability::{AnsweredPeriod, SourceAvailability};
 use crate::trace;
@@ -44,6 +45,7 @@
 pub(crate) struct Shared {
     options: PublishedOptions,
     upstreams: Upstreams,
+    cold_upstreams: ColdUpstreams,
     connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
     registrations: RefCell<Registrations>,
@@ -87,6 +89,7 @@
     pub fn new(options: PublishedOptions, upstreams: Upstreams, connections: Connections) -> Self {
         Self(Rc::new(Shared {
             options,
+            cold_upstreams: ColdUpstreams::new(upstreams.clone()),
             upstreams,
             connections,
             table: RefCell::default(),
@@ -111,6 +114,12 @@
         }))
     }
 
+    /// The upstreams that are cold.
+    #[must_use]
+    pub fn cold_upstreams(&self) -> &ColdUpstreams {
+        &self.0.cold_upstreams
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<Rc<RouteTable>> {
@@ -539,5 +548,16 @@
             let address = restarted.address;
             self.0.connections.retain_idle(|other| *other != address);
         }
+        // What an upstream in its grace period said is known already.
+        for upstream in registrations.published().filter(is_in_force) {
+            let record = registrations.record(&upstream.id);
+            let age = record.map_or(Duration::ZERO, Record::known_for);
+            let table = self.table();
+            let service = table
+                .as_ref()
+                .and_then(|table| table.service(&upstream.service));
+            let terms = service.and_then(|service| service.warm_up);
+            self.0.cold_upstreams.register(upstream, terms, age);
+        }
     }
 }
--- a/crates/gateway/src/rate_limits/coordination.rs
+++ b/crates/gateway/src/rate_limits/coordination.rs
@@ -79,7 +79,9 @@
 
     fn do_round(&self) {
         let mut upstreams_of_group: BTreeMap<GroupName, Vec<UpstreamKey>> = BTreeMap::new();
-        let in_force = self.0.state.borrow().table.in_force(now());
+        let in_force = self.in_force();
+        let cold = self.0.parts.cold_upstreams.cold();
+        self.0.parts.metrics.cold_upstreams(cold.len() as u64);
         for one in &in_force {
             if let Some(upstream) = self.0.parts.upstreams.registration(one.upstream) {
                 let group = upstreams_of_group.entry(upstream.availability_zone);
@@ -255,11 +257,12 @@
 
     fn forget_unused(&self) {
         let now = now();
+        self.0.parts.cold_upstreams.forget_unused();
         let state = &mut *self.0.state.borrow_mut();
         let upstreams = &self.0.parts.upstreams;
         state.table.retain(|key| upstreams.is_known(key), now);
-        let table = &state.table;
-        let is_limited = |key: UpstreamKey| table.limit(key).is_some();
+        let (table, cold) = (&state.table, &self.0.parts.cold_upstreams);
+        let is_limited = |key: UpstreamKey| table.limit(key).is_some() || cold.limit(key).is_some();
         state.permits.retain(is_limited, now);
         state.coordinator.retain(is_limited);
         state.sent.retain(|key, _| is_limited(*key));
--- a/crates/gateway/src/rate_limits/messages.rs
+++ b/crates/gateway/src/rate_limits/messages.rs
@@ -1,6 +1,8 @@
 //! Messages between daemons about rate limits.
 
-use mangofront_limits::{GroupName, LimitObservation, PermitDecision, PermitRequest};
+use mangofront_limits::{
+    ColdObservation, GroupName, LimitObservation, PermitDecision, PermitRequest,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::datagram::Nonce;
@@ -39,6 +41,8 @@
         request: PermitRequest,
         /// The limit as the sender knows it.
         observation: LimitObservation,
+        /// Whether the upstream is cold, as the sender knows it.
+        cold: Option<ColdObservation>,
     },
     /// Reply to [`Self::AskPermit`].
     Decided {
@@ -48,6 +52,8 @@
         decision: PermitDecision,
         /// The limit as the sender knows it.
         observation: LimitObservation,
+        /// Whether the upstream is cold, as the sender knows it.
+        cold: Option<ColdObservation>,
     },
     /// The sender sent a request without a permit, which counts all the same.
     Charge {
@@ -55,5 +61,7 @@
         group: GroupName,
         /// The upstream.
         observation: LimitObservation,
+        /// Whether it is cold, as the sender knows it.
+        cold: Option<ColdObservation>,
     },
 }
--- a/crates/gateway/src/rate_limits/mod.rs
+++ b/crates/gateway/src/rate_limits/mod.rs
@@ -3,7 +3,7 @@
 //! [`RateLimits`] records what answers and other daemons say of limits, and holds this
 //! daemon's part in keeping them: the share that it lends, the permits that it was granted,
 //! and those that it grants as coordinator. `mangofront-limits` decides; this module sends and
-//! receives. Upstreams of one availability zone have one coordinator, a daemon of that zone
+//! receives. A cold upstream has a limit too, as [`ColdUpstreams`] tells. Upstreams of one availability zone have one coordinator, a daemon of that zone
 //! while any is known, so that a zone which is cut off keeps both on its side.
 
 mod coordination;
@@ -30,6 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot_clock::BootInstant;
+use crate::cold_upstreams::ColdUpstreams;
 use crate::datagram::{Message, Nonce};
 use crate::peer_messages::PeerMessageSender;
 use coordination::Coordinators;
@@ -43,6 +44,8 @@
     pub instance: InstanceId,
     /// The upstreams.
     pub upstreams: Upstreams,
+    /// The upstreams that are cold.
+    pub cold_upstreams: ColdUpstreams,
     /// Membership of the other daemons.
     pub peers: Peers,
     /// Queue of the updates that are broadcast to the other daemons.
@@ -141,7 +144,7 @@
     /// The limits in force, for a status page.
     #[must_use]
     pub fn status(&self) -> Vec<LimitStatus> {
-        let in_force = self.0.state.borrow().table.in_force(now());
+        let in_force = self.in_force();
         let status = |one: &LimitInForce| {
             let upstream = self.0.parts.upstreams.registration(one.upstream)?;
             let group = &upstream.availability_zone;
--- a/crates/gateway/src/rate_limits/observation.rs
+++ b/crates/gateway/src/rate_limits/observation.rs
@@ -1,9 +1,12 @@
 //! What answers and other daemons say of limits.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mangofront_engines::{LoadUpdate, UpstreamKey, key_of};
-use mangofront_limits::{LimitChange, LimitObservation, Moment, NamedLimit};
+use mangofront_limits::{
+    ColdObservation, LimitChange, LimitInForce, LimitObservation, Moment, NamedLimit, RateLimit,
+};
 use mangofront_routes::Upstream;
 
 use super::{RateLimits, now};
@@ -46,6 +49,11 @@
             return;
         }
         let (key, now) = (key_of(upstream), now());
+        if let Some(left) = head.cold_left
+            && let Some(observation) = self.0.parts.cold_upstreams.observe(key, left, sent_at)
+        {
+            self.tell(LoadUpdate::Cold(observation));
+        }
         let answers_request = head.request_id.as_deref() == Some(request_id);
         let table = &mut self.0.state.borrow_mut().table;
         let change = match head.rate_limit {
@@ -80,6 +88,57 @@
         }
     }
 
+    /// Applies what another daemon knows of a cold upstream.
+    pub(crate) fn merge_cold(&self, observation: &ColdObservation) {
+        self.0.parts.cold_upstreams.merge(observation);
+    }
+
+    /// The limit in force of an upstream: the one that it names or that of its warm-up, if that is
+    /// lower.
+    pub(crate) fn limit(&self, upstream: UpstreamKey) -> Option<RateLimit> {
+        let named = self.0.state.borrow().table.limit(upstream);
+        let cold = self.0.parts.cold_upstreams.limit(upstream);
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(named.min(cold)),
+            (named, cold) => named.or(cold),
+        }
+    }
+
+    /// All limits in force, in the order of the upstreams' keys.
+    pub(super) fn in_force(&self) -> Vec<LimitInForce> {
+        let named = self.0.state.borrow().table.in_force(now());
+        let mut in_force: BTreeMap<UpstreamKey, LimitInForce> =
+            named.into_iter().map(|one| (one.upstream, one)).collect();
+        for cold in self.0.parts.cold_upstreams.cold() {
+            let cold = LimitInForce {
+                upstream: cold.upstream,
+                limit: cold.rate,
+                age: cold.age,
+            };
+            let named = in_force.get(&cold.upstream);
+            if named.is_none_or(|named| cold.limit < named.limit) {
+                in_force.insert(cold.upstream, cold);
+            }
+        }
+        in_force.into_values().collect()
+    }
+
+    /// What this daemon knows of an upstream's limit, for another daemon.
+    pub(super) fn observation(&self, upstream: UpstreamKey) -> LimitObservation {
+        let observation = self.0.state.borrow().table.observation(upstream, now());
+        // So old that it says nothing.
+        observation.unwrap_or(LimitObservation {
+            upstream,
+            limit: None,
+            age_ms: u32::MAX,
+        })
+    }
+
+    /// Whether an upstream is cold, for another daemon.
+    pub(super) fn cold_observation(&self, upstream: UpstreamKey) -> Option<ColdObservation> {
+        self.0.parts.cold_upstreams.observation(upstream)
+    }
+
     /// What this daemon knows of all limits in force, for a daemon that has just started or was
     /// unreachable.
     pub(crate) fn snapshot(&self) -> Vec<LoadUpdate> {
@@ -87,19 +146,19 @@
         let state = self.0.state.borrow();
         let in_force = state.table.in_force(now).into_iter();
         let observations = in_force.filter_map(|one| state.table.observation(one.upstream, now));
-        observations.map(LoadUpdate::RateLimit).collect()
+        let cold = self.0.parts.cold_upstreams.observations().into_iter();
+        let named = observations.map(LoadUpdate::RateLimit);
+        named.chain(cold.map(LoadUpdate::Cold)).collect()
     }
 
     /// Records that a request is sent to an upstream, by what decision.
     pub(crate) fn record_send(&self, upstream: &Upstream, cause: &str, decision: &'static str) {
         let (key, now) = (key_of(upstream), now());
-        let state = &mut *self.0.state.borrow_mut();
-        let Some(observation) = state.table.observation(key, now) else {
-            return;
-        };
-        let Some(limit) = observation.limit else {
+        let Some(limit) = self.limit(key) else {
             return;
         };
+        let age_ms = self.limit_age_ms(key);
+        let state = &mut *self.0.state.borrow_mut();
         let sent = state.sent.entry(key).or_default();
         sent.push_back(now);
         while sent
@@ -108,14 +167,7 @@
         {
             sent.pop_front();
         }
-        trace::rate_limited_send(
-            cause,
-            upstream,
-            limit,
-            observation.age_ms,
-            sent.len(),
-            decision,
-        );
+        trace::rate_limited_send(cause, upstream, limit, age_ms, sent.len(), decision);
         self.0.parts.metrics.rate_limited_send(decision);
     }
 
@@ -125,11 +177,26 @@
         for observation in repeats {
             self.broadcast(observation);
         }
+        for observation in self.0.parts.cold_upstreams.take_repeats() {
+            self.tell(LoadUpdate::Cold(observation));
+        }
+    }
+
+    /// Time since the limit of an upstream was last observed, in milliseconds.
+    fn limit_age_ms(&self, upstream: UpstreamKey) -> u32 {
+        let named = self.0.state.borrow().table.observation(upstream, now());
+        let named = named.filter(|one| one.limit.is_some());
+        let age_ms = named.map(|one| one.age_ms);
+        let cold_age_ms = || self.cold_observation(upstream).map(|one| one.age_ms);
+        age_ms.or_else(cold_age_ms).unwrap_or_default()
     }
 
     fn broadcast(&self, observation: LimitObservation) {
+        self.tell(LoadUpdate::RateLimit(observation));
+    }
+
+    fn tell(&self, update: LoadUpdate) {
         // Without a receiver there are no other daemons to inform.
-        let update = LoadUpdate::RateLimit(observation);
         let _ = self.0.parts.updates.unbounded_send(update);
     }
 
--- a/crates/gateway/src/rate_limits/permits.rs
+++ b/crates/gateway/src/rate_limits/permits.rs
@@ -7,7 +7,8 @@
 use mangofront_dissemination::Origin;
 use mangofront_engines::{UpstreamKey, key_of};
 use mangofront_limits::{
-    Access, LimitObservation, Moment, Permit, PermitDecision, PermitRequest, RateLimit,
+    Access, ColdObservation, LimitObservation, Moment, Permit, PermitDecision, PermitRequest,
+    RateLimit,
 };
 use mangofront_routes::Upstream;
 
@@ -116,12 +117,12 @@
         if !self.has_limits() {
             return Vec::new();
         }
-        let (state, now) = (self.0.state.borrow(), now());
+        let (in_force, now) = (self.in_force().into_iter(), now());
+        let state = self.0.state.borrow();
         let withheld = |upstream, limit| match state.permits.access(upstream, Some(limit), now) {
             Access::Withheld(until) => Some((upstream, until)),
             Access::Unlimited | Access::Permitted | Access::Unknown => None,
         };
-        let in_force = state.table.in_force(now).into_iter();
         in_force
             .filter_map(|one| withheld(one.upstream, one.limit))
             .collect()
@@ -129,12 +130,8 @@
 
     /// Whether any limit is in force.
     pub(crate) fn has_limits(&self) -> bool {
-        self.0.state.borrow().table.has_limits()
-    }
-
-    /// The limit in force of an upstream.
-    pub(crate) fn limit(&self, upstream: UpstreamKey) -> Option<RateLimit> {
-        self.0.state.borrow().table.limit(upstream)
+        let has_named = self.0.state.borrow().table.has_limits();
+        has_named || !self.0.parts.cold_upstreams.cold().is_empty()
     }
 
     /// Obtains a permit for each of `upstreams` that has a limit.
@@ -183,9 +180,9 @@
         let metrics = &self.0.parts.metrics;
         let (pause, returns) = match decision {
             Some(PermitDecision::Granted { delay }) => {
-                let state = self.0.state.borrow();
                 // The reply may have told of another limit.
-                let limit = state.table.limit(key);
+                let limit = self.limit(key);
+                let state = self.0.state.borrow();
                 let granted = |limit| state.permits.granted(key, limit, asked_at, delay);
                 return Ok(limit.map(granted));
             }
@@ -238,12 +235,6 @@
         if coordinator.instance == self.0.parts.instance {
             return Some(self.decide(group, request));
         }
-        let observation = self
-            .0
-            .state
-            .borrow()
-            .table
-            .observation(request.upstream, now())?;
         let nonce = self.next_nonce();
         let (sender, decided) = oneshot::channel();
         {
@@ -255,7 +246,8 @@
             nonce,
             group: group.clone(),
             request: *request,
-            observation,
+            observation: self.observation(request.upstream),
+            cold: self.cold_observation(request.upstream),
         };
         self.send(vec![coordinator.ip], message);
         let decided = compio::time::timeout(REPLY_TIMEOUT, decided).await;
@@ -272,11 +264,11 @@
             };
         }
         self.ask_for_shares(group);
-        let state = &mut *self.0.state.borrow_mut();
-        let Some(limit) = state.table.limit(request.upstream) else {
+        let Some(limit) = self.limit(request.upstream) else {
             let delay = Duration::ZERO;
             return PermitDecision::Granted { delay };
         };
+        let state = &mut *self.0.state.borrow_mut();
         let fleet = state.fleet.get();
         state
             .coordinator
@@ -285,35 +277,34 @@
 
     /// Counts a call that is sent to an upstream without a permit.
     pub(crate) fn charge(&self, upstream: &Upstream, cause: &str) {
-        let observation = self
-            .0
-            .state
-            .borrow()
-            .table
-            .observation(key_of(upstream), now());
-        let Some(observation) = observation.filter(|one| one.limit.is_some()) else {
+        let key = key_of(upstream);
+        if self.limit(key).is_none() {
             return;
-        };
+        }
         self.record_send(upstream, cause, DECISION_CHARGED);
         let group = upstream.availability_zone.clone();
         match self.coordinators().of(&group) {
             Some(one) if one.instance == self.0.parts.instance => {
-                self.count_charge(&group, &observation);
+                self.count_charge(&group, key);
             }
             Some(one) => {
-                let message = LimitMessage::Charge { group, observation };
+                let message = LimitMessage::Charge {
+                    group,
+                    observation: self.observation(key),
+                    cold: self.cold_observation(key),
+                };
                 self.send(vec![one.ip], message);
             }
             None => {}
         }
     }
 
-    fn count_charge(&self, group: &str, observation: &LimitObservation) {
-        let state = &mut *self.0.state.borrow_mut();
-        if let Some(limit) = state.table.limit(observation.upstream) {
+    fn count_charge(&self, group: &str, upstream: UpstreamKey) {
+        if let Some(limit) = self.limit(upstream) {
+            let state = &mut *self.0.state.borrow_mut();
             let (fleet, now) = (state.fleet.get(), now());
             let coordinator = &mut state.coordinator;
-            coordinator.charge(group, observation.upstream, limit, fleet, now);
+            coordinator.charge(group, upstream, limit, fleet, now);
         }
     }
 
@@ -334,8 +325,9 @@
                 group,
                 request,
                 observation,
+                cold,
             } => {
-                self.merge(&observation);
+                self.merge_known(&observation, cold.as_ref());
                 let decision = self.decide(&group, &request);
                 self.reply(sender, nonce, decision, request.upstream);
             }
@@ -343,21 +335,33 @@
                 nonce,
                 decision,
                 observation,
+                cold,
             } => {
-                self.merge(&observation);
+                self.merge_known(&observation, cold.as_ref());
                 let pending = self.0.state.borrow_mut().permit_requests.remove(&nonce);
                 if let Some(pending) = pending {
                     // The request may have timed out.
                     let _ = pending.send(decision);
                 }
             }
-            LimitMessage::Charge { group, observation } => {
-                self.merge(&observation);
-                self.count_charge(&group, &observation);
+            LimitMessage::Charge {
+                group,
+                observation,
+                cold,
+            } => {
+                self.merge_known(&observation, cold.as_ref());
+                self.count_charge(&group, observation.upstream);
             }
         }
     }
 
+    fn merge_known(&self, observation: &LimitObservation, cold: Option<&ColdObservation>) {
+        self.merge(observation);
+        if let Some(cold) = cold {
+            self.merge_cold(cold);
+        }
+    }
+
     fn reply(
         &self,
         sender: &Origin,
@@ -365,16 +369,11 @@
         decision: PermitDecision,
         upstream: UpstreamKey,
     ) {
-        let observation = self.0.state.borrow().table.observation(upstream, now());
-        let none = LimitObservation {
-            upstream,
-            limit: None,
-            age_ms: u32::MAX,
-        };
         let message = LimitMessage::Decided {
             nonce,
             decision,
-            observation: observation.unwrap_or(none),
+            observation: self.observation(upstream),
+            cold: self.cold_observation(upstream),
         };
         self.send(vec![sender.address], message);
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use mangofront_engines::{Failure, NoUpstream, Placement, UpstreamKey};
-use mangofront_limits::{LimitChange, RateLimit};
+use mangofront_limits::{ColdChange, LimitChange, RateLimit};
 use mangofront_paths::{PathFault, PathSummary};
 use mangofront_quarantine::{BLAMED_CRASHES, QuarantineState, Suspect};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
@@ -16,6 +16,7 @@
 
 use crate::attempts::FailedAttempt;
 use crate::call::Call;
+use crate::cold_upstreams::ColdSource;
 use crate::dialect::Position;
 use crate::fingerprint::Fingerprint;
 use crate::hedging::HedgeTrigger;
@@ -452,6 +453,34 @@
     );
 }
 
+/// An upstream is cold for another time than was known, or warm; `source` tells how this daemon
+/// learned of it.
+pub(crate) fn upstream_cold_changed(id: &str, change: &ColdChange, source: ColdSource) {
+    if let Some(stated) = change.bounded_from {
+        log::warn!(
+            upstream = id,
+            stated_ms = milliseconds(stated);
+            "gateway: upstream says that it stays cold for longer than its service publishes"
+        );
+    }
+    log::info!(
+        upstream = id,
+        left_ms = milliseconds(change.left),
+        limit_per_s = change.rate.per_s(),
+        learned_by = source.name();
+        "gateway: cold time of upstream changed"
+    );
+}
+
+/// The rate of a service's warm-up can't be kept; its upstreams count as warm.
+pub(crate) fn warm_up_invalid(upstream: &Upstream) {
+    log::warn!(
+        upstream = upstream.id.as_str(),
+        service = upstream.service.as_str();
+        "gateway: rate of the service's warm-up can't be kept"
+    );
+}
+
 /// An upstream names a rate limit that can't be understood; the one in force stays.
 pub(crate) fn rate_limit_invalid(upstream: &Upstream) {
     log::warn!(
--- a/crates/gateway/tests/fleet/daemon.rs
+++ b/crates/gateway/tests/fleet/daemon.rs
@@ -132,6 +132,7 @@
         let limits = RateLimits::new(RateLimitsParts {
             instance: name(index),
             upstreams: upstreams.clone(),
+            cold_upstreams: published.cold_upstreams().clone(),
             peers: peers.clone(),
             updates,
             messages: sender.clone(),
--- a/crates/limits/tests/fleet/fleet.rs
+++ b/crates/limits/tests/fleet/fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use mangofront_limits::{
-    Coordinator, FleetSize, LimitOptions, Moment, PermitDecision, PermitRequest, Permits,
-    RateLimit, ShareLender,
+    ColdObservation, Coordinator, FleetSize, LimitOptions, Moment, Permit, PermitDecision,
+    PermitRequest, Permits, RateLimit, ShareLender, WarmUps,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -14,10 +14,10 @@
 use crate::PLAYED;
 
 const GROUP: &str = "zone-0";
-const UPSTREAM: u64 = 7;
+pub const UPSTREAM: u64 = 7;
 
 /// Time of the fleet before the limit is named.
-const BEFORE: Duration = Duration::from_secs(10);
+pub const BEFORE: Duration = Duration::from_secs(10);
 
 /// Time in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -59,6 +59,22 @@
     Restart { at_s: f64, share: f64 },
     /// Messages are lost, doubled and late.
     Lossy { at_s: f64, for_s: f64 },
+    /// The daemon that coordinates ends without a word.
+    KillCoordinator { at_s: f64 },
+}
+
+/// A limit that is the rate of a cold upstream, rather than one that it names.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdScript {
+    /// Part of the daemons that hear of the upstream only after `late_s`.
+    pub late_share: f64,
+    pub late_s: f64,
+    /// Time for which it is cold.
+    pub cold_s: f64,
+    /// When it is cold again, for as long.
+    pub again_at_s: Option<f64>,
+    /// Whether daemons save permits to use them at one moment, some beyond their lifetime.
+    pub saves_permits: bool,
 }
 
 /// What is played.
@@ -69,6 +85,7 @@
     pub zones: usize,
     pub limit_per_s: f64,
     pub faults: Vec<Fault>,
+    pub cold: Option<ColdScript>,
     pub seed: u64,
 }
 
@@ -82,7 +99,7 @@
 }
 
 #[derive(Debug, Clone)]
-enum Message {
+pub(crate) enum Message {
     AskShare {
         nonce: u64,
         fleet: usize,
@@ -94,15 +111,17 @@
     AskPermit {
         nonce: u64,
         max_wait: Duration,
+        cold: Option<ColdObservation>,
     },
     Decided {
         nonce: u64,
         decision: PermitDecision,
     },
+    Cold(ColdObservation),
 }
 
 #[derive(Debug, Clone)]
-enum Event {
+pub(crate) enum Event {
     Deliver {
         from: usize,
         to: usize,
@@ -115,7 +134,7 @@
     Send {
         daemon: usize,
         incarnation: u64,
-        until: Moment,
+        permit: Permit,
     },
     Round {
         daemon: usize,
@@ -132,19 +151,29 @@
     Restart {
         share: f64,
     },
+    KillCoordinator,
+    /// A daemon hears of the upstream, which has been cold since [`BEFORE`].
+    Register {
+        daemon: usize,
+    },
+    /// An answer tells a daemon that the upstream is cold again.
+    ColdAgain,
 }
 
-struct Daemon {
+pub(crate) struct Daemon {
     incarnation: u64,
     lender: ShareLender,
     grants: Coordinator,
     permits: Permits,
     fleet: FleetSize,
+    pub(crate) warm_ups: WarmUps,
+    /// Whether it has heard of the upstream.
+    pub(crate) is_registered: bool,
     /// Daemons that it believes to be running.
     view: Vec<usize>,
     coordinator: usize,
     rounds: u64,
-    frozen_until: Moment,
+    pub(crate) frozen_until: Moment,
     questions: HashMap<u64, Moment>,
     requests: HashMap<u64, (Moment, Duration)>,
     /// Theoretical time of the next request, for [`Policy::EqualShares`].
@@ -153,14 +182,14 @@
 
 /// A fleet and what it has sent.
 pub struct Fleet {
-    scenario: Scenario,
-    random: StdRng,
-    now: Moment,
+    pub(crate) scenario: Scenario,
+    pub(crate) random: StdRng,
+    pub(crate) now: Moment,
     queue: BinaryHeap<Reverse<(Moment, u64)>>,
     events: HashMap<u64, Event>,
     next_event: u64,
     next_nonce: u64,
-    daemons: Vec<Daemon>,
+    pub(crate) daemons: Vec<Daemon>,
     is_cut: bool,
     is_lossy: bool,
     sent: Vec<Moment>,
@@ -175,6 +204,8 @@
             grants: Coordinator::new(options.clone()),
             permits: Permits::new(options.clone()),
             fleet: FleetSize::new(options, index as u64, now),
+            warm_ups: WarmUps::default(),
+            is_registered: false,
             view: vec![index],
             coordinator: index,
             rounds: 0,
@@ -210,7 +241,16 @@
     }
 
     /// Plays the scenario.
-    pub fn play(mut self) -> Outcome {
+    pub fn play(self) -> Outcome {
+        self.play_all().outcome()
+    }
+
+    /// Plays the scenario; returns when requests were sent.
+    pub fn sends(self) -> Vec<Moment> {
+        self.play_all().sent
+    }
+
+    fn play_all(mut self) -> Self {
         for daemon in 0..self.daemons.len() {
             let phase = ROUND.mul_f64(self.random.random());
             self.schedule(phase, Event::Round { daemon });
@@ -218,6 +258,7 @@
             let first = BEFORE + news + self.draw_pause();
             self.schedule(first, Event::Request { daemon });
         }
+        self.schedule_cold();
         for fault in self.scenario.faults.clone() {
             self.schedule_fault(fault);
         }
@@ -231,7 +272,7 @@
                 self.handle(event);
             }
         }
-        self.outcome()
+        self
     }
 
     fn outcome(&self) -> Outcome {
@@ -250,7 +291,7 @@
         }
     }
 
-    fn schedule(&mut self, at: Moment, event: Event) {
+    pub(crate) fn schedule(&mut self, at: Moment, event: Event) {
         self.next_event += 1;
         self.queue.push(Reverse((at, self.next_event)));
         self.events.insert(self.next_event, event);
@@ -272,6 +313,7 @@
                 self.schedule(at(at_s), Event::Freeze { share, time });
             }
             Fault::Restart { at_s, share } => self.schedule(at(at_s), Event::Restart { share }),
+            Fault::KillCoordinator { at_s } => self.schedule(at(at_s), Event::KillCoordinator),
         }
     }
 
@@ -319,6 +361,13 @@
                 }
             }
             Event::Restart { share } => self.restart(share),
+            Event::KillCoordinator => {
+                let coordinator = self.daemons[0].coordinator;
+                self.daemons[coordinator].frozen_until = Moment::MAX;
+                self.schedule_views();
+            }
+            Event::Register { daemon } => self.register(daemon),
+            Event::ColdAgain => self.become_cold_again(),
             Event::SetView { daemon } => self.set_view(daemon),
             Event::Round { daemon } => {
                 self.round(daemon);
@@ -328,9 +377,11 @@
             Event::Send {
                 daemon,
                 incarnation,
-                until,
+                permit,
             } => {
-                if self.daemons[daemon].incarnation == incarnation && self.now < until {
+                let limit = self.limit(daemon);
+                let is_usable = permit.is_usable(limit, self.now);
+                if self.daemons[daemon].incarnation == incarnation && is_usable {
                     self.sent.push(self.now);
                 }
             }
@@ -354,6 +405,9 @@
             self.daemons[index] = Daemon::new(index, incarnation, self.now);
             let joined = Duration::from_millis(self.random.random_range(50..900));
             self.schedule(self.now + joined, Event::SetView { daemon: index });
+            if self.scenario.cold.is_some() {
+                self.schedule(self.now + joined, Event::Register { daemon: index });
+            }
         }
     }
 
@@ -379,6 +433,8 @@
         if now < BEFORE {
             return;
         }
+        self.tell_repeats(daemon);
+        let one = &mut self.daemons[daemon];
         if one.coordinator == daemon {
             self.ask_for_shares(daemon);
         } else {
@@ -416,6 +472,14 @@
     fn request(&mut self, daemon: usize) {
         let pause = self.draw_pause();
         self.schedule(self.now + pause, Event::Request { daemon });
+        if self.scenario.cold.is_some() {
+            if !self.knows_upstream(daemon) {
+                return;
+            }
+            if self.limit(daemon).is_none() {
+                return self.sent.push(self.now);
+            }
+        }
         if self.scenario.policy == Policy::EqualShares {
             return self.request_alone(daemon);
         }
@@ -434,7 +498,15 @@
         self.daemons[daemon]
             .requests
             .insert(nonce, (asked_at, max_wait));
-        self.send(daemon, coordinator, Message::AskPermit { nonce, max_wait });
+        let cold = self.daemons[daemon]
+            .warm_ups
+            .observation(UPSTREAM, asked_at);
+        let question = Message::AskPermit {
+            nonce,
+            max_wait,
+            cold,
+        };
+        self.send(daemon, coordinator, question);
     }
 
     fn request_alone(&mut self, daemon: usize) {
@@ -448,7 +520,10 @@
     }
 
     fn decide(&mut self, daemon: usize, max_wait: Duration) -> PermitDecision {
-        let limit = RateLimit::new(self.scenario.limit_per_s).expect("a limit");
+        let Some(limit) = self.limit(daemon) else {
+            let delay = Duration::ZERO;
+            return PermitDecision::Granted { delay };
+        };
         self.ask_for_shares(daemon);
         let now = self.now;
         let policy = self.scenario.policy;
@@ -475,16 +550,15 @@
         };
         let limit = RateLimit::new(self.scenario.limit_per_s).expect("a limit");
         let one = &self.daemons[daemon];
-        let permit = one.permits.granted(UPSTREAM, limit, asked_at, delay);
-        let at = self.now + permit.wait(self.now);
-        let until = asked_at + delay + Duration::from_millis(250);
         let incarnation = one.incarnation;
+        let permit = one.permits.granted(UPSTREAM, limit, asked_at, delay);
+        let at = self.use_at(self.now + permit.wait(self.now));
         self.schedule(
             at,
             Event::Send {
                 daemon,
                 incarnation,
-                until,
+                permit,
             },
         );
     }
@@ -510,7 +584,17 @@
                     one.grants.receive_share(GROUP, from as u64, *asked_at);
                 }
             }
-            Message::AskPermit { nonce, max_wait } => {
+            Message::Cold(cold) => {
+                self.daemons[to].warm_ups.merge(&cold, now);
+            }
+            Message::AskPermit {
+                nonce,
+                max_wait,
+                cold,
+            } => {
+                if let Some(cold) = cold {
+                    self.daemons[to].warm_ups.merge(&cold, now);
+                }
                 if self.daemons[to].coordinator == to {
                     let decision = self.decide(to, max_wait);
                     self.send(to, from, Message::Decided { nonce, decision });
@@ -528,7 +612,7 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
+    pub(crate) fn send(&mut self, from: usize, to: usize, message: Message) {
         if !self.reaches(from, to) {
             return;
         }
@@ -570,8 +654,14 @@
         | Event::Request { daemon }
         | Event::Send { daemon, .. }
         | Event::Round { daemon }
+        | Event::Register { daemon }
         | Event::SetView { daemon } => Some(*daemon),
-        Event::CutZones(_) | Event::Lossy(_) | Event::Freeze { .. } | Event::Restart { .. } => None,
+        Event::CutZones(_)
+        | Event::Lossy(_)
+        | Event::Freeze { .. }
+        | Event::Restart { .. }
+        | Event::KillCoordinator
+        | Event::ColdAgain => None,
     }
 }
 
--- a/crates/limits/tests/fleet/main.rs
+++ b/crates/limits/tests/fleet/main.rs
@@ -4,7 +4,9 @@
 //! freezes, restarts and late, lost or doubled messages are drawn from the seed; daemons notice
 //! a partition at different times, so their views of the fleet differ meanwhile.
 
+mod cold;
 mod fleet;
+mod warm_up;
 
 use std::time::Duration;
 
@@ -32,6 +34,7 @@
         zones: 3,
         limit_per_s,
         faults: faults.to_vec(),
+        cold: None,
         seed,
     })
     .play()
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -140,6 +140,11 @@
         self.0.instruments.rate_limits.record(count, &[]);
     }
 
+    /// Sets the number of upstreams that are cold.
+    pub fn cold_upstreams(&self, count: u64) {
+        self.0.instruments.cold_upstreams.record(count, &[]);
+    }
+
     /// Counts a request for an upstream with a rate limit; `decision` is a stable code.
     pub fn rate_limited_send(&self, decision: &'static str) {
         let labels = [label("decision", decision)];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -42,6 +42,7 @@
     pub(super) attempts_forwarded: Counter<u64>,
     pub(super) upstream_paths: Gauge<u64>,
     pub(super) rate_limits: Gauge<u64>,
+    pub(super) cold_upstreams: Gauge<u64>,
     pub(super) rate_limited_sends: Counter<u64>,
     pub(super) lease_age: Gauge<f64>,
     pub(super) event_loop_lateness: Histogram<f64>,
@@ -152,6 +153,10 @@
                 .u64_gauge("rate_limits")
                 .with_description("Upstreams with a rate limit in force")
                 .build(),
+            cold_upstreams: meter
+                .u64_gauge("cold_upstreams")
+                .with_description("Upstreams that are cold")
+                .build(),
             rate_limited_sends: counter(
                 "rate_limited_sends",
                 "Requests for upstreams with a rate limit, by what was decided",
