--- a/crates/limits/src/warm_up.rs
+++ b/crates/limits/src/warm_up.rs
@@ -197,7 +197,7 @@
             latest: as_of.saturating_add(DELIVERY_ALLOWANCE).min(now),
             evidence,
         };
-        if (now < known.until) == !left.is_zero() {
+        if (now < known.until) != left.is_zero() {
             known.told_at = now;
         }
         known.apply(statement, now)
