--- a/crates/prefixes/src/table.rs
+++ b/crates/prefixes/src/table.rs
@@ -216,13 +216,13 @@
         };
         let age = now.saturating_duration_since(holding.used_at);
         let asked_tokens = memory.asked_tokens - holding.asked_before_tokens;
-        remaining_share(age.as_secs_f64(), memory.retention.as_secs_f64())
-            * remaining_share(asked_tokens as f64, memory.memory_tokens as f64)
+        belief_after(age.as_secs_f64(), memory.retention.as_secs_f64())
+            * belief_after(asked_tokens as f64, memory.memory_tokens as f64)
     }
 }
 
-/// Share of `limit` that is left after `used`, at least 0.
-fn remaining_share(used: f64, limit: f64) -> f64 {
+/// Belief that falls evenly to 0 as `used` reaches `limit`.
+fn belief_after(used: f64, limit: f64) -> f64 {
     if used >= limit {
         return 0.0;
     }
--- a/crates/prefixes/src/weigh.rs
+++ b/crates/prefixes/src/weigh.rs
@@ -45,6 +45,10 @@
     /// A correction is never positive, and never larger than the time to prefill the tokens held.
     /// It is zero where the engine has no room, and where the wait beyond the shortest one
     /// elsewhere takes as long as is saved.
+    ///
+    /// That longer wait is taken off what is saved, although the cost contains it too: whoever joins
+    /// a queue also delays those that come after. Counted once, it would let the few engines that
+    /// hold a popular beginning fill up to the whole time saved before another engine reads it.
     #[must_use]
     pub fn corrections(
         &self,
@@ -65,8 +69,8 @@
                 None => None,
             };
             let longer_ms = elsewhere.map_or(0.0, |wait_ms| candidate.wait_ms - wait_ms);
-            match candidate.has_room && saved_ms > longer_ms.max(0.0) {
-                true => -saved_ms,
+            match candidate.has_room {
+                true => -(saved_ms - longer_ms.max(0.0)).max(0.0),
                 false => 0.0,
             }
         };
