Weigh the beginnings that engines hold at each placement

Callers whose prompt an engine still held were sent elsewhere: the choice knew load alone. The adapter now decodes the parts of a prompt with their tokens (CallHead::counted_parts, up to the first entry that can't be read; prompt_parts is as before), Demand carries them, and the cost of a whole prompt at an engine gets the correction of mangofront-prefixes. With a first event the beginnings go to the other daemons (LoadUpdate::Prefilled, a new last variant; LoadUpdate::Placed is as before).

Off unless gateway.choice.prompt_retention_ms names the service: no table, no message, no correction. Metric prefix_placements and a log line tell of each placement with a saving.

--- a/crates/engines/examples/embed.rs
+++ b/crates/engines/examples/embed.rs
@@ -95,5 +95,6 @@
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
+        prompt_parts: Rc::default(),
     }
 }
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mangofront_prefixes::PromptPart;
 use mangofront_quarantine::RequestFingerprint;
 use mangofront_routes::{EngineProfile, Upstream};
 use mangofront_settings::process::ChoiceOptions;
@@ -39,6 +40,8 @@
     pub is_refusable: bool,
     /// Addresses with an open connection that the request can use.
     pub connected: HashSet<SocketAddr>,
+    /// Parts of the prompt in order, as far as its caller names them.
+    pub prompt_parts: Rc<[PromptPart]>,
 }
 
 /// Reason why no upstream was chosen.
@@ -101,6 +104,8 @@
     pub(crate) rank: usize,
     /// Whether there is an open connection to it that the request can use.
     pub(crate) is_connected: bool,
+    /// Correction of the cost of a whole prompt for the beginning held there, in milliseconds.
+    pub(crate) prefix_correction_ms: f64,
 }
 
 impl Candidate<'_> {
@@ -126,6 +131,8 @@
     pub(crate) first_event_ms: f64,
     /// Longest queue at the chosen upstreams, in milliseconds.
     pub(crate) queue_ms: f64,
+    /// Prefill time believed to be saved, in milliseconds.
+    pub(crate) saved_ms: f64,
 }
 
 /// Inputs to the choice besides the upstreams and the request.
@@ -179,6 +186,7 @@
         }],
         first_event_ms: 0.0,
         queue_ms: 0.0,
+        saved_ms: 0.0,
     })
 }
 
@@ -198,7 +206,7 @@
     }
     let prefill_ms = profile.prefill_ms(demand.prompt_tokens);
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
-    let cost_model = CostModel::new(candidates.len(), demand, options, context);
+    let cost_model = CostModel::new(candidates.len(), demand, prefill_ms, options, context);
     let chosen = choose_prefill_engines(candidates, &cost_model, prefill_ms, demand, context)?;
     let share_ms = prefill_ms / chosen.len().max(1) as f64;
     let mut costs: Vec<(f64, usize)> = (0..candidates.len())
--- a/crates/engines/src/cost.rs
+++ b/crates/engines/src/cost.rs
@@ -25,6 +25,8 @@
     gap_ms: f64,
     /// Cost of each answer whose gap limit would be exceeded, in milliseconds.
     broken_gap_cost_ms: f64,
+    /// Time to prefill the whole prompt, in milliseconds.
+    prefill_ms: f64,
     /// Weight of other daemons' requests that are not known here.
     crowd_share: f64,
     /// Cost difference up to which engines count as equal, in milliseconds.
@@ -38,6 +40,7 @@
     pub(crate) fn new(
         count: usize,
         demand: &Demand,
+        prefill_ms: f64,
         options: &'a ChoiceOptions,
         context: ChoiceContext<'a>,
     ) -> Self {
@@ -49,6 +52,7 @@
             has_short_gap: demand.gap <= context.shortest_gap.mul_f64(options.brisk_factor),
             gap_ms: demand.gap.as_secs_f64() * 1_000.0,
             broken_gap_cost_ms: options.broken_gap_cost_ms(demand.target),
+            prefill_ms,
             crowd_share,
             spread_engines: 1
                 + (options.unheard_spread * context.unreported_short_prompts) as usize,
@@ -182,6 +186,10 @@
             let crowding = (f64::from(load.running() + 1) - roomy_slots).max(0.0);
             cost_ms += self.options.crowding_cost_ms * self.crowd_share * crowding;
         }
+        // A share of a prompt may lie anywhere in it.
+        if share_ms >= self.prefill_ms {
+            cost_ms += candidate.prefix_correction_ms;
+        }
         cost_ms
     }
 
--- a/crates/engines/src/layout.rs
+++ b/crates/engines/src/layout.rs
@@ -17,7 +17,7 @@
 }
 
 /// Usable memory of a candidate that is not allocated, in tokens.
-fn free_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
+pub(crate) fn free_tokens(candidate: &Candidate<'_>, options: &ChoiceOptions) -> u64 {
     usable_tokens(candidate, options).saturating_sub(candidate.load.memory_tokens)
 }
 
@@ -180,5 +180,9 @@
         loads,
         first_event_ms,
         queue_ms,
+        saved_ms: match order {
+            [whole] => -candidates[*whole].prefix_correction_ms,
+            _ => 0.0,
+        },
     }
 }
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -34,6 +34,7 @@
 pub use health::Failure;
 pub use large_prompts::{Progress, SizeClass};
 pub use load_update::{IncarnationId, LoadUpdate};
+pub use mangofront_prefixes::{Beginning, PromptPart};
 pub use mangofront_quarantine::RequestFingerprint;
 pub use mangofront_settings::process::ChoiceOptions;
 pub use placement::Placement;
--- a/crates/engines/src/load_update.rs
+++ b/crates/engines/src/load_update.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mangofront_limits::LimitObservation;
+use mangofront_prefixes::Beginning;
 use mangofront_quarantine::{CrashRecord, RequestFingerprint, Suspect};
 use serde::{Deserialize, Serialize};
 
@@ -87,6 +88,13 @@
         /// The upstream.
         upstream: UpstreamKey,
     },
+    /// An engine that retains prompts has read one.
+    Prefilled {
+        /// The engine.
+        upstream: UpstreamKey,
+        /// Beginnings of the prompt.
+        beginnings: Vec<Beginning>,
+    },
 }
 
 /// One share of a placed request.
--- a/crates/engines/src/placement.rs
+++ b/crates/engines/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mangofront_prefixes::Beginning;
 use mangofront_quarantine::RequestFingerprint;
 use mangofront_routes::Upstream;
 
@@ -9,7 +10,7 @@
 use crate::incarnations::IncarnationEnd;
 use crate::large_prompts::{Progress, SizeClass};
 use crate::upstreams::Upstreams;
-use crate::work::WorkId;
+use crate::work::{WorkId, key_of};
 
 /// A request placed on its upstreams; ends when dropped.
 #[derive(Debug)]
@@ -25,8 +26,12 @@
     pub known_daemons: usize,
     /// Time since the last update of the one of them that was silent for longest.
     pub oldest_update: Duration,
+    /// Prefill time believed to be saved, as the engine still holds the beginning of the prompt.
+    pub believed_saving: Duration,
     pub(crate) id: WorkId,
     pub(crate) has_first_event: bool,
+    /// Beginnings that the answering engine holds once it has read the prompt.
+    pub(crate) beginnings: Vec<Beginning>,
     /// Fingerprint and size class, if the prompt is one of the largest.
     pub(crate) large_prompt: Option<(RequestFingerprint, SizeClass)>,
     pub(crate) incarnation_end: IncarnationEnd,
@@ -61,6 +66,9 @@
             return;
         }
         self.upstreams.record_first_event(self.id);
+        let beginnings = std::mem::take(&mut self.beginnings);
+        self.upstreams
+            .record_prefilled(key_of(self.answering()), beginnings);
     }
 
     /// Records that the complete answer was forwarded.
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use mangofront_prefixes::PrefixTable;
 use mangofront_quarantine::CrashTracker;
 use mangofront_settings::ids::AvailabilityZone;
 use mangofront_settings::process::ChoiceOptions;
@@ -56,6 +57,8 @@
     pub(crate) crashes: CrashTracker,
     /// What upstreams say of themselves.
     pub(crate) notices: Notices,
+    /// Beginnings of prompts that engines hold, if any engine retains prompts.
+    pub(crate) prefixes: Option<PrefixTable>,
     /// Short prompts placed by other daemons.
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
@@ -74,6 +77,9 @@
             if let Some(entry) = self.upstream_mut(share.upstream) {
                 entry.enqueue_prefill(share.prefill_ms, now);
             }
+            if let Some(prefixes) = &mut self.prefixes {
+                prefixes.record_demand(share.upstream, share.memory_tokens);
+            }
         }
         self.work.insert(key, work);
     }
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -3,6 +3,7 @@
 mod contact;
 mod crash_records;
 mod notices;
+mod prefixes;
 mod updates;
 
 use std::cell::RefCell;
@@ -12,12 +13,13 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::UnboundedSender;
+use mangofront_prefixes::Beginning;
 use mangofront_routes::{EngineProfile, Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::choose::{
-    Candidate, Choice, ChoiceContext, Demand, NoUpstream, choose_engines, choose_plain,
+    Candidate, Choice, ChoiceContext, Demand, NoUpstream, Share, choose_engines, choose_plain,
 };
 use crate::health::Failure;
 use crate::large_prompts::{Progress, SizeClass};
@@ -74,6 +76,8 @@
     includes_silent: bool,
     /// Whether those that may have left are as good as others.
     includes_unconfirmed: bool,
+    /// Beginnings of the prompt, if engines of the service retain prompts.
+    beginnings: &'a [Beginning],
 }
 
 impl Upstreams {
@@ -98,6 +102,10 @@
         updates: UnboundedSender<LoadUpdate>,
         clock: Clock,
     ) -> Self {
+        let state = State {
+            prefixes: prefixes::table(&options),
+            ..State::default()
+        };
         Self(Rc::new(Shared {
             options,
             availability_zone,
@@ -105,7 +113,7 @@
             salt,
             clock,
             started: clock(),
-            state: RefCell::default(),
+            state: RefCell::new(state),
         }))
     }
 
@@ -145,6 +153,7 @@
             state.upstreams.push(entry);
         }
         state.upstreams.sort_by_key(|entry| entry.key);
+        state.set_retaining_engines(&self.0.options);
         let State {
             upstreams,
             incarnations,
@@ -176,12 +185,14 @@
             state.shortest_gap = Some(shortest);
         }
         let size = state.size(service, demand);
+        let beginnings = self.beginnings(service, demand);
         let most_confirmed = state.has_most_confirmed(service);
         let choose = |includes_silent, includes_unconfirmed| {
             let among = Among {
                 tried,
                 includes_silent,
                 includes_unconfirmed,
+                beginnings: &beginnings,
             };
             self.choose(&state, service, demand, size, among, now)
         };
@@ -222,6 +233,12 @@
         };
         self.publish(placed_update(id, &work, expected, demand.time_left));
         state.add((LOCAL, id), work, now);
+        // No engine holds the whole of a prompt whose memory is reserved on several.
+        let is_reserved = |share: &Share| share.reserve_tokens.is_some();
+        let beginnings = match choice.shares.iter().any(is_reserved) {
+            true => Vec::new(),
+            false => beginnings,
+        };
         let incarnation_end = state.incarnations.subscribe_end(&choice.shares[0].upstream);
         Ok(Placement {
             shares: choice.shares,
@@ -231,6 +248,8 @@
             oldest_update: state.oldest_update(now),
             id,
             has_first_event: false,
+            believed_saving: Duration::from_secs_f64(choice.saved_ms / 1_000.0),
+            beginnings,
             large_prompt,
             incarnation_end,
             upstreams: self.clone(),
@@ -297,7 +316,7 @@
         if open.is_empty() {
             open = not_tried().collect();
         }
-        let candidates: Vec<Candidate<'_>> = open
+        let mut candidates: Vec<Candidate<'_>> = open
             .into_iter()
             .enumerate()
             .map(|(rank, (upstream, load))| Candidate {
@@ -305,6 +324,7 @@
                 upstream,
                 rank,
                 is_connected: demand.connected.contains(&upstream.registration.address),
+                prefix_correction_ms: 0.0,
             })
             .collect();
         let profile = candidates
@@ -316,6 +336,8 @@
         let (options, zone) = (&self.0.options, &self.0.availability_zone);
         match profile {
             Some(profile) if demand.prompt_tokens > 0 => {
+                let prompt = (demand, among.beginnings);
+                state.correct_costs(&mut candidates, prompt, &profile, options, now);
                 let shortest_gap = state.shortest_gap.unwrap_or(demand.gap);
                 let context = ChoiceContext {
                     availability_zone: zone,
@@ -438,6 +460,7 @@
         if let Some(entry) = self.0.state.borrow_mut().upstream_mut(upstream) {
             entry.health.eject_for(CRASH_EJECTION, now);
         }
+        self.0.state.borrow_mut().forget_beginnings(upstream);
         self.publish(LoadUpdate::Failed {
             upstream,
             ejected_ms: saturating_ms(CRASH_EJECTION),
--- a/crates/engines/src/upstreams/updates.rs
+++ b/crates/engines/src/upstreams/updates.rs
@@ -86,10 +86,17 @@
                 if let Some(entry) = state.upstream_mut(upstream) {
                     entry.health.eject_for(time, now);
                 }
+                if has_crashed {
+                    state.forget_beginnings(upstream);
+                }
             }
             LoadUpdate::Leaving { upstream } => {
                 state.notices.record_leaving(upstream, Source::Daemon, now);
             }
+            LoadUpdate::Prefilled {
+                upstream,
+                beginnings,
+            } => state.record_read(upstream, &beginnings, now),
             // Limits are kept by `mangofront-limits`.
             LoadUpdate::RateLimit(_) => {}
         }
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod crashes;
 mod notices;
+mod prefixes;
 mod profile;
 mod support;
 mod view;
--- /dev/null
+++ b/crates/engines/tests/engines/prefixes.rs
@@ -0,0 +1,170 @@
+//! Placement where engines retain prompts.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mangofront_engines::{ChoiceOptions, Demand, LoadUpdate, Placement, PromptPart, key_of};
+
+use crate::support::{Fleet, SERVICE, demand, upstream};
+
+const ENGINES: usize = 8;
+
+fn options(retains: bool) -> ChoiceOptions {
+    let retention_ms = BTreeMap::from([(SERVICE.to_owned(), 60_000)]);
+    ChoiceOptions {
+        settling_time_ms: 0,
+        prompt_retention_ms: if retains {
+            retention_ms
+        } else {
+            BTreeMap::new()
+        },
+        ..ChoiceOptions::default()
+    }
+}
+
+fn fleet(retains: bool) -> Fleet {
+    let listed = (0..ENGINES).map(|number| upstream(number, SERVICE, "hall-a"));
+    Fleet::with_options(listed.collect(), options(retains))
+}
+
+/// A prompt that begins with a part of `tokens` tokens.
+fn session(tokens: u64) -> Demand {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Demand {
+        prompt_parts: Rc::from([part(7, tokens), part(8, 200)]),
+        ..demand(tokens + 200, 250, 300)
+    }
+}
+
+fn number_of(fleet: &Fleet, placed: &Placement) -> usize {
+    let is_answering = |one: &&_| **one == *placed.answering();
+    let listed = fleet.listed.iter().find(is_answering).expect("listed");
+    fleet
+        .listed
+        .iter()
+        .position(|one| one == listed)
+        .expect("listed")
+}
+
+/// Lets engine 5 read the session's prompt, and clears the load.
+fn read_at_5(fleet: &mut Fleet, demand: &Demand) {
+    let others: Vec<_> = fleet.listed.iter().map(key_of).collect();
+    let tried: Vec<_> = others
+        .iter()
+        .copied()
+        .filter(|key| *key != others[5])
+        .collect();
+    let placed = fleet.upstreams.place(SERVICE, demand, &tried);
+    placed.expect("engine 5 is idle").record_first_event();
+}
+
+fn prefilled(updates: &[LoadUpdate]) -> Vec<&LoadUpdate> {
+    let is_prefilled = |one: &&LoadUpdate| matches!(one, LoadUpdate::Prefilled { .. });
+    updates.iter().filter(is_prefilled).collect()
+}
+
+/// Guards against sessions that lose the engine that holds their prompt, and against any effect
+/// where engines don't retain prompts.
+#[test]
+fn a_session_returns_to_the_engine_that_holds_its_prompt() {
+    let returns = |retains, tokens: u64| {
+        let mut fleet = fleet(retains);
+        let session = session(tokens);
+        read_at_5(&mut fleet, &session);
+        let placed = fleet.place(&session).expect("engines are idle");
+        let saved_ms = placed.believed_saving.as_secs_f64() * 1_000.0;
+        let is_at_5 = number_of(&fleet, &placed) == 5;
+        (
+            tokens,
+            is_at_5,
+            saved_ms.round(),
+            prefilled(&fleet.sent_updates()).len(),
+        )
+    };
+    insta::assert_debug_snapshot!([
+        returns(false, 15_000),
+        returns(true, 15_000),
+        returns(true, 40_000),
+        returns(true, 40),
+    ]);
+}
+
+/// Guards against a table that only the daemon knows which placed the request, and against belief
+/// in prompts that were never read.
+#[test]
+fn other_daemons_learn_what_an_engine_holds() {
+    let mut one = fleet(true);
+    let (other, without) = (fleet(true), fleet(false));
+    let session = session(15_000);
+    let unread = one.place(&session).expect("engines are idle");
+    let sent = one.sent_updates();
+    assert!(prefilled(&sent).is_empty(), "{sent:?}");
+    drop(unread);
+    read_at_5(&mut one, &session);
+    for update in one.sent_updates() {
+        other.upstreams.apply_update(1, update.clone());
+        without.upstreams.apply_update(1, update);
+    }
+    let placed = other.place(&session).expect("engines are idle");
+    assert_eq!(number_of(&other, &placed), 5);
+    let placed = without.place(&session).expect("engines are idle");
+    assert_eq!(placed.believed_saving, Duration::ZERO);
+}
+
+/// Guards against waits for an engine that exited, restarted, left, is cold or has no slot.
+#[test]
+fn no_saving_counts_at_an_engine_that_lost_the_prompt_or_takes_no_work() {
+    let saving = |change: &dyn Fn(&mut Fleet)| {
+        let mut fleet = fleet(true);
+        let session = session(15_000);
+        read_at_5(&mut fleet, &session);
+        change(&mut fleet);
+        fleet.publish(&fleet.listed);
+        fleet
+            .place(&session)
+            .expect("engines are idle")
+            .believed_saving
+    };
+    let key = |fleet: &Fleet| key_of(&fleet.listed[5]);
+    assert!(saving(&|_| ()) > Duration::from_millis(60));
+    let changes: [(&str, &dyn Fn(&mut Fleet)); 7] = [
+        ("restarted", &|fleet| fleet.listed[5].started_at_ms += 1),
+        ("left", &|fleet| drop(fleet.listed.remove(5))),
+        ("leaves", &|fleet| fleet.listed[5].leaving = true),
+        ("cold", &|fleet| {
+            fleet.listed[5].cold_left = Some(Duration::from_secs(9))
+        }),
+        ("exited", &|fleet| {
+            fleet.upstreams.eject_crashed(key(fleet));
+            fleet.upstreams.forgive(key(fleet));
+        }),
+        ("exited elsewhere", &|fleet| {
+            let crashed = LoadUpdate::Failed {
+                upstream: key(fleet),
+                ejected_ms: 0,
+                has_crashed: true,
+            };
+            fleet.upstreams.apply_update(1, crashed);
+        }),
+        ("full", &|fleet| {
+            let tried: Vec<_> = fleet.listed.iter().map(key_of).collect();
+            let tried: Vec<_> = tried
+                .iter()
+                .copied()
+                .filter(|one| *one != tried[5])
+                .collect();
+            for _ in 0..16 {
+                let placed = fleet
+                    .upstreams
+                    .place(SERVICE, &demand(50, 250, 300), &tried);
+                let mut placed = placed.expect("engine 5 has slots");
+                placed.record_first_event();
+                std::mem::forget(placed);
+            }
+        }),
+    ];
+    for (name, change) in changes {
+        assert_eq!(saving(change), Duration::ZERO, "{name}");
+    }
+}
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -127,6 +127,7 @@
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
+        prompt_parts: Rc::default(),
     }
 }
 
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -373,6 +373,7 @@
             request: id as u128,
             is_refusable: true,
             connected: HashSet::new(),
+            prompt_parts: Rc::default(),
         };
         let daemon = request.daemon;
         match self.daemons[daemon].0.place(SERVICE, &demand, &[]) {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -130,6 +130,10 @@
         trace::request_placed(call, history, plan.number, &placement, published);
         history.record_placement(&upstream);
     }
+    if !placement.believed_saving.is_zero() {
+        gateway.parts().metrics.prefix_placement();
+        trace::prefix_held(call, &placement);
+    }
     let name = format!(
         "{}-{}-{}",
         gateway.options().instance,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,7 +12,7 @@
 use mangofront_settings::ids::ServiceName;
 
 use crate::answer;
-use crate::dialect::{CallHead, EventId, TokenCounts};
+use crate::dialect::{CallHead, EventId, PromptPart, TokenCounts};
 use crate::drain::Stage;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::{Gateway, InProgress};
@@ -42,6 +42,8 @@
     pub(crate) body: Bytes,
     pub(crate) last_event_id: Option<EventId>,
     pub(crate) tokens: Option<TokenCounts>,
+    /// Parts of its prompt in order.
+    pub(crate) prompt_parts: Rc<[PromptPart]>,
     /// What of it may crash upstreams.
     pub(crate) suspects: Suspects,
     pub(crate) version: ConfigurationVersion,
@@ -119,6 +121,7 @@
                 body,
                 last_event_id: admitted.head.last_event_id,
                 tokens: admitted.head.tokens,
+                prompt_parts: admitted.head.counted_parts.into(),
                 suspects,
                 version,
                 lease_age: gateway.parts().published.lease().age(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+pub use mangofront_engines::PromptPart;
 use mangofront_limits::NamedLimit;
 pub use mangofront_quarantine::PromptPartId;
 pub use mangofront_routes::Position;
@@ -53,6 +54,10 @@
     ///
     /// A caller's claim: it is used for nothing that other callers could not afford to be wrong.
     pub prompt_parts: Vec<PromptPartId>,
+    /// Parts of the prompt with their lengths, in order, up to the first that can't be read.
+    ///
+    /// A caller's claim too: at most its own request is placed worse if it is wrong.
+    pub counted_parts: Vec<PromptPart>,
 }
 
 /// Error of a request head that can't be served.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,8 +59,8 @@
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
 pub use dialect::{
     AnswerHead, AttemptHead, CallHead, CallHeadError, Change, Changes, Dialect, Entry, EventId,
-    Helper, NamedRest, Position, PromptPartId, ReservationId, Snapshot, Source, SourceError,
-    TokenCounts,
+    Helper, NamedRest, Position, PromptPart, PromptPartId, ReservationId, Snapshot, Source,
+    SourceError, TokenCounts,
 };
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -7,6 +7,7 @@
 //! which its turn would come.
 
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use mangofront_engines::{Demand, NoUpstream, Placement, UpstreamKey, key_of};
@@ -309,5 +310,6 @@
             false => HashSet::new(),
         },
         time_left: call.time_left(),
+        prompt_parts: Rc::clone(&call.prompt_parts),
     }
 }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -234,6 +234,16 @@
     );
 }
 
+/// A request was placed where the beginning of its prompt is believed to be held.
+pub(crate) fn prefix_held(call: &Call, placement: &Placement) {
+    log::info!(
+        request = call.id.as_str(),
+        upstream = placement.answering().id.as_str(),
+        saving_ms = milliseconds(placement.believed_saving);
+        "gateway: beginning of the prompt believed to be held"
+    );
+}
+
 /// An upstream failed a request, or reported that it did not run it.
 pub(crate) fn attempt_failed(
     call: &Call,
--- a/crates/prefixes/src/weigh.rs
+++ b/crates/prefixes/src/weigh.rs
@@ -69,8 +69,9 @@
                 None => None,
             };
             let longer_ms = elsewhere.map_or(0.0, |wait_ms| candidate.wait_ms - wait_ms);
-            match candidate.has_room {
-                true => -(saved_ms - longer_ms.max(0.0)).max(0.0),
+            let net_ms = saved_ms - longer_ms.max(0.0);
+            match candidate.has_room && net_ms > 0.0 {
+                true => -net_ms,
                 false => 0.0,
             }
         };
--- a/crates/settings/src/process/choice.rs
+++ b/crates/settings/src/process/choice.rs
@@ -1,9 +1,12 @@
 //! Cost parameters for the choice among engines.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::ServiceName;
+
 /// Cost parameters for the choice among engines; each mechanism can be disabled by its
 /// own parameter.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -170,6 +173,12 @@
     pub first_ejection_ms: u64,
     /// Maximum time for which an upstream is ejected, in milliseconds; 6,000 by default.
     pub longest_ejection_ms: u64,
+    /// Services whose engines retain prompts after their requests, with the longest time for
+    /// which they do, in milliseconds; none by default.
+    ///
+    /// A prompt then costs less at an engine that still holds its beginning, by the prefill
+    /// time saved.
+    pub prompt_retention_ms: BTreeMap<ServiceName, u64>,
 }
 
 impl ChoiceOptions {
@@ -242,6 +251,7 @@
             helpers_limit: 16,
             first_ejection_ms: 500,
             longest_ejection_ms: 6_000,
+            prompt_retention_ms: BTreeMap::new(),
         }
     }
 }
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -103,6 +103,13 @@
     Field::defaulted("helpers_limit", integer(0, 64)),
     Field::defaulted("first_ejection_ms", integer(0, HOUR_MS)),
     Field::defaulted("longest_ejection_ms", integer(0, HOUR_MS)),
+    Field::defaulted(
+        "prompt_retention_ms",
+        Shape::Map {
+            names: TextFormat::Name,
+            value: &integer(1, 24 * HOUR_MS),
+        },
+    ),
 ];
 
 const LIMITS: &[Field] = &[
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -248,6 +248,11 @@
         self.0.instruments.replacements.add(1, &labels);
     }
 
+    /// Counts a request placed where the beginning of its prompt is believed to be held.
+    pub fn prefix_placement(&self) {
+        self.0.instruments.prefix_placements.add(1, &[]);
+    }
+
     /// Counts a notice of an upstream in an answer to this daemon.
     pub fn upstream_notice(&self, kind: NoticeKind) {
         let labels = [label("kind", kind.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -31,6 +31,7 @@
     pub(super) upstream_crashes: Counter<u64>,
     pub(super) replacements: Counter<u64>,
     pub(super) upstream_notices: Counter<u64>,
+    pub(super) prefix_placements: Counter<u64>,
     pub(super) suspects_cleared: Counter<u64>,
     pub(super) suspected_parts: Gauge<u64>,
     pub(super) quarantined_parts: Gauge<u64>,
@@ -106,6 +107,10 @@
                 "upstream_notices",
                 "Answers in which upstreams begin to leave or ask for rest, by kind",
             ),
+            prefix_placements: counter(
+                "prefix_placements",
+                "Requests placed where the beginning of their prompt is believed to be held",
+            ),
             suspects_cleared: counter(
                 "suspects_cleared",
                 "Requests and prompt parts that were cleared of crashes",
