--- a/crates/engines/tests/engines/prefixes.rs
+++ b/crates/engines/tests/engines/prefixes.rs
@@ -10,6 +10,8 @@
 
 const ENGINES: usize = 8;
 
+type Change<'a> = &'a dyn Fn(&mut Fleet);
+
 fn options(retains: bool) -> ChoiceOptions {
     let retention_ms = BTreeMap::from([(SERVICE.to_owned(), 60_000)]);
     ChoiceOptions {
@@ -115,7 +117,7 @@
 /// Guards against waits for an engine that exited, restarted, left, is cold or has no slot.
 #[test]
 fn no_saving_counts_at_an_engine_that_lost_the_prompt_or_takes_no_work() {
-    let saving = |change: &dyn Fn(&mut Fleet)| {
+    let saving = |change: Change<'_>| {
         let mut fleet = fleet(true);
         let session = session(15_000);
         read_at_5(&mut fleet, &session);
@@ -128,7 +130,7 @@
     };
     let key = |fleet: &Fleet| key_of(&fleet.listed[5]);
     assert!(saving(&|_| ()) > Duration::from_millis(60));
-    let changes: [(&str, &dyn Fn(&mut Fleet)); 7] = [
+    let changes: [(&str, Change<'_>); 7] = [
         ("restarted", &|fleet| fleet.listed[5].started_at_ms += 1),
         ("left", &|fleet| drop(fleet.listed.remove(5))),
         ("leaves", &|fleet| fleet.listed[5].leaving = true),
