--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use mangofront_prefixes::PrefixTable;
 use mangofront_quarantine::CrashTracker;
 use mangofront_settings::ids::AvailabilityZone;
 use mangofront_settings::process::ChoiceOptions;
@@ -58,6 +59,8 @@
     pub(crate) notices: Notices,
     /// Upstreams that are cold, each until the given time.
     pub(crate) cold_until: HashMap<UpstreamKey, Instant>,
+    /// Beginnings of prompts that engines hold, if any engine retains prompts.
+    pub(crate) prefixes: Option<PrefixTable>,
     /// Short prompts placed by other daemons.
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
@@ -76,6 +79,9 @@
             if let Some(entry) = self.upstream_mut(share.upstream) {
                 entry.enqueue_prefill(share.prefill_ms, now);
             }
+            if let Some(prefixes) = &mut self.prefixes {
+                prefixes.record_demand(share.upstream, share.memory_tokens);
+            }
         }
         self.work.insert(key, work);
     }
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crashes;
 mod notices;
+mod prefixes;
 mod profile;
 mod support;
 mod view;
