Give organisations a fair share of contended engines, and urgent work its place

Callers saw: one organisation at many times its usual took the slots of all others, and an urgent kind of large prompts was served less often than a less urgent one of small prompts.

Cause: who is held, refused or helped went by the size of the prompt alone. Priority was used for the turn at rate limits only; use by organisation was not known. A held prompt tries again every 20 ms, so it met a moment with every slot taken, and was refused, more often than a short one that tries once.

Change, in crates/engines: `organisation_shares` sums up the open work of all daemons by organisation (`LoadUpdate::Placed` carries a hash of it and the priority) and finds the max-min fair share; `precedence` says who is admitted, held or refused. Both act only while a service is contended: slots in use within two standard deviations of their number, or everything placed takes longer to prefill than the request's target. Above its share by more than chance: refused at once (`organisation_over_share`), if nothing was sent. Less urgent than open work: held while it can be on time. More urgent than open work: not refused for its size, and held while every slot is taken. In crates/gateway: `held` has the held requests of a daemon try again in order of precedence; a log line names the organisation, its use and its share; the refusals are counted by reason.

`choice::a_daemon_that_has_just_started_spreads_short_prompts` failed once in a run on a busy machine and passed alone and in the next whole run: it reads the real clock. Flaky, cause not traced.

--- a/crates/engines/examples/choice_cost.rs
+++ b/crates/engines/examples/choice_cost.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::unbounded;
-use mangofront_engines::{ChoiceOptions, Demand, NoUpstream, Placement, Upstreams};
+use mangofront_engines::{Caller, ChoiceOptions, Demand, NoUpstream, Placement, Upstreams};
 use mangofront_routes::{EngineProfile, Position, Upstream};
 
 const SERVICE: &str = "assist-llm";
@@ -107,6 +107,7 @@
         elapsed: Duration::ZERO,
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
+        caller: Caller::default(),
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -13,6 +13,8 @@
 use crate::cost::{CostModel, prefilled_after_ms};
 use crate::decision::{Decision, Forecast, ServedShare, decide};
 use crate::layout::assign_memory;
+use crate::organisation_shares::OverShare;
+use crate::precedence::{Caller, Contention, Room};
 use crate::upstream_state::{Load, UpstreamState};
 use crate::work::ShareLoad;
 
@@ -33,6 +35,8 @@
     pub waited: Duration,
     /// Time after which the request has certainly ended.
     pub time_left: Duration,
+    /// On whose behalf the request is made.
+    pub caller: Caller,
     /// Identifies the request across all retries of its caller.
     pub request: RequestFingerprint,
     /// Whether it may be refused: nothing was sent yet, so no engine has spent work on it.
@@ -41,6 +45,14 @@
     pub connected: HashSet<SocketAddr>,
 }
 
+impl Demand {
+    /// Whether it may be held for an answer that is late, but not too late for its caller.
+    pub(crate) fn may_be_held(&self, options: &ChoiceOptions) -> bool {
+        let is_patient = self.elapsed < self.target.mul_f64(options.late_targets);
+        is_patient && self.time_left > self.target
+    }
+}
+
 /// Reason why no upstream was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum NoUpstream {
@@ -59,6 +71,10 @@
     /// A prompt of this length can no longer be on time and would delay many others.
     #[error("the engines are overrun")]
     Overrun,
+    /// The engines can't take all that arrives, and the caller's organisation has more than its
+    /// share of them.
+    #[error("the organisation has its share of the engines already")]
+    OrganisationOverShare(OverShare),
     /// No engine can accept another request at present.
     #[error("every slot of the engines is taken")]
     Full,
@@ -67,6 +83,9 @@
     TooLarge,
 }
 
+/// Code of [`NoUpstream::OrganisationOverShare`].
+pub const ORGANISATION_OVER_SHARE: &str = "organisation_over_share";
+
 impl NoUpstream {
     /// Stable code for metrics, logs and callers.
     #[must_use]
@@ -77,6 +96,7 @@
             Self::AllTried => "all_upstreams_tried",
             Self::Busy => "upstreams_busy",
             Self::Overrun => "engines_overrun",
+            Self::OrganisationOverShare(_) => ORGANISATION_OVER_SHARE,
             Self::Full => "all_slots_taken",
             Self::TooLarge => "no_memory_for_prompt",
         }
@@ -146,6 +166,8 @@
     pub(crate) is_settling: bool,
     /// Served share of the request's size class if this request is not served.
     pub(crate) served_share: ServedShare,
+    /// What the request finds among those of others.
+    pub(crate) contention: Contention,
 }
 
 /// Chooses the least loaded upstream of a plain service.
@@ -194,7 +216,12 @@
         .iter()
         .any(|candidate| candidate.has_slot(options))
     {
-        return Err(NoUpstream::Full);
+        return Err(
+            match context.contention.is_owed_slot && demand.may_be_held(options) {
+                true => NoUpstream::Busy,
+                false => NoUpstream::Full,
+            },
+        );
     }
     let prefill_ms = profile.prefill_ms(demand.prompt_tokens);
     let has_waited = demand.waited >= demand.target.mul_f64(options.wait_targets);
@@ -240,6 +267,12 @@
         all_prefilled_after_ms: (placed_ms + prefill_ms) / candidates.len() as f64,
     };
     let options = cost_model.options();
+    let may_be_on_time = forecast.may_be_on_time(demand, options);
+    match context.contention.room(may_be_on_time, demand.is_refusable) {
+        Room::Admitted => {}
+        Room::Held => return Err(NoUpstream::Busy),
+        Room::Refused(over_share) => return Err(NoUpstream::OrganisationOverShare(over_share)),
+    }
     match decide(forecast, demand, context.served_share, options) {
         Decision::Send => Ok(chosen),
         Decision::Hold => Err(NoUpstream::Busy),
--- a/crates/engines/src/decision.rs
+++ b/crates/engines/src/decision.rs
@@ -31,6 +31,15 @@
     pub(crate) all_prefilled_after_ms: f64,
 }
 
+impl Forecast {
+    /// Whether the prompt can be held a little longer and be on time.
+    pub(crate) fn may_be_on_time(&self, demand: &Demand, options: &ChoiceOptions) -> bool {
+        let target_ms = demand.target.as_secs_f64() * 1_000.0;
+        let elapsed_ms = demand.elapsed.as_secs_f64() * 1_000.0;
+        elapsed_ms + self.prefilled_after_ms < target_ms * options.in_time_targets
+    }
+}
+
 /// What to do with a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Decision {
@@ -72,10 +81,7 @@
     if may_refuse && is_overrun && demand.waited.is_zero() {
         return Decision::Refuse;
     }
-    let target_ms = demand.target.as_secs_f64() * 1_000.0;
-    let elapsed_ms = demand.elapsed.as_secs_f64() * 1_000.0;
-    let on_time_ms = target_ms * options.in_time_targets;
-    if elapsed_ms + forecast.prefilled_after_ms < on_time_ms {
+    if forecast.may_be_on_time(demand, options) {
         return Decision::Hold;
     }
     if may_refuse {
@@ -86,6 +92,8 @@
         return Decision::Send;
     }
     // A caller that retries has less time left than a late prompt may be held for.
+    let target_ms = demand.target.as_secs_f64() * 1_000.0;
+    let elapsed_ms = demand.elapsed.as_secs_f64() * 1_000.0;
     let time_left_ms = demand.time_left.as_secs_f64() * 1_000.0;
     let has_time = time_left_ms > forecast.prefilled_after_ms + target_ms;
     match has_time && elapsed_ms < target_ms * options.late_targets {
--- a/crates/engines/src/load_update.rs
+++ b/crates/engines/src/load_update.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::large_prompts::{Progress, SizeClass};
+use crate::precedence::Caller;
 use crate::work::{ShareLoad, UpstreamKey, Work, WorkId};
 
 /// Identifies one incarnation of a daemon that sends updates.
@@ -25,6 +26,8 @@
         /// Shares of the request; the upstream of the first one answers.
         #[serde(rename = "parts")]
         shares: Vec<ShareUpdate>,
+        /// On whose behalf it was placed.
+        caller: Caller,
         /// Longest gap between events for the answer to count as on time, in milliseconds.
         gap_ms: u32,
         /// Time until the expected first event, in milliseconds.
@@ -112,6 +115,7 @@
     LoadUpdate::Placed {
         work: id,
         shares: work.shares.iter().map(share_update).collect(),
+        caller: work.caller,
         gap_ms: work.gap_ms as u32,
         expected_in_ms: saturating_ms(expected),
         expires_in_ms: saturating_ms(time_left),
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -14,6 +14,7 @@
 use crate::large_prompts::{LargePrompts, SizeClass};
 use crate::load_update::IncarnationId;
 use crate::notices::Notices;
+use crate::organisation_shares::RecentDemand;
 use crate::upstream_state::UpstreamState;
 use crate::work::{UpstreamKey, Work, WorkId};
 
@@ -60,6 +61,8 @@
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
     pub(crate) update_delay: Duration,
+    /// When organisations last asked for a service.
+    pub(crate) recent_demand: RecentDemand,
     /// Shortest gap that any request so far allowed.
     pub(crate) shortest_gap: Option<Duration>,
 }
@@ -70,9 +73,19 @@
         if self.work.contains_key(&key) {
             return;
         }
-        for share in &work.shares {
-            if let Some(entry) = self.upstream_mut(share.upstream) {
-                entry.enqueue_prefill(share.prefill_ms, now);
+        for (position, share) in work.shares.iter().enumerate() {
+            let index = self
+                .upstreams
+                .binary_search_by_key(&share.upstream, |entry| entry.key);
+            let Ok(index) = index else {
+                continue;
+            };
+            let entry = &mut self.upstreams[index];
+            entry.enqueue_prefill(share.prefill_ms, now);
+            if position == 0 {
+                let service = &entry.registration.service;
+                self.recent_demand
+                    .record(service, work.caller.organisation, now);
             }
         }
         self.work.insert(key, work);
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! Handle to all upstreams and the work on them.
 
 mod contact;
+mod contention;
 mod crash_records;
 mod notices;
 mod updates;
@@ -25,6 +26,7 @@
 use crate::placement::Placement;
 use crate::state::{LOCAL, State};
 use crate::upstream_state::{Load, UpstreamState, loads};
+use crate::upstreams::contention::{contention, served_share};
 use crate::work::{UpstreamKey, Work, key_of};
 use mangofront_settings::process::ChoiceOptions;
 
@@ -175,6 +177,8 @@
             let shortest = state.shortest_gap.unwrap_or(demand.gap).min(demand.gap);
             state.shortest_gap = Some(shortest);
         }
+        let organisation = demand.caller.organisation;
+        state.recent_demand.record(service, organisation, now);
         let size = state.size(service, demand);
         let most_confirmed = state.has_most_confirmed(service);
         let choose = |includes_silent, includes_unconfirmed| {
@@ -187,11 +191,12 @@
         };
         let choose_heard_first = |includes_unconfirmed| match choose(false, includes_unconfirmed) {
             // Those that are heard are overloaded, while silent ones may go on at any moment.
-            Err(NoUpstream::Busy | NoUpstream::Full | NoUpstream::Overrun)
-                if state.has_silent(service, now) =>
-            {
-                choose(true, includes_unconfirmed)
-            }
+            Err(
+                NoUpstream::Busy
+                | NoUpstream::Full
+                | NoUpstream::Overrun
+                | NoUpstream::OrganisationOverShare(_),
+            ) if state.has_silent(service, now) => choose(true, includes_unconfirmed),
             choice => choice,
         };
         let choice = match choose_heard_first(!most_confirmed) {
@@ -214,6 +219,7 @@
         let expected = Duration::from_secs_f64(choice.first_event_ms / 1_000.0);
         let work = Work {
             shares: choice.loads,
+            caller: demand.caller,
             is_prefilling: demand.prompt_tokens > 0,
             expected_at: now + expected,
             gap_ms: demand.gap.as_secs_f64() * 1_000.0,
@@ -326,7 +332,8 @@
                     draw: xxh3_64_with_seed(&state.next_work.to_le_bytes(), self.0.salt),
                     is_settling: now.saturating_duration_since(self.0.started)
                         < options.settling_time(),
-                    served_share: state.served_share(demand, size, options),
+                    served_share: served_share(state, demand, size, options, &candidates),
+                    contention: contention(state, service, demand, &profile, &candidates, now),
                 };
                 choose_engines(&candidates, &profile, demand, options, context)
             }
--- a/crates/engines/src/upstreams/updates.rs
+++ b/crates/engines/src/upstreams/updates.rs
@@ -32,6 +32,7 @@
             LoadUpdate::Placed {
                 work,
                 shares,
+                caller,
                 gap_ms,
                 expected_in_ms,
                 expires_in_ms,
@@ -40,6 +41,7 @@
                 let received = Work {
                     is_prefilling: shares.iter().any(|share| share.prefill_us > 0),
                     shares: shares.iter().map(share_load).collect(),
+                    caller,
                     expected_at: now + Duration::from_millis(u64::from(expected_in_ms)),
                     gap_ms: f64::from(gap_ms),
                     known_since: now,
--- a/crates/engines/src/work.rs
+++ b/crates/engines/src/work.rs
@@ -5,6 +5,8 @@
 use mangofront_routes::Upstream;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::precedence::Caller;
+
 /// Hash that identifies an incarnation of an upstream, the same at all daemons.
 pub type UpstreamKey = u64;
 
@@ -37,6 +39,8 @@
 pub(crate) struct Work {
     /// Shares of the request; the upstream of the first one answers.
     pub(crate) shares: Vec<ShareLoad>,
+    /// On whose behalf it is done.
+    pub(crate) caller: Caller,
     /// Whether the first event is still pending.
     pub(crate) is_prefilling: bool,
     /// When the first event was expected.
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -4,5 +4,6 @@
 mod crashes;
 mod notices;
 mod profile;
+mod shares;
 mod support;
 mod view;
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
-use mangofront_engines::{ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams};
+use mangofront_engines::{
+    Caller, ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
+};
 use mangofront_routes::{Position, Upstream};
 
 use crate::profile::engine_profile;
@@ -124,6 +126,7 @@
         elapsed: Duration::ZERO,
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
+        caller: Caller::default(),
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
-use mangofront_engines::{ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams};
+use mangofront_engines::{
+    Caller, ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
+};
 use mangofront_routes::{EngineProfile, Position, Upstream};
 
 use crate::engine::{Engine, Job, RequestId};
@@ -46,6 +48,12 @@
 /// [`Fleet::let_callers_leave`] leave at this time.
 const DEADLINE_MS: f64 = 15_000.0;
 
+/// The caller of requests without an organisation.
+pub const NOBODY: Caller = Caller {
+    organisation: 0,
+    priority: 0,
+};
+
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
 pub struct Kind {
@@ -60,6 +68,7 @@
     pub events: u32,
     pub target_ms: f64,
     pub gap_ms: f64,
+    pub caller: Caller,
 }
 
 /// Standard deviation of the logarithm of the number of events per answer.
@@ -155,6 +164,8 @@
     random: u64,
     update_delay_ms: f64,
     callers_leave: bool,
+    /// Share of updates that are lost.
+    loss: f64,
     profile: EngineProfile,
 }
 
@@ -191,6 +202,7 @@
             random: 0x2545_F491_4F6C_DD1D,
             update_delay_ms: UPDATE_DELAY_MS,
             callers_leave: false,
+            loss: 0.0,
             profile,
         };
         fleet.set_available(|_| true);
@@ -211,6 +223,11 @@
         }
     }
 
+    /// Loses a share of the updates between daemons.
+    pub fn lose_updates(&mut self, share: f64) {
+        self.loss = share;
+    }
+
     /// Makes callers of requests added from now on leave at their deadline.
     pub fn let_callers_leave(&mut self) {
         self.callers_leave = true;
@@ -307,9 +324,19 @@
     }
 
     fn deliver(&mut self, from: usize, updates: &[LoadUpdate]) {
-        for (to, (upstreams, _)) in self.daemons.iter().enumerate() {
-            for one in updates.iter().filter(|_| to != from) {
-                upstreams.apply_update(from as u64 + 2, one.clone());
+        for to in (0..self.daemons.len()).filter(|to| *to != from) {
+            if self.loss > 0.0 && self.uniform() < self.loss {
+                continue;
+            }
+            let apply = |one: &LoadUpdate| {
+                let upstreams = &self.daemons[to].0;
+                upstreams.apply_update(from as u64 + 2, one.clone())
+            };
+            let lacks_work = updates.iter().filter(|one| apply(one)).count() > 0;
+            if lacks_work {
+                self.daemons[from].0.load_snapshot().iter().for_each(|one| {
+                    apply(one);
+                });
             }
         }
     }
@@ -370,6 +397,7 @@
             elapsed: waited,
             waited,
             time_left: self.time_left(request),
+            caller: kind.caller,
             request: id as u128,
             is_refusable: true,
             connected: HashSet::new(),
--- a/crates/engines/tests/load/main.rs
+++ b/crates/engines/tests/load/main.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fleet;
 mod mixed_targets;
+mod organisations;
 mod patterns;
 #[path = "../engines/profile.rs"]
 mod profile;
--- a/crates/engines/tests/load/mixed_targets.rs
+++ b/crates/engines/tests/load/mixed_targets.rs
@@ -16,7 +16,7 @@
 use mangofront_engines::ChoiceOptions;
 use mangofront_routes::EngineProfile;
 
-use crate::fleet::{Fleet, Kind, Outcome};
+use crate::fleet::{Fleet, Kind, NOBODY, Outcome};
 use crate::value::{Value, earned_value_percent};
 
 const SHORT: Kind = Kind {
@@ -27,6 +27,7 @@
     events: 33,
     target_ms: 300.0,
     gap_ms: 200.0,
+    caller: NOBODY,
 };
 
 const MIDDLE: Kind = Kind {
@@ -37,6 +38,7 @@
     events: 20,
     target_ms: 1_500.0,
     gap_ms: 500.0,
+    caller: NOBODY,
 };
 
 const LONG: Kind = Kind {
@@ -47,6 +49,7 @@
     events: 16,
     target_ms: 4_000.0,
     gap_ms: 800.0,
+    caller: NOBODY,
 };
 
 /// The kinds of request, and the value of one request of each.
--- a/crates/engines/tests/load/patterns.rs
+++ b/crates/engines/tests/load/patterns.rs
@@ -10,7 +10,7 @@
 
 use mangofront_engines::ChoiceOptions;
 
-use crate::fleet::{Fleet, Kind};
+use crate::fleet::{Fleet, Kind, NOBODY};
 use crate::value::{Value, earned_value_percent};
 
 const SHORT: Kind = Kind {
@@ -21,6 +21,7 @@
     events: 32,
     target_ms: 300.0,
     gap_ms: 250.0,
+    caller: NOBODY,
 };
 
 const MIDDLE: Kind = Kind {
@@ -31,6 +32,7 @@
     events: 19,
     target_ms: 1_500.0,
     gap_ms: 600.0,
+    caller: NOBODY,
 };
 
 const LONG: Kind = Kind {
@@ -41,6 +43,7 @@
     events: 16,
     target_ms: 2_500.0,
     gap_ms: 1_000.0,
+    caller: NOBODY,
 };
 
 /// The kinds of request, and the value of one request of each.
--- a/crates/engines/tests/load/sizes.rs
+++ b/crates/engines/tests/load/sizes.rs
@@ -7,7 +7,7 @@
 use mangofront_engines::ChoiceOptions;
 use mangofront_routes::EngineProfile;
 
-use crate::fleet::{Fleet, Kind, RequestOutcome};
+use crate::fleet::{Fleet, Kind, NOBODY, RequestOutcome};
 use crate::profile::engine_profile;
 
 const SHORT: Kind = Kind {
@@ -18,6 +18,7 @@
     events: 23,
     target_ms: 400.0,
     gap_ms: 250.0,
+    caller: NOBODY,
 };
 
 const MIDDLE: Kind = Kind {
@@ -28,6 +29,7 @@
     events: 14,
     target_ms: 1_500.0,
     gap_ms: 600.0,
+    caller: NOBODY,
 };
 
 const LONG: Kind = Kind {
@@ -38,6 +40,7 @@
     events: 11,
     target_ms: 3_000.0,
     gap_ms: 1_000.0,
+    caller: NOBODY,
 };
 
 const DAEMONS: usize = 62;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::dialect::{Dialect, PromptPartId};
 use crate::drain::{Drain, Stage};
 use crate::fingerprint::Fingerprint;
+use crate::held::HeldRequests;
 use crate::idle_limits::IdleLimits;
 use crate::options::GatewayOptions;
 use crate::proxy::{self, ProxiedAttempts, ProxyClient, ProxySelection};
@@ -83,6 +84,7 @@
     parts: GatewayParts,
     retry_budget: RetryBudget,
     silence: Silence,
+    held: HeldRequests,
     usual_times: UsualTimes,
     upstream_client: UpstreamClient,
     reservation_client: ReservationClient,
@@ -117,6 +119,7 @@
             parts,
             retry_budget,
             silence: Silence::default(),
+            held: HeldRequests::new(started),
             usual_times: UsualTimes::default(),
             upstream_client,
             reservation_client,
@@ -335,6 +338,11 @@
         &self.0.parts.rate_limits
     }
 
+    /// Requests that are held for less loaded engines.
+    pub(crate) fn held(&self) -> &HeldRequests {
+        &self.0.held
+    }
+
     pub(crate) fn reservation_client(&self) -> &ReservationClient {
         &self.0.reservation_client
     }
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -393,7 +393,7 @@
 fn retry_after(reason: NoUpstream) -> Duration {
     match reason {
         NoUpstream::Overrun => RETRY_AFTER_OVERRUN,
-        NoUpstream::Full => RETRY_AFTER_SLOTS,
+        NoUpstream::Full | NoUpstream::OrganisationOverShare(_) => RETRY_AFTER_SLOTS,
         NoUpstream::NoneKnown
         | NoUpstream::AllTried
         | NoUpstream::Resting
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod follow;
 mod gateway;
 mod hedging;
+mod held;
 mod history;
 mod idle_limits;
 mod in_flight;
@@ -65,6 +66,7 @@
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
 pub use gateway::{Gateway, GatewayParts};
+pub use held::{HeldPlace, HeldRequests};
 pub use idle_limits::idle_limit;
 pub use known_positions::KnownPositions;
 pub use lease::Lease;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -9,7 +9,9 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use mangofront_engines::{Demand, NoUpstream, Placement, UpstreamKey, key_of};
+use mangofront_engines::{
+    Caller, Demand, NoUpstream, ORGANISATION_OVER_SHARE, Placement, Precedence, UpstreamKey, key_of,
+};
 use mangofront_limits::Moment;
 use mangofront_routes::{RetrySafety, Upstream};
 use mangofront_upstream::Connections;
@@ -18,8 +20,10 @@
 use crate::attempts::upstreams_of;
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::held::HeldPlace;
 use crate::history::{AttemptError, History, MIN_ATTEMPT_TIME, SharedHistory};
 use crate::rate_limits::{NotPermitted, SendPermits, SlotWait};
+use crate::trace;
 
 /// Pause before placement is tried again while all engines are overloaded: shorter than one
 /// share of a prompt takes to prefill, and long enough to keep the cost of placement low.
@@ -229,6 +233,7 @@
 ) -> Result<Placement, NoUpstream> {
     let started = Instant::now();
     let mut waited = Duration::ZERO;
+    let mut held: Option<HeldPlace> = None;
     loop {
         gateway.parts().published.wait_until_confirmed().await;
         let connections = &gateway.parts().connections;
@@ -244,7 +249,19 @@
             .collect();
         match upstreams.place(&call.service, &demand, &excluded) {
             Err(NoUpstream::Busy) if call.time_left() > MIN_ATTEMPT_TIME => {
-                compio::time::sleep(busy_retry_pause(upstreams.count())).await;
+                let precedence =
+                    precedence(call, || upstreams.is_above_share(&call.service, &demand));
+                let place = match held.take() {
+                    Some(mut place) => {
+                        place.set_precedence(precedence);
+                        place
+                    }
+                    None => gateway.held().join(precedence),
+                };
+                let period = busy_retry_pause(upstreams.count());
+                let pause = place.next_try_in(Instant::now(), period);
+                held = Some(place);
+                compio::time::sleep(pause).await;
                 waited = started.elapsed();
             }
             Err(NoUpstream::Resting) => match rest_to_wait_for(gateway, call, &excluded) {
@@ -255,6 +272,10 @@
                 None => return Err(NoUpstream::Resting),
             },
             placement => {
+                if let Err(NoUpstream::OrganisationOverShare(over_share)) = &placement {
+                    trace::over_share(call, over_share);
+                    gateway.parts().metrics.refused(ORGANISATION_OVER_SHARE);
+                }
                 history.borrow_mut().waited += waited;
                 return placement;
             }
@@ -262,6 +283,16 @@
     }
 }
 
+/// Place among the requests that are held.
+fn precedence(call: &Call, is_above_share: impl FnOnce() -> bool) -> Precedence {
+    Precedence {
+        is_late: call.arrived.elapsed() >= call.route.target,
+        priority: rank(call),
+        is_above_share: call.organisation.is_some() && is_above_share(),
+        arrived: call.arrived,
+    }
+}
+
 /// Time until an upstream takes requests again, if its answer may still come in time.
 fn rest_to_wait_for(gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Option<Duration> {
     let upstreams = &gateway.parts().upstreams;
@@ -301,6 +332,10 @@
         target: call.route.target,
         elapsed: call.arrived.elapsed(),
         waited,
+        caller: Caller {
+            organisation: call.suspects.organisation,
+            priority: rank(call),
+        },
         request: call.fingerprint.as_number(),
         is_refusable: history.sent == 0,
         // Requests that must not be repeated always open a new connection.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use mangofront_engines::{Failure, NoUpstream, Placement, UpstreamKey};
+use mangofront_engines::{
+    Failure, NoUpstream, ORGANISATION_OVER_SHARE, OverShare, Placement, UpstreamKey,
+};
 use mangofront_limits::{LimitChange, RateLimit};
 use mangofront_paths::{PathFault, PathSummary};
 use mangofront_quarantine::{BLAMED_CRASHES, QuarantineState, Suspect};
@@ -607,6 +609,20 @@
     );
 }
 
+/// A request is refused as its organisation has more than its share of contended engines.
+pub(crate) fn over_share(call: &Call, over_share: &OverShare) {
+    let organisation = call.organisation.as_ref();
+    log::info!(
+        request = call.id.as_str(),
+        service = call.service.as_str(),
+        organisation = organisation.map_or("none", |organisation| organisation.id.as_str()),
+        short_of = over_share.resource.code(),
+        in_use = over_share.in_use,
+        fair_share = over_share.fair_share;
+        "gateway: organisation over its share"
+    );
+}
+
 /// Summary of a request that has ended.
 ///
 /// Failures on the way have lines of their own.
@@ -644,8 +660,9 @@
 impl RequestSummary<'_> {
     /// What the caller received.
     fn disposition(&self) -> Disposition {
-        let is_refused_for_load =
-            self.reason == NoUpstream::Overrun.code() || self.reason == RATE_LIMITED;
+        let is_refused_for_load = self.reason == NoUpstream::Overrun.code()
+            || self.reason == ORGANISATION_OVER_SHARE
+            || self.reason == RATE_LIMITED;
         match self.outcome {
             RequestOutcome::Answered if self.first_event.unwrap_or(self.took) <= self.target => {
                 Disposition::ServedInTime
