--- a/crates/engines/tests/engines/shares.rs
+++ b/crates/engines/tests/engines/shares.rs
@@ -111,6 +111,17 @@
     assert!(fleet.place(&of(1, short_request())).is_ok());
 }
 
+/// Guards against an organisation whose prompts keep the engines from reading those of others
+/// within their target, while there are slots.
+#[test]
+fn time_to_read_is_shared_too() {
+    let fleet = Fleet::with_fixed_clock(2);
+    let (_small, _) = fill(&fleet, &of(2, short_request()), 1);
+    let (placed, refused) = fill(&fleet, &of(1, demand(30_000, 250, 300)), 100);
+    insta::assert_debug_snapshot!((placed.len(), over_share(refused)));
+    assert!(fleet.place(&of(2, short_request())).is_ok());
+}
+
 /// Guards against sharing out what requests without an organisation have taken.
 #[test]
 fn work_without_an_organisation_is_not_shared_out() {
