--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -6,5 +6,6 @@
 mod notices;
 mod prefixes;
 mod profile;
+mod shares;
 mod support;
 mod view;
