Keep work from evacuated zones and from regions that are not allowed

Cause: evacuations of zones and allowed regions were decoded and dropped, so upstreams of an evacuated zone went on getting work.

Where nothing else is left, requests are refused at once (upstreams_evacuated, no_upstream_in_allowed_regions). Bodies go through other daemons in allowed regions or the own one only. Setting zone_regions, gauge evacuated_zones, admin page /evacuations and the command mangofront evacuations.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,6 +13,7 @@
 mod audit;
 mod check;
 mod error;
+mod evacuations;
 mod explain;
 mod log_lines;
 mod losses;
@@ -51,6 +52,7 @@
       Shows the requests and parts of prompts that are kept from all upstreams,
       as these crash under them, or ends the quarantine of one at all daemons.
   mangofront rate-limits --admin ADDR [--json]
+  mangofront evacuations --admin ADDR [--json]
       Shows the upstreams that name a rate limit, and who grants permits for it.
   mangofront trace ID [FILE]...
       Shows a request's story out of the structured logs of any number of
@@ -101,6 +103,7 @@
         Some("explain") => explain::run(arguments)?,
         Some("quarantine") => quarantine::run(arguments)?,
         Some("rate-limits") => rate_limits::run(arguments)?,
+        Some("evacuations") => evacuations::run(arguments)?,
         Some("trace") => return trace::run(arguments),
         Some("losses") => return losses::run(arguments),
         Some("standin") => standin::run(arguments)?,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -205,6 +205,7 @@
         salt,
         updates_sender.clone(),
     );
+    upstreams.set_zone_regions(gateway_settings.zone_regions.clone());
     let connections = connections(settings);
     let published = Published::new(
         PublishedOptions::for_bounds(
--- a/crates/daemon/src/gateway_admin.rs
+++ b/crates/daemon/src/gateway_admin.rs
@@ -43,6 +43,9 @@
         (&Method::GET, "/rate-limits") => {
             json_response(&json!({ "limits": gateway.rate_limit_status() }))
         }
+        (&Method::GET, "/evacuations") => {
+            json_response(&json!({ "zones": gateway.evacuated_zones() }))
+        }
         (&Method::POST, "/quarantine/lift") => match collect(body, BODY_LIMIT_BYTES).await {
             Ok(body) => lift_quarantine(&gateway, &body),
             Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/crates/engines/examples/choice_cost.rs
+++ b/crates/engines/examples/choice_cost.rs
@@ -11,7 +11,7 @@
 
 use futures_channel::mpsc::unbounded;
 use mangofront_engines::{ChoiceOptions, Demand, NoUpstream, Placement, Upstreams};
-use mangofront_routes::{EngineProfile, Position, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Position, Upstream};
 
 const SERVICE: &str = "assist-llm";
 
@@ -110,5 +110,6 @@
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
--- a/crates/engines/examples/embed.rs
+++ b/crates/engines/examples/embed.rs
@@ -11,7 +11,7 @@
 
 use futures_channel::mpsc::unbounded;
 use mangofront_engines::{ChoiceOptions, Demand, Upstreams};
-use mangofront_routes::{EngineProfile, Position, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Position, Upstream};
 
 const SERVICE: &str = "assist-llm";
 
@@ -95,5 +95,6 @@
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use mangofront_quarantine::RequestFingerprint;
-use mangofront_routes::{EngineProfile, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Upstream};
 use mangofront_settings::process::ChoiceOptions;
 use thiserror::Error;
 
@@ -39,6 +39,8 @@
     pub is_refusable: bool,
     /// Addresses with an open connection that the request can use.
     pub connected: HashSet<SocketAddr>,
+    /// Regions in which it may run.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Reason why no upstream was chosen.
@@ -47,6 +49,12 @@
     /// Every known upstream is leaving, or there is none.
     #[error("no upstream of the service is known")]
     NoneKnown,
+    /// Every upstream that may run the request is in an evacuated zone.
+    #[error("every upstream of the service is in an evacuated zone")]
+    Evacuated,
+    /// No upstream is in a region in which the request may run.
+    #[error("no upstream of the service is in an allowed region")]
+    OutsideRegions,
     /// Every upstream that was not tried asked this daemon for rest.
     #[error("every upstream of the service asks for rest")]
     Resting,
@@ -73,6 +81,8 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::NoneKnown => "no_upstream_known",
+            Self::Evacuated => "upstreams_evacuated",
+            Self::OutsideRegions => "no_upstream_in_allowed_regions",
             Self::Resting => "upstreams_resting",
             Self::AllTried => "all_upstreams_tried",
             Self::Busy => "upstreams_busy",
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -18,6 +18,7 @@
 mod choose;
 mod cost;
 mod decision;
+mod eligibility;
 mod health;
 mod incarnations;
 mod large_prompts;
@@ -31,6 +32,7 @@
 mod work;
 
 pub use choose::{Demand, NoUpstream, Share};
+pub use eligibility::Eligibility;
 pub use health::Failure;
 pub use large_prompts::{Progress, SizeClass};
 pub use load_update::{IncarnationId, LoadUpdate};
--- a/crates/engines/src/state.rs
+++ b/crates/engines/src/state.rs
@@ -10,6 +10,7 @@
 use crate::arrivals::Arrivals;
 use crate::choose::Demand;
 use crate::decision::ServedShare;
+use crate::eligibility::ZoneFacts;
 use crate::incarnations::Incarnations;
 use crate::large_prompts::{LargePrompts, SizeClass};
 use crate::load_update::IncarnationId;
@@ -56,6 +57,8 @@
     pub(crate) crashes: CrashTracker,
     /// What upstreams say of themselves.
     pub(crate) notices: Notices,
+    /// What is known of availability zones.
+    pub(crate) zones: ZoneFacts,
     /// Short prompts placed by other daemons.
     pub(crate) remote_short_arrivals: Arrivals,
     /// Time until a placement of another daemon is known here.
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -5,20 +5,21 @@
 mod notices;
 mod updates;
 
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell, RefMut};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc::UnboundedSender;
-use mangofront_routes::{EngineProfile, Upstream, UpstreamId};
+use mangofront_routes::{AllowedRegions, EngineProfile, Upstream, UpstreamId};
 use mangofront_settings::ids::{AvailabilityZone, ServiceName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::choose::{
     Candidate, Choice, ChoiceContext, Demand, NoUpstream, choose_engines, choose_plain,
 };
+use crate::eligibility::none_open;
 use crate::health::Failure;
 use crate::large_prompts::{Progress, SizeClass};
 use crate::load_update::{LoadUpdate, placed_update, saturating_ms};
@@ -109,10 +110,23 @@
         }))
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         (self.0.clock)()
     }
 
+    pub(crate) fn state(&self) -> Ref<'_, State> {
+        self.0.state.borrow()
+    }
+
+    pub(crate) fn state_mut(&self) -> RefMut<'_, State> {
+        self.0.state.borrow_mut()
+    }
+
+    /// Zone of this daemon.
+    pub(crate) fn availability_zone(&self) -> &AvailabilityZone {
+        &self.0.availability_zone
+    }
+
     /// Replaces the published upstreams, with the engine profile of each service.
     ///
     /// Those that `is_unconfirmed` may have left; they are selected only if no other one of their
@@ -248,20 +262,22 @@
     ) -> Result<Choice, NoUpstream> {
         let tried = among.tried;
         let loads = loads(&state.upstreams, state.work.values(), now);
-        let available = || {
+        let eligibility =
+            |entry: &UpstreamState| state.eligibility(entry, &demand.allowed_regions, now);
+        let of_service = || {
             let entries = state.upstreams.iter().zip(&loads);
             entries.filter(|(entry, _)| {
                 entry.registration.service == service
-                    && !state.is_leaving(entry)
                     && (among.includes_unconfirmed || !entry.is_unconfirmed)
             })
         };
+        let available = || of_service().filter(|(entry, _)| eligibility(entry).is_open());
         if available().next().is_none() {
-            return Err(NoUpstream::NoneKnown);
+            return Err(none_open(of_service().map(|(entry, _)| eligibility(entry))));
         }
         let not_tried = || {
             available().filter(|(entry, _)| {
-                !tried.contains(&entry.key) && state.notices.rest(entry.key, now).is_none()
+                !tried.contains(&entry.key) && eligibility(entry).is_eligible()
             })
         };
         if not_tried().next().is_none() && available().any(|(entry, _)| !tried.contains(&entry.key))
@@ -405,14 +421,19 @@
     /// The upstream of a service with the fewest requests, except those in `tried`, among those
     /// that take work and are not ejected.
     #[must_use]
-    pub fn calmest(&self, service: &str, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
+    pub fn calmest(
+        &self,
+        service: &str,
+        allowed: &AllowedRegions,
+        tried: &[UpstreamKey],
+    ) -> Option<UpstreamKey> {
         let now = self.now();
         let state = self.0.state.borrow();
         let loads = loads(&state.upstreams, state.work.values(), now);
         let open = state.upstreams.iter().zip(&loads).filter(|(entry, _)| {
             let registration = &entry.registration;
             registration.service == service
-                && state.takes_work(entry, now)
+                && state.eligibility(entry, allowed, now).is_eligible()
                 && !state.notices.is_said_to_leave(entry.key)
                 && !entry.health.is_ejected(now)
                 && !state.is_zone_unreachable(&registration.availability_zone, now)
@@ -453,15 +474,15 @@
         }
     }
 
-    /// Upstreams of a service that take work and are not ejected.
+    /// Upstreams of a service that may get work of a request, and are not ejected.
     #[must_use]
-    pub fn open_of_service(&self, service: &str) -> Vec<UpstreamKey> {
+    pub fn open_of_service(&self, service: &str, allowed: &AllowedRegions) -> Vec<UpstreamKey> {
         let now = self.now();
         let state = self.0.state.borrow();
         let is_open = |entry: &&UpstreamState| {
             let registration = &entry.registration;
             registration.service == service
-                && state.takes_work(entry, now)
+                && state.eligibility(entry, allowed, now).is_eligible()
                 && !entry.health.is_ejected(now)
         };
         let open = state.upstreams.iter().filter(is_open);
--- a/crates/engines/src/upstreams/contact.rs
+++ b/crates/engines/src/upstreams/contact.rs
@@ -50,7 +50,7 @@
                 .upstreams
                 .iter()
                 .filter(|entry| {
-                    entry.registration.availability_zone == *zone && state.takes_work(entry, now)
+                    entry.registration.availability_zone == *zone && state.may_be_probed(entry, now)
                 })
                 .collect();
             let turn = state.next_work as usize;
@@ -109,7 +109,7 @@
         let rank = |key: UpstreamKey| xxh3_64_with_seed(&key.to_le_bytes(), turn);
         let others = state.upstreams.iter();
         let mut others: Vec<&UpstreamState> = others
-            .filter(|entry| is_drawn(entry) && state.takes_work(entry, now))
+            .filter(|entry| is_drawn(entry) && state.may_be_probed(entry, now))
             .collect();
         let is_remote = |one: &Upstream| one.availability_zone != self.0.availability_zone;
         others.sort_by_key(|entry| {
--- a/crates/engines/src/upstreams/notices.rs
+++ b/crates/engines/src/upstreams/notices.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use mangofront_routes::AllowedRegions;
+
 use super::Upstreams;
 use crate::load_update::LoadUpdate;
 use crate::notices::Source;
@@ -40,27 +42,23 @@
     /// Time until the first of the resting upstreams of a service, except those in `tried`, takes
     /// requests of this daemon again.
     #[must_use]
-    pub fn soonest_rest_end(&self, service: &str, tried: &[UpstreamKey]) -> Option<Duration> {
+    pub fn soonest_rest_end(
+        &self,
+        service: &str,
+        allowed: &AllowedRegions,
+        tried: &[UpstreamKey],
+    ) -> Option<Duration> {
         let now = self.now();
         let state = self.0.state.borrow();
         let untried = state.upstreams.iter().filter(|entry| {
             entry.registration.service == service
-                && !state.is_leaving(entry)
+                && state.eligibility(entry, allowed, now).is_open()
                 && !tried.contains(&entry.key)
         });
         let rests = untried.filter_map(|entry| state.notices.rest(entry.key, now));
         rests.min()
     }
 
-    /// Whether an upstream may be sent a new request, right before it is written.
-    #[must_use]
-    pub fn accepts_work(&self, upstream: UpstreamKey) -> bool {
-        let now = self.now();
-        let state = self.0.state.borrow();
-        let entry = state.upstreams.iter().find(|entry| entry.key == upstream);
-        entry.is_some_and(|entry| state.takes_work(entry, now))
-    }
-
     /// Whether an upstream is registered as leaving, or told this daemon so.
     #[must_use]
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
@@ -82,9 +80,4 @@
     pub(crate) fn is_leaving(&self, entry: &UpstreamState) -> bool {
         entry.registration.leaving || self.notices.is_leaving(entry.key)
     }
-
-    /// Whether an upstream neither leaves nor rests.
-    pub(crate) fn takes_work(&self, entry: &UpstreamState, now: Instant) -> bool {
-        !self.is_leaving(entry) && self.notices.rest(entry.key, now).is_none()
-    }
 }
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod crashes;
+mod eligibility;
 mod notices;
 mod profile;
 mod support;
--- a/crates/engines/tests/engines/notices.rs
+++ b/crates/engines/tests/engines/notices.rs
@@ -6,6 +6,7 @@
 use futures_util::FutureExt;
 use futures_util::StreamExt;
 use mangofront_engines::{Failure, LoadUpdate, NoUpstream, key_of};
+use mangofront_routes::AllowedRegions;
 use quickcheck::QuickCheck;
 
 use crate::support::{Fleet, SERVICE, short_request};
@@ -31,9 +32,20 @@
     assert_eq!(chosen(&fleet, &[keys[1]]).unwrap_err(), NoUpstream::Resting);
     assert_eq!(chosen(&fleet, &keys).unwrap_err(), NoUpstream::AllTried);
     assert!(!fleet.upstreams.accepts_work(keys[0]));
-    assert_eq!(fleet.upstreams.calmest(SERVICE, &[]), Some(keys[1]));
-    assert_eq!(fleet.upstreams.open_of_service(SERVICE), [keys[1]]);
-    let rest = fleet.upstreams.soonest_rest_end(SERVICE, &[]).unwrap();
+    assert_eq!(
+        fleet.upstreams.calmest(SERVICE, &AllowedRegions::Any, &[]),
+        Some(keys[1])
+    );
+    assert_eq!(
+        fleet
+            .upstreams
+            .open_of_service(SERVICE, &AllowedRegions::Any),
+        [keys[1]]
+    );
+    let rest = fleet
+        .upstreams
+        .soonest_rest_end(SERVICE, &AllowedRegions::Any, &[])
+        .unwrap();
     assert!(
         rest > LONG - Duration::from_secs(5) && rest <= LONG,
         "{rest:?}"
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -8,7 +8,7 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams};
-use mangofront_routes::{Position, Upstream};
+use mangofront_routes::{AllowedRegions, Position, Upstream};
 
 use crate::profile::engine_profile;
 
@@ -127,6 +127,7 @@
         request: 0,
         is_refusable: false,
         connected: HashSet::new(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -11,7 +11,7 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams};
-use mangofront_routes::{EngineProfile, Position, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Position, Upstream};
 
 use crate::engine::{Engine, Job, RequestId};
 use crate::profile::engine_profile;
@@ -373,6 +373,7 @@
             request: id as u128,
             is_refusable: true,
             connected: HashSet::new(),
+            allowed_regions: AllowedRegions::Any,
         };
         let daemon = request.daemon;
         match self.daemons[daemon].0.place(SERVICE, &demand, &[]) {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -295,12 +295,16 @@
     let upstream = &upstreams[0];
     // Since the upstream was selected, memory was reserved and a connection opened. The
     // upstreams may have announced their shutdown, asked for rest or named a limit since then,
-    // or this daemon may have been suspended.
+    // their zone may be evacuated, or this daemon may have been suspended.
     let keys: Vec<UpstreamKey> = upstreams.iter().map(key_of).collect();
     let parts = gateway.parts();
+    let is_eligible = |key: &UpstreamKey| {
+        let eligibility = parts.upstreams.eligibility(*key, &call.allowed_regions);
+        eligibility.is_eligible()
+    };
     let is_still_wanted = || {
         let is_wanted = parts.published.may_be_acted_on()
-            && keys.iter().all(|key| parts.upstreams.accepts_work(*key))
+            && keys.iter().all(is_eligible)
             && permits.allow(&keys);
         if is_wanted {
             permits.spend(upstreams, &call.id);
@@ -316,6 +320,7 @@
     };
     let upstream_call = UpstreamCall {
         upstream,
+        allowed_regions: &call.allowed_regions,
         request,
         times: Times {
             deadline: call.deadline,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use mangofront_http::{Body, BodyError, collect};
-use mangofront_routes::{ConfigurationVersion, Organisation, Route, RouteTable};
+use mangofront_routes::{AllowedRegions, ConfigurationVersion, Organisation, Route, RouteTable};
 use mangofront_settings::ids::ServiceName;
 
 use crate::answer;
@@ -36,6 +36,8 @@
     pub(crate) route: Route,
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<Organisation>,
+    /// Regions that both the route and the organisation allow.
+    pub(crate) allowed_regions: AllowedRegions,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -105,11 +107,13 @@
             let fingerprint = Fingerprint::of(organisation, &head.method, path, &body);
             let parts = &admitted.head.prompt_parts;
             let suspects = Suspects::new(fingerprint, &admitted.service, organisation, parts);
+            let allowed_regions = admitted.allowed_regions();
             let call = Call {
                 id: admitted.head.request_id,
                 fingerprint,
                 arrived,
                 deadline: arrived + caller_timeout.min(admitted.route.timeout),
+                allowed_regions,
                 route: admitted.route,
                 service: admitted.service,
                 organisation: admitted.organisation,
@@ -149,6 +153,17 @@
     organisation: Option<Organisation>,
 }
 
+impl Admitted {
+    /// Regions that both the route and the organisation allow.
+    fn allowed_regions(&self) -> AllowedRegions {
+        let by_route = &self.route.allowed_regions;
+        match &self.organisation {
+            Some(organisation) => by_route.intersection(&organisation.allowed_regions),
+            None => by_route.clone(),
+        }
+    }
+}
+
 fn admit(
     gateway: &Gateway,
     table: Option<&RouteTable>,
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -19,9 +19,8 @@
 use mangofront_settings::ids::InstanceId;
 
 use crate::boot_clock::BootInstant;
-use crate::copies::{CopyId, CopyPart, CopyRequest, PartialCopy};
+use crate::copies::{CopyId, CopyPart, CopyRequest, PartialCopy, UpstreamsCopy};
 use crate::datagram::{Relayed, UpstreamChanges};
-use crate::dialect::Entry;
 use crate::provenance::Provenance;
 use crate::published::Published;
 use crate::published_options::{QUERY_TIMEOUT, REQUERY_INTERVAL};
@@ -239,11 +238,10 @@
                 true
             }
             Some(CopyId::Upstreams(position)) => {
-                let Some(upstreams) = copy.decode::<Vec<_>>() else {
+                let Some(copied) = copy.decode::<UpstreamsCopy>() else {
                     return false;
                 };
-                let entries = upstreams.into_iter().map(Entry::Upstream);
-                self.apply_all(position, entries, &Provenance::copied(from, position));
+                self.apply_upstreams_copy(position, copied, &Provenance::copied(from, position));
                 self.update_positions(|positions| positions.advance_upstreams(position));
                 true
             }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -10,11 +10,12 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use mangofront_routes::ConfigurationVersion;
+use mangofront_routes::{ConfigurationVersion, Upstream};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::datagram::UpstreamChange;
 use crate::dialect::Position;
 
 /// Largest part of a copy, in bytes.
@@ -32,10 +33,19 @@
 pub(crate) enum CopyId {
     /// The configuration of this version.
     Configuration(ConfigurationVersion),
-    /// All upstreams as of this position.
+    /// All upstreams, and the evacuations of zones, as of this position.
     Upstreams(Position),
 }
 
+/// Content of a copy of all upstreams.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct UpstreamsCopy {
+    /// The published registrations.
+    pub(crate) upstreams: Vec<Upstream>,
+    /// The last change of each zone.
+    pub(crate) zones: Vec<UpstreamChange>,
+}
+
 /// Request for a part of a copy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum CopyRequest {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -5,9 +5,11 @@
 use mangofront_dissemination::{Batch, Origin, Scope, Sequence};
 use mangofront_engines::LoadUpdate;
 use mangofront_routes::{ConfigurationVersion, Upstream, UpstreamId};
+use mangofront_settings::ids::AvailabilityZone;
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Position;
+use crate::evacuations::{ZoneRecord, ZoneState};
 use crate::quarantine::TrialMessage;
 use crate::rate_limits::LimitMessage;
 use crate::registrations::{Record, RegistrationState};
@@ -95,7 +97,7 @@
     pub changes: Vec<UpstreamChange>,
 }
 
-/// The last change of an upstream.
+/// The last change of an upstream, or of a zone of upstreams.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamChange {
     /// Kind of the change.
@@ -104,7 +106,7 @@
     pub known_for_ms: u32,
 }
 
-/// What changed about an upstream.
+/// What changed about an upstream or a zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamChangeKind {
     /// It was registered, or its registration changed.
@@ -118,6 +120,20 @@
         /// Whether the upstream is known to have announced its shutdown.
         is_announced: bool,
     },
+    /// Upstreams of a zone get no new work.
+    ZoneEvacuated {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Position of the change.
+        position: Position,
+    },
+    /// Upstreams of a zone get new work again.
+    EvacuationEnded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Position of the change.
+        position: Position,
+    },
 }
 
 /// What a daemon knows of the published values.
@@ -199,12 +215,27 @@
         }
     }
 
+    /// The last change of a zone.
+    pub(crate) fn of_zone(zone: &AvailabilityZone, record: &ZoneRecord) -> Self {
+        let (zone, position) = (zone.clone(), record.change.position);
+        let kind = match record.change.state {
+            ZoneState::Evacuated => UpstreamChangeKind::ZoneEvacuated { zone, position },
+            ZoneState::Open => UpstreamChangeKind::EvacuationEnded { zone, position },
+        };
+        Self {
+            kind,
+            known_for_ms: saturating_ms(record.known_for()),
+        }
+    }
+
     /// Position of the change.
     #[must_use]
     pub fn position(&self) -> Position {
         match &self.kind {
             UpstreamChangeKind::Registered(upstream) => upstream.registered_at,
-            UpstreamChangeKind::Gone { position, .. } => *position,
+            UpstreamChangeKind::Gone { position, .. }
+            | UpstreamChangeKind::ZoneEvacuated { position, .. }
+            | UpstreamChangeKind::EvacuationEnded { position, .. } => *position,
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,6 +15,7 @@
 use crate::boot_clock::BootInstant;
 use crate::datagram::{Relayed, UpstreamChange, UpstreamChangeKind, UpstreamChanges};
 use crate::dialect::{Change, Changes, Entry, Position, Snapshot, Source, SourceError};
+use crate::evacuations::{ZoneChange, ZoneState};
 use crate::known_positions::KnownPositions;
 use crate::provenance::Provenance;
 use crate::published::Published;
@@ -339,14 +340,21 @@
                 Change::UpstreamGone { id, position } => {
                     self.apply_removal(id, Removal::observed_at(position), provenance);
                 }
-                Change::EvacuationEnded { .. } => {}
+                Change::EvacuationEnded { zone, position } => {
+                    let change = ZoneChange {
+                        state: ZoneState::Open,
+                        position,
+                        delay: Duration::ZERO,
+                    };
+                    self.apply_zone_change(&zone, change, provenance);
+                }
             }
         }
         self.sync_upstreams();
     }
 
     /// A change in the form in which the other daemons receive it, if it concerns an
-    /// upstream.
+    /// upstream or a zone.
     fn upstream_change(&self, change: &Change) -> Option<UpstreamChange> {
         let kind = match change {
             Change::Written(Entry::Upstream(upstream)) => {
@@ -358,13 +366,19 @@
                 position: *position,
                 is_announced: self.is_announced(id),
             },
-            Change::Written(
-                Entry::Evacuation { .. }
-                | Entry::Configuration(_)
-                | Entry::Malformed { .. }
-                | Entry::Other,
-            )
-            | Change::EvacuationEnded { .. } => return None,
+            Change::Written(Entry::Evacuation { zone, position }) => {
+                UpstreamChangeKind::ZoneEvacuated {
+                    zone: zone.clone(),
+                    position: *position,
+                }
+            }
+            Change::EvacuationEnded { zone, position } => UpstreamChangeKind::EvacuationEnded {
+                zone: zone.clone(),
+                position: *position,
+            },
+            Change::Written(Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other) => {
+                return None;
+            }
         };
         Some(UpstreamChange {
             kind,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::silence::Silence;
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::usual_times::UsualTimes;
+use crate::zone_changes::EvacuatedZone;
 use crate::{trace, zones};
 
 /// Body limit while no configuration is in force, in bytes.
@@ -182,6 +183,8 @@
         if let Some(era) = self.0.parts.published.era() {
             metrics.source_era(era);
         }
+        let evacuated = self.0.parts.published.evacuated_zones();
+        metrics.evacuated_zones(evacuated.len() as u64);
         let members = self.0.parts.peers.members();
         let live = members.iter().filter(|member| member.state.is_responsive());
         let live = live.count() as u64;
@@ -244,6 +247,12 @@
         was_recorded
     }
 
+    /// The evacuated zones, for a status page.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> Vec<EvacuatedZone> {
+        self.0.parts.published.evacuated_zones()
+    }
+
     /// The rate limits in force, for a status page.
     #[must_use]
     pub fn rate_limit_status(&self) -> Vec<LimitStatus> {
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/history.rs
@@ -31,6 +31,10 @@
 /// one.
 const RETRY_AFTER_SLOTS: Duration = Duration::from_millis(2_000);
 
+/// Retry-After when every upstream is in an evacuated zone or outside the allowed regions. An end
+/// of the evacuation is known here within this time.
+const RETRY_AFTER_NOT_ELIGIBLE: Duration = Duration::from_secs(1);
+
 /// Retry-After when the engines are overloaded and the prompt would miss its deadline.
 const RETRY_AFTER_OVERRUN: Duration = Duration::from_millis(3_500);
 
@@ -394,6 +398,7 @@
     match reason {
         NoUpstream::Overrun => RETRY_AFTER_OVERRUN,
         NoUpstream::Full => RETRY_AFTER_SLOTS,
+        NoUpstream::Evacuated | NoUpstream::OutsideRegions => RETRY_AFTER_NOT_ELIGIBLE,
         NoUpstream::NoneKnown
         | NoUpstream::AllTried
         | NoUpstream::Resting
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod datagram;
 mod dialect;
 mod drain;
+mod evacuations;
 mod events;
 mod fingerprint;
 mod follow;
@@ -54,6 +55,7 @@
 mod trace;
 mod upstream_client;
 mod usual_times;
+mod zone_changes;
 mod zones;
 
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
@@ -62,6 +64,7 @@
     Helper, NamedRest, Position, PromptPartId, ReservationId, Snapshot, Source, SourceError,
     TokenCounts,
 };
+pub use evacuations::{Evacuations, ReloadOutcome, ZoneChange, ZoneOutcome, ZoneRecord, ZoneState};
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
 pub use gateway::{Gateway, GatewayParts};
@@ -85,3 +88,4 @@
 };
 pub use stream_race::{AttemptNumber, ResumePoint, StreamFault, StreamRace};
 pub use usual_times::{UsualTimes, Wait};
+pub use zone_changes::EvacuatedZone;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -96,7 +96,7 @@
 /// All upstreams of a service but the one with the fewest requests, as a trial may crash it.
 fn all_but_calmest(gateway: &Gateway, call: &Call, history: &History) -> Vec<UpstreamKey> {
     let upstreams = &gateway.parts().upstreams;
-    let calmest = upstreams.calmest(&call.service, &history.tried);
+    let calmest = upstreams.calmest(&call.service, &call.allowed_regions, &history.tried);
     let mut others = upstreams.keys();
     others.retain(|key| calmest.is_some_and(|calmest| *key != calmest));
     others
@@ -135,7 +135,8 @@
 fn slot_wait(gateway: &Gateway, call: &Call, history: &History) -> SlotWait {
     let limits = gateway.rate_limits();
     let has_unlimited = !limits.has_limits() || {
-        let open = gateway.parts().upstreams.open_of_service(&call.service);
+        let upstreams = &gateway.parts().upstreams;
+        let open = upstreams.open_of_service(&call.service, &call.allowed_regions);
         let mut untried = open.iter().filter(|key| !history.tried.contains(key));
         untried.any(|key| limits.limit(*key).is_none())
     };
@@ -171,7 +172,8 @@
     if withheld.is_empty() {
         return Err(AttemptError::NoUpstream(reason));
     }
-    let open = gateway.parts().upstreams.open_of_service(&call.service);
+    let upstreams = &gateway.parts().upstreams;
+    let open = upstreams.open_of_service(&call.service, &call.allowed_regions);
     withheld.retain(|(key, _)| open.contains(key) && !history.borrow().tried.contains(key));
     withheld.sort_unstable_by_key(|(_, until)| *until);
     withheld.truncate(MAX_SLOT_REQUESTS);
@@ -265,7 +267,7 @@
 /// Time until an upstream takes requests again, if its answer may still come in time.
 fn rest_to_wait_for(gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Option<Duration> {
     let upstreams = &gateway.parts().upstreams;
-    let rest = upstreams.soonest_rest_end(&call.service, excluded)?;
+    let rest = upstreams.soonest_rest_end(&call.service, &call.allowed_regions, excluded)?;
     (rest + call.route.target.max(MIN_ATTEMPT_TIME) <= call.time_left()).then_some(rest)
 }
 
@@ -274,7 +276,7 @@
 /// The times of return are spread, so that not all callers come at the end of the rest.
 fn resting(gateway: &Gateway, call: &Call, history: &History) -> AttemptError {
     let upstreams = &gateway.parts().upstreams;
-    let rest = upstreams.soonest_rest_end(&call.service, &history.tried);
+    let rest = upstreams.soonest_rest_end(&call.service, &call.allowed_regions, &history.tried);
     let draw = f64::from(xxh3_64(call.id.as_bytes()) as u32) / f64::from(u32::MAX);
     AttemptError::Resting {
         retry_after: rest.unwrap_or_default().mul_f64(1.0 + RETURN_SPREAD * draw),
@@ -309,5 +311,6 @@
             false => HashSet::new(),
         },
         time_left: call.time_left(),
+        allowed_regions: call.allowed_regions.clone(),
     }
 }
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -54,6 +54,14 @@
     pub(crate) expires: Instant,
 }
 
+/// Where an attempt goes, and on which ways.
+#[derive(Clone, Copy)]
+pub(crate) struct Destination<'a> {
+    pub(crate) upstream: &'a Upstream,
+    /// Whether its body may pass through a daemon of a zone.
+    pub(crate) may_pass: &'a dyn Fn(&str) -> bool,
+}
+
 /// The answer of an upstream, received through a proxy.
 #[derive(Debug)]
 pub(crate) struct Proxied {
@@ -188,12 +196,13 @@
     /// Another one is tried only if nothing was sent.
     pub(crate) async fn send(
         &self,
-        upstream: &Upstream,
+        destination: Destination<'_>,
         request: Request<Full<Bytes>>,
         kind: AttemptKind,
         times: Times,
         is_wanted: impl Fn() -> bool,
     ) -> Result<Proxied, ProxyError> {
+        let upstream = destination.upstream;
         let mut tried = Vec::new();
         let mut without_path = 0;
         let mut unreachable = None;
@@ -202,7 +211,7 @@
         while tried.len() - without_path < MAX_PROXIES
             && without_path < MAX_WITHOUT_PATH
             && started.elapsed() < SEARCH_TIMEOUT
-            && let Some(proxy) = self.selection.next(upstream, &tried)
+            && let Some(proxy) = self.selection.next(destination, &tried)
         {
             tried.push(proxy.instance.clone());
             let outstanding = self.selection.begin(&proxy);
--- a/crates/gateway/src/proxy/mod.rs
+++ b/crates/gateway/src/proxy/mod.rs
@@ -15,7 +15,7 @@
 mod selection;
 mod server;
 
-pub(crate) use client::{NeededEvidence, ProxyClient, ProxyError, Testimony, Times};
+pub(crate) use client::{Destination, NeededEvidence, ProxyClient, ProxyError, Testimony, Times};
 pub(crate) use headers::AttemptKind;
 pub(crate) use selection::{OutstandingAttempt, ProxySelection};
 pub(crate) use server::{ProxiedAttempts, handle};
--- a/crates/gateway/src/proxy/selection.rs
+++ b/crates/gateway/src/proxy/selection.rs
@@ -19,6 +19,8 @@
 use mangofront_settings::ids::{AvailabilityZone, InstanceId, ServiceName};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::client::Destination;
+
 /// Time for which a daemon that failed as a proxy is left out.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -105,7 +107,8 @@
     }
 
     /// The daemon to use next, except those in `tried`; `None` if no other is left.
-    pub(crate) fn next(&self, upstream: &Upstream, tried: &[InstanceId]) -> Option<Proxy> {
+    pub(crate) fn next(&self, destination: Destination<'_>, tried: &[InstanceId]) -> Option<Proxy> {
+        let Destination { upstream, may_pass } = destination;
         let key = mangofront_engines::key_of(upstream);
         let now = Instant::now();
         let service = digest_of(&upstream.service);
@@ -114,6 +117,7 @@
             .members()
             .filter(|one| {
                 !tried.contains(&one.instance)
+                    && may_pass(&one.zone)
                     && !is_paused(one, Reason::Refused)
                     && !is_paused(one, Reason::NoPath(key))
                     && !is_paused(one, Reason::NoPathToService(service))
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -6,7 +6,7 @@
 //! values come from, `registrations` which upstreams are in use.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,12 +21,13 @@
 use mangofront_upstream::Connections;
 
 use crate::boot_clock::BootInstant;
-use crate::copies::{CopyCache, CopyId, CopyPart, CopyRequest};
+use crate::copies::{CopyCache, CopyId, CopyPart, CopyRequest, UpstreamsCopy};
 use crate::datagram::{
     AnsweredPeriodAges, Confirmation, UpstreamChange, UpstreamChangeKind, UpstreamChanges,
     saturating_ms,
 };
 use crate::dialect::{Entry, Position};
+use crate::evacuations::{Evacuations, ZoneChange, ZoneState};
 use crate::known_positions::KnownPositions;
 use crate::lease::Lease;
 use crate::provenance::Provenance;
@@ -43,10 +44,11 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     options: PublishedOptions,
-    upstreams: Upstreams,
+    pub(crate) upstreams: Upstreams,
     connections: Connections,
     table: RefCell<Option<Rc<RouteTable>>>,
     registrations: RefCell<Registrations>,
+    pub(crate) evacuations: RefCell<Evacuations>,
     availability: Cell<SourceAvailability>,
     /// Position of the values that last replaced all others.
     loaded_at: Cell<Option<Position>>,
@@ -91,6 +93,7 @@
             connections,
             table: RefCell::default(),
             registrations: RefCell::default(),
+            evacuations: RefCell::default(),
             availability: Cell::default(),
             loaded_at: Cell::default(),
             era: Cell::default(),
@@ -282,13 +285,17 @@
         self.sync_upstreams();
     }
 
-    /// First page of the changes of upstreams after a position, if they are known.
+    /// First page of the changes of upstreams and zones after a position, if they are known.
     pub(crate) fn changes_after(&self, after: Option<Position>) -> Option<UpstreamChanges> {
         let (after, up_to) = (after?, self.positions().upstreams()?);
         let registrations = self.0.registrations.borrow();
         let changes = registrations.changes_after(after)?;
         let changes = changes.map(|(id, record)| UpstreamChange::of(id, record));
-        let pages = UpstreamChanges::pages(after, up_to.max(after), changes.collect());
+        let evacuations = self.0.evacuations.borrow();
+        let of_zones = evacuations.changes_after(after)?;
+        let of_zones = of_zones.map(|(zone, record)| UpstreamChange::of_zone(zone, record));
+        let changes = changes.chain(of_zones).collect();
+        let pages = UpstreamChanges::pages(after, up_to.max(after), changes);
         pages.into_iter().next()
     }
 
@@ -314,6 +321,22 @@
                     };
                     self.apply_removal(id, removal, provenance)
                 }
+                UpstreamChangeKind::ZoneEvacuated { zone, position } => {
+                    let change = ZoneChange {
+                        state: ZoneState::Evacuated,
+                        position,
+                        delay,
+                    };
+                    self.apply_zone_change(&zone, change, provenance)
+                }
+                UpstreamChangeKind::EvacuationEnded { zone, position } => {
+                    let change = ZoneChange {
+                        state: ZoneState::Open,
+                        position,
+                        delay,
+                    };
+                    self.apply_zone_change(&zone, change, provenance)
+                }
             };
         }
         if has_changed {
@@ -352,8 +375,14 @@
                 let registrations = self.0.registrations.borrow();
                 // Upstreams in their grace period are left out: no message would tell the
                 // receiver when the period ends.
-                let published: Vec<&Upstream> = registrations.published().collect();
-                let encode = || postcard::to_stdvec(&published).unwrap_or_default();
+                let evacuations = self.0.evacuations.borrow();
+                let zones = evacuations.records();
+                let zones = zones.map(|(zone, record)| UpstreamChange::of_zone(zone, record));
+                let content = || UpstreamsCopy {
+                    upstreams: registrations.published().cloned().collect(),
+                    zones: zones.collect(),
+                };
+                let encode = || postcard::to_stdvec(&content()).unwrap_or_default();
                 Some(copy_cache.first_part(copy, encode))
             }
             CopyRequest::More { copy, from_byte } => copy_cache.part_at(copy, from_byte),
@@ -376,15 +405,16 @@
             until_then.map(|upstream| upstream.id.clone()).collect()
         };
         let mut present = std::collections::HashSet::new();
+        let mut evacuated = BTreeSet::new();
         for entry in entries {
             match &entry {
                 Entry::Upstream(Upstream { id, .. }) | Entry::UnusableUpstream { id, .. } => {
                     present.insert(id.clone());
                 }
-                Entry::Evacuation { .. }
-                | Entry::Configuration(_)
-                | Entry::Malformed { .. }
-                | Entry::Other => {}
+                Entry::Evacuation { zone, .. } => {
+                    evacuated.insert(zone.clone());
+                }
+                Entry::Configuration(_) | Entry::Malformed { .. } | Entry::Other => {}
             }
             self.apply_entry(entry, provenance);
         }
@@ -393,6 +423,7 @@
             self.apply_removal(id, Removal::observed_at(position), provenance);
         }
         self.0.registrations.borrow_mut().reloaded_at(position);
+        self.reload_evacuations(position, &evacuated, provenance);
         self.sync_upstreams();
     }
 
@@ -414,7 +445,15 @@
                 self.apply_unusable(&id, position, &reason, provenance);
             }
             Entry::Malformed { name, reason } => trace::malformed(&name, &reason),
-            Entry::Evacuation { .. } | Entry::Other => {}
+            Entry::Evacuation { zone, position } => {
+                let change = ZoneChange {
+                    state: ZoneState::Evacuated,
+                    position,
+                    delay: Duration::ZERO,
+                };
+                self.apply_zone_change(&zone, change, provenance);
+            }
+            Entry::Other => {}
         }
     }
 
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -11,7 +11,7 @@
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode, header};
 use mangofront_engines::Share;
-use mangofront_routes::Upstream;
+use mangofront_routes::{AllowedRegions, Upstream};
 
 use crate::dialect::{Dialect, ReservationId};
 use crate::proxy::{AttemptKind, Times};
@@ -240,6 +240,8 @@
     let deadline = Instant::now() + timeout;
     let call = UpstreamCall {
         upstream: &reservation.upstream,
+        // It carries nothing of the prompt.
+        allowed_regions: &AllowedRegions::Any,
         request,
         times: Times {
             deadline,
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -17,6 +17,7 @@
 use crate::attempts::FailedAttempt;
 use crate::call::Call;
 use crate::dialect::Position;
+use crate::evacuations::ZoneState;
 use crate::fingerprint::Fingerprint;
 use crate::hedging::HedgeTrigger;
 use crate::history::{History, RATE_LIMITED};
@@ -33,6 +34,9 @@
 use crate::stream_race::AttemptNumber;
 use crate::upstream_client::Verdict;
 
+/// Characters of an invalid name that are logged.
+const NAME_SHOWN_CHARS: usize = 64;
+
 /// Prompt parts that one line lists.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -136,6 +140,64 @@
     );
 }
 
+/// Upstreams of a zone get no new work from now on, or get it again; other daemons have known that
+/// for `late`.
+pub(crate) fn zone_evacuation(
+    zone: &str,
+    state: ZoneState,
+    late: Duration,
+    provenance: &Provenance,
+) {
+    let message = match state {
+        ZoneState::Evacuated => "gateway: zone evacuated, its upstreams get no new work",
+        ZoneState::Open => "gateway: evacuation ended, the zone's upstreams get work again",
+    };
+    log::info!(
+        availability_zone = zone,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position.revision,
+        era = provenance.position.era,
+        age_ms = provenance.age.map(milliseconds),
+        late_ms = milliseconds(late);
+        "{message}"
+    );
+}
+
+/// A restored source does not tell of an evacuation, which stays in force.
+pub(crate) fn evacuation_kept(zone: &str, provenance: &Provenance) {
+    log::warn!(
+        availability_zone = zone,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str(),
+        position = provenance.position.revision,
+        era = provenance.position.era;
+        "gateway: restored source does not tell of an evacuation, which stays in force"
+    );
+}
+
+/// A statement about an evacuation was ignored.
+pub(crate) fn evacuation_ignored(zone: &str, reason: &str, provenance: &Provenance) {
+    let start: String = zone.chars().take(NAME_SHOWN_CHARS).collect();
+    log::warn!(
+        availability_zone = start.as_str(),
+        reason,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str();
+        "gateway: evacuation ignored"
+    );
+}
+
+/// An evacuation is not in force, as too many zones are evacuated.
+pub(crate) fn evacuation_refused(zone: &str, provenance: &Provenance) {
+    log::error!(
+        availability_zone = zone,
+        learned_by = provenance.channel.name(),
+        learned_from = provenance.from.as_str();
+        "gateway: evacuation not in force, as too many zones are evacuated"
+    );
+}
+
 /// A registration is missing that may only have lapsed; its upstream stays in use.
 pub(crate) fn removal_deferred(id: &UpstreamId, time: Duration, provenance: &Provenance) {
     log::info!(
--- a/crates/gateway/src/upstream_client.rs
+++ b/crates/gateway/src/upstream_client.rs
@@ -23,7 +23,7 @@
 use mangofront_engines::{Failure, UpstreamKey, Upstreams, key_of};
 use mangofront_http::Outcome;
 use mangofront_paths::{PathFault, Route};
-use mangofront_routes::Upstream;
+use mangofront_routes::{AllowedRegions, Upstream};
 use mangofront_settings::ids::{InstanceId, ServiceName};
 use mangofront_telemetry::metrics::Metrics;
 use mangofront_upstream::{ConnectionFault, Connections, SendError, Step, UpstreamResponse};
@@ -31,7 +31,7 @@
 use crate::dialect::Dialect;
 use crate::paths::{Paths, PendingAttempt, SIGN_OF_PATHS_LIFETIME};
 use crate::probe::{ProbeResult, target_of};
-use crate::proxy::{AttemptKind, OutstandingAttempt, ProxyClient, ProxyError, Times};
+use crate::proxy::{AttemptKind, Destination, OutstandingAttempt, ProxyClient, ProxyError, Times};
 use crate::published::Published;
 use crate::rate_limits::{self, RateLimits};
 use crate::trace;
@@ -42,6 +42,8 @@
 /// One call to an upstream.
 pub(crate) struct UpstreamCall<'a> {
     pub(crate) upstream: &'a Upstream,
+    /// Regions in which the body may be handled.
+    pub(crate) allowed_regions: &'a AllowedRegions,
     pub(crate) request: Request<Full<Bytes>>,
     pub(crate) times: Times,
     pub(crate) kind: AttemptKind,
@@ -323,7 +325,12 @@
         call.progress.is_direct.set(false);
         let request = call.request.clone();
         let proxies = &self.0.parts.proxies;
-        let sent = proxies.send(call.upstream, request, call.kind, call.times, is_wanted);
+        let upstreams = &self.0.parts.upstreams;
+        let destination = Destination {
+            upstream: call.upstream,
+            may_pass: &|zone| upstreams.may_pass_through(zone, call.allowed_regions),
+        };
+        let sent = proxies.send(destination, request, call.kind, call.times, is_wanted);
         match sent.await {
             Ok(proxied) => {
                 trace::attempt_proxied(call.cause, call.upstream, &proxied.proxy);
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -1,11 +1,13 @@
 //! Settings of a daemon that serves published routes.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::choice::ChoiceOptions;
+use crate::ids::{AvailabilityZone, Region};
 
 /// Settings of a daemon that serves published routes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -62,6 +64,10 @@
     /// each availability zone relay load updates.
     #[serde(default = "default_processor_cores")]
     pub processor_cores: f64,
+    /// Region of each availability zone, for routes and organisations that may run in some
+    /// regions only; a zone that is not listed is in none of those.
+    #[serde(default)]
+    pub zone_regions: HashMap<AvailabilityZone, Region>,
     /// Cost parameters for the choice among engines.
     #[serde(default)]
     pub choice: ChoiceOptions,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -264,6 +264,11 @@
         self.0.instruments.suspected_parts.record(count, &[]);
     }
 
+    /// Sets the number of evacuated zones.
+    pub fn evacuated_zones(&self, count: u64) {
+        self.0.instruments.evacuated_zones.record(count, &[]);
+    }
+
     /// Sets the number of quarantined prompt parts.
     pub fn quarantined_parts(&self, count: u64) {
         self.0.instruments.quarantined_parts.record(count, &[]);
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -33,6 +33,7 @@
     pub(super) upstream_notices: Counter<u64>,
     pub(super) suspects_cleared: Counter<u64>,
     pub(super) suspected_parts: Gauge<u64>,
+    pub(super) evacuated_zones: Gauge<u64>,
     pub(super) quarantined_parts: Gauge<u64>,
     pub(super) quarantined: Gauge<u64>,
     pub(super) request_duration: Histogram<f64>,
@@ -114,6 +115,10 @@
                 .u64_gauge("suspected_prompt_parts")
                 .with_description("Prompt parts that ran at crashes of which they are not cleared")
                 .build(),
+            evacuated_zones: meter
+                .u64_gauge("evacuated_zones")
+                .with_description("Availability zones whose upstreams get no new work")
+                .build(),
             quarantined_parts: meter
                 .u64_gauge("quarantined_prompt_parts")
                 .with_description("Prompt parts kept from upstreams, as these crash under them")
