Draw fleets whose zones are evacuated, and show evacuations to operators

Cause: nothing showed that each daemon learns of an evacuation and of its end in time while the store rejects daemons, is away or is restored.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -52,8 +52,9 @@
       Shows the requests and parts of prompts that are kept from all upstreams,
       as these crash under them, or ends the quarantine of one at all daemons.
   mangofront rate-limits --admin ADDR [--json]
-  mangofront evacuations --admin ADDR [--json]
       Shows the upstreams that name a rate limit, and who grants permits for it.
+  mangofront evacuations --admin ADDR [--json]
+      Shows the availability zones whose upstreams get no new work.
   mangofront trace ID [FILE]...
       Shows a request's story out of the structured logs of any number of
       daemons, read from the files or from standard input. Exit 1 when no line
--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 //! `MANGOFRONT_FLEET_SEEDS` sets the seeds, as a range or a list: `1..40` or `3,17`.
 
 mod daemon;
+mod evacuation_check;
 mod run;
 mod script;
 mod store;
@@ -40,10 +41,24 @@
     check(Family::Outage, &[1, 2, 3]);
 }
 
-/// Plays the script of each seed.
+/// Guards against requests in a zone that operators work on, and against one that idles after.
+///
+/// `MANGOFRONT_EVACUATION_SEEDS` sets the seeds.
+#[test]
+fn evacuation_seeds() {
+    let seeds = set_seeds("MANGOFRONT_EVACUATION_SEEDS").unwrap_or_else(|| (1..5).collect());
+    play_seeds(Family::Evacuation, &seeds);
+}
+
+/// Plays the script of each seed, or of those that the environment sets.
 fn check(family: Family, seeds: &[u64]) {
+    let seeds = set_seeds("MANGOFRONT_FLEET_SEEDS").unwrap_or_else(|| seeds.to_vec());
+    play_seeds(family, &seeds);
+}
+
+fn play_seeds(family: Family, seeds: &[u64]) {
     let mut failed = Vec::new();
-    for seed in set_seeds().unwrap_or_else(|| seeds.to_vec()) {
+    for seed in seeds.iter().copied() {
         let runtime = Runtime::new().expect("a runtime starts");
         let report = runtime.block_on(play(Script::draw(family, seed)));
         print!("{family:?} seed {seed}: {report}");
@@ -55,8 +70,8 @@
 }
 
 /// The seeds that the environment sets.
-fn set_seeds() -> Option<Vec<u64>> {
-    let set = std::env::var("MANGOFRONT_FLEET_SEEDS").ok()?;
+fn set_seeds(variable: &str) -> Option<Vec<u64>> {
+    let set = std::env::var(variable).ok()?;
     let number = |text: &str| text.trim().parse::<u64>().expect("a seed is a number");
     let seeds = match set.split_once("..") {
         Some((first, end)) => (number(first)..number(end)).collect(),
--- a/crates/gateway/tests/fleet/run.rs
+++ b/crates/gateway/tests/fleet/run.rs
@@ -9,7 +9,8 @@
 use mangofront_gateway::Source;
 use mangofront_routes::Upstream;
 
-use crate::daemon::{CHANGE_BOUND, DAEMONS, Daemon, DaemonIndex, Network, View, name};
+use crate::daemon::{CHANGE_BOUND, DAEMONS, Daemon, DaemonIndex, Network, View, name, zone};
+use crate::evacuation_check::EvacuationCheck;
 use crate::script::{
     Departure, Expected, SMALL_ROUTES, Script, Step, UPSTREAMS, UpstreamNumber, table, upstream,
 };
@@ -76,11 +77,13 @@
     let started = fleet.store.start_script();
     let mut steps = script.steps.iter().peekable();
     let mut loop_lag = Duration::ZERO;
+    let mut evacuations = EvacuationCheck::new(&script.evacuations);
     while started.elapsed() < script.end {
         while let Some((_, step)) = steps.next_if(|step| step.0 <= started.elapsed()) {
             fleet.apply_step(*step);
         }
         fleet.observe(&mut observations, started);
+        evacuations.observe(&fleet.daemons, started.elapsed());
         loop_lag = loop_lag.max(sleep_and_measure_delay().await);
     }
     let settled_after = fleet.settle(&mut observations, started).await;
@@ -93,7 +96,7 @@
         loop_lag,
         calls: fleet.store.calls() - calls_before,
         settled_after,
-        faults: Vec::new(),
+        faults: evacuations.faults(),
     };
     report.collect_faults(&observations, &fleet);
     for daemon in &fleet.daemons {
@@ -151,6 +154,9 @@
             }),
             Step::Remove(number) => self.store.remove(&upstream(number).id),
             Step::DropHistory => self.store.drop_history(),
+            Step::Evacuate(number) => self.store.evacuate(zone(number)),
+            Step::EndEvacuation(number) => self.store.end_evacuation(zone(number)),
+            Step::Restore => self.store.restore(),
         }
     }
 
--- a/crates/gateway/tests/fleet/script.rs
+++ b/crates/gateway/tests/fleet/script.rs
@@ -1,5 +1,7 @@
 //! Script of one run, drawn from a seed.
 
+mod evacuations;
+
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
@@ -70,6 +72,8 @@
     Narrow,
     /// All calls fail for a while.
     Outage,
+    /// Zones are evacuated, while the store rejects daemons, is away, or is restored.
+    Evacuation,
 }
 
 /// One action of an operator, the store or an upstream.
@@ -85,6 +89,12 @@
     Remove(UpstreamNumber),
     /// The store drops its history.
     DropHistory,
+    /// Has upstreams of a zone get no new work.
+    Evacuate(usize),
+    /// Has them get it again.
+    EndEvacuation(usize),
+    /// The store comes back from a copy that is older than any evacuation.
+    Restore,
 }
 
 /// Properties of one daemon's link to the store.
@@ -133,10 +143,19 @@
     pub links: Vec<LinkPlan>,
     /// Expectations for upstreams that were registered at the start.
     pub expected: Vec<(UpstreamNumber, Expected)>,
+    pub evacuations: Vec<EvacuatedSpan>,
     /// When the store serves all daemons again and the script ends.
     pub end: Duration,
 }
 
+/// Time in which a zone is evacuated.
+#[derive(Debug, Clone, Copy)]
+pub struct EvacuatedSpan {
+    pub zone: usize,
+    pub from: Duration,
+    pub until: Duration,
+}
+
 /// Which daemons the store rejects.
 #[derive(Debug, Clone, Copy)]
 enum RejectionPattern {
@@ -162,6 +181,7 @@
             Family::OneServed => departures(&mut random, draw_one_served),
             Family::Narrow => departures(&mut random, draw_narrow),
             Family::Outage => outage(&mut random),
+            Family::Evacuation => evacuations::draw(&mut random),
         }
     }
 }
@@ -256,6 +276,7 @@
         steps,
         links,
         expected,
+        evacuations: Vec::new(),
         end,
     }
 }
@@ -387,7 +408,7 @@
     }
 }
 
-fn draw_failure(random: &mut StdRng) -> CallOutcome {
+pub(crate) fn draw_failure(random: &mut StdRng) -> CallOutcome {
     match random.random_range(0..4) {
         0 => CallOutcome::Refused(StatusCode::SERVICE_UNAVAILABLE),
         1 => CallOutcome::Refused(StatusCode::TOO_MANY_REQUESTS),
@@ -469,6 +490,7 @@
         steps,
         links,
         expected,
+        evacuations: Vec::new(),
         end: until + LAPSE_BOUND + OBSERVED_AFTER,
     }
 }
--- a/crates/gateway/tests/fleet/store.rs
+++ b/crates/gateway/tests/fleet/store.rs
@@ -59,6 +59,8 @@
     Configured(Rc<RouteTable>),
     Registered(Upstream),
     Gone(UpstreamId),
+    Evacuated(String),
+    EvacuationEnded(String),
 }
 
 /// All published values.
@@ -70,6 +72,7 @@
     dropped_up_to: Cell<Position>,
     table: RefCell<Option<Rc<RouteTable>>>,
     upstreams: RefCell<BTreeMap<UpstreamId, Upstream>>,
+    evacuated: RefCell<BTreeMap<String, Position>>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
     /// When the script started.
     started: Cell<Option<Instant>>,
@@ -90,7 +93,7 @@
         match self {
             Self::Configured(table) => table_size_bytes(table),
             Self::Registered(_) => REGISTRATION_BYTES,
-            Self::Gone(_) => EMPTY_ANSWER_BYTES,
+            Self::Gone(_) | Self::Evacuated(_) | Self::EvacuationEnded(_) => EMPTY_ANSWER_BYTES,
         }
     }
 
@@ -105,6 +108,14 @@
                 id: id.clone(),
                 position,
             },
+            Self::Evacuated(zone) => Change::Written(Entry::Evacuation {
+                zone: zone.clone(),
+                position,
+            }),
+            Self::EvacuationEnded(zone) => Change::EvacuationEnded {
+                zone: zone.clone(),
+                position,
+            },
         }
     }
 }
@@ -146,6 +157,30 @@
         }
     }
 
+    pub fn evacuate(&self, zone: String) {
+        let position = self.next_position();
+        self.evacuated.borrow_mut().insert(zone.clone(), position);
+        self.write(Event::Evacuated(zone));
+    }
+
+    pub fn end_evacuation(&self, zone: String) {
+        self.evacuated.borrow_mut().remove(&zone);
+        self.write(Event::EvacuationEnded(zone));
+    }
+
+    /// Comes back from a copy of itself that is older than any evacuation, with a new era.
+    pub fn restore(&self) {
+        let Position { era, revision } = self.position.get();
+        self.position.set(Position::new(era + 1, revision / 2 + 1));
+        self.evacuated.borrow_mut().clear();
+        self.history.borrow_mut().clear();
+        self.drop_history();
+        for sender in self.waiting.take() {
+            // The call may have ended.
+            let _ = sender.send(());
+        }
+    }
+
     /// Drops the history so far.
     pub fn drop_history(&self) {
         self.dropped_up_to.set(self.position.get());
@@ -209,6 +244,11 @@
         let upstreams = self.upstreams();
         let mut sizes_bytes = vec![upstreams.len() * REGISTRATION_BYTES];
         let mut entries: Vec<Entry> = upstreams.into_iter().map(Entry::Upstream).collect();
+        let evacuated = self.evacuated.borrow();
+        entries.extend(evacuated.iter().map(|(zone, position)| Entry::Evacuation {
+            zone: zone.clone(),
+            position: *position,
+        }));
         if let Some(table) = self.table.borrow().as_ref() {
             sizes_bytes.push(table_size_bytes(table));
             entries.push(Entry::Configuration(Box::new((**table).clone())));
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -509,6 +509,17 @@
     insta::assert_snapshot!(format!("{answers}\n{:#?}", admin.calls()));
 }
 
+#[test]
+fn evacuations_are_shown() {
+    let zones = r#"{"zones": [{"zone": "hall-b", "known_for_ms": 4100, "learned_from": "platform",
+        "era": 1, "revision": 77, "is_untold_since_restore": false}]}"#;
+    let admin = FakeAdmin::start([(200, zones), (200, r#"{"zones": []}"#)]);
+    let listed = run_tool(&["evacuations", "--admin", admin.address()]);
+    let none = run_tool(&["evacuations", "--admin", admin.address()]);
+    let answers = [transcript(&listed), transcript(&none)].join("\n===\n");
+    insta::assert_snapshot!(format!("{answers}\n{:#?}", admin.calls()));
+}
+
 #[test]
 fn quarantine_is_shown_and_lifted() {
     let suspects = r#"{"requests": [{"fingerprint": "5392cc", "crashes": 3, "left_ms": 42000}],
