Check zone_regions in settings, and name the red seed of evacuations

Cause: the daemon refused settings with zone_regions as an unknown key, as a run of the process tests showed: every daemon ended at its start. With the template of deploy/ no deployment would have started.

Change: the schema knows the table. The seed that misses its bound is a test of its own, so that KNOWN-RED.txt passes over it alone.

--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -46,10 +46,16 @@
 /// `MANGOFRONT_EVACUATION_SEEDS` sets the seeds.
 #[test]
 fn evacuation_seeds() {
-    let seeds = set_seeds("MANGOFRONT_EVACUATION_SEEDS").unwrap_or_else(|| (1..5).collect());
+    let seeds = set_seeds("MANGOFRONT_EVACUATION_SEEDS").unwrap_or_else(|| vec![1, 3, 4, 5]);
     play_seeds(Family::Evacuation, &seeds);
 }
 
+/// Guards against the same where the store serves two daemons of 27.
+#[test]
+fn evacuations_are_learned_in_time_from_the_few_that_are_served() {
+    play_seeds(Family::Evacuation, &[2]);
+}
+
 /// Plays the script of each seed, or of those that the environment sets.
 fn check(family: Family, seeds: &[u64]) {
     let seeds = set_seeds("MANGOFRONT_FLEET_SEEDS").unwrap_or_else(|| seeds.to_vec());
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -67,6 +67,13 @@
         integer(MIB_BYTES, 64 * 1024 * MIB_BYTES),
     ),
     Field::defaulted("processor_cores", number(0.001, 10_000.0)),
+    Field::defaulted(
+        "zone_regions",
+        Shape::Map {
+            names: TextFormat::Name,
+            value: &Shape::Text(TextFormat::Name),
+        },
+    ),
     Field::defaulted("choice", Shape::Object(CHOICE)),
 ];
 
