Show that copies of a daemon's values tell of evacuations

Change: a run in which the store is restored right before the evacuation, so that most daemons learn of it from copies only.

Leaving out the check right before the write was not tried: no test brings an evacuation between placement and write.

--- a/crates/gateway/tests/fleet/main.rs
+++ b/crates/gateway/tests/fleet/main.rs
@@ -56,6 +56,12 @@
     play_seeds(Family::Evacuation, &[2]);
 }
 
+/// Guards against evacuations that are missing from the copies that daemons hand to each other.
+#[test]
+fn evacuations_are_part_of_copies() {
+    play_seeds(Family::EvacuationAfterRestore, &[1, 2]);
+}
+
 /// Plays the script of each seed, or of those that the environment sets.
 fn check(family: Family, seeds: &[u64]) {
     let seeds = set_seeds("MANGOFRONT_FLEET_SEEDS").unwrap_or_else(|| seeds.to_vec());
--- a/crates/gateway/tests/fleet/script.rs
+++ b/crates/gateway/tests/fleet/script.rs
@@ -74,6 +74,8 @@
     Outage,
     /// Zones are evacuated, while the store rejects daemons, is away, or is restored.
     Evacuation,
+    /// Zones are evacuated right after the store was restored.
+    EvacuationAfterRestore,
 }
 
 /// One action of an operator, the store or an upstream.
@@ -182,6 +184,7 @@
             Family::Narrow => departures(&mut random, draw_narrow),
             Family::Outage => outage(&mut random),
             Family::Evacuation => evacuations::draw(&mut random),
+            Family::EvacuationAfterRestore => evacuations::draw_after_restore(&mut random),
         }
     }
 }
--- a/crates/gateway/tests/fleet/script/evacuations.rs
+++ b/crates/gateway/tests/fleet/script/evacuations.rs
@@ -23,6 +23,8 @@
     AwayHalfway,
     /// Restored from a copy without the evacuations after these are known.
     RestoredHalfway,
+    /// Restored right before, so that copies of other daemons' values tell of the evacuations.
+    RestoredBefore,
 }
 
 pub(super) fn draw(random: &mut StdRng) -> Script {
@@ -32,6 +34,14 @@
         2 => Trouble::AwayHalfway,
         _ => Trouble::RestoredHalfway,
     };
+    draw_with(random, trouble)
+}
+
+pub(super) fn draw_after_restore(random: &mut StdRng) -> Script {
+    draw_with(random, Trouble::RestoredBefore)
+}
+
+fn draw_with(random: &mut StdRng, trouble: Trouble) -> Script {
     let mut zones: Vec<usize> = (0..ZONES).collect();
     zones.shuffle(random);
     zones.truncate(random.random_range(1..=2));
@@ -70,6 +80,10 @@
             steps.push((halfway, Step::Restore));
             ("store restored".to_owned(), links(&[]))
         }
+        Trouble::RestoredBefore => {
+            steps.push((from - Duration::from_millis(1), Step::Restore));
+            ("store restored before".to_owned(), links(&[]))
+        }
     };
     steps.sort_by_key(|step| step.0);
     Script {
