--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -13,6 +13,7 @@
 mod audit;
 mod check;
 mod error;
+mod evacuations;
 mod explain;
 mod log_lines;
 mod losses;
@@ -52,6 +53,8 @@
       as these crash under them, or ends the quarantine of one at all daemons.
   mangofront rate-limits --admin ADDR [--json]
       Shows the upstreams that name a rate limit, and who grants permits for it.
+  mangofront evacuations --admin ADDR [--json]
+      Shows the availability zones whose upstreams get no new work.
   mangofront trace ID [FILE]...
       Shows a request's story out of the structured logs of any number of
       daemons, read from the files or from standard input. Exit 1 when no line
@@ -101,6 +104,7 @@
         Some("explain") => explain::run(arguments)?,
         Some("quarantine") => quarantine::run(arguments)?,
         Some("rate-limits") => rate_limits::run(arguments)?,
+        Some("evacuations") => evacuations::run(arguments)?,
         Some("trace") => return trace::run(arguments),
         Some("losses") => return losses::run(arguments),
         Some("standin") => standin::run(arguments)?,
--- a/crates/engines/examples/embed.rs
+++ b/crates/engines/examples/embed.rs
@@ -11,7 +11,7 @@
 
 use futures_channel::mpsc::unbounded;
 use mangofront_engines::{Caller, ChoiceOptions, Demand, Upstreams};
-use mangofront_routes::{EngineProfile, Position, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Position, Upstream};
 
 const SERVICE: &str = "assist-llm";
 
@@ -97,5 +97,6 @@
         is_refusable: false,
         connected: HashSet::new(),
         prompt_parts: Rc::default(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
--- a/crates/engines/src/upstreams/contention.rs
+++ b/crates/engines/src/upstreams/contention.rs
@@ -29,6 +29,7 @@
                 upstream,
                 load: *load,
                 rank: 0,
+                prefix_correction_ms: 0.0,
                 is_connected: false,
             })
             .collect();
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod cold;
 mod crashes;
+mod eligibility;
 mod notices;
 mod prefixes;
 mod profile;
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -10,7 +10,7 @@
 use mangofront_engines::{
     Caller, ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
 };
-use mangofront_routes::{Position, Upstream};
+use mangofront_routes::{AllowedRegions, Position, Upstream};
 
 use crate::profile::engine_profile;
 
@@ -131,6 +131,7 @@
         is_refusable: false,
         connected: HashSet::new(),
         prompt_parts: Rc::default(),
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
--- a/crates/engines/tests/load/fleet.rs
+++ b/crates/engines/tests/load/fleet.rs
@@ -13,7 +13,7 @@
 use mangofront_engines::{
     Caller, ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
 };
-use mangofront_routes::{EngineProfile, Position, Upstream};
+use mangofront_routes::{AllowedRegions, EngineProfile, Position, Upstream};
 
 use crate::engine::{Engine, Job, RequestId};
 use crate::profile::engine_profile;
@@ -402,6 +402,7 @@
             is_refusable: true,
             connected: HashSet::new(),
             prompt_parts: Rc::default(),
+            allowed_regions: AllowedRegions::Any,
         };
         let daemon = request.daemon;
         match self.daemons[daemon].0.place(SERVICE, &demand, &[]) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod datagram;
 mod dialect;
 mod drain;
+mod evacuations;
 mod events;
 mod fingerprint;
 mod follow;
@@ -56,6 +57,7 @@
 mod trace;
 mod upstream_client;
 mod usual_times;
+mod zone_changes;
 mod zones;
 
 pub use cold_upstreams::ColdUpstreams;
@@ -65,6 +67,7 @@
     Helper, NamedRest, Position, PromptPart, PromptPartId, ReservationId, Snapshot, Source,
     SourceError, TokenCounts,
 };
+pub use evacuations::{Evacuations, ReloadOutcome, ZoneChange, ZoneOutcome, ZoneRecord, ZoneState};
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
 pub use gateway::{Gateway, GatewayParts};
@@ -89,3 +92,4 @@
 };
 pub use stream_race::{AttemptNumber, ResumePoint, StreamFault, StreamRace};
 pub use usual_times::{UsualTimes, Wait};
+pub use zone_changes::EvacuatedZone;
