Search memory for a prompt at engines with a slot first

Change: the search takes engines with a slot (or queue place) first, and a full one only if no other has room.

an_engine_with_memory_and_a_slot_goes_before_a_full_one, on the code before: failed, left "i-1" (17 running of 16 slots), right "i-2".

--- a/crates/engines/src/layout.rs
+++ b/crates/engines/src/layout.rs
@@ -24,9 +24,9 @@
 /// Chooses the engine that answers, and where the prompt's memory is allocated.
 ///
 /// Prefers one of the chosen engines with room for the whole prompt, then any other engine with
-/// room, as a reservation costs a round trip before the prefill. A prompt that has been held long
-/// enough, and would fit into one engine if that were idle, joins the queue of the engine with the
-/// least memory in use.
+/// room, one with a slot if there is any, as a reservation costs a round trip before the prefill. A
+/// prompt that has been held long enough, and would fit into one engine if that were idle, joins the
+/// queue of the engine with the least memory in use.
 pub(crate) fn assign_memory(
     candidates: &[Candidate<'_>],
     chosen: &[usize],
@@ -48,7 +48,12 @@
     };
     let mut order = chosen.to_vec();
     let with_room = chosen.iter().copied().filter(fits).min_by_key(answering);
-    let with_room = with_room.or_else(|| others.iter().copied().find(fits));
+    let has_slot = |index: &usize| candidates[*index].has_slot(options);
+    let mut others_with_room = others.iter().copied().filter(fits).peekable();
+    let first_with_room = others_with_room.peek().copied();
+    let with_room = with_room
+        .or_else(|| others_with_room.find(has_slot))
+        .or(first_with_room);
     if let Some(first) = with_room {
         move_to_front(&mut order, first);
         let no_reservations = vec![None; order.len()];
--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -4,5 +4,6 @@
 mod crashes;
 mod notices;
 mod profile;
+mod steep_rises;
 mod support;
 mod view;
