--- a/crates/engines/tests/engines/main.rs
+++ b/crates/engines/tests/engines/main.rs
@@ -8,5 +8,6 @@
 mod prefixes;
 mod profile;
 mod shares;
+mod steep_rises;
 mod support;
 mod view;
