Prefer no full engine for lateness that others caused

Callers saw: short prompts that rose steeply waited in queues of up to 32 at a few engines while half of the fleet stood nearly idle; a quarter of them were on time.

Cause: a late prompt made each engine with a share of it look late, by up to 500 ms. One large prompt is spread over up to 17 engines, so two late ones made idle engines look worse than full ones (full_cost_ms 400).

Change: lateness that one of several engines has caused is told apart; a full engine bears the largest such lateness among the candidates, so that it is not preferred for it. Among engines with a free slot nothing changes.

Tried and not taken: lateness divided among the engines of a prompt, for all prompts, for short ones only, and only among those that have not begun a later answer.

--- a/crates/engines/src/cost.rs
+++ b/crates/engines/src/cost.rs
@@ -114,8 +114,17 @@
         prefill_ms: f64,
         draw: u64,
     ) -> Vec<usize> {
+        let full_penalty_ms = largest_shared_lateness_ms(candidates);
         let cost_ms = |candidate: &Candidate<'_>| match candidate.has_slot(self.options) {
-            true => self.cost_ms(candidate, prefill_ms) + candidate.connect_cost_ms(self.options),
+            true => {
+                let penalty_ms = if candidate.is_full() {
+                    full_penalty_ms
+                } else {
+                    0.0
+                };
+                let connect_cost_ms = candidate.connect_cost_ms(self.options);
+                self.cost_ms(candidate, prefill_ms) + connect_cost_ms + penalty_ms
+            }
             false => f64::INFINITY,
         };
         let costs: Vec<f64> = candidates.iter().map(cost_ms).collect();
@@ -204,6 +213,15 @@
     }
 }
 
+/// Largest lateness of a candidate for which another upstream may be the cause, in milliseconds.
+///
+/// A full engine is not preferred for the lateness of others: the wait for its slot is certain,
+/// while a prompt that is spread over many engines is late for the slowest of them.
+pub(crate) fn largest_shared_lateness_ms(candidates: &[Candidate<'_>]) -> f64 {
+    let lateness_ms = candidates.iter().map(|one| one.load.shared_lateness_ms);
+    lateness_ms.fold(0.0, f64::max)
+}
+
 /// Orders by cost, then by index.
 fn by_cost_then_index(one: (f64, usize), other: (f64, usize)) -> Ordering {
     one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
--- a/crates/engines/src/upstream_state.rs
+++ b/crates/engines/src/upstream_state.rs
@@ -33,6 +33,11 @@
 pub(crate) struct Load {
     /// Time until everything placed is prefilled, in milliseconds.
     pub(crate) backlog_ms: f64,
+    /// Part of the backlog that is lateness of first events, in milliseconds.
+    pub(crate) lateness_ms: f64,
+    /// Part of the lateness for which one of several upstreams is the cause, in
+    /// milliseconds.
+    pub(crate) shared_lateness_ms: f64,
     /// Requests that it answers, in prefill or decode.
     pub(crate) answering: u32,
     /// Requests of other upstreams for which it prefills a share.
@@ -95,6 +100,7 @@
             mut load,
             unfinished_ms,
             late_ms,
+            own_late_ms,
         } = sum;
         if unfinished_ms > 0.0 {
             // Work that was refused, cancelled or prefilled sooner than planned is still part of
@@ -102,6 +108,8 @@
             let planned = self.busy_until.saturating_duration_since(now);
             let planned_ms = planned.as_secs_f64() * 1_000.0;
             load.backlog_ms = planned_ms.min(unfinished_ms) + late_ms;
+            load.lateness_ms = late_ms;
+            load.shared_lateness_ms = late_ms - own_late_ms;
         }
         load
     }
@@ -115,6 +123,9 @@
     unfinished_ms: f64,
     /// Lateness of the most overdue first event, in milliseconds.
     late_ms: f64,
+    /// Largest lateness of a first event, divided among the upstreams that may be its cause, in
+    /// milliseconds.
+    own_late_ms: f64,
 }
 
 /// The loads of `upstreams`, which is sorted by key, in the same order.
@@ -137,7 +148,10 @@
             sum.load.add(work, share, position == 0);
             if work.is_prefilling {
                 sum.unfinished_ms += share.prefill_ms;
-                sum.late_ms = sum.late_ms.max(lateness_ms(work, now));
+                let late_ms = lateness_ms(work, now);
+                sum.late_ms = sum.late_ms.max(late_ms);
+                let own_late_ms = late_ms / work.shares.len() as f64;
+                sum.own_late_ms = sum.own_late_ms.max(own_late_ms);
             }
         }
     }
--- a/crates/engines/tests/engines/steep_rises.rs
+++ b/crates/engines/tests/engines/steep_rises.rs
@@ -1,8 +1,47 @@
 //! Short prompts that arrive in numbers beside long ones.
 
+use std::cell::Cell;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
 use mangofront_engines::{Demand, Placement, key_of};
 
-use crate::support::{Fleet, SERVICE, demand, short_request};
+use crate::profile::engine_profile;
+use crate::support::{Fleet, SERVICE, demand, long_request, short_request};
+
+thread_local! {
+    static VIRTUAL_TIME: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+fn clock() -> Instant {
+    static START: OnceLock<Instant> = OnceLock::new();
+    *START.get_or_init(Instant::now) + VIRTUAL_TIME.get()
+}
+
+/// Guards against short prompts that queue at full engines while others stand idle, as a single
+/// late prompt makes each engine that reads a part of it look late.
+#[test]
+fn a_late_prompt_does_not_send_short_ones_to_full_engines() {
+    let fleet = Fleet::with_clock(24, clock);
+    let long = fleet.place(&long_request(200_000)).expect("all are idle");
+    let reads_long = |id: &String| long.shares.iter().any(|share| share.upstream.id == *id);
+    VIRTUAL_TIME.set(long.expected_first_event + Duration::from_secs(1));
+    let mut running = Vec::new();
+    for number in 0..24 {
+        if !reads_long(&fleet.listed[number].id) {
+            let slots = engine_profile().slots as usize;
+            running.extend((0..slots).map(|_| place_on(&fleet, number, &short_request())));
+        }
+    }
+    running.iter_mut().for_each(Placement::record_first_event);
+    for _ in 0..20 {
+        let placed = fleet
+            .place(&short_request())
+            .expect("the engines have slots");
+        assert!(reads_long(&placed.answering().id), "a full engine");
+        running.push(placed);
+    }
+}
 
 /// Places a request on engine `number`.
 fn place_on(fleet: &Fleet, number: usize, demand: &Demand) -> Placement {
--- a/crates/engines/tests/engines/support.rs
+++ b/crates/engines/tests/engines/support.rs
@@ -8,7 +8,7 @@
 
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
 use mangofront_engines::{
-    Caller, ChoiceOptions, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
+    Caller, ChoiceOptions, Clock, Demand, LoadUpdate, NoUpstream, Placement, Upstreams,
 };
 use mangofront_routes::{AllowedRegions, Position, Upstream};
 
@@ -54,6 +54,7 @@
     pub fn of(listed: Vec<Upstream>) -> Self {
         let options = ChoiceOptions {
             settling_time_ms: 0,
+            organisation_share_factor: 1.0,
             ..ChoiceOptions::default()
         };
         Self::with_options(listed, options)
@@ -76,15 +77,29 @@
     pub fn with_fixed_clock(count: usize) -> Self {
         let options = ChoiceOptions {
             settling_time_ms: 0,
+            organisation_share_factor: 1.0,
             ..ChoiceOptions::default()
         };
         Self::with_fixed_clock_and_options(count, options)
     }
 
+    /// A daemon whose settling time is over, with another clock.
+    pub fn with_clock(count: usize, clock: Clock) -> Self {
+        let options = ChoiceOptions {
+            settling_time_ms: 0,
+            ..ChoiceOptions::default()
+        };
+        Self::with_clock_and_options(count, options, clock)
+    }
+
     pub fn with_fixed_clock_and_options(count: usize, options: ChoiceOptions) -> Self {
+        Self::with_clock_and_options(count, options, fixed_clock)
+    }
+
+    fn with_clock_and_options(count: usize, options: ChoiceOptions, clock: Clock) -> Self {
         let (sender, updates) = unbounded();
         let zone = "hall-a".to_owned();
-        let upstreams = Upstreams::with_clock(options, zone, SALT, sender, fixed_clock);
+        let upstreams = Upstreams::with_clock(options, zone, SALT, sender, clock);
         let listed = (0..count).map(|number| upstream(number, SERVICE, "hall-a"));
         let fleet = Self {
             upstreams,
