Share engines among organisations only where operators ask for it

Tenants there are usually up to seven times as large as an equal part, and lateness counted as work, so a service looked contended without being it.

Change: organisation_share_factor, 0 by default, is the multiple of an equal part up to which an organisation is left alone; without it nothing asks whose a request is. Lateness is no longer counted as backlog of a contended service. The tests of shares and precedence set the factor to 1 and are unchanged else.

Weights by usual size are open.

--- a/crates/engines/src/organisation_shares.rs
+++ b/crates/engines/src/organisation_shares.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use mangofront_settings::process::ChoiceOptions;
+
 use crate::precedence::{Caller, OrganisationHash};
 use crate::work::{UpstreamKey, Work};
 
@@ -208,6 +210,7 @@
         organisation: OrganisationHash,
         request: Use,
         supply: &Supply,
+        options: &ChoiceOptions,
     ) -> Option<OverShare> {
         let own = self.uses.get(&organisation)?;
         if self.uses.len() < 2 {
@@ -218,10 +221,11 @@
             let uses: Vec<f64> = self.uses.values().map(|one| one.of(resource)).collect();
             let fair_share = fair_share(&uses, shared)?;
             let equal_part = shared / uses.len() as f64;
+            let allowed = options.organisation_share_factor * equal_part;
             // Chance alone puts half of equal organisations above their part.
             let chance = DEVIATIONS * (equal_part * request.of(resource)).sqrt();
             let in_use = own.of(resource);
-            (in_use >= fair_share && in_use > equal_part + chance).then_some(OverShare {
+            (in_use >= fair_share && in_use > allowed + chance).then_some(OverShare {
                 resource,
                 in_use: in_use as u32,
                 fair_share: fair_share as u32,
--- a/crates/engines/src/upstreams.rs
+++ b/crates/engines/src/upstreams.rs
@@ -376,7 +376,7 @@
                     is_settling: now.saturating_duration_since(self.0.started)
                         < options.settling_time(),
                     served_share: served_share(state, demand, size, options, &candidates),
-                    contention: contention(state, service, demand, &profile, &candidates, now),
+                    contention: contention(state, service, demand, options, &candidates, now),
                 };
                 choose_engines(&candidates, &profile, demand, options, context)
             }
--- a/crates/engines/src/upstreams/contention.rs
+++ b/crates/engines/src/upstreams/contention.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use mangofront_routes::EngineProfile;
 use mangofront_settings::process::ChoiceOptions;
 
 use crate::choose::{Candidate, Demand};
@@ -33,27 +32,27 @@
                 is_connected: false,
             })
             .collect();
-        let first = candidates.first();
-        let profile = first.and_then(|first| first.upstream.profile.as_ref());
-        profile.is_some_and(|profile| {
-            contention(&state, service, demand, profile, &candidates, now)
-                .over_share
-                .is_some()
-        })
+        let found = contention(&state, service, demand, &self.0.options, &candidates, now);
+        found.over_share.is_some()
     }
 }
 
 /// What a request finds among those of others at the candidates of its service.
 ///
-/// The work of organisations is summed up only while something is contended.
+/// The work of organisations is summed up only if it matters and while something is contended.
 pub(super) fn contention(
     state: &State,
     service: &str,
     demand: &Demand,
-    profile: &EngineProfile,
+    options: &ChoiceOptions,
     candidates: &[Candidate<'_>],
     now: Instant,
 ) -> Contention {
+    let first = candidates.first();
+    let profile = first.and_then(|first| first.upstream.profile.as_ref());
+    let Some(profile) = profile.filter(|_| options.shares_engines()) else {
+        return Contention::default();
+    };
     let supply = supply(demand, candidates);
     if !supply.is_contended() {
         return Contention::default();
@@ -68,7 +67,7 @@
     };
     let priority = demand.caller.priority;
     Contention {
-        over_share: shares.over_share(demand.caller.organisation, request, &supply),
+        over_share: shares.over_share(demand.caller.organisation, request, &supply, options),
         owes_slot: supply.is_short_of_slots() && shares.has_more_urgent(priority),
         is_owed_slot: supply.is_short_of_slots() && shares.has_less_urgent(priority),
     }
@@ -91,7 +90,9 @@
     let is_less_urgent =
         |work: &Work| work.caller.priority > demand.caller.priority && is_here(work);
     match size {
-        Some(_) if state.work.values().any(is_less_urgent) => ServedShare::NotCounted,
+        Some(_) if options.shares_engines() && state.work.values().any(is_less_urgent) => {
+            ServedShare::NotCounted
+        }
         _ => state.served_share(demand, size, options),
     }
 }
@@ -105,7 +106,10 @@
 fn supply(demand: &Demand, candidates: &[Candidate<'_>]) -> Supply {
     let slots = candidates.iter().map(|one| one.upstream.slots());
     let running = candidates.iter().map(|one| one.load.running());
-    let backlog_ms = candidates.iter().map(|one| one.load.backlog_ms);
+    // Lateness is no work that others wait for.
+    let backlog_ms = candidates
+        .iter()
+        .map(|one| one.load.backlog_ms - one.load.lateness_ms);
     let target_ms = demand.target.as_secs_f64() * 1_000.0;
     Supply {
         slots: slots.sum(),
--- a/crates/engines/tests/load/organisations.rs
+++ b/crates/engines/tests/load/organisations.rs
@@ -58,6 +58,7 @@
 fn new_fleet(daemons: usize, engines: usize, seed: u64) -> Fleet {
     let options = ChoiceOptions {
         settling_time_ms: 0,
+        organisation_share_factor: 1.0,
         ..ChoiceOptions::default()
     };
     let mut fleet = Fleet::new(daemons, engines, &options);
@@ -188,6 +189,7 @@
     for seed in SEEDS {
         let options = ChoiceOptions {
             settling_time_ms: 0,
+            organisation_share_factor: 1.0,
             ..ChoiceOptions::default()
         };
         let mut fleet = Fleet::with_profile(7, 18, &options, engine.clone());
--- a/crates/settings/src/process/choice.rs
+++ b/crates/settings/src/process/choice.rs
@@ -173,6 +173,12 @@
     pub first_ejection_ms: u64,
     /// Maximum time for which an upstream is ejected, in milliseconds; 6,000 by default.
     pub longest_ejection_ms: u64,
+    /// Part of a contended service above which an organisation's requests are refused first, as a
+    /// multiple of an equal part; 0 by default, by which requests are placed without regard to
+    /// whose they are.
+    ///
+    /// Organisations that are usually larger than others need a factor above their usual size.
+    pub organisation_share_factor: f64,
     /// Services whose engines retain prompts after their requests, with the longest time for
     /// which they do, in milliseconds; none by default.
     ///
@@ -182,6 +188,12 @@
 }
 
 impl ChoiceOptions {
+    /// Whether it matters whose a request is while engines are contended.
+    #[must_use]
+    pub fn shares_engines(&self) -> bool {
+        self.organisation_share_factor > 0.0
+    }
+
     /// Time after its start in which a daemon spreads short prompts widely.
     #[must_use]
     pub fn settling_time(&self) -> Duration {
@@ -251,6 +263,7 @@
             helpers_limit: 16,
             first_ejection_ms: 500,
             longest_ejection_ms: 6_000,
+            organisation_share_factor: 0.0,
             prompt_retention_ms: BTreeMap::new(),
         }
     }
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -110,6 +110,7 @@
     Field::defaulted("helpers_limit", integer(0, 64)),
     Field::defaulted("first_ejection_ms", integer(0, HOUR_MS)),
     Field::defaulted("longest_ejection_ms", integer(0, HOUR_MS)),
+    Field::defaulted("organisation_share_factor", number(0.0, 1_000.0)),
     Field::defaulted(
         "prompt_retention_ms",
         Shape::Map {
