Count lateness of spread prompts in part where a short one is placed

Cause: the change before kept short prompts from engines that are full, not from filling the others: an idle engine with a share of a late prompt still cost up to 500 ms more than one with eleven requests.

Change: for a prompt that one engine reads alone, lateness of a prompt of n shares counts 1 in sqrt(n): the slowest share is the cause, but shares of one prompt are often slow together. Long prompts count it whole, as before. The penalty of full engines for it goes, as nothing is left for it to do.

The test of full engines holds.

--- a/crates/engines/src/choose.rs
+++ b/crates/engines/src/choose.rs
@@ -11,7 +11,7 @@
 use mangofront_settings::process::ChoiceOptions;
 use thiserror::Error;
 
-use crate::cost::{CostModel, largest_shared_lateness_ms, prefilled_after_ms};
+use crate::cost::{CostModel, prefilled_after_ms};
 use crate::decision::{Decision, Forecast, ServedShare, decide};
 use crate::layout::assign_memory;
 use crate::organisation_shares::OverShare;
@@ -251,17 +251,9 @@
     let cost_model = CostModel::new(candidates.len(), demand, prefill_ms, options, context);
     let chosen = choose_prefill_engines(candidates, &cost_model, prefill_ms, demand, context)?;
     let share_ms = prefill_ms / chosen.len().max(1) as f64;
-    let full_penalty_ms = match prefill_ms <= options.unsplit_read_ms {
-        true => largest_shared_lateness_ms(candidates),
-        false => 0.0,
-    };
-    let other_cost_ms = |candidate: &Candidate<'_>| {
-        let penalty_ms = if candidate.is_full() {
-            full_penalty_ms
-        } else {
-            0.0
-        };
-        cost_model.cost_ms(candidate, share_ms) + penalty_ms
+    let other_cost_ms = |candidate: &Candidate<'_>| match prefill_ms <= options.unsplit_read_ms {
+        true => cost_model.unsplit_cost_ms(candidate, prefill_ms),
+        false => cost_model.cost_ms(candidate, share_ms),
     };
     let mut costs: Vec<(f64, usize)> = (0..candidates.len())
         .filter(|index| !chosen.contains(index))
--- a/crates/engines/src/cost.rs
+++ b/crates/engines/src/cost.rs
@@ -114,16 +114,10 @@
         prefill_ms: f64,
         draw: u64,
     ) -> Vec<usize> {
-        let full_penalty_ms = largest_shared_lateness_ms(candidates);
         let cost_ms = |candidate: &Candidate<'_>| match candidate.has_slot(self.options) {
             true => {
-                let penalty_ms = if candidate.is_full() {
-                    full_penalty_ms
-                } else {
-                    0.0
-                };
                 let connect_cost_ms = candidate.connect_cost_ms(self.options);
-                self.cost_ms(candidate, prefill_ms) + connect_cost_ms + penalty_ms
+                self.unsplit_cost_ms(candidate, prefill_ms) + connect_cost_ms
             }
             false => f64::INFINITY,
         };
@@ -163,6 +157,13 @@
         (violations(without_ms + share_ms) - violations(without_ms)) * f64::from(load.answering)
     }
 
+    /// Cost of a prompt that one engine prefills alone, in milliseconds.
+    ///
+    /// It waits for this engine only, so lateness that others may have caused counts in part.
+    pub(crate) fn unsplit_cost_ms(&self, candidate: &Candidate<'_>, prefill_ms: f64) -> f64 {
+        self.cost_ms(candidate, prefill_ms) - candidate.load.shared_lateness_ms
+    }
+
     /// Time until a share is prefilled here plus penalties, in milliseconds.
     pub(crate) fn cost_ms(&self, candidate: &Candidate<'_>, share_ms: f64) -> f64 {
         let load = &candidate.load;
@@ -213,15 +214,6 @@
     }
 }
 
-/// Largest lateness of a candidate for which another upstream may be the cause, in milliseconds.
-///
-/// A full engine is not preferred for the lateness of others: the wait for its slot is certain,
-/// while a prompt that is spread over many engines is late for the slowest of them.
-pub(crate) fn largest_shared_lateness_ms(candidates: &[Candidate<'_>]) -> f64 {
-    let lateness_ms = candidates.iter().map(|one| one.load.shared_lateness_ms);
-    lateness_ms.fold(0.0, f64::max)
-}
-
 /// Orders by cost, then by index.
 fn by_cost_then_index(one: (f64, usize), other: (f64, usize)) -> Ordering {
     one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
--- a/crates/engines/src/upstream_state.rs
+++ b/crates/engines/src/upstream_state.rs
@@ -123,7 +123,7 @@
     unfinished_ms: f64,
     /// Lateness of the most overdue first event, in milliseconds.
     late_ms: f64,
-    /// Largest lateness of a first event, divided among the upstreams that may be its cause, in
+    /// Largest lateness of a first event as far as it speaks against this upstream, in
     /// milliseconds.
     own_late_ms: f64,
 }
@@ -150,7 +150,8 @@
                 sum.unfinished_ms += share.prefill_ms;
                 let late_ms = lateness_ms(work, now);
                 sum.late_ms = sum.late_ms.max(late_ms);
-                let own_late_ms = late_ms / work.shares.len() as f64;
+                // The slowest share delays it, but shares of one prompt are often slow together.
+                let own_late_ms = late_ms / (work.shares.len() as f64).sqrt();
                 sum.own_late_ms = sum.own_late_ms.max(own_late_ms);
             }
         }
