Try held requests in order only where engines are shared

Change: the order of precedence among held requests is in force where organisation_share_factor is set; elsewhere they retry as before.

--- a/crates/engines/src/upstreams/contention.rs
+++ b/crates/engines/src/upstreams/contention.rs
@@ -15,6 +15,12 @@
 use crate::work::{UpstreamKey, Work};
 
 impl Upstreams {
+    /// Whether it matters whose a request is while engines are contended.
+    #[must_use]
+    pub fn shares_engines(&self) -> bool {
+        self.0.options.shares_engines()
+    }
+
     /// Whether the organisation of a request is above its fair share of a contended service.
     #[must_use]
     pub fn is_above_share(&self, service: &str, demand: &Demand) -> bool {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -252,18 +252,11 @@
             .collect();
         match upstreams.place(&call.service, &demand, &excluded) {
             Err(NoUpstream::Busy) if call.time_left() > MIN_ATTEMPT_TIME => {
-                let precedence =
-                    precedence(call, || upstreams.is_above_share(&call.service, &demand));
-                let place = match held.take() {
-                    Some(mut place) => {
-                        place.set_precedence(precedence);
-                        place
-                    }
-                    None => gateway.held().join(precedence),
-                };
                 let period = busy_retry_pause(upstreams.count());
-                let pause = place.next_try_in(Instant::now(), period);
-                held = Some(place);
+                let pause = match upstreams.shares_engines() {
+                    true => turn_among_held(gateway, call, &demand, &mut held, period),
+                    false => period,
+                };
                 compio::time::sleep(pause).await;
                 waited = started.elapsed();
             }
@@ -286,6 +279,21 @@
     }
 }
 
+/// Time until a held request tries again: those that wait at this daemon try in order of precedence.
+fn turn_among_held(
+    gateway: &Gateway,
+    call: &Call,
+    demand: &Demand,
+    held: &mut Option<HeldPlace>,
+    period: Duration,
+) -> Duration {
+    let upstreams = &gateway.parts().upstreams;
+    let precedence = precedence(call, || upstreams.is_above_share(&call.service, demand));
+    let place = held.get_or_insert_with(|| gateway.held().join(precedence));
+    place.set_precedence(precedence);
+    place.next_try_in(Instant::now(), period)
+}
+
 /// Place among the requests that are held.
 fn precedence(call: &Call, is_above_share: impl FnOnce() -> bool) -> Precedence {
     Precedence {
