--- a/crates/engines/tests/load/organisations.rs
+++ b/crates/engines/tests/load/organisations.rs
@@ -182,6 +182,17 @@
 /// Guards against a large kind being refused for its size while a less urgent one is served.
 #[test]
 fn an_urgent_kind_is_served_as_often_as_a_less_urgent_one() {
+    urgent_are_served(4.0, 75.0);
+}
+
+/// The same where the urgent kind nearly fills the engines alone.
+#[test]
+fn an_urgent_kind_that_nearly_fills_the_engines_is_served_as_often() {
+    urgent_are_served(6.0, 60.0);
+}
+
+/// Plays an urgent kind of large prompts beside a less urgent one of small prompts.
+fn urgent_are_served(long_per_s: f64, short_per_s: f64) {
     let engine = EngineProfile {
         slots: 10,
         ..engine_profile()
@@ -203,8 +214,8 @@
             caller: urgent,
             ..LONG
         };
-        fleet.add_requests(long, 4.0, 0.0, 15.0);
-        fleet.add_requests(SHORT, 75.0, 0.0, 15.0);
+        fleet.add_requests(long, long_per_s, 0.0, 15.0);
+        fleet.add_requests(SHORT, short_per_s, 0.0, 15.0);
         let outcomes = fleet.run_to_end(&[long, SHORT]);
         let served = |one: &Outcome| {
             let all = one.on_time + one.late + one.refused + one.abandoned;
