Show that a cut answer without a length may look complete

Cause: the end of an answer without a length is confirmed by a probe of the upstream's address, which another incarnation answers as well, so it counts as complete if the upstream crashed and came back before the daemon reads the end of the channel.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,13 @@
+mod support;
+
+#[path = "../1/case.rs"]
+mod case_1;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    match arguments.get(1).map(String::as_str) {
+        Some("runner") => support::run_runner(&arguments[2], &arguments[3]),
+        Some("1") => support::play(case_1::play),
+        _ => std::process::exit(2),
+    }
+}
