Show that answers read slowly are lost when a daemon stops

Cause: a request counts as in progress until its whole answer is handed to the HTTP library, not until it is written, so a stopping daemon sees none in progress, waits 300 ms and drops the connections.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,12 +2,15 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     match arguments.get(1).map(String::as_str) {
         Some("runner") => support::run_runner(&arguments[2], &arguments[3]),
         Some("1") => support::play(case_1::play),
+        Some("2") => support::play(case_2::play),
         _ => std::process::exit(2),
     }
 }
