Show that a leaving upstream with a corrected clock is still used

Cause: an entry whose start time is lower than the known one is taken for one of an earlier incarnation and ignored, whatever its revision, so an upstream that restarts under its id after its clock was set back can't say that it leaves.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../3/case.rs"]
+mod case_3;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -11,6 +13,7 @@
         Some("runner") => support::run_runner(&arguments[2], &arguments[3]),
         Some("1") => support::play(case_1::play),
         Some("2") => support::play(case_2::play),
+        Some("3") => support::play(case_3::play),
         _ => std::process::exit(2),
     }
 }
