Show that requests run without their tenant while the store is silent

Cause: once the lease on the keys has run out, a request on a route that needs no key goes on without the organisation of its valid key instead of being refused.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,8 @@
 mod case_2;
 #[path = "../3/case.rs"]
 mod case_3;
+#[path = "../4/case.rs"]
+mod case_4;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -14,6 +16,7 @@
         Some("1") => support::play(case_1::play),
         Some("2") => support::play(case_2::play),
         Some("3") => support::play(case_3::play),
+        Some("4") => support::play(case_4::play),
         _ => std::process::exit(2),
     }
 }
