Show that a daemon takes a revoked key after the store was restored

Cause: a daemon that has just started confirms its lease on the keys by the store alone, before the other daemons could tell it of a later configuration that the restored store has lost.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,8 @@
 mod case_3;
 #[path = "../4/case.rs"]
 mod case_4;
+#[path = "../5/case.rs"]
+mod case_5;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -17,6 +19,7 @@
         Some("2") => support::play(case_2::play),
         Some("3") => support::play(case_3::play),
         Some("4") => support::play(case_4::play),
+        Some("5") => support::play(case_5::play),
         _ => std::process::exit(2),
     }
 }
--- a/review/standin/support.rs
+++ b/review/standin/support.rs
@@ -336,6 +336,15 @@
     events: Vec<(u64, String, Option<Vec<u8>>)>,
     revision: u64,
     down: bool,
+    era: u64,
+    /// Changes up to this revision are no longer in the history.
+    compacted: u64,
+}
+
+/// What the store held at a moment.
+pub struct Copy {
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    revision: u64,
 }
 
 /// The platform's metadata store.
@@ -349,7 +358,7 @@
     pub fn start(ip: Ipv4Addr) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("store address");
         let address = listener.local_addr().unwrap();
-        let state = StoreState { revision: 10, ..StoreState::default() };
+        let state = StoreState { revision: 10, era: 1, ..StoreState::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let accepting = Arc::clone(&shared);
         thread::spawn(move || {
@@ -375,6 +384,24 @@
         revision
     }
 
+    /// A copy of what it holds now.
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.0.lock().unwrap();
+        Copy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Comes back from a copy: what was written since is lost, revisions go back, and the era rises
+    /// by one.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.items = copy.items.clone();
+        state.revision = copy.revision;
+        state.events.retain(|event| event.0 <= copy.revision);
+        state.compacted = copy.revision;
+        state.era += 1;
+        self.shared.1.notify_all();
+    }
+
     /// While it is down it answers nothing; open channels stay silent.
     pub fn set_down(&self, down: bool) {
         self.shared.0.lock().unwrap().down = down;
@@ -440,7 +467,12 @@
             let after: u64 = after.parse().unwrap_or(0);
             let wait: u64 = query(&path, "wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
             let until = Instant::now() + ms(wait);
+            let era = state.era;
             loop {
+                // A revision that it does not have, or no longer.
+                if !state.down && (after > state.revision || after < state.compacted || era != state.era) {
+                    break;
+                }
                 let found = |s: &StoreState| s.events.iter().any(|e| e.0 > after && e.1.starts_with(&prefix));
                 let left = until.saturating_duration_since(Instant::now());
                 if !state.down && (found(&state) || left.is_zero()) {
@@ -461,7 +493,9 @@
                     None => format!(r#"{{"key":"{key}","revision":{revision},"removed":true}}"#),
                 })
                 .collect();
-            (200, format!(r#"{{"events":[{}],"store_revision":{}}}"#, events.join(","), state.revision))
+            let is_gone = after > state.revision || after < state.compacted || era != state.era;
+            let status = if is_gone { 410 } else { 200 };
+            (status, format!(r#"{{"events":[{}],"store_revision":{}}}"#, events.join(","), state.revision))
         } else if path.starts_with("/kv-range") {
             while state.down {
                 state = shared.1.wait_timeout(state, ms(50)).unwrap().0;
@@ -482,9 +516,10 @@
         } else {
             (404, "{}".to_owned())
         };
+        let era = state.era;
         drop(state);
         let answer = format!(
-            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
         if writer.write_all(answer.as_bytes()).is_err() {
@@ -650,6 +685,8 @@
 pub struct Daemon {
     pub caller: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
     child: Child,
 }
 
@@ -658,6 +695,12 @@
         self.child.id()
     }
 
+    /// The platform starts the process again after it has ended.
+    pub fn start_again(&mut self) {
+        let _ = self.child.wait();
+        self.child = start_process(&self.settings, &self.log);
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -670,6 +713,14 @@
     }
 }
 
+fn start_process(settings: &PathBuf, log: &PathBuf) -> Child {
+    let log = File::options().create(true).append(true).open(log).expect("log");
+    let mut command = Command::new(std::env::var("DAEMON").expect("DAEMON names the program"));
+    command.arg("--settings").arg(settings);
+    command.stdout(Stdio::from(log.try_clone().unwrap())).stderr(Stdio::from(log));
+    ends_with_us(&mut command).spawn().expect("daemon")
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         signal(self.child.id(), SIGCONT);
@@ -804,18 +855,14 @@
         );
         let path = self.folder.join(format!("daemon-{number}.jsonc"));
         std::fs::write(&path, settings).expect("settings");
-        let log = File::create(self.folder.join(format!("daemon-{number}.log"))).expect("log");
-        let program = std::env::var("DAEMON").expect("DAEMON names the program");
-        let mut command = Command::new(program);
-        command.arg("--settings").arg(&path);
-        command.stdout(Stdio::from(log.try_clone().unwrap())).stderr(Stdio::from(log));
-        let child = ends_with_us(&mut command)
-            .spawn()
-            .expect("daemon");
+        let log = self.folder.join(format!("daemon-{number}.log"));
+        let child = start_process(&path, &log);
         self.record.line(&format!("daemon {number} started, pid {}, callers at {own}:{}", child.id(), ports[0]));
         Daemon {
             caller: SocketAddr::from((own, ports[0])),
             ready: SocketAddr::from((own, ports[3])),
+            settings: path,
+            log,
             child,
         }
     }
