Show that answers without end exhaust a daemon's memory

Cause: an answer that is not a stream is collected frame by frame up to 8 MiB, but each frame holds a read buffer of its own, and nothing bounds the sum over the answers that a daemon reads.

--- a/review/standin/support.rs
+++ b/review/standin/support.rs
@@ -12,6 +12,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -537,6 +538,13 @@
 
 /// Runs as a runner; prints a line for each event.
 pub fn run_runner(address: &str, id: &str) {
+    let in_trouble = Arc::new(AtomicBool::new(false));
+    let told = Arc::clone(&in_trouble);
+    thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            told.store(line == "in trouble", Ordering::Relaxed);
+        }
+    });
     let listener = (0..100).find_map(|_| {
         let bound = TcpListener::bind(address).ok();
         if bound.is_none() {
@@ -548,7 +556,8 @@
     println!("LISTENING");
     for stream in listener.incoming().flatten() {
         let id = id.to_owned();
-        thread::spawn(move || serve_runner(stream, &id));
+        let in_trouble = Arc::clone(&in_trouble);
+        thread::spawn(move || serve_runner(stream, &id, &in_trouble));
     }
 }
 
@@ -557,7 +566,7 @@
     let _ = std::io::stdout().lock().write_all(format!("{text}\n").as_bytes());
 }
 
-fn serve_runner(stream: TcpStream, own: &str) {
+fn serve_runner(stream: TcpStream, own: &str, in_trouble: &AtomicBool) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -607,6 +616,17 @@
             say(format!("DONE {} {own} {id}", unix_ms()));
             return;
         }
+        if path.contains("spoil=1") && in_trouble.load(Ordering::Relaxed) {
+            // Bytes that are no answer, without end, in small pieces, until the caller closes.
+            let _ = writer.write_all(format!("HTTP/1.1 200 OK\r\n{common}Connection: close\r\n\r\n").as_bytes());
+            say(format!("SPOIL {} {own} {id}", unix_ms()));
+            let piece = vec![b'x'; number("piece", 200) as usize];
+            while writer.write_all(&piece).is_ok() {
+                thread::sleep(Duration::from_micros(50));
+            }
+            say(format!("CLOSED {} {own} {id}", unix_ms()));
+            return;
+        }
         thread::sleep(work);
         let mut answer = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
         answer.extend_from_slice(&body);
@@ -641,7 +661,7 @@
 impl Runner {
     pub fn start(record: &Record, events: &Events, address: SocketAddr, id: &str) -> Self {
         let mut command = Command::new(std::env::current_exe().unwrap());
-        command.args(["runner", &address.to_string(), id]).stdout(Stdio::piped());
+        command.args(["runner", &address.to_string(), id]).stdin(Stdio::piped()).stdout(Stdio::piped());
         let mut child = ends_with_us(&mut command)
             .spawn()
             .expect("runner");
@@ -668,6 +688,13 @@
         Self { id: id.to_owned(), address, child }
     }
 
+    /// From now on it spoils the answers to requests that ask for it.
+    pub fn get_into_trouble(&mut self) {
+        if let Some(stdin) = &mut self.child.stdin {
+            let _ = stdin.write_all(b"in trouble\n");
+        }
+    }
+
     pub fn kill(&mut self) {
         signal(self.child.id(), SIGKILL);
         let _ = self.child.wait();
@@ -701,6 +728,14 @@
         self.child = start_process(&self.settings, &self.log);
     }
 
+    /// Memory that the process has resident, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -729,7 +764,7 @@
     }
 }
 
-/// A small deployment: the store, runners of one plain service, and daemons in zones of their own.
+/// A small deployment: the store, runners of two plain services, and daemons in zones of their own.
 pub struct Deployment {
     pub record: Record,
     pub store: Store,
@@ -745,16 +780,21 @@
 pub const TENANT: &str = "hule930";
 pub const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
+/// Runners from this number on are of the service `desk`, the others of `app`.
+const FIRST_OF_DESK: usize = 3;
+
 /// Routes that need a key, and one that does not.
 pub fn configuration(version: u64) -> String {
     let route = |name: &str, kind: &str, anonymous: bool| {
+        let service = if name == "desk" { "desk" } else { "app" };
         format!(
-            r#"{{"name":"{name}","host":"shop.example","prefix":"/{name}/","kind":"{kind}","timeout_ms":10000,"target_latency_ms":300,"priority":1,"service":"app","attempts":2,"allow_anonymous":{anonymous}}}"#
+            r#"{{"name":"{name}","host":"shop.example","prefix":"/{name}/","kind":"{kind}","timeout_ms":10000,"target_latency_ms":300,"priority":1,"service":"{service}","attempts":2,"allow_anonymous":{anonymous}}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"app","health_path":"/health","max_connections":96}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{},{}],"services":[{{"name":"app","health_path":"/health","max_connections":96}},{{"name":"desk","health_path":"/health","max_connections":96}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority":1}}]}}"#,
         route("order", "non_idempotent", false),
+        route("desk", "non_idempotent", false),
         route("read", "idempotent", false),
         route("open", "idempotent", true)
     )
@@ -871,8 +911,9 @@
     pub fn register(&self, number: usize, state: &str, born: u64, sequence: u64) -> u64 {
         let runner = &self.runners[number];
         let zone = ZONES[number % ZONES.len()];
+        let service = if number < FIRST_OF_DESK { "app" } else { "desk" };
         let entry = format!(
-            r#"{{"service":"app","address":"{}","zone":"{zone}","version":"v1","slots":6,"state":"{state}","cold_left_ms":0,"sequence":{sequence},"born":{born}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":6,"state":"{state}","cold_left_ms":0,"sequence":{sequence},"born":{born}}}"#,
             runner.address
         );
         let revision = self.store.write(&format!("servers/{}", runner.id), Some(&entry));
