Count the memory that bodies take, by what they are kept for

Logs and metrics showed neither how much memory the daemon had nor what for.

Change: a crate `bodies` accounts for the bodies of callers' requests, upstreams' answers, requests forwarded for other daemons, the store's answers and operators' requests; metrics `body_bytes`, `bodies_waiting`, `bodies_ended_for_room`, each by purpose, and `resident_bytes`. The own interface's bound on bodies uses it. Answers that are read only so that their connection can be reused are no longer kept.

A body waits up to a second for room now, as another one's end may give it some. The test of the limit on bodies therefore has the first caller read its whole answer, on slower engines, before it expects a refusal.

--- /dev/null
+++ b/crates/bodies/src/buffer.rs
@@ -0,0 +1,74 @@
+//! A growing buffer whose memory goes back to the system as soon as it is dropped.
+//!
+//! Large blocks of the general allocator may stay with the process after they were freed, so a
+//! large buffer is a private mapping of its own.
+
+use std::io;
+
+use memmap2::MmapMut;
+
+/// Largest buffer on the heap, in bytes.
+pub(crate) const HEAP_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Unit in which the system provides memory for mappings, in bytes.
+const PAGE_BYTES: usize = 4096;
+
+/// Bytes read so far.
+#[derive(Debug)]
+pub(crate) enum Buffer {
+    Heap(Vec<u8>),
+    Mapped { map: MmapMut, length: usize },
+}
+
+impl Buffer {
+    /// Buffer with room for `capacity` bytes.
+    pub(crate) fn with_capacity(capacity: usize) -> io::Result<Self> {
+        match capacity <= HEAP_LIMIT_BYTES {
+            true => Ok(Self::Heap(Vec::with_capacity(capacity))),
+            false => {
+                let map = MmapMut::map_anon(capacity)?;
+                Ok(Self::Mapped { map, length: 0 })
+            }
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        match self {
+            Self::Heap(bytes) => bytes.len(),
+            Self::Mapped { length, .. } => *length,
+        }
+    }
+
+    /// Appends `bytes`, for which there must be room.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        match self {
+            Self::Heap(heap) => heap.extend_from_slice(bytes),
+            Self::Mapped { map, length } => {
+                let end = *length + bytes.len();
+                map[*length..end].copy_from_slice(bytes);
+                *length = end;
+            }
+        }
+    }
+
+    /// Releases what was not used; returns the memory that is, in bytes.
+    pub(crate) fn shrink(&mut self) -> usize {
+        match self {
+            Self::Heap(bytes) => {
+                bytes.shrink_to_fit();
+                bytes.capacity()
+            }
+            // Pages that were never written take no memory.
+            Self::Mapped { map, length } => length.next_multiple_of(PAGE_BYTES).min(map.len()),
+        }
+    }
+}
+
+impl AsRef<[u8]> for Buffer {
+    fn as_ref(&self) -> &[u8] {
+        match self {
+            Self::Heap(bytes) => bytes,
+            Self::Mapped { map, length } => &map[..*length],
+        }
+    }
+}
--- /dev/null
+++ b/crates/bodies/src/read.rs
@@ -0,0 +1,132 @@
+//! Reading of a body to its end.
+
+use std::pin::pin;
+
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use http_body::Body;
+use http_body_util::BodyExt;
+use thiserror::Error;
+
+use crate::buffer::Buffer;
+use crate::memory::{NoRoom, Reservation};
+
+/// Why a body was not read to its end.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The body is longer than its limit.
+    #[error("body is longer than {limit_bytes} bytes")]
+    TooLarge {
+        /// Limit that the body exceeds, in bytes.
+        limit_bytes: usize,
+    },
+    /// There is no memory left for it.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
+    /// The connection failed before the end of the body.
+    #[error("body broke off: {0}")]
+    Interrupted(String),
+}
+
+/// Reads one body, for which there is room.
+#[derive(Debug)]
+pub struct BodyReader {
+    pub(crate) reservation: Reservation,
+    pub(crate) limit_bytes: usize,
+}
+
+impl BodyReader {
+    /// Reads `body` to its end.
+    ///
+    /// # Errors
+    /// [`ReadError`]; what was read of the body is freed.
+    pub async fn collect<B>(mut self, body: B) -> Result<Bytes, ReadError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+        B::Error: std::fmt::Display,
+    {
+        let mut body = body;
+        let mut pieces = Vec::new();
+        let mut length = 0;
+        while let Some(piece) = self.next_piece(&mut body).await? {
+            length += piece.len();
+            if length > self.limit_bytes {
+                let limit_bytes = self.limit_bytes;
+                return Err(ReadError::TooLarge { limit_bytes });
+            }
+            self.reservation.grow_to(length)?;
+            pieces.push(piece);
+            self.reservation.record_progress();
+        }
+        let mut buffer = Buffer::with_capacity(length).map_err(NoRoom::from)?;
+        pieces.iter().for_each(|piece| buffer.push(piece));
+        Ok(self.keep(buffer))
+    }
+
+    /// The next bytes of the body; `None` at its end.
+    async fn next_piece<B>(&self, body: &mut B) -> Result<Option<Bytes>, ReadError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+        B::Error: std::fmt::Display,
+    {
+        loop {
+            let frame = match select(pin!(self.reservation.ended()), body.frame()).await {
+                Either::Left((no_room, _)) => return Err(no_room.into()),
+                Either::Right((frame, _)) => frame,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    // Trailers are not kept.
+                    if let Ok(piece) = frame.into_data() {
+                        return Ok(Some(piece));
+                    }
+                }
+                Some(Err(error)) => return Err(ReadError::Interrupted(error.to_string())),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// The complete body, which counts until its last reference is dropped.
+    fn keep(mut self, mut buffer: Buffer) -> Bytes {
+        if buffer.len() == 0 {
+            return Bytes::new();
+        }
+        self.reservation.keep(buffer.shrink());
+        Bytes::from_owner(KeptBody {
+            buffer,
+            _reservation: self.reservation,
+        })
+    }
+}
+
+/// A complete body and its part of the memory.
+struct KeptBody {
+    buffer: Buffer,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for KeptBody {
+    fn as_ref(&self) -> &[u8] {
+        self.buffer.as_ref()
+    }
+}
+
+/// Reads `body` without keeping any of it, up to `limit_bytes`; returns whether it was read to its
+/// end.
+pub async fn discard<B>(body: &mut B, limit_bytes: usize) -> bool
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut read_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
+        read_bytes += frame.data_ref().map_or(0, Bytes::len);
+        if read_bytes > limit_bytes {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -5,6 +5,7 @@
 
 use mangofront_admission::{Admission, AdmissionOptions};
 use mangofront_audit::{AuditEvent, AuditLog};
+use mangofront_bodies::BodyMemory;
 use mangofront_configuration::{Kind, Platform, PlatformChange, PlatformOptions};
 use mangofront_entry::{Entry, EntryLimits, EntryParts};
 use mangofront_once::{Once, OnceOptions};
@@ -18,6 +19,7 @@
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
 use crate::address_wait::AddressWait;
+use crate::body_memory;
 use crate::error::DaemonError;
 use crate::membership::{self, PeerTransport};
 use crate::orders;
@@ -37,6 +39,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) connections: Connections,
     pub(crate) entry: Entry,
+    pub(crate) body_memory: BodyMemory,
 }
 
 /// Creates and starts the components.
@@ -54,11 +57,15 @@
     let options = PlacementOptions::new(instance.clone(), zone.clone()).policy(policy);
     let placement = Placement::new(options);
     let admission = Admission::new(AdmissionOptions::new());
+    let bodies_limit_bytes = settings.limits.bodies_limit_bytes;
+    let body_memory = BodyMemory::new(usize::try_from(bodies_limit_bytes).unwrap_or(usize::MAX));
     let connections = Connections::new(ConnectionsOptions {
         connect_timeout: settings.limits.connect_timeout(),
+        body_memory: body_memory.clone(),
         ..ConnectionsOptions::default()
     });
     let metrics = Metrics::new()?;
+    body_memory::observe(&body_memory, &metrics);
     let responders = Rc::default();
     let start_peers = async || membership::start(&settings, &audit, &platform, &responders);
     let peers = wait.listen(start_peers).await?;
@@ -74,6 +81,7 @@
         once: once.clone(),
         connections: connections.clone(),
         metrics: metrics.clone(),
+        body_memory: body_memory.clone(),
         limits: entry_limits(&settings),
     });
     Ok(Components {
@@ -89,6 +97,7 @@
         metrics,
         connections,
         entry,
+        body_memory,
     })
 }
 
@@ -146,7 +155,6 @@
     EntryLimits {
         in_progress_limit_requests: limits.in_progress_limit_requests as usize,
         body_limit_bytes: limits.body_limit_bytes as usize,
-        bodies_limit_bytes: usize::try_from(limits.bodies_limit_bytes).unwrap_or(usize::MAX),
         body_timeout: limits.body_timeout(),
         stall_timeout: limits.stream_stall_timeout(),
         stream_buffer_frames: limits.stream_buffer_frames as usize,
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -4,7 +4,8 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use mangofront_http::{Body, ErrorBody, Outcome, collect, json};
+use mangofront_bodies::Purpose;
+use mangofront_http::{Body, ErrorBody, Outcome, json, read_body};
 use mangofront_placement::PlacementRequest;
 use mangofront_prompt::DEFAULT_MAX_TOKENS;
 use mangofront_settings::published::Class;
@@ -30,7 +31,14 @@
 
 /// Answers `POST /explain`.
 pub(crate) async fn handle(components: &Components, request: Request<Incoming>) -> Response<Body> {
-    let explain_request = match collect(request.into_body(), BODY_LIMIT_BYTES).await {
+    let explain_request = match read_body(
+        &components.body_memory,
+        Purpose::Operator,
+        request.into_body(),
+        BODY_LIMIT_BYTES,
+    )
+    .await
+    {
         Ok(body) => serde_json::from_slice(&body).map_err(|error| error.to_string()),
         Err(error) => Err(error.to_string()),
     };
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -15,6 +15,7 @@
 use futures_util::future::join;
 use http::{HeaderValue, Response, StatusCode, header};
 use mangofront_adapter::{HeaderDialect, StoreClient};
+use mangofront_bodies::BodyMemory;
 use mangofront_engines::Upstreams;
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
@@ -35,7 +36,7 @@
 use crate::error::DaemonError;
 use crate::run::listen;
 use crate::signals::{SIGHUP, SignalListener, StopSignalListener};
-use crate::{event_loop_lag, gateway_admin, membership};
+use crate::{body_memory, event_loop_lag, gateway_admin, membership};
 
 /// Time after which an idle connection of a caller is closed.
 ///
@@ -206,7 +207,9 @@
         updates_sender.clone(),
     );
     upstreams.set_zone_regions(gateway_settings.zone_regions.clone());
-    let connections = connections(settings);
+    let body_memory = BodyMemory::unbounded();
+    body_memory::observe(&body_memory, metrics);
+    let connections = connections(settings, &body_memory);
     let published = Published::new(
         PublishedOptions::for_bounds(
             gateway_settings.key_lease(),
@@ -270,7 +273,7 @@
         options,
         dialect,
         connections,
-        peer_connections: peer_connections(settings),
+        peer_connections: peer_connections(settings, &body_memory),
         proxy_port: gateway_settings.news_address.port(),
         availability_zone: settings.availability_zone.clone(),
         upstreams,
@@ -279,6 +282,7 @@
         rate_limits: rate_limits.clone(),
         trials: trials.clone(),
         metrics: metrics.clone(),
+        body_memory,
     });
     let background_tasks = vec![
         spawn(published.follow(Rc::new(source), Rc::clone(&exchange))),
@@ -295,23 +299,25 @@
     Ok((gateway, peers, background_tasks))
 }
 
-fn connections(settings: &DaemonSettings) -> Connections {
+fn connections(settings: &DaemonSettings, body_memory: &BodyMemory) -> Connections {
     Connections::new(ConnectionsOptions {
         connect_timeout: settings.limits.connect_timeout(),
         idle_limit: MAX_IDLE_CONNECTIONS,
         idle_timeout: IDLE_CONNECTION_TIMEOUT,
+        body_memory: body_memory.clone(),
         ..ConnectionsOptions::default()
     })
 }
 
 /// Connections to other daemons, which know this one by the address it connects from.
-fn peer_connections(settings: &DaemonSettings) -> Connections {
+fn peer_connections(settings: &DaemonSettings, body_memory: &BodyMemory) -> Connections {
     let own_ip = settings.peer_address.ip();
     Connections::new(ConnectionsOptions {
         connect_timeout: settings.limits.connect_timeout(),
         idle_limit: MAX_IDLE_CONNECTIONS,
         idle_timeout: IDLE_CONNECTION_TIMEOUT,
         local_ip: Some(own_ip).filter(|ip| !ip.is_unspecified()),
+        body_memory: body_memory.clone(),
     })
 }
 
--- a/crates/daemon/src/gateway_admin.rs
+++ b/crates/daemon/src/gateway_admin.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use mangofront_bodies::Purpose;
 use mangofront_gateway::{Fingerprint, Gateway, PromptPartId};
-use mangofront_http::{Body, ErrorBody, Outcome, collect, full};
+use mangofront_http::{Body, ErrorBody, Outcome, full, read_body};
 use mangofront_telemetry::metrics::Metrics;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -46,10 +47,13 @@
         (&Method::GET, "/evacuations") => {
             json_response(&json!({ "zones": gateway.evacuated_zones() }))
         }
-        (&Method::POST, "/quarantine/lift") => match collect(body, BODY_LIMIT_BYTES).await {
-            Ok(body) => lift_quarantine(&gateway, &body),
-            Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
-        },
+        (&Method::POST, "/quarantine/lift") => {
+            let memory = gateway.body_memory();
+            match read_body(memory, Purpose::Operator, body, BODY_LIMIT_BYTES).await {
+                Ok(body) => lift_quarantine(&gateway, &body),
+                Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
+            }
+        }
         _ => error_response(StatusCode::NOT_FOUND, "there is nothing at this path"),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod address_wait;
 mod admin;
 mod arguments;
+mod body_memory;
 mod components;
 mod control_metrics;
 mod engines;
--- a/crates/entry/src/completion/attempts.rs
+++ b/crates/entry/src/completion/attempts.rs
@@ -201,7 +201,7 @@
     fn generate_call(&self, placed: &PlacedRequest) -> GenerateCall {
         GenerateCall {
             endpoint: self.request.endpoint,
-            body: self.request.body.content.clone(),
+            body: self.request.body.clone(),
             request: self.request.id.clone(),
             attempt: self.attempt_count,
             priority: placed.priority,
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use mangofront_admission::{AdmissionRequest, RefusalReason};
@@ -24,7 +25,7 @@
 use mangofront_placement::PlacementRequest;
 use mangofront_prompt::{Endpoint, Prompt};
 
-use crate::bodies::{self, BufferedBody};
+use crate::bodies;
 use crate::caller::{self, Caller};
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
@@ -39,7 +40,7 @@
     /// Endpoint to which it was sent.
     pub(crate) endpoint: Endpoint,
     /// Body as received.
-    pub(crate) body: BufferedBody,
+    pub(crate) body: Bytes,
     /// Parsed body; its blocks are moved into `demand`.
     pub(crate) prompt: Prompt,
     /// Caller and time limits.
@@ -100,7 +101,7 @@
     let entry = active.entry();
     let caller = identify(entry, &head.headers, arrived)?;
     let body = bodies::read(active, caller.deadline).await?;
-    let mut prompt = mangofront_prompt::parse(endpoint, &body.content)?;
+    let mut prompt = mangofront_prompt::parse(endpoint, &body)?;
     check_model(entry, &prompt.model)?;
     let demand = PlacementRequest {
         model: prompt.model.clone(),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response};
 use hyper::body::{Body as _, Incoming};
 use mangofront_admission::Admission;
+use mangofront_bodies::BodyMemory;
 use mangofront_configuration::{AcceptedConfiguration, Platform};
 use mangofront_http::{Body, Outcome, Shutdown, ShutdownTrigger};
 use mangofront_once::Once;
@@ -29,8 +30,6 @@
     pub in_progress_limit_requests: usize,
     /// Maximum size of a request body, in bytes.
     pub body_limit_bytes: usize,
-    /// Memory for the bodies of all requests in progress, in bytes.
-    pub bodies_limit_bytes: usize,
     /// Maximum time for a request's body to arrive.
     pub body_timeout: Duration,
     /// Maximum time for which the reader of a stream may accept no token.
@@ -48,7 +47,6 @@
         Self {
             in_progress_limit_requests: 1024,
             body_limit_bytes: 16 * 1024 * 1024,
-            bodies_limit_bytes: 256 * 1024 * 1024,
             body_timeout: Duration::from_secs(30),
             stall_timeout: Duration::from_secs(30),
             stream_buffer_frames: 16,
@@ -75,6 +73,8 @@
     pub connections: Connections,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Memory for the bodies of callers and upstreams.
+    pub body_memory: BodyMemory,
     /// Limits on callers.
     pub limits: EntryLimits,
 }
@@ -87,8 +87,6 @@
 struct Shared {
     parts: EntryParts,
     in_progress: Cell<usize>,
-    /// Memory reserved for bodies, in bytes.
-    bodies_bytes: Cell<usize>,
     /// Set once the daemon stops: the time after which a caller may retry.
     stopping: Cell<Option<Duration>>,
     /// Sent when the requests in progress are to end without their answers.
@@ -105,7 +103,6 @@
         Self(Rc::new(Shared {
             parts,
             in_progress: Cell::new(0),
-            bodies_bytes: Cell::new(0),
             stopping: Cell::new(None),
             cut_off,
             cut_off_trigger: RefCell::new(Some(cut_off_trigger)),
@@ -202,11 +199,6 @@
         })
     }
 
-    /// Memory reserved for bodies, in bytes.
-    pub(crate) fn bodies_bytes(&self) -> &Cell<usize> {
-        &self.0.bodies_bytes
-    }
-
     /// Order and recent failures of the services' instances.
     pub(crate) fn instance_rotation(&self) -> &InstanceRotation {
         &self.0.instance_rotation
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use http::{Method, Response, StatusCode};
-use mangofront_http::{Body, BodyError, ErrorBody, Outcome};
+use mangofront_bodies::ReadError;
+use mangofront_http::{Body, ErrorBody, Outcome};
 use mangofront_prompt::PromptError;
 use mangofront_settings::ids::InstanceId;
 use mangofront_upstream::SendError;
@@ -29,7 +30,7 @@
     #[error("unknown service {service}")]
     UnknownService { service: String },
     #[error("{0}")]
-    Body(#[from] BodyError),
+    Body(#[from] ReadError),
     #[error("body did not arrive in time")]
     BodyTimeout,
     #[error("{0}")]
@@ -88,8 +89,9 @@
             Self::UnknownOrganisation { .. } => "unknown_organisation",
             Self::UnknownModel { .. } => "unknown_model",
             Self::UnknownService { .. } => "unknown_service",
-            Self::Body(BodyError::TooLarge { .. }) => "body_too_large",
-            Self::Body(BodyError::Interrupted(_)) => "body_broken",
+            Self::Body(ReadError::TooLarge { .. }) => "body_too_large",
+            Self::Body(ReadError::Interrupted(_)) => "body_broken",
+            Self::Body(ReadError::NoRoom(_)) => "bodies_full",
             Self::BodyTimeout => "body_timeout",
             Self::Prompt(_) => "malformed_request",
             Self::NoConfiguration => "no_configuration",
@@ -153,16 +155,18 @@
             Self::MissingHeader { .. }
             | Self::BadHeader { .. }
             | Self::UnknownClass { .. }
-            | Self::Body(BodyError::Interrupted(_))
+            | Self::Body(ReadError::Interrupted(_))
             | Self::Prompt(_)
             | Self::KeyRequired => StatusCode::BAD_REQUEST,
-            Self::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body(ReadError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             // Another daemon can serve it, unlike a request that is refused as excessive.
             Self::Refused {
                 code: "stopping", ..
             } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Refused { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::Refused { .. } | Self::Body(ReadError::NoRoom(_)) => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             Self::NoConfiguration
             | Self::Stopping { .. }
             | Self::CutOff { .. }
--- a/crates/entry/src/service/mod.rs
+++ b/crates/entry/src/service/mod.rs
@@ -19,7 +19,7 @@
 use mangofront_upstream::service::{Call, ServiceResponse, call};
 use percent_encoding::percent_decode_str;
 
-use crate::bodies::{self, BufferedBody};
+use crate::bodies;
 use crate::caller::{self, Caller};
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
@@ -45,8 +45,6 @@
     pub(crate) caller: Caller,
     pub(crate) service: ServiceName,
     pub(crate) call: Call,
-    /// Keeps the memory of the call's body reserved.
-    _body: BufferedBody,
 }
 
 /// Handles a call to a service.
@@ -106,13 +104,12 @@
         method: head.method,
         path_and_query: path,
         headers: forwarded_headers,
-        body: body.content.clone(),
+        body,
     };
     let service_call = ServiceCall {
         caller,
         service,
         call,
-        _body: body,
     };
     Ok((service_call, repeatability))
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
-use mangofront_http::{Body, BodyError, collect};
+use mangofront_bodies::{Purpose, ReadError};
+use mangofront_http::{Body, read_body};
 use mangofront_routes::{AllowedRegions, ConfigurationVersion, Organisation, Route, RouteTable};
 use mangofront_settings::ids::ServiceName;
 
@@ -24,6 +25,10 @@
 /// load balancer has seen that the daemon is not ready.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
 
+/// Time after which a caller may retry when bodies take all memory set aside; by then many of them
+/// have been answered, and another daemon may have room at once.
+const RETRY_AFTER_NO_ROOM: Duration = Duration::from_millis(500);
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -89,15 +94,23 @@
         Err(error) => Err(Refusal::BadHead(error.to_string())),
     };
     // The body is read even if the request is refused, so that the connection stays usable.
-    let body = drain.until_refusing(collect(body, body_limit_bytes)).await;
+    let body = drain
+        .until_refusing(read_body(
+            gateway.body_memory(),
+            Purpose::Request,
+            body,
+            body_limit_bytes,
+        ))
+        .await;
     let served = match (admitted, body) {
         (Err(refusal), _) => Err(refusal),
         (Ok(_), None) => {
             drain.record_refused_unsent();
             Err(stopping::not_sent())
         }
-        (Ok(_), Some(Err(BodyError::TooLarge { .. }))) => Err(Refusal::BodyTooLarge),
-        (Ok(_), Some(Err(BodyError::Interrupted(_)))) => Err(Refusal::BodyBroken),
+        (Ok(_), Some(Err(ReadError::TooLarge { .. }))) => Err(Refusal::BodyTooLarge),
+        (Ok(_), Some(Err(ReadError::NoRoom(_)))) => Err(no_room()),
+        (Ok(_), Some(Err(ReadError::Interrupted(_)))) => Err(Refusal::BodyBroken),
         (Ok(admitted), Some(Ok(body))) => Ok((admitted, body)),
     };
     let mut response = match served {
@@ -148,6 +161,14 @@
     response
 }
 
+/// Refusal of a request whose body this daemon has no memory for.
+fn no_room() -> Refusal {
+    Refusal::NotRun {
+        reason: "no_memory_for_body",
+        retry_after: RETRY_AFTER_NO_ROOM,
+    }
+}
+
 /// Route, service and organisation of a request.
 struct Admitted {
     head: CallHead,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
+use mangofront_bodies::BodyMemory;
 use mangofront_engines::{Failure, UpstreamKey, Upstreams};
 use mangofront_http::Body;
 use mangofront_peers::Peers;
@@ -68,6 +69,8 @@
     pub trials: Trials,
     /// Metrics of the daemon.
     pub metrics: Metrics,
+    /// Memory for the bodies of callers, upstreams and other daemons.
+    pub body_memory: BodyMemory,
 }
 
 impl std::fmt::Debug for GatewayParts {
@@ -262,6 +265,12 @@
         self.0.parts.rate_limits.status()
     }
 
+    /// Memory for the bodies of callers, upstreams and other daemons.
+    #[must_use]
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.0.parts.body_memory
+    }
+
     /// Ends all duties towards the other daemons, as this one is about to exit.
     pub fn hand_over(&self) {
         self.0.parts.rate_limits.stop_coordinating();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -153,7 +153,7 @@
         Ok(answer) => {
             on_answer(&answer);
             // Read to the end, so that the connection can be reused. The head is the answer.
-            let _ = answer.bytes(ANSWER_LIMIT_BYTES, deadline).await;
+            answer.discard(ANSWER_LIMIT_BYTES, deadline).await;
             ProbeResult::Answered
         }
         Err(SendError::Timeout { .. }) => ProbeResult::Silent,
--- a/crates/gateway/src/proxy/client.rs
+++ b/crates/gateway/src/proxy/client.rs
@@ -310,7 +310,7 @@
         match sent.await {
             Ok(Reply::Answered(answer)) => {
                 // Read to the end, so that the connection can be reused.
-                let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
+                answer.discard(REFUSAL_LIMIT_BYTES, deadline).await;
                 Some(Statement::Answers(witness.instance.clone()))
             }
             Ok(Reply::NotSent(ProxyOutcome::Unreachable, evidence)) => {
@@ -379,7 +379,7 @@
             })),
             (outcome, reason) => {
                 // Read to the end, so that the connection can be reused.
-                let _ = answer.bytes(REFUSAL_LIMIT_BYTES, deadline).await;
+                answer.discard(REFUSAL_LIMIT_BYTES, deadline).await;
                 Ok(Reply::NotSent(outcome, reason))
             }
         }
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -10,8 +10,9 @@
 use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use mangofront_bodies::Purpose;
 use mangofront_engines::{UpstreamKey, key_of};
-use mangofront_http::{Aborted, Body, Outcome, collect, empty, stream_until_abort};
+use mangofront_http::{Aborted, Body, Outcome, empty, read_body, stream_until_abort};
 use mangofront_paths::Route;
 use mangofront_routes::Upstream;
 use mangofront_settings::ids::InstanceId;
@@ -177,7 +178,12 @@
     let Some(mut attempt) = ForwardedAttempt::begin(gateway, &head.headers, order) else {
         return Err(refused("too many attempts"));
     };
-    let body = drain.until_refusing(collect(body, gateway.body_limit_bytes()));
+    let body = drain.until_refusing(read_body(
+        gateway.body_memory(),
+        Purpose::ForwardedRequest,
+        body,
+        gateway.body_limit_bytes(),
+    ));
     let body = body.await.ok_or_else(|| refused(STOPPING))?;
     let body = body.map_err(|error| refused(&error.to_string()))?;
     if !attempt.add_body(body.len(), gateway.options().proxied_bodies_limit_bytes) {
--- a/crates/gateway/src/reservations.rs
+++ b/crates/gateway/src/reservations.rs
@@ -267,11 +267,6 @@
     };
     let status = answer.status;
     // Read to the end, so that the connection can be reused.
-    if let Err(error) = answer.bytes(ANSWER_LIMIT_BYTES, deadline).await {
-        log::debug!(
-            "gateway: reading the answer of {} failed: {error}",
-            reservation.upstream.id
-        );
-    }
+    answer.discard(ANSWER_LIMIT_BYTES, deadline).await;
     Some(status)
 }
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -11,6 +11,7 @@
 use futures_util::future::{LocalBoxFuture, pending};
 use futures_util::{FutureExt, Stream, StreamExt};
 use http::{HeaderMap, StatusCode};
+use mangofront_bodies::Purpose;
 use mangofront_engines::{Placement, key_of};
 use mangofront_routes::Upstream;
 use mangofront_upstream::SendError;
@@ -358,7 +359,7 @@
     let headers = gateway.parts().dialect.answer_headers(&answer.headers);
     let end = BodyEnd::of(&answer);
     let limit_bytes = gateway.options().answer_limit_bytes;
-    let body = pin!(answer.bytes(limit_bytes, call.deadline));
+    let body = pin!(answer.bytes(Purpose::Answer, limit_bytes, call.deadline));
     let read = until_restart(&mut placement, body).await;
     placement.record_first_event();
     drop(reservations);
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,4 +1,4 @@
-//! Response bodies, and reading of request bodies up to a size limit.
+//! Response bodies, and reading of request bodies.
 
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -7,10 +7,10 @@
 use futures_util::{Stream, StreamExt};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Empty, Full, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{Empty, Full, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use mangofront_bodies::{BodyMemory, Purpose, ReadError};
 use serde::Serialize;
-use thiserror::Error;
 
 use crate::connection::Aborted;
 
@@ -76,20 +76,6 @@
     }
 }
 
-/// Reason why a request body was not read to its end.
-#[derive(Debug, Error)]
-pub enum BodyError {
-    /// The body is longer than the limit.
-    #[error("body is longer than {limit_bytes} bytes")]
-    TooLarge {
-        /// Limit that was exceeded, in bytes.
-        limit_bytes: usize,
-    },
-    /// The connection failed before the end of the body.
-    #[error("body broke off: {0}")]
-    Interrupted(String),
-}
-
 /// Body without content.
 #[must_use]
 pub fn empty() -> Body {
@@ -134,17 +120,26 @@
     response
 }
 
-/// Reads a request's body to its end, up to `limit_bytes`.
+/// Reads a request's body of up to `limit_bytes` to its end, as soon as there is room for it.
 ///
 /// # Errors
-/// [`BodyError::TooLarge`] beyond the limit, [`BodyError::Interrupted`] when the
-/// connection ends before the body.
-pub async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyError::TooLarge { limit_bytes })
-        }
-        Err(error) => Err(BodyError::Interrupted(error.to_string())),
-    }
+/// [`ReadError`]; nothing of the body is kept.
+pub async fn read_body(
+    memory: &BodyMemory,
+    purpose: Purpose,
+    body: Incoming,
+    limit_bytes: usize,
+) -> Result<Bytes, ReadError> {
+    let announced_bytes = body.size_hint().exact();
+    let reader = memory.admit(purpose, announced_bytes, limit_bytes).await?;
+    reader.collect(body).await
+}
+
+/// Reads a body like [`read_body`], for a server that trusts its callers with its memory.
+///
+/// # Errors
+/// As for [`read_body`].
+pub async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, ReadError> {
+    let memory = BodyMemory::unbounded();
+    read_body(&memory, Purpose::Request, body, limit_bytes).await
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,7 +17,7 @@
 mod stall;
 
 pub use acceptance::{Acceptance, TICK_PERIOD};
-pub use body::{Body, BodyError, collect, empty, full, json, stream, stream_until_abort};
+pub use body::{Body, collect, empty, full, json, read_body, stream, stream_until_abort};
 pub use client::{ClientError, client};
 pub use connection::Aborted;
 pub use error::{ErrorBody, ErrorDetail, Outcome};
--- a/crates/orders/src/client.rs
+++ b/crates/orders/src/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, header};
 use http_body_util::Full;
+use mangofront_bodies::Purpose;
 use mangofront_http::ErrorBody;
 use mangofront_upstream::{Connections, FreshConnection, SendError, Target, engine};
 
@@ -82,7 +83,9 @@
     let answered = async {
         let answer = opened.send(request, deadline).await?;
         let status = answer.status;
-        let body = answer.bytes(ANSWER_LIMIT_BYTES, deadline).await?;
+        let body = answer
+            .bytes(Purpose::Answer, ANSWER_LIMIT_BYTES, deadline)
+            .await?;
         Ok::<_, SendError>((status, body))
     };
     match answered.await {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -6,6 +6,7 @@
 
 mod instruments;
 mod labels;
+mod memory;
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -22,6 +23,7 @@
     Disposition, NoticeKind, PathState, PeerState, ReplacementOutcome, RequestOutcome,
 };
 pub use mangofront_prompt::LengthBucket;
+pub use memory::BodyUsage;
 
 /// Prefix of the names of all metrics.
 const NAMESPACE: &str = "mangofront";
@@ -41,7 +43,7 @@
     instruments: Instruments,
     organisations: BoundedLabels,
     // Keeps the provider alive: without it, instruments record nothing.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
 impl Metrics {
@@ -64,7 +66,7 @@
             registry,
             instruments,
             organisations: BoundedLabels::default(),
-            _provider: provider,
+            provider,
         })))
     }
 
@@ -81,6 +83,13 @@
         }
     }
 
+    /// Adds the memory of the process and of the bodies in it; `usage` is called at each scrape.
+    pub fn observe_memory(&self, usage: impl Fn() -> Vec<BodyUsage> + Send + Sync + 'static) {
+        let meter = self.0.provider.meter(NAMESPACE);
+        memory::register_resident(&meter);
+        memory::register_bodies(&meter, usage);
+    }
+
     /// Counts a request that ended.
     pub fn request_ended(&self, class: &str, outcome: RequestOutcome) {
         let labels = [label("class", class), label("outcome", outcome.name())];
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -22,6 +22,7 @@
 use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
+use mangofront_bodies::BodyMemory;
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::Target;
@@ -42,7 +43,7 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Settings of [`Connections`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ConnectionsOptions {
     /// Maximum time to open a connection; 1 s by default.
     pub connect_timeout: Duration,
@@ -52,6 +53,8 @@
     pub idle_limit: usize,
     /// Address to connect from; chosen by the operating system by default.
     pub local_ip: Option<IpAddr>,
+    /// Memory for the bodies of responses; unbounded by default.
+    pub body_memory: BodyMemory,
 }
 
 impl Default for ConnectionsOptions {
@@ -61,6 +64,7 @@
             idle_timeout: Duration::from_secs(5),
             idle_limit: 64,
             local_ip: None,
+            body_memory: BodyMemory::unbounded(),
         }
     }
 }
@@ -73,6 +77,7 @@
 struct Shared {
     connect_timeout: Duration,
     local_ip: Option<IpAddr>,
+    body_memory: BodyMemory,
     idle: IdleConnections,
     control: Cell<ControlTraffic>,
 }
@@ -85,6 +90,7 @@
         Self(Rc::new(Shared {
             connect_timeout: options.connect_timeout,
             local_ip: options.local_ip,
+            body_memory: options.body_memory,
             idle,
             control: Cell::default(),
         }))
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -7,11 +7,12 @@
 use futures_util::{Stream, StreamExt};
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
+use mangofront_bodies::{NoRoom, Purpose, ReadError, discard};
 
 use super::{Connections, Sender, connection_failed, with_deadline};
 use crate::Target;
-use crate::error::{SendError, Step};
+use crate::error::{ConnectionFault, SendError, Step};
 
 /// Header with which a server announces its timeout for idle connections.
 const KEEP_ALIVE_HEADER: &str = "keep-alive";
@@ -68,30 +69,55 @@
     /// Reads the body to its end, up to `limit_bytes`.
     ///
     /// # Errors
-    /// [`SendError`] when the connection fails, the body exceeds the limit, or it
-    /// is not complete by `deadline`.
+    /// [`SendError`] when the connection fails, the body exceeds the limit, there is no memory for
+    /// it, or it is not complete by `deadline`.
     pub async fn bytes(
         mut self,
+        purpose: Purpose,
         limit_bytes: usize,
         deadline: Instant,
     ) -> Result<Bytes, SendError> {
         let Some(body) = self.body.take() else {
             return Ok(Bytes::new());
         };
-        let limited = http_body_util::Limited::new(body, limit_bytes);
-        let collected =
-            with_deadline(deadline, &self.target, Step::Body, limited.collect()).await?;
-        match collected {
-            Ok(collected) => {
-                self.release();
-                Ok(collected.to_bytes())
+        let memory = self.connections.0.body_memory.clone();
+        let admitting = memory.admit(purpose, body.size_hint().exact(), limit_bytes);
+        let reader = match with_deadline(deadline, &self.target, Step::Body, admitting).await {
+            Ok(admitted) => admitted.map_err(|error| self.read_failed(error))?,
+            Err(_late) => return Err(self.read_failed(ReadError::NoRoom(NoRoom))),
+        };
+        let reading = reader.collect(body);
+        let read = with_deadline(deadline, &self.target, Step::Body, reading).await?;
+        let body = read.map_err(|error| self.read_failed(error))?;
+        self.release();
+        Ok(body)
+    }
+
+    /// Reads the body to its end, up to `limit_bytes`, and keeps nothing of it. After that its
+    /// connection can be reused.
+    pub async fn discard(mut self, limit_bytes: usize, deadline: Instant) {
+        let Some(mut body) = self.body.take() else {
+            return;
+        };
+        let discarding = discard(&mut body, limit_bytes);
+        let is_read = with_deadline(deadline, &self.target, Step::Body, discarding).await;
+        if matches!(is_read, Ok(true)) {
+            self.release();
+        }
+    }
+
+    fn read_failed(&self, error: ReadError) -> SendError {
+        let peer = self.target.instance.clone();
+        match error {
+            ReadError::NoRoom(_) => SendError::NoRoom { peer },
+            error @ (ReadError::TooLarge { .. } | ReadError::Interrupted(_)) => {
+                SendError::ConnectionFailed {
+                    step: Step::Body,
+                    fault: ConnectionFault::Other,
+                    peer,
+                    cause: error.to_string(),
+                }
             }
-            Err(error) => Err(SendError::ConnectionFailed {
-                step: Step::Body,
-                fault: crate::ConnectionFault::Other,
-                peer: self.target.instance.clone(),
-                cause: error.to_string(),
-            }),
         }
     }
 
--- a/crates/upstream/src/engine/json.rs
+++ b/crates/upstream/src/engine/json.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{Method, Request, header};
 use http_body_util::Full;
+use mangofront_bodies::Purpose;
 use mangofront_http::{ErrorBody, Outcome};
 
 use crate::Target;
@@ -58,7 +59,9 @@
         connections.count_control(traffic);
         return Err(refusal_error(target, response, deadline).await);
     }
-    let content = response.bytes(RESPONSE_LIMIT_BYTES, deadline).await?;
+    let content = response
+        .bytes(Purpose::Answer, RESPONSE_LIMIT_BYTES, deadline)
+        .await?;
     traffic.bytes_received += content.len() as u64;
     connections.count_control(traffic);
     if content.is_empty() {
@@ -98,7 +101,7 @@
 ) -> SendError {
     let status = response.status;
     let content = response
-        .bytes(ERROR_LIMIT_BYTES, deadline)
+        .bytes(Purpose::Answer, ERROR_LIMIT_BYTES, deadline)
         .await
         .unwrap_or_default();
     let body = serde_json::from_slice::<ErrorBody>(&content).unwrap_or_else(|_| {
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -93,6 +93,12 @@
         /// Instance to which the call was to be sent.
         peer: InstanceId,
     },
+    /// This process has no memory left for the response.
+    #[error("no memory is left for the response of {peer}")]
+    NoRoom {
+        /// Instance that was called.
+        peer: InstanceId,
+    },
     /// The upstream violated the protocol.
     #[error("{peer} broke the protocol: {cause}")]
     Protocol {
@@ -121,9 +127,10 @@
             }
             | Self::Withdrawn { .. } => Outcome::NotRun,
             Self::Refused { detail, .. } => detail.outcome,
-            Self::ConnectionFailed { .. } | Self::Timeout { .. } | Self::Protocol { .. } => {
-                Outcome::Unknown
-            }
+            Self::ConnectionFailed { .. }
+            | Self::Timeout { .. }
+            | Self::NoRoom { .. }
+            | Self::Protocol { .. } => Outcome::Unknown,
         }
     }
 
@@ -135,6 +142,7 @@
             | Self::Timeout { peer, .. }
             | Self::Refused { peer, .. }
             | Self::Withdrawn { peer }
+            | Self::NoRoom { peer }
             | Self::Protocol { peer, .. } => peer,
         }
     }
@@ -146,6 +154,7 @@
             Self::ConnectionFailed { step, .. } | Self::Timeout { step, .. } => step.name(),
             Self::Refused { .. } => "refused",
             Self::Withdrawn { .. } => "withdrawn",
+            Self::NoRoom { .. } => "no_room",
             Self::Protocol { .. } => "protocol",
         }
     }
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Full;
+use mangofront_bodies::Purpose;
 
 use crate::Target;
 use crate::connection::{Connections, FreshConnection, UpstreamResponse};
@@ -86,7 +87,9 @@
 ) -> Result<ServiceResponse, SendError> {
     let status = response.status;
     let headers = without_hop_by_hop_headers(&response.headers);
-    let body = response.bytes(limit_bytes, deadline).await?;
+    let body = response
+        .bytes(Purpose::Answer, limit_bytes, deadline)
+        .await?;
     Ok(ServiceResponse {
         status,
         headers,
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -7,6 +7,7 @@
 
 use compio::net::TcpListener;
 use futures_util::StreamExt;
+use mangofront_bodies::Purpose;
 use mangofront_http::Outcome;
 use mangofront_upstream::{Connections, SendError, Step, Target};
 
@@ -16,7 +17,9 @@
 
 async fn call(connections: &Connections, target: &Target, path: &str) -> Result<String, SendError> {
     let response = connections.send(target, get(path), deadline()).await?;
-    let body = response.bytes(LIMIT_BYTES, deadline()).await?;
+    let body = response
+        .bytes(Purpose::Answer, LIMIT_BYTES, deadline())
+        .await?;
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
 
@@ -177,7 +180,10 @@
         for path in ["/first", "/second", "/third"] {
             let opened = connections.open(&server.target, deadline()).await.unwrap();
             let response = opened.send(get(path), deadline()).await.unwrap();
-            response.bytes(LIMIT_BYTES, deadline()).await.unwrap();
+            response
+                .bytes(Purpose::Answer, LIMIT_BYTES, deadline())
+                .await
+                .unwrap();
         }
     };
     open_three().await;
--- a/crates/upstream/tests/engine.rs
+++ b/crates/upstream/tests/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mangofront_bodies::Purpose;
 use mangofront_http::{ErrorBody, Outcome};
 use mangofront_prompt::Endpoint;
 use mangofront_upstream::engine::{EngineStream, FinishReason, GenerateCall, generate, resume};
@@ -66,7 +67,10 @@
     for _ in 0..LATER_CALLS {
         let response = connections.send(&server.target, get("/after"), deadline());
         let response = response.await.expect("a response");
-        response.bytes(0, deadline()).await.expect("an empty body");
+        response
+            .bytes(Purpose::Answer, 0, deadline())
+            .await
+            .expect("an empty body");
     }
 }
 
--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -235,7 +235,8 @@
         ..FleetSpec::default()
     };
     for engine in &mut spec.engines {
-        engine["time_scale"] = json!(1.0);
+        // Longer than a body waits for room.
+        engine["time_scale"] = json!(2.0);
     }
     let fleet = Fleet::start(spec);
     let long = json!({"model": "assist-llm", "prompt": "x ".repeat(300_000),
@@ -245,7 +246,10 @@
         .with_header("mangofront-class", "review");
     let first = caller.clone();
     let body = long.clone();
-    let request = std::thread::spawn(move || first.disconnect_after(1, "/v1/completions", &body));
+    let request = std::thread::spawn(move || first.post("/v1/completions", &body));
+    wait_until("the first long prompt is in progress", || {
+        fleet.admin_client(0).get("/status").json()["daemon"]["requests_in_progress"] == 1
+    });
     wait_until("a second long prompt is refused", || {
         let refused = caller.disconnect_after(1, "/v1/completions", &long);
         refused.json()["error"]["code"] == "bodies_full"
