Keep a body in one buffer, and write it in parts

What callers saw: a daemon that was killed for its memory while one upstream answered without end, and took the orders at sound upstreams with it.

Cause: each frame of a body held a read buffer of its own, 8 to 16 KiB whatever its length. Besides, the stream that is written to copied a whole body at once, and kept the room for the largest body as long as its connection was open; and large blocks that were freed stayed with the general allocator.

Change: a body is copied as it arrives into one buffer, of its announced length or doubled as it grows, so that its frames are freed at once. Buffers of over 64 KiB are private mappings, which return to the system as they are dropped. Connections pass on 32 KiB at a time. A response's head may have 64 KiB, as a request's, in place of the library's 400.

Conclusion: what a body costs depends on its length alone. Nothing bounds the sum of all bodies yet.

--- a/crates/bodies/src/buffer.rs
+++ b/crates/bodies/src/buffer.rs
@@ -10,6 +10,9 @@
 /// Largest buffer on the heap, in bytes.
 pub(crate) const HEAP_LIMIT_BYTES: usize = 64 * 1024;
 
+/// Capacity of the first allocation of a body whose length isn't known, in bytes.
+const FIRST_CAPACITY_BYTES: usize = 1024;
+
 /// Unit in which the system provides memory for mappings, in bytes.
 const PAGE_BYTES: usize = 4096;
 
@@ -39,6 +42,27 @@
         }
     }
 
+    pub(crate) fn capacity(&self) -> usize {
+        match self {
+            Self::Heap(bytes) => bytes.capacity(),
+            Self::Mapped { map, .. } => map.len(),
+        }
+    }
+
+    /// Capacity to which to grow for `length` bytes of a body of up to `limit`.
+    pub(crate) fn next_capacity(&self, length: usize, limit: usize) -> usize {
+        let doubled = (self.capacity() * 2).max(FIRST_CAPACITY_BYTES);
+        doubled.min(limit).max(length)
+    }
+
+    /// Grows to `capacity`.
+    pub(crate) fn grow(&mut self, capacity: usize) -> io::Result<()> {
+        let mut grown = Self::with_capacity(capacity)?;
+        grown.push(self.as_ref());
+        *self = grown;
+        Ok(())
+    }
+
     /// Appends `bytes`, for which there must be room.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
         match self {
--- a/crates/bodies/src/memory.rs
+++ b/crates/bodies/src/memory.rs
@@ -89,6 +89,7 @@
         };
         Ok(BodyReader {
             reservation,
+            announced_bytes,
             limit_bytes,
         })
     }
@@ -105,6 +106,12 @@
         self.reservation(demand, id)
     }
 
+    /// Whether there is room for a body of this size once all others are gone.
+    #[must_use]
+    pub fn can_ever_hold(&self, bytes: usize) -> bool {
+        self.ledger().can_ever_hold(bytes)
+    }
+
     /// Memory that is taken, by purpose.
     #[must_use]
     pub fn usage(&self) -> Vec<PurposeUsage> {
--- a/crates/bodies/src/read.rs
+++ b/crates/bodies/src/read.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct BodyReader {
     pub(crate) reservation: Reservation,
+    /// Length of the body, if it is known.
+    pub(crate) announced_bytes: Option<usize>,
     pub(crate) limit_bytes: usize,
 }
 
@@ -46,23 +48,29 @@
         B::Error: std::fmt::Display,
     {
         let mut body = body;
-        let mut pieces = Vec::new();
-        let mut length = 0;
+        let mut buffer = self.empty_buffer()?;
         while let Some(piece) = self.next_piece(&mut body).await? {
-            length += piece.len();
+            let length = buffer.len() + piece.len();
             if length > self.limit_bytes {
                 let limit_bytes = self.limit_bytes;
                 return Err(ReadError::TooLarge { limit_bytes });
             }
-            self.reservation.grow_to(length)?;
-            pieces.push(piece);
+            if length > buffer.capacity() {
+                let capacity = buffer.next_capacity(length, self.limit_bytes);
+                self.reservation.grow_to(capacity)?;
+                buffer.grow(capacity).map_err(NoRoom::from)?;
+            }
+            buffer.push(&piece);
             self.reservation.record_progress();
         }
-        let mut buffer = Buffer::with_capacity(length).map_err(NoRoom::from)?;
-        pieces.iter().for_each(|piece| buffer.push(piece));
         Ok(self.keep(buffer))
     }
 
+    fn empty_buffer(&self) -> Result<Buffer, NoRoom> {
+        let capacity = self.announced_bytes.unwrap_or_default();
+        Ok(Buffer::with_capacity(capacity)?)
+    }
+
     /// The next bytes of the body; `None` at its end.
     async fn next_piece<B>(&self, body: &mut B) -> Result<Option<Bytes>, ReadError>
     where
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -17,6 +17,7 @@
 
 use crate::body::Body;
 use crate::serve::{ServeLimits, StopSignals};
+use crate::short_writes::ShortWrites;
 use crate::stall::StallDetectingWriter;
 
 /// Time that a graceful shutdown gives a new connection to send its first
@@ -57,7 +58,7 @@
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
     let (writer, stalled) = StallDetectingWriter::new(writer, limits.write_timeout);
-    let io = HyperStream::new_plain((reader, writer));
+    let io = ShortWrites::new(HyperStream::new_plain((reader, writer)));
     let requests = pin!(serve_requests(io, peer, limits, handler, &signals));
     // Dropping this future closes the socket, even in the middle of a write.
     let aborted = pin!(signals.abort.wait());
@@ -75,7 +76,7 @@
 /// Answers requests until the peer closes the connection or the server shuts
 /// down gracefully.
 async fn serve_requests<H, A>(
-    io: HyperStream<(TcpStream, StallDetectingWriter)>,
+    io: ShortWrites<HyperStream<(TcpStream, StallDetectingWriter)>>,
     peer: SocketAddr,
     limits: ServeLimits,
     handler: Rc<H>,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod events;
 mod serve;
+mod short_writes;
 mod shutdown;
 mod stall;
 
@@ -23,6 +24,7 @@
 pub use error::{ErrorBody, ErrorDetail, Outcome};
 pub use events::{EVENT_LIMIT_BYTES, Event, EventsError, events};
 pub use serve::{ServeLimits, StopSignals, serve, serve_abortable, serve_while_on_time};
+pub use short_writes::ShortWrites;
 pub use shutdown::{Shutdown, ShutdownTrigger};
 
 /// Names of the headers, described in `docs/interfaces.md`.
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -23,6 +23,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use mangofront_bodies::BodyMemory;
+use mangofront_http::ShortWrites;
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::Target;
@@ -42,6 +43,9 @@
 /// Unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Largest head of a response, in bytes.
+const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+
 /// Settings of [`Connections`].
 #[derive(Debug, Clone)]
 pub struct ConnectionsOptions {
@@ -199,7 +203,9 @@
         // An error is ignored, as the call can be sent all the same.
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
-        let handshake = http1::handshake(HyperStream::new_plain(stream));
+        let handshake = http1::Builder::new()
+            .max_buf_size(HEAD_LIMIT_BYTES)
+            .handshake(ShortWrites::new(HyperStream::new_plain(stream)));
         let (sender, connection) = with_deadline(limit, target, Step::Connect, handshake)
             .await?
             .map_err(|error| connection_failed(target, Step::Connect, &error))?;
