Bound the memory of all bodies together

What callers saw: a hundred answers without end at once took a daemon over any memory it may have, and the orders of all others with it: each is cut at 8 MiB, but nothing bounded their sum.

Change: bodies have a quarter of the memory that the process may use, `memory_limit_mb`, which the deploy file passes on, or what the machine or the control group has; `bodies_limit_bytes` names another part, up to half, and a start with one that doesn't fit is refused. Where room runs short, a request whose bytes have stopped coming is ended first, then the body of unknown length that holds most, unless that is the one that needs more. One of known length has room for all of it before it is read, and waits for that while it holds nothing, so no two wait for each other; an eighth is open to bodies of up to 64 KiB only, which therefore pass. Operators see each purpose's bytes, who waits and who ended, and a warning with the reasons.

--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -57,8 +57,8 @@
     let options = PlacementOptions::new(instance.clone(), zone.clone()).policy(policy);
     let placement = Placement::new(options);
     let admission = Admission::new(AdmissionOptions::new());
-    let bodies_limit_bytes = settings.limits.bodies_limit_bytes;
-    let body_memory = BodyMemory::new(usize::try_from(bodies_limit_bytes).unwrap_or(usize::MAX));
+    let largest_body_bytes = u64::from(settings.limits.body_limit_bytes);
+    let body_memory = body_memory::set_aside(&settings.limits, largest_body_bytes)?;
     let connections = Connections::new(ConnectionsOptions {
         connect_timeout: settings.limits.connect_timeout(),
         body_memory: body_memory.clone(),
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -41,6 +41,15 @@
     /// The metrics could not be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
+    /// The memory set aside for bodies doesn't fit.
+    #[error("memory: {cause}")]
+    #[diagnostic(help("{help}"))]
+    Memory {
+        /// What doesn't fit.
+        cause: String,
+        /// What to change.
+        help: &'static str,
+    },
     /// An address could not be bound.
     #[error("listen on {address} failed: {cause}")]
     Listen {
@@ -72,6 +81,7 @@
             | Self::Logs(_)
             | Self::Client(_)
             | Self::Metrics(_)
+            | Self::Memory { .. }
             | Self::Io { .. } => false,
         }
     }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -20,7 +20,7 @@
 use mangofront_gateway::{
     Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
     RateLimitsParts, RetryLimit, StateExchange, StateExchangeOptions, StateExchangeParts, Trials,
-    TrialsParts, peer_messages,
+    TrialsParts, UNCONFIGURED_BODY_LIMIT_BYTES, peer_messages,
 };
 use mangofront_http::{
     Acceptance, Body, ServeLimits, Shutdown, StopSignals, empty, serve, serve_abortable,
@@ -207,7 +207,8 @@
         updates_sender.clone(),
     );
     upstreams.set_zone_regions(gateway_settings.zone_regions.clone());
-    let body_memory = BodyMemory::unbounded();
+    let largest_body_bytes = UNCONFIGURED_BODY_LIMIT_BYTES as u64;
+    let body_memory = body_memory::set_aside(&settings.limits, largest_body_bytes)?;
     body_memory::observe(&body_memory, metrics);
     let connections = connections(settings, &body_memory);
     let published = Published::new(
@@ -285,6 +286,7 @@
         body_memory,
     });
     let background_tasks = vec![
+        spawn(body_memory::warn_of_lack(gateway.body_memory().clone())),
         spawn(published.follow(Rc::new(source), Rc::clone(&exchange))),
         spawn(Rc::clone(&exchange).broadcast(updates)),
         spawn(Rc::clone(&exchange).rebroadcast_running()),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,8 +18,8 @@
 use crate::error::DaemonError;
 use crate::signals::StopSignalListener;
 use crate::{
-    admin, control_metrics, event_loop_lag, orders, placement_views, platform_updates, relay,
-    watchers,
+    admin, body_memory, control_metrics, event_loop_lag, orders, placement_views, platform_updates,
+    relay, watchers,
 };
 
 /// Retry delay sent to callers while the daemon is stopping.
@@ -138,6 +138,7 @@
         spawn(components.once.maintain()),
         spawn(orders::update_view(components.clone())),
         spawn(control_metrics::record(components.clone())),
+        spawn(body_memory::warn_of_lack(components.body_memory.clone())),
         spawn(event_loop_lag::measure(
             components.metrics.clone(),
             acceptance,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,7 +38,7 @@
 use crate::{trace, zones};
 
 /// Body limit while no configuration is in force, in bytes.
-const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+pub const UNCONFIGURED_BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Period with which the daemons are counted that share limits.
 const FLEET_PERIOD: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,7 +70,7 @@
 pub use evacuations::{Evacuations, ReloadOutcome, ZoneChange, ZoneOutcome, ZoneRecord, ZoneState};
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
-pub use gateway::{Gateway, GatewayParts};
+pub use gateway::{Gateway, GatewayParts, UNCONFIGURED_BODY_LIMIT_BYTES};
 pub use held::{HeldPlace, HeldRequests};
 pub use idle_limits::idle_limit;
 pub use known_positions::KnownPositions;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -81,8 +81,11 @@
     pub body_limit_bytes: u32,
     /// Maximum number of requests in progress.
     pub in_progress_limit_requests: u32,
-    /// Memory for the bodies of all requests in progress together, in bytes.
-    pub bodies_limit_bytes: u64,
+    /// Memory that the process may use, in megabytes; if unset, what the machine has or the
+    /// control group allows, up to a gigabyte.
+    pub memory_limit_mb: Option<u64>,
+    /// Memory for all bodies together, in bytes; if unset, a quarter of what the process may use.
+    pub bodies_limit_bytes: Option<u64>,
     /// Time within which a request's headers have to arrive, in milliseconds; a
     /// connection that has been idle for this time is closed.
     pub header_timeout_ms: u64,
@@ -104,7 +107,8 @@
             header_limit_bytes: 64 * 1024,
             body_limit_bytes: 16 * 1024 * 1024,
             in_progress_limit_requests: 1024,
-            bodies_limit_bytes: 256 * 1024 * 1024,
+            memory_limit_mb: None,
+            bodies_limit_bytes: None,
             header_timeout_ms: 10_000,
             body_timeout_ms: 60_000,
             stream_buffer_frames: 256,
--- a/crates/settings/src/process/fields.rs
+++ b/crates/settings/src/process/fields.rs
@@ -125,7 +125,8 @@
     Field::defaulted("header_limit_bytes", integer(8 * KIB_BYTES, MIB_BYTES)),
     Field::defaulted("body_limit_bytes", integer(KIB_BYTES, 256 * MIB_BYTES)),
     Field::defaulted("in_progress_limit_requests", integer(1, 1_000_000)),
-    Field::defaulted(
+    Field::optional("memory_limit_mb", integer(64, 1024 * 1024)),
+    Field::optional(
         "bodies_limit_bytes",
         integer(MIB_BYTES, 64 * 1024 * MIB_BYTES),
     ),
