Never keep the body of a refused request

What callers saw: anybody who reaches the port could have a daemon killed. The body of a request without a valid key was read whole before the 401, with a buffer for each piece: ten callers with pieces of 200 bytes took 940 MB.

Cause: the body was read even if the request was refused already, so that the connection stays usable; its bytes were kept meanwhile, and a body without end was kept up to its limit for as long as its sender liked.

Change: a refused body is discarded as it arrives, for half a second and up to twice the allowed length; a connection on which more would follow is closed after the answer. A body whose announced length is over the limit is refused before it is read. A sound body has to be complete by its request's deadline (408, not run). Attempts of other daemons count against their bound before their bodies are read.

--- a/crates/bodies/src/lib.rs
+++ b/crates/bodies/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use memory::{BodyMemory, NoRoom, PurposeUsage, Reservation};
 pub use purpose::Purpose;
-pub use read::{BodyReader, ReadError, discard};
+pub use read::{BodyReader, ReadError, discard, room_deadline};
--- a/crates/bodies/src/read.rs
+++ b/crates/bodies/src/read.rs
@@ -1,6 +1,7 @@
 //! Reading of a body to its end.
 
 use std::pin::pin;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
@@ -28,6 +29,17 @@
     Interrupted(String),
 }
 
+/// Longest time for which a body waits for room: another process may have some.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time until which a request that is due at `deadline` may wait for room, so that there is as much
+/// time left to run it.
+#[must_use]
+pub fn room_deadline(now: Instant, deadline: Instant) -> Instant {
+    let time_left = deadline.saturating_duration_since(now);
+    now + ROOM_TIMEOUT.min(time_left / 2)
+}
+
 /// Reads one body, for which there is room.
 #[derive(Debug)]
 pub struct BodyReader {
@@ -41,15 +53,14 @@
     /// Reads `body` to its end.
     ///
     /// # Errors
-    /// [`ReadError`]; what was read of the body is freed.
-    pub async fn collect<B>(mut self, body: B) -> Result<Bytes, ReadError>
+    /// [`ReadError`]; what was read of the body is freed, and the rest can be discarded.
+    pub async fn collect<B>(mut self, body: &mut B) -> Result<Bytes, ReadError>
     where
         B: Body<Data = Bytes> + Unpin,
         B::Error: std::fmt::Display,
     {
-        let mut body = body;
         let mut buffer = self.empty_buffer()?;
-        while let Some(piece) = self.next_piece(&mut body).await? {
+        while let Some(piece) = self.next_piece(body).await? {
             let length = buffer.len() + piece.len();
             if length > self.limit_bytes {
                 let limit_bytes = self.limit_bytes;
--- a/crates/entry/src/bodies.rs
+++ b/crates/entry/src/bodies.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use mangofront_bodies::{Purpose, ReadError};
+use mangofront_bodies::{Purpose, ReadError, room_deadline};
 
 use crate::context::{Active, Entry};
 use crate::error::EntryError;
@@ -15,9 +15,6 @@
 /// Time after which a caller may retry when bodies take all memory set aside.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Longest time for which a body waits for room: another daemon may have some at once.
-const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum time for which a discarded body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -37,20 +34,25 @@
         active.announced_bytes(),
         limits.body_limit_bytes,
     );
-    let room_deadline = body_deadline.min(Instant::now() + ROOM_TIMEOUT);
+    let room_deadline = room_deadline(Instant::now(), body_deadline);
     let reader = match compio::time::timeout_at(room_deadline, admitting).await {
         Ok(Ok(reader)) => reader,
         Ok(Err(ReadError::NoRoom(_))) | Err(_) => return Err(no_room()),
         Ok(Err(error)) => return Err(error.into()),
     };
-    let Some(incoming) = active.take_body() else {
+    let Some(mut incoming) = active.take_body() else {
         return Ok(Bytes::new());
     };
-    match compio::time::timeout_at(body_deadline, reader.collect(incoming)).await {
-        Ok(Err(ReadError::NoRoom(_))) => Err(no_room()),
-        Ok(content) => Ok(content?),
-        Err(_elapsed) => Err(EntryError::BodyTimeout),
-    }
+    let reading = reader.collect(&mut incoming);
+    let read = compio::time::timeout_at(body_deadline, reading).await;
+    let refused = match read {
+        Ok(Ok(content)) => return Ok(content),
+        Ok(Err(ReadError::NoRoom(_))) => no_room(),
+        Ok(Err(error)) => error.into(),
+        Err(_elapsed) => return Err(EntryError::BodyTimeout),
+    };
+    discard(active.entry(), incoming).await;
+    Err(refused)
 }
 
 fn no_room() -> EntryError {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,8 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
-use mangofront_bodies::{Purpose, ReadError};
-use mangofront_http::{Body, read_body};
+use mangofront_http::Body;
 use mangofront_routes::{AllowedRegions, ConfigurationVersion, Organisation, Route, RouteTable};
 use mangofront_settings::ids::ServiceName;
 
@@ -19,16 +18,12 @@
 use crate::gateway::{Gateway, InProgress};
 use crate::quarantine::Suspects;
 use crate::refusal::Refusal;
-use crate::{stopping, trace};
+use crate::{request_body, stopping, trace};
 
 /// Time after which a caller may retry when this daemon can't serve it for now; by then the
 /// load balancer has seen that the daemon is not ready.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(300);
 
-/// Time after which a caller may retry when bodies take all memory set aside; by then many of them
-/// have been answered, and another daemon may have room at once.
-const RETRY_AFTER_NO_ROOM: Duration = Duration::from_millis(500);
-
 /// A request that was admitted.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -73,7 +68,7 @@
 ) -> Response<Body> {
     let arrived = Instant::now();
     let in_progress = gateway.begin_request();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let drain = gateway.drain();
     let confirmed = gateway.parts().published.wait_until_confirmed();
     // A daemon that refuses new requests refuses this one below.
@@ -93,29 +88,28 @@
         Ok(call_head) => admit(&gateway, table.as_deref(), &call_head, &path),
         Err(error) => Err(Refusal::BadHead(error.to_string())),
     };
-    // The body is read even if the request is refused, so that the connection stays usable.
-    let body = drain
-        .until_refusing(read_body(
-            gateway.body_memory(),
-            Purpose::Request,
-            body,
-            body_limit_bytes,
-        ))
-        .await;
-    let served = match (admitted, body) {
-        (Err(refusal), _) => Err(refusal),
-        (Ok(_), None) => {
-            drain.record_refused_unsent();
-            Err(stopping::not_sent())
+    let served = match admitted {
+        Ok(admitted) => {
+            let deadline = arrived + admitted.time_limit();
+            let memory = gateway.body_memory();
+            let reading = request_body::read(memory, &mut body, body_limit_bytes, deadline);
+            match drain.until_refusing(reading).await {
+                Some(read) => read.map(|body| (admitted, body)),
+                None => {
+                    drain.record_refused_unsent();
+                    Err(stopping::not_sent())
+                }
+            }
         }
-        (Ok(_), Some(Err(ReadError::TooLarge { .. }))) => Err(Refusal::BodyTooLarge),
-        (Ok(_), Some(Err(ReadError::NoRoom(_)))) => Err(no_room()),
-        (Ok(_), Some(Err(ReadError::Interrupted(_)))) => Err(Refusal::BodyBroken),
-        (Ok(admitted), Some(Ok(body))) => Ok((admitted, body)),
+        Err(refusal) => Err(refusal),
+    };
+    let is_reusable = match served {
+        Ok(_) => true,
+        Err(_) => request_body::discard_rest(&mut body, body_limit_bytes).await,
     };
     let mut response = match served {
         Ok((admitted, body)) => {
-            let caller_timeout = admitted.head.timeout.unwrap_or(admitted.route.timeout);
+            let deadline = arrived + admitted.time_limit();
             let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
             let organisation = admitted.organisation.as_ref();
             let organisation = organisation.map(|organisation| organisation.id.as_str());
@@ -127,7 +121,7 @@
                 id: admitted.head.request_id,
                 fingerprint,
                 arrived,
-                deadline: arrived + caller_timeout.min(admitted.route.timeout),
+                deadline,
                 allowed_regions,
                 route: admitted.route,
                 service: admitted.service,
@@ -154,21 +148,13 @@
             refusal.into_response(&id)
         }
     };
-    if gateway.stage() != Stage::Serving {
+    if gateway.stage() != Stage::Serving || !is_reusable {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-/// Refusal of a request whose body this daemon has no memory for.
-fn no_room() -> Refusal {
-    Refusal::NotRun {
-        reason: "no_memory_for_body",
-        retry_after: RETRY_AFTER_NO_ROOM,
-    }
-}
-
 /// Route, service and organisation of a request.
 struct Admitted {
     head: CallHead,
@@ -178,6 +164,12 @@
 }
 
 impl Admitted {
+    /// Time for which the caller waits or the route allows, whichever is less.
+    fn time_limit(&self) -> Duration {
+        let caller_timeout = self.head.timeout.unwrap_or(self.route.timeout);
+        caller_timeout.min(self.route.timeout)
+    }
+
     /// Regions that both the route and the organisation allow.
     fn allowed_regions(&self) -> AllowedRegions {
         let by_route = &self.route.allowed_regions;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod refusal;
 mod registrations;
 mod relay;
+mod request_body;
 mod reservations;
 mod retry_budget;
 mod running_attempt;
--- a/crates/gateway/src/proxy/server.rs
+++ b/crates/gateway/src/proxy/server.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use mangofront_bodies::Purpose;
 use mangofront_engines::{UpstreamKey, key_of};
 use mangofront_http::{Aborted, Body, Outcome, empty, read_body, stream_until_abort};
@@ -31,6 +31,12 @@
 /// result allows for its own.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for the body of an attempt to be read, which another daemon has sent at once.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reason for refusing an attempt for whose body there is no memory.
+const BODIES_FULL: &str = "too many bytes of bodies";
+
 /// Age up to which the proof of a path is good for an attempt that may not be repeated.
 const FORWARDING_PROOF_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -178,17 +184,24 @@
     let Some(mut attempt) = ForwardedAttempt::begin(gateway, &head.headers, order) else {
         return Err(refused("too many attempts"));
     };
-    let body = drain.until_refusing(read_body(
+    let announced_bytes = body.size_hint().exact();
+    let announced_bytes = announced_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+    let body_bytes = announced_bytes.unwrap_or_else(|| gateway.body_limit_bytes());
+    if !attempt.add_body(body_bytes, gateway.options().proxied_bodies_limit_bytes) {
+        return Err(refused(BODIES_FULL));
+    }
+    let reading = read_body(
         gateway.body_memory(),
         Purpose::ForwardedRequest,
         body,
         gateway.body_limit_bytes(),
-    ));
-    let body = body.await.ok_or_else(|| refused(STOPPING))?;
+    );
+    let reading = compio::time::timeout_at(expires.min(arrived + BODY_TIMEOUT), reading);
+    let read = drain.until_refusing(reading).await;
+    let read = read.ok_or_else(|| refused(STOPPING))?;
+    // Another daemon may have room at once.
+    let body = read.map_err(|_late| refused(BODIES_FULL))?;
     let body = body.map_err(|error| refused(&error.to_string()))?;
-    if !attempt.add_body(body.len(), gateway.options().proxied_bodies_limit_bytes) {
-        return Err(refused("too many bytes of bodies"));
-    }
     let confirmed = gateway.parts().published.wait_until_confirmed();
     let confirmed = drain.until_refusing(confirmed).await;
     confirmed.ok_or_else(|| refused(STOPPING))?;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -25,6 +25,8 @@
     BodyTooLarge,
     /// The body did not arrive completely.
     BodyBroken,
+    /// The body was not complete by the time at which the answer was due.
+    BodyLate,
     /// The request has not run and will not.
     NotRun {
         /// Code of the reason.
@@ -48,6 +50,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown { .. } => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -88,6 +91,7 @@
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
+            Self::BodyLate => "body_late",
             Self::NotRun { reason, .. } => reason,
             Self::TimedOut => "timed_out",
         }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -127,12 +127,12 @@
 pub async fn read_body(
     memory: &BodyMemory,
     purpose: Purpose,
-    body: Incoming,
+    mut body: Incoming,
     limit_bytes: usize,
 ) -> Result<Bytes, ReadError> {
     let announced_bytes = body.size_hint().exact();
     let reader = memory.admit(purpose, announced_bytes, limit_bytes).await?;
-    reader.collect(body).await
+    reader.collect(&mut body).await
 }
 
 /// Reads a body like [`read_body`], for a server that trusts its callers with its memory.
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -77,7 +77,7 @@
         limit_bytes: usize,
         deadline: Instant,
     ) -> Result<Bytes, SendError> {
-        let Some(body) = self.body.take() else {
+        let Some(mut body) = self.body.take() else {
             return Ok(Bytes::new());
         };
         let memory = self.connections.0.body_memory.clone();
@@ -86,7 +86,7 @@
             Ok(admitted) => admitted.map_err(|error| self.read_failed(error))?,
             Err(_late) => return Err(self.read_failed(ReadError::NoRoom(NoRoom))),
         };
-        let reading = reader.collect(body);
+        let reading = reader.collect(&mut body);
         let read = with_deadline(deadline, &self.target, Step::Body, reading).await?;
         let body = read.map_err(|error| self.read_failed(error))?;
         self.release();
