Count events and answers that are not passed on yet

What callers saw: a hundred streams of a plain service whose event never ends took a daemon to 93,716 KiB, of 160 MB allowed and with the bound on bodies, as each may keep a megabyte of an incomplete event; a stream of the own interface may keep 256 events for a caller that reads slowly, and an answer that is not streamed had no limit but its deadline.

Change: incomplete events, events that wait for a caller, and the text of answers that are not streamed count as bodies and end where room runs short, with 502 or a broken stream; an answer's text is limited to 8 MiB. An incomplete event is kept in the same buffers as bodies, which return their memory, and what was searched for its end isn't searched again.

--- a/crates/bodies/src/buffer.rs
+++ b/crates/bodies/src/buffer.rs
@@ -18,34 +18,53 @@
 
 /// Bytes read so far.
 #[derive(Debug)]
-pub(crate) enum Buffer {
+pub struct Buffer(Storage);
+
+#[derive(Debug)]
+enum Storage {
     Heap(Vec<u8>),
     Mapped { map: MmapMut, length: usize },
 }
 
+impl Default for Buffer {
+    fn default() -> Self {
+        Self(Storage::Heap(Vec::new()))
+    }
+}
+
 impl Buffer {
     /// Buffer with room for `capacity` bytes.
     pub(crate) fn with_capacity(capacity: usize) -> io::Result<Self> {
         match capacity <= HEAP_LIMIT_BYTES {
-            true => Ok(Self::Heap(Vec::with_capacity(capacity))),
+            true => Ok(Self(Storage::Heap(Vec::with_capacity(capacity)))),
             false => {
                 let map = MmapMut::map_anon(capacity)?;
-                Ok(Self::Mapped { map, length: 0 })
+                Ok(Self(Storage::Mapped { map, length: 0 }))
             }
         }
     }
 
-    pub(crate) fn len(&self) -> usize {
-        match self {
-            Self::Heap(bytes) => bytes.len(),
-            Self::Mapped { length, .. } => *length,
+    /// Number of bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        match &self.0 {
+            Storage::Heap(bytes) => bytes.len(),
+            Storage::Mapped { length, .. } => *length,
         }
     }
 
-    pub(crate) fn capacity(&self) -> usize {
-        match self {
-            Self::Heap(bytes) => bytes.capacity(),
-            Self::Mapped { map, .. } => map.len(),
+    /// Whether there are no bytes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Memory that the buffer may take, in bytes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        match &self.0 {
+            Storage::Heap(bytes) => bytes.capacity(),
+            Storage::Mapped { map, .. } => map.len(),
         }
     }
 
@@ -65,9 +84,9 @@
 
     /// Appends `bytes`, for which there must be room.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
-        match self {
-            Self::Heap(heap) => heap.extend_from_slice(bytes),
-            Self::Mapped { map, length } => {
+        match &mut self.0 {
+            Storage::Heap(heap) => heap.extend_from_slice(bytes),
+            Storage::Mapped { map, length } => {
                 let end = *length + bytes.len();
                 map[*length..end].copy_from_slice(bytes);
                 *length = end;
@@ -75,24 +94,54 @@
         }
     }
 
+    /// Appends `bytes`, and grows for them if need be.
+    ///
+    /// # Errors
+    /// If the system provides no memory.
+    pub fn extend(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let length = self.len() + bytes.len();
+        if length > self.capacity() {
+            self.grow(self.next_capacity(length, usize::MAX))?;
+        }
+        self.push(bytes);
+        Ok(())
+    }
+
+    /// Removes the first `count` bytes, and returns memory that is no longer needed.
+    pub fn remove_first(&mut self, count: usize) {
+        let rest = &self.as_ref()[count..];
+        let is_oversized = self.capacity() > HEAP_LIMIT_BYTES / 4;
+        if rest.len() <= HEAP_LIMIT_BYTES && is_oversized {
+            *self = Self(Storage::Heap(rest.to_vec()));
+            return;
+        }
+        match &mut self.0 {
+            Storage::Heap(bytes) => drop(bytes.drain(..count)),
+            Storage::Mapped { map, length } => {
+                map.copy_within(count..*length, 0);
+                *length -= count;
+            }
+        }
+    }
+
     /// Releases what was not used; returns the memory that is, in bytes.
     pub(crate) fn shrink(&mut self) -> usize {
-        match self {
-            Self::Heap(bytes) => {
+        match &mut self.0 {
+            Storage::Heap(bytes) => {
                 bytes.shrink_to_fit();
                 bytes.capacity()
             }
             // Pages that were never written take no memory.
-            Self::Mapped { map, length } => length.next_multiple_of(PAGE_BYTES).min(map.len()),
+            Storage::Mapped { map, length } => length.next_multiple_of(PAGE_BYTES).min(map.len()),
         }
     }
 }
 
 impl AsRef<[u8]> for Buffer {
     fn as_ref(&self) -> &[u8] {
-        match self {
-            Self::Heap(bytes) => bytes,
-            Self::Mapped { map, length } => &map[..*length],
+        match &self.0 {
+            Storage::Heap(bytes) => bytes,
+            Storage::Mapped { map, length } => &map[..*length],
         }
     }
 }
--- a/crates/bodies/src/lib.rs
+++ b/crates/bodies/src/lib.rs
@@ -13,6 +13,7 @@
 mod purpose;
 mod read;
 
+pub use buffer::Buffer;
 pub use memory::{BodyMemory, NoRoom, PurposeUsage, Reservation};
 pub use purpose::Purpose;
 pub use read::{BodyReader, ReadError, discard, room_deadline};
--- a/crates/bodies/src/memory.rs
+++ b/crates/bodies/src/memory.rs
@@ -1,9 +1,10 @@
 //! The memory of all bodies of a process.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Instant;
 
+use bytes::Bytes;
 use futures_channel::oneshot;
 use futures_util::future::{FusedFuture, poll_fn};
 use thiserror::Error;
@@ -106,6 +107,20 @@
         self.reservation(demand, id)
     }
 
+    /// Counts `bytes` until their last reference is dropped.
+    ///
+    /// # Errors
+    /// [`NoRoom`] if there is none for them.
+    pub fn keep(&self, purpose: Purpose, bytes: Bytes) -> Result<Bytes, NoRoom> {
+        let mut reservation = self.reserve_growing(purpose);
+        reservation.grow_to(bytes.len())?;
+        reservation.keep(bytes.len());
+        Ok(Bytes::from_owner(KeptBytes {
+            bytes,
+            _reservation: reservation,
+        }))
+    }
+
     /// Whether there is room for a body of this size once all others are gone.
     #[must_use]
     pub fn can_ever_hold(&self, bytes: usize) -> bool {
@@ -185,6 +200,18 @@
     }
 }
 
+/// Bytes and their part of the memory.
+struct KeptBytes {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for KeptBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A body that waits for room; what it was granted is returned if it stops waiting.
 struct Wait<'a> {
     memory: &'a BodyMemory,
@@ -246,11 +273,15 @@
 
     /// Resolves when this body has to end, as its memory is needed.
     pub async fn ended(&self) -> NoRoom {
-        poll_fn(|cx| match self.reading {
+        poll_fn(|cx| self.poll_ended(cx)).await
+    }
+
+    /// As [`Self::ended`], for one task.
+    pub fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<NoRoom> {
+        match self.reading {
             Some(id) if self.memory.ledger().poll_ended(id, cx.waker()) => Poll::Ready(NoRoom),
             _ => Poll::Pending,
-        })
-        .await
+        }
     }
 
     /// Records that bytes have arrived.
--- a/crates/bodies/src/read.rs
+++ b/crates/bodies/src/read.rs
@@ -108,7 +108,7 @@
 
     /// The complete body, which counts until its last reference is dropped.
     fn keep(mut self, mut buffer: Buffer) -> Bytes {
-        if buffer.len() == 0 {
+        if buffer.is_empty() {
             return Bytes::new();
         }
         self.reservation.keep(buffer.shrink());
--- a/crates/entry/src/completion/answer.rs
+++ b/crates/entry/src/completion/answer.rs
@@ -4,6 +4,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use mangofront_bodies::Reservation;
 use mangofront_http::ErrorBody;
 use mangofront_prompt::Endpoint;
 use mangofront_upstream::engine::{FinishReason, Frame, Usage};
@@ -13,6 +14,9 @@
 use super::attempts::Attempts;
 use crate::error::EntryError;
 
+/// Largest text of an answer that is not streamed, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
 /// A complete answer, or one chunk of a streamed one.
 #[derive(Debug, Serialize)]
 pub(crate) struct Completion<'a> {
@@ -109,16 +113,20 @@
 /// Reads an answer to its end.
 ///
 /// # Errors
-/// The attempts yielded no complete answer.
-pub(crate) async fn collect(
-    request: &CompletionRequest,
+/// The attempts yielded no complete answer, or it is too large to keep.
+pub(crate) async fn collect<'a>(
+    request: &'a CompletionRequest,
     mut attempts: Attempts,
     first: Frame,
-) -> Result<Completion<'_>, EntryError> {
+    memory: &mut Reservation,
+) -> Result<Completion<'a>, EntryError> {
     let mut text = String::new();
     let mut frame = first;
     loop {
         text.push_str(&frame.text);
+        if text.len() > ANSWER_LIMIT_BYTES || memory.grow_to(text.capacity()).is_err() {
+            return Err(EntryError::AnswerTooLarge);
+        }
         if attempts.is_finished() {
             break;
         }
--- a/crates/entry/src/completion/mod.rs
+++ b/crates/entry/src/completion/mod.rs
@@ -19,9 +19,10 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, header};
 use mangofront_admission::{AdmissionRequest, RefusalReason};
-use mangofront_http::{Body, json};
+use mangofront_bodies::Purpose;
+use mangofront_http::{Body, full};
 use mangofront_placement::PlacementRequest;
 use mangofront_prompt::{Endpoint, Prompt};
 
@@ -86,9 +87,21 @@
         };
         return Ok(relay.start(first));
     }
-    let completion = answer::collect(request, attempts, first).await?;
+    let body_memory = &entry.parts().body_memory;
+    let mut text_memory = body_memory.reserve_growing(Purpose::Answer);
+    let completion = answer::collect(request, attempts, first, &mut text_memory).await?;
+    // The types of an answer have no maps and no fallible parts.
+    let body = Bytes::from(serde_json::to_vec(&completion).unwrap_or_default());
+    drop((completion, text_memory));
+    let body = body_memory.keep(Purpose::Answer, body);
+    let body = body.map_err(|_no_room| EntryError::AnswerTooLarge)?;
     progress.answered();
-    Ok(json(StatusCode::OK, &completion))
+    let mut response = Response::new(full(body));
+    let content_type = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    Ok(response)
 }
 
 async fn read_request(
--- a/crates/entry/src/completion/relay.rs
+++ b/crates/entry/src/completion/relay.rs
@@ -7,6 +7,7 @@
 use futures_channel::mpsc;
 use futures_util::SinkExt;
 use http::{HeaderValue, Response, header};
+use mangofront_bodies::Purpose;
 use mangofront_http::{Body, stream};
 use mangofront_upstream::engine::Frame;
 
@@ -31,6 +32,8 @@
 enum StopReason {
     /// The caller disconnected.
     CallerGone,
+    /// No memory is left for tokens that the caller has not read.
+    NoRoom,
     /// The caller accepted no token within the stall timeout or the deadline.
     CallerStalled,
 }
@@ -57,6 +60,7 @@
         if let Err(stopped) = self.relay(first, &mut sender).await {
             let reason = match stopped {
                 StopReason::CallerGone => "caller_gone",
+                StopReason::NoRoom => "no_memory",
                 StopReason::CallerStalled => "caller_stalled",
             };
             log::debug!("entry: stream of {} stopped: {reason}", request.id);
@@ -94,6 +98,10 @@
         // would look complete.
         let grace = Instant::now() + LAST_EVENT_GRACE;
         let deadline = stalled.min(self.request.caller.deadline.max(grace));
+        // Counts for as long as its caller does not read it.
+        let memory = &self.entry.parts().body_memory;
+        let chunk = memory.keep(Purpose::Stream, chunk);
+        let chunk = chunk.map_err(|_no_room| StopReason::NoRoom)?;
         match compio::time::timeout_at(deadline, sender.send(chunk)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_closed)) => Err(StopReason::CallerGone),
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -64,6 +64,8 @@
         last: SendError,
         retry_after: Duration,
     },
+    #[error("the answer needs more memory than is left")]
+    AnswerTooLarge,
     #[error("{0}")]
     Service(SendError),
     #[error("this call may not be repeated and needs the header idempotency-key")]
@@ -101,6 +103,7 @@
             Self::NoUpstream { .. } => "no_upstream",
             Self::DeadlineExceeded { .. } => "deadline_exceeded",
             Self::AttemptsFailed { .. } | Self::Service(_) => "upstream_failed",
+            Self::AnswerTooLarge => "answer_too_large",
             Self::KeyRequired => "idempotency_key_required",
         }
     }
@@ -121,6 +124,7 @@
                 Outcome::Failed | Outcome::Unknown => Outcome::Failed,
             },
             Self::Service(error) => error.outcome(),
+            Self::AnswerTooLarge => Outcome::Failed,
             _ => Outcome::NotRun,
         }
     }
@@ -139,6 +143,7 @@
                 | Self::DeadlineExceeded { .. }
                 | Self::CutOff { .. }
                 | Self::AttemptsFailed { .. }
+                | Self::AnswerTooLarge
                 | Self::Service(_)
                 | Self::KeyRequired
                 | Self::Order { .. }
@@ -172,7 +177,9 @@
             | Self::CutOff { .. }
             | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded { .. } => StatusCode::GATEWAY_TIMEOUT,
-            Self::AttemptsFailed { .. } | Self::Service(_) => StatusCode::BAD_GATEWAY,
+            Self::AttemptsFailed { .. } | Self::Service(_) | Self::AnswerTooLarge => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::Order {
                 outcome: Outcome::NotRun,
                 code: "key_conflict",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -5,6 +5,7 @@
 //! last one is recorded.
 
 use bytes::{Bytes, BytesMut};
+use mangofront_bodies::Buffer;
 use memchr::memmem;
 
 use crate::dialect::EventId;
@@ -27,7 +28,9 @@
 /// Splits chunks into complete events.
 #[derive(Debug, Default)]
 pub struct EventFramer {
-    pending: BytesMut,
+    pending: Buffer,
+    /// Part of `pending` in which no event ends.
+    searched_bytes: usize,
     last_id: Option<EventId>,
     /// Whether an event without an id followed the one with the last id.
     has_trailing_event: bool,
@@ -70,26 +73,32 @@
     /// Events whose id was already forwarded are dropped, and so are those without an id
     /// between them. Returns `None` if an event exceeds the size limit.
     pub fn push(&mut self, chunk: &[u8]) -> Option<FramedEvents> {
-        self.pending.extend_from_slice(chunk);
+        self.pending.extend(chunk).ok()?;
+        let mut begin = 0;
         let mut complete = BytesMut::new();
         let mut count = 0;
         let mut comments = 0;
-        while let Some(end) = event_end(&self.pending) {
-            let event = self.pending.split_to(end);
-            let id = event_id(&event);
+        while let Some(end) = self.event_end(begin) {
+            let event = &self.pending.as_ref()[begin..end];
+            begin = end;
+            let id = event_id(event);
             if id.is_some() {
                 self.is_repeating = id < self.last_id;
             }
             if self.is_repeating || (id.is_some() && id == self.last_id) {
                 continue;
             }
-            let has_data = has_data(&event);
+            let has_data = has_data(event);
             self.last_id = id.or(self.last_id);
             self.has_trailing_event = id.is_none() && (has_data || self.has_trailing_event);
             count += 1;
             comments += usize::from(id.is_none() && !has_data);
-            complete.unsplit(event);
+            complete.extend_from_slice(event);
         }
+        if begin > 0 {
+            self.pending.remove_first(begin);
+        }
+        self.searched_bytes = self.pending.len();
         (self.pending.len() <= EVENT_LIMIT_BYTES).then(|| FramedEvents {
             bytes: complete.freeze(),
             count,
@@ -97,6 +106,13 @@
         })
     }
 
+    /// End of the complete event that begins at `begin`.
+    fn event_end(&self, begin: usize) -> Option<usize> {
+        let searched_bytes = self.searched_bytes.saturating_sub(begin);
+        let end = event_end(&self.pending.as_ref()[begin..], searched_bytes);
+        end.map(|end| begin + end)
+    }
+
     /// Id of the last event that was forwarded.
     #[must_use]
     pub fn last_id(&self) -> Option<EventId> {
@@ -115,6 +131,12 @@
         self.is_repeating
     }
 
+    /// Memory that the event takes which is not complete yet, in bytes.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Whether the last chunk ended in the middle of an event.
     #[must_use]
     pub fn is_mid_event(&self) -> bool {
@@ -122,14 +144,18 @@
     }
 }
 
-/// Length of the first complete event.
-fn event_end(bytes: &[u8]) -> Option<usize> {
+/// Length of the first complete event, of which the first `searched_bytes` contain no end.
+fn event_end(bytes: &[u8], searched_bytes: usize) -> Option<usize> {
+    // An end may begin before what was searched ends.
+    let from = searched_bytes.saturating_sub(END_CRLF.len() - 1);
+    let bytes = bytes.get(from..)?;
     let plain = memmem::find(bytes, END).map(|at| at + END.len());
     let with_returns = memmem::find(bytes, END_CRLF).map(|at| at + END_CRLF.len());
-    match (plain, with_returns) {
+    let end = match (plain, with_returns) {
         (Some(one), Some(other)) => Some(one.min(other)),
         (one, other) => one.or(other),
-    }
+    };
+    end.map(|end| from + end)
 }
 
 fn event_id(event: &[u8]) -> Option<EventId> {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -13,6 +13,7 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, pending, select, select_all};
 use http::{HeaderMap, StatusCode};
+use mangofront_bodies::NoRoom;
 use mangofront_engines::{NoUpstream, key_of};
 use mangofront_telemetry::metrics::ReplacementOutcome;
 
@@ -212,8 +213,16 @@
             }
             AttemptEvent::Head(_) => Ok(None),
             AttemptEvent::Chunk(chunk) => match self.race.push(number, &chunk) {
-                Ok(events) if events.is_empty() => Ok(None),
+                Ok(events) if events.is_empty() => {
+                    if let Err(no_room) = self.keep_pending_event(index) {
+                        let error = AttemptError::MayHaveRun(no_room.to_string());
+                        self.lose(index, error).await?;
+                    }
+                    Ok(None)
+                }
                 Ok(events) => {
+                    // Without room for the event that follows, its next chunk ends the stream.
+                    let _ = self.keep_pending_event(index);
                     self.forward(index);
                     self.running[0].record_events();
                     Ok(Some(Step::Events(events)))
@@ -250,6 +259,12 @@
         }
     }
 
+    /// Keeps memory for the incomplete event of an attempt.
+    fn keep_pending_event(&mut self, index: usize) -> Result<(), NoRoom> {
+        let attempt = &mut self.running[index];
+        attempt.set_pending_bytes(self.race.pending_bytes(attempt.number))
+    }
+
     /// Whether another upstream may answer a repeated request better.
     fn may_be_answered_better(&self, status: StatusCode) -> bool {
         self.call.route.safety.may_retry() && status.is_server_error()
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{LocalBoxFuture, pending};
+use futures_util::future::{Either, LocalBoxFuture, pending, select};
 use futures_util::{FutureExt, Stream, StreamExt};
 use http::{HeaderMap, StatusCode};
-use mangofront_bodies::Purpose;
+use mangofront_bodies::{NoRoom, Purpose, Reservation};
 use mangofront_engines::{Placement, key_of};
 use mangofront_routes::Upstream;
 use mangofront_upstream::SendError;
@@ -225,6 +225,15 @@
         }
     }
 
+    /// Sets the memory that the incomplete event of its stream takes.
+    pub(crate) fn set_pending_bytes(&mut self, bytes: usize) -> Result<(), NoRoom> {
+        let Some(stream) = self.stream_mut() else {
+            return Ok(());
+        };
+        stream.pending_event.shrink_to(bytes);
+        stream.pending_event.grow_to(bytes)
+    }
+
     fn stream_mut(&mut self) -> Option<&mut UpstreamStream> {
         match &mut self.stage {
             Stage::Streaming(stream) | Stage::Confirming(stream, _) => Some(stream),
@@ -299,6 +308,8 @@
     chunks: Chunks,
     end: BodyEnd,
     way: Way,
+    /// Memory of the event that is not complete yet.
+    pending_event: Reservation,
     /// Released when the stream ends.
     _reservations: Reservations,
 }
@@ -314,6 +325,7 @@
             placement: answered.placement,
             upstream: answered.upstream,
             way: answered.way,
+            pending_event: gateway.body_memory().reserve_growing(Purpose::Stream),
             _reservations: answered.reservations,
         }
     }
@@ -325,8 +337,13 @@
         call: &Call,
     ) -> Result<Option<Bytes>, AttemptError> {
         let chunk = pin!(compio::time::timeout_at(call.deadline, self.chunks.next()));
-        let next = until_restart(&mut self.placement, chunk).await;
-        let next = next.ok_or_else(upstream_restarted)?;
+        let next = pin!(until_restart(&mut self.placement, chunk));
+        let next = match select(pin!(self.pending_event.ended()), next).await {
+            Either::Left((no_room, _)) => {
+                return Err(AttemptError::MayHaveRun(no_room.to_string()));
+            }
+            Either::Right((next, _)) => next.ok_or_else(upstream_restarted)?,
+        };
         match next.map_err(|_elapsed| AttemptError::DeadlineExceeded)? {
             Some(Ok(chunk)) => {
                 let key = key_of(&self.upstream);
--- a/crates/gateway/src/stream_race.rs
+++ b/crates/gateway/src/stream_race.rs
@@ -108,6 +108,14 @@
         Ok(framed.bytes)
     }
 
+    /// Memory that an attempt's incomplete event takes, in bytes.
+    #[must_use]
+    pub fn pending_bytes(&self, attempt: AttemptNumber) -> usize {
+        let mut running = self.running.iter();
+        let running = running.find(|(number, _)| *number == attempt);
+        running.map_or(0, |(_, framer)| framer.pending_bytes())
+    }
+
     /// Ends the stream with that of an attempt, and discards all others.
     ///
     /// # Errors
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -5,6 +5,7 @@
 
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
+use mangofront_bodies::{BodyMemory, Purpose, Reservation};
 use thiserror::Error;
 
 /// Size of the largest event.
@@ -32,10 +33,13 @@
 
 /// Parses a stream of chunks into events.
 ///
+/// An event that is not complete takes memory of `pending_event`.
+///
 /// # Errors
 /// An item may be an [`EventsError`]; the stream yields nothing useful after one.
-pub fn events<B, E>(
+pub fn events_within<B, E>(
     chunks: impl Stream<Item = Result<B, E>>,
+    mut pending_event: Reservation,
 ) -> impl Stream<Item = Result<Event, EventsError>>
 where
     B: AsRef<[u8]>,
@@ -44,10 +48,14 @@
     let mut size = EventSize::default();
     let limited = chunks.map(move |chunk| {
         let chunk = chunk.map_err(|error| error.to_string())?;
-        match size.observe(chunk.as_ref()) <= EVENT_LIMIT_BYTES {
-            true => Ok(chunk),
-            false => Err(format!("an event exceeds {EVENT_LIMIT_BYTES} bytes")),
+        let largest_bytes = size.observe(chunk.as_ref());
+        if largest_bytes > EVENT_LIMIT_BYTES {
+            return Err(format!("an event exceeds {EVENT_LIMIT_BYTES} bytes"));
         }
+        pending_event.shrink_to(largest_bytes);
+        let kept = pending_event.grow_to(largest_bytes);
+        kept.map_err(|no_room| no_room.to_string())?;
+        Ok(chunk)
     });
     limited.eventsource().map(|item| match item {
         Ok(event) => Ok(Event {
@@ -61,6 +69,21 @@
     })
 }
 
+/// Like [`events_within`], for chunks of a process that is trusted with the memory of this one.
+///
+/// # Errors
+/// As for [`events_within`].
+pub fn events<B, E>(
+    chunks: impl Stream<Item = Result<B, E>>,
+) -> impl Stream<Item = Result<Event, EventsError>>
+where
+    B: AsRef<[u8]>,
+    E: std::fmt::Display,
+{
+    let memory = BodyMemory::unbounded();
+    events_within(chunks, memory.reserve_growing(Purpose::Stream))
+}
+
 /// Size of the event that is being read.
 #[derive(Debug, Default)]
 struct EventSize {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,7 +22,7 @@
 pub use client::{ClientError, client};
 pub use connection::Aborted;
 pub use error::{ErrorBody, ErrorDetail, Outcome};
-pub use events::{EVENT_LIMIT_BYTES, Event, EventsError, events};
+pub use events::{EVENT_LIMIT_BYTES, Event, EventsError, events, events_within};
 pub use serve::{ServeLimits, StopSignals, serve, serve_abortable, serve_while_on_time};
 pub use short_writes::ShortWrites;
 pub use shutdown::{Shutdown, ShutdownTrigger};
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use mangofront_bodies::{NoRoom, Purpose, ReadError, discard};
+use mangofront_bodies::{BodyMemory, NoRoom, Purpose, ReadError, discard};
 
 use super::{Connections, Sender, connection_failed, with_deadline};
 use crate::Target;
@@ -80,7 +80,7 @@
         let Some(mut body) = self.body.take() else {
             return Ok(Bytes::new());
         };
-        let memory = self.connections.0.body_memory.clone();
+        let memory = self.body_memory().clone();
         let admitting = memory.admit(purpose, body.size_hint().exact(), limit_bytes);
         let reader = match with_deadline(deadline, &self.target, Step::Body, admitting).await {
             Ok(admitted) => admitted.map_err(|error| self.read_failed(error))?,
@@ -121,6 +121,12 @@
         }
     }
 
+    /// Memory for bodies.
+    #[must_use]
+    pub fn body_memory(&self) -> &BodyMemory {
+        &self.connections.0.body_memory
+    }
+
     /// Streams the body, one chunk at a time.
     pub fn chunks(mut self) -> impl Stream<Item = Result<Bytes, SendError>> {
         let body = self.body.take();
--- a/crates/upstream/src/engine/stream.rs
+++ b/crates/upstream/src/engine/stream.rs
@@ -8,7 +8,8 @@
 
 use futures_util::{Stream, StreamExt};
 use http::StatusCode;
-use mangofront_http::{ErrorBody, Event, events, headers};
+use mangofront_bodies::Purpose;
+use mangofront_http::{ErrorBody, Event, events_within, headers};
 use serde::{Deserialize, Serialize};
 
 use super::attempt::{AttemptNumber, GenerateCall, RequestId};
@@ -92,6 +93,7 @@
         response: UpstreamResponse,
         guard: CancelGuard,
     ) -> Self {
+        let pending_event = response.body_memory().reserve_growing(Purpose::Stream);
         let stream = response
             .headers
             .get(headers::STREAM_ID)
@@ -101,7 +103,7 @@
             target: target.clone(),
             stream,
             next_offset: call.resume_offset,
-            events: Box::pin(events(response.chunks())),
+            events: Box::pin(events_within(response.chunks(), pending_event)),
             last_token: None,
             guard,
             call,
