Bound the memory of heads that are not complete

What callers saw: a thousand connections with 60 KB of a head that never ends took a daemon to 143,756 KiB (160 MB allowed): each may have 64 KiB, for which the library takes up to twice as much, and nothing bounded the sum.

Change: what a connection reads while it has no request in progress counts beyond 8 KiB, twice, as a body of unknown length; where room runs short the connection is closed. A request whose head has stopped coming gives way first.

With a thousand connections opened first and then all heads sent at once it is 148,424 KiB still: that many idle connections alone take 66,012 KiB, and reading from all of them in one turn of the event loop outgrows the bound. The memory of connections themselves has no bound; open.

--- a/crates/bodies/src/purpose.rs
+++ b/crates/bodies/src/purpose.rs
@@ -3,6 +3,8 @@
 /// What a body is kept for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
+    /// Head of a request that is not complete.
+    Head,
     /// Request of a caller, until its last attempt has ended.
     Request,
     /// Whole answer of an upstream, until its caller has it.
@@ -19,7 +21,8 @@
 
 impl Purpose {
     /// All purposes, in the order of their indices.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
+        Self::Head,
         Self::Request,
         Self::Answer,
         Self::Stream,
@@ -32,6 +35,7 @@
     #[must_use]
     pub const fn name(self) -> &'static str {
         match self {
+            Self::Head => "head",
             Self::Request => "request",
             Self::Answer => "answer",
             Self::Stream => "stream",
@@ -49,7 +53,9 @@
     pub(crate) const fn has_run(self) -> bool {
         match self {
             Self::Answer | Self::Stream => true,
-            Self::Request | Self::ForwardedRequest | Self::Source | Self::Operator => false,
+            Self::Head | Self::Request | Self::ForwardedRequest | Self::Source | Self::Operator => {
+                false
+            }
         }
     }
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -103,6 +103,7 @@
         header_timeout: CALLER_IDLE_TIMEOUT,
         header_limit_bytes: settings.limits.header_limit_bytes as usize,
         write_timeout: settings.limits.stream_stall_timeout(),
+        body_memory: gateway.body_memory().clone(),
     };
     let (stop_callers, callers_stopped) = Shutdown::new();
     let (abort_servers, servers_aborted) = Shutdown::new();
@@ -111,7 +112,7 @@
     let readiness = move |_request, _peer| readiness_response(ready_gateway.is_ready());
     spawn(serve(
         readiness_listener,
-        limits,
+        limits.clone(),
         readiness,
         no_shutdown.clone(),
     ))
@@ -128,7 +129,7 @@
     };
     let proxy_server = spawn(serve_abortable(
         proxy_listener,
-        limits,
+        limits.clone(),
         handle_proxied,
         proxy_signals,
     ));
@@ -136,7 +137,13 @@
     let handle_admin = move |request, _peer| {
         gateway_admin::handle(admin_gateway.clone(), metrics.clone(), request)
     };
-    spawn(serve(admin_listener, limits, handle_admin, no_shutdown)).detach();
+    spawn(serve(
+        admin_listener,
+        limits.clone(),
+        handle_admin,
+        no_shutdown,
+    ))
+    .detach();
     let caller_gateway = gateway.clone();
     let caller_acceptance = acceptance.clone();
     let handle_caller = move |request, peer| {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,6 +7,7 @@
 use compio::net::TcpListener;
 use compio::runtime::{JoinHandle, spawn};
 use mangofront_audit::AuditEvent;
+use mangofront_bodies::BodyMemory;
 use mangofront_configuration::Platform;
 use mangofront_http::{Acceptance, ServeLimits, Shutdown, StopSignals, serve, serve_while_on_time};
 use mangofront_placement::Policy;
@@ -49,8 +50,8 @@
 pub(crate) async fn run(settings: DaemonSettings, policy: Policy) -> Result<(), DaemonError> {
     let wait = AddressWait::for_predecessor(predecessor_stop_limit(&settings));
     let admin_listener = wait.listen(|| listen(settings.admin_address)).await?;
-    let limits = serve_limits(&settings);
     let components = assemble(settings, policy, wait).await?;
+    let limits = serve_limits(&components.settings, &components.body_memory);
     // Bound last, so that no caller waits while another address is still in use.
     let caller_listener = wait
         .listen(|| listen(components.settings.caller_address))
@@ -66,7 +67,13 @@
     let (abort_entry, entry_aborted) = Shutdown::new();
     let admin_components = components.clone();
     let handle_admin = move |request, _peer| admin::handle(admin_components.clone(), request);
-    spawn(serve(admin_listener, limits, handle_admin, admin_stopped)).detach();
+    spawn(serve(
+        admin_listener,
+        limits.clone(),
+        handle_admin,
+        admin_stopped,
+    ))
+    .detach();
     let entry = components.entry.clone();
     let handle_caller = move |request, peer| entry.clone().handle(request, peer);
     let platform = components.platform.clone();
@@ -215,10 +222,11 @@
         .map_err(|cause| DaemonError::Listen { address, cause })
 }
 
-fn serve_limits(settings: &DaemonSettings) -> ServeLimits {
+fn serve_limits(settings: &DaemonSettings, body_memory: &BodyMemory) -> ServeLimits {
     ServeLimits {
         header_timeout: settings.limits.header_timeout(),
         header_limit_bytes: settings.limits.header_limit_bytes as usize,
         write_timeout: settings.limits.stream_stall_timeout(),
+        body_memory: body_memory.clone(),
     }
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -13,12 +13,32 @@
 use serde::Serialize;
 
 use crate::connection::Aborted;
+use crate::metered_heads::RequestGuard;
 
 type BoxedFrames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Aborted>>>>;
 
 /// Body of a response: empty, one buffer, or a stream of chunks.
 #[derive(Debug)]
-pub struct Body(Inner);
+pub struct Body {
+    inner: Inner,
+    /// Dropped with the body.
+    _guard: Option<RequestGuard>,
+}
+
+impl Body {
+    fn new(inner: Inner) -> Self {
+        Self {
+            inner,
+            _guard: None,
+        }
+    }
+
+    /// Holds `guard` until the body is written or dropped.
+    pub(crate) fn with_guard(mut self, guard: RequestGuard) -> Self {
+        self._guard = Some(guard);
+        self
+    }
+}
 
 #[derive(Debug)]
 enum Inner {
@@ -53,7 +73,7 @@
         self: Pin<&mut Self>,
         cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        match &mut self.get_mut().0 {
+        match &mut self.get_mut().inner {
             Inner::Buffer(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
@@ -62,14 +82,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.0 {
+        match &self.inner {
             Inner::Buffer(body) => body.is_end_stream(),
             Inner::Stream(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
-        match &self.0 {
+        match &self.inner {
             Inner::Buffer(body) => body.size_hint(),
             Inner::Stream(body) => hyper::body::Body::size_hint(body),
         }
@@ -79,12 +99,12 @@
 /// Body without content.
 #[must_use]
 pub fn empty() -> Body {
-    Body(Inner::Buffer(BoxBody::new(Empty::new())))
+    Body::new(Inner::Buffer(BoxBody::new(Empty::new())))
 }
 
 /// Body of one buffer.
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Body(Inner::Buffer(BoxBody::new(Full::new(content.into()))))
+    Body::new(Inner::Buffer(BoxBody::new(Full::new(content.into()))))
 }
 
 /// Streaming body that sends each chunk as `chunks` yields it.
@@ -101,7 +121,7 @@
 /// so that the client can tell that the response is incomplete.
 pub fn stream_until_abort(chunks: impl Stream<Item = Result<Bytes, Aborted>> + 'static) -> Body {
     let frames = chunks.map(|chunk| chunk.map(Frame::data));
-    Body(Inner::Stream(StreamBody::new(FrameStream(Box::pin(
+    Body::new(Inner::Stream(StreamBody::new(FrameStream(Box::pin(
         frames,
     )))))
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::body::Body;
+use crate::metered_heads::{HeadMeter, MeteredReader};
 use crate::serve::{ServeLimits, StopSignals};
 use crate::short_writes::ShortWrites;
 use crate::stall::StallDetectingWriter;
@@ -35,6 +36,8 @@
 enum DropReason {
     #[error("server aborted")]
     Abort,
+    #[error("no memory is left for its head")]
+    NoRoom,
     #[error("peer accepted no bytes for {0:?}")]
     Stalled(Duration),
     #[error(transparent)]
@@ -58,14 +61,20 @@
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
     let (writer, stalled) = StallDetectingWriter::new(writer, limits.write_timeout);
+    let meter = HeadMeter::new(&limits.body_memory);
+    let reader = MeteredReader::new(reader, meter.clone());
+    let write_timeout = limits.write_timeout;
     let io = ShortWrites::new(HyperStream::new_plain((reader, writer)));
-    let requests = pin!(serve_requests(io, peer, limits, handler, &signals));
+    let requests = pin!(serve_requests(io, peer, limits, handler, &signals, &meter));
     // Dropping this future closes the socket, even in the middle of a write.
     let aborted = pin!(signals.abort.wait());
-    let ended = match select(requests, select(aborted, stalled)).await {
+    let out_of_room = pin!(meter.ended());
+    let dropped = select(select(aborted, out_of_room), stalled);
+    let ended = match select(requests, dropped).await {
         Either::Left((ended, _)) => ended.map_err(DropReason::from),
-        Either::Right((Either::Left(_), _)) => Err(DropReason::Abort),
-        Either::Right((Either::Right(_), _)) => Err(DropReason::Stalled(limits.write_timeout)),
+        Either::Right((Either::Left((Either::Left(_), _)), _)) => Err(DropReason::Abort),
+        Either::Right((Either::Left((Either::Right(_), _)), _)) => Err(DropReason::NoRoom),
+        Either::Right((Either::Right(_), _)) => Err(DropReason::Stalled(write_timeout)),
     };
     match ended {
         Ok(()) => log::debug!("http: connection from {peer} closed"),
@@ -76,11 +85,12 @@
 /// Answers requests until the peer closes the connection or the server shuts
 /// down gracefully.
 async fn serve_requests<H, A>(
-    io: ShortWrites<HyperStream<(TcpStream, StallDetectingWriter)>>,
+    io: ShortWrites<HyperStream<(MeteredReader, StallDetectingWriter)>>,
     peer: SocketAddr,
     limits: ServeLimits,
     handler: Rc<H>,
     signals: &StopSignals,
+    meter: &HeadMeter,
 ) -> Result<(), hyper::Error>
 where
     H: Fn(Request<Incoming>, SocketAddr) -> A + 'static,
@@ -88,12 +98,17 @@
 {
     let has_request = Rc::new(Cell::new(false));
     let request_received = Rc::clone(&has_request);
+    let request_meter = meter.clone();
     // hyper reserves space for the handler's future as long as the connection
     // is open. The future takes tens of kilobytes; boxed, its memory is freed
     // once the response has a head.
     let service = service_fn(move |request| {
         request_received.set(true);
-        Box::pin(handler(request, peer))
+        let guard = request_meter.begin_request();
+        let response = handler(request, peer);
+        Box::pin(
+            async move { Ok::<_, Aborted>(response.await?.map(|body| body.with_guard(guard))) },
+        )
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod error;
 mod events;
+mod metered_heads;
 mod serve;
 mod short_writes;
 mod shutdown;
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -17,6 +17,7 @@
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
+use mangofront_bodies::BodyMemory;
 use socket2::SockRef;
 
 use crate::acceptance::Acceptance;
@@ -32,7 +33,7 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Limits of a server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ServeLimits {
     /// Maximum time for a request head to arrive; 10 s by default.
     ///
@@ -46,6 +47,8 @@
     /// Maximum time for which a peer may accept no byte of a response; 30 s by
     /// default. After it the connection is dropped with all unsent data.
     pub write_timeout: Duration,
+    /// Memory for heads that are not complete; unbounded by default.
+    pub body_memory: BodyMemory,
 }
 
 impl Default for ServeLimits {
@@ -54,6 +57,7 @@
             header_timeout: Duration::from_secs(10),
             header_limit_bytes: 64 * 1024,
             write_timeout: Duration::from_secs(30),
+            body_memory: BodyMemory::unbounded(),
         }
     }
 }
@@ -140,7 +144,7 @@
     let spawn_connection = |(stream, peer)| {
         let guard = OpenConnectionGuard::new(&open_connections);
         let handler = Rc::clone(&handler);
-        let signals = signals.clone();
+        let (limits, signals) = (limits.clone(), signals.clone());
         compio::runtime::spawn(async move {
             serve_connection(stream, peer, limits, handler, signals).await;
             drop(guard);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -33,7 +33,7 @@
 
 pub use settings::{EngineRole, EngineSettings, StepSettings};
 
-use crate::limits::LIMITS;
+use crate::limits::serve_limits;
 use state::Engine;
 
 /// Serves an emulated engine on `listener`.
@@ -49,7 +49,7 @@
         async move { Ok(answer.await) }
     };
     let signals = StopSignals { shutdown, abort };
-    serve_abortable(listener, LIMITS, handler, signals).await;
+    serve_abortable(listener, serve_limits(), handler, signals).await;
     drop(tasks);
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -18,7 +18,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::limits::LIMITS;
+use crate::limits::serve_limits;
 
 /// Maximum body size of a call, in bytes.
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -103,7 +103,13 @@
     };
     // Faults abort single connections; nothing aborts the whole server.
     let (never_triggered, abort) = Shutdown::new();
-    serve_abortable(listener, LIMITS, handler, StopSignals { shutdown, abort }).await;
+    serve_abortable(
+        listener,
+        serve_limits(),
+        handler,
+        StopSignals { shutdown, abort },
+    )
+    .await;
     drop(never_triggered);
 }
 
