--- a/crates/daemon/src/body_memory.rs
+++ b/crates/daemon/src/body_memory.rs
@@ -12,7 +12,7 @@
 /// Part of the memory of the process that bodies may take, as a divisor. The rest is for
 /// connections and their buffers, for what the daemon knows of the fleet, and for what the
 /// allocator doesn't return.
-const BODIES_DIVISOR: u64 = 4;
+const BODIES_DIVISOR: u64 = 5;
 
 /// Largest part of it that operators may set aside, as a divisor.
 const LEAST_DIVISOR: u64 = 2;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -84,7 +84,7 @@
     /// Memory that the process may use, in megabytes; if unset, what the machine has or the
     /// control group allows, up to a gigabyte.
     pub memory_limit_mb: Option<u64>,
-    /// Memory for all bodies together, in bytes; if unset, a quarter of what the process may use.
+    /// Memory for all bodies together, in bytes; if unset, a fifth of what the process may use.
     pub bodies_limit_bytes: Option<u64>,
     /// Time within which a request's headers have to arrive, in milliseconds; a
     /// connection that has been idle for this time is closed.
