--- a/tests/processes/sessions.rs
+++ b/tests/processes/sessions.rs
@@ -231,7 +231,7 @@
 #[test]
 fn bodies_in_progress_have_a_size_limit() {
     let mut spec = FleetSpec {
-        limits: json!({"bodies_limit_bytes": 1 << 20}),
+        limits: json!({"bodies_limit_bytes": 1 << 20, "body_limit_bytes": 700_000}),
         ..FleetSpec::default()
     };
     for engine in &mut spec.engines {
