--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins and the driver of the cases 6 to 10: one program, of the standard library alone.
+# Builds the stand-ins and the driver of the cases 6 to 9: one program, of the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
