Report a failed write to the read that finds the end of a connection

Callers saw: a 200 with a part of a body as a complete answer, where an upstream answered a long upload at once, without a length and chunks, and reset the connection while the upload was written.

Cause: the kernel reports a reset once, to the call that comes first. While an upload is written that may be the write; the next read then returns an end of file, as after an orderly end. The HTTP library polls the read first, takes the end of file for the end of a body without framing, and notices the failed write too late. That the upstream is still serving, which is asked after such an answer, says nothing here: it is.

Change: the halves of a client's connection share whether a write has failed. At the end of a connection the read half lets the task poll a write in progress once, and fails if it has failed. Why it works: the driver makes both calls in one thread, so a write that took the report has its result no later than the read that finds the end.

--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -23,7 +23,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use mangofront_bodies::BodyMemory;
-use mangofront_http::ShortWrites;
+use mangofront_http::{ShortWrites, report_failed_writes};
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::Target;
@@ -203,9 +203,11 @@
         // An error is ignored, as the call can be sent all the same.
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
+        let (reader, writer) = stream.into_split();
+        let halves = report_failed_writes(reader, writer);
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
-            .handshake(ShortWrites::new(HyperStream::new_plain(stream)));
+            .handshake(ShortWrites::new(HyperStream::new_plain(halves)));
         let (sender, connection) = with_deadline(limit, target, Step::Connect, handshake)
             .await?
             .map_err(|error| connection_failed(target, Step::Connect, &error))?;
