Reject answers whose status is none of a final response

Callers saw: a 101 of an upstream, without the body that was sent with it, though nobody had asked for another protocol; and 600 and 999, which HTTP does not define, as the answer.

Cause: the HTTP library takes every status of three digits from 100 to 999, and nothing behind it looked at the range.

All other forms (000, 099, 100, 199, 1000, 20, 2x0, none, every bad field and length) were rejected already and their connections not used again; a stream whose trailers are malformed did not end as complete. Nothing was changed for those.

Change: taking the head of a response fails as for any other malformed head, so the outcome is unknown (502) or another attempt is made, and the connection is closed. All calls go through it: upstreams, other daemons, engines, status checks, reservations and the store.

Why it works: a status outside 200 to 599 no longer leaves the connection's code.

--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -156,7 +156,7 @@
                 sender.try_send_request(request),
             );
             match sent.await? {
-                Ok(response) => return Ok(UpstreamResponse::new(self, target, sender, response)),
+                Ok(response) => return UpstreamResponse::new(self, target, sender, response),
                 Err(mut error) => match error.take_message() {
                     // Not written: the connection was closed while it was idle.
                     Some(unsent) => request = unsent,
@@ -315,13 +315,7 @@
         let sending = self.sender.try_send_request(request);
         match with_deadline(deadline, &self.target, Step::Head, sending).await? {
             Ok(response) => {
-                let connections = &self.connections;
-                Ok(UpstreamResponse::new(
-                    connections,
-                    &self.target,
-                    self.sender,
-                    response,
-                ))
+                UpstreamResponse::new(&self.connections, &self.target, self.sender, response)
             }
             Err(mut error) => {
                 let step = match error.take_message() {
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -1,6 +1,7 @@
 //! Response of an upstream, which returns its connection to the pool of idle
 //! ones once the body is complete.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,6 +18,10 @@
 /// Header with which a server announces its timeout for idle connections.
 const KEEP_ALIVE_HEADER: &str = "keep-alive";
 
+/// Statuses of final responses. No call asks for a change of the protocol, so a 101 answers none; HTTP
+/// defines none above.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Head of a response, with access to its body.
 ///
 /// Invariant: `sender` is returned to the pool only after the body was read to
@@ -34,21 +39,34 @@
 }
 
 impl UpstreamResponse {
+    /// Takes the head of a response.
+    ///
+    /// # Errors
+    /// [`SendError::ConnectionFailed`] if its status is none of a final response; the connection is
+    /// closed.
     pub(super) fn new(
         connections: &Connections,
         target: &Target,
         sender: Sender,
         response: http::Response<Incoming>,
-    ) -> Self {
+    ) -> Result<Self, SendError> {
         let (head, body) = response.into_parts();
-        Self {
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(SendError::ConnectionFailed {
+                step: Step::Head,
+                fault: ConnectionFault::Other,
+                peer: target.instance.clone(),
+                cause: format!("{} is no status of a final response", head.status.as_u16()),
+            });
+        }
+        Ok(Self {
             status: head.status,
             headers: head.headers,
             target: target.clone(),
             body: Some(body),
             sender: Some(sender),
             connections: connections.clone(),
-        }
+        })
     }
 
     /// Whether the end of the body can be told from a connection that was closed early.
