Reject answers with a transfer coding other than chunked

Callers saw: an answer with Transfer-Encoding: gzip (or identity, an empty one, or "chunked, gzip") as a complete 200 however it ended, also where it stated another length, and one with "gzip, chunked" with the coded bytes, without the field that names the coding.

Cause: the HTTP library reads a body whose last coding is not chunked to the end of its connection, and ignores a length beside it. UpstreamResponse::has_framing takes any Transfer-Encoding for framing, so nothing asked whether the upstream still serves, and a body that its crash cut counted as complete. Of several codings only chunked is decoded, and the field is removed on the way.

Change: a head whose Transfer-Encoding is not exactly one "chunked" fails as any malformed head does. No request offers another coding, so no upstream may send one.

Why it works: what has a Transfer-Encoding now ends with its last chunk, as has_framing says.

--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
+use http::response::Parts;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -42,8 +43,8 @@
     /// Takes the head of a response.
     ///
     /// # Errors
-    /// [`SendError::ConnectionFailed`] if its status is none of a final response; the connection is
-    /// closed.
+    /// [`SendError::ConnectionFailed`] if its status is none of a final response, or its transfer
+    /// coding is unknown; the connection is closed.
     pub(super) fn new(
         connections: &Connections,
         target: &Target,
@@ -51,14 +52,12 @@
         response: http::Response<Incoming>,
     ) -> Result<Self, SendError> {
         let (head, body) = response.into_parts();
-        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
-            return Err(SendError::ConnectionFailed {
-                step: Step::Head,
-                fault: ConnectionFault::Other,
-                peer: target.instance.clone(),
-                cause: format!("{} is no status of a final response", head.status.as_u16()),
-            });
-        }
+        check_head(&head).map_err(|cause| SendError::ConnectionFailed {
+            step: Step::Head,
+            fault: ConnectionFault::Other,
+            peer: target.instance.clone(),
+            cause,
+        })?;
         Ok(Self {
             status: head.status,
             headers: head.headers,
@@ -178,6 +177,25 @@
     }
 }
 
+/// Checks what the HTTP library accepts, and a caller can't use.
+///
+/// # Errors
+/// What is wrong with the head.
+fn check_head(head: &Parts) -> Result<(), String> {
+    let status = head.status.as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(format!("{status} is no status of a final response"));
+    }
+    // The library reads a body with any other coding to the end of its connection, and decodes none
+    // but the last of several.
+    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        (Some(coding), _) => Err(format!("unknown transfer coding {coding:?}")),
+    }
+}
+
 /// Time after which the server closes an idle connection, if it announces one.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE_HEADER)?.to_str().ok()?;
