Limit what arrives before the head of a final response

Callers saw: an upstream that sends interim responses (100, 103) without end kept the daemon that had called it from all other work; requests of other callers to sound upstreams got 504.

Cause: the HTTP library limits a head, but skips any number of interim responses before it, and reads on in one turn as long as bytes arrive, so that neither the deadline of the request nor another task of the process gets its turn.

Change: a connection counts what arrives while a head is awaited, and fails beyond twice the largest head, so the call ends as for any malformed head.

Why it works: the count is kept where bytes are read, so it needs no turn of another task, and what can be read in one turn is bounded.

--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -8,6 +8,7 @@
 
 mod idle;
 mod response;
+mod sender;
 
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
@@ -21,7 +22,7 @@
 use cyper_core::HyperStream;
 use http::Request;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use mangofront_bodies::BodyMemory;
 use mangofront_http::{ShortWrites, report_failed_writes};
 use socket2::{SockRef, TcpKeepalive};
@@ -33,8 +34,7 @@
 pub use response::UpstreamResponse;
 
 use idle::IdleConnections;
-
-type Sender = SendRequest<Full<Bytes>>;
+use sender::{AwaitedHead, HeadLimitingReader, Sender};
 
 /// Time without data after which the kernel sends keepalive probes, and the
 /// interval between them; 1 s is the kernel's minimum.
@@ -204,11 +204,13 @@
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
         let (reader, writer) = stream.into_split();
+        let head = AwaitedHead::default();
+        let reader = HeadLimitingReader::new(reader, head.clone());
         let halves = report_failed_writes(reader, writer);
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
             .handshake(ShortWrites::new(HyperStream::new_plain(halves)));
-        let (sender, connection) = with_deadline(limit, target, Step::Connect, handshake)
+        let (requests, connection) = with_deadline(limit, target, Step::Connect, handshake)
             .await?
             .map_err(|error| connection_failed(target, Step::Connect, &error))?;
         let address = target.address;
@@ -218,7 +220,7 @@
             }
         })
         .detach();
-        Ok(sender)
+        Ok(Sender::new(requests, head))
     }
 
     async fn connect_socket(&self, address: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/upstream/tests/endless.rs
+++ b/crates/upstream/tests/endless.rs
@@ -21,6 +21,8 @@
 
 const OPEN_HEAD: &str = "HTTP/1.1 200 OK\r\n";
 
+const INTERIM_RESPONSE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
 const BODY_START: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
 
 const ERROR_BODY_START: &str = "HTTP/1.1 503 Full\r\nconnection: close\r\n\r\n";
@@ -55,6 +57,7 @@
     let event = format!("{BODY_START}data: ").leak();
     let answers = [
         (OPEN_HEAD, HEADER),
+        ("", INTERIM_RESPONSE),
         (event, LETTERS),
         (ERROR_BODY_START, LETTERS),
     ];
@@ -75,7 +78,12 @@
 /// kept in memory.
 #[compio::test]
 async fn endless_answers_to_status_checks_are_given_up() {
-    for (start, repeated) in [(OPEN_HEAD, HEADER), (BODY_START, LETTERS)] {
+    let answers = [
+        (OPEN_HEAD, HEADER),
+        ("", INTERIM_RESPONSE),
+        (BODY_START, LETTERS),
+    ];
+    for (start, repeated) in answers {
         let (server, connections) = (engine(start, repeated).await, connections());
         let started = Instant::now();
         let status = report::<u32>(&connections, &server.target, "/v1/status", deadline()).await;
