Check that a plain service serves on after an answer without framing

Callers saw, on the own interface: a part of a service's answer without a length and chunks as a complete 200, where the service's process had ended in the middle of it.

Cause: the kernel closes the connections of a process that ends in order, so the cut body looks complete. The daemons that serve published routes ask then whether the upstream still serves; calls to plain services took the body as it was.

Change: such a body counts only if the server takes a new connection after it that stays open for a moment; otherwise the outcome is unknown. The wait is the one of the probes of published upstreams, which use the same function now.

Why it works: a process that has ended takes no connection.

--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -18,10 +18,6 @@
 /// Time for an upstream to answer a probe.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a new connection shows whether its upstream is exiting: it may still
-/// accept a connection and close it immediately.
-const SETTLING_TIME: Duration = Duration::from_millis(50);
-
 /// Connections that are tried: an upstream that has too many may close one and accept the
 /// next.
 const MAX_CONNECTIONS: usize = 2;
@@ -170,8 +166,7 @@
 }
 
 async fn settle(opened: FreshConnection) -> ProbeResult {
-    compio::time::sleep(SETTLING_TIME).await;
-    match opened.return_to_pool() {
+    match opened.settle().await {
         true => ProbeResult::Answered,
         false => ProbeResult::Closed,
     }
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -43,6 +43,10 @@
 /// Unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Time after which a new connection shows whether its server is exiting: it may still accept a
+/// connection and close it immediately.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
+
 /// Largest head of a response, in bytes.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 
@@ -337,6 +341,13 @@
         is_open
     }
 
+    /// Adds the connection to the idle ones once it has been open for a moment; returns whether it
+    /// still is.
+    pub async fn settle(self) -> bool {
+        compio::time::sleep(SETTLING_TIME).await;
+        self.return_to_pool()
+    }
+
     /// Instance to which the connection was opened.
     #[must_use]
     pub fn target(&self) -> &Target {
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -110,6 +110,40 @@
         Ok(body)
     }
 
+    /// Reads the body like [`Self::bytes`], and checks that one without framing is complete.
+    ///
+    /// The end of the server's process closes its connections in order too, so such a body is
+    /// complete only if the server takes a new connection after it.
+    ///
+    /// # Errors
+    /// As for [`Self::bytes`], and when the server takes no connection.
+    pub async fn complete_bytes(
+        self,
+        purpose: Purpose,
+        limit_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, SendError> {
+        let unframed =
+            (!self.has_framing()).then(|| (self.connections.clone(), self.target.clone()));
+        let body = self.bytes(purpose, limit_bytes, deadline).await?;
+        let Some((connections, target)) = unframed else {
+            return Ok(body);
+        };
+        let cause = match connections.open(&target, deadline).await {
+            Ok(opened) => match opened.settle().await {
+                true => return Ok(body),
+                false => "the server closes new connections".to_owned(),
+            },
+            Err(error) => error.to_string(),
+        };
+        Err(SendError::ConnectionFailed {
+            step: Step::Body,
+            fault: ConnectionFault::Other,
+            peer: target.instance,
+            cause: format!("the response has no length, and may be cut: {cause}"),
+        })
+    }
+
     /// Reads the body to its end, up to `limit_bytes`, and keeps nothing of it. After that its
     /// connection can be reused.
     pub async fn discard(mut self, limit_bytes: usize, deadline: Instant) {
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -88,7 +88,7 @@
     let status = response.status;
     let headers = without_hop_by_hop_headers(&response.headers);
     let body = response
-        .bytes(Purpose::Answer, limit_bytes, deadline)
+        .complete_bytes(Purpose::Answer, limit_bytes, deadline)
         .await?;
     Ok(ServiceResponse {
         status,
