Tell the cause of a body that broke off

The reason of a failed attempt ended with "error reading a body from connection", whatever had happened. It names the cause below that now, as the reasons of failed heads and streams do, so that a reset, a malformed chunk or trailer and a failed write of the upload can be told apart by the id of a request.

--- a/crates/bodies/src/read.rs
+++ b/crates/bodies/src/read.rs
@@ -57,7 +57,7 @@
     pub async fn collect<B>(mut self, body: &mut B) -> Result<Bytes, ReadError>
     where
         B: Body<Data = Bytes> + Unpin,
-        B::Error: std::fmt::Display,
+        B::Error: std::error::Error,
     {
         let mut buffer = self.empty_buffer()?;
         while let Some(piece) = self.next_piece(body).await? {
@@ -86,7 +86,7 @@
     async fn next_piece<B>(&self, body: &mut B) -> Result<Option<Bytes>, ReadError>
     where
         B: Body<Data = Bytes> + Unpin,
-        B::Error: std::fmt::Display,
+        B::Error: std::error::Error,
     {
         loop {
             let frame = match select(pin!(self.reservation.ended()), body.frame()).await {
@@ -100,7 +100,7 @@
                         return Ok(Some(piece));
                     }
                 }
-                Some(Err(error)) => return Err(ReadError::Interrupted(error.to_string())),
+                Some(Err(error)) => return Err(ReadError::Interrupted(with_cause(&error))),
                 None => return Ok(None),
             }
         }
@@ -119,6 +119,14 @@
     }
 }
 
+/// Message of an error and of what caused it.
+fn with_cause(error: &impl std::error::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// A complete body and its part of the memory.
 struct KeptBody {
     buffer: Buffer,
