Limit bytes of a response of which nothing is passed on

Callers saw: an upstream that sends zeros before the size of a chunk without end kept the daemon that had called it from all other work; streams of other callers to sound engines were cut, or got 504.

Cause: as for interim responses, the HTTP library reads on in one turn as long as bytes arrive, here after the head.

Change: a connection counts what arrives since a head or a part of a body was passed on, and fails beyond twice the largest head.

Why it works: the library passes a part of a body on as soon as it has one, and reads no further while that is not taken. What frames a body between two parts is far below the limit.

--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -34,7 +34,7 @@
 pub use response::UpstreamResponse;
 
 use idle::IdleConnections;
-use sender::{AwaitedHead, HeadLimitingReader, Sender};
+use sender::{LimitingReader, Sender, UnusedBytes};
 
 /// Time without data after which the kernel sends keepalive probes, and the
 /// interval between them; 1 s is the kernel's minimum.
@@ -208,8 +208,8 @@
         let _ = stream.set_nodelay(true);
         enable_keepalive(&stream);
         let (reader, writer) = stream.into_split();
-        let head = AwaitedHead::default();
-        let reader = HeadLimitingReader::new(reader, head.clone());
+        let unused = UnusedBytes::default();
+        let reader = LimitingReader::new(reader, unused.clone());
         let halves = report_failed_writes(reader, writer);
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
@@ -224,7 +224,7 @@
             }
         })
         .detach();
-        Ok(Sender::new(requests, head))
+        Ok(Sender::new(requests, unused))
     }
 
     async fn connect_socket(&self, address: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -9,9 +9,10 @@
 use http::response::Parts;
 use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use mangofront_bodies::{BodyMemory, NoRoom, Purpose, ReadError, discard};
 
+use super::sender::ResponseBody;
 use super::{Connections, Sender, connection_failed, with_deadline};
 use crate::Target;
 use crate::error::{ConnectionFault, SendError, Step};
@@ -34,7 +35,7 @@
     /// Headers of the response.
     pub headers: HeaderMap,
     target: Target,
-    body: Option<Incoming>,
+    body: Option<ResponseBody>,
     sender: Option<Sender>,
     connections: Connections,
 }
@@ -49,7 +50,7 @@
         connections: &Connections,
         target: &Target,
         sender: Sender,
-        response: http::Response<Incoming>,
+        response: http::Response<ResponseBody>,
     ) -> Result<Self, SendError> {
         let (head, body) = response.into_parts();
         check_head(&head).map_err(|cause| SendError::ConnectionFailed {
--- a/crates/upstream/src/connection/sender.rs
+++ b/crates/upstream/src/connection/sender.rs
@@ -1,66 +1,102 @@
-//! Sending of calls on a connection, with a limit on what arrives before the head of a response.
+//! Sending of calls on a connection, with a limit on bytes of which nothing is passed on.
 //!
-//! The HTTP library limits a head, and skips any number of interim responses before it. As long as
-//! they arrive it reads on, so a server that sends nothing else would keep the whole process from
-//! other work.
+//! The HTTP library skips any number of interim responses before a head, and of zeros before the
+//! size of a chunk. As long as they arrive it reads on, so a server that sends nothing else would
+//! keep the whole process from other work.
 
 use std::cell::Cell;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use compio::buf::{BufResult, IoBufMut};
 use compio::io::AsyncRead;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 
 use super::HEAD_LIMIT_BYTES;
 
-/// Most bytes that may arrive up to the end of a head: the head, interim responses, and what the
-/// library reads beyond them at once.
-const BYTES_TO_HEAD_LIMIT: usize = 2 * HEAD_LIMIT_BYTES;
+/// Most bytes that may arrive before something of them is passed on: a head, what frames a body, and
+/// what the library reads beyond them at once.
+const UNUSED_LIMIT_BYTES: usize = 2 * HEAD_LIMIT_BYTES;
 
-/// Number of bytes that have arrived while a head is awaited; `None` while none is.
+/// Number of bytes that have arrived since a head or a part of a body was passed on.
 #[derive(Debug, Clone, Default)]
-pub(super) struct AwaitedHead(Rc<Cell<Option<usize>>>);
+pub(super) struct UnusedBytes(Rc<Cell<usize>>);
 
-impl AwaitedHead {
+impl UnusedBytes {
     /// Adds bytes that were read.
     fn record(&self, bytes: usize) -> io::Result<usize> {
-        if let Some(read_bytes) = self.0.get() {
-            let read_bytes = read_bytes + bytes;
-            if read_bytes > BYTES_TO_HEAD_LIMIT {
-                return Err(io::Error::new(
-                    io::ErrorKind::InvalidData,
-                    format!("no head of a final response in {read_bytes} bytes"),
-                ));
-            }
-            self.0.set(Some(read_bytes));
+        let unused_bytes = self.0.get().saturating_add(bytes);
+        self.0.set(unused_bytes);
+        match unused_bytes > UNUSED_LIMIT_BYTES {
+            true => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                format!("no head or part of a body in {unused_bytes} bytes"),
+            )),
+            false => Ok(bytes),
         }
-        Ok(bytes)
+    }
+
+    /// Records that something was passed on.
+    fn reset(&self) {
+        self.0.set(0);
     }
 }
 
-/// Read half of a connection, which fails when a head does not end within the limit.
+/// Read half of a connection, which fails when too many bytes arrive of which nothing is passed on.
 #[derive(Debug)]
-pub(super) struct HeadLimitingReader<R> {
+pub(super) struct LimitingReader<R> {
     inner: R,
-    head: AwaitedHead,
+    unused: UnusedBytes,
 }
 
-impl<R> HeadLimitingReader<R> {
-    pub(super) fn new(inner: R, head: AwaitedHead) -> Self {
-        Self { inner, head }
+impl<R> LimitingReader<R> {
+    pub(super) fn new(inner: R, unused: UnusedBytes) -> Self {
+        Self { inner, unused }
     }
 }
 
-impl<R: AsyncRead> AsyncRead for HeadLimitingReader<R> {
+impl<R: AsyncRead> AsyncRead for LimitingReader<R> {
     async fn read<B: IoBufMut>(&mut self, buffer: B) -> BufResult<usize, B> {
         let BufResult(read, buffer) = self.inner.read(buffer).await;
-        BufResult(read.and_then(|bytes| self.head.record(bytes)), buffer)
+        BufResult(read.and_then(|bytes| self.unused.record(bytes)), buffer)
+    }
+}
+
+/// Body of a response, which counts what it passes on.
+#[derive(Debug)]
+pub(super) struct ResponseBody {
+    inner: Incoming,
+    unused: UnusedBytes,
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.inner).poll_frame(cx);
+        if frame.is_ready() {
+            self.unused.reset();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
     }
 }
 
@@ -68,27 +104,28 @@
 #[derive(Debug)]
 pub(super) struct Sender {
     requests: SendRequest<Full<Bytes>>,
-    head: AwaitedHead,
+    unused: UnusedBytes,
 }
 
 impl Sender {
-    /// Sender on the connection whose reader shares `head`.
-    pub(super) fn new(requests: SendRequest<Full<Bytes>>, head: AwaitedHead) -> Self {
-        Self { requests, head }
+    /// Sender on the connection whose reader shares `unused`.
+    pub(super) fn new(requests: SendRequest<Full<Bytes>>, unused: UnusedBytes) -> Self {
+        Self { requests, unused }
     }
 
     /// Sends a call and waits for the head of its response.
     ///
     /// # Errors
-    /// As for the library's function, and if the head does not end within the limit.
+    /// As for the library's function, and if too many bytes arrive without a head.
     pub(super) async fn try_send_request(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.head.0.set(Some(0));
-        let response = self.requests.try_send_request(request).await;
-        self.head.0.set(None);
-        response
+    ) -> Result<Response<ResponseBody>, TrySendError<Request<Full<Bytes>>>> {
+        self.unused.reset();
+        let response = self.requests.try_send_request(request).await?;
+        self.unused.reset();
+        let unused = self.unused.clone();
+        Ok(response.map(|inner| ResponseBody { inner, unused }))
     }
 
     pub(super) fn is_ready(&self) -> bool {
