Refuse requests whose key is not accepted, on every route

What callers saw: after a configuration had taken a key away, requests with it went on running on routes that need no key, without an organisation, for as long as they were sent. So did requests with a key that a daemon cut off from the store could not confirm, with one that nobody holds, and with credentials that can't be read.

Cause: whether the route needs a key was asked after the key had not been accepted, so each way of not accepting one made the request anonymous.

Change: credentials are read to one of three values, and only their absence is anonymous. A key ends in an organisation or in a refusal: 401 if no organisation holds it, 503 with a time to return if it can't be confirmed or the configuration may be out of date. Reasons of 401 are told apart in the log; the metric's code stays.

Conclusion: the rule holds by the type that credentials have, not by the order of checks.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,12 +12,12 @@
 use mangofront_settings::ids::ServiceName;
 
 use crate::answer;
-use crate::dialect::{CallHead, EventId, PromptPart, TokenCounts};
+use crate::dialect::{CallHead, Credentials, EventId, PromptPart, TokenCounts};
 use crate::drain::Stage;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::{Gateway, InProgress};
 use crate::quarantine::Suspects;
-use crate::refusal::Refusal;
+use crate::refusal::{KeyFault, Refusal};
 use crate::{request_body, stopping, trace};
 
 /// Time after which a caller may retry when this daemon can't serve it for now; by then the
@@ -201,7 +201,7 @@
         };
         return Err(unknown);
     };
-    let organisation = find_organisation(gateway, table, route, head, may_be_stale)?;
+    let organisation = find_organisation(gateway, table, route, &head.credentials, may_be_stale)?;
     let service = route.service_for(gateway.next_request_number());
     let service = service.ok_or_else(|| unavailable("no_service"))?.clone();
     Ok(Admitted {
@@ -213,29 +213,34 @@
 }
 
 /// Finds the organisation of a request, if its key may still be accepted.
+///
+/// Only a request without credentials is anonymous: one whose key is not accepted must not run as
+/// anybody else's, on whatever route.
 fn find_organisation(
     gateway: &Gateway,
     table: &RouteTable,
     route: &Route,
-    head: &CallHead,
+    credentials: &Credentials,
     may_be_stale: bool,
 ) -> Result<Option<Organisation>, Refusal> {
-    if !table.needs_keys() {
-        return Ok(None);
-    }
-    let key = head.key.as_deref();
-    let Some(organisation) = key.and_then(|key| table.organisation(key)) else {
-        return match (route.needs_no_key, may_be_stale) {
-            (true, _) => Ok(None),
-            (false, true) => Err(unavailable("key_not_known_yet")),
-            (false, false) => Err(Refusal::UnknownKey),
+    let key = match credentials {
+        Credentials::Key(key) => key,
+        Credentials::Absent if route.needs_no_key || !table.needs_keys() => return Ok(None),
+        Credentials::Absent if may_be_stale => return Err(unavailable("route_not_confirmed")),
+        Credentials::Absent => return Err(Refusal::NotIdentified(KeyFault::Missing)),
+        Credentials::Unreadable => return Err(Refusal::NotIdentified(KeyFault::Unreadable)),
+    };
+    let Some(organisation) = table.organisation(key) else {
+        // A key that was added recently may be unknown to this daemon only.
+        let unknown = if may_be_stale {
+            unavailable("key_not_known_yet")
+        } else {
+            Refusal::NotIdentified(KeyFault::Unknown)
         };
+        return Err(unknown);
     };
     let lease = gateway.parts().published.lease();
     if !lease.is_younger_than(gateway.options().key_lease) {
-        if route.needs_no_key {
-            return Ok(None);
-        }
         return Err(unavailable("keys_not_confirmed"));
     }
     Ok(Some(organisation.clone()))
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -35,6 +35,19 @@
     pub answer_limit_tokens: u64,
 }
 
+/// What a caller identifies itself with.
+///
+/// A request that carries anything here is not anonymous, whether it can be read or not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Credentials {
+    /// Nothing: the request is anonymous.
+    Absent,
+    /// An API key.
+    Key(ApiKey),
+    /// Something that names no single API key.
+    Unreadable,
+}
+
 /// Head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHead {
@@ -42,8 +55,8 @@
     pub request_id: String,
     /// Host named in the request.
     pub host: String,
-    /// API key of the caller.
-    pub key: Option<ApiKey>,
+    /// What the caller identifies itself with.
+    pub credentials: Credentials,
     /// Time for which the caller waits.
     pub timeout: Option<Duration>,
     /// Last event that the caller received of a stream that it resumes.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,9 +64,9 @@
 pub use cold_upstreams::ColdUpstreams;
 pub use datagram::{UpstreamChange, UpstreamChangeKind, UpstreamChanges};
 pub use dialect::{
-    AnswerHead, AttemptHead, CallHead, CallHeadError, Change, Changes, Dialect, Entry, EventId,
-    Helper, NamedRest, Position, PromptPart, PromptPartId, ReservationId, Snapshot, Source,
-    SourceError, TokenCounts,
+    AnswerHead, AttemptHead, CallHead, CallHeadError, Change, Changes, Credentials, Dialect, Entry,
+    EventId, Helper, NamedRest, Position, PromptPart, PromptPartId, ReservationId, Snapshot,
+    Source, SourceError, TokenCounts,
 };
 pub use evacuations::{Evacuations, ReloadOutcome, ZoneChange, ZoneOutcome, ZoneRecord, ZoneState};
 pub use events::{EventFramer, FramedEvents};
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,13 +12,34 @@
 
 use crate::history::{CRASHES_UPSTREAMS, PROMPT_PART_CRASHES_UPSTREAMS};
 
+/// Why no organisation is known by the key of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum KeyFault {
+    /// There is none, and the route needs one.
+    Missing,
+    /// No organisation holds it.
+    Unknown,
+    /// The credentials name no single key.
+    Unreadable,
+}
+
+impl KeyFault {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Missing => "key_missing",
+            Self::Unknown => "unknown_key",
+            Self::Unreadable => "unreadable_credentials",
+        }
+    }
+}
+
 /// Why a request did not get an upstream's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Refusal {
     /// The head of the request is malformed.
     BadHead(String),
-    /// The key is missing or unknown.
-    UnknownKey,
+    /// No organisation is known by what the request carries.
+    NotIdentified(KeyFault),
     /// No route matches.
     NoRoute,
     /// The body exceeds the limit.
@@ -47,7 +68,7 @@
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             Self::BadHead(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
-            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NotIdentified(_) => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
@@ -61,6 +82,7 @@
     pub(crate) fn reason(&self) -> &str {
         match self {
             Self::BadHead(reason) | Self::Unknown { reason } => reason,
+            Self::NotIdentified(fault) => fault.reason(),
             other => other.code(),
         }
     }
@@ -87,7 +109,7 @@
         match self {
             Self::BadHead(_) => "bad_head",
             Self::Unknown { .. } => "outcome_unknown",
-            Self::UnknownKey => "unknown_key",
+            Self::NotIdentified(_) => "unknown_key",
             Self::NoRoute => "no_route",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -71,7 +71,7 @@
     pub splits: Vec<Split>,
     /// Maximum number of upstreams to which one request may be sent.
     pub attempts: u32,
-    /// Whether a request without a known key is served.
+    /// Whether a request without a key is served.
     pub needs_no_key: bool,
     /// Regions in which its requests may run.
     pub allowed_regions: AllowedRegions,
