Count the daemons that share limits in one place, with those that may be running

What callers saw: daemons that start while none of those they list answers each let a cold upstream, or one that names a limit, have the whole rate; it crashes under three times what it takes, with the answers of its callers.

Cause: two counts of one thing. The retry budget asked whether others are listed and in which zones daemons were seen, and gave a daemon that knows nobody nothing, for good. Rate limits counted what had answered: such a daemon was a fleet of one and held one share of one.

Change: FleetSize counts for all limits, and Fleet feeds it from the membership. To the daemons that were seen it adds those that are listed and have never answered, and those of zones where none was seen, each for 10 minutes. A daemon that has started knows no number while it learns (1 s without a new one, 10 s if it is alone and others are listed), and neither lends nor grants meanwhile. Alone after that it takes 1 / (zones * (1 + listed)). A daemon that lists nobody else is a fleet of one. A metric and a log line tell the number and its parts.

The retry budget's fleets hold their former bounds; their daemons list the first of each zone, where they listed somebody unnamed before.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -18,7 +18,7 @@
 use mangofront_bodies::BodyMemory;
 use mangofront_engines::Upstreams;
 use mangofront_gateway::{
-    Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
+    Fleet, Gateway, GatewayOptions, GatewayParts, Published, PublishedOptions, RateLimits,
     RateLimitsParts, RetryLimit, StateExchange, StateExchangeOptions, StateExchangeParts, Trials,
     TrialsParts, UNCONFIGURED_BODY_LIMIT_BYTES, peer_messages,
 };
@@ -239,11 +239,13 @@
     let start_links = async || start_peers(settings, gateway_settings, &published, &exchange_cell);
     let peers = wait.listen(start_links).await?;
     let (message_sender, messages) = peer_messages();
+    let fleet = Fleet::new(&settings.instance, peers.clone(), upstreams.clone());
     let rate_limits = RateLimits::new(RateLimitsParts {
         instance: settings.instance.clone(),
         upstreams: upstreams.clone(),
         cold_upstreams: published.cold_upstreams().clone(),
         peers: peers.clone(),
+        fleet: fleet.clone(),
         updates: updates_sender,
         messages: message_sender.clone(),
         metrics: metrics.clone(),
@@ -295,6 +297,7 @@
         upstreams,
         published: published.clone(),
         peers: peers.clone(),
+        fleet,
         rate_limits: rate_limits.clone(),
         trials: trials.clone(),
         metrics: metrics.clone(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,11 +18,11 @@
 use mangofront_upstream::Connections;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::boot_clock::BootInstant;
 use crate::call;
 use crate::dialect::{Dialect, PromptPartId};
 use crate::drain::{Drain, Stage};
 use crate::fingerprint::Fingerprint;
+use crate::fleet::Fleet;
 use crate::held::HeldRequests;
 use crate::idle_limits::IdleLimits;
 use crate::options::GatewayOptions;
@@ -31,7 +31,7 @@
 use crate::quarantine::{QuarantinedPart, QuarantinedRequest, Suspects, Trials};
 use crate::rate_limits::{LimitStatus, RateLimits};
 use crate::reservations::ReservationClient;
-use crate::retry_budget::{FleetShare, FleetView, RetryBudget};
+use crate::retry_budget::RetryBudget;
 use crate::silence::Silence;
 use crate::upstream_client::{UpstreamClient, UpstreamClientParts};
 use crate::usual_times::UsualTimes;
@@ -64,6 +64,8 @@
     pub published: Published,
     /// Membership of the other daemons.
     pub peers: Peers,
+    /// The daemons that share limits.
+    pub fleet: Fleet,
     /// Rate limits of the upstreams.
     pub rate_limits: RateLimits,
     /// Trials of what crashes upstreams.
@@ -97,7 +99,6 @@
     drain: Drain,
     in_progress: Cell<usize>,
     request_counter: Cell<u64>,
-    fleet_share: RefCell<FleetShare>,
     idle_limits: RefCell<IdleLimits>,
     started: Instant,
 }
@@ -113,7 +114,6 @@
             own ^ parts.peers.incarnation(),
             started,
         );
-        let fleet_share = FleetShare::new(own, BootInstant::now().since_boot());
         let upstream_client = upstream_client(&parts);
         let reservation_client = ReservationClient {
             upstreams: upstream_client.clone(),
@@ -132,7 +132,6 @@
             drain: Drain::default(),
             in_progress: Cell::new(0),
             request_counter: Cell::new(0),
-            fleet_share: RefCell::new(fleet_share),
             idle_limits: RefCell::new(IdleLimits::new(own)),
             started,
         }))
@@ -388,21 +387,19 @@
 
     /// Number of daemons that may be sending requests, this one included.
     pub(crate) fn daemon_count(&self) -> usize {
-        self.0.fleet_share.borrow().daemons()
+        self.0.parts.fleet.counted()
     }
 
-    /// Counts the daemons that share the retry budget and the connections to upstreams, forever.
+    /// Counts the daemons that share limits and the connections to upstreams, forever.
     pub async fn watch_fleet(self) {
         loop {
-            let now = BootInstant::now().since_boot();
-            let share = self
-                .0
-                .fleet_share
-                .borrow_mut()
-                .observe(&self.fleet_view(), now);
-            self.0.retry_budget.set_fixed_share(share, Instant::now());
             let parts = self.parts();
+            let ended = parts.fleet.observe();
+            parts.rate_limits.forget_daemons(&ended);
+            let share = parts.fleet.share();
+            self.0.retry_budget.set_fixed_share(share, Instant::now());
             parts.metrics.retry_share(share);
+            parts.metrics.expected_daemons(parts.fleet.expected());
             let daemons = self.daemon_count();
             self.0
                 .idle_limits
@@ -412,22 +409,6 @@
         }
     }
 
-    fn fleet_view(&self) -> FleetView {
-        let parts = self.parts();
-        let members = parts.peers.members();
-        let running = members.iter().filter(|member| member.state.is_responsive());
-        FleetView {
-            running: running
-                .map(|member| {
-                    let id = xxh3_64(member.instance.as_bytes());
-                    (id, member.availability_zone.clone())
-                })
-                .collect(),
-            zones: parts.upstreams.zones(),
-            lists_others: members.len() > 1,
-        }
-    }
-
     /// Ejects an upstream for a while, here and at the other daemons, after `request` failed
     /// there.
     pub(crate) fn eject(&self, upstream: UpstreamKey, failure: Failure, request: &str) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod evacuations;
 mod events;
 mod fingerprint;
+mod fleet;
 mod follow;
 mod gateway;
 mod hedging;
@@ -71,6 +72,7 @@
 pub use evacuations::{Evacuations, ReloadOutcome, ZoneChange, ZoneOutcome, ZoneRecord, ZoneState};
 pub use events::{EventFramer, FramedEvents};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
+pub use fleet::Fleet;
 pub use gateway::{Gateway, GatewayParts, UNCONFIGURED_BODY_LIMIT_BYTES};
 pub use held::{HeldPlace, HeldRequests};
 pub use idle_limits::idle_limit;
@@ -85,7 +87,7 @@
 pub use registrations::{
     Record, RegisterOutcome, RegistrationState, Registrations, Removal, RemovalOutcome,
 };
-pub use retry_budget::{FleetShare, FleetView, RetryBudget, RetryLimit, RetryPermit};
+pub use retry_budget::{RetryBudget, RetryLimit, RetryPermit};
 pub use silence::{AwaitedAnswer, RunTime, Silence, SilenceSummary};
 pub use source_availability::{AnsweredPeriod, SourceAvailability};
 pub use state_exchange::{
--- a/crates/gateway/src/rate_limits/coordination.rs
+++ b/crates/gateway/src/rate_limits/coordination.rs
@@ -1,6 +1,6 @@
 //! Who coordinates the limits of a group, and the shares that are lent for it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use mangofront_dissemination::{Origin, incarnation_id};
 use mangofront_engines::UpstreamKey;
 use mangofront_limits::{DaemonId, GroupName, IncarnationId, Moment};
-use mangofront_peers::{Member, MemberState};
+use mangofront_peers::Member;
 use mangofront_settings::ids::{AvailabilityZone, InstanceId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -28,9 +28,6 @@
 /// than two of them, so that two lost messages in a row do no harm.
 const SHARE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Rounds after which the daemons of the fleet are counted.
-const ROUNDS_PER_COUNT: u64 = 10;
-
 /// Time after which a question for shares is forgotten; the reply would be of no use.
 const SHARE_QUESTION_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -63,10 +60,7 @@
 impl RateLimits {
     /// Keeps up the shares of the groups that this daemon coordinates, forever.
     pub async fn coordinate(self) {
-        for round in 0_u64.. {
-            if round.is_multiple_of(ROUNDS_PER_COUNT) {
-                self.count_daemons();
-            }
+        loop {
             self.do_round();
             compio::time::sleep(ROUND_PERIOD).await;
         }
@@ -116,7 +110,8 @@
             return;
         }
         let own = self.own_incarnation();
-        if state.lender.lend(group, own, asked_at) {
+        let expected = self.0.parts.fleet.expected();
+        if expected.is_some() && state.lender.lend(group, own, asked_at) {
             let coordinator = &mut state.coordinator;
             coordinator.receive_share(group, self.0.daemon, asked_at);
         }
@@ -129,7 +124,7 @@
         let message = LimitMessage::AskShare {
             nonce,
             group: group.to_owned(),
-            fleet: count(state.fleet.counted()),
+            fleet: count(expected.unwrap_or_else(|| self.0.parts.fleet.counted())),
         };
         let to = self.coordinators_of(state).others.clone();
         self.send(to, message);
@@ -155,7 +150,8 @@
         }
     }
 
-    /// Lends the own share to a coordinator that asks for it.
+    /// Lends the own share to a coordinator that asks for it, if this daemon knows how large it
+    /// is.
     pub(super) fn handle_share_question(
         &self,
         sender: &Origin,
@@ -163,21 +159,23 @@
         group: &str,
         fleet: u32,
     ) {
-        let now = now();
+        self.0.parts.fleet.report(sender.daemon, fleet as usize);
+        let Some(expected) = self.0.parts.fleet.expected() else {
+            return;
+        };
         let state = &mut *self.0.state.borrow_mut();
-        state.fleet.report(sender.daemon, fleet as usize, now);
-        if !state.lender.lend(group, sender.incarnation_id(), now) {
+        if !state.lender.lend(group, sender.incarnation_id(), now()) {
             return;
         }
-        let fleet = count(state.fleet.counted());
+        let fleet = count(expected);
         let message = LimitMessage::LendShare { nonce, fleet };
         let to = vec![sender.address];
         self.send(to, message);
     }
 
     pub(super) fn handle_lent_share(&self, sender: &Origin, nonce: Nonce, fleet: u32) {
+        self.0.parts.fleet.report(sender.daemon, fleet as usize);
         let state = &mut *self.0.state.borrow_mut();
-        state.fleet.report(sender.daemon, fleet as usize, now());
         if let Some((group, asked_at)) = state.share_questions.get(&nonce) {
             let coordinator = &mut state.coordinator;
             coordinator.receive_share(group, sender.daemon, *asked_at);
@@ -227,32 +225,12 @@
         }
     }
 
-    /// Counts the daemons that own a share.
-    fn count_daemons(&self) {
-        let members = self.0.parts.peers.members();
-        let id = |member: &Member| -> DaemonId { xxh3_64(member.instance.as_bytes()) };
-        let running: BTreeSet<DaemonId> = members
-            .iter()
-            .filter(|member| member.state.is_responsive())
-            .map(id)
-            .collect();
-        let leaving = members
-            .iter()
-            .filter(|member| member.state == MemberState::Leaving)
-            .map(id);
+    /// Drops the shares of daemons that have left.
+    pub(crate) fn forget_daemons(&self, ended: &[DaemonId]) {
         let state = &mut *self.0.state.borrow_mut();
-        state.leaving.extend(leaving);
-        let ended: Vec<DaemonId> = state
-            .leaving
-            .difference(&running.iter().copied().collect())
-            .copied()
-            .collect();
         for daemon in ended {
-            state.leaving.remove(&daemon);
-            state.fleet.remove(daemon);
-            state.coordinator.remove_daemon(daemon);
+            state.coordinator.remove_daemon(*daemon);
         }
-        state.fleet.observe(running, now());
     }
 
     fn forget_unused(&self) {
--- a/crates/gateway/src/rate_limits/messages.rs
+++ b/crates/gateway/src/rate_limits/messages.rs
@@ -16,14 +16,14 @@
         nonce: Nonce,
         /// Group of the limits.
         group: GroupName,
-        /// Number of daemons that the sender counts.
+        /// Number of daemons that the sender expects to be running.
         fleet: u32,
     },
     /// Reply to [`Self::AskShare`]: the sender lends its share.
     LendShare {
         /// The question.
         nonce: Nonce,
-        /// Number of daemons that the sender counts.
+        /// Number of daemons that the sender expects to be running.
         fleet: u32,
     },
     /// The sender coordinates a group no longer, and none of its permits can be used.
--- a/crates/gateway/src/rate_limits/mod.rs
+++ b/crates/gateway/src/rate_limits/mod.rs
@@ -12,7 +12,7 @@
 mod permits;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -20,18 +20,18 @@
 use futures_channel::oneshot;
 use mangofront_engines::{LoadUpdate, UpstreamKey, Upstreams};
 use mangofront_limits::{
-    Coordinator, DaemonId, FleetSize, GroupName, LimitInForce, LimitOptions, LimitTable, Moment,
+    Coordinator, DaemonId, GroupName, LimitInForce, LimitOptions, LimitTable, Moment,
     PermitDecision, Permits, ShareLender,
 };
 use mangofront_peers::Peers;
 use mangofront_settings::ids::InstanceId;
 use mangofront_telemetry::metrics::Metrics;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot_clock::BootInstant;
 use crate::cold_upstreams::ColdUpstreams;
 use crate::datagram::{Message, Nonce};
+use crate::fleet::{Fleet, daemon_id};
 use crate::peer_messages::PeerMessageSender;
 use coordination::Coordinators;
 pub(crate) use messages::LimitMessage;
@@ -48,6 +48,8 @@
     pub cold_upstreams: ColdUpstreams,
     /// Membership of the other daemons.
     pub peers: Peers,
+    /// The daemons that share limits.
+    pub fleet: Fleet,
     /// Queue of the updates that are broadcast to the other daemons.
     pub updates: UnboundedSender<LoadUpdate>,
     /// Messages to other daemons.
@@ -71,9 +73,6 @@
     permits: Permits,
     lender: ShareLender,
     coordinator: Coordinator,
-    fleet: FleetSize,
-    /// Daemons that have announced their leave and still run.
-    leaving: HashSet<DaemonId>,
     /// When each question for shares was sent, and for which group.
     share_questions: HashMap<Nonce, (GroupName, Moment)>,
     /// Requests for permits that wait for a reply.
@@ -117,15 +116,13 @@
     /// Knows of no limit.
     #[must_use]
     pub fn new(parts: RateLimitsParts) -> Self {
-        let daemon = xxh3_64(parts.instance.as_bytes());
+        let daemon = daemon_id(&parts.instance);
         let (options, started_at) = (LimitOptions::default(), now());
         let state = State {
             table: LimitTable::default(),
             permits: Permits::new(options.clone()),
             lender: ShareLender::new(options.clone(), started_at),
-            coordinator: Coordinator::new(options.clone()),
-            fleet: FleetSize::new(options, daemon, started_at),
-            leaving: HashSet::new(),
+            coordinator: Coordinator::new(options),
             share_questions: HashMap::new(),
             permit_requests: HashMap::new(),
             // Mixed with the incarnation, so that no reply to an earlier one is taken for a
@@ -150,13 +147,13 @@
             let group = &upstream.availability_zone;
             let coordinator = self.coordinators().of(group);
             let state = self.0.state.borrow();
-            let fleet = state.fleet.get();
+            let share = |fleet| state.coordinator.share(group, fleet, now());
             Some(LimitStatus {
                 limit_per_s: one.limit.per_s(),
                 age_ms: u64::try_from(one.age.as_millis()).unwrap_or(u64::MAX),
                 sent_in_4_s: state.sent.get(&one.upstream).map_or(0, VecDeque::len),
                 coordinator: coordinator.map_or_else(String::new, |member| member.instance),
-                granted_share: state.coordinator.share(group, fleet, now()),
+                granted_share: self.0.parts.fleet.size().map_or(0.0, share),
                 upstream: upstream.id,
             })
         };
--- a/crates/gateway/src/rate_limits/permits.rs
+++ b/crates/gateway/src/rate_limits/permits.rs
@@ -268,8 +268,10 @@
             let delay = Duration::ZERO;
             return PermitDecision::Granted { delay };
         };
+        let Some(fleet) = self.0.parts.fleet.size() else {
+            return PermitDecision::not_ready();
+        };
         let state = &mut *self.0.state.borrow_mut();
-        let fleet = state.fleet.get();
         state
             .coordinator
             .decide(group, request, limit, fleet, now())
@@ -300,11 +302,10 @@
     }
 
     fn count_charge(&self, group: &str, upstream: UpstreamKey) {
-        if let Some(limit) = self.limit(upstream) {
-            let state = &mut *self.0.state.borrow_mut();
-            let (fleet, now) = (state.fleet.get(), now());
-            let coordinator = &mut state.coordinator;
-            coordinator.charge(group, upstream, limit, fleet, now);
+        // While the size of the fleet is not known nothing is granted that would have to be less.
+        if let (Some(limit), Some(fleet)) = (self.limit(upstream), self.0.parts.fleet.size()) {
+            let coordinator = &mut self.0.state.borrow_mut().coordinator;
+            coordinator.charge(group, upstream, limit, fleet, now());
         }
     }
 
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -3,15 +3,13 @@
 //!
 //! The limit applies to all daemons together, in any time window of its length. Each daemon
 //! uses a share of it without coordination: of the part that is proportional to the
-//! requests, that of its own requests; of the fixed part, the share that [`FleetShare`] tells.
+//! requests, that of its own requests; of the fixed part, the share that [`Fleet`](crate::Fleet) tells.
 //!
 //! A daemon that restarts does not know what its previous incarnation used, and in a series of
 //! restarts nobody does. So an incarnation younger than the window earns retries slowly, from
 //! none at its start, and an older one uses no more than leaves room for what later incarnations
 //! could earn in the same window.
 
-mod fleet_share;
-
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -20,8 +18,6 @@
 use mangofront_settings::ids::ServiceName;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-pub use fleet_share::{FleetShare, FleetView};
-
 /// Share of the limit that a daemon uses that has run for a whole window.
 ///
 /// With [`STARTING_SHARE`] it leaves a margin, as the time windows of the daemons differ.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -9,7 +9,7 @@
 use mangofront_engines::{
     Failure, NoUpstream, ORGANISATION_OVER_SHARE, OverShare, Placement, UpstreamKey,
 };
-use mangofront_limits::{ColdChange, LimitChange, RateLimit};
+use mangofront_limits::{ColdChange, FleetView, LimitChange, RateLimit};
 use mangofront_paths::{PathFault, PathSummary};
 use mangofront_quarantine::{BLAMED_CRASHES, QuarantineState, Suspect};
 use mangofront_routes::{ConfigurationVersion, RouteTable, Upstream, UpstreamId};
@@ -63,6 +63,19 @@
     log::info!(dependency = name; "gateway: dependency regained");
 }
 
+/// The number of daemons that share limits has changed.
+pub(crate) fn fleet_counted(expected: Option<usize>, counted: usize, view: &FleetView) {
+    log::info!(
+        expected = expected.unwrap_or_default(),
+        is_known = expected.is_some(),
+        counted = counted,
+        running = view.running.len(),
+        listed_unanswered = view.unanswered.len(),
+        zones = view.zones.len();
+        "gateway: daemons that share limits"
+    );
+}
+
 /// A configuration came into force.
 pub(crate) fn configuration_accepted(
     table: &RouteTable,
--- a/crates/gateway/tests/fleet/daemon.rs
+++ b/crates/gateway/tests/fleet/daemon.rs
@@ -14,7 +14,7 @@
 use futures_util::FutureExt;
 use mangofront_engines::{ChoiceOptions, UpstreamKey, Upstreams};
 use mangofront_gateway::{
-    Published, PublishedOptions, RateLimits, RateLimitsParts, Source, StateExchange,
+    Fleet, Published, PublishedOptions, RateLimits, RateLimitsParts, Source, StateExchange,
     StateExchangeOptions, StateExchangeParts, Trials, TrialsParts, peer_messages,
 };
 use mangofront_peers::{
@@ -134,6 +134,7 @@
             upstreams: upstreams.clone(),
             cold_upstreams: published.cold_upstreams().clone(),
             peers: peers.clone(),
+            fleet: Fleet::new(&name(index), peers.clone(), upstreams.clone()),
             updates,
             messages: sender.clone(),
             metrics: Metrics::new().expect("the metrics are set up"),
--- a/crates/gateway/tests/retry_budget/daemon.rs
+++ b/crates/gateway/tests/retry_budget/daemon.rs
@@ -1,9 +1,10 @@
 //! One daemon of the fleet.
 
-use std::collections::BTreeMap;
-use std::time::Instant;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
-use mangofront_gateway::{FleetShare, FleetView, RetryBudget, RetryLimit};
+use mangofront_gateway::{RetryBudget, RetryLimit};
+use mangofront_limits::{FleetSize, FleetView, LimitOptions};
 
 const SERVICE: &str = "a";
 
@@ -14,7 +15,7 @@
     /// When it will first have heard of each other daemon, in milliseconds.
     pub hears_at_ms: BTreeMap<usize, u64>,
     budget: RetryBudget,
-    fleet: FleetShare,
+    fleet: FleetSize,
     started: Instant,
     /// The daemons that it sees running, with their zones.
     members: BTreeMap<usize, usize>,
@@ -34,14 +35,13 @@
             zone,
             hears_at_ms,
             budget: RetryBudget::new(limit, salt, now),
-            fleet: FleetShare::new(id as u64, std::time::Duration::ZERO),
+            fleet: FleetSize::new(LimitOptions::default(), id as u64, Duration::ZERO),
             started: now,
             members: BTreeMap::new(),
             view: FleetView {
                 zones: (0..crate::fleet::ZONES)
                     .map(|zone| zone.to_string())
                     .collect(),
-                lists_others: true,
                 ..FleetView::default()
             },
         }
@@ -55,9 +55,11 @@
             self.view.running = running
                 .map(|(id, zone)| (*id as u64, zone.to_string()))
                 .collect();
+            self.view.unanswered = unanswered(members);
         }
-        let share = self.fleet.observe(&self.view, now - self.started);
-        self.budget.set_fixed_share(share, now);
+        let age = now - self.started;
+        self.fleet.observe(&self.view, age);
+        self.budget.set_fixed_share(self.fleet.share(age), now);
     }
 
     pub fn record_request(&self, now: Instant) {
@@ -68,3 +70,10 @@
         self.budget.try_take(SERVICE, now)
     }
 }
+
+/// The listed daemons, the first of each zone, that are not among `members`.
+fn unanswered(members: &BTreeMap<usize, usize>) -> BTreeSet<u64> {
+    let listed = 0..crate::fleet::ZONES;
+    let unanswered = listed.filter(|id| !members.contains_key(id));
+    unanswered.map(|id| id as u64).collect()
+}
--- a/crates/limits/src/coordinator.rs
+++ b/crates/limits/src/coordinator.rs
@@ -52,6 +52,16 @@
     },
 }
 
+impl PermitDecision {
+    /// The decision of a coordinator that can't use any share yet.
+    #[must_use]
+    pub fn not_ready() -> Self {
+        Self::NotReady {
+            pause: SHARES_PAUSE,
+        }
+    }
+}
+
 /// The coordinator's side of a group.
 #[derive(Debug, Default)]
 struct Group {
@@ -120,9 +130,7 @@
     ) -> PermitDecision {
         let share = self.share(group, fleet, now);
         let Some(interval) = limit.interval(share, self.options.least_per_s) else {
-            return PermitDecision::NotReady {
-                pause: SHARES_PAUSE,
-            };
+            return PermitDecision::not_ready();
         };
         let (horizon, max_wait) = (self.horizon(request.rank), request.max_wait);
         let schedule = self.schedule(request.upstream, interval, now);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -20,8 +20,9 @@
 //!   must have ended.
 //! - A daemon that is suspended finds on waking that its leases and permits have expired, as
 //!   times are measured by a clock that goes on.
-//! - Shares of daemons that can't be reached stay unused for a while, as these may be running
-//!   behind a partition ([`FleetSize`]).
+//! - Shares of daemons that can't be reached, or that are listed and have never answered, stay
+//!   unused for a while, as these may be running behind a partition ([`FleetSize`]). A daemon
+//!   that does not know yet how many there are lends nothing and grants nothing.
 //!
 //! An upstream that is cold takes fewer requests for a while, at a rate that its service publishes:
 //! a limit like one that it names. [`WarmUps`] tells which are cold, and until when.
@@ -43,7 +44,7 @@
 use std::time::Duration;
 
 pub use coordinator::{Coordinator, PermitDecision, PermitRequest};
-pub use fleet_size::FleetSize;
+pub use fleet_size::{FleetSize, FleetView};
 pub use options::LimitOptions;
 pub use permits::{Access, Permit, Permits};
 pub use rate::{NamedLimit, RateLimit};
@@ -63,5 +64,8 @@
 /// Hash that identifies one incarnation of a daemon.
 pub type IncarnationId = u64;
 
+/// Name of an availability zone.
+pub type ZoneName = String;
+
 /// Name of the upstreams that have one coordinator: their availability zone.
-pub type GroupName = String;
+pub type GroupName = ZoneName;
--- a/crates/limits/src/options.rs
+++ b/crates/limits/src/options.rs
@@ -56,7 +56,8 @@
         self
     }
 
-    /// Time for which a daemon that can't be reached keeps its share; 10 min by default.
+    /// Time for which a daemon that can't be reached keeps its share, and for which one is expected
+    /// that was never seen; 10 min by default.
     #[must_use]
     pub fn forget_daemon_after(mut self, time: Duration) -> Self {
         self.forget_daemon_after = time;
--- a/crates/limits/tests/fleet/fleet.rs
+++ b/crates/limits/tests/fleet/fleet.rs
@@ -1,12 +1,12 @@
 //! Daemons, the messages between them, and faults.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::time::Duration;
 
 use mangofront_limits::{
-    ColdObservation, Coordinator, FleetSize, LimitOptions, Moment, Permit, PermitDecision,
-    PermitRequest, Permits, RateLimit, ShareLender, WarmUps,
+    ColdObservation, Coordinator, FleetSize, FleetView, LimitOptions, Moment, Permit,
+    PermitDecision, PermitRequest, Permits, RateLimit, ShareLender, WarmUps,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -61,6 +61,10 @@
     Lossy { at_s: f64, for_s: f64 },
     /// The daemon that coordinates ends without a word.
     KillCoordinator { at_s: f64 },
+    /// All daemons are killed. Those whose numbers are below `dark`, which all others list, stay
+    /// down for good; the others start again, and each knows nobody until `meet_s` later, when the
+    /// list names daemons that run.
+    RestartStrangers { at_s: f64, dark: usize, meet_s: f64 },
 }
 
 /// A limit that is the rate of a cold upstream, rather than one that it names.
@@ -152,6 +156,10 @@
         share: f64,
     },
     KillCoordinator,
+    RestartStrangers {
+        dark: usize,
+        meet_after: Duration,
+    },
     /// A daemon hears of the upstream, which has been cold since [`BEFORE`].
     Register {
         daemon: usize,
@@ -171,6 +179,8 @@
     pub(crate) is_registered: bool,
     /// Daemons that it believes to be running.
     view: Vec<usize>,
+    /// Daemons that it lists and that have never answered.
+    unanswered: BTreeSet<u64>,
     coordinator: usize,
     rounds: u64,
     pub(crate) frozen_until: Moment,
@@ -207,6 +217,7 @@
             warm_ups: WarmUps::default(),
             is_registered: false,
             view: vec![index],
+            unanswered: BTreeSet::new(),
             coordinator: index,
             rounds: 0,
             frozen_until: Moment::ZERO,
@@ -314,6 +325,11 @@
             }
             Fault::Restart { at_s, share } => self.schedule(at(at_s), Event::Restart { share }),
             Fault::KillCoordinator { at_s } => self.schedule(at(at_s), Event::KillCoordinator),
+            Fault::RestartStrangers { at_s, dark, meet_s } => {
+                let meet_after = Duration::from_secs_f64(meet_s);
+                let event = Event::RestartStrangers { dark, meet_after };
+                self.schedule(at(at_s), event);
+            }
         }
     }
 
@@ -366,6 +382,9 @@
                 self.daemons[coordinator].frozen_until = Moment::MAX;
                 self.schedule_views();
             }
+            Event::RestartStrangers { dark, meet_after } => {
+                self.restart_strangers(dark, meet_after);
+            }
             Event::Register { daemon } => self.register(daemon),
             Event::ColdAgain => self.become_cold_again(),
             Event::SetView { daemon } => self.set_view(daemon),
@@ -411,6 +430,27 @@
         }
     }
 
+    fn restart_strangers(&mut self, dark: usize, meet_after: Duration) {
+        let now = self.now;
+        for index in 0..self.daemons.len() {
+            let incarnation = self.daemons[index].incarnation + 1;
+            let mut daemon = Daemon::new(index, incarnation, now);
+            daemon.unanswered = (0..dark).map(|id| id as u64).collect();
+            if index < dark {
+                daemon.frozen_until = Moment::MAX;
+            } else {
+                let met = Duration::from_millis(self.random.random_range(50..900));
+                let event = Event::SetView { daemon: index };
+                self.schedule(now + meet_after + met, event);
+            }
+            self.daemons[index] = daemon;
+            if self.scenario.cold.is_some() {
+                let heard = Duration::from_millis(self.random.random_range(50..900));
+                self.schedule(now + heard, Event::Register { daemon: index });
+            }
+        }
+    }
+
     fn set_view(&mut self, daemon: usize) {
         let is_running = |other: &usize| {
             self.reaches(daemon, *other) && self.now >= self.daemons[*other].frozen_until
@@ -419,15 +459,23 @@
         let one = &mut self.daemons[daemon];
         one.coordinator = select_coordinator(&view, self.scenario.zones);
         one.view = view;
+        // The list names daemons that run, by now.
+        one.unanswered.clear();
         one.rounds = 0;
     }
 
     fn round(&mut self, daemon: usize) {
-        let now = self.now;
+        let (now, zones) = (self.now, self.scenario.zones);
         let one = &mut self.daemons[daemon];
         if one.rounds.is_multiple_of(ROUNDS_PER_COUNT) {
-            one.fleet
-                .observe(one.view.iter().map(|other| *other as u64), now);
+            let running = one.view.iter();
+            let zone = |daemon: usize| (daemon % zones).to_string();
+            let view = FleetView {
+                running: running.map(|id| (*id as u64, zone(*id))).collect(),
+                zones: (0..zones).map(zone).collect(),
+                unanswered: one.unanswered.clone(),
+            };
+            one.fleet.observe(&view, now);
         }
         one.rounds += 1;
         if now < BEFORE {
@@ -451,11 +499,12 @@
             return;
         }
         let id = incarnation_id(daemon, one.incarnation);
-        if one.lender.lend(GROUP, id, now) {
+        let expected = one.fleet.expected(now);
+        if expected.is_some() && one.lender.lend(GROUP, id, now) {
             one.grants.receive_share(GROUP, daemon as u64, now);
         }
         one.questions.insert(nonce, now);
-        let fleet = one.fleet.counted();
+        let fleet = expected.unwrap_or_else(|| one.fleet.counted());
         for other in one.view.clone() {
             if other != daemon {
                 self.send(daemon, other, Message::AskShare { nonce, fleet });
@@ -534,7 +583,10 @@
             rank: 1,
         };
         let fleet = match policy {
-            Policy::LentShares => one.fleet.get(),
+            Policy::LentShares => match one.fleet.get(now) {
+                Some(fleet) => fleet,
+                None => return PermitDecision::not_ready(),
+            },
             Policy::EqualShares | Policy::OneCoordinator => {
                 // As if all shares were held.
                 one.grants.receive_share(GROUP, daemon as u64, now);
@@ -569,11 +621,13 @@
             Message::AskShare { nonce, fleet } => {
                 let one = &mut self.daemons[to];
                 one.fleet.report(from as u64, fleet, now);
+                let Some(fleet) = one.fleet.expected(now) else {
+                    return;
+                };
                 if one
                     .lender
                     .lend(GROUP, incarnation_id(from, incarnation), now)
                 {
-                    let fleet = one.fleet.counted();
                     self.send(to, from, Message::LendShare { nonce, fleet });
                 }
             }
@@ -661,6 +715,7 @@
         | Event::Freeze { .. }
         | Event::Restart { .. }
         | Event::KillCoordinator
+        | Event::RestartStrangers { .. }
         | Event::ColdAgain => None,
     }
 }
--- a/crates/limits/tests/fleet/main.rs
+++ b/crates/limits/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod fleet;
+mod strangers;
 mod warm_up;
 
 use std::time::Duration;
--- a/crates/limits/tests/fleet/warm_up.rs
+++ b/crates/limits/tests/fleet/warm_up.rs
@@ -19,19 +19,19 @@
 const SLACK: f64 = 5.0;
 
 /// Required part of the published rate.
-const REQUIRED_USE: f64 = 0.8;
+pub(crate) const REQUIRED_USE: f64 = 0.8;
 
-const RATES_PER_S: [f64; 3] = [2.0, 8.0, 30.0];
+pub(crate) const RATES_PER_S: [f64; 3] = [2.0, 8.0, 30.0];
 
 /// Time until the news of an upstream that is cold again has reached all daemons.
 const NEWS: Duration = Duration::from_millis(500);
 
-const SEEDS: Range<u64> = 1..3;
+pub(crate) const SEEDS: Range<u64> = 1..3;
 
 /// Seeds that are drawn unless others are asked for.
 const DRAWN_SEEDS: Range<u64> = 0..6;
 
-const RETURNED: ColdScript = ColdScript {
+pub(crate) const RETURNED: ColdScript = ColdScript {
     late_share: 0.0,
     late_s: 0.0,
     cold_s: 40.0,
@@ -71,7 +71,13 @@
     (worst, used / (rate * time.as_secs_f64()))
 }
 
-fn scenario(daemons: usize, rate: f64, faults: &[Fault], cold: ColdScript, seed: u64) -> Scenario {
+pub(crate) fn scenario(
+    daemons: usize,
+    rate: f64,
+    faults: &[Fault],
+    cold: ColdScript,
+    seed: u64,
+) -> Scenario {
     Scenario {
         policy: Policy::LentShares,
         daemons,
@@ -84,7 +90,7 @@
 }
 
 /// Checks every size, rate and seed; returns the worst of each.
-fn check(name: &str, faults: &[Fault], cold: ColdScript, least_use: f64) -> String {
+pub(crate) fn check(name: &str, faults: &[Fault], cold: ColdScript, least_use: f64) -> String {
     let mut table = String::new();
     for daemons in SIZES {
         for rate in RATES_PER_S {
--- a/crates/limits/tests/permits.rs
+++ b/crates/limits/tests/permits.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use mangofront_limits::{
-    Access, Coordinator, FleetSize, LimitOptions, Moment, PermitDecision, PermitRequest, Permits,
-    RateLimit, ShareLender,
+    Access, Coordinator, FleetSize, FleetView, LimitOptions, Moment, PermitDecision, PermitRequest,
+    Permits, RateLimit, ShareLender,
 };
 
 const GROUP: &str = "zone-a";
@@ -197,15 +197,19 @@
 fn daemons_out_of_reach_are_counted_for_a_while() {
     let options = LimitOptions::default().forget_daemon_after(ms(60_000));
     let mut fleet = FleetSize::new(options, 1, at(0));
-    fleet.observe([1, 2, 3, 4], at(0));
-    fleet.observe([1, 2], at(30_000));
-    assert_eq!(fleet.get(), 4);
+    let view = |running: &[u64]| FleetView {
+        running: running.iter().map(|id| (*id, "a".to_owned())).collect(),
+        ..FleetView::default()
+    };
+    fleet.observe(&view(&[1, 2, 3, 4]), at(0));
+    fleet.observe(&view(&[1, 2]), at(30_000));
+    assert_eq!(fleet.get(at(30_000)), Some(4));
     fleet.remove(3);
-    assert_eq!(fleet.get(), 3, "one announced its leave");
-    fleet.observe([1, 2], at(70_000));
-    assert_eq!(fleet.get(), 2);
+    assert_eq!(fleet.get(at(30_000)), Some(3), "one announced its leave");
+    fleet.observe(&view(&[1, 2]), at(70_000));
+    assert_eq!(fleet.get(at(70_000)), Some(2));
     fleet.report(2, 9, at(70_000));
-    assert_eq!((fleet.get(), fleet.counted()), (9, 2));
-    fleet.observe([1, 2], at(140_000));
-    assert_eq!(fleet.get(), 2, "the report is old");
+    assert_eq!((fleet.get(at(70_000)), fleet.counted()), (Some(9), 2));
+    fleet.observe(&view(&[1, 2]), at(140_000));
+    assert_eq!(fleet.get(at(140_000)), Some(2), "the report is old");
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -245,6 +245,13 @@
         gauge.record((share * 1e6).round() as u64, &[]);
     }
 
+    /// Sets the number of daemons that share limits, as this one expects them to be running;
+    /// `None` while it is not known.
+    pub fn expected_daemons(&self, daemons: Option<usize>) {
+        let gauge = &self.0.instruments.expected_daemons;
+        gauge.record(daemons.unwrap_or_default() as u64, &[]);
+    }
+
     /// Counts an attempt that the retry budget did not allow.
     pub fn retry_refused(&self) {
         self.0.instruments.retries_refused.add(1, &[]);
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -26,6 +26,7 @@
     pub(super) refusals: Counter<u64>,
     pub(super) retries: Counter<u64>,
     pub(super) retries_refused: Counter<u64>,
+    pub(super) expected_daemons: Gauge<u64>,
     pub(super) retry_share_ppm: Gauge<u64>,
     pub(super) upstream_errors: Counter<u64>,
     pub(super) upstream_crashes: Counter<u64>,
@@ -86,6 +87,12 @@
             tokens_relayed: counter("tokens_relayed", "Tokens passed on to callers"),
             refusals: counter("refusals", "Refused requests, by reason"),
             retries: counter("retries", "Attempts after a request's first one"),
+            expected_daemons: meter
+                .u64_gauge("expected_daemons")
+                .with_description(
+                    "Daemons that share limits, as this one expects them to be running; 0 while it is not known",
+                )
+                .build(),
             retry_share_ppm: meter
                 .u64_gauge("retry_share_ppm")
                 .with_description(
