Tell all daemons of upstreams that are cold again by their registration

What callers saw: an upstream that becomes cold without a new start got full load from daemons that do not watch the store, which crashes it.

Cause: a registration that differs in the cold time only counts as unchanged and is not passed on, and of cold upstreams only what answers say was told. What two daemons mentioned to each other counted as told to all.

Change: a registration that makes a known upstream cold is news, told by the next round of a coordinator's duties; while registrations say so it is repeated. Only what was told to all counts as told.

--- a/crates/gateway/src/cold_upstreams.rs
+++ b/crates/gateway/src/cold_upstreams.rs
@@ -101,6 +101,13 @@
         self.observation(upstream)
     }
 
+    /// Applies what another daemon told all others.
+    pub(crate) fn merge_told(&self, observation: &ColdObservation) {
+        let now = now();
+        let change = self.0.warm_ups.borrow_mut().merge_told(observation, now);
+        self.publish(observation.upstream, change, ColdSource::Daemon, now);
+    }
+
     /// Applies what another daemon knows.
     pub(crate) fn merge(&self, observation: &ColdObservation) {
         let now = now();
@@ -118,7 +125,7 @@
         self.0.warm_ups.borrow().observations(now())
     }
 
-    /// What to tell the other daemons again.
+    /// What to tell the other daemons.
     pub(crate) fn take_repeats(&self) -> Vec<ColdObservation> {
         self.0.warm_ups.borrow_mut().take_repeats(now())
     }
--- a/crates/gateway/src/rate_limits/observation.rs
+++ b/crates/gateway/src/rate_limits/observation.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Applies what another daemon told all others of a cold upstream.
+    pub(crate) fn merge_told_cold(&self, observation: &ColdObservation) {
+        self.0.parts.cold_upstreams.merge_told(observation);
+    }
+
     /// Applies what another daemon knows of a cold upstream.
     pub(crate) fn merge_cold(&self, observation: &ColdObservation) {
         self.0.parts.cold_upstreams.merge(observation);
--- a/crates/gateway/src/state_exchange.rs
+++ b/crates/gateway/src/state_exchange.rs
@@ -381,7 +381,7 @@
         for update in updates {
             match update {
                 LoadUpdate::RateLimit(observation) => self.limits.merge(&observation),
-                LoadUpdate::Cold(observation) => self.limits.merge_cold(&observation),
+                LoadUpdate::Cold(observation) => self.limits.merge_told_cold(&observation),
                 update => has_unknown |= self.upstreams.apply_update(incarnation, update),
             }
         }
--- a/crates/limits/src/warm_up.rs
+++ b/crates/limits/src/warm_up.rs
@@ -96,8 +96,10 @@
     evidence: ColdEvidence,
     /// Whether a time that is too long was reported.
     has_reported_bound: bool,
-    /// Whether an answer said it here since any daemon last told the others.
+    /// Whether an answer or a registration said it here since any daemon last told the others.
     has_own_evidence: bool,
+    /// Whether a registration has changed what is known, and no daemon has told the others.
+    is_news: bool,
     /// When any daemon last told the others.
     told_at: Moment,
 }
@@ -148,6 +150,13 @@
             };
             known.apply(statement, now)
         });
+        // Daemons that do not read registrations themselves hear of an upstream that is cold again
+        // in no other way.
+        let says_cold = !is_first && cold_left.is_some_and(|left| !left.is_zero());
+        if says_cold && now < known.until {
+            known.has_own_evidence = true;
+            known.is_news |= change.is_some();
+        }
         match change {
             None if is_first && now < known.until => Some(known.change(now, None)),
             // It was not known as cold.
@@ -177,6 +186,17 @@
         change
     }
 
+    /// Merges what another daemon told all others.
+    pub fn merge_told(&mut self, observation: &ColdObservation, now: Moment) -> Option<ColdChange> {
+        if let Some(known) = self.known.get_mut(&observation.upstream)
+            && (now < known.until) != (observation.left_ms == 0)
+        {
+            known.told_at = now;
+            known.is_news = false;
+        }
+        self.merge(observation, now)
+    }
+
     /// Merges what another daemon knows.
     pub fn merge(&mut self, observation: &ColdObservation, now: Moment) -> Option<ColdChange> {
         let age = Duration::from_millis(u64::from(observation.age_ms));
@@ -197,9 +217,6 @@
             latest: as_of.saturating_add(DELIVERY_ALLOWANCE).min(now),
             evidence,
         };
-        if (now < known.until) != left.is_zero() {
-            known.told_at = now;
-        }
         known.apply(statement, now)
     }
 
@@ -236,15 +253,16 @@
         if let Some(known) = self.known.get_mut(&upstream) {
             known.told_at = now;
             known.has_own_evidence = false;
+            known.is_news = false;
         }
     }
 
-    /// What to tell the other daemons again: upstreams that told this daemon that they are cold,
-    /// since any daemon told the others.
+    /// What to tell the other daemons: upstreams that are cold by a registration that no daemon has
+    /// told, and those that told this daemon so since any daemon told the others.
     pub fn take_repeats(&mut self, now: Moment) -> Vec<ColdObservation> {
         let is_due = |known: &Known| {
             let is_old = now.saturating_sub(known.told_at) >= REPEAT_PERIOD;
-            now < known.until && known.has_own_evidence && is_old
+            now < known.until && (known.is_news || known.has_own_evidence && is_old)
         };
         let due = self.known.iter().filter(|(_, known)| is_due(known));
         let mut due: Vec<UpstreamKey> = due.map(|(upstream, _)| *upstream).collect();
@@ -306,6 +324,7 @@
             evidence,
             has_reported_bound: false,
             has_own_evidence: false,
+            is_news: false,
             told_at: now,
         }
     }
--- a/crates/limits/tests/fleet/fleet.rs
+++ b/crates/limits/tests/fleet/fleet.rs
@@ -639,7 +639,7 @@
                 }
             }
             Message::Cold(cold) => {
-                self.daemons[to].warm_ups.merge(&cold, now);
+                self.daemons[to].warm_ups.merge_told(&cold, now);
             }
             Message::AskPermit {
                 nonce,
--- a/crates/limits/tests/warm_up.rs
+++ b/crates/limits/tests/warm_up.rs
@@ -141,3 +141,33 @@
     assert_eq!(limit, Some(terms().rate), "before its end");
     assert_eq!(coordinator.limit(UPSTREAM, at(3_020)), None, "after it");
 }
+
+/// Guards against news of a registration that only the daemons which read it have, and against
+/// news that counts as told to all once two daemons have mentioned it to each other.
+#[test]
+fn an_upstream_that_is_cold_again_by_its_registration_is_told_to_others_at_once() {
+    let mut warm_ups = WarmUps::default();
+    let register = |warm_ups: &mut WarmUps, said_ms, now_ms| {
+        warm_ups.register(UPSTREAM, terms(), Some(ms(said_ms)), at(now_ms), at(now_ms));
+    };
+    register(&mut warm_ups, 0, 0);
+    assert!(warm_ups.take_repeats(at(10)).is_empty(), "it is warm");
+    register(&mut warm_ups, 4_000, 1_000);
+    let mentioned = warm_ups.observation(UPSTREAM, at(1_005)).expect("known");
+    warm_ups.merge(&mentioned, at(1_005));
+    let told = warm_ups.take_repeats(at(1_010));
+    assert_eq!(told.len(), 1, "one daemon mentioned it to this one alone");
+    assert!(warm_ups.take_repeats(at(1_020)).is_empty(), "it was told");
+    register(&mut warm_ups, 2_800, 2_200);
+    assert_eq!(
+        warm_ups.take_repeats(at(2_210)).len(),
+        1,
+        "it still says so"
+    );
+    register(&mut warm_ups, 1_600, 3_400);
+    warm_ups.merge_told(&told[0], at(3_405));
+    assert!(
+        warm_ups.take_repeats(at(3_410)).is_empty(),
+        "another told all"
+    );
+}
