Tell news of cold upstreams three times at most

Cause: took every registration that says cold for fresh evidence. All registrations are applied again whenever one changes, at every daemon, and all that have such evidence are due to repeat it at the same moment, a second after they last heard it: up to all daemons tell all others each second, by reading.

Change: only a registration that changes what is known is news; it is told three times, a second apart, by those that read it.

--- a/crates/limits/src/warm_up.rs
+++ b/crates/limits/src/warm_up.rs
@@ -25,6 +25,9 @@
 /// Time after which a cold upstream that still says so is told to the other daemons again.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 
+/// Times for which what a registration has changed is told: the messages may be lost.
+const NEWS_TELLINGS: u8 = 3;
+
 /// The warm-up that a service publishes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WarmUpTerms {
@@ -96,10 +99,10 @@
     evidence: ColdEvidence,
     /// Whether a time that is too long was reported.
     has_reported_bound: bool,
-    /// Whether an answer or a registration said it here since any daemon last told the others.
+    /// Whether an answer said it here since any daemon last told the others.
     has_own_evidence: bool,
-    /// Whether a registration has changed what is known, and no daemon has told the others.
-    is_news: bool,
+    /// Times for which to tell the others what a registration has changed.
+    news_left: u8,
     /// When any daemon last told the others.
     told_at: Moment,
 }
@@ -152,10 +155,8 @@
         });
         // Daemons that do not read registrations themselves hear of an upstream that is cold again
         // in no other way.
-        let says_cold = !is_first && cold_left.is_some_and(|left| !left.is_zero());
-        if says_cold && now < known.until {
-            known.has_own_evidence = true;
-            known.is_news |= change.is_some();
+        if change.is_some() && !is_first && now < known.until {
+            known.news_left = NEWS_TELLINGS;
         }
         match change {
             None if is_first && now < known.until => Some(known.change(now, None)),
@@ -192,7 +193,7 @@
             && (now < known.until) != (observation.left_ms == 0)
         {
             known.told_at = now;
-            known.is_news = false;
+            known.news_left = known.news_left.min(NEWS_TELLINGS - 1);
         }
         self.merge(observation, now)
     }
@@ -253,16 +254,18 @@
         if let Some(known) = self.known.get_mut(&upstream) {
             known.told_at = now;
             known.has_own_evidence = false;
-            known.is_news = false;
+            known.news_left = known.news_left.saturating_sub(1);
         }
     }
 
-    /// What to tell the other daemons: upstreams that are cold by a registration that no daemon has
-    /// told, and those that told this daemon so since any daemon told the others.
+    /// What to tell the other daemons: upstreams that are cold by a registration of which they were
+    /// not told often enough, and those that told this daemon so since any daemon told the others.
     pub fn take_repeats(&mut self, now: Moment) -> Vec<ColdObservation> {
         let is_due = |known: &Known| {
             let is_old = now.saturating_sub(known.told_at) >= REPEAT_PERIOD;
-            now < known.until && (known.is_news || known.has_own_evidence && is_old)
+            let is_fresh_news = known.news_left == NEWS_TELLINGS;
+            let has_more = known.has_own_evidence || known.news_left > 0;
+            now < known.until && (is_fresh_news || has_more && is_old)
         };
         let due = self.known.iter().filter(|(_, known)| is_due(known));
         let mut due: Vec<UpstreamKey> = due.map(|(upstream, _)| *upstream).collect();
@@ -324,7 +327,7 @@
             evidence,
             has_reported_bound: false,
             has_own_evidence: false,
-            is_news: false,
+            news_left: 0,
             told_at: now,
         }
     }
