Let a daemon that lists nobody else count itself at once

Cause: with the common count such a daemon knew no number for its first second, so that a fleet of one had no retries for that long; it counted itself at once before.

--- a/crates/limits/src/fleet_size.rs
+++ b/crates/limits/src/fleet_size.rs
@@ -157,10 +157,11 @@
     }
 
     fn is_learning(&self, now: Moment, unanswered: usize) -> bool {
-        let is_alone = self.counted() == 1;
-        let is_growing = now.saturating_sub(self.grown_at) < LEARNED_AFTER;
-        let expects_answers = is_alone && unanswered > 0;
-        now.saturating_sub(self.started) < LEARNING_TIME && (is_growing || expects_answers)
+        let has_more_to_learn = match self.counted() {
+            1 => unanswered > 0,
+            _ => now.saturating_sub(self.grown_at) < LEARNED_AFTER,
+        };
+        now.saturating_sub(self.started) < LEARNING_TIME && has_more_to_learn
     }
 
     /// Number of daemons if those of zones in which none was seen are as many as in the others.
