--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -27,6 +27,7 @@
 
 use std::process::ExitCode;
 
+use mangofront_build_info::Build;
 use pico_args::Arguments;
 
 use error::CliError;
@@ -114,14 +115,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Prints the version if `--version` is given. Any other call without a command fails.
+/// Prints the build if `--version` is given. Any other call without a command fails.
 fn print_version(mut arguments: Arguments) -> Result<(), CliError> {
     let is_version_requested = arguments.contains(["-V", "--version"]);
     finish(arguments)?;
     if !is_version_requested {
         return Err(CliError::NoCommand);
     }
-    output::print(concat!("mangofront ", env!("CARGO_PKG_VERSION"), "\n"))
+    output::print(&format!("mangofront {}\n", Build::current()))
 }
 
 /// Fails if any argument was not consumed.
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use mangofront_build_info::Build;
 use mangofront_placement::Policy;
 
 use crate::error::DaemonError;
@@ -16,7 +17,7 @@
   --settings FILE   settings of this process, JSON with comments
   --experiment-policy length-aware|least-outstanding|round-robin
                     way of choosing engines, for comparisons only
-  --version         print the version
+  --version         print version, commit and target of the build
   --help            print this text
 
 The process stops gracefully on SIGTERM and SIGINT.";
@@ -42,7 +43,7 @@
             return Err(DaemonError::Help);
         }
         if arguments.contains("--version") {
-            println!("mangofrontd {}", env!("CARGO_PKG_VERSION"));
+            println!("mangofrontd {}", Build::current());
             std::process::exit(0);
         }
         let settings = arguments
--- a/crates/daemon/src/components.rs
+++ b/crates/daemon/src/components.rs
@@ -19,10 +19,10 @@
 use mangofront_upstream::{Connections, ConnectionsOptions};
 
 use crate::address_wait::AddressWait;
-use crate::body_memory;
 use crate::error::DaemonError;
 use crate::membership::{self, PeerTransport};
 use crate::orders;
+use crate::{body_memory, build};
 
 /// All components of a daemon; a clone shares them.
 #[derive(Debug, Clone)]
@@ -65,6 +65,7 @@
         ..ConnectionsOptions::default()
     });
     let metrics = Metrics::new()?;
+    build::observe(&metrics);
     body_memory::observe(&body_memory, &metrics);
     let responders = Rc::default();
     let start_peers = async || membership::start(&settings, &audit, &platform, &responders);
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -37,7 +37,7 @@
 use crate::run::listen;
 use crate::settings_watch::SettingsWatch;
 use crate::signals::StopSignalListener;
-use crate::{body_memory, event_loop_lag, gateway_admin, membership};
+use crate::{body_memory, build, event_loop_lag, gateway_admin, membership};
 
 /// Time after which an idle connection of a caller is closed.
 ///
@@ -86,6 +86,7 @@
         .listen(|| listen(gateway_settings.news_address))
         .await?;
     let metrics = Metrics::new()?;
+    build::observe(&metrics);
     let (gateway, peers, mut background_tasks) =
         assemble(&settings, &gateway_settings, &metrics, wait).await?;
     let acceptance = Acceptance::default();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod arguments;
 mod body_memory;
+mod build;
 mod components;
 mod control_metrics;
 mod engines;
@@ -52,6 +53,7 @@
 fn start(arguments: Arguments) -> Result<(), DaemonError> {
     let settings = mangofront_settings::process::read_daemon_settings(&arguments.settings)?;
     mangofront_telemetry::logs::init(&settings.logs)?;
+    build::log();
     mangofront_telemetry::invariants::set_fatal(settings.fatal_invariants);
     let runtime = compio::runtime::Runtime::new().map_err(|cause| DaemonError::Io {
         step: "start runtime",
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,6 +1,7 @@
 //! Status of a daemon for `GET /status`.
 
 use mangofront_admission::AdmissionStatus;
+use mangofront_build_info::Build;
 use mangofront_configuration::PlatformHealth;
 use mangofront_orders::OrdersStatus;
 use mangofront_peers::Traffic;
@@ -28,6 +29,9 @@
     region: String,
     availability_zone: String,
     version: &'static str,
+    commit: &'static str,
+    sources: &'static str,
+    target: &'static str,
     uptime_s: u64,
     requests_in_progress: usize,
 }
@@ -73,12 +77,16 @@
 
 /// Current status of the daemon.
 pub(crate) fn status(components: &Components) -> Status {
+    let build = Build::current();
     Status {
         daemon: DaemonStatus {
             instance: components.settings.instance.clone(),
             region: components.settings.region.clone(),
             availability_zone: components.settings.availability_zone.clone(),
-            version: env!("CARGO_PKG_VERSION"),
+            version: build.version,
+            commit: build.commit.id(),
+            sources: build.commit.state(),
+            target: build.target,
             uptime_s: components.started.elapsed().as_secs(),
             requests_in_progress: components.entry.in_progress(),
         },
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -20,7 +20,7 @@
 
 use instruments::Instruments;
 pub use labels::{
-    Disposition, NoticeKind, PathState, PeerState, ReplacementOutcome, RequestOutcome,
+    BuildLabels, Disposition, NoticeKind, PathState, PeerState, ReplacementOutcome, RequestOutcome,
 };
 pub use mangofront_prompt::LengthBucket;
 pub use memory::BodyUsage;
@@ -90,6 +90,17 @@
         memory::register_bodies(&meter, usage);
     }
 
+    /// Records what the process was built from; the value is always 1.
+    pub fn build_info(&self, build: BuildLabels) {
+        let labels = [
+            label("version", build.version),
+            label("commit", build.commit),
+            label("sources", build.sources),
+            label("target", build.target),
+        ];
+        self.0.instruments.build_info.record(1, &labels);
+    }
+
     /// Counts a request that ended.
     pub fn request_ended(&self, class: &str, outcome: RequestOutcome) {
         let labels = [label("class", class), label("outcome", outcome.name())];
--- a/crates/telemetry/src/metrics/instruments.rs
+++ b/crates/telemetry/src/metrics/instruments.rs
@@ -26,6 +26,7 @@
     pub(super) refusals: Counter<u64>,
     pub(super) retries: Counter<u64>,
     pub(super) retries_refused: Counter<u64>,
+    pub(super) build_info: Gauge<u64>,
     pub(super) expected_daemons: Gauge<u64>,
     pub(super) retry_share_ppm: Gauge<u64>,
     pub(super) upstream_errors: Counter<u64>,
@@ -87,6 +88,10 @@
             tokens_relayed: counter("tokens_relayed", "Tokens passed on to callers"),
             refusals: counter("refusals", "Refused requests, by reason"),
             retries: counter("retries", "Attempts after a request's first one"),
+            build_info: meter
+                .u64_gauge("build_info")
+                .with_description("What the process was built from; always 1")
+                .build(),
             expected_daemons: meter
                 .u64_gauge("expected_daemons")
                 .with_description(
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -1,5 +1,18 @@
 //! Closed sets of label values.
 
+/// What a process was built from, as labels of one series.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BuildLabels {
+    /// Version of the workspace.
+    pub version: &'static str,
+    /// Commit in hexadecimal; empty if it is unknown.
+    pub commit: &'static str,
+    /// How the sources relate to the commit; a stable name.
+    pub sources: &'static str,
+    /// Target triple of the compiler.
+    pub target: &'static str,
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use mangofront_telemetry::metrics::{LengthBucket, Metrics, PeerState, RequestOutcome};
+use mangofront_telemetry::metrics::{
+    BuildLabels, LengthBucket, Metrics, PeerState, RequestOutcome,
+};
 
 #[test]
 fn everything_recorded_is_in_the_text() {
@@ -81,3 +83,20 @@
     assert_eq!([of(100_001), of(400_000)], [LengthBucket::UpTo400k; 2]);
     assert_eq!([of(400_001), of(u64::MAX)], [LengthBucket::Over400k; 2]);
 }
+
+/// Guards against a process whose metrics don't name its build.
+#[test]
+fn the_build_is_one_series() {
+    let metrics = Metrics::new().expect("metrics");
+    metrics.build_info(BuildLabels {
+        version: "0.1.0",
+        commit: "0123abc",
+        sources: "modified",
+        target: "aarch64-unknown-linux-gnu",
+    });
+    let text = metrics.render();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("mangofront_build_info"));
+    insta::assert_snapshot!(line.unwrap_or_default());
+}
