Accept keys at a daemon that starts only once others were heard

Cause: a daemon that starts took the answer of the store for a confirmation of its keys. Others, which keep the latest version they had, were asked at the same time, and nothing waited for their replies.

Why the fix works: until all daemons that it knows have replied to a round of queries, or time out, and none has a later configuration, a daemon is not ready, and requests with a key that reach it all the same wait.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -70,12 +70,15 @@
     let in_progress = gateway.begin_request();
     let (head, mut body) = request.into_parts();
     let drain = gateway.drain();
-    let confirmed = gateway.parts().published.wait_until_confirmed();
+    let read = gateway.parts().dialect.read_call(&head);
+    let has_key = matches!(&read, Ok(call) if matches!(call.credentials, Credentials::Key(_)));
+    let published = &gateway.parts().published;
     // A daemon that refuses new requests refuses this one below.
-    drain.until_refusing(confirmed).await;
-    let table = gateway.parts().published.table();
+    drain
+        .until_refusing(published.wait_until_usable(has_key))
+        .await;
+    let table = published.table();
     let body_limit_bytes = gateway.body_limit_bytes();
-    let read = gateway.parts().dialect.read_call(&head);
     let (path, version) = (
         head.uri.path().to_owned(),
         table.as_ref().map_or(0, |table| table.version()),
@@ -239,8 +242,11 @@
         };
         return Err(unknown);
     };
-    let lease = gateway.parts().published.lease();
-    if !lease.is_younger_than(gateway.options().key_lease) {
+    let published = &gateway.parts().published;
+    let is_confirmed = published
+        .lease()
+        .is_younger_than(gateway.options().key_lease);
+    if !is_confirmed || !published.is_introduced() {
         return Err(unavailable("keys_not_confirmed"));
     }
     Ok(Some(organisation.clone()))
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -31,8 +31,8 @@
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time after its start in which a daemon that the source serves queries others all the same, until
-/// one replies.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(5);
+/// one has told which changes it lacks.
+const CHANGES_TIME: Duration = Duration::from_secs(5);
 
 impl Published {
     /// Has the values in force confirmed periodically, forever.
@@ -43,7 +43,7 @@
                 true => {
                     self.0.is_isolated.set(false);
                     // Others may know of departures that a restored source does not tell.
-                    if !self.0.is_introduced.get() && started.elapsed() < INTRODUCTION_TIME {
+                    if !self.0.has_heard_changes.get() && started.elapsed() < CHANGES_TIME {
                         self.query_group(&exchange, QueryGroup::Fleet).await;
                     }
                 }
@@ -95,7 +95,7 @@
     }
 
     /// Applies a reply; returns whether its sender is in touch with the source.
-    fn apply_reply(
+    pub(crate) fn apply_reply(
         &self,
         exchange: &Rc<StateExchange>,
         queried_at: BootInstant,
@@ -109,7 +109,7 @@
         let has_page = reply.upstreams.is_some();
         let era = self.positions().upstreams().map(|position| position.era);
         if has_page && era == Some(confirmation.upstreams_position.era) {
-            self.0.is_introduced.set(true);
+            self.0.has_heard_changes.set(true);
         }
         if let Some(page) = reply.upstreams {
             let provenance = Provenance::answered(reply.from.ip(), &confirmation);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::join;
+use futures_util::future::join3;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot_clock::BootInstant;
@@ -55,8 +55,9 @@
     /// Follows `source` and has the values confirmed through `exchange`, forever.
     pub async fn follow(self, source: Rc<dyn Source>, exchange: Rc<StateExchange>) {
         let following = self.clone().follow_source(source, Rc::clone(&exchange));
+        let introducing = self.clone().introduce(Rc::clone(&exchange));
         let confirming = self.keep_confirmed(exchange);
-        join(following, confirming).await;
+        join3(following, introducing, confirming).await;
     }
 
     async fn follow_source(self, source: Rc<dyn Source>, exchange: Rc<StateExchange>) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -174,6 +174,7 @@
         self.stage() == Stage::Serving
             && published.table().is_some()
             && published.has_upstreams()
+            && published.is_introduced()
             && published
                 .lease()
                 .is_younger_than(self.options().ready_lease)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod history;
 mod idle_limits;
 mod in_flight;
+mod introduction;
 mod known_positions;
 mod lease;
 mod options;
--- a/crates/gateway/src/published.rs
+++ b/crates/gateway/src/published.rs
@@ -29,6 +29,7 @@
 };
 use crate::dialect::{Entry, Position};
 use crate::evacuations::{Evacuations, ZoneChange, ZoneState};
+use crate::introduction::Introduction;
 use crate::known_positions::KnownPositions;
 use crate::lease::Lease;
 use crate::provenance::Provenance;
@@ -66,7 +67,11 @@
     /// Whether the last query reached no daemon that is in touch with the source.
     pub(crate) is_isolated: Cell<bool>,
     /// Whether a daemon has told which changes this one lacks, since it started.
-    pub(crate) is_introduced: Cell<bool>,
+    pub(crate) has_heard_changes: Cell<bool>,
+    /// How the wait for other daemons after the start ended; `None` during it.
+    pub(crate) introduction: Cell<Option<Introduction>>,
+    /// Ends the waits for that end.
+    pub(crate) introduced: Waiters,
     /// Whether another daemon has newer state of which no copy could be fetched.
     pub(crate) has_failed_copy: Cell<bool>,
     /// Whether a copy of the configuration is being fetched.
@@ -106,7 +111,9 @@
             longest_departure_delay: Cell::default(),
             is_source_confirmed: Cell::default(),
             is_isolated: Cell::default(),
-            is_introduced: Cell::default(),
+            has_heard_changes: Cell::default(),
+            introduction: Cell::default(),
+            introduced: Waiters::default(),
             has_failed_copy: Cell::default(),
             is_fetching_configuration: Cell::default(),
             is_fetching_upstreams: Cell::default(),
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -24,6 +24,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::hedging::HedgeTrigger;
 use crate::history::{History, RATE_LIMITED};
+use crate::introduction::Introduction;
 use crate::lease::Lease;
 use crate::probe::ProbeResult;
 use crate::provenance::Provenance;
@@ -244,6 +245,12 @@
     log::info!(is_confirmed = is_confirmed; "gateway: confirmation by other daemons");
 }
 
+/// The wait for other daemons after the start has ended.
+pub(crate) fn introduced(how: Introduction, took: Duration) {
+    let took_ms = milliseconds(took);
+    log::info!(how = how.name(), took_ms = took_ms; "gateway: introduced");
+}
+
 /// The source came back from an earlier state and numbers its changes anew.
 pub(crate) fn era_entered(before: Position, position: Position, provenance: &Provenance) {
     log::warn!(
