--- a/tests/build_script.rs
+++ b/tests/build_script.rs
@@ -1,6 +1,7 @@
 //! Tests of the documented build, on a small workspace with the same layout.
 
 use std::fs;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, SystemTime};
@@ -75,6 +76,12 @@
         assert!(output.status.success(), "the build failed: {errors}");
     }
 
+    /// Identifies the file of the program.
+    fn program_file(&self) -> u64 {
+        let program = fs::metadata(self.0.join("target/release/mangofrontd"));
+        program.expect("there is a program").ino()
+    }
+
     /// Output of the program that a deployment would run, if there is one.
     fn program_text(&self) -> Option<String> {
         let program = self.0.join("target/release/mangofrontd");
@@ -111,6 +118,16 @@
     assert_eq!(workspace.program_text().as_deref(), Some("second"));
 }
 
+/// Guards against a build that takes the program away from those who start it meanwhile.
+#[test]
+fn a_build_of_the_same_sources_leaves_the_program_in_its_place() {
+    let workspace = Workspace::new("same");
+    workspace.builds();
+    let before = workspace.program_file();
+    workspace.builds();
+    assert_eq!(workspace.program_file(), before);
+}
+
 /// Guards against a build that fails and leaves the program of an earlier one in its place.
 #[test]
 fn a_failed_build_leaves_no_program() {
